--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3.11
+DEPLOYMENT ?= pantry
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test test-faults measure format
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --constraint constraints.txt setuptools wheel
+	$(BIN)/pip install --quiet --disable-pip-version-check --constraint constraints.txt --no-build-isolation --editable '.[dev]'
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m hyssopway_standins.demo --deployment $(DEPLOYMENT)
+
+test: setup
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+	$(BIN)/python -m pytest -n 4 -m 'not faults' tests
+
+test-faults: setup
+	$(BIN)/python -m pytest -n 2 -m faults tests
+
+measure: setup
+	$(BIN)/python -m hyssopway_standins.measure
+
+format: setup
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
--- /dev/null
+++ b/src/hyssopway/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/src/hyssopway/agreement/__init__.py
@@ -0,0 +1,31 @@
+"""Agreement of the control members on one log."""
+
+from __future__ import annotations
+
+from .completion import run_to_completion
+from .configuration import Configuration, daemon_of
+from .election import run_elections
+from .member import Member
+from .replication import answer_append, answer_snapshot, run_replication
+from .role import Role
+from .storage_error import LogDamagedError, StorageError
+from .store import Store
+from .timers import Timers
+from .voting import answer_vote
+
+__all__ = [
+    "Configuration",
+    "LogDamagedError",
+    "Member",
+    "Role",
+    "StorageError",
+    "Store",
+    "Timers",
+    "answer_append",
+    "answer_snapshot",
+    "answer_vote",
+    "daemon_of",
+    "run_elections",
+    "run_replication",
+    "run_to_completion",
+]
--- /dev/null
+++ b/src/hyssopway/agreement/election.py
@@ -0,0 +1,110 @@
+"""Elections and the check that a leader still reaches a quorum."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+
+from .configuration import daemon_of
+from .messages import VoteRequest
+from .role import Role
+from .storage_error import StorageError
+
+if TYPE_CHECKING:
+    import random
+
+    from .member import Member
+    from .transport import Transport
+
+
+MAX_DOUBLINGS = 3
+
+
+async def run_elections(*, member: Member, transport: Transport, rng: random.Random) -> None:
+    """Starts an election after each silence, for as long as the member runs."""
+    failed = 0
+    while member.role is not Role.STOPPED:
+        # Growing timeouts let a group whose disks are slow elect a leader at all.
+        factor = 2 ** min(failed, MAX_DOUBLINGS)
+        timeout_s = factor * rng.uniform(member.timers.election_min_s, member.timers.election_max_s)
+        await asyncio.sleep(timeout_s if not member.is_leader else member.timers.heartbeat_s)
+        if member.is_leader or member.leader_id:
+            failed = 0
+        if member.is_leader:
+            _check_quorum(member)
+        elif member.is_voter and member.clock() - member.heard_at >= timeout_s:
+            failed += 1
+            await _campaign(member=member, transport=transport)
+
+
+def _check_quorum(member: Member) -> None:
+    if member.store.last_index < member.term_start:
+        return
+    voters = member.configuration.voters
+    recent = member.clock() - member.timers.election_max_s
+    reachable = sum(voter == member.member_id or member.progress[voter].acked_at > recent for voter in voters)
+    if reachable >= member.configuration.quorum:
+        return
+    if member.clock() - member.heard_at < member.timers.election_max_s:
+        return  # elected a moment ago; followers had no time to answer
+    log_event(Event.QUORUM_LOST, reachable=reachable, voters=len(voters))
+    member.step_down(reason="no quorum answers")
+    member.heard_at = member.clock()
+
+
+async def _campaign(*, member: Member, transport: Transport) -> None:
+    member.role = Role.CANDIDATE
+    member.leader_id = ""
+    if not await _collect_votes(member=member, transport=transport, term=member.term + 1, pre_vote=True):
+        return
+    async with member.lock:
+        if member.role is not Role.CANDIDATE:
+            return
+        member.drop_unsynced()
+        term = member.term + 1
+        try:
+            await asyncio.to_thread(member.store.write_vote, term=term, voted_for=member.member_id)
+        except StorageError as error:
+            member.fail_storage(error)
+            return
+    log_event(Event.ELECTION_STARTED, term=term)
+    won = await _collect_votes(member=member, transport=transport, term=term, pre_vote=False)
+    async with member.lock:
+        if won and member.role is Role.CANDIDATE and member.term == term:
+            member.heard_at = member.clock()
+            member.become_leader()
+
+
+async def _collect_votes(*, member: Member, transport: Transport, term: int, pre_vote: bool) -> bool:
+    request = VoteRequest(
+        term=term,
+        candidate=member.member_id,
+        last_index=member.store.last_index,
+        last_term=member.store.term_at(member.store.last_index) or 0,
+        pre_vote=pre_vote,
+    )
+    others = [voter for voter in member.configuration.voters if voter != member.member_id]
+    missing = member.configuration.quorum - 1
+    calls = {
+        asyncio.create_task(
+            transport.vote(daemon=daemon_of(voter), request=request, timeout_s=member.timers.call_s)
+        )
+        for voter in others
+    }
+    while missing > 0 and calls:
+        done, calls = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+        for call in done:
+            if call.exception() is not None:
+                continue
+            reply = call.result()
+            if reply.term > member.term:
+                async with member.lock:
+                    await member.adopt_term(reply.term)
+                return False
+            missing -= reply.granted
+    return missing <= 0
+
+
+__all__ = ["run_elections"]
--- /dev/null
+++ b/src/hyssopway/agreement/log_file.py
@@ -0,0 +1,160 @@
+"""The log file of a member."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+
+from .record import decode_records, encode_record, find_later_record
+from .storage_error import LogDamagedError, StorageError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from .entry import Entry
+
+
+class LogFile:
+    """Entries behind the last snapshot, synced on request.
+
+    Attributes:
+        path: The file.
+        first_index: Index of the first entry in the file.
+        offsets: Start offset of each entry in the file.
+        end: Length of the intact part of the file.
+        syncs: Syncs made since the start.
+    """
+
+    __slots__ = ("descriptor", "end", "first_index", "offsets", "path", "syncs")
+
+    def __init__(self, *, path: Path) -> None:
+        self.path = path
+        self.first_index = 1
+        self.offsets: list[int] = []
+        self.end = 0
+        self.syncs = 0
+        self.descriptor = -1
+
+    def open(self, *, first_index: int) -> list[Entry]:
+        """Opens or creates the file and returns its entries from `first_index` on.
+
+        A torn record at the end is cut off: it was never acknowledged.
+
+        Raises:
+            LogDamagedError: A record in the middle is damaged.
+            StorageError: The file cannot be read or written.
+        """
+        try:
+            self.descriptor = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
+            data = self.path.read_bytes()
+        except OSError as error:
+            raise StorageError(f"cannot open {self.path}: {error}") from error
+        return self._load(data=data, first_index=first_index)
+
+    def append(self, *, index: int, entries: Sequence[Entry]) -> None:
+        """Writes entries from `index` on, replacing what stood there, and syncs once.
+
+        Raises:
+            StorageError: The disk is full, read-only or failing.
+        """
+        position = index - self.first_index
+        if position < len(self.offsets):
+            self.end = self.offsets[position]
+            del self.offsets[position:]
+        starts, chunks, offset = [], [], self.end
+        for step, entry in enumerate(entries):
+            record = encode_record(index=index + step, entry=entry)
+            starts.append(offset)
+            chunks.append(record)
+            offset += len(record)
+        try:
+            _write_all(self.descriptor, b"".join(chunks), offset=self.end)
+            os.ftruncate(self.descriptor, offset)
+            os.fdatasync(self.descriptor)
+        except OSError as error:
+            raise StorageError(f"cannot write {self.path}: {error}") from error
+        self.syncs += 1
+        self.offsets += starts
+        self.end = offset
+
+    def rewrite(self, *, first_index: int, entries: Sequence[Entry]) -> None:
+        """Replaces the file by one with these entries.
+
+        Raises:
+            StorageError: The disk is full, read-only or failing.
+        """
+        fresh = LogFile(path=self.path.with_suffix(".new"))
+        fresh.path.unlink(missing_ok=True)
+        fresh.open(first_index=first_index)
+        fresh.append(index=first_index, entries=entries)
+        try:
+            fresh.path.replace(self.path)
+            sync_folder(self.path.parent)
+        except OSError as error:
+            raise StorageError(f"cannot replace {self.path}: {error}") from error
+        os.close(self.descriptor)
+        self.descriptor = fresh.descriptor
+        self.first_index, self.offsets, self.end = first_index, fresh.offsets, fresh.end
+        self.syncs += fresh.syncs
+
+    def close(self) -> None:
+        """Closes the file."""
+        if self.descriptor >= 0:
+            os.close(self.descriptor)
+            self.descriptor = -1
+
+    def _load(self, *, data: bytes, first_index: int) -> list[Entry]:
+        entries: list[Entry] = []
+        self.first_index = first_index
+        offset = expected = 0
+        for end, index, entry in decode_records(data):
+            if expected and index != expected:
+                raise LogDamagedError(f"{self.path}: entry {index} stands where {expected} belongs")
+            expected = index + 1
+            if index >= first_index:
+                if not entries and index > first_index:
+                    raise LogDamagedError(f"{self.path}: entries {first_index} to {index - 1} are missing")
+                self.offsets.append(offset)
+                entries.append(entry)
+            offset = end
+        self._cut_torn_tail(data=data, end=offset)
+        self.end = offset
+        if not entries:
+            # A crash between writing a snapshot and rewriting the log leaves only entries that it covers.
+            os.ftruncate(self.descriptor, 0)
+            self.end = 0
+        return entries
+
+    def _cut_torn_tail(self, *, data: bytes, end: int) -> None:
+        if end == len(data):
+            return
+        later = find_later_record(data, start=end)
+        if later is not None:
+            log_event(Event.LOG_DAMAGED, offset=end, problem=f"an intact record follows at {later}")
+            raise LogDamagedError(f"{self.path}: damaged at byte {end}, intact record at byte {later}")
+        log_event(Event.LOG_TRUNCATED_AT_TAIL, dropped_bytes=len(data) - end)
+        os.ftruncate(self.descriptor, end)
+        os.fdatasync(self.descriptor)
+
+
+def sync_folder(folder: Path) -> None:
+    """Makes a rename in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _write_all(descriptor: int, data: bytes, *, offset: int) -> None:
+    view = memoryview(data)
+    while view:
+        written = os.pwrite(descriptor, view, offset)
+        view = view[written:]
+        offset += written
+
+
+__all__ = ["LogFile", "sync_folder"]
--- /dev/null
+++ b/src/hyssopway/agreement/member.py
@@ -0,0 +1,327 @@
+"""A member of the replicated log.
+
+Implements Raft (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014) with
+pre-vote, check-quorum and learners (Ongaro, "Consensus: Bridging Theory and Practice", 2014, chapters 4,
+6 and 9).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from hyssopway.event import Event, log_event
+from hyssopway.result import Failure, ResultCode, WorkState
+
+from .configuration import Configuration, daemon_of
+from .entry import Entry, EntryKind
+from .progress import Progress
+from .role import Role
+from .snapshot import Snapshot
+from .storage_error import StorageError
+from .timers import Timers
+
+if TYPE_CHECKING:
+    from hyssopway.clock import Clock
+    from hyssopway.control import Outcome
+
+    from .state_machine import StateMachine
+    from .store import Store
+
+APPLY_BATCH = 200
+
+
+class Member:
+    """State of one member and what changes it.
+
+    Attributes:
+        daemon: Daemon that carries the member.
+        store: Durable state.
+        machine: State that committed entries are applied to.
+        timers: Durations.
+        clock: Monotonic seconds.
+        role: Role in the current term.
+        leader_id: Leader of the current term as far as known; empty when unknown.
+        commit_index: Last index known to be committed.
+        applied_index: Last index applied.
+        heard_at: Local time of the last message of a leader or of a granted vote.
+        configuration: Members of the group.
+        progress: For a leader, replication by member id.
+        waiting: Proposals by index whose outcome is awaited.
+        term_start: Index of the first entry of a leader's own term.
+        lock: Held while durable state changes.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: str,
+        store: Store,
+        machine: StateMachine,
+        clock: Clock,
+        timers: Timers | None = None,
+        snapshot_entries: int = 10_000,
+    ) -> None:
+        self.daemon = daemon
+        self.store = store
+        self.machine = machine
+        self.clock = clock
+        self.timers = timers or Timers()
+        self.snapshot_entries = snapshot_entries
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self.commit_index = 0
+        self.applied_index = 0
+        self.heard_at = clock()
+        self.configuration = Configuration()
+        self.progress: dict[str, Progress] = {}
+        self.waiting: dict[int, tuple[int, asyncio.Future[Outcome | None]]] = {}
+        self.term_start = 0
+        self.lock = asyncio.Lock()
+        self.unsynced = asyncio.Event()
+        self.committed = asyncio.Event()
+        self.confirmed = asyncio.Condition()
+
+    @property
+    def member_id(self) -> str:
+        """Identity of the member."""
+        return self.store.member_id
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.store.vote.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads its term."""
+        return self.role is Role.LEADER
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this member votes."""
+        return self.member_id in self.configuration.voters
+
+    @property
+    def leader_daemon(self) -> str:
+        """Daemon that carries the leader; empty when unknown."""
+        return daemon_of(self.leader_id) if self.leader_id else ""
+
+    def open(self, *, initial: Configuration | None) -> None:
+        """Reads durable state; `initial` starts a new group."""
+        self.store.open(daemon=self.daemon, initial=initial)
+        self.configuration = self.store.configuration()
+        if self.store.snapshot.index:
+            self.machine.restore_snapshot(self.store.snapshot.data)
+        self.commit_index = self.applied_index = self.store.snapshot.index
+
+    async def propose(self, *, data: bytes, timeout_s: float) -> Result[Outcome, Failure]:
+        """Appends a command and waits until it is applied.
+
+        Returns:
+            The outcome, or NOT_LEADER when nothing was appended, or OUTCOME_UNKNOWN when the command may
+            still be applied.
+        """
+        return await self.append_entry(Entry(term=self.term, data=data), timeout_s=timeout_s)
+
+    async def append_entry(self, entry: Entry, *, timeout_s: float) -> Result[Outcome, Failure]:
+        """Appends an entry as leader and waits until it is applied."""
+        if not self.is_leader:
+            message = f"leader is {self.leader_daemon}" if self.leader_id else "no leader is known"
+            return Error(Failure(code=ResultCode.NOT_LEADER, message=message))
+        self.store.entries.append(entry)
+        index = self.store.last_index
+        if entry.kind is EntryKind.CONFIGURATION:
+            self.adopt_configuration()
+        future: asyncio.Future[Outcome | None] = asyncio.get_running_loop().create_future()
+        self.waiting[index] = (entry.term, future)
+        self.unsynced.set()
+        self.wake_replication()
+        try:
+            await asyncio.wait({future}, timeout=timeout_s)
+        finally:
+            self.waiting.pop(index, None)
+        outcome = future.result() if future.done() else None
+        if outcome is None:
+            message = "the change was not confirmed by a quorum in time; it may still take effect"
+            return Error(
+                Failure(code=ResultCode.OUTCOME_UNKNOWN, message=message, work=WorkState.MAY_HAVE_RUN)
+            )
+        return Ok(outcome)
+
+    def confirmed_at(self) -> float:
+        """Returns the local time up to which this leader surely knows everything committed.
+
+        A quorum answered messages sent at or after that time in this term, so no other leader committed
+        anything before it.
+        """
+        if not self.is_leader or self.commit_index < self.term_start or self.applied_index < self.term_start:
+            return float("-inf")
+        times = sorted(
+            (
+                self.clock() if voter == self.member_id else self.progress[voter].acked_at
+                for voter in self.configuration.voters
+            ),
+            reverse=True,
+        )
+        return times[self.configuration.quorum - 1]
+
+    async def read_index(self, *, timeout_s: float) -> Result[int, Failure]:
+        """Returns an index that covers every change committed before this call."""
+        start = self.clock()
+        self.wake_replication()
+        try:
+            async with asyncio.timeout(timeout_s), self.confirmed:
+                await self.confirmed.wait_for(lambda: not self.is_leader or self.confirmed_at() >= start)
+        except TimeoutError:
+            pass
+        if not self.is_leader or self.confirmed_at() < start:
+            return Error(Failure(code=ResultCode.NO_QUORUM, message="no quorum confirms the leader"))
+        return Ok(self.commit_index)
+
+    def wake_replication(self) -> None:
+        """Makes every replication task send at once."""
+        for progress in self.progress.values():
+            progress.wake.set()
+
+    async def adopt_term(self, term: int) -> None:
+        """Follows a higher term; the caller holds the lock."""
+        if term <= self.term:
+            return
+        self.step_down(reason=f"term {term} was seen")
+        await asyncio.to_thread(self.store.write_vote, term=term, voted_for="")
+        self.leader_id = ""
+
+    def step_down(self, *, reason: str) -> None:
+        """Stops leading or running for election."""
+        if self.role is Role.STOPPED:
+            return
+        if self.is_leader:
+            log_event(Event.LEADER_STEPPED_DOWN, term=self.term, reason=reason)
+            self.leader_id = ""
+        self.role = Role.FOLLOWER
+        self.progress = {}
+        for _, future in self.waiting.values():
+            if not future.done():
+                future.set_result(None)
+
+    def become_leader(self) -> None:
+        """Starts leading the current term."""
+        self.role = Role.LEADER
+        self.leader_id = self.member_id
+        self.progress = {
+            member: Progress(member_id=member, next_index=self.store.last_index + 1)
+            for member in self.configuration.members
+            if member != self.member_id
+        }
+        self.store.entries.append(Entry(term=self.term, kind=EntryKind.NO_OPERATION))
+        self.term_start = self.store.last_index
+        self.unsynced.set()
+        log_event(Event.LEADER_ELECTED, term=self.term)
+
+    def adopt_configuration(self) -> None:
+        """Takes the latest configuration from the log."""
+        configuration = self.store.configuration()
+        if configuration == self.configuration:
+            return
+        self.configuration = configuration
+        log_event(Event.MEMBERSHIP_CHANGED, voters=configuration.voters, learners=configuration.learners)
+        if self.is_leader:
+            for member in configuration.members:
+                if member not in self.progress and member != self.member_id:
+                    self.progress[member] = Progress(member_id=member, next_index=self.store.last_index + 1)
+            for member in set(self.progress) - set(configuration.members):
+                del self.progress[member]
+
+    def advance_commit(self) -> None:
+        """Commits what a quorum holds, if the leader's own term is reached."""
+        matches = sorted(
+            (
+                self.store.synced_index if voter == self.member_id else self.progress[voter].match_index
+                for voter in self.configuration.voters
+            ),
+            reverse=True,
+        )
+        # Applying only what is durable here keeps a restart from going back behind what was answered.
+        index = min(matches[self.configuration.quorum - 1], self.store.synced_index)
+        if index > self.commit_index and self.store.term_at(index) == self.term:
+            self.commit_index = index
+            self.committed.set()
+            # Followers learn of the commit now and not with the next heartbeat.
+            self.wake_replication()
+
+    async def sync_own_log(self) -> None:
+        """Writes appended entries, many with one sync, for as long as the member runs."""
+        while self.role is not Role.STOPPED:
+            await self.unsynced.wait()
+            self.unsynced.clear()
+            async with self.lock:
+                if not self.is_leader:
+                    continue
+                start = self.store.synced_index + 1
+                batch = self.store.entries[start - self.store.snapshot.index - 1 :]
+                if not batch:
+                    continue
+                try:
+                    await asyncio.to_thread(self.store.write_entries, index=start, entries=batch)
+                except StorageError as error:
+                    self.fail_storage(error)
+                    continue
+            if self.is_leader:
+                self.advance_commit()
+
+    async def apply_committed(self) -> None:
+        """Applies committed entries for as long as the member runs."""
+        while self.role is not Role.STOPPED:
+            await self.committed.wait()
+            self.committed.clear()
+            while self.applied_index < self.commit_index:
+                for _ in range(min(APPLY_BATCH, self.commit_index - self.applied_index)):
+                    self._apply_next()
+                await asyncio.sleep(0)
+            await self._compact()
+
+    def fail_storage(self, error: StorageError) -> None:
+        """Gives up the lead when the disk fails; unsynced entries are forgotten."""
+        log_event(Event.STORAGE_FAILED, error=str(error))
+        self.step_down(reason="storage failed")
+        self.drop_unsynced()
+
+    def drop_unsynced(self) -> None:
+        """Forgets entries that are not durable here."""
+        del self.store.entries[self.store.synced_index - self.store.snapshot.index :]
+        self.configuration = self.store.configuration()
+
+    def _apply_next(self) -> None:
+        index = self.applied_index + 1
+        entry = self.store.entries[index - self.store.snapshot.index - 1]
+        data = entry.data if entry.kind is EntryKind.COMMAND else b""
+        outcome = self.machine.apply(index=index, data=data)
+        self.applied_index = index
+        term, future = self.waiting.get(index, (0, None))
+        if future is not None and not future.done():
+            future.set_result(outcome if term == entry.term else None)
+
+    async def _compact(self) -> None:
+        if self.applied_index - self.store.snapshot.index < self.snapshot_entries:
+            return
+        async with self.lock:
+            index = self.applied_index
+            snapshot = Snapshot(
+                index=index,
+                term=self.store.term_at(index) or 0,
+                configuration=self.store.configuration_at(index),
+                data=self.machine.encode_snapshot(),
+            )
+            try:
+                await asyncio.to_thread(self.store.write_snapshot, snapshot)
+            except StorageError as error:
+                self.fail_storage(error)
+                return
+            self.store.adopt_snapshot(snapshot)
+        log_event(Event.SNAPSHOT_WRITTEN, index=snapshot.index, size_bytes=len(snapshot.data))
+
+
+__all__ = ["Member"]
--- /dev/null
+++ b/src/hyssopway/agreement/replication.py
@@ -0,0 +1,220 @@
+"""Sends the log from the leader to the other members."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+
+from .configuration import Configuration, daemon_of
+from .messages import AppendReply, AppendRequest, SnapshotChunk
+from .role import Role
+from .snapshot import Snapshot
+from .storage_error import StorageError
+
+if TYPE_CHECKING:
+    from .member import Member
+    from .progress import Progress
+    from .transport import Transport
+
+MAX_BATCH_BYTES = 512 * 1024
+SNAPSHOT_CHUNK_BYTES = 1024 * 1024
+
+
+async def run_replication(*, member: Member, transport: Transport) -> None:
+    """Keeps one task for each other member while this member leads."""
+    tasks: dict[int, asyncio.Task[None]] = {}
+    try:
+        while member.role is not Role.STOPPED:
+            for key, task in list(tasks.items()):
+                if task.done():
+                    del tasks[key]
+            for progress in member.progress.values():
+                if id(progress) not in tasks:
+                    job = _replicate(member=member, transport=transport, progress=progress)
+                    tasks[id(progress)] = asyncio.create_task(job)
+            await asyncio.sleep(member.timers.heartbeat_s / 4)
+    finally:
+        for task in tasks.values():
+            task.cancel()
+
+
+async def answer_append(*, member: Member, request: AppendRequest) -> AppendReply:
+    """Appends entries of a leader, synced before the answer."""
+    if request.target != member.member_id:
+        # Meant for a member whose disk was lost; this one has other state.
+        return _reply(member, success=False, match_index=0)
+    async with member.lock:
+        if request.term < member.term:
+            return _reply(member, success=False, match_index=member.store.last_index)
+        try:
+            await _follow(member, term=request.term, leader=request.leader)
+            return await _append(member=member, request=request)
+        except StorageError as error:
+            member.fail_storage(error)
+            return _reply(member, success=False, match_index=member.store.synced_index)
+
+
+async def answer_snapshot(*, member: Member, parts: bytearray, chunk: SnapshotChunk) -> AppendReply:
+    """Collects a snapshot of the leader and installs it when it is complete."""
+    async with member.lock:
+        if chunk.term < member.term:
+            return _reply(member, success=False, match_index=0)
+        try:
+            await _follow(member, term=chunk.term, leader=chunk.leader)
+            if chunk.offset == 0:
+                parts.clear()
+            if chunk.offset != len(parts):
+                return _reply(member, success=False, match_index=0)
+            parts += chunk.data
+            if chunk.last and chunk.index > member.commit_index:
+                await _install(member=member, chunk=chunk, data=bytes(parts))
+        except StorageError as error:
+            member.fail_storage(error)
+            return _reply(member, success=False, match_index=0)
+    return _reply(member, success=True, match_index=chunk.index if chunk.last else 0)
+
+
+async def _replicate(*, member: Member, transport: Transport, progress: Progress) -> None:
+    term = member.term
+    while member.is_leader and member.term == term and member.progress.get(progress.member_id) is progress:
+        progress.wake.clear()
+        try:
+            if progress.next_index <= member.store.snapshot.index:
+                await _send_snapshot(member=member, transport=transport, progress=progress)
+            else:
+                await _send_entries(member=member, transport=transport, progress=progress)
+        except OSError:
+            await asyncio.sleep(member.timers.heartbeat_s)
+            continue
+        if progress.next_index > member.store.last_index:
+            await _wait(progress.wake, timeout_s=member.timers.heartbeat_s)
+
+
+async def _send_entries(*, member: Member, transport: Transport, progress: Progress) -> None:
+    previous = progress.next_index - 1
+    request = AppendRequest(
+        term=member.term,
+        leader=member.member_id,
+        target=progress.member_id,
+        previous_index=previous,
+        previous_term=member.store.term_at(previous) or 0,
+        commit_index=member.commit_index,
+        entries=member.store.slice(start=progress.next_index, max_bytes=MAX_BATCH_BYTES),
+    )
+    sent_at = member.clock()
+    reply = await transport.append(
+        daemon=daemon_of(progress.member_id), request=request, timeout_s=member.timers.call_s
+    )
+    await _take_reply(member=member, progress=progress, reply=reply, sent_at=sent_at)
+
+
+async def _take_reply(*, member: Member, progress: Progress, reply: AppendReply, sent_at: float) -> None:
+    if reply.term > member.term:
+        async with member.lock:
+            await member.adopt_term(reply.term)
+        return
+    if not member.is_leader or reply.member != progress.member_id:
+        if reply.member != progress.member_id:
+            await asyncio.sleep(member.timers.heartbeat_s)
+        return
+    progress.acked_at = max(progress.acked_at, sent_at)
+    if reply.success:
+        progress.match_index = max(progress.match_index, reply.match_index)
+        progress.next_index = progress.match_index + 1
+        member.advance_commit()
+    else:
+        progress.next_index = max(1, min(progress.next_index - 1, reply.match_index + 1))
+    async with member.confirmed:
+        member.confirmed.notify_all()
+
+
+async def _send_snapshot(*, member: Member, transport: Transport, progress: Progress) -> None:
+    snapshot = member.store.snapshot
+    daemon = daemon_of(progress.member_id)
+    for offset in range(0, max(1, len(snapshot.data)), SNAPSHOT_CHUNK_BYTES):
+        part = snapshot.data[offset : offset + SNAPSHOT_CHUNK_BYTES]
+        chunk = SnapshotChunk(
+            term=member.term,
+            leader=member.member_id,
+            index=snapshot.index,
+            index_term=snapshot.term,
+            configuration=snapshot.configuration,
+            offset=offset,
+            data=part,
+            last=offset + len(part) >= len(snapshot.data),
+        )
+        sent_at = member.clock()
+        # Installing writes and loads the whole state, which takes longer than a heartbeat.
+        timeout_s = member.timers.call_s * 5
+        reply = await transport.install_snapshot(daemon=daemon, chunk=chunk, timeout_s=timeout_s)
+        if not reply.success or reply.term > member.term:
+            break
+    await _take_reply(member=member, progress=progress, reply=reply, sent_at=sent_at)
+
+
+async def _follow(member: Member, *, term: int, leader: str) -> None:
+    await member.adopt_term(term)
+    if member.role is not Role.FOLLOWER:
+        member.step_down(reason=f"{leader} leads term {term}")
+    member.drop_unsynced()
+    member.leader_id = leader
+    member.heard_at = member.clock()
+
+
+async def _append(*, member: Member, request: AppendRequest) -> AppendReply:
+    store = member.store
+    if request.previous_index < store.snapshot.index:
+        return _reply(member, success=False, match_index=member.commit_index)
+    if store.term_at(request.previous_index) != request.previous_term:
+        hint = min(store.last_index, max(member.commit_index, request.previous_index - 1))
+        return _reply(member, success=False, match_index=hint)
+    start = request.previous_index + 1
+    fresh = list(request.entries)
+    while fresh and store.term_at(start) == fresh[0].term:
+        fresh.pop(0)
+        start += 1
+    if fresh:
+        del store.entries[start - store.snapshot.index - 1 :]
+        store.synced_index = min(store.synced_index, start - 1)
+        store.entries += fresh
+        try:
+            await asyncio.to_thread(store.write_entries, index=start, entries=fresh)
+        except StorageError:
+            del store.entries[start - store.snapshot.index - 1 :]
+            raise
+        member.adopt_configuration()
+        member.heard_at = member.clock()
+    matched = request.previous_index + len(request.entries)
+    if min(request.commit_index, matched) > member.commit_index:
+        member.commit_index = min(request.commit_index, matched)
+        member.committed.set()
+    return _reply(member, success=True, match_index=matched)
+
+
+async def _install(*, member: Member, chunk: SnapshotChunk, data: bytes) -> None:
+    snapshot = Snapshot(
+        index=chunk.index, term=chunk.index_term, configuration=chunk.configuration, data=data
+    )
+    await asyncio.to_thread(member.store.write_snapshot, snapshot)
+    member.store.adopt_snapshot(snapshot)
+    member.machine.restore_snapshot(data)
+    member.commit_index = member.applied_index = chunk.index
+    member.configuration = Configuration.decode(chunk.configuration)
+    member.adopt_configuration()
+    log_event(Event.SNAPSHOT_INSTALLED, index=chunk.index)
+
+
+def _reply(member: Member, *, success: bool, match_index: int) -> AppendReply:
+    return AppendReply(term=member.term, success=success, match_index=match_index, member=member.member_id)
+
+
+async def _wait(event: asyncio.Event, *, timeout_s: float) -> None:
+    try:
+        await asyncio.wait_for(event.wait(), timeout_s)
+    except TimeoutError:
+        return
+
+
+__all__ = ["answer_append", "answer_snapshot", "run_replication"]
--- /dev/null
+++ b/src/hyssopway/agreement/snapshot.py
@@ -0,0 +1,41 @@
+"""A snapshot of the agreed state."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+
+_HEADER = struct.Struct("<QQI")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """Agreed state up to an index.
+
+    Attributes:
+        index: Last index covered.
+        term: Term at that index.
+        configuration: Encoded configuration at that index.
+        data: Encoded state.
+    """
+
+    index: int = 0
+    term: int = 0
+    configuration: bytes = b""
+    data: bytes = b""
+
+    def encode(self) -> bytes:
+        """Encodes the snapshot for its file."""
+        return _HEADER.pack(self.index, self.term, len(self.configuration)) + self.configuration + self.data
+
+    @staticmethod
+    def decode(raw: bytes) -> Snapshot:
+        """Decodes a snapshot file."""
+        index, term, length = _HEADER.unpack_from(raw)
+        start = _HEADER.size
+        return Snapshot(
+            index=index, term=term, configuration=raw[start : start + length], data=raw[start + length :]
+        )
+
+
+__all__ = ["Snapshot"]
--- /dev/null
+++ b/src/hyssopway/agreement/store.py
@@ -0,0 +1,175 @@
+"""Data folder of a member."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+from .configuration import Configuration, daemon_of
+from .entry import Entry, EntryKind
+from .log_file import LogFile, sync_folder
+from .slot_file import SlotFile
+from .snapshot import Snapshot
+from .stored_file import read_whole, write_whole
+from .vote import Vote
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+IDENTITY_BYTES = 8
+
+
+class Store:
+    """Log, vote and snapshot of one member.
+
+    Entries are also held in memory. Writes are synced before they return; callers run them in a thread,
+    one at a time.
+
+    Attributes:
+        folder: The data folder.
+        vote: Identity, term and vote.
+        snapshot: Last snapshot.
+        entries: Entries behind the snapshot.
+        synced_index: Last index that is durable.
+    """
+
+    __slots__ = ("entries", "folder", "log_file", "snapshot", "synced_index", "vote", "vote_file")
+
+    def __init__(self, *, folder: Path) -> None:
+        self.folder = folder
+        self.vote = Vote(member_id="")
+        self.snapshot = Snapshot()
+        self.entries: list[Entry] = []
+        self.log_file = LogFile(path=folder / "log")
+        self.vote_file = SlotFile(path=folder / "vote")
+        self.synced_index = 0
+
+    @property
+    def member_id(self) -> str:
+        """Identity of the member."""
+        return self.vote.member_id
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, durable or not."""
+        return self.snapshot.index + len(self.entries)
+
+    def open(self, *, daemon: str, initial: Configuration | None) -> None:
+        """Reads the folder or initialises an empty one.
+
+        Args:
+            daemon: Name of the daemon.
+            initial: Configuration of a new group; None for a member that joins an existing one.
+
+        Raises:
+            LogDamagedError: A file is damaged.
+            StorageError: The folder cannot be read or written.
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        raw_vote = self.vote_file.open()
+        if raw_vote is None:
+            self._initialise(daemon=daemon, initial=initial)
+        else:
+            self.vote = Vote.decode(raw_vote)
+        raw_snapshot = read_whole(self.folder / "snapshot")
+        if raw_snapshot is not None:
+            self.snapshot = Snapshot.decode(raw_snapshot)
+        self.entries = self.log_file.open(first_index=self.snapshot.index + 1)
+        if self.entries and self.entries[0].term < self.snapshot.term:
+            # An installed snapshot replaced these entries and the crash came before the log was rewritten.
+            self.entries = []
+            self.log_file.rewrite(first_index=self.snapshot.index + 1, entries=[])
+        self.synced_index = self.last_index
+
+    def term_at(self, index: int) -> int | None:
+        """Returns the term at an index, or None when the log does not hold it."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        position = index - self.snapshot.index - 1
+        if 0 <= position < len(self.entries):
+            return self.entries[position].term
+        return None
+
+    def slice(self, *, start: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Returns entries from `start` on, at least one and then up to `max_bytes`."""
+        found: list[Entry] = []
+        size = 0
+        for position in range(start - self.snapshot.index - 1, len(self.entries)):
+            entry = self.entries[position]
+            size += len(entry.data)
+            if found and size > max_bytes:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def configuration(self) -> Configuration:
+        """Returns the latest configuration in the log; it counts from when it is appended."""
+        for entry in reversed(self.entries):
+            if entry.kind is EntryKind.CONFIGURATION:
+                return Configuration.decode(entry.data)
+        raw = self.snapshot.configuration or self.vote.initial
+        return Configuration.decode(raw) if raw else Configuration()
+
+    def configuration_index(self) -> int:
+        """Returns the index of the latest configuration."""
+        for position in range(len(self.entries) - 1, -1, -1):
+            if self.entries[position].kind is EntryKind.CONFIGURATION:
+                return self.snapshot.index + 1 + position
+        return self.snapshot.index
+
+    def configuration_at(self, index: int) -> bytes:
+        """Returns the encoded configuration that holds at an index."""
+        for position in range(index - self.snapshot.index - 1, -1, -1):
+            if self.entries[position].kind is EntryKind.CONFIGURATION:
+                return self.entries[position].data
+        return self.snapshot.configuration or self.vote.initial
+
+    def write_vote(self, *, term: int, voted_for: str) -> None:
+        """Makes term and vote durable."""
+        vote = Vote(member_id=self.vote.member_id, term=term, voted_for=voted_for, initial=self.vote.initial)
+        self.vote_file.write(vote.encode())
+        self.vote = vote
+
+    def write_entries(self, *, index: int, entries: Sequence[Entry]) -> None:
+        """Makes entries durable."""
+        self.log_file.append(index=index, entries=entries)
+        self.synced_index = index + len(entries) - 1
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Makes a snapshot durable; `adopt_snapshot` must follow on the event loop."""
+        write_whole(self.folder / "snapshot", snapshot.encode())
+        kept = self._kept_entries(snapshot)
+        durable = kept[: max(0, self.synced_index - snapshot.index)]
+        self.log_file.rewrite(first_index=snapshot.index + 1, entries=durable)
+
+    def adopt_snapshot(self, snapshot: Snapshot) -> None:
+        """Drops the entries that a durable snapshot covers from memory."""
+        kept = self._kept_entries(snapshot)
+        self.snapshot = snapshot
+        self.entries = kept
+        self.synced_index = max(snapshot.index, min(self.synced_index, self.last_index))
+
+    def close(self) -> None:
+        """Closes all files."""
+        self.log_file.close()
+        self.vote_file.close()
+
+    def _kept_entries(self, snapshot: Snapshot) -> list[Entry]:
+        if self.term_at(snapshot.index) != snapshot.term:
+            return []
+        return self.entries[snapshot.index - self.snapshot.index :]
+
+    def _initialise(self, *, daemon: str, initial: Configuration | None) -> None:
+        identity = secrets.token_hex(IDENTITY_BYTES)
+        if initial is not None:
+            identity = next(member for member in initial.voters if daemon_of(member) == daemon).partition(
+                "/"
+            )[2]
+        encoded = initial.encode() if initial is not None else b""
+        self.vote = Vote(member_id=f"{daemon}/{identity}", initial=encoded)
+        self.vote_file.write(self.vote.encode())
+        sync_folder(self.folder)
+
+
+__all__ = ["Store"]
--- /dev/null
+++ b/src/hyssopway/agreement/timers.py
@@ -0,0 +1,25 @@
+"""Timers of a member."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Timers:
+    """Durations in seconds.
+
+    Attributes:
+        heartbeat_s: Time between two messages to a silent follower.
+        election_min_s: Shortest silence after which a member starts an election.
+        election_max_s: Longest silence after which a member starts an election.
+        call_s: Longest wait for an answer of another member; longer than a slow sync of its disk.
+    """
+
+    heartbeat_s: float = 0.1
+    election_min_s: float = 0.6
+    election_max_s: float = 1.2
+    call_s: float = 2.0
+
+
+__all__ = ["Timers"]
--- /dev/null
+++ b/src/hyssopway/agreement/voting.py
@@ -0,0 +1,57 @@
+"""Answers to vote requests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from .messages import VoteReply, VoteRequest
+from .storage_error import StorageError
+
+if TYPE_CHECKING:
+    from .member import Member
+
+
+async def answer_vote(*, member: Member, request: VoteRequest) -> VoteReply:
+    """Grants or refuses a vote or a pre-vote."""
+    async with member.lock:
+        if _hears_leader(member):
+            # A member that was cut off must not disturb a group whose leader works.
+            return VoteReply(term=member.term, granted=False)
+        if request.pre_vote:
+            granted = request.term > member.term and _is_up_to_date(member, request)
+            return VoteReply(term=member.term, granted=granted)
+        try:
+            return await _answer_real_vote(member=member, request=request)
+        except StorageError as error:
+            member.fail_storage(error)
+            return VoteReply(term=member.term, granted=False)
+
+
+async def _answer_real_vote(*, member: Member, request: VoteRequest) -> VoteReply:
+    await member.adopt_term(request.term)
+    voted_for = member.store.vote.voted_for
+    granted = (
+        request.term == member.term
+        and voted_for in ("", request.candidate)
+        and _is_up_to_date(member, request)
+    )
+    if granted:
+        await asyncio.to_thread(member.store.write_vote, term=member.term, voted_for=request.candidate)
+        member.heard_at = member.clock()
+    return VoteReply(term=member.term, granted=granted)
+
+
+def _hears_leader(member: Member) -> bool:
+    if member.is_leader:
+        return member.clock() - member.confirmed_at() < member.timers.election_min_s
+    return bool(member.leader_id) and member.clock() - member.heard_at < member.timers.election_min_s
+
+
+def _is_up_to_date(member: Member, request: VoteRequest) -> bool:
+    last_index = member.store.last_index
+    last_term = member.store.term_at(last_index) or 0
+    return (request.last_term, request.last_index) >= (last_term, last_index)
+
+
+__all__ = ["answer_vote"]
--- /dev/null
+++ b/src/hyssopway/control/apply/runs.py
@@ -0,0 +1,125 @@
+"""Applies starts and ends of runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Ok, Result
+
+from hyssopway.control.change import Change
+from hyssopway.control.record import JobStatus, Run, RunOutcome, VmState, ZoneStatus
+from hyssopway.control.team_usage import TeamUsage
+from hyssopway.document import JobPolicy
+from hyssopway.result import ResultCode
+
+from .jobs import finish_job
+from .refusal import refuse
+
+if TYPE_CHECKING:
+    from hyssopway.control.command import EndRun, StartRun
+    from hyssopway.control.record import Job
+    from hyssopway.control.state import ControlState
+    from hyssopway.result import Failure
+
+MAX_BACKOFF_DOUBLINGS = 8
+
+
+def start_run(state: ControlState, command: StartRun) -> Result[Change, Failure]:
+    """Starts a run if the job, the VM, its zone and the team's limit allow it."""
+    job = state.tables.jobs.get(command.job_id)
+    if job is None or job.status is not JobStatus.PENDING:
+        return refuse(ResultCode.UNKNOWN_JOB, f"job {command.job_id!r} is not pending")
+    if command.epoch != job.runs + 1:
+        return refuse(
+            ResultCode.STALE_EPOCH, f"next run of job {job.job_id} is {job.runs + 1}, not {command.epoch}"
+        )
+    refusal = _check_vm(state, command) or _check_limit(state, job=job)
+    if refusal is not None:
+        return refusal
+    job.runs = command.epoch
+    job.status = JobStatus.RUNNING
+    job.run = Run(
+        epoch=command.epoch,
+        vm=command.vm,
+        started_ms=state.tables.now_ms,
+        reason=command.reason,
+        probe=command.probe,
+    )
+    job.history.append(f"run {command.epoch} on {command.vm}: {command.reason}")
+    state.indexes.add_run(job=job, vm=command.vm)
+    return Ok(Change(generation=command.epoch, reference=job.job_id))
+
+
+def end_run(state: ControlState, command: EndRun) -> Result[Change, Failure]:
+    """Ends a run; a report of an older run changes nothing."""
+    job = state.tables.jobs.get(command.job_id)
+    if job is None:
+        return refuse(ResultCode.UNKNOWN_JOB, f"job {command.job_id!r} does not exist")
+    if job.run is None or job.run.epoch != command.epoch:
+        return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} of job {job.job_id} is not in progress")
+    state.indexes.remove_run(job=job, vm=job.run.vm)
+    if command.checkpoint:
+        job.checkpoint = command.checkpoint
+    job.history.append(f"run {command.epoch} on {job.run.vm} {command.outcome}: {command.detail}")
+    _conclude(state, job=job, command=command)
+    return Ok(Change(generation=command.epoch, reference=job.status))
+
+
+def _check_vm(state: ControlState, command: StartRun) -> Result[Change, Failure] | None:
+    vm = state.tables.vms.get(command.vm)
+    if vm is None:
+        return refuse(ResultCode.UNKNOWN_VM, f"VM {command.vm!r} does not exist")
+    if vm.epoch != command.vm_epoch:
+        return refuse(ResultCode.STALE_EPOCH, f"VM {vm.name} is at epoch {vm.epoch}, not {command.vm_epoch}")
+    allowed = VmState.QUARANTINED if command.probe else VmState.READY
+    if vm.state is not allowed:
+        return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is {vm.state}")
+    if state.tables.zones[vm.zone].status is ZoneStatus.WITHDRAWN:
+        return refuse(ResultCode.ZONE_WITHDRAWN, f"zone {vm.zone} is withdrawn")
+    return None
+
+
+def _check_limit(state: ControlState, *, job: Job) -> Result[Change, Failure] | None:
+    document = state.document()
+    team = document.team(name=job.team) if document else None
+    if team is None:
+        return refuse(ResultCode.UNKNOWN_TEAM, f"team {job.team!r} is not in the production document")
+    usage = state.indexes.usage.get(job.team) or TeamUsage()
+    if usage.tasks >= team.max_running or not (usage.resources + job.spec.resources).fits_in(team.limit):
+        return refuse(
+            ResultCode.TEAM_LIMIT, f"team {team.name} is at its upper limit with {usage.tasks} tasks"
+        )
+    return None
+
+
+def _conclude(state: ControlState, *, job: Job, command: EndRun) -> None:
+    job.run = None
+    if command.outcome is RunOutcome.DONE:
+        finish_job(state, job=job, status=JobStatus.DONE, detail=command.detail)
+    elif job.cancelling:
+        finish_job(state, job=job, status=JobStatus.CANCELLED, detail=command.detail or "stopped")
+    elif command.outcome is RunOutcome.FAILED:
+        _count_failure(state, job=job, detail=command.detail)
+    else:
+        _requeue(state, job=job, detail=command.detail)
+
+
+def _count_failure(state: ControlState, *, job: Job, detail: str) -> None:
+    document = state.document()
+    policy = document.jobs if document else JobPolicy()
+    job.failures += 1
+    if job.failures >= policy.max_tries:
+        finish_job(state, job=job, status=JobStatus.FAILED, detail=detail)
+        return
+    doublings = min(job.failures - 1, MAX_BACKOFF_DOUBLINGS)
+    job.not_before_ms = state.tables.now_ms + round(policy.backoff_s * 1000 * 2**doublings)
+    _requeue(state, job=job, detail=detail)
+
+
+def _requeue(state: ControlState, *, job: Job, detail: str) -> None:
+    job.status = JobStatus.PENDING
+    job.detail = detail
+    state.indexes.pending[job.job_id] = job
+
+
+__all__ = ["end_run", "start_run"]
--- /dev/null
+++ b/src/hyssopway/control/apply/vms.py
@@ -0,0 +1,105 @@
+"""Applies changes of VMs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Ok, Result
+
+from hyssopway.control.change import Change
+from hyssopway.control.record import Vm, VmState
+from hyssopway.result import ResultCode
+
+from .refusal import refuse
+
+if TYPE_CHECKING:
+    from hyssopway.control.command import ChangeVm, MoveVm, RegisterVm
+    from hyssopway.control.state import ControlState
+    from hyssopway.result import Failure
+
+# `docs/design.md` has the same table with who may make each change.
+TRANSITIONS = {
+    VmState.READY: {VmState.DOWN, VmState.QUARANTINED},
+    VmState.QUARANTINED: {VmState.READY, VmState.DOWN},
+    VmState.DRAINING: {VmState.DRAINED, VmState.DOWN},
+    VmState.DRAINED: {VmState.REBOOTING, VmState.DOWN},
+    VmState.REBOOTING: {VmState.DRAINED, VmState.DOWN},
+    VmState.DOWN: {VmState.READY, VmState.DRAINED},
+}
+
+
+def register_vm(state: ControlState, command: RegisterVm) -> Result[Change, Failure]:
+    """Records a VM and its home entry; a known VM keeps its pool."""
+    vm = state.tables.vms.get(command.vm)
+    if vm is None:
+        return _add_vm(state, command)
+    if vm.home != command.home or vm.boot_id != command.boot_id:
+        vm.home_epoch += 1
+    vm.home = command.home
+    vm.boot_id = command.boot_id
+    vm.capacity = command.capacity
+    return Ok(Change(generation=vm.home_epoch, reference=vm.name))
+
+
+def change_vm(state: ControlState, command: ChangeVm) -> Result[Change, Failure]:
+    """Changes the state of a VM along the table of transitions."""
+    vm = state.tables.vms.get(command.vm)
+    if vm is None:
+        return refuse(ResultCode.UNKNOWN_VM, f"VM {command.vm!r} does not exist")
+    if vm.epoch != command.expected_epoch:
+        message = f"VM {vm.name} is {vm.state} at epoch {vm.epoch}, not {command.expected_epoch}"
+        return refuse(ResultCode.STALE_EPOCH, message)
+    if command.state not in TRANSITIONS[vm.state]:
+        return refuse(
+            ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} cannot change from {vm.state} to {command.state}"
+        )
+    if command.state is VmState.READY and vm.name in state.tables.permits:
+        return refuse(
+            ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is under a disruption permit; return it first"
+        )
+    if command.state is VmState.DRAINED and state.indexes.running.get(vm.name):
+        return refuse(ResultCode.VM_NOT_EMPTY, f"VM {vm.name} still runs tasks")
+    vm.state = command.state
+    vm.reason = command.reason
+    vm.epoch += 1
+    return Ok(Change(generation=vm.epoch, reference=vm.name))
+
+
+def move_vm(state: ControlState, command: MoveVm) -> Result[Change, Failure]:
+    """Moves an empty VM to another pool."""
+    vm = state.tables.vms.get(command.vm)
+    document = state.document()
+    if vm is None:
+        return refuse(ResultCode.UNKNOWN_VM, f"VM {command.vm!r} does not exist")
+    if vm.epoch != command.expected_epoch:
+        message = f"VM {vm.name} is in pool {vm.pool} at epoch {vm.epoch}, not {command.expected_epoch}"
+        return refuse(ResultCode.STALE_EPOCH, message)
+    if document is None or document.pool(name=command.target) is None:
+        return refuse(ResultCode.UNKNOWN_POOL, f"pool {command.target!r} is not in the production document")
+    if vm.state is not VmState.DRAINED or state.indexes.running.get(vm.name):
+        return refuse(ResultCode.VM_NOT_EMPTY, f"VM {vm.name} is {vm.state}; drain it before a move")
+    vm.pool = command.target
+    vm.reason = command.reason
+    vm.epoch += 1
+    return Ok(Change(generation=vm.epoch, reference=vm.name))
+
+
+def _add_vm(state: ControlState, command: RegisterVm) -> Result[Change, Failure]:
+    document = state.document()
+    if document is None or document.pool(name=command.pool) is None:
+        return refuse(ResultCode.UNKNOWN_POOL, f"pool {command.pool!r} is not in the production document")
+    if command.zone not in state.tables.zones:
+        return refuse(ResultCode.UNKNOWN_ZONE, f"zone {command.zone!r} does not exist")
+    state.tables.vms[command.vm] = Vm(
+        name=command.vm,
+        zone=command.zone,
+        rack=command.rack,
+        pool=command.pool,
+        capacity=command.capacity,
+        home=command.home,
+        boot_id=command.boot_id,
+    )
+    return Ok(Change(generation=1, reference=command.vm))
+
+
+__all__ = ["TRANSITIONS", "change_vm", "move_vm", "register_vm"]
--- /dev/null
+++ b/src/hyssopway/control/command/change_vm.py
@@ -0,0 +1,29 @@
+"""Changes the state of a VM."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal
+
+from hyssopway.control.record.vm_state import VmState
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeVm:
+    """Moves a VM to another state.
+
+    Attributes:
+        vm: Name of the VM.
+        state: New state.
+        expected_epoch: Epoch of the VM that the proposer saw.
+        reason: Why, for operators.
+    """
+
+    vm: str
+    state: VmState
+    expected_epoch: int
+    reason: str
+    kind: Literal["change_vm"] = "change_vm"
+
+
+__all__ = ["ChangeVm"]
--- /dev/null
+++ b/src/hyssopway/control/command/withdraw_key.py
@@ -0,0 +1,25 @@
+"""Withdraws a key."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawKey:
+    """Makes a key invalid for ever.
+
+    Attributes:
+        request_id: Identity of the request over resends.
+        operator: Who asked.
+        key_id: Public part of the key.
+    """
+
+    request_id: str
+    operator: str
+    key_id: str
+    kind: Literal["withdraw_key"] = "withdraw_key"
+
+
+__all__ = ["WithdrawKey"]
--- /dev/null
+++ b/src/hyssopway/control/envelope.py
@@ -0,0 +1,23 @@
+"""A command with the time at which the leader took it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .command import Command
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Envelope:
+    """One entry of the replicated log.
+
+    Attributes:
+        at_ms: Wall-clock time of the leader in milliseconds.
+        command: The command.
+    """
+
+    at_ms: int
+    command: Command
+
+
+__all__ = ["Envelope"]
--- /dev/null
+++ b/src/hyssopway/control/record/__init__.py
@@ -0,0 +1,37 @@
+"""Records of the agreed state."""
+
+from __future__ import annotations
+
+from .claim import Claim
+from .job import Job
+from .job_spec import JobSpec
+from .job_status import JobStatus
+from .key import Key
+from .permit import Permit
+from .permit_purpose import PermitPurpose
+from .run import Run
+from .run_outcome import RunOutcome
+from .stored_document import StoredDocument
+from .stored_outcome import StoredOutcome
+from .vm import Vm
+from .vm_state import VmState
+from .zone import Zone
+from .zone_status import ZoneStatus
+
+__all__ = [
+    "Claim",
+    "Job",
+    "JobSpec",
+    "JobStatus",
+    "Key",
+    "Permit",
+    "PermitPurpose",
+    "Run",
+    "RunOutcome",
+    "StoredDocument",
+    "StoredOutcome",
+    "Vm",
+    "VmState",
+    "Zone",
+    "ZoneStatus",
+]
--- /dev/null
+++ b/src/hyssopway/control/record/job_status.py
@@ -0,0 +1,19 @@
+"""Status of a job."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class JobStatus(StrEnum):
+    """Where a job stands; the last four are final."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    CANNOT_RUN = "cannot_run"
+
+
+__all__ = ["JobStatus"]
--- /dev/null
+++ b/src/hyssopway/control/state.py
@@ -0,0 +1,124 @@
+"""The deterministic state machine behind the replicated log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Result
+from pydantic import TypeAdapter
+
+from hyssopway.document import parse_document
+
+from .apply import apply_command
+from .codec import decode_command, fingerprint
+from .command import GrantKey, OperatorCommand, PromoteDocument, SetZone, TrialDocument, WithdrawKey
+from .indexes import Indexes
+from .outcome import Outcome
+from .record import StoredOutcome
+from .request_ids import reused_request_id
+from .tables import Tables
+
+if TYPE_CHECKING:
+    from hyssopway.document import EnvironmentDocument
+
+    from .command import Command
+
+PRODUCTION = "production"
+TRIAL = "trial"
+
+# A resend hours later must find the first outcome: 22,000 changes a day are 917 an hour.
+MAX_STORED_OUTCOMES = 10_000
+
+_TABLES = TypeAdapter(Tables)
+
+
+class ControlState:
+    """Agreed state of one region.
+
+    Every daemon applies the same commands in the same order, so nothing here may depend on local time,
+    randomness or iteration over sets.
+
+    Attributes:
+        tables: Records, as kept in snapshots.
+        indexes: Values derived from the records.
+    """
+
+    __slots__ = ("indexes", "tables")
+
+    def __init__(self) -> None:
+        self.tables = Tables()
+        self.indexes = Indexes()
+
+    @property
+    def applied_index(self) -> int:
+        """Log index of the last command applied."""
+        return self.tables.applied_index
+
+    def document(self, *, environment: str = PRODUCTION) -> EnvironmentDocument | None:
+        """Returns the document in force in an environment."""
+        return self.indexes.parsed.get(environment)
+
+    def generation(self, *, environment: str = PRODUCTION) -> int:
+        """Returns the generation in force in an environment; 0 before the first."""
+        stored = self.tables.documents.get(environment)
+        return stored.generation if stored else 0
+
+    def apply(self, *, index: int, data: bytes) -> Outcome:
+        """Applies one committed log entry.
+
+        Args:
+            index: Log index of the entry.
+            data: Encoded envelope; empty for entries that only concern the log.
+
+        Returns:
+            What the command came to.
+        """
+        if index <= self.tables.applied_index:
+            raise ValueError(f"entry {index} is already applied")
+        self.tables.applied_index = index
+        if not data:
+            return Outcome(index=index)
+        envelope = decode_command(data)
+        self.tables.now_ms = max(self.tables.now_ms, envelope.at_ms)
+        match envelope.command:
+            case TrialDocument() | PromoteDocument() | GrantKey() | WithdrawKey() | SetZone() as command:
+                return self._apply_operator_command(index=index, command=command)
+            case command:
+                return self._apply_once(index=index, command=command)
+
+    def encode_snapshot(self) -> bytes:
+        """Encodes all records."""
+        return _TABLES.dump_json(self.tables)
+
+    def restore_snapshot(self, data: bytes) -> None:
+        """Replaces all records by those of a snapshot."""
+        self.tables = _TABLES.validate_json(data)
+        self.indexes = Indexes()
+        self.indexes.rebuild_jobs(self.tables)
+        for environment, stored in self.tables.documents.items():
+            match parse_document(text=stored.text, file=environment):
+                case Result(tag="ok", ok=document):
+                    self.indexes.parsed[environment] = document
+                case _:
+                    raise ValueError(f"document in force in {environment} does not parse")
+
+    def _apply_operator_command(self, *, index: int, command: OperatorCommand) -> Outcome:
+        mark = fingerprint(command)
+        stored = self.tables.outcomes.get(command.request_id)
+        if stored is not None:
+            return stored.outcome if stored.fingerprint == mark else reused_request_id(command.request_id)
+        outcome = self._apply_once(index=index, command=command)
+        self.tables.outcomes[command.request_id] = StoredOutcome(fingerprint=mark, outcome=outcome)
+        while len(self.tables.outcomes) > MAX_STORED_OUTCOMES:
+            del self.tables.outcomes[next(iter(self.tables.outcomes))]
+        return outcome
+
+    def _apply_once(self, *, index: int, command: Command) -> Outcome:
+        match apply_command(state=self, command=command):
+            case Result(tag="ok", ok=change):
+                return Outcome(index=index, generation=change.generation, reference=change.reference)
+            case Result(error=failure):
+                return Outcome(index=index, failure=failure)
+
+
+__all__ = ["PRODUCTION", "TRIAL", "ControlState"]
--- /dev/null
+++ b/src/hyssopway/control/tables.py
@@ -0,0 +1,43 @@
+"""The part of the agreed state that snapshots hold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .record import Claim, Job, Key, Permit, StoredDocument, StoredOutcome, Vm, Zone
+
+
+@dataclass(slots=True, kw_only=True)
+class Tables:
+    """All records of the agreed state.
+
+    Attributes:
+        applied_index: Log index of the last command applied.
+        now_ms: Largest leader time seen; never goes back.
+        documents: Document in force by environment.
+        history: Earlier documents, oldest first.
+        outcomes: First outcome by request id, oldest first.
+        keys: Keys by id.
+        zones: Availability zones by name.
+        vms: VMs by name.
+        permits: Disruption permits by VM.
+        claims: Claims by id.
+        jobs: Jobs by id.
+        ended_jobs: Ids of ended jobs, oldest first.
+    """
+
+    applied_index: int = 0
+    now_ms: int = 0
+    documents: dict[str, StoredDocument] = field(default_factory=dict)
+    history: list[StoredDocument] = field(default_factory=list)
+    outcomes: dict[str, StoredOutcome] = field(default_factory=dict)
+    keys: dict[str, Key] = field(default_factory=dict)
+    zones: dict[str, Zone] = field(default_factory=dict)
+    vms: dict[str, Vm] = field(default_factory=dict)
+    permits: dict[str, Permit] = field(default_factory=dict)
+    claims: dict[str, Claim] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    ended_jobs: list[str] = field(default_factory=list)
+
+
+__all__ = ["Tables"]
--- /dev/null
+++ b/src/hyssopway/daemon/__init__.py
@@ -0,0 +1,7 @@
+"""One daemon process."""
+
+from __future__ import annotations
+
+from .daemon import Daemon
+
+__all__ = ["Daemon"]
--- /dev/null
+++ b/src/hyssopway/daemon/dump.py
@@ -0,0 +1,70 @@
+"""Dump of the state of one process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from hyssopway.agreement import Member
+
+    from .daemon import Daemon
+
+
+def dump_daemon(daemon: Daemon) -> dict[str, Any]:
+    """Returns everything that one process knows, without secrets."""
+    return {
+        "daemon": daemon.settings.name,
+        "zone": daemon.settings.zone,
+        "stopping": daemon.stopping,
+        "tasks": {task.get_name(): not task.done() for task in daemon.tasks},
+        "agreement": _dump_member(daemon.member) if daemon.member else None,
+        "freshness_age_s": daemon.freshness.age_s,
+        "agreed_state": _dump_state(daemon),
+        "endpoints": list(daemon.registry.endpoints.values()),
+        "credits": daemon.ledger.grants,
+        "workers": daemon.sessions.sessions,
+        "open_requests": daemon.gateway.open_requests,
+        "metrics": daemon.metrics.summarise(),
+    }
+
+
+def _dump_member(member: Member) -> dict[str, Any]:
+    return {
+        "member_id": member.member_id,
+        "role": member.role,
+        "term": member.term,
+        "leader": member.leader_id,
+        "commit_index": member.commit_index,
+        "applied_index": member.applied_index,
+        "last_index": member.store.last_index,
+        "synced_index": member.store.synced_index,
+        "snapshot_index": member.store.snapshot.index,
+        "syncs": member.store.log_file.syncs,
+        "configuration": member.configuration,
+        "progress": {name: progress.match_index for name, progress in member.progress.items()},
+    }
+
+
+def _dump_state(daemon: Daemon) -> dict[str, Any]:
+    tables = daemon.replica.state.tables
+    return {
+        "applied_index": tables.applied_index,
+        "documents": {
+            name: {"generation": stored.generation, "digest": stored.digest}
+            for name, stored in tables.documents.items()
+        },
+        "keys": {
+            key.key_id: {"team": key.team, "withdrawn": bool(key.withdrawn_by)}
+            for key in tables.keys.values()
+        },
+        "zones": tables.zones,
+        "vms": tables.vms,
+        "permits": tables.permits,
+        "claims": len(tables.claims),
+        "jobs": len(tables.jobs),
+        "pending": len(daemon.replica.state.indexes.pending),
+        "usage": daemon.replica.state.indexes.usage,
+    }
+
+
+__all__ = ["dump_daemon"]
--- /dev/null
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -0,0 +1,129 @@
+"""Answers calls of other daemons."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from expression import Result
+from pydantic_core import from_json, to_json
+
+from hyssopway.agreement import answer_append, answer_snapshot, answer_vote, run_to_completion
+from hyssopway.control import encode_outcome
+from hyssopway.peer import SNAPSHOT_PART_BYTES, ConfirmReply, ProposeReply, SnapshotPart, WatchReply
+from hyssopway.result import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hyssopway.agreement import Member
+    from hyssopway.agreement.messages import (
+        AppendReply,
+        AppendRequest,
+        SnapshotChunk,
+        VoteReply,
+        VoteRequest,
+    )
+    from hyssopway.peer import Credit, CreditReply, CreditRequest
+    from hyssopway.replica import Freshness, Replica
+    from hyssopway.routing import CreditLedger
+
+PROPOSE_TIMEOUT_S = 3.0
+MAX_WATCH_ENTRIES_BYTES = 4 * 1024 * 1024
+
+
+class PeerCalls:
+    """Implements `PeerHandlers` for one daemon.
+
+    Attributes:
+        member: Control member; None without a disk.
+        replica: Agreed state.
+        freshness: How current the replica is.
+        ledger: Slot credits of endpoints whose home is this daemon.
+        exchanges: Answers to exchanges of soft state by topic.
+        parts: Snapshot of a leader while it arrives.
+    """
+
+    __slots__ = ("exchanges", "freshness", "ledger", "member", "parts", "replica")
+
+    def __init__(
+        self, *, member: Member | None, replica: Replica, freshness: Freshness, ledger: CreditLedger
+    ) -> None:
+        self.member = member
+        self.replica = replica
+        self.freshness = freshness
+        self.ledger = ledger
+        self.exchanges: dict[str, Callable[[Any], Any]] = {}
+        self.parts = bytearray()
+
+    async def vote(self, request: VoteRequest) -> VoteReply:
+        """Answers a vote request."""
+        return await run_to_completion(answer_vote(member=self._member(), request=request))
+
+    async def append(self, request: AppendRequest) -> AppendReply:
+        """Takes entries of a leader."""
+        return await run_to_completion(answer_append(member=self._member(), request=request))
+
+    async def install_snapshot(self, chunk: SnapshotChunk) -> AppendReply:
+        """Takes a part of a snapshot."""
+        return await run_to_completion(answer_snapshot(member=self._member(), parts=self.parts, chunk=chunk))
+
+    async def propose(self, command: bytes) -> ProposeReply:
+        """Proposes a command if this daemon leads."""
+        if self.member is None:
+            return ProposeReply(accepted=False)
+        match await self.member.propose(data=command, timeout_s=PROPOSE_TIMEOUT_S):
+            case Result(tag="ok", ok=outcome):
+                return ProposeReply(accepted=True, outcome=encode_outcome(outcome))
+            case Result(error=failure) if failure.code is ResultCode.NOT_LEADER:
+                return ProposeReply(accepted=False, leader=self.member.leader_daemon)
+            case Result(error=failure):
+                raise TimeoutError(failure.message)
+
+    async def confirm(self, daemon: str) -> ConfirmReply:
+        """Says how fresh the leader's knowledge is."""
+        member = self._member()
+        return ConfirmReply(
+            commit_index=member.commit_index, confirmed_age_s=member.clock() - member.confirmed_at()
+        )
+
+    async def watch(self, *, daemon: str, from_index: int, wait_s: float) -> WatchReply:
+        """Returns entries behind an index, waiting for the first."""
+        started = self.freshness.clock()
+        await self.replica.wait_beyond(from_index, timeout_s=wait_s)
+        waited_s = self.freshness.clock() - started
+        entries = self.replica.entries_after(from_index)
+        if entries is None or sum(map(len, entries)) > MAX_WATCH_ENTRIES_BYTES:
+            index, data = self.replica.cached_snapshot(offset=0)
+            return WatchReply(applied_index=index, snapshot_size=len(data))
+        return WatchReply(
+            first_index=from_index + 1,
+            entries=entries,
+            applied_index=self.replica.applied_index,
+            confirmed_age_s=self.freshness.age_s,
+            waited_s=waited_s,
+        )
+
+    async def read_snapshot(self, *, offset: int) -> SnapshotPart:
+        """Returns a part of the state."""
+        index, data = self.replica.cached_snapshot(offset=offset)
+        return SnapshotPart(data=data[offset : offset + SNAPSHOT_PART_BYTES], index=index, total=len(data))
+
+    async def credits(self, request: CreditRequest) -> CreditReply:
+        """Hands out slot credits of endpoints that announced themselves here."""
+        return self.ledger.answer(request)
+
+    async def held_credits(self, endpoint: str) -> list[Credit]:
+        """Returns the credits that this daemon holds for an endpoint."""
+        return []
+
+    async def exchange(self, *, topic: str, data: bytes) -> bytes:
+        """Takes and returns soft state."""
+        return to_json(self.exchanges[topic](from_json(data)), inf_nan_mode="null")
+
+    def _member(self) -> Member:
+        if self.member is None:
+            raise RuntimeError("this daemon carries no control member")
+        return self.member
+
+
+__all__ = ["PeerCalls"]
--- /dev/null
+++ b/src/hyssopway/daemon/status.py
@@ -0,0 +1,63 @@
+"""Status of this daemon and of all others."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from pydantic_core import from_json
+
+from hyssopway.metrics import Metrics
+from hyssopway.peer import PeerUnreachableError
+
+if TYPE_CHECKING:
+    from .daemon import Daemon
+
+CALL_TIMEOUT_S = 1.0
+
+
+def own_status(daemon: Daemon) -> dict[str, Any]:
+    """Returns what other daemons show of this one."""
+    member = daemon.member
+    state = daemon.replica.state
+    return {
+        "daemon": daemon.settings.name,
+        "zone": daemon.settings.zone,
+        "reachable": True,
+        "role": member.role if member else "entry",
+        "leader": member.leader_daemon if member else daemon.submitter.leader,
+        "applied_index": state.applied_index,
+        "confirmed": daemon.freshness.is_valid,
+        "generation": state.generation(),
+        "endpoints": len(daemon.registry.endpoints),
+        "workers": len(daemon.sessions.sessions),
+        "open_requests": daemon.gateway.open_requests,
+        "stopping": daemon.stopping,
+        "metrics": daemon.metrics.encode(),
+    }
+
+
+async def collect_status(daemon: Daemon) -> dict[str, Any]:
+    """Asks all daemons and merges their metrics."""
+    statuses = await asyncio.gather(*(_ask(daemon, name=peer.name) for peer in daemon.settings.peers))
+    merged = Metrics()
+    for status in statuses:
+        if "metrics" in status:
+            merged.merge(status.pop("metrics"))
+    return {"daemons": statuses, "metrics": merged.summarise()}
+
+
+async def _ask(daemon: Daemon, *, name: str) -> dict[str, Any]:
+    if name == daemon.settings.name:
+        return own_status(daemon)
+    try:
+        client = daemon.peers.client(name)
+        answer = await client.exchange(topic="status", data=b"{}", timeout_s=CALL_TIMEOUT_S)
+    except PeerUnreachableError as error:
+        zone = daemon.settings.peer(name=name).zone
+        return {"daemon": name, "zone": zone, "reachable": False, "error": str(error)}
+    found: dict[str, Any] = from_json(answer)
+    return found
+
+
+__all__ = ["collect_status", "own_status"]
--- /dev/null
+++ b/src/hyssopway/document/maintenance_policy.py
@@ -0,0 +1,30 @@
+"""Rules for maintenance waves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import Field
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MaintenancePolicy:
+    """Rules for maintaining every VM.
+
+    Attributes:
+        period_s: Time in which every VM is maintained once; seven weeks by default.
+        canaries: VMs maintained first, one after another.
+        drain_s: How long a drain may take before an operator is asked.
+        return_s: How long a VM may take to return before it counts as lost.
+        max_lost: Lost VMs at which a wave pauses.
+    """
+
+    period_s: Annotated[float, Field(gt=0)] = 7 * 7 * 86_400.0
+    canaries: Annotated[int, Field(ge=0)] = 1
+    drain_s: Annotated[float, Field(gt=0)] = 600.0
+    return_s: Annotated[float, Field(gt=0)] = 600.0
+    max_lost: Annotated[int, Field(ge=1)] = 2
+
+
+__all__ = ["MaintenancePolicy"]
--- /dev/null
+++ b/src/hyssopway/document/team.py
@@ -0,0 +1,32 @@
+"""A team that submits jobs and keyed requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import Field
+
+from .resources import Resources
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Team:
+    """Share and upper limit of one team.
+
+    Attributes:
+        name: Name of the team.
+        organisation: Organisation that it belongs to.
+        share: Weight of the team when the fleet is full.
+        limit: Most that its tasks may hold at any moment over all zones.
+        max_running: Most tasks running at any moment over all zones.
+    """
+
+    name: str
+    limit: Resources
+    organisation: str = ""
+    share: Annotated[float, Field(gt=0)] = 1.0
+    max_running: Annotated[int, Field(ge=0)] = 1000
+
+
+__all__ = ["Team"]
--- /dev/null
+++ b/src/hyssopway/endpoint/__init__.py
@@ -0,0 +1,9 @@
+"""Endpoints that announced themselves to this daemon."""
+
+from __future__ import annotations
+
+from .announcement import Announcement
+from .endpoint import Endpoint
+from .registry import ENDPOINT_LEASE_S, EndpointRegistry
+
+__all__ = ["ENDPOINT_LEASE_S", "Announcement", "Endpoint", "EndpointRegistry"]
--- /dev/null
+++ b/src/hyssopway/endpoint/registry.py
@@ -0,0 +1,68 @@
+"""Registry of the endpoints that announced themselves to this daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+
+from .endpoint import Endpoint
+
+if TYPE_CHECKING:
+    from hyssopway.clock import Clock
+
+    from .announcement import Announcement
+
+ENDPOINT_LEASE_S = 2.0
+
+
+class EndpointRegistry:
+    """Endpoints whose home is this daemon.
+
+    Attributes:
+        endpoints: Endpoints by name.
+    """
+
+    __slots__ = ("clock", "endpoints")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.clock = clock
+        self.endpoints: dict[str, Endpoint] = {}
+
+    def announce(self, *, name: str, announcement: Announcement) -> Endpoint:
+        """Adds an endpoint or renews its lease."""
+        now = self.clock()
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            endpoint = Endpoint(name=name, announcement=announcement, expires_at=now, announced_at=now)
+            self.endpoints[name] = endpoint
+            log_event(Event.ENDPOINT_ANNOUNCED, endpoint=name, service=announcement.service)
+        endpoint.announcement = announcement
+        endpoint.expires_at = now + ENDPOINT_LEASE_S
+        return endpoint
+
+    def leave(self, *, name: str, reason: str) -> None:
+        """Removes an endpoint; it gets no new work from now on."""
+        if self.endpoints.pop(name, None) is not None:
+            log_event(Event.ENDPOINT_LEFT, endpoint=name, reason=reason)
+
+    def expire(self) -> None:
+        """Removes endpoints whose lease ended."""
+        now = self.clock()
+        for endpoint in list(self.endpoints.values()):
+            if endpoint.expires_at <= now:
+                self.leave(name=endpoint.name, reason="lease ended")
+
+    def serving(self, *, environment: str, service: str) -> list[Endpoint]:
+        """Returns the endpoints of a service whose lease is valid."""
+        now = self.clock()
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.announcement.service == service
+            and endpoint.announcement.environment == environment
+            and endpoint.expires_at > now
+        ]
+
+
+__all__ = ["ENDPOINT_LEASE_S", "EndpointRegistry"]
--- /dev/null
+++ b/src/hyssopway/event/__init__.py
@@ -0,0 +1,8 @@
+"""Numbered log events and the set-up of ``loguru``."""
+
+from __future__ import annotations
+
+from .catalogue import Event
+from .log import log_event, set_up_logging
+
+__all__ = ["Event", "log_event", "set_up_logging"]
--- /dev/null
+++ b/src/hyssopway/event/catalogue.py
@@ -0,0 +1,81 @@
+"""Catalogue of log events; `docs/events.md` has the table."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Event(Enum):
+    """A log event: number, level and message template."""
+
+    DAEMON_STARTED = (
+        1001,
+        "INFO",
+        "daemon {daemon} in zone {zone} serves HTTP on {http} and peers on {peer}",
+    )
+    DAEMON_STOPPING = (1002, "INFO", "daemon stops: {open_requests} requests in progress")
+    DAEMON_STOPPED = (1003, "INFO", "daemon stopped")
+    SETTINGS_RELOADED = (1004, "INFO", "settings reloaded from {path}")
+    SETTINGS_REJECTED = (1005, "ERROR", "settings are invalid: {problem}")
+    STATE_DUMPED = (1006, "INFO", "state dumped to {path}")
+    TASK_FAILED = (1007, "ERROR", "task {task} failed and is restarted: {error}")
+    ELECTION_STARTED = (2001, "INFO", "election for term {term} started")
+    LEADER_ELECTED = (2002, "INFO", "this member leads term {term}")
+    LEADER_STEPPED_DOWN = (2003, "WARNING", "leader of term {term} steps down: {reason}")
+    QUORUM_LOST = (2004, "ERROR", "no quorum: {reachable} of {voters} voters answer")
+    LOG_TRUNCATED_AT_TAIL = (2005, "WARNING", "log ended in a torn record, {dropped_bytes} bytes dropped")
+    LOG_DAMAGED = (2006, "CRITICAL", "log is damaged at byte {offset}: {problem}")
+    STORAGE_FAILED = (2007, "ERROR", "storage failed: {error}")
+    SNAPSHOT_WRITTEN = (2008, "INFO", "snapshot at index {index} written, {size_bytes} bytes")
+    SNAPSHOT_INSTALLED = (2009, "INFO", "snapshot at index {index} installed")
+    MEMBERSHIP_CHANGED = (2010, "INFO", "voters {voters}, learners {learners}")
+    PEER_CONNECTED = (2101, "DEBUG", "connected to peer {peer}")
+    PEER_LOST = (2102, "WARNING", "connection to peer {peer} lost: {error}")
+    PEER_REFUSED = (2103, "WARNING", "peer connection refused: {reason}")
+    AUTHORITY_EXPIRED = (
+        2201,
+        "WARNING",
+        "agreed state not confirmed for {age_s:.1f} s, keyed work is refused",
+    )
+    AUTHORITY_CONFIRMED = (2202, "INFO", "agreed state confirmed again")
+    DOCUMENT_IN_FORCE = (3001, "INFO", "{environment} document generation {generation} is in force")
+    KEY_GRANTED = (3002, "INFO", "key {key} granted to team {team}")
+    KEY_WITHDRAWN = (3003, "INFO", "key {key} withdrawn")
+    ZONE_CHANGED = (3004, "INFO", "zone {zone} is {status}")
+    ENDPOINT_ANNOUNCED = (4001, "INFO", "endpoint {endpoint} of service {service} announced")
+    ENDPOINT_LEFT = (4002, "INFO", "endpoint {endpoint} left: {reason}")
+    ENDPOINT_EJECTED = (4003, "WARNING", "endpoint {endpoint} taken out for {for_s:.1f} s: {reason}")
+    REQUEST_REFUSED = (4004, "DEBUG", "request to {service} refused: {code} {message}")
+    REQUEST_FAILED = (4005, "WARNING", "request to {service} failed: {code} {message}")
+    CLAIM_UNRESOLVED = (4006, "WARNING", "outcome of claim {claim} is unknown")
+    WORKER_CONNECTED = (5001, "INFO", "worker {vm} syncs here, home epoch {epoch}")
+    WORKER_LOST = (5002, "WARNING", "worker {vm} is silent for {silent_s:.1f} s")
+    JOB_PLACED = (5003, "DEBUG", "job {job} run {epoch} placed on {vm}: {reason}")
+    JOB_ENDED = (5004, "DEBUG", "job {job} ended: {outcome}")
+    VM_QUARANTINED = (5005, "WARNING", "VM {vm} quarantined: {reason}")
+    VM_RELEASED = (5006, "INFO", "VM {vm} released from quarantine")
+    JOB_RECLAIMED = (5007, "INFO", "job {job} reclaimed from {vm} by {action}: {reason}")
+    VM_STATE_CHANGED = (6001, "INFO", "VM {vm} is {state}: {reason}")
+    VM_MOVED = (6002, "INFO", "VM {vm} moved from pool {source} to pool {target}: {reason}")
+    WAVE_CHANGED = (6003, "INFO", "wave {wave} is {status}: {reason}")
+    PERMIT_REFUSED = (6004, "INFO", "permit for {vm} refused: {reason}")
+    PLATFORM_FAILED = (6005, "WARNING", "platform call {call} failed: {error}")
+    OPERATOR_NEEDED = (6006, "WARNING", "{subject} needs a decision: {question}")
+
+    @property
+    def number(self) -> int:
+        """Stable number of the event."""
+        return self.value[0]
+
+    @property
+    def level(self) -> str:
+        """Loguru level name."""
+        return self.value[1]
+
+    @property
+    def template(self) -> str:
+        """Message with named fields."""
+        return self.value[2]
+
+
+__all__ = ["Event"]
--- /dev/null
+++ b/src/hyssopway/gateway/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP interface for callers."""
+
+from __future__ import annotations
+
+from .gateway import Gateway
+
+__all__ = ["Gateway"]
--- /dev/null
+++ b/src/hyssopway/http/__init__.py
@@ -0,0 +1,9 @@
+"""Helpers shared by all HTTP interfaces."""
+
+from __future__ import annotations
+
+from .answers import failure_response, json_response
+from .bodies import read_json
+from .credentials import bearer_token, token_matches
+
+__all__ = ["bearer_token", "failure_response", "json_response", "read_json", "token_matches"]
--- /dev/null
+++ b/src/hyssopway/http/answers.py
@@ -0,0 +1,38 @@
+"""JSON answers."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from aiohttp import web
+from pydantic_core import to_json
+
+from hyssopway.result import Failure, http_status
+
+
+def json_response(data: Any, *, status: int = 200) -> web.Response:
+    """Answers with JSON; data classes and enums are converted."""
+    return web.Response(
+        body=to_json(data, inf_nan_mode="null"), status=status, content_type="application/json"
+    )
+
+
+def failure_response(failure: Failure) -> web.Response:
+    """Answers with a numbered failure."""
+    headers = {}
+    if failure.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(failure.retry_after_s)))
+    body = {
+        "code": int(failure.code),
+        "name": failure.code.name,
+        "message": failure.message,
+        "work": failure.work,
+        "retry_after_s": failure.retry_after_s,
+    }
+    return web.Response(
+        body=to_json(body), status=http_status(failure.code), content_type="application/json", headers=headers
+    )
+
+
+__all__ = ["failure_response", "json_response"]
--- /dev/null
+++ b/src/hyssopway/operator_api/__init__.py
@@ -0,0 +1,10 @@
+"""HTTP interface for operators, teams, endpoints and workers."""
+
+from __future__ import annotations
+
+from .endpoint_routes import EndpointRoutes
+from .job_routes import JobRoutes
+from .operator_routes import OperatorRoutes
+from .worker_routes import WorkerRoutes
+
+__all__ = ["EndpointRoutes", "JobRoutes", "OperatorRoutes", "WorkerRoutes"]
--- /dev/null
+++ b/src/hyssopway/operator_api/operator_routes.py
@@ -0,0 +1,254 @@
+"""Routes for operators."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from expression import Result
+from pydantic import TypeAdapter
+
+from hyssopway.control.command import GrantKey, PromoteDocument, SetZone, TrialDocument, WithdrawKey
+from hyssopway.http import failure_response, json_response, read_json, token_matches
+from hyssopway.result import Failure, ResultCode
+
+from .bodies import GrantBody, PromoteBody, TrialBody, ZoneBody
+
+if TYPE_CHECKING:
+    from hyssopway.control.command import Command
+    from hyssopway.replica import Replica, Submitter
+
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+
+REQUEST_ID_HEADER = "Idempotency-Key"
+OPERATOR_HEADER = "Hyssopway-Operator"
+SUBMIT_TIMEOUT_S = 5.0
+
+_TRIAL = TypeAdapter(TrialBody)
+_PROMOTE = TypeAdapter(PromoteBody)
+_GRANT = TypeAdapter(GrantBody)
+_ZONE = TypeAdapter(ZoneBody)
+
+
+class OperatorRoutes:
+    """Lets operators change and read the agreed state.
+
+    Attributes:
+        replica: Agreed state.
+        submitter: Way to the agreed state.
+        token: Secret that operators present.
+        read_status: Returns the status of all daemons.
+        read_dump: Returns the state of this process.
+    """
+
+    __slots__ = ("read_dump", "read_status", "replica", "submitter", "token")
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        submitter: Submitter,
+        token: str,
+        read_status: Callable[[], Awaitable[Any]],
+        read_dump: Callable[[], Any],
+    ) -> None:
+        self.replica = replica
+        self.submitter = submitter
+        self.token = token
+        self.read_status = read_status
+        self.read_dump = read_dump
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the operators' routes."""
+        router = app.router
+        router.add_get("/v1/documents/{environment}", self._guard(self.show_document))
+        router.add_get("/v1/documents/{environment}/history", self._guard(self.show_history))
+        router.add_post("/v1/documents/trial", self._guard(self.trial))
+        router.add_post("/v1/documents/production", self._guard(self.promote))
+        router.add_get("/v1/keys", self._guard(self.list_keys))
+        router.add_post("/v1/keys", self._guard(self.grant_key))
+        router.add_delete("/v1/keys/{key}", self._guard(self.withdraw_key))
+        router.add_get("/v1/zones", self._guard(self.list_zones))
+        router.add_post("/v1/zones/{zone}", self._guard(self.set_zone))
+        router.add_get("/v1/vms", self._guard(self.list_vms))
+        router.add_get("/v1/pools", self._guard(self.list_pools))
+        router.add_get("/v1/teams", self._guard(self.list_teams))
+        router.add_get("/v1/explain/job/{job}", self._guard(self.explain_job))
+        router.add_get("/v1/status", self._guard(self.status))
+        router.add_get("/v1/dump", self._guard(self.dump))
+
+    async def trial(self, request: web.Request) -> web.Response:
+        """Puts a document into the trial environment."""
+        match await read_json(request, _TRIAL):
+            case Result(tag="ok", ok=body):
+                command = TrialDocument(
+                    text=body.text,
+                    expected_generation=body.expected_generation,
+                    request_id=_request_id(request),
+                    operator=_operator(request),
+                )
+                return await self._submit(command)
+            case Result(error=failure):
+                return failure_response(failure)
+
+    async def promote(self, request: web.Request) -> web.Response:
+        """Promotes a tried document to production."""
+        match await read_json(request, _PROMOTE):
+            case Result(tag="ok", ok=body):
+                command = PromoteDocument(
+                    digest=body.digest,
+                    expected_generation=body.expected_generation,
+                    request_id=_request_id(request),
+                    operator=_operator(request),
+                )
+                return await self._submit(command)
+            case Result(error=failure):
+                return failure_response(failure)
+
+    async def show_document(self, request: web.Request) -> web.Response:
+        """Shows the document in force."""
+        stored = self.replica.state.tables.documents.get(request.match_info["environment"])
+        if stored is None:
+            message = f"no document is in force in {request.match_info['environment']!r}"
+            return failure_response(Failure(code=ResultCode.UNKNOWN_DOCUMENT, message=message))
+        return json_response(stored)
+
+    async def show_history(self, request: web.Request) -> web.Response:
+        """Shows all documents of an environment, the latest first."""
+        tables = self.replica.state.tables
+        environment = request.match_info["environment"]
+        current = tables.documents.get(environment)
+        earlier = [stored for stored in tables.history if stored.environment == environment]
+        return json_response({"documents": [*([current] if current else []), *reversed(earlier)]})
+
+    async def grant_key(self, request: web.Request) -> web.Response:
+        """Grants a key."""
+        match await read_json(request, _GRANT):
+            case Result(tag="ok", ok=body):
+                command = GrantKey(
+                    key_id=body.key_id,
+                    key_hash=body.key_hash,
+                    team=body.team,
+                    request_id=_request_id(request),
+                    operator=_operator(request),
+                )
+                return await self._submit(command)
+            case Result(error=failure):
+                return failure_response(failure)
+
+    async def withdraw_key(self, request: web.Request) -> web.Response:
+        """Withdraws a key."""
+        return await self._submit(
+            WithdrawKey(
+                key_id=request.match_info["key"], request_id=_request_id(request), operator=_operator(request)
+            )
+        )
+
+    async def list_keys(self, request: web.Request) -> web.Response:
+        """Lists keys without their hashes."""
+        keys = [
+            {
+                "key_id": key.key_id,
+                "team": key.team,
+                "granted_by": key.granted_by,
+                "granted_ms": key.granted_ms,
+                "withdrawn_by": key.withdrawn_by,
+                "withdrawn_ms": key.withdrawn_ms,
+            }
+            for key in self.replica.state.tables.keys.values()
+        ]
+        return json_response({"keys": keys})
+
+    async def set_zone(self, request: web.Request) -> web.Response:
+        """Withdraws or restores a zone."""
+        match await read_json(request, _ZONE):
+            case Result(tag="ok", ok=body):
+                command = SetZone(
+                    zone=request.match_info["zone"],
+                    status=body.status,
+                    expected_epoch=body.expected_epoch,
+                    request_id=_request_id(request),
+                    operator=_operator(request),
+                )
+                return await self._submit(command)
+            case Result(error=failure):
+                return failure_response(failure)
+
+    async def list_zones(self, request: web.Request) -> web.Response:
+        """Lists zones."""
+        return json_response({"zones": list(self.replica.state.tables.zones.values())})
+
+    async def list_vms(self, request: web.Request) -> web.Response:
+        """Lists VMs with their running jobs."""
+        running = self.replica.state.indexes.running
+        vms = [
+            {"vm": vm, "running": sorted(running.get(vm.name, ()))}
+            for vm in self.replica.state.tables.vms.values()
+        ]
+        return json_response({"vms": vms})
+
+    async def list_pools(self, request: web.Request) -> web.Response:
+        """Lists pools with their VMs."""
+        document = self.replica.state.document()
+        vms = self.replica.state.tables.vms.values()
+        pools = [
+            {"pool": pool, "vms": sorted(vm.name for vm in vms if vm.pool == pool.name)}
+            for pool in (document.pools if document else [])
+        ]
+        return json_response({"pools": pools})
+
+    async def list_teams(self, request: web.Request) -> web.Response:
+        """Lists teams with what they hold."""
+        document = self.replica.state.document()
+        usage = self.replica.state.indexes.usage
+        teams = [
+            {"team": team, "usage": usage.get(team.name)} for team in (document.teams if document else [])
+        ]
+        return json_response({"teams": teams})
+
+    async def explain_job(self, request: web.Request) -> web.Response:
+        """Explains the decisions about a job."""
+        job = self.replica.state.tables.jobs.get(request.match_info["job"])
+        if job is None:
+            message = f"job {request.match_info['job']!r} does not exist"
+            return failure_response(Failure(code=ResultCode.UNKNOWN_JOB, message=message))
+        return json_response(job)
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Shows the status of all daemons."""
+        return json_response(await self.read_status())
+
+    async def dump(self, request: web.Request) -> web.Response:
+        """Dumps the state of this process."""
+        return json_response(self.read_dump())
+
+    async def _submit(self, command: Command) -> web.Response:
+        match await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S):
+            case Result(tag="ok", ok=outcome):
+                return json_response(
+                    {"index": outcome.index, "generation": outcome.generation, "reference": outcome.reference}
+                )
+            case Result(error=failure):
+                return failure_response(failure)
+
+    def _guard(self, handler: Handler) -> Handler:
+        async def guarded(request: web.Request) -> web.Response:
+            if not token_matches(request, token=self.token):
+                message = "present the operators' token as a bearer token"
+                return failure_response(Failure(code=ResultCode.NOT_OPERATOR, message=message))
+            return await handler(request)
+
+        return guarded
+
+
+def _request_id(request: web.Request) -> str:
+    return request.headers.get(REQUEST_ID_HEADER) or secrets.token_hex(12)
+
+
+def _operator(request: web.Request) -> str:
+    return request.headers.get(OPERATOR_HEADER, "operator")
+
+
+__all__ = ["OperatorRoutes"]
--- /dev/null
+++ b/src/hyssopway/peer/server.py
@@ -0,0 +1,117 @@
+"""Serves calls of other daemons over capnp."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING, Any
+
+import capnp
+
+from hyssopway.event import Event, log_event
+
+from . import conversion
+from .schema import SCHEMA
+
+if TYPE_CHECKING:
+    import ssl
+
+    from .handlers import PeerHandlers
+
+SNAPSHOT_PART_BYTES = 1024 * 1024
+
+
+class PeerServer:
+    """Listens for other daemons; each connection must authenticate first.
+
+    Attributes:
+        handlers: What is answered.
+        token: Secret that daemons share.
+        listener: Listening socket while open.
+    """
+
+    __slots__ = ("handlers", "listener", "token")
+
+    def __init__(self, *, handlers: PeerHandlers, token: str) -> None:
+        self.handlers = handlers
+        self.token = token
+        self.listener: Any = None
+
+    async def open(self, *, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
+        """Starts to listen."""
+        options = {"ssl": tls} if tls else {}
+        self.listener = await capnp.AsyncIoStream.create_server(self._serve, host, port, **options)
+
+    def close(self) -> None:
+        """Stops to listen."""
+        if self.listener is not None:
+            self.listener.close()
+
+    async def _serve(self, stream: Any) -> None:
+        gate = _Gate(handlers=self.handlers, token=self.token)
+        try:
+            await capnp.TwoPartyServer(stream, bootstrap=gate).on_disconnect()
+        except capnp.KjException as error:
+            log_event(Event.PEER_REFUSED, reason=str(error).splitlines()[0])
+
+
+class _Gate(SCHEMA.Gate.Server):  # type: ignore[misc]
+    """First interface of a connection; gives access to the others."""
+
+    def __init__(self, *, handlers: PeerHandlers, token: str) -> None:
+        super().__init__()
+        self.handlers = handlers
+        self.token = token
+
+    async def authenticate(self, daemon: str, token: str, **_: Any) -> Any:
+        if not hmac.compare_digest(token.encode(), self.token.encode()):
+            log_event(Event.PEER_REFUSED, reason=f"wrong token of daemon {daemon}")
+            raise PermissionError("wrong peer token")
+        return _PeerInterface(handlers=self.handlers)
+
+
+class _PeerInterface(SCHEMA.Peer.Server):  # type: ignore[misc]
+    """Calls of an authenticated daemon."""
+
+    def __init__(self, *, handlers: PeerHandlers) -> None:
+        super().__init__()
+        self.handlers = handlers
+
+    async def vote(self, request: Any, **_: Any) -> Any:
+        reply = await self.handlers.vote(conversion.vote_request_from_wire(request))
+        return conversion.vote_reply_to_wire(reply)
+
+    async def append(self, request: Any, **_: Any) -> Any:
+        reply = await self.handlers.append(conversion.append_request_from_wire(request))
+        return conversion.append_reply_to_wire(reply)
+
+    async def installSnapshot(self, chunk: Any, **_: Any) -> Any:
+        reply = await self.handlers.install_snapshot(conversion.snapshot_chunk_from_wire(chunk))
+        return conversion.append_reply_to_wire(reply)
+
+    async def propose(self, command: bytes, **_: Any) -> Any:
+        return conversion.propose_reply_to_wire(await self.handlers.propose(bytes(command)))
+
+    async def confirm(self, daemon: str, **_: Any) -> Any:
+        return conversion.confirm_reply_to_wire(await self.handlers.confirm(str(daemon)))
+
+    async def watch(self, daemon: str, fromIndex: int, waitMs: int, **_: Any) -> Any:
+        reply = await self.handlers.watch(daemon=str(daemon), from_index=fromIndex, wait_s=waitMs / 1000)
+        return conversion.watch_reply_to_wire(reply)
+
+    async def readSnapshot(self, offset: int, **_: Any) -> Any:
+        part = await self.handlers.read_snapshot(offset=offset)
+        return part.data, part.index, part.total
+
+    async def credits(self, request: Any, **_: Any) -> Any:
+        reply = await self.handlers.credits(conversion.credit_request_from_wire(request))
+        return conversion.credit_reply_to_wire(reply)
+
+    async def heldCredits(self, endpoint: str, **_: Any) -> Any:
+        held = await self.handlers.held_credits(str(endpoint))
+        return [conversion.credit_to_wire(credit) for credit in held]
+
+    async def exchange(self, topic: str, data: bytes, **_: Any) -> Any:
+        return await self.handlers.exchange(topic=str(topic), data=bytes(data))
+
+
+__all__ = ["SNAPSHOT_PART_BYTES", "PeerServer"]
--- /dev/null
+++ b/src/hyssopway/replica/__init__.py
@@ -0,0 +1,10 @@
+"""The agreed state on a daemon: replica, freshness and submission of changes."""
+
+from __future__ import annotations
+
+from .following import follow_leader, follow_upstream
+from .freshness import AUTHORITY_TTL_S, Freshness
+from .replica import Replica
+from .submitter import Submitter
+
+__all__ = ["AUTHORITY_TTL_S", "Freshness", "Replica", "Submitter", "follow_leader", "follow_upstream"]
--- /dev/null
+++ b/src/hyssopway/replica/submitter.py
@@ -0,0 +1,130 @@
+"""Brings commands to the leader."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from hyssopway.control import Envelope, decode_outcome, encode_command
+from hyssopway.peer import PeerUnreachableError
+from hyssopway.result import Failure, ResultCode, WorkState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hyssopway.agreement import Member
+    from hyssopway.clock import Clock
+    from hyssopway.control import Outcome
+    from hyssopway.control.command import Command
+    from hyssopway.peer import PeerDirectory
+
+    from .replica import Replica
+
+RETRY_S = 0.1
+CALL_TIMEOUT_S = 3.0
+
+
+class Submitter:
+    """Submits commands and repeats them until their outcome is known.
+
+    Commands may be repeated: each names its own identity or the epoch that it expects.
+
+    Attributes:
+        own_name: Name of this daemon.
+        member: Control member of this daemon; None without a disk.
+        peers: Clients of the other daemons.
+        members: Daemons that carry control members.
+        replica: Agreed state of this daemon.
+        leader: Daemon that led last; empty when unknown.
+    """
+
+    __slots__ = ("clock", "leader", "member", "members", "own_name", "peers", "replica", "wall_ms")
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        member: Member | None,
+        peers: PeerDirectory,
+        members: list[str],
+        replica: Replica,
+        clock: Clock,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self.own_name = own_name
+        self.member = member
+        self.peers = peers
+        self.members = members
+        self.replica = replica
+        self.clock = clock
+        self.wall_ms = wall_ms
+        self.leader = ""
+
+    async def submit(self, command: Command, *, timeout_s: float = 5.0) -> Result[Outcome, Failure]:
+        """Submits a command.
+
+        Args:
+            command: The command.
+            timeout_s: Seconds after which the outcome is given up.
+
+        Returns:
+            The outcome once this daemon has applied it too, a refusal of the state machine, NO_QUORUM
+            when nothing was changed, or OUTCOME_UNKNOWN when the change may still take effect.
+        """
+        deadline = self.clock() + timeout_s
+        data = encode_command(Envelope(at_ms=self.wall_ms(), command=command))
+        sent = False
+        attempt = 0
+        while (left_s := deadline - self.clock()) > 0:
+            target = self._choose_target(attempt=attempt)
+            attempt += 1
+            match await self._try_once(target=target, data=data, timeout_s=min(left_s, CALL_TIMEOUT_S)):
+                case Result(tag="ok", ok=outcome):
+                    self.leader = target
+                    await self.replica.wait_beyond(outcome.index - 1, timeout_s=max(0.0, left_s))
+                    return Error(outcome.failure) if outcome.failure else Ok(outcome)
+                case Result(error=failure):
+                    sent = sent or failure.work is WorkState.MAY_HAVE_RUN
+                    if failure.code is not ResultCode.NOT_LEADER or not self.leader:
+                        await asyncio.sleep(RETRY_S)
+        return Error(_give_up(sent=sent))
+
+    async def _try_once(self, *, target: str, data: bytes, timeout_s: float) -> Result[Outcome, Failure]:
+        if target == self.own_name and self.member is not None:
+            result = await self.member.propose(data=data, timeout_s=timeout_s)
+            if result.is_error() and result.error.code is ResultCode.NOT_LEADER:
+                self.leader = self.member.leader_daemon
+            return result
+        try:
+            reply = await self.peers.client(target).propose(command=data, timeout_s=timeout_s)
+        except PeerUnreachableError as error:
+            self.leader = ""
+            return Error(
+                Failure(code=ResultCode.PEER_UNREACHABLE, message=str(error), work=WorkState.MAY_HAVE_RUN)
+            )
+        if reply.accepted:
+            return Ok(decode_outcome(reply.outcome))
+        self.leader = reply.leader if reply.leader != target else ""
+        return Error(Failure(code=ResultCode.NOT_LEADER, message=f"{target} does not lead"))
+
+    def _choose_target(self, *, attempt: int) -> str:
+        if self.leader:
+            return self.leader
+        if self.member is not None and self.member.leader_daemon:
+            return self.member.leader_daemon
+        return self.members[attempt % len(self.members)]
+
+
+def _give_up(*, sent: bool) -> Failure:
+    if sent:
+        message = (
+            "no outcome in time; the change may still take effect, send it again with the same request id"
+        )
+        return Failure(code=ResultCode.OUTCOME_UNKNOWN, message=message, work=WorkState.MAY_HAVE_RUN)
+    message = "no quorum of control members can be reached; nothing was changed, try again later"
+    return Failure(code=ResultCode.NO_QUORUM, message=message, retry_after_s=1.0)
+
+
+__all__ = ["Submitter"]
--- /dev/null
+++ b/src/hyssopway/run.py
@@ -0,0 +1,87 @@
+"""Entry point of the daemon: parse, build, run."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import capnp
+from expression import Result
+from pydantic_core import to_json
+
+from hyssopway.agreement import LogDamagedError, StorageError
+from hyssopway.daemon import Daemon
+from hyssopway.event import Event, log_event, set_up_logging
+from hyssopway.settings import load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from hyssopway.settings import DaemonSettings
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 64
+EXIT_STORAGE = 74
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the daemon until it is told to stop.
+
+    Returns:
+        Exit status: 0 after a graceful stop, 64 for bad settings, 74 for a data folder that cannot be used.
+    """
+    options = _parse(arguments)
+    match load_settings(options.settings):
+        case Result(tag="ok", ok=settings):
+            pass
+        case Result(error=problems):
+            for problem in problems:
+                print(problem, file=sys.stderr)  # noqa: T201  logging is not set up yet
+            return EXIT_BAD_SETTINGS
+    set_up_logging(level=settings.log_level, json_output=settings.log_json)
+    try:
+        asyncio.run(capnp.run(_run(settings=settings, initialise=options.initialise)))
+    except (LogDamagedError, StorageError) as error:
+        log_event(Event.STORAGE_FAILED, error=str(error))
+        return EXIT_STORAGE
+    return EXIT_OK
+
+
+def _parse(arguments: Sequence[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="hyssopwayd", description="Fleet capacity and maintenance daemon.")
+    parser.add_argument("--settings", type=Path, required=True, metavar="FILE", help="settings in YAML")
+    parser.add_argument(
+        "--initialise",
+        action="store_true",
+        help="start a new group of control members if the data folder is empty; only for a new deployment",
+    )
+    return parser.parse_args(arguments)
+
+
+async def _run(*, settings: DaemonSettings, initialise: bool) -> None:
+    daemon = Daemon(settings=settings, initialise=initialise)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, _write_dump, daemon)
+    await daemon.start()
+    await stop.wait()
+    await daemon.stop()
+
+
+def _write_dump(daemon: Daemon) -> None:
+    path = Path(daemon.settings.dump_dir) / f"{daemon.settings.name}.dump.json"
+    path.write_text(json.dumps(json.loads(to_json(daemon.dump(), inf_nan_mode="null")), indent=2))
+    log_event(Event.STATE_DUMPED, path=str(path))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/hyssopway/settings/__init__.py
@@ -0,0 +1,10 @@
+"""Daemon settings read from YAML."""
+
+from __future__ import annotations
+
+from .daemon_settings import DaemonSettings
+from .loading import load_settings
+from .peer_address import PeerAddress
+from .tls_settings import TlsSettings
+
+__all__ = ["DaemonSettings", "PeerAddress", "TlsSettings", "load_settings"]
--- /dev/null
+++ b/src/hyssopway/settings/loading.py
@@ -0,0 +1,58 @@
+"""Reads daemon settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+from pydantic import TypeAdapter
+
+from hyssopway.document.problem import Problem
+from hyssopway.document.yaml_reading import read_yaml, validate
+
+from .daemon_settings import DaemonSettings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+_ADAPTER = TypeAdapter(DaemonSettings)
+
+
+def load_settings(path: Path) -> Result[DaemonSettings, list[Problem]]:
+    """Reads and checks a settings file; reports every problem at once."""
+    match read_yaml(path):
+        case Result(tag="error", error=problems):
+            return Error(problems)
+        case Result(ok=data):
+            pass
+    match validate(adapter=_ADAPTER, data=data, file=str(path)):
+        case Result(tag="ok", ok=settings):
+            problems = list(_find_conflicts(settings=settings, file=str(path)))
+            return Error(problems) if problems else Ok(settings)
+        case Result(error=problems):
+            return Error(problems)
+
+
+def _find_conflicts(*, settings: DaemonSettings, file: str) -> list[Problem]:
+    problems = []
+    names = [peer.name for peer in settings.peers]
+    if settings.name not in names:
+        problems.append(Problem(file=file, path="name", found=settings.name, allowed=f"one of {names}"))
+    problems += [
+        Problem(file=file, path="peers", found=f"{name} twice", allowed="each name once")
+        for name in sorted({name for name in names if names.count(name) > 1})
+    ]
+    addresses = [(peer.host, port) for peer in settings.peers for port in (peer.http_port, peer.peer_port)]
+    shared = sorted({address for address in addresses if addresses.count(address) > 1})
+    problems += [
+        Problem(file=file, path="peers", found=f"{host}:{port} twice", allowed="each address once")
+        for host, port in shared
+    ]
+    if settings.name in names and settings.own.member and settings.data_dir is None:
+        problems.append(
+            Problem(file=file, path="data_dir", found="nothing", allowed="a folder, since this is a member")
+        )
+    return problems
+
+
+__all__ = ["load_settings"]
--- /dev/null
+++ b/src/hyssopway/worker/session.py
@@ -0,0 +1,27 @@
+"""Session of one worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .messages import SyncRequest
+
+
+@dataclass(slots=True, kw_only=True)
+class WorkerSession:
+    """What a home entry knows of a worker.
+
+    Attributes:
+        vm: VM of the worker.
+        report: Its last request.
+        synced_at: Local time of the last request.
+        lease_until: Local time at which every lease granted to it has ended.
+    """
+
+    vm: str
+    report: SyncRequest
+    synced_at: float
+    lease_until: float
+
+
+__all__ = ["WorkerSession"]
--- /dev/null
+++ b/src/hyssopway_standins/endpoint.py
@@ -0,0 +1,131 @@
+"""An endpoint: serves requests of one service and announces itself."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+RENEW_S = 0.5
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointStandIn:
+    """One endpoint and what it saw.
+
+    Attributes:
+        name: Name.
+        service: Service.
+        entries: Base URLs of the entry VMs of its zone; the first that answers is its home.
+        fleet_token: Secret for announcements.
+        vm: VM that it runs on.
+        environment: Environment.
+        slots: Requests that it announces to handle at a time.
+        connections: Connections that it announces to accept.
+        service_s: Time that a request takes.
+        seen: Requests by idempotency key.
+        received: Requests received.
+        completed: Requests answered in whole.
+        in_progress: Requests in progress.
+        most_in_progress: Most requests in progress at once.
+    """
+
+    name: str
+    service: str
+    entries: Sequence[str]
+    fleet_token: str
+    vm: str = ""
+    environment: str = "production"
+    slots: int = 8
+    connections: int = 64
+    service_s: float = 0.01
+    seen: Counter[str] = field(default_factory=Counter)
+    received: int = 0
+    completed: int = 0
+    in_progress: int = 0
+    most_in_progress: int = 0
+    address: str = ""
+    runner: web.AppRunner | None = None
+    task: asyncio.Task[None] | None = None
+
+    async def start(self, *, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listens and begins to announce itself."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app.router.add_route("*", "/{path:.*}", self.handle)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, port).start()
+        bound_host, bound_port = self.runner.addresses[0][:2]
+        self.address = f"http://{bound_host}:{bound_port}"
+        self.task = asyncio.create_task(self.announce_until_cancelled())
+
+    async def stop(self, *, leave: bool = True) -> None:
+        """Stops; with `leave` it says so and finishes what it serves."""
+        if self.task is not None:
+            self.task.cancel()
+        if leave:
+            async with aiohttp.ClientSession() as session:
+                for entry in self.entries:
+                    await self._leave(session, entry)
+            while self.in_progress:  # noqa: ASYNC110  ends with the last request
+                await asyncio.sleep(0.01)
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answers with the request's body and the endpoint's name."""
+        self.received += 1
+        self.in_progress += 1
+        self.most_in_progress = max(self.most_in_progress, self.in_progress)
+        try:
+            body = await request.read()
+            self.seen[request.headers.get("Idempotency-Key", "")] += 1
+            await asyncio.sleep(self.service_s)
+            self.completed += 1
+            return web.Response(body=body, headers={"Served-By": self.name})
+        finally:
+            self.in_progress -= 1
+
+    async def announce_until_cancelled(self) -> None:
+        """Renews the lease; moves to the next entry when one does not answer."""
+        position = 0
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                entry = self.entries[position % len(self.entries)]
+                if not await self._announce(session, entry):
+                    position += 1
+                await asyncio.sleep(RENEW_S)
+
+    async def _announce(self, session: aiohttp.ClientSession, entry: str) -> bool:
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "environment": self.environment,
+            "vm": self.vm,
+            "slots": self.slots,
+            "connections": self.connections,
+        }
+        try:
+            url = f"{entry}/v1/endpoints/{self.name}"
+            async with session.put(url, json=body, headers=self._headers()) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def _leave(self, session: aiohttp.ClientSession, entry: str) -> None:
+        try:
+            async with session.delete(f"{entry}/v1/endpoints/{self.name}", headers=self._headers()):
+                return
+        except aiohttp.ClientError:
+            return
+
+    def _headers(self) -> dict[str, str]:
+        return {"Authorization": f"Bearer {self.fleet_token}"}
+
+
+__all__ = ["EndpointStandIn"]
--- /dev/null
+++ b/src/hyssopway_standins/worker.py
@@ -0,0 +1,175 @@
+"""A worker: runs tasks on a VM under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from pydantic import TypeAdapter
+from pydantic_core import to_json
+
+from hyssopway.control.record import RunOutcome
+from hyssopway.document import Resources
+from hyssopway.worker import EndedRun, RunningTask, StartOrder, SyncReply, SyncRequest
+
+SYNC_S = 0.5
+_REPLY = TypeAdapter(SyncReply)
+
+
+@dataclass(slots=True, kw_only=True)
+class WorkerStandIn:
+    """One worker and what it did.
+
+    Attributes:
+        vm: VM that it runs on.
+        zone: Availability zone.
+        rack: Rack.
+        pool: Pool that the VM starts in.
+        capacity: What the VM has.
+        entries: Base URLs of the entry VMs of its zone.
+        fleet_token: Secret for syncs.
+        time_scale: Factor on declared run times.
+        choose_outcome: Decides how a run ends.
+        starts: Every start with its local time.
+        tasks: Running tasks by job.
+        ended: Ended runs that are not acknowledged.
+    """
+
+    vm: str
+    zone: str
+    rack: str
+    pool: str
+    capacity: Resources
+    entries: Sequence[str]
+    fleet_token: str
+    time_scale: float = 1.0
+    sync_s: float = SYNC_S
+    choose_outcome: Callable[[StartOrder], RunOutcome] = lambda _: RunOutcome.DONE
+    starts: list[tuple[float, str, int]] = field(default_factory=list)
+    tasks: dict[str, RunningStandInTask] = field(default_factory=dict)
+    ended: dict[str, EndedRun] = field(default_factory=dict)
+    lease_until: float = 0.0
+    boot_id: str = field(default_factory=lambda: secrets.token_hex(4))
+    loop_task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begins to sync."""
+        self.loop_task = asyncio.create_task(self.sync_until_cancelled())
+
+    def stop(self) -> None:
+        """Stops at once, as a killed VM does."""
+        if self.loop_task is not None:
+            self.loop_task.cancel()
+        for task in self.tasks.values():
+            task.timer.cancel()
+        self.tasks.clear()
+
+    async def sync_until_cancelled(self) -> None:
+        """Syncs with the first entry that answers; stops tasks when the lease ends."""
+        position = 0
+        timeout = aiohttp.ClientTimeout(total=3.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                entry = self.entries[position % len(self.entries)]
+                if not await self._sync(session, entry):
+                    position += 1
+                if time.monotonic() > self.lease_until:
+                    self._stop_all("lease ended")
+                await asyncio.sleep(self.sync_s)
+
+    async def _sync(self, session: aiohttp.ClientSession, entry: str) -> bool:
+        sent_at = time.monotonic()
+        url = f"{entry}/v1/workers/{self.vm}/sync"
+        headers = {"Authorization": f"Bearer {self.fleet_token}"}
+        reported = dict(self.ended)
+        try:
+            async with session.post(url, data=to_json(self._report()), headers=headers) as answer:
+                if answer.status != 200:
+                    return False
+                reply = _REPLY.validate_json(await answer.read())
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+        self.lease_until = sent_at + reply.lease_s
+        for job_id in reply.acknowledged:
+            if self.ended.get(job_id) is reported.get(job_id):
+                self.ended.pop(job_id, None)
+        for job_id in reply.stop:
+            self._end(job_id, outcome=RunOutcome.STOPPED, detail="stopped on request")
+        for job_id in reply.checkpoint:
+            self._end(job_id, outcome=RunOutcome.CHECKPOINTED, detail="checkpointed on request")
+        for order in reply.start:
+            if time.monotonic() < sent_at + order.start_within_s:
+                self._begin(order)
+        return True
+
+    def _report(self) -> SyncRequest:
+        now = time.monotonic()
+        return SyncRequest(
+            zone=self.zone,
+            rack=self.rack,
+            pool=self.pool,
+            capacity=self.capacity,
+            boot_id=self.boot_id,
+            running=[
+                RunningTask(
+                    job_id=job_id,
+                    epoch=task.order.epoch,
+                    usage=task.order.resources,
+                    ran_s=now - task.started_at,
+                )
+                for job_id, task in self.tasks.items()
+            ],
+            ended=list(self.ended.values()),
+        )
+
+    def _begin(self, order: StartOrder) -> None:
+        if order.job_id in self.tasks or order.job_id in self.ended:
+            return
+        now = time.monotonic()
+        self.starts.append((now, order.job_id, order.epoch))
+        timer = asyncio.get_running_loop().call_later(
+            order.run_s * self.time_scale, self._finish, order.job_id
+        )
+        self.tasks[order.job_id] = RunningStandInTask(order=order, started_at=now, timer=timer)
+
+    def _finish(self, job_id: str) -> None:
+        task = self.tasks.get(job_id)
+        if task is not None:
+            self._end(job_id, outcome=self.choose_outcome(task.order), detail="")
+
+    def _end(self, job_id: str, *, outcome: RunOutcome, detail: str) -> None:
+        task = self.tasks.pop(job_id, None)
+        if task is None:
+            return
+        task.timer.cancel()
+        checkpoint = "checkpoint" if outcome is RunOutcome.CHECKPOINTED else ""
+        self.ended[job_id] = EndedRun(
+            job_id=job_id, epoch=task.order.epoch, outcome=outcome, detail=detail, checkpoint=checkpoint
+        )
+
+    def _stop_all(self, reason: str) -> None:
+        for job_id in list(self.tasks):
+            self._end(job_id, outcome=RunOutcome.LOST, detail=reason)
+
+
+@dataclass(slots=True, kw_only=True)
+class RunningStandInTask:
+    """A task that a stand-in runs.
+
+    Attributes:
+        order: The order that started it.
+        started_at: Local time of its start.
+        timer: Ends the task.
+    """
+
+    order: StartOrder
+    started_at: float
+    timer: Any
+
+
+__all__ = ["WorkerStandIn"]
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,55 @@
+"""Fixtures that run whole deployments as processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from hyssopway_standins.fleet import EXAMPLES
+from hyssopway_standins.operator_client import OperatorClient
+from hyssopway_standins.outside import Outside
+from hyssopway_standins.processes import Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+
+@pytest.fixture
+async def session() -> AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20)) as opened:
+        yield opened
+
+
+@pytest.fixture
+async def deployment(tmp_path: Path) -> AsyncIterator[Deployment]:
+    """Six daemons of the pantry deployment, ready to take changes."""
+    prepared = Deployment.prepare(name="pantry", folder=tmp_path)
+    prepared.start()
+    try:
+        await prepared.wait_ready()
+        yield prepared
+    finally:
+        prepared.stop()
+
+
+@pytest.fixture
+async def operator(deployment: Deployment, session: aiohttp.ClientSession) -> OperatorClient:
+    """An operator who put the example document in force."""
+    url = deployment.daemons["nashua-1"].url
+    client = OperatorClient(session=session, url=url, token=deployment.operator_token)
+    await client.put_in_force((EXAMPLES / "pantry" / "document.yaml").read_text())
+    return client
+
+
+@pytest.fixture
+async def outside(deployment: Deployment, operator: OperatorClient) -> AsyncIterator[Outside]:
+    """All endpoints and workers of the pantry deployment."""
+    prepared = Outside.prepare(deployment)
+    await prepared.start()
+    try:
+        yield prepared
+    finally:
+        await prepared.stop()
