--- a/src/hyssopway_standins/measure/report.py
+++ b/src/hyssopway_standins/measure/report.py
@@ -33,11 +33,11 @@
     import matplotlib as mpl  # noqa: PLC0415  only needed here, and slow to import
 
     mpl.use("Agg")
-    from matplotlib import pyplot  # noqa: PLC0415
+    from matplotlib import pyplot as plt  # noqa: PLC0415
 
     names = []
     for number, group in enumerate(_group(measurement.series)):
-        figure, axes = pyplot.subplots()
+        figure, axes = plt.subplots()
         for series in group:
             axes.plot(*zip(*series.points, strict=True), marker="o", label=series.name)
         axes.set_xlabel(group[0].x_label)
@@ -45,7 +45,7 @@
         axes.legend()
         name = f"{measurement.area}-{number + 1}.png"
         figure.savefig(folder / name)
-        pyplot.close(figure)
+        plt.close(figure)
         names.append(name)
     return names
 
