--- a/src/hyssopway_standins/worker.py
+++ b/src/hyssopway_standins/worker.py
@@ -88,7 +88,7 @@
         headers = {"Authorization": f"Bearer {self.fleet_token}"}
         reported = dict(self.ended)
         try:
-            async with session.post(url, data=to_json(self._report()), headers=headers) as answer:
+            async with session.post(url, data=to_json(self.make_report()), headers=headers) as answer:
                 if answer.status != 200:
                     return False
                 reply = _REPLY.validate_json(await answer.read())
@@ -107,7 +107,8 @@
                 self._begin(order)
         return True
 
-    def _report(self) -> SyncRequest:
+    def make_report(self) -> SyncRequest:
+        """Returns what the next sync reports."""
         now = time.monotonic()
         return SyncRequest(
             zone=self.zone,
