Decide by agreed time instead of the wall clocks of daemons

Cause: commands were stamped with the wall clock of the submitting daemon. Also, time stood still without commands, so the backoff of a failed job never ended on an idle group.

Ruled out: taking the median of wall clocks; it steps too, and needs messages.

Change: the leader stamps each command with `AgreedClock`, which moves by its monotonic clock from the last applied time. Wall-clock time travels beside it for display only. The scheduler reads agreed time.

Before: `now_ms` = largest wall clock seen.

Conclusion: clock steps change what is displayed and nothing else. Time may run slow over a change of leader, never fast.

--- a/src/hyssopway/control/__init__.py
+++ b/src/hyssopway/control/__init__.py
@@ -2,19 +2,30 @@
 
 from __future__ import annotations
 
+from .agreed_clock import AgreedClock
 from .change import Change
-from .codec import decode_command, decode_outcome, encode_command, encode_outcome
+from .codec import (
+    decode_envelope,
+    decode_outcome,
+    encode_command,
+    encode_envelope,
+    encode_outcome,
+    seal_command,
+)
 from .envelope import Envelope
 from .outcome import Outcome
 from .state import ControlState
 
 __all__ = [
+    "AgreedClock",
     "Change",
     "ControlState",
     "Envelope",
     "Outcome",
-    "decode_command",
+    "decode_envelope",
     "decode_outcome",
     "encode_command",
+    "encode_envelope",
     "encode_outcome",
+    "seal_command",
 ]
--- a/src/hyssopway/control/apply/documents.py
+++ b/src/hyssopway/control/apply/documents.py
@@ -90,7 +90,7 @@
         digest=digest_document(text=text),
         text=text,
         operator=operator,
-        at_ms=state.tables.now_ms,
+        at_ms=state.tables.wall_ms,
     )
     state.indexes.parsed[environment] = document
     _add_zones(state, document=document)
--- a/src/hyssopway/control/apply/jobs.py
+++ b/src/hyssopway/control/apply/jobs.py
@@ -41,7 +41,7 @@
         job_id=command.job_id,
         team=command.team,
         spec=command.spec,
-        accepted_ms=state.tables.now_ms,
+        accepted_ms=state.tables.wall_ms,
         accepted_index=state.applied_index,
     )
     state.tables.jobs[job.job_id] = job
@@ -82,7 +82,7 @@
     job.run = None
     job.cancelling = False
     job.detail = detail
-    job.ended_ms = state.tables.now_ms
+    job.ended_ms = state.tables.wall_ms
     job.history.append(f"{status}: {detail}")
     state.tables.ended_jobs.append(job.job_id)
     if len(state.tables.ended_jobs) > MAX_ENDED_JOBS:
--- a/src/hyssopway/control/apply/keys.py
+++ b/src/hyssopway/control/apply/keys.py
@@ -30,7 +30,7 @@
         key_hash=command.key_hash,
         team=command.team,
         granted_by=command.operator,
-        granted_ms=state.tables.now_ms,
+        granted_ms=state.tables.wall_ms,
     )
     return Ok(Change(generation=1, reference=command.key_id))
 
@@ -42,7 +42,7 @@
         return refuse(ResultCode.KEY_INVALID, f"key {command.key_id!r} does not exist")
     if not key.withdrawn_by:
         key.withdrawn_by = command.operator
-        key.withdrawn_ms = state.tables.now_ms
+        key.withdrawn_ms = state.tables.wall_ms
     return Ok(Change(generation=2, reference=command.key_id))
 
 
--- a/src/hyssopway/control/apply/permits.py
+++ b/src/hyssopway/control/apply/permits.py
@@ -36,7 +36,7 @@
     if excess:
         return refuse(ResultCode.BUDGET_EXHAUSTED, excess)
     state.tables.permits[vm.name] = Permit(
-        vm=vm.name, purpose=command.purpose, holder=command.holder, at_ms=state.tables.now_ms
+        vm=vm.name, purpose=command.purpose, holder=command.holder, at_ms=state.tables.wall_ms
     )
     vm.state = VmState.DRAINING
     vm.reason = f"{command.purpose} by {command.holder}"
--- a/src/hyssopway/control/apply/runs.py
+++ b/src/hyssopway/control/apply/runs.py
@@ -41,7 +41,7 @@
     job.run = Run(
         epoch=command.epoch,
         vm=command.vm,
-        started_ms=state.tables.now_ms,
+        started_ms=state.tables.wall_ms,
         reason=command.reason,
         probe=command.probe,
     )
--- a/src/hyssopway/control/codec.py
+++ b/src/hyssopway/control/codec.py
@@ -8,6 +8,7 @@
 
 from pydantic import TypeAdapter
 
+from .command import Command
 from .envelope import Envelope
 from .outcome import Outcome
 
@@ -15,19 +16,35 @@
     from .command import OperatorCommand
 
 _ENVELOPE = TypeAdapter(Envelope)
+_COMMAND: TypeAdapter[Command] = TypeAdapter(Command)
 _OUTCOME = TypeAdapter(Outcome)
 
 
-def encode_command(envelope: Envelope) -> bytes:
+def encode_envelope(envelope: Envelope) -> bytes:
     """Encodes a log entry."""
     return _ENVELOPE.dump_json(envelope)
 
 
-def decode_command(data: bytes) -> Envelope:
+def decode_envelope(data: bytes) -> Envelope:
     """Decodes a log entry."""
     return _ENVELOPE.validate_json(data)
 
 
+def encode_command(command: Command) -> bytes:
+    """Encodes a command on its way to the leader."""
+    return _COMMAND.dump_json(command)
+
+
+def seal_command(command: bytes, *, at_ms: int, wall_ms: int) -> bytes:
+    """Makes a log entry of an encoded command after checking it.
+
+    Raises:
+        ValueError: The bytes are not a command of this release.
+    """
+    _COMMAND.validate_json(command)
+    return b'{"at_ms":%d,"wall_ms":%d,"command":%b}' % (at_ms, wall_ms, command)
+
+
 def encode_outcome(outcome: Outcome) -> bytes:
     """Encodes an outcome."""
     return _OUTCOME.dump_json(outcome)
@@ -40,8 +57,16 @@
 
 def fingerprint(command: OperatorCommand) -> str:
     """Hashes what a command asks for, without its request id."""
-    data = encode_command(Envelope(at_ms=0, command=replace(command, request_id="")))
+    data = encode_envelope(Envelope(at_ms=0, wall_ms=0, command=replace(command, request_id="")))
     return hashlib.sha256(data).hexdigest()
 
 
-__all__ = ["decode_command", "decode_outcome", "encode_command", "encode_outcome", "fingerprint"]
+__all__ = [
+    "decode_envelope",
+    "decode_outcome",
+    "encode_command",
+    "encode_envelope",
+    "encode_outcome",
+    "fingerprint",
+    "seal_command",
+]
--- a/src/hyssopway/control/envelope.py
+++ b/src/hyssopway/control/envelope.py
@@ -1,4 +1,4 @@
-"""A command with the time at which the leader took it."""
+"""A command with the times at which the leader took it."""
 
 from __future__ import annotations
 
@@ -12,11 +12,13 @@
     """One entry of the replicated log.
 
     Attributes:
-        at_ms: Wall-clock time of the leader in milliseconds.
+        at_ms: Agreed time in milliseconds, for decisions.
+        wall_ms: Wall-clock time of the leader in milliseconds, for display only.
         command: The command.
     """
 
     at_ms: int
+    wall_ms: int
     command: Command
 
 
--- a/src/hyssopway/control/record/job.py
+++ b/src/hyssopway/control/record/job.py
@@ -17,7 +17,7 @@
         job_id: Identity.
         team: Team that submitted it.
         spec: What to run.
-        accepted_ms: Wall-clock time in milliseconds.
+        accepted_ms: Wall-clock time in milliseconds, for display.
         accepted_index: Log index of its acceptance.
         status: Where it stands.
         run: The run in progress.
@@ -28,7 +28,7 @@
         checkpoint: Where the next run continues.
         detail: Message of the last run or reason of the end.
         history: Decisions about this job, oldest first.
-        ended_ms: Wall-clock time of the end in milliseconds.
+        ended_ms: Wall-clock time of the end in milliseconds, for display.
     """
 
     job_id: str
--- a/src/hyssopway/control/state.py
+++ b/src/hyssopway/control/state.py
@@ -10,7 +10,7 @@
 from hyssopway.document import parse_document
 
 from .apply import apply_command
-from .codec import decode_command, fingerprint
+from .codec import decode_envelope, fingerprint
 from .command import GrantKey, OperatorCommand, PromoteDocument, SetZone, TrialDocument, WithdrawKey
 from .indexes import Indexes
 from .outcome import Outcome
@@ -78,8 +78,9 @@
         self.tables.applied_index = index
         if not data:
             return Outcome(index=index)
-        envelope = decode_command(data)
+        envelope = decode_envelope(data)
         self.tables.now_ms = max(self.tables.now_ms, envelope.at_ms)
+        self.tables.wall_ms = envelope.wall_ms
         match envelope.command:
             case TrialDocument() | PromoteDocument() | GrantKey() | WithdrawKey() | SetZone() as command:
                 return self._apply_operator_command(index=index, command=command)
--- a/src/hyssopway/control/tables.py
+++ b/src/hyssopway/control/tables.py
@@ -13,7 +13,8 @@
 
     Attributes:
         applied_index: Log index of the last command applied.
-        now_ms: Largest leader time seen; never goes back.
+        now_ms: Agreed time of the last command; never goes back.
+        wall_ms: Wall-clock time of the last command, for display only.
         documents: Document in force by environment.
         history: Earlier documents, oldest first.
         outcomes: First outcome by request id, oldest first.
@@ -28,6 +29,7 @@
 
     applied_index: int = 0
     now_ms: int = 0
+    wall_ms: int = 0
     documents: dict[str, StoredDocument] = field(default_factory=dict)
     history: list[StoredDocument] = field(default_factory=list)
     outcomes: dict[str, StoredOutcome] = field(default_factory=dict)
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -12,6 +12,7 @@
 
 from hyssopway.agreement import Configuration, Member, Store, run_elections, run_replication
 from hyssopway.clock import monotonic_s, wall_ms
+from hyssopway.control import AgreedClock
 from hyssopway.endpoint import EndpointRegistry
 from hyssopway.event import Event, log_event
 from hyssopway.gateway import Gateway
@@ -21,7 +22,7 @@
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
-from hyssopway.replica import Freshness, Replica, Submitter, follow_leader, follow_upstream
+from hyssopway.replica import Freshness, Proposer, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import CreditLedger, Router
 from hyssopway.worker import WorkerSessions
 
@@ -61,14 +62,14 @@
         self.freshness = Freshness(clock=clock)
         self.peers = PeerDirectory(settings=settings)
         self.member = self._build_member()
+        self.proposer = self._build_proposer()
         self.submitter = Submitter(
             own_name=settings.name,
-            member=self.member,
+            proposer=self.proposer,
             peers=self.peers,
             members=[peer.name for peer in settings.peers if peer.member],
             replica=self.replica,
             clock=clock,
-            wall_ms=wall_ms,
         )
         self.registry = EndpointRegistry(clock=clock)
         self.ledger = CreditLedger(registry=self.registry, clock=clock)
@@ -86,9 +87,15 @@
             submitter=self.submitter,
             clock=clock,
         )
-        self.scheduler = JobScheduler(replica=self.replica, submitter=self.submitter, leads=self.leads)
+        self.scheduler = JobScheduler(
+            replica=self.replica, submitter=self.submitter, leads=self.leads, now_ms=self.now_ms
+        )
         self.calls = PeerCalls(
-            member=self.member, replica=self.replica, freshness=self.freshness, ledger=self.ledger
+            member=self.member,
+            proposer=self.proposer,
+            replica=self.replica,
+            freshness=self.freshness,
+            ledger=self.ledger,
         )
         self.calls.exchanges["status"] = lambda _: own_status(self)
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
@@ -97,6 +104,10 @@
         """Tells whether this daemon leads its region."""
         return self.member is not None and self.member.is_leader
 
+    def now_ms(self) -> int:
+        """Returns agreed time while this daemon leads."""
+        return self.proposer.now_ms() if self.proposer else self.replica.state.tables.now_ms
+
     async def start(self) -> None:
         """Opens durable state, starts all tasks and listens."""
         own = self.settings.own
@@ -158,6 +169,16 @@
             snapshot_entries=self.settings.snapshot_entries,
         )
 
+    def _build_proposer(self) -> Proposer | None:
+        if self.member is None:
+            return None
+        return Proposer(
+            member=self.member,
+            replica=self.replica,
+            agreed_clock=AgreedClock(clock=self.clock),
+            wall_ms=wall_ms,
+        )
+
     def _initial_configuration(self) -> Configuration:
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -24,7 +24,7 @@
         VoteRequest,
     )
     from hyssopway.peer import Credit, CreditReply, CreditRequest
-    from hyssopway.replica import Freshness, Replica
+    from hyssopway.replica import Freshness, Proposer, Replica
     from hyssopway.routing import CreditLedger
 
 PROPOSE_TIMEOUT_S = 3.0
@@ -36,6 +36,7 @@
 
     Attributes:
         member: Control member; None without a disk.
+        proposer: Way into the log; None without a disk.
         replica: Agreed state.
         freshness: How current the replica is.
         ledger: Slot credits of endpoints whose home is this daemon.
@@ -43,12 +44,19 @@
         parts: Snapshot of a leader while it arrives.
     """
 
-    __slots__ = ("exchanges", "freshness", "ledger", "member", "parts", "replica")
+    __slots__ = ("exchanges", "freshness", "ledger", "member", "parts", "proposer", "replica")
 
     def __init__(
-        self, *, member: Member | None, replica: Replica, freshness: Freshness, ledger: CreditLedger
+        self,
+        *,
+        member: Member | None,
+        proposer: Proposer | None,
+        replica: Replica,
+        freshness: Freshness,
+        ledger: CreditLedger,
     ) -> None:
         self.member = member
+        self.proposer = proposer
         self.replica = replica
         self.freshness = freshness
         self.ledger = ledger
@@ -69,13 +77,13 @@
 
     async def propose(self, command: bytes) -> ProposeReply:
         """Proposes a command if this daemon leads."""
-        if self.member is None:
+        if self.proposer is None:
             return ProposeReply(accepted=False)
-        match await self.member.propose(data=command, timeout_s=PROPOSE_TIMEOUT_S):
+        match await self.proposer.propose(command=command, timeout_s=PROPOSE_TIMEOUT_S):
             case Result(tag="ok", ok=outcome):
                 return ProposeReply(accepted=True, outcome=encode_outcome(outcome))
             case Result(error=failure) if failure.code is ResultCode.NOT_LEADER:
-                return ProposeReply(accepted=False, leader=self.member.leader_daemon)
+                return ProposeReply(accepted=False, leader=self.proposer.member.leader_daemon)
             case Result(error=failure):
                 raise TimeoutError(failure.message)
 
--- a/src/hyssopway/job/scheduler.py
+++ b/src/hyssopway/job/scheduler.py
@@ -27,14 +27,23 @@
         replica: Agreed state.
         submitter: Way to the agreed state.
         leads: Tells whether this daemon leads.
+        now_ms: Returns agreed time.
     """
 
-    __slots__ = ("leads", "replica", "submitter")
+    __slots__ = ("leads", "now_ms", "replica", "submitter")
 
-    def __init__(self, *, replica: Replica, submitter: Submitter, leads: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        submitter: Submitter,
+        leads: Callable[[], bool],
+        now_ms: Callable[[], int],
+    ) -> None:
         self.replica = replica
         self.submitter = submitter
         self.leads = leads
+        self.now_ms = now_ms
 
     async def run(self) -> None:
         """Schedules for as long as the daemon runs."""
@@ -44,7 +53,7 @@
             await asyncio.sleep(ROUND_S)
 
     async def _schedule_once(self) -> None:
-        now_ms = self.replica.state.tables.now_ms
+        now_ms = self.now_ms()
         pending = [job for job in self.replica.state.indexes.pending.values() if job.not_before_ms <= now_ms]
         pending.sort(key=lambda job: (not job.spec.urgent, job.accepted_index))
         free = {vm.name: self._free(vm) for vm in self._open_vms()}
--- a/src/hyssopway/replica/submitter.py
+++ b/src/hyssopway/replica/submitter.py
@@ -7,19 +7,17 @@
 
 from expression import Error, Ok, Result
 
-from hyssopway.control import Envelope, decode_outcome, encode_command
+from hyssopway.control import decode_outcome, encode_command
 from hyssopway.peer import PeerUnreachableError
 from hyssopway.result import Failure, ResultCode, WorkState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from hyssopway.agreement import Member
     from hyssopway.clock import Clock
     from hyssopway.control import Outcome
     from hyssopway.control.command import Command
     from hyssopway.peer import PeerDirectory
 
+    from .proposer import Proposer
     from .replica import Replica
 
 RETRY_S = 0.1
@@ -33,33 +31,31 @@
 
     Attributes:
         own_name: Name of this daemon.
-        member: Control member of this daemon; None without a disk.
+        proposer: Way into the log on this daemon; None without a disk.
         peers: Clients of the other daemons.
         members: Daemons that carry control members.
         replica: Agreed state of this daemon.
         leader: Daemon that led last; empty when unknown.
     """
 
-    __slots__ = ("clock", "leader", "member", "members", "own_name", "peers", "replica", "wall_ms")
+    __slots__ = ("clock", "leader", "members", "own_name", "peers", "proposer", "replica")
 
     def __init__(
         self,
         *,
         own_name: str,
-        member: Member | None,
+        proposer: Proposer | None,
         peers: PeerDirectory,
         members: list[str],
         replica: Replica,
         clock: Clock,
-        wall_ms: Callable[[], int],
     ) -> None:
         self.own_name = own_name
-        self.member = member
+        self.proposer = proposer
         self.peers = peers
         self.members = members
         self.replica = replica
         self.clock = clock
-        self.wall_ms = wall_ms
         self.leader = ""
 
     async def submit(self, command: Command, *, timeout_s: float = 5.0) -> Result[Outcome, Failure]:
@@ -74,7 +70,7 @@
             when nothing was changed, or OUTCOME_UNKNOWN when the change may still take effect.
         """
         deadline = self.clock() + timeout_s
-        data = encode_command(Envelope(at_ms=self.wall_ms(), command=command))
+        data = encode_command(command)
         sent = False
         attempt = 0
         while (left_s := deadline - self.clock()) > 0:
@@ -92,10 +88,10 @@
         return Error(_give_up(sent=sent))
 
     async def _try_once(self, *, target: str, data: bytes, timeout_s: float) -> Result[Outcome, Failure]:
-        if target == self.own_name and self.member is not None:
-            result = await self.member.propose(data=data, timeout_s=timeout_s)
+        if target == self.own_name and self.proposer is not None:
+            result = await self.proposer.propose(command=data, timeout_s=timeout_s)
             if result.is_error() and result.error.code is ResultCode.NOT_LEADER:
-                self.leader = self.member.leader_daemon
+                self.leader = self.proposer.member.leader_daemon
             return result
         try:
             reply = await self.peers.client(target).propose(command=data, timeout_s=timeout_s)
@@ -112,8 +108,8 @@
     def _choose_target(self, *, attempt: int) -> str:
         if self.leader:
             return self.leader
-        if self.member is not None and self.member.leader_daemon:
-            return self.member.leader_daemon
+        if self.proposer is not None and self.proposer.member.leader_daemon:
+            return self.proposer.member.leader_daemon
         return self.members[attempt % len(self.members)]
 
 
