Keep the group working over slow, full and torn disks

Cause: review of the agreement package.

Ruled out: stepping down on any slow sync.

A flipped bit in the last record is still read as a torn tail.

--- a/src/hyssopway/agreement/__init__.py
+++ b/src/hyssopway/agreement/__init__.py
@@ -8,6 +8,7 @@
 from .member import Member
 from .replication import answer_append, answer_snapshot, run_replication
 from .role import Role
+from .snapshot_parts import SnapshotParts
 from .storage_error import LogDamagedError, StorageError
 from .store import Store
 from .timers import Timers
@@ -18,6 +19,7 @@
     "LogDamagedError",
     "Member",
     "Role",
+    "SnapshotParts",
     "StorageError",
     "Store",
     "Timers",
--- a/src/hyssopway/agreement/election.py
+++ b/src/hyssopway/agreement/election.py
@@ -8,7 +8,7 @@
 from hyssopway.event import Event, log_event
 
 from .configuration import daemon_of
-from .messages import VoteRequest
+from .messages import VoteReply, VoteRequest
 from .role import Role
 from .storage_error import StorageError
 
@@ -24,24 +24,52 @@
 
 async def run_elections(*, member: Member, transport: Transport, rng: random.Random) -> None:
     """Starts an election after each silence, for as long as the member runs."""
-    failed = 0
+    lost = 0
     while member.role is not Role.STOPPED:
         # Growing timeouts let a group whose disks are slow elect a leader at all.
-        factor = 2 ** min(failed, MAX_DOUBLINGS)
+        factor = 2 ** min(lost, MAX_DOUBLINGS)
         timeout_s = factor * rng.uniform(member.timers.election_min_s, member.timers.election_max_s)
         await asyncio.sleep(timeout_s if not member.is_leader else member.timers.heartbeat_s)
         if member.is_leader or member.leader_id:
-            failed = 0
+            lost = 0
         if member.is_leader:
             _check_quorum(member)
-        elif member.is_voter and member.clock() - member.heard_at >= timeout_s:
-            failed += 1
-            await _campaign(member=member, transport=transport)
+            _check_own_disk(member)
+        elif _may_campaign(member, silence_s=timeout_s):
+            # A failed pre-vote costs no disk write, so it does not slow down the next try: after a long
+            # isolation the group elects a leader within the shortest timeouts.
+            lost += await _campaign(member=member, transport=transport)
 
 
-def _check_quorum(member: Member) -> None:
-    if member.store.last_index < member.term_start:
+def _may_campaign(member: Member, *, silence_s: float) -> bool:
+    now = member.clock()
+    return member.is_voter and now - member.heard_at >= silence_s and now >= member.suspended_until
+
+
+def _check_own_disk(member: Member) -> None:
+    if not member.is_leader:
         return
+    others = sorted(
+        (
+            member.progress[voter].match_index
+            for voter in member.configuration.voters
+            if voter in member.progress
+        ),
+        reverse=True,
+    )
+    quorum = member.configuration.quorum
+    # Stepping down helps only if the others are a quorum without this member.
+    if len(others) < quorum or others[quorum - 1] <= member.store.synced_index:
+        member.held_up_since = float("inf")
+        return
+    member.held_up_since = min(member.held_up_since, member.clock())
+    if member.clock() - member.held_up_since >= member.timers.stall_s:
+        log_event(Event.DISK_STALLED, synced_index=member.store.synced_index, index=others[quorum - 1])
+        member.suspend()
+        member.step_down(reason="own disk is slower than a quorum of the others")
+
+
+def _check_quorum(member: Member) -> None:
     voters = member.configuration.voters
     recent = member.clock() - member.timers.election_max_s
     reachable = sum(voter == member.member_id or member.progress[voter].acked_at > recent for voter in voters)
@@ -54,49 +82,66 @@
     member.heard_at = member.clock()
 
 
-async def _campaign(*, member: Member, transport: Transport) -> None:
+async def _campaign(*, member: Member, transport: Transport) -> bool:
+    """Runs for election and tells whether a real election was lost."""
     member.role = Role.CANDIDATE
     member.leader_id = ""
     if not await _collect_votes(member=member, transport=transport, term=member.term + 1, pre_vote=True):
-        return
+        return False
     async with member.lock:
-        if member.role is not Role.CANDIDATE:
-            return
+        if member.role is not Role.CANDIDATE or member.clock() < member.suspended_until:
+            return False
         member.drop_unsynced()
         term = member.term + 1
         try:
             await asyncio.to_thread(member.store.write_vote, term=term, voted_for=member.member_id)
         except StorageError as error:
             member.fail_storage(error)
-            return
+            return False
     log_event(Event.ELECTION_STARTED, term=term)
     won = await _collect_votes(member=member, transport=transport, term=term, pre_vote=False)
     async with member.lock:
         if won and member.role is Role.CANDIDATE and member.term == term:
             member.heard_at = member.clock()
             member.become_leader()
+    return not won
 
 
 async def _collect_votes(*, member: Member, transport: Transport, term: int, pre_vote: bool) -> bool:
-    request = VoteRequest(
-        term=term,
-        candidate=member.member_id,
-        last_index=member.store.last_index,
-        last_term=member.store.term_at(member.store.last_index) or 0,
-        pre_vote=pre_vote,
-    )
+    last_index = member.store.last_index
+    last_term = member.store.term_at(last_index) or 0
     others = [voter for voter in member.configuration.voters if voter != member.member_id]
     missing = member.configuration.quorum - 1
     calls = {
         asyncio.create_task(
-            transport.vote(daemon=daemon_of(voter), request=request, timeout_s=member.timers.call_s)
+            transport.vote(
+                daemon=daemon_of(voter),
+                request=VoteRequest(
+                    term=term,
+                    candidate=member.member_id,
+                    target=voter,
+                    last_index=last_index,
+                    last_term=last_term,
+                    pre_vote=pre_vote,
+                ),
+                timeout_s=member.timers.call_s,
+            )
         )
         for voter in others
     }
+    try:
+        return await _count_votes(member=member, calls=calls, missing=missing)
+    finally:
+        for call in calls:
+            call.cancel()
+
+
+async def _count_votes(*, member: Member, calls: set[asyncio.Task[VoteReply]], missing: int) -> bool:
+    calls = set(calls)
     while missing > 0 and calls:
         done, calls = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
         for call in done:
-            if call.exception() is not None:
+            if call.cancelled() or call.exception() is not None:
                 continue
             reply = call.result()
             if reply.term > member.term:
--- a/src/hyssopway/agreement/log_file.py
+++ b/src/hyssopway/agreement/log_file.py
@@ -64,6 +64,7 @@
         if position < len(self.offsets):
             self.end = self.offsets[position]
             del self.offsets[position:]
+        self._drop_tail()
         starts, chunks, offset = [], [], self.end
         for step, entry in enumerate(entries):
             record = encode_record(index=index + step, entry=entry)
@@ -72,7 +73,6 @@
             offset += len(record)
         try:
             _write_all(self.descriptor, b"".join(chunks), offset=self.end)
-            os.ftruncate(self.descriptor, offset)
             os.fdatasync(self.descriptor)
         except OSError as error:
             raise StorageError(f"cannot write {self.path}: {error}") from error
@@ -87,18 +87,23 @@
             StorageError: The disk is full, read-only or failing.
         """
         fresh = LogFile(path=self.path.with_suffix(".new"))
-        fresh.path.unlink(missing_ok=True)
-        fresh.open(first_index=first_index)
-        fresh.append(index=first_index, entries=entries)
         try:
+            fresh.path.unlink(missing_ok=True)
+            fresh.open(first_index=first_index)
+            fresh.append(index=first_index, entries=entries)
             fresh.path.replace(self.path)
-            sync_folder(self.path.parent)
-        except OSError as error:
+        except (OSError, StorageError) as error:
+            fresh.close()
             raise StorageError(f"cannot replace {self.path}: {error}") from error
+        # From the rename on the old file has no name; entries written to it would be lost.
         os.close(self.descriptor)
         self.descriptor = fresh.descriptor
         self.first_index, self.offsets, self.end = first_index, fresh.offsets, fresh.end
         self.syncs += fresh.syncs
+        try:
+            sync_folder(self.path.parent)
+        except OSError as error:
+            raise StorageError(f"cannot sync the folder of {self.path}: {error}") from error
 
     def close(self) -> None:
         """Closes the file."""
@@ -106,6 +111,18 @@
             os.close(self.descriptor)
             self.descriptor = -1
 
+    def _drop_tail(self) -> None:
+        """Cuts off what stands behind the intact part.
+
+        Records left there would look like damage in the middle after a crash in the next write.
+        """
+        try:
+            if os.fstat(self.descriptor).st_size > self.end:
+                os.ftruncate(self.descriptor, self.end)
+                os.fdatasync(self.descriptor)
+        except OSError as error:
+            raise StorageError(f"cannot truncate {self.path}: {error}") from error
+
     def _load(self, *, data: bytes, first_index: int) -> list[Entry]:
         entries: list[Entry] = []
         self.first_index = first_index
--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -50,6 +50,8 @@
         configuration: Members of the group.
         progress: For a leader, replication by member id.
         waiting: Proposals by index whose outcome is awaited.
+        suspended_until: Local time before which the member does not run for election.
+        held_up_since: Local time since which a leader's own disk holds up the group.
         term_start: Index of the first entry of a leader's own term.
         lock: Held while durable state changes.
     """
@@ -79,6 +81,8 @@
         self.progress: dict[str, Progress] = {}
         self.waiting: dict[int, tuple[int, asyncio.Future[Outcome | None]]] = {}
         self.term_start = 0
+        self.suspended_until = float("-inf")
+        self.held_up_since = float("inf")
         self.lock = asyncio.Lock()
         self.unsynced = asyncio.Event()
         self.committed = asyncio.Event()
@@ -209,6 +213,7 @@
 
     def become_leader(self) -> None:
         """Starts leading the current term."""
+        self.held_up_since = float("inf")
         self.role = Role.LEADER
         self.leader_id = self.member_id
         self.progress = {
@@ -283,9 +288,17 @@
                 await asyncio.sleep(0)
             await self._compact()
 
+    def suspend(self) -> None:
+        """Leaves elections to members with a working disk for a while.
+
+        A vote fits on a full disk, so a member that could not write its log would win again at once.
+        """
+        self.suspended_until = self.clock() + self.timers.suspend_s
+
     def fail_storage(self, error: StorageError) -> None:
         """Gives up the lead when the disk fails; unsynced entries are forgotten."""
         log_event(Event.STORAGE_FAILED, error=str(error))
+        self.suspend()
         self.step_down(reason="storage failed")
         self.drop_unsynced()
 
--- a/src/hyssopway/agreement/messages.py
+++ b/src/hyssopway/agreement/messages.py
@@ -14,6 +14,7 @@
     Attributes:
         term: Term that the candidate wants to lead.
         candidate: Id of the candidate.
+        target: Id of the member that is asked.
         last_index: Index of its last entry.
         last_term: Term of its last entry.
         pre_vote: Whether this only asks if a vote would be granted.
@@ -21,6 +22,7 @@
 
     term: int
     candidate: str
+    target: str
     last_index: int
     last_term: int
     pre_vote: bool
--- a/src/hyssopway/agreement/progress.py
+++ b/src/hyssopway/agreement/progress.py
@@ -14,6 +14,7 @@
         member_id: The member.
         next_index: First index to send next.
         match_index: Last index known to be durable there.
+        sent_at: Local time at which the last message was sent.
         acked_at: Local time at which the last answered message was sent.
         wake: Set when there is something to send.
     """
@@ -21,6 +22,7 @@
     member_id: str
     next_index: int
     match_index: int = 0
+    sent_at: float = float("-inf")
     acked_at: float = float("-inf")
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
--- a/src/hyssopway/agreement/replication.py
+++ b/src/hyssopway/agreement/replication.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
 
-from .configuration import Configuration, daemon_of
+from .configuration import daemon_of
 from .messages import AppendReply, AppendRequest, SnapshotChunk
 from .role import Role
 from .snapshot import Snapshot
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from .member import Member
     from .progress import Progress
+    from .snapshot_parts import SnapshotParts
     from .transport import Transport
 
 MAX_BATCH_BYTES = 512 * 1024
@@ -32,7 +34,7 @@
                     del tasks[key]
             for progress in member.progress.values():
                 if id(progress) not in tasks:
-                    job = _replicate(member=member, transport=transport, progress=progress)
+                    job = _serve(member=member, transport=transport, progress=progress)
                     tasks[id(progress)] = asyncio.create_task(job)
             await asyncio.sleep(member.timers.heartbeat_s / 4)
     finally:
@@ -40,11 +42,21 @@
             task.cancel()
 
 
+async def _serve(*, member: Member, transport: Transport, progress: Progress) -> None:
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_replicate(member=member, transport=transport, progress=progress))
+        group.create_task(_keep_alive(member=member, transport=transport, progress=progress))
+
+
 async def answer_append(*, member: Member, request: AppendRequest) -> AppendReply:
     """Appends entries of a leader, synced before the answer."""
     if request.target != member.member_id:
         # Meant for a member whose disk was lost; this one has other state.
         return _reply(member, success=False, match_index=0)
+    if not request.entries and member.lock.locked() and _is_followed(member, request):
+        # A heartbeat does not wait for a write in progress; it says nothing about the log.
+        member.heard_at = member.clock()
+        return _reply(member, success=True, match_index=0)
     async with member.lock:
         if request.term < member.term:
             return _reply(member, success=False, match_index=member.store.last_index)
@@ -56,20 +68,21 @@
             return _reply(member, success=False, match_index=member.store.synced_index)
 
 
-async def answer_snapshot(*, member: Member, parts: bytearray, chunk: SnapshotChunk) -> AppendReply:
+def _is_followed(member: Member, request: AppendRequest) -> bool:
+    return member.role is Role.FOLLOWER and request.term == member.term and request.leader == member.leader_id
+
+
+async def answer_snapshot(*, member: Member, parts: SnapshotParts, chunk: SnapshotChunk) -> AppendReply:
     """Collects a snapshot of the leader and installs it when it is complete."""
     async with member.lock:
         if chunk.term < member.term:
             return _reply(member, success=False, match_index=0)
         try:
             await _follow(member, term=chunk.term, leader=chunk.leader)
-            if chunk.offset == 0:
-                parts.clear()
-            if chunk.offset != len(parts):
+            if not parts.add(chunk):
                 return _reply(member, success=False, match_index=0)
-            parts += chunk.data
             if chunk.last and chunk.index > member.commit_index:
-                await _install(member=member, chunk=chunk, data=bytes(parts))
+                await _install(member=member, chunk=chunk, data=bytes(parts.data))
         except StorageError as error:
             member.fail_storage(error)
             return _reply(member, success=False, match_index=0)
@@ -78,11 +91,11 @@
 
 async def _replicate(*, member: Member, transport: Transport, progress: Progress) -> None:
     term = member.term
-    while member.is_leader and member.term == term and member.progress.get(progress.member_id) is progress:
+    while _leads(member, term=term, progress=progress):
         progress.wake.clear()
         try:
             if progress.next_index <= member.store.snapshot.index:
-                await _send_snapshot(member=member, transport=transport, progress=progress)
+                await _send_snapshot(member=member, transport=transport, progress=progress, term=term)
             else:
                 await _send_entries(member=member, transport=transport, progress=progress)
         except OSError:
@@ -92,6 +105,41 @@
             await _wait(progress.wake, timeout_s=member.timers.heartbeat_s)
 
 
+def _leads(member: Member, *, term: int, progress: Progress) -> bool:
+    return member.is_leader and member.term == term and member.progress.get(progress.member_id) is progress
+
+
+async def _keep_alive(*, member: Member, transport: Transport, progress: Progress) -> None:
+    """Sends heartbeats while entries or a snapshot are on their way to a member with a slow disk."""
+    term = member.term
+    while _leads(member, term=term, progress=progress):
+        sent_at = member.clock()
+        if sent_at - progress.sent_at >= member.timers.heartbeat_s:
+            try:
+                reply = await _send_heartbeat(member=member, transport=transport, progress=progress)
+            except OSError:
+                reply = None
+            if reply is not None and reply.term > member.term:
+                async with member.lock:
+                    await member.adopt_term(reply.term)
+            elif reply is not None and reply.member == progress.member_id:
+                await _confirm(member=member, progress=progress, sent_at=sent_at)
+        await asyncio.sleep(member.timers.heartbeat_s)
+
+
+async def _send_heartbeat(*, member: Member, transport: Transport, progress: Progress) -> AppendReply:
+    request = AppendRequest(
+        term=member.term,
+        leader=member.member_id,
+        target=progress.member_id,
+        previous_index=progress.match_index,
+        previous_term=member.store.term_at(progress.match_index) or 0,
+        commit_index=0,
+    )
+    daemon = daemon_of(progress.member_id)
+    return await transport.append(daemon=daemon, request=request, timeout_s=member.timers.call_s)
+
+
 async def _send_entries(*, member: Member, transport: Transport, progress: Progress) -> None:
     previous = progress.next_index - 1
     request = AppendRequest(
@@ -103,14 +151,23 @@
         commit_index=member.commit_index,
         entries=member.store.slice(start=progress.next_index, max_bytes=MAX_BATCH_BYTES),
     )
-    sent_at = member.clock()
+    sent_at = progress.sent_at = member.clock()
     reply = await transport.append(
         daemon=daemon_of(progress.member_id), request=request, timeout_s=member.timers.call_s
     )
-    await _take_reply(member=member, progress=progress, reply=reply, sent_at=sent_at)
+    await _take_reply(
+        member=member,
+        progress=progress,
+        reply=reply,
+        sent_at=sent_at,
+        previous=previous,
+        count=len(request.entries),
+    )
 
 
-async def _take_reply(*, member: Member, progress: Progress, reply: AppendReply, sent_at: float) -> None:
+async def _take_reply(
+    *, member: Member, progress: Progress, reply: AppendReply, sent_at: float, previous: int, count: int
+) -> None:
     if reply.term > member.term:
         async with member.lock:
             await member.adopt_term(reply.term)
@@ -119,24 +176,34 @@
         if reply.member != progress.member_id:
             await asyncio.sleep(member.timers.heartbeat_s)
         return
-    progress.acked_at = max(progress.acked_at, sent_at)
-    if reply.success:
+    if reply.success and reply.match_index >= previous + count:
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = progress.match_index + 1
         member.advance_commit()
-    else:
+    elif not reply.success and reply.match_index >= previous:
+        # The log matches and the member cannot write: its disk gets time to recover.
+        progress.next_index = max(1, reply.match_index + 1)
+        await asyncio.sleep(member.timers.heartbeat_s)
+    elif not reply.success:
         progress.next_index = max(1, min(progress.next_index - 1, reply.match_index + 1))
+    await _confirm(member=member, progress=progress, sent_at=sent_at)
+
+
+async def _confirm(*, member: Member, progress: Progress, sent_at: float) -> None:
+    progress.acked_at = max(progress.acked_at, sent_at)
     async with member.confirmed:
         member.confirmed.notify_all()
 
 
-async def _send_snapshot(*, member: Member, transport: Transport, progress: Progress) -> None:
+async def _send_snapshot(*, member: Member, transport: Transport, progress: Progress, term: int) -> None:
     snapshot = member.store.snapshot
     daemon = daemon_of(progress.member_id)
     for offset in range(0, max(1, len(snapshot.data)), SNAPSHOT_CHUNK_BYTES):
         part = snapshot.data[offset : offset + SNAPSHOT_CHUNK_BYTES]
+        if not _leads(member, term=term, progress=progress):
+            return  # the current term may belong to another leader
         chunk = SnapshotChunk(
-            term=member.term,
+            term=term,
             leader=member.member_id,
             index=snapshot.index,
             index_term=snapshot.term,
@@ -145,13 +212,15 @@
             data=part,
             last=offset + len(part) >= len(snapshot.data),
         )
-        sent_at = member.clock()
+        sent_at = progress.sent_at = member.clock()
         # Installing writes and loads the whole state, which takes longer than a heartbeat.
         timeout_s = member.timers.call_s * 5
         reply = await transport.install_snapshot(daemon=daemon, chunk=chunk, timeout_s=timeout_s)
         if not reply.success or reply.term > member.term:
             break
-    await _take_reply(member=member, progress=progress, reply=reply, sent_at=sent_at)
+    await _take_reply(
+        member=member, progress=progress, reply=reply, sent_at=sent_at, previous=-1, count=snapshot.index + 1
+    )
 
 
 async def _follow(member: Member, *, term: int, leader: str) -> None:
@@ -165,8 +234,16 @@
 
 async def _append(*, member: Member, request: AppendRequest) -> AppendReply:
     store = member.store
-    if request.previous_index < store.snapshot.index:
-        return _reply(member, success=False, match_index=member.commit_index)
+    behind = store.snapshot.index - request.previous_index
+    if behind > 0:
+        # The snapshot holds only committed entries, so they match. Refusing them would make a leader with an
+        # older snapshot send it forever.
+        request = replace(
+            request,
+            previous_index=store.snapshot.index,
+            previous_term=store.snapshot.term,
+            entries=request.entries[behind:],
+        )
     if store.term_at(request.previous_index) != request.previous_term:
         hint = min(store.last_index, max(member.commit_index, request.previous_index - 1))
         return _reply(member, success=False, match_index=hint)
@@ -201,7 +278,6 @@
     member.store.adopt_snapshot(snapshot)
     member.machine.restore_snapshot(data)
     member.commit_index = member.applied_index = chunk.index
-    member.configuration = Configuration.decode(chunk.configuration)
     member.adopt_configuration()
     log_event(Event.SNAPSHOT_INSTALLED, index=chunk.index)
 
--- a/src/hyssopway/agreement/slot_file.py
+++ b/src/hyssopway/agreement/slot_file.py
@@ -67,7 +67,9 @@
         if len(header) + len(data) > SLOT_BYTES:
             raise StorageError(f"{len(data)} bytes do not fit into a slot of {self.path}")
         try:
-            os.pwrite(self.descriptor, header + data, SLOT_BYTES * (sequence % SLOTS))
+            content = header + data
+            if os.pwrite(self.descriptor, content, SLOT_BYTES * (sequence % SLOTS)) < len(content):
+                raise StorageError(f"{self.path} was written only in part")
             os.fdatasync(self.descriptor)
         except OSError as error:
             raise StorageError(f"cannot write {self.path}: {error}") from error
--- a/src/hyssopway/agreement/store.py
+++ b/src/hyssopway/agreement/store.py
@@ -10,6 +10,7 @@
 from .log_file import LogFile, sync_folder
 from .slot_file import SlotFile
 from .snapshot import Snapshot
+from .storage_error import LogDamagedError, StorageError
 from .stored_file import read_whole, write_whole
 from .vote import Vote
 
@@ -66,8 +67,17 @@
             LogDamagedError: A file is damaged.
             StorageError: The folder cannot be read or written.
         """
-        self.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            self._open_files(daemon=daemon, initial=initial)
+        except OSError as error:
+            raise StorageError(f"cannot open {self.folder}: {error}") from error
+
+    def _open_files(self, *, daemon: str, initial: Configuration | None) -> None:
         raw_vote = self.vote_file.open()
+        if raw_vote is None and any((self.folder / name).exists() for name in ("log", "snapshot")):
+            # A new identity on top of an old log could vote a second time in a term.
+            raise LogDamagedError(f"{self.folder} holds a log without a vote file")
         if raw_vote is None:
             self._initialise(daemon=daemon, initial=initial)
         else:
--- a/src/hyssopway/agreement/voting.py
+++ b/src/hyssopway/agreement/voting.py
@@ -14,6 +14,10 @@
 
 async def answer_vote(*, member: Member, request: VoteRequest) -> VoteReply:
     """Grants or refuses a vote or a pre-vote."""
+    if request.target != member.member_id:
+        # The voter lost its disk. Counting the vote of its empty successor could elect a leader that lacks
+        # committed entries.
+        return VoteReply(term=member.term, granted=False)
     async with member.lock:
         if _hears_leader(member):
             # A member that was cut off must not disturb a group whose leader works.
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -7,7 +7,13 @@
 from expression import Result
 from pydantic_core import from_json, to_json
 
-from hyssopway.agreement import answer_append, answer_snapshot, answer_vote, run_to_completion
+from hyssopway.agreement import (
+    SnapshotParts,
+    answer_append,
+    answer_snapshot,
+    answer_vote,
+    run_to_completion,
+)
 from hyssopway.control import encode_outcome
 from hyssopway.peer import SNAPSHOT_PART_BYTES, ConfirmReply, ProposeReply, SnapshotPart, WatchReply
 from hyssopway.result import ResultCode
@@ -53,7 +59,7 @@
         self.freshness = freshness
         self.ledger = ledger
         self.exchanges: dict[str, Callable[[Any], Any]] = {}
-        self.parts = bytearray()
+        self.parts = SnapshotParts()
 
     async def vote(self, request: VoteRequest) -> VoteReply:
         """Answers a vote request."""
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -29,6 +29,11 @@
     SNAPSHOT_WRITTEN = (2008, "INFO", "snapshot at index {index} written, {size_bytes} bytes")
     SNAPSHOT_INSTALLED = (2009, "INFO", "snapshot at index {index} installed")
     MEMBERSHIP_CHANGED = (2010, "INFO", "voters {voters}, learners {learners}")
+    DISK_STALLED = (
+        2011,
+        "ERROR",
+        "own disk holds up the group: synced up to {synced_index}, a quorum of the others up to {index}",
+    )
     PEER_CONNECTED = (2101, "DEBUG", "connected to peer {peer}")
     PEER_LOST = (2102, "WARNING", "connection to peer {peer} lost: {error}")
     PEER_REFUSED = (2103, "WARNING", "peer connection refused: {reason}")
--- a/src/hyssopway/peer/conversion.py
+++ b/src/hyssopway/peer/conversion.py
@@ -23,6 +23,7 @@
         lastIndex=request.last_index,
         lastTerm=request.last_term,
         preVote=request.pre_vote,
+        target=request.target,
     )
 
 
@@ -34,6 +35,7 @@
         last_index=wire.lastIndex,
         last_term=wire.lastTerm,
         pre_vote=wire.preVote,
+        target=str(wire.target),
     )
 
 
--- a/src/hyssopway/peer/schema.capnp
+++ b/src/hyssopway/peer/schema.capnp
@@ -14,6 +14,7 @@
   lastIndex @2 :UInt64;
   lastTerm @3 :UInt64;
   preVote @4 :Bool;
+  target @5 :Text;
 }
 
 struct VoteReply {
--- /dev/null
+++ b/tests/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agreement."""
--- /dev/null
+++ b/tests/agreement/group.py
@@ -0,0 +1,231 @@
+"""A group of members in memory: a fake transport with cuts and stores whose writes can fail or stall."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from hyssopway.agreement import (
+    Configuration,
+    Member,
+    Role,
+    SnapshotParts,
+    StorageError,
+    Store,
+    Timers,
+    answer_append,
+    answer_snapshot,
+    answer_vote,
+    daemon_of,
+    run_elections,
+    run_replication,
+    run_to_completion,
+)
+from hyssopway.control import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
+TIMERS = Timers(
+    heartbeat_s=0.03, election_min_s=0.2, election_max_s=0.4, call_s=0.6, stall_s=0.3, suspend_s=1
+)
+NAMES = ("a", "b", "c", "d", "e")
+
+
+class Machine:
+    """Records what is applied."""
+
+    def __init__(self) -> None:
+        self.applied: list[tuple[int, bytes]] = []
+
+    def apply(self, *, index: int, data: bytes) -> Outcome:
+        """Applies one entry; each index only once."""
+        assert not self.applied or index > self.applied[-1][0], "an index is applied twice"
+        self.applied.append((index, data))
+        return Outcome(index=index, reference=data.decode())
+
+    def encode_snapshot(self) -> bytes:
+        """Encodes what was applied."""
+        return b"\n".join(b"%d %s" % item for item in self.applied)
+
+    def restore_snapshot(self, data: bytes) -> None:
+        """Replaces what was applied."""
+        lines = [line.partition(b" ") for line in data.split(b"\n") if line]
+        self.applied = [(int(index), command) for index, _, command in lines]
+
+    @property
+    def commands(self) -> list[bytes]:
+        """Commands in the order of the log."""
+        return [data for _, data in self.applied if data]
+
+
+class FaultyStore(Store):
+    """A store whose writes can be slow or fail."""
+
+    def __init__(self, *, folder: Path) -> None:
+        super().__init__(folder=folder)
+        self.delay_s = 0.0
+        self.full = False
+
+    def write_entries(self, *, index: int, entries: Any) -> None:
+        """Writes entries after a delay, or fails."""
+        time.sleep(self.delay_s)
+        if self.full:
+            raise StorageError("no space left on device")
+        super().write_entries(index=index, entries=entries)
+
+
+@dataclass(slots=True)
+class Node:
+    """One member with its tasks."""
+
+    member: Member
+    machine: Machine
+    parts: SnapshotParts = field(default_factory=SnapshotParts)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    @property
+    def store(self) -> FaultyStore:
+        """Store with faults."""
+        assert isinstance(self.member.store, FaultyStore)
+        return self.member.store
+
+
+class FakeTransport:
+    """Delivers messages inside the process unless the way there or back is cut."""
+
+    def __init__(self, *, group: Group, source: str) -> None:
+        self.group = group
+        self.source = source
+
+    async def vote(self, *, daemon: str, request: Any, timeout_s: float) -> Any:
+        """Asks for a vote."""
+        return await self._deliver(daemon, timeout_s, lambda n: answer_vote(member=n.member, request=request))
+
+    async def append(self, *, daemon: str, request: Any, timeout_s: float) -> Any:
+        """Sends entries."""
+        return await self._deliver(
+            daemon, timeout_s, lambda n: answer_append(member=n.member, request=request)
+        )
+
+    async def install_snapshot(self, *, daemon: str, chunk: Any, timeout_s: float) -> Any:
+        """Sends a part of a snapshot."""
+        if self.group.on_chunk is not None:
+            await self.group.on_chunk(self.group.nodes[daemon], chunk)
+        return await self._deliver(
+            daemon, timeout_s, lambda n: answer_snapshot(member=n.member, parts=n.parts, chunk=chunk)
+        )
+
+    async def _deliver(self, daemon: str, timeout_s: float, answer: Callable[[Node], Any]) -> Any:
+        self.group.sent[self.source] += 1
+        await asyncio.sleep(0.001)
+        node = self.group.nodes.get(daemon)
+        if node is None or (self.source, daemon) in self.group.cuts:
+            raise ConnectionError(daemon)
+        async with asyncio.timeout(timeout_s):
+            reply = await run_to_completion(answer(node))
+        if (daemon, self.source) in self.group.cuts:
+            raise ConnectionError(daemon)
+        return reply
+
+
+class Group:
+    """Members by daemon name.
+
+    Attributes:
+        cuts: Pairs of source and target between which nothing is delivered.
+        sent: Messages by sender.
+        on_chunk: Called before a part of a snapshot is delivered.
+    """
+
+    def __init__(self, *, folder: Path, snapshot_entries: int = 10_000) -> None:
+        self.folder = folder
+        self.snapshot_entries = snapshot_entries
+        self.nodes: dict[str, Node] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.sent: Counter[str] = Counter()
+        self.on_chunk: Callable[[Node, Any], Awaitable[None]] | None = None
+
+    def start(self, *names: str, initial: bool = True, subfolder: str = "") -> None:
+        """Starts members; without `initial` as members with a new identity."""
+        configuration = Configuration(voters=tuple(f"{name}/0" for name in NAMES)) if initial else None
+        for name in names:
+            machine = Machine()
+            member = Member(
+                daemon=name,
+                store=FaultyStore(folder=self.folder / f"{name}{subfolder}"),
+                machine=machine,
+                clock=time.monotonic,
+                timers=TIMERS,
+                snapshot_entries=self.snapshot_entries,
+            )
+            member.open(initial=configuration)
+            node = self.nodes[name] = Node(member, machine)
+            transport = FakeTransport(group=self, source=name)
+            rng = random.Random(name)
+            node.tasks = [
+                asyncio.create_task(loop)
+                for loop in (
+                    member.sync_own_log(),
+                    member.apply_committed(),
+                    run_elections(member=member, transport=transport, rng=rng),
+                    run_replication(member=member, transport=transport),
+                )
+            ]
+
+    async def stop(self, *names: str) -> None:
+        """Stops members; all without names."""
+        for name in names or tuple(self.nodes):
+            node = self.nodes.pop(name)
+            for task in node.tasks:
+                task.cancel()
+            await asyncio.gather(*node.tasks, return_exceptions=True)
+            # A real crash ends the threads; here a write in progress ends first.
+            async with node.member.lock:
+                node.member.role = Role.STOPPED
+                node.store.close()
+
+    def cut(self, *names: str) -> None:
+        """Cuts members off from all others."""
+        others = [name for name in NAMES if name not in names]
+        self.cuts |= {(n, o) for n in names for o in others} | {(o, n) for n in names for o in others}
+
+    async def leader(self, *, among: tuple[str, ...] = NAMES, timeout_s: float = 8.0) -> Node:
+        """Returns the leader with the highest term once it has committed an entry of its term."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            found = [self.nodes[n] for n in among if n in self.nodes and self.nodes[n].member.is_leader]
+            best = max(found, key=lambda node: node.member.term, default=None)
+            if best is not None and best.member.commit_index >= best.member.term_start > 0:
+                return best
+            await asyncio.sleep(0.01)
+        raise AssertionError("no leader in time")
+
+    async def write(self, data: bytes, *, among: tuple[str, ...] = NAMES, timeout_s: float = 8.0) -> None:
+        """Proposes until the change is acknowledged."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            node = await self.leader(among=among, timeout_s=timeout_s)
+            if (await node.member.propose(data=data, timeout_s=1.0)).is_ok():
+                return
+            await asyncio.sleep(0.02)
+        raise AssertionError("no acknowledgement in time")
+
+    async def converged(self, *, timeout_s: float = 8.0) -> list[bytes]:
+        """Waits until all members applied the same and returns it."""
+        deadline = time.monotonic() + timeout_s
+        while True:
+            states = [node.machine.applied for node in self.nodes.values()]
+            if all(state == states[0] for state in states):
+                return next(iter(self.nodes.values())).machine.commands
+            assert time.monotonic() < deadline, [state[-3:] for state in states]
+            await asyncio.sleep(0.02)
+
+
+def name_of(node: Node) -> str:
+    return daemon_of(node.member.member_id)
--- /dev/null
+++ b/tests/agreement/test_group.py
@@ -0,0 +1,146 @@
+"""Elections and commit safety of five members over cuts."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hyssopway.agreement import answer_snapshot, answer_vote, replication
+from hyssopway.agreement.messages import SnapshotChunk, VoteRequest
+
+from .group import NAMES, TIMERS, Group, name_of
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from .group import Node
+
+
+async def test_vote_for_lost_identity_is_refused(group: Group):
+    """Guards against counting the vote of an empty disk as that of the member it replaced."""
+    await group.leader()
+    await group.stop("e")
+    group.start("e", initial=False, subfolder="-new")
+    replaced = group.nodes["e"].member
+    request = VoteRequest(
+        term=99, candidate="a/0", target="e/0", last_index=999, last_term=98, pre_vote=False
+    )
+    assert not (await answer_vote(member=replaced, request=request)).granted
+    assert replaced.store.vote.voted_for == ""
+
+
+async def test_parts_of_two_snapshots_do_not_mix(group: Group):
+    """Guards against a state put together from the snapshots of two leaders."""
+    await group.leader()
+    node = group.nodes["a"]
+    await group.stop("b", "c", "d", "e")
+    chunks = [
+        SnapshotChunk(
+            term=90,
+            leader=leader,
+            index=index,
+            index_term=9,
+            configuration=b"",
+            offset=offset,
+            data=b"1 x",
+            last=last,
+        )
+        for leader, index, offset, last in (("b/0", 500, 0, False), ("b/0", 600, 3, True))
+    ]
+    replies = [await answer_snapshot(member=node.member, parts=node.parts, chunk=chunk) for chunk in chunks]
+    assert [reply.success for reply in replies] == [True, False]
+    assert node.store.snapshot.index == 0
+
+
+@pytest.mark.parametrize("both_ways", [True, False], ids=["both ways", "only outgoing"])
+async def test_isolated_leader_loses_nothing_acknowledged(group: Group, both_ways: bool):
+    """Guards against a deposed leader whose entries replace committed ones."""
+    for number in range(20):
+        await group.write(b"before %d" % number)
+    old = await group.leader()
+    name = name_of(old)
+    others = tuple(other for other in NAMES if other != name)
+    group.cuts = {(name, other) for other in others}
+    if both_ways:
+        group.cut(name)
+    isolated = asyncio.create_task(old.member.propose(data=b"isolated", timeout_s=1))
+    for number in range(20):
+        await group.write(b"during %d" % number, among=others)
+    assert (await isolated).is_error()
+    group.cuts.clear()
+    await group.write(b"after")
+    commands = await group.converged()
+    expected = [b"before %d" % n for n in range(20)] + [b"during %d" % n for n in range(20)] + [b"after"]
+    assert commands == expected
+
+
+async def test_election_after_long_isolation_of_all_is_fast(group: Group):
+    """Guards against timeouts that grow while nobody can be reached and delay the next leader."""
+    await group.leader()
+    group.cuts = {(a, b) for a in NAMES for b in NAMES if a != b}
+    await asyncio.sleep(6 * TIMERS.election_max_s)
+    group.cuts.clear()
+    started = time.monotonic()
+    await group.leader()
+    assert time.monotonic() - started < 4 * TIMERS.election_max_s
+
+
+async def test_two_losses_and_restarts_keep_every_change(group: Group):
+    """Guards against a restart that forgets what it acknowledged."""
+    for number in range(6):
+        lost = NAMES[number % 5], NAMES[(number + 1) % 5]
+        await group.write(b"%d" % number)
+        await group.stop(*lost)
+        await group.write(b"%d without two" % number)
+        group.start(*lost)
+    commands = await group.converged()
+    assert [data for data in commands if b"w" not in data] == [b"%d" % n for n in range(6)]
+    assert [data for data in commands if b"w" in data] == [b"%d without two" % n for n in range(6)]
+
+
+async def test_member_that_missed_snapshots_catches_up(tmp_path: Path):
+    """Guards against a member that is sent the same snapshot forever."""
+    group = Group(folder=tmp_path, snapshot_entries=50)
+    group.start(*NAMES)
+    await group.leader()
+    await group.stop("e")
+    leader = await group.leader()
+    for start in range(0, 400, 50):
+        proposals = [leader.member.propose(data=b"%d" % (start + n), timeout_s=3) for n in range(50)]
+        assert all(result.is_ok() for result in await asyncio.gather(*proposals))
+    group.start("e")
+    commands = await group.converged()
+    assert commands == [b"%d" % n for n in range(400)]
+    assert group.nodes["e"].store.snapshot.index >= 50
+    await group.stop()
+
+
+async def test_deposed_leader_sends_no_snapshot_in_a_later_term(
+    group: Group, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a member that claims to lead a term that it only heard of."""
+    monkeypatch.setattr(replication, "SNAPSHOT_CHUNK_BYTES", 8)
+    leader = await group.leader()
+    await group.write(b"a state of several parts")
+    member = leader.member
+    member.snapshot_entries = 1
+    await group.write(b"another")
+    await asyncio.sleep(0.1)
+    assert len(member.store.snapshot.data) > 16
+    term, chunks = member.term, []
+
+    async def depose(node: Node, chunk: SnapshotChunk) -> None:
+        chunks.append(chunk)
+        async with member.lock:
+            await member.adopt_term(term + 5)
+
+    group.on_chunk = depose
+    progress = next(iter(member.progress.values()))
+    progress.next_index, progress.match_index = 1, 0
+    progress.wake.set()
+    await asyncio.sleep(0.3)
+    assert [chunk.term for chunk in chunks if chunk.leader == member.member_id and chunk.term > term] == []
+    assert chunks
--- /dev/null
+++ b/tests/agreement/test_log_file.py
@@ -0,0 +1,124 @@
+"""Torn tails and damage of the files of a member."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hyssopway.agreement import Configuration, LogDamagedError, StorageError, Store
+from hyssopway.agreement import log_file as log_file_module
+from hyssopway.agreement.entry import Entry
+from hyssopway.agreement.log_file import LogFile
+from hyssopway.agreement.snapshot import Snapshot
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+ENTRIES = [Entry(term=1, data=b"entry %d" % number) for number in range(6)]
+
+
+def write_log(path: Path, entries: list[Entry]) -> bytes:
+    log = LogFile(path=path)
+    log.open(first_index=1)
+    log.append(index=1, entries=entries)
+    log.close()
+    return path.read_bytes()
+
+
+def read_log(path: Path) -> list[Entry]:
+    log = LogFile(path=path)
+    try:
+        return log.open(first_index=1)
+    finally:
+        log.close()
+
+
+def test_log_cut_at_every_byte_keeps_whole_records(tmp_path: Path):
+    """Guards against a torn tail that is read as an entry or stops the start."""
+    path = tmp_path / "log"
+    raw = write_log(path, ENTRIES)
+    for length in range(len(raw) + 1):
+        path.write_bytes(raw[:length])
+        found = read_log(path)
+        assert found == ENTRIES[: len(found)]
+        assert len(found) == length * len(ENTRIES) // len(raw)
+
+
+def test_flipped_bit_at_every_byte_is_never_read(tmp_path: Path):
+    """Guards against a damaged entry that is applied, and against entries lost in front of intact ones."""
+    path = tmp_path / "log"
+    raw = write_log(path, ENTRIES)
+    record = len(raw) // len(ENTRIES)
+    for position in range(len(raw)):
+        path.write_bytes(raw[:position] + bytes([raw[position] ^ 1 << position % 8]) + raw[position + 1 :])
+        if position < len(raw) - record:
+            with pytest.raises(LogDamagedError):
+                read_log(path)
+        else:
+            assert read_log(path) == ENTRIES[:-1]
+
+
+@pytest.mark.parametrize("written", [0, 10, 40, 60])
+def test_crash_while_entries_are_replaced_is_no_damage(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, written: int
+):
+    """Guards against old records behind a torn write that look like damage in the middle."""
+    path = tmp_path / "log"
+    write_log(path, ENTRIES)
+    log = LogFile(path=path)
+    log.open(first_index=1)
+
+    def crash(descriptor: int, data: bytes, *, offset: int) -> None:
+        os.pwrite(descriptor, data[:written], offset)
+        raise OSError("crash")
+
+    monkeypatch.setattr(log_file_module, "_write_all", crash)
+    with pytest.raises(StorageError):
+        log.append(index=2, entries=[Entry(term=2, data=b"longer than the entry that it replaces")])
+    log.close()
+    assert read_log(path)[0] == ENTRIES[0]
+
+
+@pytest.mark.parametrize("failing", ["sync_folder", "_write_all"])
+def test_entries_after_failed_rewrite_are_durable(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, failing: str
+):
+    """Guards against writing on to a file that a rename already replaced."""
+    store = Store(folder=tmp_path)
+    store.open(daemon="a", initial=Configuration(voters=("a/0",)))
+    store.entries = list(ENTRIES)
+    store.write_entries(index=1, entries=ENTRIES)
+
+    def fail(*_: object, **__: object) -> None:
+        raise OSError("read-only file system")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(log_file_module, failing, fail)
+        with pytest.raises(StorageError):
+            store.write_snapshot(Snapshot(index=3, term=1, data=b"state"))
+    late = Entry(term=1, data=b"late")
+    store.entries.append(late)
+    store.write_entries(index=7, entries=[late])
+    store.close()
+    again = Store(folder=tmp_path)
+    again.open(daemon="a", initial=None)
+    assert (again.snapshot.index, again.entries) == (3, [*ENTRIES[3:], late])
+    again.close()
+
+
+def test_log_without_vote_file_is_not_initialised(tmp_path: Path):
+    """Guards against a second vote in a term after the vote file was lost."""
+    write_log(tmp_path / "log", ENTRIES)
+    with pytest.raises(LogDamagedError):
+        Store(folder=tmp_path).open(daemon="a", initial=Configuration(voters=("a/0",)))
+
+
+def test_used_folder_is_not_initialised_again(tmp_path: Path):
+    """Guards against a restart with `--initialise` that changes identity or group."""
+    for initial in (("a/0",), ("a/0", "b/0")):
+        store = Store(folder=tmp_path)
+        store.open(daemon="a", initial=Configuration(voters=initial))
+        assert store.configuration().voters == ("a/0",)
+        store.close()
--- /dev/null
+++ b/tests/agreement/test_slow_disk.py
@@ -0,0 +1,75 @@
+"""Disks that are slow, stalled or full."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from .group import NAMES, TIMERS, name_of
+
+if TYPE_CHECKING:
+    from .group import Group
+
+
+async def test_slow_sync_of_follower_does_not_stop_heartbeats(group: Group):
+    """Guards against a follower that runs for election because its own sync outlasts the timeout."""
+    leader = await group.leader()
+    follower = next(node for node in group.nodes.values() if node is not leader)
+    follower.store.delay_s = 3 * TIMERS.election_max_s
+    await group.write(b"1")
+    deadline = time.monotonic() + 3 * TIMERS.election_max_s
+    while time.monotonic() < deadline:
+        assert time.monotonic() - follower.member.heard_at < TIMERS.election_min_s
+        await asyncio.sleep(0.01)
+    assert leader.member.is_leader
+
+
+async def test_leader_with_stalled_disk_steps_down(group: Group):
+    """Guards against a leader that keeps its heartbeats up while its disk blocks every change."""
+    old = await group.leader()
+    old.store.delay_s = 1.5
+    asyncio.get_running_loop().create_task(old.member.propose(data=b"stalled", timeout_s=0.1))
+    others = tuple(name for name in NAMES if name != name_of(old))
+    started = time.monotonic()
+    await group.write(b"after", among=others, timeout_s=5)
+    assert time.monotonic() - started < 4 * TIMERS.election_max_s
+    assert not old.member.is_leader
+
+
+async def test_group_whose_disks_are_all_slow_keeps_its_leader(group: Group):
+    """Guards against a step-down that cannot help: no other member has a faster disk."""
+    leader = await group.leader()
+    for node in group.nodes.values():
+        node.store.delay_s = 2 * TIMERS.stall_s
+    for number in range(2):
+        await leader.member.propose(data=b"%d" % number, timeout_s=3)
+    assert leader.machine.commands == [b"0", b"1"]
+    assert leader.member.is_leader
+
+
+async def test_leader_with_full_disk_leaves_the_lead_to_others(group: Group):
+    """Guards against a member that wins again and again because a vote still fits on its disk."""
+    old = await group.leader()
+    old.store.full = True
+    await old.member.propose(data=b"lost or not", timeout_s=0.2)
+    await group.write(b"after")
+    assert not old.member.is_leader
+    refused = await old.member.propose(data=b"refused", timeout_s=0.2)
+    assert refused.error.work == "not_run"
+    old.store.full = False
+    assert b"after" in await group.converged()
+
+
+async def test_follower_with_full_disk_is_not_flooded(group: Group):
+    """Guards against a leader that resends without a pause what a follower cannot store."""
+    leader = await group.leader()
+    follower = next(node for node in group.nodes.values() if node is not leader)
+    follower.store.full = True
+    await group.write(b"1")
+    before = group.sent[name_of(leader)]
+    await asyncio.sleep(1)
+    # Ten messages to each of four followers in each second are twice what heartbeats need.
+    assert group.sent[name_of(leader)] - before < 4 * 2 / TIMERS.heartbeat_s
+    follower.store.full = False
+    assert await group.converged() == [b"1"]
