Change control members one at a time through operators' routes

Cause: a lost disk could only come back by hand, and `--initialise` on a new disk took the identity of the lost voter, which might have voted already.

Ruled out: adding before removing (6 voters with a quorum of 4); promotion only at exact equality with the leader's log, which a steady load refuses forever (the bound is 100 entries and an answer within an election timeout).

Change: `Member.change_members` with MEMBERSHIP_BUSY, NOT_CAUGHT_UP, MEMBER_EXISTS (510), UNKNOWN_MEMBER (511) and LAST_VOTER (512); a removal that leaves no reachable quorum is refused with NO_QUORUM; a removed leader steps down once that is committed. GET and POST /v1/members work on every entry and reach the leader through `exchange`, whose handlers may now be coroutines. `--initialise` on an empty folder asks the other daemons and exits with 74 when one knows a committed change; a used folder is opened unchanged.

Conclusion: a lost member is replaced without the loss of a change. A daemon that waits to be added is not confirmed and serves only open queues until then.

--- a/src/hyssopway/agreement/__init__.py
+++ b/src/hyssopway/agreement/__init__.py
@@ -6,18 +6,24 @@
 from .configuration import Configuration, daemon_of
 from .election import run_elections
 from .member import Member
+from .membership import AddLearner, MemberChange, PromoteLearner, RemoveMember
 from .replication import answer_append, answer_snapshot, run_replication
 from .role import Role
 from .snapshot_parts import SnapshotParts
-from .storage_error import LogDamagedError, StorageError
+from .storage_error import InitialiseRefusedError, LogDamagedError, StorageError
 from .store import Store
 from .timers import Timers
 from .voting import answer_vote
 
 __all__ = [
+    "AddLearner",
     "Configuration",
+    "InitialiseRefusedError",
     "LogDamagedError",
     "Member",
+    "MemberChange",
+    "PromoteLearner",
+    "RemoveMember",
     "Role",
     "SnapshotParts",
     "StorageError",
--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -12,11 +12,13 @@
 
 from expression import Error, Ok, Result
 
+from hyssopway.control import Outcome
 from hyssopway.event import Event, log_event
 from hyssopway.result import Failure, ResultCode, WorkState
 
 from .configuration import Configuration, daemon_of
 from .entry import Entry, EntryKind
+from .membership import next_configuration
 from .progress import Progress
 from .role import Role
 from .snapshot import Snapshot
@@ -25,8 +27,8 @@
 
 if TYPE_CHECKING:
     from hyssopway.clock import Clock
-    from hyssopway.control import Outcome
 
+    from .membership import MemberChange
     from .state_machine import StateMachine
     from .store import Store
 
@@ -155,6 +157,25 @@
             )
         return Ok(outcome)
 
+    async def change_members(self, change: MemberChange, *, timeout_s: float) -> Result[Outcome, Failure]:
+        """Adds, promotes or removes one member and waits until that is committed.
+
+        Returns:
+            The outcome; MEMBERSHIP_BUSY while another change is in progress, NOT_CAUGHT_UP for a learner that
+            lacks entries, or what `append_entry` returns.
+        """
+        if not self.is_leader:
+            return Error(Failure(code=ResultCode.NOT_LEADER, message="only the leader changes members"))
+        match next_configuration(member=self, change=change):
+            case Result(tag="ok", ok=configuration) if configuration == self.configuration:
+                return Ok(Outcome(index=self.store.configuration_index()))
+            case Result(tag="ok", ok=configuration):
+                data = configuration.encode()
+                entry = Entry(term=self.term, kind=EntryKind.CONFIGURATION, data=data)
+                return await self.append_entry(entry, timeout_s=timeout_s)
+            case Result(error=failure):
+                return Error(failure)
+
     def confirmed_at(self) -> float:
         """Returns the local time up to which this leader surely knows everything committed.
 
@@ -316,6 +337,8 @@
         term, future = self.waiting.get(index, (0, None))
         if future is not None and not future.done():
             future.set_result(outcome if term == entry.term else None)
+        if entry.kind is EntryKind.CONFIGURATION and self.is_leader and not self.is_voter:
+            self.step_down(reason="this member was removed")
 
     async def _compact(self) -> None:
         if self.applied_index - self.store.snapshot.index < self.snapshot_entries:
--- /dev/null
+++ b/src/hyssopway/agreement/membership.py
@@ -0,0 +1,128 @@
+"""Changes of the members of a group, one at a time.
+
+Follows Ongaro's thesis, chapter 4: a new configuration counts from when it is appended, differs by one member
+from the one before, and follows a committed entry of the leader's own term.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from hyssopway.result import Failure, ResultCode
+
+from .configuration import Configuration, daemon_of
+
+if TYPE_CHECKING:
+    from .member import Member
+
+# A learner this close holds everything within a heartbeat; asking for equality would refuse it under load.
+MAX_PROMOTION_LAG = 100
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AddLearner:
+    """Adds a member that receives the log without a vote.
+
+    Attributes:
+        member_id: The member.
+    """
+
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromoteLearner:
+    """Gives a learner a vote.
+
+    Attributes:
+        member_id: The member.
+    """
+
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RemoveMember:
+    """Removes a voter or learner.
+
+    Attributes:
+        member_id: The member.
+    """
+
+    member_id: str
+
+
+MemberChange = AddLearner | PromoteLearner | RemoveMember
+
+
+def next_configuration(*, member: Member, change: MemberChange) -> Result[Configuration, Failure]:
+    """Returns the configuration after a change, equal to the present one when there is nothing to do."""
+    if member.commit_index < member.term_start or member.store.configuration_index() > member.commit_index:
+        message = "another change of members, or the start of the leader's term, is not committed yet"
+        return _refuse(ResultCode.MEMBERSHIP_BUSY, message, retry_after_s=1.0)
+    match change:
+        case AddLearner(member_id=member_id):
+            return _add(member.configuration, member_id=member_id)
+        case PromoteLearner(member_id=member_id):
+            return _promote(member, member_id=member_id)
+        case RemoveMember(member_id=member_id):
+            return _remove(member, member_id=member_id)
+
+
+def _add(old: Configuration, *, member_id: str) -> Result[Configuration, Failure]:
+    if member_id in old.learners:
+        return Ok(old)
+    present = [other for other in old.members if daemon_of(other) == daemon_of(member_id)]
+    if present:
+        message = f"{present[0]} is a member already; remove it first if its disk is lost"
+        return _refuse(ResultCode.MEMBER_EXISTS, message)
+    return Ok(Configuration(voters=old.voters, learners=(*old.learners, member_id)))
+
+
+def _promote(member: Member, *, member_id: str) -> Result[Configuration, Failure]:
+    old = member.configuration
+    if member_id in old.voters:
+        return Ok(old)
+    if member_id not in old.learners:
+        return _refuse(ResultCode.UNKNOWN_MEMBER, f"{member_id} is not a learner")
+    progress = member.progress[member_id]
+    lag = member.commit_index - progress.match_index
+    silence_s = member.clock() - progress.acked_at
+    if lag > MAX_PROMOTION_LAG or silence_s > member.timers.election_max_s:
+        message = f"{member_id} lacks {lag} entries and answered {silence_s:.1f} s ago; try again later"
+        return _refuse(ResultCode.NOT_CAUGHT_UP, message, retry_after_s=1.0)
+    learners = tuple(learner for learner in old.learners if learner != member_id)
+    return Ok(Configuration(voters=(*old.voters, member_id), learners=learners))
+
+
+def _remove(member: Member, *, member_id: str) -> Result[Configuration, Failure]:
+    old = member.configuration
+    if member_id not in old.members:
+        return _refuse(ResultCode.UNKNOWN_MEMBER, f"{member_id} is not a member")
+    new = Configuration(
+        voters=tuple(voter for voter in old.voters if voter != member_id),
+        learners=tuple(learner for learner in old.learners if learner != member_id),
+    )
+    if not new.voters:
+        return _refuse(ResultCode.LAST_VOTER, f"{member_id} is the last voter")
+    recent = member.clock() - member.timers.election_max_s
+    reachable = sum(
+        voter == member.member_id or member.progress[voter].acked_at > recent for voter in new.voters
+    )
+    if reachable < new.quorum:
+        # The change could never be committed, and the group would stop.
+        message = f"only {reachable} of the {len(new.voters)} voters that remain answer"
+        return _refuse(ResultCode.NO_QUORUM, message, retry_after_s=1.0)
+    return Ok(new)
+
+
+def _refuse(
+    code: ResultCode, message: str, *, retry_after_s: float | None = None
+) -> Result[Configuration, Failure]:
+    return Error(Failure(code=code, message=message, retry_after_s=retry_after_s))
+
+
+__all__ = ["AddLearner", "MemberChange", "PromoteLearner", "RemoveMember", "next_configuration"]
--- a/src/hyssopway/agreement/storage_error.py
+++ b/src/hyssopway/agreement/storage_error.py
@@ -11,4 +11,8 @@
     """A record in the middle of a file fails its checksum."""
 
 
-__all__ = ["LogDamagedError", "StorageError"]
+class InitialiseRefusedError(StorageError):
+    """A new group is asked for while one with committed state exists."""
+
+
+__all__ = ["InitialiseRefusedError", "LogDamagedError", "StorageError"]
--- a/src/hyssopway/agreement/store.py
+++ b/src/hyssopway/agreement/store.py
@@ -51,6 +51,11 @@
         """Identity of the member."""
         return self.vote.member_id
 
+    @property
+    def is_initialised(self) -> bool:
+        """Whether the folder already carries an identity."""
+        return self.vote_file.path.exists()
+
     @property
     def last_index(self) -> int:
         """Index of the last entry, durable or not."""
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -10,7 +10,14 @@
 import aiohttp
 from aiohttp import web
 
-from hyssopway.agreement import Configuration, Member, Store, run_elections, run_replication
+from hyssopway.agreement import (
+    Configuration,
+    InitialiseRefusedError,
+    Member,
+    Store,
+    run_elections,
+    run_replication,
+)
 from hyssopway.clock import monotonic_s, wall_ms
 from hyssopway.endpoint import EndpointRegistry
 from hyssopway.event import Event, log_event
@@ -19,15 +26,16 @@
 from hyssopway.http import json_response
 from hyssopway.job import JobScheduler
 from hyssopway.metrics import Metrics
-from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
+from hyssopway.operator_api import EndpointRoutes, JobRoutes, MemberRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import CreditLedger, Router
 from hyssopway.worker import WorkerSessions
 
 from .dump import dump_daemon
+from .members import CHANGE_TOPIC, LIST_TOPIC, Members
 from .peer_calls import PeerCalls
-from .status import collect_status, own_status
+from .status import collect_status, group_with_state, own_status
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -91,6 +99,15 @@
             member=self.member, replica=self.replica, freshness=self.freshness, ledger=self.ledger
         )
         self.calls.exchanges["status"] = lambda _: own_status(self)
+        self.members = Members(
+            own_name=settings.name,
+            member=self.member,
+            peers=self.peers,
+            daemons=[peer.name for peer in settings.peers if peer.member],
+            clock=clock,
+        )
+        self.calls.exchanges[LIST_TOPIC] = self.members.answer_list
+        self.calls.exchanges[CHANGE_TOPIC] = self.members.answer_change
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
 
     def leads(self) -> bool:
@@ -101,7 +118,7 @@
         """Opens durable state, starts all tasks and listens."""
         own = self.settings.own
         if self.member is not None:
-            self.member.open(initial=self._initial_configuration() if self.initialise else None)
+            await self._open_member(self.member)
         await self.peer_server.open(host=own.host, port=own.peer_port)
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
         self.gateway = Gateway(
@@ -125,6 +142,20 @@
             peer=f"{own.host}:{own.peer_port}",
         )
 
+    async def _open_member(self, member: Member) -> None:
+        initial = None
+        if self.initialise and not member.store.is_initialised:
+            # A lost disk must not come back as the voter that it was: it could vote twice in a term.
+            other = await group_with_state(self)
+            if other:
+                reason = f"{other} already has a group with committed state; start without --initialise"
+                log_event(Event.INITIALISE_REFUSED, reason=reason)
+                raise InitialiseRefusedError(reason)
+            initial = self._initial_configuration()
+        member.open(initial=initial)
+        if not member.configuration.members:
+            log_event(Event.MEMBER_WAITS, member=member.member_id)
+
     async def stop(self) -> None:
         """Stops gracefully: health turns first, then requests in progress finish."""
         self.stopping = True
@@ -168,6 +199,7 @@
         EndpointRoutes(registry=self.registry, token=self.settings.fleet_token).add_routes(app)
         WorkerRoutes(sessions=self.sessions, token=self.settings.fleet_token).add_routes(app)
         JobRoutes(replica=self.replica, freshness=self.freshness, submitter=self.submitter).add_routes(app)
+        MemberRoutes(members=self.members, token=self.settings.operator_token).add_routes(app)
         OperatorRoutes(
             replica=self.replica,
             submitter=self.submitter,
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from inspect import isawaitable
 from typing import TYPE_CHECKING, Any
 
 from expression import Result
@@ -124,7 +125,10 @@
 
     async def exchange(self, *, topic: str, data: bytes) -> bytes:
         """Takes and returns soft state."""
-        return to_json(self.exchanges[topic](from_json(data)), inf_nan_mode="null")
+        answer = self.exchanges[topic](from_json(data))
+        if isawaitable(answer):
+            answer = await answer
+        return to_json(answer, inf_nan_mode="null")
 
     def _member(self) -> Member:
         if self.member is None:
--- a/src/hyssopway/daemon/status.py
+++ b/src/hyssopway/daemon/status.py
@@ -11,6 +11,8 @@
 from hyssopway.peer import PeerUnreachableError
 
 if TYPE_CHECKING:
+    from hyssopway.agreement import Member
+
     from .daemon import Daemon
 
 CALL_TIMEOUT_S = 1.0
@@ -24,6 +26,8 @@
         "daemon": daemon.settings.name,
         "zone": daemon.settings.zone,
         "reachable": True,
+        "member_id": member.member_id if member else "",
+        "has_agreed_state": state.tables.now_ms > 0 or _changed_members(member),
         "role": member.role if member else "entry",
         "leader": member.leader_daemon if member else daemon.submitter.leader,
         "applied_index": state.applied_index,
@@ -37,6 +41,16 @@
     }
 
 
+def _changed_members(member: Member | None) -> bool:
+    return member is not None and 0 < member.store.configuration_index() <= member.commit_index
+
+
+async def group_with_state(daemon: Daemon) -> str:
+    """Returns a daemon that already knows committed changes; empty when none answers so."""
+    statuses = await asyncio.gather(*(_ask(daemon, name=peer.name) for peer in daemon.settings.others()))
+    return next((str(status["daemon"]) for status in statuses if status.get("has_agreed_state")), "")
+
+
 async def collect_status(daemon: Daemon) -> dict[str, Any]:
     """Asks all daemons and merges their metrics."""
     statuses = await asyncio.gather(*(_ask(daemon, name=peer.name) for peer in daemon.settings.peers))
@@ -60,4 +74,4 @@
     return found
 
 
-__all__ = ["collect_status", "own_status"]
+__all__ = ["collect_status", "group_with_state", "own_status"]
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -34,6 +34,9 @@
         "ERROR",
         "own disk holds up the group: synced up to {synced_index}, a quorum of the others up to {index}",
     )
+    MEMBER_CHANGE_ASKED = (2012, "INFO", "operator {operator} asks to {action} member {member}")
+    INITIALISE_REFUSED = (2013, "ERROR", "no new group is started: {reason}")
+    MEMBER_WAITS = (2014, "WARNING", "member {member} is in no group and waits to be added by an operator")
     PEER_CONNECTED = (2101, "DEBUG", "connected to peer {peer}")
     PEER_LOST = (2102, "WARNING", "connection to peer {peer} lost: {error}")
     PEER_REFUSED = (2103, "WARNING", "peer connection refused: {reason}")
--- a/src/hyssopway/operator_api/__init__.py
+++ b/src/hyssopway/operator_api/__init__.py
@@ -4,7 +4,8 @@
 
 from .endpoint_routes import EndpointRoutes
 from .job_routes import JobRoutes
+from .member_routes import MemberRoutes
 from .operator_routes import OperatorRoutes
 from .worker_routes import WorkerRoutes
 
-__all__ = ["EndpointRoutes", "JobRoutes", "OperatorRoutes", "WorkerRoutes"]
+__all__ = ["EndpointRoutes", "JobRoutes", "MemberRoutes", "OperatorRoutes", "WorkerRoutes"]
--- /dev/null
+++ b/tests/agreement/test_membership.py
@@ -0,0 +1,125 @@
+"""Changes of the members, one at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from hyssopway.agreement import AddLearner, PromoteLearner, RemoveMember
+from hyssopway.result import ResultCode
+
+from .group import NAMES, name_of
+
+if TYPE_CHECKING:
+    from hyssopway.agreement import MemberChange
+
+    from .group import Group
+
+REFUSALS: list[tuple[MemberChange, ResultCode]] = [
+    (AddLearner(member_id="a/other"), ResultCode.MEMBER_EXISTS),
+    (AddLearner(member_id="a/0"), ResultCode.MEMBER_EXISTS),
+    (PromoteLearner(member_id="f/1"), ResultCode.UNKNOWN_MEMBER),
+    (RemoveMember(member_id="f/1"), ResultCode.UNKNOWN_MEMBER),
+]
+
+
+async def change(group: Group, wanted: MemberChange, *, timeout_s: float = 8.0) -> Any:
+    """Asks the leader again while it is busy or the learner has not caught up."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        leader = await group.leader()
+        result = await leader.member.change_members(wanted, timeout_s=2)
+        waits = result.is_error() and result.error.code in (
+            ResultCode.MEMBERSHIP_BUSY,
+            ResultCode.NOT_CAUGHT_UP,
+        )
+        if not waits or time.monotonic() > deadline:
+            return result
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize(("wanted", "code"), REFUSALS, ids=lambda value: str(value)[:30])
+async def test_change_that_does_not_fit_is_refused(group: Group, wanted: MemberChange, code: ResultCode):
+    """Guards against two members on one daemon and against votes for strangers."""
+    result = await change(group, wanted)
+    assert result.error.code is code
+    assert result.error.work == "not_run"
+
+
+async def test_second_change_waits_for_the_first(group: Group):
+    """Guards against two overlapping changes whose quorums need not intersect."""
+    leader = await group.leader()
+    changes = (RemoveMember(member_id=f"{n}/0") for n in NAMES if n != name_of(leader))
+    results = await asyncio.gather(*(leader.member.change_members(c, timeout_s=2) for c in changes))
+    failed = [result.error.code for result in results if result.is_error()]
+    assert failed == [ResultCode.MEMBERSHIP_BUSY] * 3
+    assert len(leader.member.configuration.voters) == 4
+
+
+async def test_new_leader_changes_members_only_after_its_first_commit(group: Group):
+    """Guards against a change on top of an uncommitted change of an earlier leader."""
+    leader = await group.leader()
+    leader.member.commit_index = leader.member.term_start - 1
+    result = await leader.member.change_members(RemoveMember(member_id="a/0"), timeout_s=1)
+    assert result.error.code is ResultCode.MEMBERSHIP_BUSY
+
+
+async def test_lost_member_is_replaced_and_two_more_losses_follow(group: Group):
+    """Guards against a group that stops at a second loss right after a repair."""
+    for number in range(300):
+        if number % 100 == 0:
+            await group.write(b"%d" % number)
+    leader = await group.leader()
+    lost = next(name for name in NAMES if name != name_of(leader))
+    await group.stop(lost)
+    group.start(lost, initial=False, subfolder="-new")
+    replacement = group.nodes[lost].member.member_id
+    assert (await change(group, AddLearner(member_id=replacement))).error.code is ResultCode.MEMBER_EXISTS
+    assert (await change(group, RemoveMember(member_id=f"{lost}/0"))).is_ok()
+    assert (await change(group, AddLearner(member_id=replacement))).is_ok()
+    assert (await change(group, AddLearner(member_id=replacement))).is_ok()
+    assert (await change(group, PromoteLearner(member_id=replacement))).is_ok()
+    assert len(await group.converged()) == 3
+    rest = [name for name in NAMES if name not in (lost, name_of(await group.leader()))]
+    await group.stop(*rest[:2])
+    await group.write(b"with three of five")
+    assert group.nodes[lost].member.is_voter
+
+
+async def test_learner_that_lags_is_not_promoted(group: Group):
+    """Guards against a vote for a member that cannot help to commit anything."""
+    leader = await group.leader()
+    group.start("f", initial=False)
+    learner = group.nodes["f"].member.member_id
+    assert (await change(group, AddLearner(member_id=learner))).is_ok()
+    group.cuts |= {(name, "f") for name in NAMES}
+    await asyncio.gather(*(leader.member.propose(data=b"%d" % n, timeout_s=3) for n in range(150)))
+    result = await leader.member.change_members(PromoteLearner(member_id=learner), timeout_s=1)
+    assert result.error.code is ResultCode.NOT_CAUGHT_UP
+    group.cuts.clear()
+    assert (await change(group, PromoteLearner(member_id=learner))).is_ok()
+    assert len(await group.converged()) == 150
+
+
+async def test_removed_leader_leaves_the_lead_to_the_others(group: Group):
+    """Guards against a leader that goes on without being a member."""
+    old = await group.leader()
+    assert (
+        await old.member.change_members(RemoveMember(member_id=old.member.member_id), timeout_s=2)
+    ).is_ok()
+    await group.write(b"after", among=tuple(name for name in NAMES if name != name_of(old)))
+    assert not old.member.is_leader
+
+
+async def test_removal_that_would_stop_the_group_is_refused(group: Group):
+    """Guards against a removal that can never be committed."""
+    leader = await group.leader()
+    others = [name for name in NAMES if name != name_of(leader)]
+    await group.stop(*others[:2])
+    await asyncio.sleep(1.5 * leader.member.timers.election_max_s)
+    result = await change(group, RemoveMember(member_id=f"{others[3]}/0"))
+    assert result.error.code is ResultCode.NO_QUORUM
+    assert (await change(group, RemoveMember(member_id=f"{others[0]}/0"))).is_ok()
