--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -12,11 +12,13 @@
 
 from expression import Error, Ok, Result
 
+from hyssopway.control import Outcome
 from hyssopway.event import Event, log_event
 from hyssopway.result import Failure, ResultCode, WorkState
 
 from .configuration import Configuration, daemon_of
 from .entry import Entry, EntryKind
+from .membership import next_configuration
 from .progress import Progress
 from .role import Role
 from .snapshot import Snapshot
@@ -25,8 +27,8 @@
 
 if TYPE_CHECKING:
     from hyssopway.clock import Clock
-    from hyssopway.control import Outcome
 
+    from .membership import MemberChange
     from .state_machine import StateMachine
     from .store import Store
 
@@ -50,6 +52,8 @@
         configuration: Members of the group.
         progress: For a leader, replication by member id.
         waiting: Proposals by index whose outcome is awaited.
+        suspended_until: Local time before which the member does not run for election.
+        held_up_since: Local time since which a leader's own disk holds up the group.
         term_start: Index of the first entry of a leader's own term.
         lock: Held while durable state changes.
     """
@@ -79,6 +83,8 @@
         self.progress: dict[str, Progress] = {}
         self.waiting: dict[int, tuple[int, asyncio.Future[Outcome | None]]] = {}
         self.term_start = 0
+        self.suspended_until = float("-inf")
+        self.held_up_since = float("inf")
         self.lock = asyncio.Lock()
         self.unsynced = asyncio.Event()
         self.committed = asyncio.Event()
@@ -151,6 +157,25 @@
             )
         return Ok(outcome)
 
+    async def change_members(self, change: MemberChange, *, timeout_s: float) -> Result[Outcome, Failure]:
+        """Adds, promotes or removes one member and waits until that is committed.
+
+        Returns:
+            The outcome; MEMBERSHIP_BUSY while another change is in progress, NOT_CAUGHT_UP for a learner that
+            lacks entries, or what `append_entry` returns.
+        """
+        if not self.is_leader:
+            return Error(Failure(code=ResultCode.NOT_LEADER, message="only the leader changes members"))
+        match next_configuration(member=self, change=change):
+            case Result(tag="ok", ok=configuration) if configuration == self.configuration:
+                return Ok(Outcome(index=self.store.configuration_index()))
+            case Result(tag="ok", ok=configuration):
+                data = configuration.encode()
+                entry = Entry(term=self.term, kind=EntryKind.CONFIGURATION, data=data)
+                return await self.append_entry(entry, timeout_s=timeout_s)
+            case Result(error=failure):
+                return Error(failure)
+
     def confirmed_at(self) -> float:
         """Returns the local time up to which this leader surely knows everything committed.
 
@@ -209,6 +234,7 @@
 
     def become_leader(self) -> None:
         """Starts leading the current term."""
+        self.held_up_since = float("inf")
         self.role = Role.LEADER
         self.leader_id = self.member_id
         self.progress = {
@@ -283,9 +309,17 @@
                 await asyncio.sleep(0)
             await self._compact()
 
+    def suspend(self) -> None:
+        """Leaves elections to members with a working disk for a while.
+
+        A vote fits on a full disk, so a member that could not write its log would win again at once.
+        """
+        self.suspended_until = self.clock() + self.timers.suspend_s
+
     def fail_storage(self, error: StorageError) -> None:
         """Gives up the lead when the disk fails; unsynced entries are forgotten."""
         log_event(Event.STORAGE_FAILED, error=str(error))
+        self.suspend()
         self.step_down(reason="storage failed")
         self.drop_unsynced()
 
@@ -303,6 +337,8 @@
         term, future = self.waiting.get(index, (0, None))
         if future is not None and not future.done():
             future.set_result(outcome if term == entry.term else None)
+        if entry.kind is EntryKind.CONFIGURATION and self.is_leader and not self.is_voter:
+            self.step_down(reason="this member was removed")
 
     async def _compact(self) -> None:
         if self.applied_index - self.store.snapshot.index < self.snapshot_entries:
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from inspect import isawaitable
 from typing import TYPE_CHECKING, Any
 
 from expression import Result
 from pydantic_core import from_json, to_json
 
-from hyssopway.agreement import answer_append, answer_snapshot, answer_vote, run_to_completion
+from hyssopway.agreement import (
+    SnapshotParts,
+    answer_append,
+    answer_snapshot,
+    answer_vote,
+    run_to_completion,
+)
 from hyssopway.control import encode_outcome
 from hyssopway.peer import SNAPSHOT_PART_BYTES, ConfirmReply, ProposeReply, SnapshotPart, WatchReply
 from hyssopway.result import ResultCode
@@ -61,7 +68,7 @@
         self.freshness = freshness
         self.ledger = ledger
         self.exchanges: dict[str, Callable[[Any], Any]] = {}
-        self.parts = bytearray()
+        self.parts = SnapshotParts()
 
     async def vote(self, request: VoteRequest) -> VoteReply:
         """Answers a vote request."""
@@ -126,7 +133,10 @@
 
     async def exchange(self, *, topic: str, data: bytes) -> bytes:
         """Takes and returns soft state."""
-        return to_json(self.exchanges[topic](from_json(data)), inf_nan_mode="null")
+        answer = self.exchanges[topic](from_json(data))
+        if isawaitable(answer):
+            answer = await answer
+        return to_json(answer, inf_nan_mode="null")
 
     def _member(self) -> Member:
         if self.member is None:
