Close the ways in which a run is lost, doubled or started late

Cause: a home ordered runs from a replica older than the one that its worker had acted on; a cancelled or withdrawn run whose task had not started stayed running for ever; a restart was noticed only by the home that held the session; a sync waited for the agreement of each report, so the lease ended in a cut-off zone; silent workers and lost homes were never reported; retries waited for state time, which stands still on a quiet group; the worker stand-in checked its lease only between syncs.

Ruled out: trusting the order of HTTP requests. A frozen home may process a sync after the worker moved on, so giving up a run carries the home epoch and is checked when the entry is applied.

Change: syncs carry a number and the last state index; runs carry the boot id of the worker they were placed on; reports are submitted beside the sync; homes report silence after the last lease; the leader ends runs of a home out of contact after cut_off_run_s + lease + margin; the pool is checked when a start is applied; job history is bounded.

--- a/src/hyssopway/control/apply/jobs.py
+++ b/src/hyssopway/control/apply/jobs.py
@@ -83,7 +83,7 @@
     job.cancelling = False
     job.detail = detail
     job.ended_ms = state.tables.now_ms
-    job.history.append(f"{status}: {detail}")
+    job.note(f"{status}: {detail}")
     state.tables.ended_jobs.append(job.job_id)
     if len(state.tables.ended_jobs) > MAX_ENDED_JOBS:
         del state.tables.jobs[state.tables.ended_jobs.pop(0)]
--- a/src/hyssopway/control/apply/runs.py
+++ b/src/hyssopway/control/apply/runs.py
@@ -33,7 +33,7 @@
         return refuse(
             ResultCode.STALE_EPOCH, f"next run of job {job.job_id} is {job.runs + 1}, not {command.epoch}"
         )
-    refusal = _check_vm(state, command) or _check_limit(state, job=job)
+    refusal = _check_vm(state, command, pool=job.spec.pool) or _check_limit(state, job=job)
     if refusal is not None:
         return refusal
     job.runs = command.epoch
@@ -44,8 +44,9 @@
         started_ms=state.tables.now_ms,
         reason=command.reason,
         probe=command.probe,
+        boot_id=state.tables.vms[command.vm].boot_id,
     )
-    job.history.append(f"run {command.epoch} on {command.vm}: {command.reason}")
+    job.note(f"run {command.epoch} on {command.vm}: {command.reason}")
     state.indexes.add_run(job=job, vm=command.vm)
     return Ok(Change(generation=command.epoch, reference=job.job_id))
 
@@ -57,20 +58,36 @@
         return refuse(ResultCode.UNKNOWN_JOB, f"job {command.job_id!r} does not exist")
     if job.run is None or job.run.epoch != command.epoch:
         return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} of job {job.job_id} is not in progress")
+    refusal = _check_reporter(state, command, vm=job.run.vm)
+    if refusal is not None:
+        return refusal
     state.indexes.remove_run(job=job, vm=job.run.vm)
     if command.checkpoint:
         job.checkpoint = command.checkpoint
-    job.history.append(f"run {command.epoch} on {job.run.vm} {command.outcome}: {command.detail}")
+    job.note(f"run {command.epoch} on {job.run.vm} {command.outcome}: {command.detail}")
     _conclude(state, job=job, command=command)
     return Ok(Change(generation=command.epoch, reference=job.status))
 
 
-def _check_vm(state: ControlState, command: StartRun) -> Result[Change, Failure] | None:
+def _check_reporter(state: ControlState, command: EndRun, *, vm: str) -> Result[Change, Failure] | None:
+    if command.vm and command.vm != vm:
+        return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} is on VM {vm}, not on {command.vm}")
+    # A home that was frozen may give up a run that the worker started through its next home.
+    home_epoch = state.tables.vms[vm].home_epoch if vm in state.tables.vms else 0
+    if command.home_epoch and command.home_epoch != home_epoch:
+        message = f"VM {vm} is at home epoch {home_epoch}, not {command.home_epoch}"
+        return refuse(ResultCode.STALE_EPOCH, message)
+    return None
+
+
+def _check_vm(state: ControlState, command: StartRun, *, pool: str) -> Result[Change, Failure] | None:
     vm = state.tables.vms.get(command.vm)
     if vm is None:
         return refuse(ResultCode.UNKNOWN_VM, f"VM {command.vm!r} does not exist")
     if vm.epoch != command.vm_epoch:
         return refuse(ResultCode.STALE_EPOCH, f"VM {vm.name} is at epoch {vm.epoch}, not {command.vm_epoch}")
+    if vm.pool != pool:
+        return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is in pool {vm.pool}, not {pool}")
     allowed = VmState.QUARANTINED if command.probe else VmState.READY
     if vm.state is not allowed:
         return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is {vm.state}")
--- a/src/hyssopway/control/command/end_run.py
+++ b/src/hyssopway/control/command/end_run.py
@@ -18,6 +18,8 @@
         outcome: How it ended.
         detail: Message of the worker or reason of the system.
         checkpoint: Where the next run continues.
+        vm: VM that reports; empty when the leader decides.
+        home_epoch: Home epoch of the VM that a home saw when it gave the run up; 0 for a worker's report.
     """
 
     job_id: str
@@ -25,6 +27,8 @@
     outcome: RunOutcome
     detail: str = ""
     checkpoint: str = ""
+    vm: str = ""
+    home_epoch: int = 0
     kind: Literal["end_run"] = "end_run"
 
 
--- a/src/hyssopway/control/record/job.py
+++ b/src/hyssopway/control/record/job.py
@@ -8,6 +8,9 @@
 from .job_status import JobStatus
 from .run import Run
 
+# A job that is reclaimed again and again must not grow without bound in every replica.
+MAX_HISTORY = 32
+
 
 @dataclass(slots=True, kw_only=True)
 class Job:
@@ -47,5 +50,10 @@
     history: list[str] = field(default_factory=list)
     ended_ms: int = 0
 
+    def note(self, decision: str) -> None:
+        """Adds a decision to the bounded history."""
+        self.history.append(decision)
+        del self.history[:-MAX_HISTORY]
+
 
-__all__ = ["Job"]
+__all__ = ["MAX_HISTORY", "Job"]
--- a/src/hyssopway/control/record/run.py
+++ b/src/hyssopway/control/record/run.py
@@ -15,6 +15,7 @@
         started_ms: Wall-clock time in milliseconds, for display.
         reason: Why this VM.
         probe: Whether it tests a quarantined VM.
+        boot_id: Worker process that it was placed on; no other process starts it.
     """
 
     epoch: int
@@ -22,6 +23,7 @@
     started_ms: int
     reason: str
     probe: bool = False
+    boot_id: str = ""
 
 
 __all__ = ["Run"]
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -17,15 +17,16 @@
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.http import json_response
-from hyssopway.job import JobScheduler
+from hyssopway.job import JobScheduler, LostHomes, UsageBook
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import CreditLedger, Router
-from hyssopway.worker import WorkerSessions
+from hyssopway.worker import WorkerSessions, watch_silence
 
 from .dump import dump_daemon
+from .load_push import TOPIC, push_loads, take_loads
 from .peer_calls import PeerCalls
 from .status import collect_status, own_status
 
@@ -90,6 +91,16 @@
         self.calls = PeerCalls(
             member=self.member, replica=self.replica, freshness=self.freshness, ledger=self.ledger
         )
+        self.lost_homes = LostHomes(
+            own_name=settings.name,
+            replica=self.replica,
+            submitter=self.submitter,
+            contacts=self.calls.contacts,
+            leads=self.leads,
+            clock=clock,
+        )
+        self.usage = UsageBook()
+        self.calls.exchanges[TOPIC] = lambda loads: take_loads(self, loads)
         self.calls.exchanges["status"] = lambda _: own_status(self)
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
 
@@ -191,9 +202,12 @@
             self._start("replication", lambda: run_replication(member=member, transport=self.peers))
             self._start("confirm", self._follow_leader)
             self._start("jobs", self.scheduler.run)
+            self._start("lost_homes", self.lost_homes.run)
         else:
             self._start("watch", self._follow_upstream)
         self._start("expire", self._expire)
+        self._start("loads", lambda: push_loads(self))
+        self._start("silence", lambda: watch_silence(self.sessions))
 
     def _start(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
         self.tasks.append(asyncio.create_task(_keep_running(name, loop), name=name))
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -39,11 +39,12 @@
         replica: Agreed state.
         freshness: How current the replica is.
         ledger: Slot credits of endpoints whose home is this daemon.
+        contacts: Local time of the last confirm or watch call of each daemon.
         exchanges: Answers to exchanges of soft state by topic.
         parts: Snapshot of a leader while it arrives.
     """
 
-    __slots__ = ("exchanges", "freshness", "ledger", "member", "parts", "replica")
+    __slots__ = ("contacts", "exchanges", "freshness", "ledger", "member", "parts", "replica")
 
     def __init__(
         self, *, member: Member | None, replica: Replica, freshness: Freshness, ledger: CreditLedger
@@ -52,6 +53,7 @@
         self.replica = replica
         self.freshness = freshness
         self.ledger = ledger
+        self.contacts: dict[str, float] = {}
         self.exchanges: dict[str, Callable[[Any], Any]] = {}
         self.parts = bytearray()
 
@@ -82,6 +84,7 @@
     async def confirm(self, daemon: str) -> ConfirmReply:
         """Says how fresh the leader's knowledge is."""
         member = self._member()
+        self.contacts[daemon] = self.freshness.clock()
         return ConfirmReply(
             commit_index=member.commit_index, confirmed_age_s=member.clock() - member.confirmed_at()
         )
@@ -89,8 +92,11 @@
     async def watch(self, *, daemon: str, from_index: int, wait_s: float) -> WatchReply:
         """Returns entries behind an index, waiting for the first."""
         started = self.freshness.clock()
+        self.contacts[daemon] = started
         await self.replica.wait_beyond(from_index, timeout_s=wait_s)
         waited_s = self.freshness.clock() - started
+        # The answer confirms the watcher up to now, not up to its question.
+        self.contacts[daemon] = self.freshness.clock()
         entries = self.replica.entries_after(from_index)
         if entries is None or sum(map(len, entries)) > MAX_WATCH_ENTRIES_BYTES:
             index, data = self.replica.cached_snapshot(offset=0)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -55,6 +55,7 @@
     VM_QUARANTINED = (5005, "WARNING", "VM {vm} quarantined: {reason}")
     VM_RELEASED = (5006, "INFO", "VM {vm} released from quarantine")
     JOB_RECLAIMED = (5007, "INFO", "job {job} reclaimed from {vm} by {action}: {reason}")
+    HOME_LOST = (5008, "WARNING", "home {home} is out of contact for {silent_s:.0f} s, its runs are ended")
     VM_STATE_CHANGED = (6001, "INFO", "VM {vm} is {state}: {reason}")
     VM_MOVED = (6002, "INFO", "VM {vm} moved from pool {source} to pool {target}: {reason}")
     WAVE_CHANGED = (6003, "INFO", "wave {wave} is {status}: {reason}")
--- a/src/hyssopway/job/__init__.py
+++ b/src/hyssopway/job/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from .lost_homes import LostHomes
 from .scheduler import JobScheduler
+from .usage_book import TaskUsage, UsageBook
 
-__all__ = ["JobScheduler"]
+__all__ = ["JobScheduler", "LostHomes", "TaskUsage", "UsageBook"]
--- /dev/null
+++ b/src/hyssopway/job/lost_homes.py
@@ -0,0 +1,133 @@
+"""Ends the runs of homes that are out of contact."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.control.command import ChangeVm, EndRun
+from hyssopway.control.record import JobStatus, RunOutcome, VmState
+from hyssopway.document import JobPolicy
+from hyssopway.event import Event, log_event
+from hyssopway.worker import WORKER_LEASE_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hyssopway.clock import Clock
+    from hyssopway.control.record import Vm
+    from hyssopway.replica import Replica, Submitter
+
+CHECK_S = 0.5
+SUBMIT_TIMEOUT_S = 2.0
+
+# Covers clock rates, delays of answers on their way and the pause between two contacts.
+MARGIN_S = 5.0
+
+# A leader that was frozen this long has not read the calls that arrived meanwhile.
+MAX_PAUSE_S = 2.0
+
+WATCHED = (VmState.READY, VmState.DRAINING, VmState.QUARANTINED)
+
+
+class LostHomes:
+    """Watches the contacts of homes while this daemon leads.
+
+    Attributes:
+        contacts: Local time of the last contact by daemon.
+        counts_from: Local time since which contacts are counted; None while another daemon leads.
+        checked_at: Local time of the last check.
+    """
+
+    __slots__ = (
+        "checked_at",
+        "clock",
+        "contacts",
+        "counts_from",
+        "leads",
+        "own_name",
+        "replica",
+        "submitter",
+    )
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        replica: Replica,
+        submitter: Submitter,
+        contacts: dict[str, float],
+        leads: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self.own_name = own_name
+        self.replica = replica
+        self.submitter = submitter
+        self.contacts = contacts
+        self.leads = leads
+        self.clock = clock
+        self.counts_from: float | None = None
+        self.checked_at = clock()
+
+    async def run(self) -> None:
+        """Checks for as long as the daemon runs."""
+        while True:
+            await self.check()
+            await asyncio.sleep(CHECK_S)
+
+    async def check(self) -> None:
+        """Ends the runs of every home that can no longer renew a lease."""
+        now = self.clock()
+        paused = now - self.checked_at > MAX_PAUSE_S
+        self.checked_at = now
+        if not self.leads():
+            self.counts_from = None
+            return
+        if self.counts_from is None or paused:
+            self.counts_from = now
+        document = self.replica.state.document()
+        policy = document.jobs if document else JobPolicy()
+        allowed_s = policy.cut_off_run_s + WORKER_LEASE_S + MARGIN_S
+        homes = {vm.home for vm in self.replica.state.tables.vms.values()} - {self.own_name}
+        for home in sorted(homes):
+            silent_s = now - max(self.contacts.get(home, self.counts_from), self.counts_from)
+            if silent_s > allowed_s:
+                await self._end_runs(home, silent_s=silent_s)
+        self.checked_at = self.clock()
+
+    async def _end_runs(self, home: str, *, silent_s: float) -> None:
+        vms = [vm for vm in self.replica.state.tables.vms.values() if vm.home == home]
+        watched = [vm for vm in vms if vm.state in WATCHED]
+        ends = [command for vm in vms for command in self._ends(vm, silent_s=silent_s)]
+        if watched or ends:
+            log_event(Event.HOME_LOST, home=home, silent_s=silent_s)
+        commands: list[ChangeVm | EndRun] = [*(_to_down(vm, silent_s=silent_s) for vm in watched), *ends]
+        await asyncio.gather(*(self.submitter.submit(item, timeout_s=SUBMIT_TIMEOUT_S) for item in commands))
+
+    def _ends(self, vm: Vm, *, silent_s: float) -> list[EndRun]:
+        state = self.replica.state
+        jobs = [state.tables.jobs[job_id] for job_id in sorted(state.indexes.running.get(vm.name, ()))]
+        return [
+            EndRun(
+                job_id=job.job_id,
+                epoch=job.run.epoch,
+                outcome=RunOutcome.LOST,
+                detail=f"home {vm.home} out of contact for {silent_s:.0f} s",
+                vm=vm.name,
+                home_epoch=vm.home_epoch,
+            )
+            for job in jobs
+            if job.status is JobStatus.RUNNING and job.run is not None
+        ]
+
+
+def _to_down(vm: Vm, *, silent_s: float) -> ChangeVm:
+    return ChangeVm(
+        vm=vm.name,
+        state=VmState.DOWN,
+        expected_epoch=vm.epoch,
+        reason=f"home {vm.home} out of contact for {silent_s:.0f} s",
+    )
+
+
+__all__ = ["MARGIN_S", "LostHomes"]
--- a/src/hyssopway/job/scheduler.py
+++ b/src/hyssopway/job/scheduler.py
@@ -44,7 +44,8 @@
             await asyncio.sleep(ROUND_S)
 
     async def _schedule_once(self) -> None:
-        now_ms = self.replica.state.tables.now_ms
+        # State time stands still while nothing is agreed; a job would then wait for ever.
+        now_ms = max(self.replica.state.tables.now_ms, self.submitter.wall_ms())
         pending = [job for job in self.replica.state.indexes.pending.values() if job.not_before_ms <= now_ms]
         pending.sort(key=lambda job: (not job.spec.urgent, job.accepted_index))
         free = {vm.name: self._free(vm) for vm in self._open_vms()}
--- a/src/hyssopway/worker/messages.py
+++ b/src/hyssopway/worker/messages.py
@@ -56,6 +56,8 @@
         boot_id: Identity of the worker process.
         running: Tasks that it runs.
         ended: Runs that ended and are not acknowledged.
+        number: Counts the syncs of this process; a home drops a request that a later one overtook.
+        seen_index: Largest `state_index` of the replies; a home behind it knows too little to order.
     """
 
     zone: str
@@ -65,6 +67,8 @@
     boot_id: str
     running: list[RunningTask] = field(default_factory=list)
     ended: list[EndedRun] = field(default_factory=list)
+    number: int = 0
+    seen_index: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,6 +107,7 @@
         checkpoint: Jobs whose task is to be checkpointed and ended.
         throttle: Jobs whose task is to be slowed down.
         acknowledged: Jobs whose ended run is recorded.
+        state_index: Index of the agreed state that the orders come from.
     """
 
     lease_s: float
@@ -111,6 +116,7 @@
     checkpoint: list[str] = field(default_factory=list)
     throttle: list[str] = field(default_factory=list)
     acknowledged: list[str] = field(default_factory=list)
+    state_index: int = 0
 
 
 __all__ = ["EndedRun", "RunningTask", "StartOrder", "SyncReply", "SyncRequest"]
--- a/src/hyssopway/worker/session.py
+++ b/src/hyssopway/worker/session.py
@@ -23,5 +23,9 @@
     synced_at: float
     lease_until: float
 
+    def overtakes(self, request: SyncRequest) -> bool:
+        """Tells whether a request is older than the last one of the same worker process."""
+        return self.report.boot_id == request.boot_id and 0 < request.number <= self.report.number
+
 
 __all__ = ["WorkerSession"]
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -2,29 +2,39 @@
 
 from __future__ import annotations
 
+from math import isinf
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
 
-from hyssopway.control.command import EndRun, RegisterVm
-from hyssopway.control.record import JobStatus, RunOutcome, ZoneStatus
+from hyssopway.control.command import ChangeVm, RegisterVm
+from hyssopway.control.record import JobStatus, RunOutcome, VmState, ZoneStatus
 from hyssopway.document import JobPolicy
 from hyssopway.event import Event, log_event
 from hyssopway.replica import AUTHORITY_TTL_S
 from hyssopway.result import Failure, ResultCode
 
 from .messages import StartOrder, SyncReply
+from .run_reports import RunReports
 from .session import WorkerSession
 
 if TYPE_CHECKING:
     from hyssopway.clock import Clock
-    from hyssopway.control.record import Job
+    from hyssopway.control.record import Job, Vm
     from hyssopway.replica import Freshness, Replica, Submitter
 
-    from .messages import EndedRun, SyncRequest
+    from .messages import SyncRequest
+    from .run_reports import RunKey
 
 WORKER_LEASE_S = 4.0
 SUBMIT_TIMEOUT_S = 2.0
+CATCH_UP_S = 1.0
+
+# An order that the worker did not take for this long is void; it rests on an old decision.
+START_WINDOW_S = 10.0
+
+# Runs remembered before those that are over are dropped.
+MAX_REMEMBERED = 1000
 
 
 class WorkerSessions:
@@ -32,9 +42,20 @@
 
     Attributes:
         sessions: Sessions by VM.
+        reports: Ends of runs on their way to the agreed state.
+        first_seen: Local time at which a run was first found not started on its worker.
     """
 
-    __slots__ = ("clock", "freshness", "own_name", "replica", "sessions", "submitter")
+    __slots__ = (
+        "clock",
+        "first_seen",
+        "freshness",
+        "own_name",
+        "replica",
+        "reports",
+        "sessions",
+        "submitter",
+    )
 
     def __init__(
         self, *, own_name: str, replica: Replica, freshness: Freshness, submitter: Submitter, clock: Clock
@@ -45,32 +66,59 @@
         self.submitter = submitter
         self.clock = clock
         self.sessions: dict[str, WorkerSession] = {}
+        self.reports = RunReports(submitter=submitter)
+        self.first_seen: dict[RunKey, float] = {}
 
     async def sync(self, *, vm: str, request: SyncRequest) -> Result[SyncReply, Failure]:
         """Answers the request of a worker."""
-        refusal = await self._register(vm=vm, request=request)
+        refusal = await self._catch_up(request) or await self._register(vm=vm, request=request)
         if refusal is not None:
             return Error(refusal)
-        acknowledged = [ended.job_id for ended in request.ended if await self._report(ended)]
-        await self._report_lost(vm=vm, request=request)
+        acknowledged = await self.reports.settle(vm=vm, ended=request.ended)
+        # Nothing below waits, so the decisions rest on one state and on the worker's latest report.
+        session = self.sessions.get(vm)
+        if session is not None and session.overtakes(request):
+            message = f"sync {request.number} of VM {vm} was overtaken by sync {session.report.number}"
+            return Error(Failure(code=ResultCode.SYNC_OVERTAKEN, message=message))
+        record = self.replica.state.tables.vms[vm]
+        if record.home != self.own_name or record.boot_id != request.boot_id:
+            message = f"VM {vm} syncs with {record.home} now"
+            return Error(Failure(code=ResultCode.SYNC_OVERTAKEN, message=message))
         now = self.clock()
         lease_s = WORKER_LEASE_S if self._may_renew() else 0.0
-        session = self.sessions.get(vm)
         lease_until = max(session.lease_until if session else 0.0, now + lease_s)
         self.sessions[vm] = WorkerSession(vm=vm, report=request, synced_at=now, lease_until=lease_until)
         return Ok(
             SyncReply(
                 lease_s=lease_s,
-                start=self._starts(vm=vm, request=request),
+                start=self._starts(vm=record, request=request),
                 stop=self._stops(vm=vm, request=request),
                 acknowledged=acknowledged,
+                state_index=self.replica.applied_index,
             )
         )
 
+    def runs_on(self, vm: str) -> list[Job]:
+        """Returns the jobs whose run is on a VM."""
+        jobs = self.replica.state.tables.jobs
+        ids = self.replica.state.indexes.running.get(vm, ())
+        return [jobs[job_id] for job_id in sorted(ids) if jobs[job_id].status is JobStatus.RUNNING]
+
+    async def _catch_up(self, request: SyncRequest) -> Failure | None:
+        """Refuses a worker that acted on a later state than this home knows.
+
+        A home that lags would order a run again that the worker ended through its former home.
+        """
+        await self.replica.wait_beyond(request.seen_index - 1, timeout_s=CATCH_UP_S)
+        if self.replica.applied_index < request.seen_index or isinf(self.freshness.age_s):
+            message = f"state at index {self.replica.applied_index} is behind {request.seen_index}"
+            return Failure(code=ResultCode.REPLICA_BEHIND, message=message, retry_after_s=0.5)
+        return None
+
     async def _register(self, *, vm: str, request: SyncRequest) -> Failure | None:
         known = self.replica.state.tables.vms.get(vm)
         if known and known.home == self.own_name and known.boot_id == request.boot_id:
-            return None
+            return await self._bring_back(known) if known.state is VmState.DOWN else None
         command = RegisterVm(
             vm=vm,
             zone=request.zone,
@@ -83,65 +131,95 @@
         match await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S):
             case Result(tag="ok", ok=outcome):
                 log_event(Event.WORKER_CONNECTED, vm=vm, epoch=outcome.generation)
-                return None
             case Result(error=failure):
                 return failure
-
-    async def _report(self, ended: EndedRun) -> bool:
-        command = EndRun(
-            job_id=ended.job_id,
-            epoch=ended.epoch,
-            outcome=ended.outcome,
-            detail=ended.detail,
-            checkpoint=ended.checkpoint,
+        known = self.replica.state.tables.vms.get(vm)
+        if known is None:
+            message = f"registration of VM {vm} has not arrived here"
+            return Failure(code=ResultCode.REPLICA_BEHIND, message=message)
+        return await self._bring_back(known) if known.state is VmState.DOWN else None
+
+    async def _bring_back(self, vm: Vm) -> Failure | None:
+        """Takes a VM out of `down`; one under a permit stays out of work."""
+        under_permit = vm.name in self.replica.state.tables.permits
+        if under_permit and self.runs_on(vm.name):
+            return None
+        command = ChangeVm(
+            vm=vm.name,
+            state=VmState.DRAINED if under_permit else VmState.READY,
+            expected_epoch=vm.epoch,
+            reason="worker syncs again",
         )
-        result = await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
-        # A stale epoch means that the report arrived before or that the run was given up.
-        return result.is_ok() or result.error.code in (ResultCode.STALE_EPOCH, ResultCode.UNKNOWN_JOB)
-
-    async def _report_lost(self, *, vm: str, request: SyncRequest) -> None:
-        """Ends runs that a restarted worker does not know."""
-        session = self.sessions.get(vm)
-        if session is None or session.report.boot_id == request.boot_id:
-            return
-        known = {task.job_id for task in request.running} | {ended.job_id for ended in request.ended}
-        for job in self._runs_on(vm):
-            if job.job_id not in known and job.run is not None:
-                command = EndRun(
-                    job_id=job.job_id, epoch=job.run.epoch, outcome=RunOutcome.LOST, detail="worker restarted"
-                )
-                await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
+        await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
+        return None
 
     def _may_renew(self) -> bool:
         document = self.replica.state.document()
         policy = document.jobs if document else JobPolicy()
         return self.freshness.age_s <= max(policy.cut_off_run_s, AUTHORITY_TTL_S)
 
-    def _starts(self, *, vm: str, request: SyncRequest) -> list[StartOrder]:
-        zone = self.replica.state.tables.zones.get(request.zone)
+    def _starts(self, *, vm: Vm, request: SyncRequest) -> list[StartOrder]:
+        """Returns orders for runs that wait for their start and gives up those that may not start."""
         start_within_s = AUTHORITY_TTL_S - self.freshness.age_s
-        if zone is None or zone.status is ZoneStatus.WITHDRAWN or start_within_s <= 0:
+        if start_within_s <= 0:
             return []
         known = {(task.job_id, task.epoch) for task in request.running}
         known |= {(ended.job_id, ended.epoch) for ended in request.ended}
-        return [
-            _to_order(job, start_within_s=start_within_s)
-            for job in self._runs_on(vm)
-            if job.run is not None and (job.job_id, job.run.epoch) not in known and not job.cancelling
-        ]
+        jobs = self.runs_on(vm.name)
+        waiting = [job for job in jobs if job.run and (job.job_id, job.run.epoch) not in known]
+        orders = []
+        for job in waiting:
+            reason = self._find_obstacle(job, vm=vm)
+            if reason:
+                lost = job.run is not None and job.run.boot_id not in ("", vm.boot_id)
+                outcome = RunOutcome.LOST if lost else RunOutcome.STOPPED
+                self.reports.give_up(job=job, vm=vm, outcome=outcome, detail=reason)
+            else:
+                orders.append(_to_order(job, start_within_s=start_within_s))
+        self._prune()
+        return orders
+
+    def _find_obstacle(self, job: Job, *, vm: Vm) -> str:
+        """Says why a run that the worker does not know may not start; empty when it may."""
+        if job.run is None:
+            return "run ended"
+        key = (job.job_id, job.run.epoch)
+        seen_at = self.first_seen.setdefault(key, self.clock())
+        if key in self.reports.given_up:
+            return "run was given up"
+        if job.cancelling:
+            return "cancelled before its task started"
+        if job.run.boot_id not in ("", vm.boot_id):
+            return "worker restarted"
+        if self.replica.state.tables.zones[vm.zone].status is ZoneStatus.WITHDRAWN:
+            return f"zone {vm.zone} was withdrawn before the task started"
+        if vm.state not in (VmState.READY, VmState.DRAINING, VmState.QUARANTINED):
+            return f"VM {vm.name} is {vm.state}"
+        if self.clock() - seen_at > START_WINDOW_S:
+            return f"the task did not start within {START_WINDOW_S:.0f} s"
+        return ""
+
+    def _prune(self) -> None:
+        """Forgets runs that are over."""
+        if len(self.first_seen) + len(self.reports.given_up) <= MAX_REMEMBERED:
+            return
+        jobs = self.replica.state.tables.jobs
+        seen = set(self.first_seen) | set(self.reports.given_up)
+        live = {key for key in seen if key[0] in jobs and _runs(jobs[key[0]], epoch=key[1])}
+        self.first_seen = {key: at for key, at in self.first_seen.items() if key in live}
+        self.reports.forget(live=live)
 
     def _stops(self, *, vm: str, request: SyncRequest) -> list[str]:
         valid = {
             (job.job_id, job.run.epoch)
-            for job in self._runs_on(vm)
+            for job in self.runs_on(vm)
             if job.run is not None and not job.cancelling
         }
         return [task.job_id for task in request.running if (task.job_id, task.epoch) not in valid]
 
-    def _runs_on(self, vm: str) -> list[Job]:
-        jobs = self.replica.state.tables.jobs
-        ids = self.replica.state.indexes.running.get(vm, ())
-        return [jobs[job_id] for job_id in sorted(ids) if jobs[job_id].status is JobStatus.RUNNING]
+
+def _runs(job: Job, *, epoch: int) -> bool:
+    return job.run is not None and job.run.epoch == epoch
 
 
 def _to_order(job: Job, *, start_within_s: float) -> StartOrder:
--- a/src/hyssopway_standins/worker.py
+++ b/src/hyssopway_standins/worker.py
@@ -56,6 +56,9 @@
     lease_until: float = 0.0
     boot_id: str = field(default_factory=lambda: secrets.token_hex(4))
     loop_task: asyncio.Task[None] | None = None
+    number: int = 0
+    seen_index: int = 0
+    lease_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Begins to sync."""
@@ -65,6 +68,8 @@
         """Stops at once, as a killed VM does."""
         if self.loop_task is not None:
             self.loop_task.cancel()
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
         for task in self.tasks.values():
             task.timer.cancel()
         self.tasks.clear()
@@ -78,12 +83,11 @@
                 entry = self.entries[position % len(self.entries)]
                 if not await self._sync(session, entry):
                     position += 1
-                if time.monotonic() > self.lease_until:
-                    self._stop_all("lease ended")
                 await asyncio.sleep(self.sync_s)
 
     async def _sync(self, session: aiohttp.ClientSession, entry: str) -> bool:
         sent_at = time.monotonic()
+        self.number += 1
         url = f"{entry}/v1/workers/{self.vm}/sync"
         headers = {"Authorization": f"Bearer {self.fleet_token}"}
         reported = dict(self.ended)
@@ -94,7 +98,8 @@
                 reply = _REPLY.validate_json(await answer.read())
         except (aiohttp.ClientError, TimeoutError):
             return False
-        self.lease_until = sent_at + reply.lease_s
+        self.seen_index = max(self.seen_index, reply.state_index)
+        self._renew(sent_at + reply.lease_s)
         for job_id in reply.acknowledged:
             if self.ended.get(job_id) is reported.get(job_id):
                 self.ended.pop(job_id, None)
@@ -107,6 +112,14 @@
                 self._begin(order)
         return True
 
+    def _renew(self, lease_until: float) -> None:
+        # A timer of its own ends the lease on time also while a sync waits for an answer.
+        self.lease_until = lease_until
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
+        left_s = max(0.0, lease_until - time.monotonic())
+        self.lease_timer = asyncio.get_running_loop().call_later(left_s, self._stop_all, "lease ended")
+
     def _report(self) -> SyncRequest:
         now = time.monotonic()
         return SyncRequest(
@@ -125,6 +138,8 @@
                 for job_id, task in self.tasks.items()
             ],
             ended=list(self.ended.values()),
+            number=self.number,
+            seen_index=self.seen_index,
         )
 
     def _begin(self, order: StartOrder) -> None:
--- /dev/null
+++ b/tests/job/test_lost_homes.py
@@ -0,0 +1,50 @@
+"""Ends of runs whose home is out of contact."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.control.record import JobStatus, VmState
+from hyssopway.job import LostHomes
+from states import ManualClock, prepare
+
+# cut_off_run_s of the default policy, the worker's lease and the margin.
+ALLOWED_S = 120 + 4 + 5
+
+
+@pytest.mark.parametrize(
+    ("contact_at", "leads_at", "freeze", "lost"),
+    [
+        (None, 0.0, False, True),
+        (50.0, 0.0, False, False),
+        (None, 50.0, False, False),
+        (None, 0.0, True, False),
+    ],
+    ids=["silent", "in contact", "new leader", "leader was frozen"],
+)
+async def test_home_is_lost_only_after_the_whole_time(contact_at, leads_at, freeze, lost):
+    """Guards against a second run beside one that a cut-off home still keeps alive."""
+    submitter = prepare()
+    submitter.register("vm", home="h2")
+    submitter.accept("job")
+    submitter.start("job", "vm")
+    clock = ManualClock(now=0.0)
+    contacts: dict[str, float] = {}
+    homes = LostHomes(
+        own_name="h1",
+        replica=submitter.replica,
+        submitter=submitter,  # type: ignore[arg-type]
+        contacts=contacts,
+        leads=lambda: clock.now >= leads_at,
+        clock=clock,
+    )
+    while clock.now <= ALLOWED_S + 1:
+        if contact_at is not None and clock.now >= contact_at:
+            contacts.setdefault("h2", clock.now)
+        await homes.check()
+        early = clock.now <= ALLOWED_S
+        job, vm = submitter.state.tables.jobs["job"], submitter.state.tables.vms["vm"]
+        assert not early or job.status is JobStatus.RUNNING
+        clock.now += 60.0 if freeze else 0.5
+    assert (job.status is JobStatus.PENDING) is lost
+    assert (vm.state is VmState.DOWN) is lost
--- /dev/null
+++ b/tests/worker/test_sessions.py
@@ -0,0 +1,202 @@
+"""Orders, leases and reports of workers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from hyssopway.control.command import CancelJob, ChangeVm, SetZone, TakePermit
+from hyssopway.control.record import JobStatus, PermitPurpose, RunOutcome, VmState, ZoneStatus
+from hyssopway.replica import Replica
+from hyssopway.result import ResultCode
+from hyssopway.worker import EndedRun, RunningTask, SyncReply, SyncRequest, WorkerSessions, report_silent
+from states import CAPACITY, LocalSubmitter, ManualClock, fresh, prepare
+
+if TYPE_CHECKING:
+    from hyssopway.control.record import Job
+
+
+class Home:
+    """A home entry with one registered VM and one run placed on it."""
+
+    def __init__(self) -> None:
+        self.submitter = prepare()
+        self.clock = ManualClock()
+        self.freshness = fresh(self.clock)
+        self.sessions = WorkerSessions(
+            own_name="h1",
+            replica=self.submitter.replica,
+            freshness=self.freshness,
+            submitter=self.submitter,  # type: ignore[arg-type]
+            clock=self.clock,
+        )
+        self.submitter.register("vm")
+        self.submitter.accept("job")
+        assert self.submitter.start("job", "vm").failure is None
+
+    async def sync(self, **report: Any) -> Any:
+        """Syncs the worker."""
+        options = {"zone": "a", "rack": "a-1", "pool": "p", "capacity": CAPACITY, "boot_id": "b1"} | report
+        return await self.sessions.sync(vm="vm", request=SyncRequest(**options))
+
+    async def reply(self, **report: Any) -> SyncReply:
+        """Syncs the worker and lets background reports finish."""
+        result = await self.sync(**report)
+        assert result.is_ok(), result
+        await asyncio.sleep(0.01)
+        return result.ok
+
+    @property
+    def job(self) -> Job:
+        """The job."""
+        return self.submitter.state.tables.jobs["job"]
+
+    @property
+    def vm_state(self) -> VmState:
+        """State of the VM."""
+        return self.submitter.state.tables.vms["vm"].state
+
+
+@pytest.fixture
+def home() -> Home:
+    return Home()
+
+
+def _withdraw(home: Home) -> None:
+    home.submitter.must(SetZone(zone="a", status=ZoneStatus.WITHDRAWN, request_id="z", operator="o"))
+
+
+def _cancel(home: Home) -> None:
+    home.submitter.must(CancelJob(job_id="job", team="red"))
+
+
+def _expire(home: Home) -> None:
+    home.clock.now += 4
+
+
+@pytest.mark.parametrize(
+    ("change", "boot_id", "status", "detail"),
+    [
+        (_withdraw, "b1", JobStatus.PENDING, "withdrawn"),
+        (_cancel, "b1", JobStatus.CANCELLED, "cancelled"),
+        (lambda _: None, "b2", JobStatus.PENDING, "restarted"),
+        (_expire, "b1", JobStatus.RUNNING, ""),
+    ],
+    ids=["zone withdrawn", "cancelled", "worker restarted", "authority expired"],
+)
+async def test_run_that_may_not_start_is_not_ordered(home, change, boot_id, status, detail):
+    """Guards against a start from a stale order and against a run that holds its limit for ever."""
+    change(home)
+    assert (await home.reply(boot_id=boot_id)).start == []
+    assert home.job.status is status
+    assert detail in home.job.detail
+
+
+async def test_run_not_started_for_long_is_given_up(home):
+    """Guards against a task that starts on a decision of long ago."""
+    assert [order.job_id for order in (await home.reply()).start] == ["job"]
+    home.clock.now += 11
+    home.freshness.confirm(at=home.clock.now)
+    assert (await home.reply()).start == []
+    assert home.job.status is JobStatus.PENDING
+
+
+async def test_home_behind_the_worker_orders_nothing(home):
+    """Guards against a second run through a new home that has not seen the end of the first."""
+    stale = Replica()
+    home.sessions.replica = stale
+    result = await home.sync(seen_index=home.submitter.replica.applied_index)
+    assert result.error.code is ResultCode.REPLICA_BEHIND
+
+
+async def test_overtaken_sync_changes_nothing(home):
+    """Guards against an old report that ends a run which a later answer ordered."""
+    await home.reply(number=2)
+    _withdraw(home)
+    assert (await home.sync(number=1)).error.code is ResultCode.SYNC_OVERTAKEN
+    assert home.job.status is JobStatus.RUNNING
+
+
+async def test_frozen_home_cannot_give_up_run_of_next_home(home):
+    """Guards against two live runs after a worker moved to another home."""
+    await home.reply()
+    home.clock.now += 30
+    vm = home.submitter.state.tables.vms["vm"]
+    home.sessions.reports.give_up(job=home.job, vm=vm, outcome=RunOutcome.LOST, detail="silent")
+    home.submitter.register("vm", home="h2")
+    await asyncio.sleep(0.01)
+    assert home.job.status is JobStatus.RUNNING
+
+
+async def test_report_of_other_vm_or_run_changes_nothing(home):
+    """Guards against the report of an old run that ends the present one."""
+    ended = EndedRun(job_id="job", epoch=2, outcome=RunOutcome.DONE)
+    assert (await home.reply(ended=[ended])).acknowledged == ["job"]
+    assert home.job.status is JobStatus.RUNNING
+
+
+async def test_report_is_acknowledged_only_when_agreed_and_does_not_hold_up_the_lease(home):
+    """Guards against lost reports, and against tasks lost in a cut-off zone because a report waits."""
+    home.submitter.cut_off = True
+    ended = EndedRun(job_id="job", epoch=1, outcome=RunOutcome.DONE)
+    reply = await asyncio.wait_for(home.reply(ended=[ended]), 1.0)
+    assert reply.acknowledged == []
+    assert reply.lease_s > 0
+    home.submitter.cut_off = False
+    await asyncio.sleep(2.1)
+    assert (await home.reply(ended=[ended])).acknowledged == ["job"]
+    assert home.job.status is JobStatus.DONE
+
+
+async def test_silent_worker_is_reported_after_its_last_lease_and_comes_back(home):
+    """Guards against a run declared lost while its worker may still hold a lease."""
+    running = [RunningTask(job_id="job", epoch=1)]
+    await home.reply(running=running)
+    for after_s, status, state in (
+        (4.9, JobStatus.RUNNING, VmState.READY),
+        (0.2, JobStatus.PENDING, VmState.DOWN),
+    ):
+        home.clock.now += after_s
+        await report_silent(home.sessions)
+        await asyncio.sleep(0.01)
+        assert (home.job.status, home.vm_state) == (status, state)
+    home.freshness.confirm(at=home.clock.now)
+    assert (await home.reply(running=running)).stop == ["job"]
+    assert home.vm_state is VmState.READY
+
+
+async def test_down_vm_under_permit_does_not_take_work_again(home):
+    """Guards against work on a VM that an operator still holds out of service."""
+    home.submitter.must(TakePermit(vm="vm", purpose=PermitPurpose.OPERATOR, holder="o", expected_epoch=1))
+    await home.reply()
+    home.clock.now += 6
+    await report_silent(home.sessions)
+    await asyncio.sleep(0.01)
+    home.freshness.confirm(at=home.clock.now)
+    await home.reply()
+    assert home.vm_state is VmState.DRAINED
+
+
+async def test_order_given_up_is_not_given_after_the_zone_returns(home):
+    """Guards against a start order that crosses its own cancellation on the way to the leader."""
+    await home.reply()
+    home.submitter.cut_off = True
+    _withdraw(home)
+    assert (await home.reply()).start == []
+    home.submitter.must(SetZone(zone="a", status=ZoneStatus.OPEN, request_id="y", operator="o"))
+    assert (await home.reply()).start == []
+
+
+def test_start_needs_the_pool_of_the_job():
+    """Guards against a task on a VM of another pool."""
+    submitter: LocalSubmitter = prepare()
+    submitter.register("other", pool="q")
+    submitter.accept("job")
+    outcome = submitter.start("job", "other")
+    assert outcome.failure is not None
+    assert outcome.failure.code is ResultCode.VM_STATE_CONFLICT
+    assert (
+        submitter.apply(ChangeVm(vm="other", state=VmState.DOWN, expected_epoch=1, reason="")).failure is None
+    )
