Cancel jobs in batches, mark runs for reclaim and refuse jobs too big for a pool

Cause: thousands of cancellations needed one log entry each; a scheduler had no way to ask a worker for a checkpoint; a job bigger than every VM of its pool waited for ever; a scheduler could learn of changes only by looking at all jobs and VMs.

Ruled out: a hook in each function that applies a command. The feed notes names once, after dispatch, so the VM commands stay as they are.

Conclusion: the commands exist; the scheduler does not use reclaim and the feed yet.

--- a/src/hyssopway/control/apply/dispatch.py
+++ b/src/hyssopway/control/apply/dispatch.py
@@ -7,12 +7,14 @@
 from hyssopway.control.command import (
     AcceptJob,
     CancelJob,
+    CancelJobs,
     ChangeVm,
     ClaimRequest,
     EndRun,
     GrantKey,
     MoveVm,
     PromoteDocument,
+    ReclaimRun,
     RegisterVm,
     RejectJob,
     ReleaseClaim,
@@ -27,10 +29,10 @@
 
 from .claims import claim_request, release_claim, resolve_claim
 from .documents import promote_document, trial_document
-from .jobs import accept_job, cancel_job, reject_job
+from .jobs import accept_job, cancel_job, cancel_jobs, reject_job
 from .keys import grant_key, withdraw_key
 from .permits import return_permit, take_permit
-from .runs import end_run, start_run
+from .runs import end_run, reclaim_run, start_run
 from .vms import change_vm, move_vm, register_vm
 from .zones import set_zone
 
@@ -80,6 +82,10 @@
             return end_run(state, command)
         case CancelJob():
             return cancel_job(state, command)
+        case CancelJobs():
+            return cancel_jobs(state, command)
+        case ReclaimRun():
+            return reclaim_run(state, command)
         case RejectJob():
             return reject_job(state, command)
 
--- a/src/hyssopway/control/apply/jobs.py
+++ b/src/hyssopway/control/apply/jobs.py
@@ -7,13 +7,14 @@
 from expression import Ok, Result
 
 from hyssopway.control.change import Change
+from hyssopway.control.command import CancelJob
 from hyssopway.control.record import Job, JobStatus
 from hyssopway.result import ResultCode, WorkState
 
 from .refusal import refuse
 
 if TYPE_CHECKING:
-    from hyssopway.control.command import AcceptJob, CancelJob, RejectJob
+    from hyssopway.control.command import AcceptJob, CancelJobs, RejectJob
     from hyssopway.control.state import ControlState
     from hyssopway.result import Failure
 
@@ -66,6 +67,12 @@
     return Ok(Change(generation=job.runs, reference=job.status))
 
 
+def cancel_jobs(state: ControlState, command: CancelJobs) -> Result[Change, Failure]:
+    """Cancels many jobs; returns how many end or are being stopped."""
+    results = [cancel_job(state, CancelJob(job_id=item, team=command.team)) for item in command.job_ids]
+    return Ok(Change(generation=sum(result.is_ok() for result in results)))
+
+
 def reject_job(state: ControlState, command: RejectJob) -> Result[Change, Failure]:
     """Ends a pending job as cannot_run."""
     job = state.tables.jobs.get(command.job_id)
@@ -98,7 +105,9 @@
         return f"pool {command.spec.pool!r} is not in the production document"
     if not command.spec.resources.fits_in(team.limit) or team.max_running == 0:
         return f"the job alone exceeds the upper limit of team {team.name}"
+    if state.indexes.shapes.exceeds_all(pool=command.spec.pool, need=command.spec.resources):
+        return f"the job is bigger than every VM of pool {command.spec.pool}"
     return ""
 
 
-__all__ = ["FINAL", "accept_job", "cancel_job", "finish_job", "reject_job"]
+__all__ = ["FINAL", "accept_job", "cancel_job", "cancel_jobs", "finish_job", "reject_job"]
--- a/src/hyssopway/control/apply/runs.py
+++ b/src/hyssopway/control/apply/runs.py
@@ -8,6 +8,7 @@
 
 from hyssopway.control.change import Change
 from hyssopway.control.record import JobStatus, Run, RunOutcome, VmState, ZoneStatus
+from hyssopway.control.run_end import RunEnd
 from hyssopway.control.team_usage import TeamUsage
 from hyssopway.document import JobPolicy
 from hyssopway.result import ResultCode
@@ -16,7 +17,7 @@
 from .refusal import refuse
 
 if TYPE_CHECKING:
-    from hyssopway.control.command import EndRun, StartRun
+    from hyssopway.control.command import EndRun, ReclaimRun, StartRun
     from hyssopway.control.record import Job
     from hyssopway.control.state import ControlState
     from hyssopway.result import Failure
@@ -62,6 +63,7 @@
     if refusal is not None:
         return refusal
     state.indexes.remove_run(job=job, vm=job.run.vm)
+    state.indexes.feed.note_end(_to_end(job, run=job.run, command=command))
     if command.checkpoint:
         job.checkpoint = command.checkpoint
     job.note(f"run {command.epoch} on {job.run.vm} {command.outcome}: {command.detail}")
@@ -69,6 +71,28 @@
     return Ok(Change(generation=command.epoch, reference=job.status))
 
 
+def reclaim_run(state: ControlState, command: ReclaimRun) -> Result[Change, Failure]:
+    """Marks a run to be checkpointed, throttled or stopped for the sake of others."""
+    job = state.tables.jobs.get(command.job_id)
+    if job is None or job.run is None or job.run.epoch != command.epoch:
+        return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} of {command.job_id!r} is not in progress")
+    job.run.reclaim = command.action
+    job.note(f"run {command.epoch} on {job.run.vm} reclaimed by {command.action}: {command.reason}")
+    return Ok(Change(generation=command.epoch, reference=job.job_id))
+
+
+def _to_end(job: Job, *, run: Run, command: EndRun) -> RunEnd:
+    return RunEnd(
+        job_id=job.job_id,
+        epoch=run.epoch,
+        team=job.team,
+        task_kind=job.spec.task_kind,
+        vm=run.vm,
+        outcome=command.outcome,
+        probe=run.probe,
+    )
+
+
 def _check_reporter(state: ControlState, command: EndRun, *, vm: str) -> Result[Change, Failure] | None:
     if command.vm and command.vm != vm:
         return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} is on VM {vm}, not on {command.vm}")
@@ -110,12 +134,13 @@
 
 
 def _conclude(state: ControlState, *, job: Job, command: EndRun) -> None:
+    probe = job.run is not None and job.run.probe
     job.run = None
     if command.outcome is RunOutcome.DONE:
         finish_job(state, job=job, status=JobStatus.DONE, detail=command.detail)
     elif job.cancelling:
         finish_job(state, job=job, status=JobStatus.CANCELLED, detail=command.detail or "stopped")
-    elif command.outcome is RunOutcome.FAILED:
+    elif command.outcome is RunOutcome.FAILED and not probe:
         _count_failure(state, job=job, detail=command.detail)
     else:
         _requeue(state, job=job, detail=command.detail)
@@ -139,4 +164,4 @@
     state.indexes.pending[job.job_id] = job
 
 
-__all__ = ["end_run", "start_run"]
+__all__ = ["end_run", "reclaim_run", "start_run"]
--- a/src/hyssopway/control/command/__init__.py
+++ b/src/hyssopway/control/command/__init__.py
@@ -8,12 +8,14 @@
 
 from .accept_job import AcceptJob
 from .cancel_job import CancelJob
+from .cancel_jobs import CancelJobs
 from .change_vm import ChangeVm
 from .claim_request import ClaimRequest
 from .end_run import EndRun
 from .grant_key import GrantKey
 from .move_vm import MoveVm
 from .promote_document import PromoteDocument
+from .reclaim_run import ReclaimRun
 from .register_vm import RegisterVm
 from .reject_job import RejectJob
 from .release_claim import ReleaseClaim
@@ -45,6 +47,8 @@
     | StartRun
     | EndRun
     | CancelJob
+    | CancelJobs
+    | ReclaimRun
     | RejectJob,
     Field(discriminator="kind"),
 ]
@@ -52,6 +56,7 @@
 __all__ = [
     "AcceptJob",
     "CancelJob",
+    "CancelJobs",
     "ChangeVm",
     "ClaimRequest",
     "Command",
@@ -60,6 +65,7 @@
     "MoveVm",
     "OperatorCommand",
     "PromoteDocument",
+    "ReclaimRun",
     "RegisterVm",
     "RejectJob",
     "ReleaseClaim",
--- a/src/hyssopway/control/indexes.py
+++ b/src/hyssopway/control/indexes.py
@@ -7,10 +7,14 @@
 
 from hyssopway.document import EnvironmentDocument
 
+from .change_feed import ChangeFeed
+from .command import MoveVm, RegisterVm
+from .pool_shapes import PoolShapes
 from .record import Job, JobStatus
 from .team_usage import TeamUsage
 
 if TYPE_CHECKING:
+    from .command import Command
     from .tables import Tables
 
 
@@ -23,12 +27,22 @@
         pending: Pending jobs by id, in order of acceptance.
         running: Ids of running jobs by VM.
         usage: What the running tasks of each team hold.
+        shapes: Capacities of the VMs of each pool.
+        feed: Changes that the scheduler has not seen.
     """
 
     parsed: dict[str, EnvironmentDocument] = field(default_factory=dict)
     pending: dict[str, Job] = field(default_factory=dict)
     running: dict[str, set[str]] = field(default_factory=dict)
     usage: dict[str, TeamUsage] = field(default_factory=dict)
+    shapes: PoolShapes = field(default_factory=PoolShapes)
+    feed: ChangeFeed = field(default_factory=ChangeFeed)
+
+    def note(self, command: Command, *, tables: Tables) -> None:
+        """Follows an applied command."""
+        self.feed.note(command)
+        if isinstance(command, RegisterVm | MoveVm):
+            self.shapes.update(tables.vms[command.vm])
 
     def add_run(self, *, job: Job, vm: str) -> None:
         """Counts a run that starts."""
--- a/src/hyssopway/control/record/__init__.py
+++ b/src/hyssopway/control/record/__init__.py
@@ -9,6 +9,7 @@
 from .key import Key
 from .permit import Permit
 from .permit_purpose import PermitPurpose
+from .reclaim_action import ReclaimAction
 from .run import Run
 from .run_outcome import RunOutcome
 from .stored_document import StoredDocument
@@ -26,6 +27,7 @@
     "Key",
     "Permit",
     "PermitPurpose",
+    "ReclaimAction",
     "Run",
     "RunOutcome",
     "StoredDocument",
--- a/src/hyssopway/control/record/run.py
+++ b/src/hyssopway/control/record/run.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from .reclaim_action import ReclaimAction
+
 
 @dataclass(slots=True, kw_only=True)
 class Run:
@@ -16,6 +18,7 @@
         reason: Why this VM.
         probe: Whether it tests a quarantined VM.
         boot_id: Worker process that it was placed on; no other process starts it.
+        reclaim: What the worker is asked to do so that others get the capacity.
     """
 
     epoch: int
@@ -24,6 +27,7 @@
     reason: str
     probe: bool = False
     boot_id: str = ""
+    reclaim: ReclaimAction = ReclaimAction.NONE
 
 
 __all__ = ["Run"]
--- a/src/hyssopway/control/state.py
+++ b/src/hyssopway/control/state.py
@@ -95,6 +95,7 @@
         self.tables = _TABLES.validate_json(data)
         self.indexes = Indexes()
         self.indexes.rebuild_jobs(self.tables)
+        self.indexes.shapes.rebuild(self.tables.vms.values())
         for environment, stored in self.tables.documents.items():
             match parse_document(text=stored.text, file=environment):
                 case Result(tag="ok", ok=document):
@@ -116,6 +117,7 @@
     def _apply_once(self, *, index: int, command: Command) -> Outcome:
         match apply_command(state=self, command=command):
             case Result(tag="ok", ok=change):
+                self.indexes.note(command, tables=self.tables)
                 return Outcome(index=index, generation=change.generation, reference=change.reference)
             case Result(error=failure):
                 return Outcome(index=index, failure=failure)
--- a/src/hyssopway/operator_api/bodies.py
+++ b/src/hyssopway/operator_api/bodies.py
@@ -7,6 +7,17 @@
 from hyssopway.control.record import ZoneStatus
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CancelBody:
+    """Cancels many jobs.
+
+    Attributes:
+        job_ids: The jobs.
+    """
+
+    job_ids: list[str]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TrialBody:
     """Puts a document into the trial environment.
@@ -61,4 +72,4 @@
     expected_epoch: int | None = None
 
 
-__all__ = ["GrantBody", "PromoteBody", "TrialBody", "ZoneBody"]
+__all__ = ["CancelBody", "GrantBody", "PromoteBody", "TrialBody", "ZoneBody"]
--- a/src/hyssopway/operator_api/job_routes.py
+++ b/src/hyssopway/operator_api/job_routes.py
@@ -9,12 +9,14 @@
 from expression import Result
 from pydantic import TypeAdapter
 
-from hyssopway.control.command import AcceptJob, CancelJob
+from hyssopway.control.command import AcceptJob, CancelJob, CancelJobs
 from hyssopway.control.record import JobSpec, JobStatus
 from hyssopway.http import bearer_token, failure_response, json_response, read_json
 from hyssopway.key import check_key
 from hyssopway.result import Failure, ResultCode
 
+from .bodies import CancelBody
+
 if TYPE_CHECKING:
     from aiohttp import web
 
@@ -24,7 +26,11 @@
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 SUBMIT_TIMEOUT_S = 5.0
 
+# A command of this size takes a few milliseconds to apply, which delays no heartbeat.
+MAX_CANCELLED = 1000
+
 _SPEC = TypeAdapter(JobSpec)
+_CANCEL = TypeAdapter(CancelBody)
 
 
 class JobRoutes:
@@ -47,6 +53,7 @@
         """Adds the submitters' routes."""
         app.router.add_post("/v1/jobs", self.submit)
         app.router.add_get("/v1/jobs", self.list)
+        app.router.add_post("/v1/jobs/cancel", self.cancel_many)
         app.router.add_get("/v1/jobs/{job}", self.show)
         app.router.add_delete("/v1/jobs/{job}", self.cancel)
 
@@ -107,6 +114,29 @@
             case Result(error=failure):
                 return failure_response(failure)
 
+    async def cancel_many(self, request: web.Request) -> web.Response:
+        """Cancels many jobs of the team with one change."""
+        checked = self._check(request)
+        if checked.is_error():
+            return failure_response(checked.error)
+        match await read_json(request, _CANCEL):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=failure):
+                return failure_response(failure)
+        if len(body.job_ids) > MAX_CANCELLED:
+            message = f"{len(body.job_ids)} jobs are named; send at most {MAX_CANCELLED} at once"
+            return failure_response(Failure(code=ResultCode.TOO_MANY_JOBS, message=message))
+        command = CancelJobs(job_ids=body.job_ids, team=checked.ok.team)
+        match await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S):
+            case Result(tag="ok"):
+                jobs = self.replica.state.tables.jobs
+                found = [jobs[item] for item in body.job_ids if item in jobs]
+                own = {job.job_id: job.status for job in found if job.team == checked.ok.team}
+                return json_response({"jobs": own}, status=202)
+            case Result(error=failure):
+                return failure_response(failure)
+
     def _check(self, request: web.Request) -> Result[Key, Failure]:
         return check_key(text=bearer_token(request), replica=self.replica, freshness=self.freshness)
 
--- a/src/hyssopway/operator_api/operator_routes.py
+++ b/src/hyssopway/operator_api/operator_routes.py
@@ -76,6 +76,7 @@
         router.add_get("/v1/pools", self._guard(self.list_pools))
         router.add_get("/v1/teams", self._guard(self.list_teams))
         router.add_get("/v1/explain/job/{job}", self._guard(self.explain_job))
+        router.add_get("/v1/explain/vm/{vm}", self._guard(self.explain_vm))
         router.add_get("/v1/status", self._guard(self.status))
         router.add_get("/v1/dump", self._guard(self.dump))
 
@@ -208,6 +209,23 @@
         ]
         return json_response({"teams": teams})
 
+    async def explain_vm(self, request: web.Request) -> web.Response:
+        """Shows a VM, why it is in its state, what it runs and what it has left."""
+        name = request.match_info["vm"]
+        state = self.replica.state
+        vm = state.tables.vms.get(name)
+        if vm is None:
+            return failure_response(
+                Failure(code=ResultCode.UNKNOWN_VM, message=f"VM {name!r} does not exist")
+            )
+        jobs = [state.tables.jobs[job_id] for job_id in sorted(state.indexes.running.get(name, ()))]
+        left = vm.capacity
+        for job in jobs:
+            left = left - job.spec.resources
+        runs = [{"job_id": job.job_id, "team": job.team, "run": job.run} for job in jobs]
+        shown = {"vm": vm, "zone": state.tables.zones.get(vm.zone), "permit": state.tables.permits.get(name)}
+        return json_response(shown | {"runs": runs, "left": left})
+
     async def explain_job(self, request: web.Request) -> web.Response:
         """Explains the decisions about a job."""
         job = self.replica.state.tables.jobs.get(request.match_info["job"])
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from hyssopway.control.command import ChangeVm, RegisterVm
-from hyssopway.control.record import JobStatus, RunOutcome, VmState, ZoneStatus
+from hyssopway.control.record import JobStatus, ReclaimAction, RunOutcome, VmState, ZoneStatus
 from hyssopway.document import JobPolicy
 from hyssopway.event import Event, log_event
 from hyssopway.replica import AUTHORITY_TTL_S
@@ -17,6 +17,7 @@
 from .messages import StartOrder, SyncReply
 from .run_reports import RunReports
 from .session import WorkerSession
+from .throttling import find_throttles
 
 if TYPE_CHECKING:
     from hyssopway.clock import Clock
@@ -93,6 +94,10 @@
                 lease_s=lease_s,
                 start=self._starts(vm=record, request=request),
                 stop=self._stops(vm=vm, request=request),
+                checkpoint=self._reclaimed(request, action=ReclaimAction.CHECKPOINT),
+                throttle=find_throttles(
+                    request, reclaimed=self._reclaimed(request, action=ReclaimAction.THROTTLE)
+                ),
                 acknowledged=acknowledged,
                 state_index=self.replica.applied_index,
             )
@@ -189,6 +194,8 @@
             return "run was given up"
         if job.cancelling:
             return "cancelled before its task started"
+        if job.run.reclaim in (ReclaimAction.CHECKPOINT, ReclaimAction.STOP):
+            return "reclaimed before its task started"
         if job.run.boot_id not in ("", vm.boot_id):
             return "worker restarted"
         if self.replica.state.tables.zones[vm.zone].status is ZoneStatus.WITHDRAWN:
@@ -215,7 +222,25 @@
             for job in self.runs_on(vm)
             if job.run is not None and not job.cancelling
         }
-        return [task.job_id for task in request.running if (task.job_id, task.epoch) not in valid]
+        stopped = set(self._reclaimed(request, action=ReclaimAction.STOP))
+        return [
+            task.job_id
+            for task in request.running
+            if (task.job_id, task.epoch) not in valid or task.job_id in stopped
+        ]
+
+    def _reclaimed(self, request: SyncRequest, *, action: ReclaimAction) -> list[str]:
+        jobs = self.replica.state.tables.jobs
+        runs = {
+            task.job_id: (task.epoch, jobs[task.job_id].run)
+            for task in request.running
+            if task.job_id in jobs
+        }
+        return [
+            job_id
+            for job_id, (epoch, run) in runs.items()
+            if run and run.epoch == epoch and run.reclaim is action
+        ]
 
 
 def _runs(job: Job, *, epoch: int) -> bool:
--- /dev/null
+++ b/tests/control/test_jobs.py
@@ -0,0 +1,128 @@
+"""Rules of jobs and runs as they are applied."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hyssopway.control import ControlState
+from hyssopway.control.command import CancelJob, CancelJobs, EndRun, ReclaimRun
+from hyssopway.control.record import JobStatus, ReclaimAction, RunOutcome
+from hyssopway.control.record.job import MAX_HISTORY
+from hyssopway.document import Resources
+from hyssopway.result import ResultCode
+from states import prepare
+
+if TYPE_CHECKING:
+    from states import LocalSubmitter
+
+FINAL = {JobStatus.DONE, JobStatus.FAILED, JobStatus.CANCELLED, JobStatus.CANNOT_RUN}
+JOBS = st.sampled_from([f"j{number}" for number in range(8)])
+EPOCHS = st.integers(min_value=1, max_value=4)
+
+
+@pytest.fixture
+def submitter() -> LocalSubmitter:
+    prepared = prepare()
+    prepared.register("vm")
+    return prepared
+
+
+def test_cancelled_batch_starts_nothing_later(submitter):
+    """Guards against a cancelled job that starts, and against a batch that reaches other teams."""
+    for number in range(3):
+        submitter.accept(f"j{number}")
+    submitter.accept("other", team="blue")
+    submitter.start("j0", "vm")
+    names = ["j0", "j1", "j2", "other", "missing"]
+    assert submitter.must(CancelJobs(job_ids=names, team="red")).generation == 3
+    jobs = submitter.state.tables.jobs
+    assert [jobs[name].status for name in names[:4]] == ["running", "cancelled", "cancelled", "pending"]
+    assert jobs["j0"].cancelling
+    assert submitter.start("j1", "vm").failure is not None
+    submitter.must(EndRun(job_id="j0", epoch=1, outcome=RunOutcome.STOPPED, vm="vm"))
+    assert jobs["j0"].status is JobStatus.CANCELLED
+
+
+def test_job_bigger_than_every_vm_is_refused_with_the_reason(submitter):
+    """Guards against a job that waits for ever."""
+    big = Resources(cores=17, memory_gb=1)
+    failure = submitter.accept("big", resources=big).failure
+    assert failure is not None
+    assert failure.code is ResultCode.JOB_CANNOT_RUN
+    assert "bigger than every VM of pool p" in failure.message
+    submitter.register("large", capacity=Resources(cores=32, memory_gb=64))
+    assert submitter.accept("big", resources=big).failure is None
+
+
+def test_history_is_bounded(submitter):
+    """Guards against a job that is reclaimed again and again and fills every replica."""
+    submitter.accept("j0")
+    submitter.start("j0", "vm")
+    reclaim = ReclaimRun(job_id="j0", epoch=1, action=ReclaimAction.THROTTLE, reason="test")
+    for _ in range(2 * MAX_HISTORY):
+        submitter.must(reclaim)
+    assert len(submitter.state.tables.jobs["j0"].history) == MAX_HISTORY
+
+
+class JobRules(RuleBasedStateMachine):
+    """Commands in any order, also repeated and stale ones."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.submitter = prepare()
+        for number in (1, 2):
+            self.submitter.register(f"vm{number}")
+        self.accepted: set[str] = set()
+        self.final: dict[str, JobStatus] = {}
+
+    @rule(job=JOBS)
+    def accept(self, job):
+        """Accepts a job, or sends it again."""
+        if self.submitter.accept(job).failure is None:
+            self.accepted.add(job)
+
+    @rule(job=JOBS, epoch=EPOCHS, vm=st.sampled_from(["vm1", "vm2"]))
+    def start(self, job, epoch, vm):
+        """Starts a run, perhaps a stale one."""
+        started = self.submitter.start(job, vm, epoch=epoch).failure is None
+        assert not (started and job in self.final)
+
+    @rule(job=JOBS, epoch=EPOCHS, outcome=st.sampled_from(RunOutcome), vm=st.sampled_from(["", "vm1", "vm2"]))
+    def end(self, job, epoch, outcome, vm):
+        """Reports an end, perhaps of another run."""
+        self.submitter.apply(EndRun(job_id=job, epoch=epoch, outcome=outcome, vm=vm))
+
+    @rule(job=JOBS)
+    def cancel(self, job):
+        """Cancels a job."""
+        self.submitter.apply(CancelJob(job_id=job, team="red"))
+
+    @rule()
+    def restore(self):
+        """Continues from a snapshot."""
+        state = ControlState()
+        state.restore_snapshot(self.submitter.state.encode_snapshot())
+        assert state.indexes.usage.keys() <= self.submitter.state.indexes.usage.keys()
+        self.submitter.replica.state = state
+
+    @invariant()
+    def limits_and_outcomes_hold(self):
+        """Compares the state with the promises."""
+        jobs = self.submitter.state.tables.jobs
+        running = [job for job in jobs.values() if job.status is JobStatus.RUNNING]
+        assert len(running) <= 3
+        assert all(job.run is not None and job.run.epoch == job.runs for job in running)
+        assert set(jobs) == self.accepted
+        for job in jobs.values():
+            if job.status in FINAL:
+                assert self.final.setdefault(job.job_id, job.status) is job.status
+        assert all(jobs[name].status is status for name, status in self.final.items())
+
+
+TestJobRules = JobRules.TestCase
+TestJobRules.settings = settings(derandomize=True, max_examples=60, stateful_step_count=40, deadline=None)
