Place jobs by fair shares, estimates and trees of free capacity

Cause: each round of the scheduler sorted all pending jobs and looked at all VMs for each of them, by cores alone, without shares, and nothing made room for urgent work or for a team below its share.

Ruled out: sorted lists of VMs, because a fit needs cores and memory at once; one tree for all VMs, because small work then breaks up accelerator VMs.

Change: pending jobs grouped by urgency, team and shape; a tree of free capacity for each pool, zone and number of free accelerators; dominant resource fairness with borrowing; reclaim by checkpoint, throttle and stop with a band of 5%; estimates for each team and kind; returning zones filled in steps of a quarter; jobs that can never run end as cannot_run.

Cost of a decision over sizes is not measured yet.

--- a/src/hyssopway/control/apply/runs.py
+++ b/src/hyssopway/control/apply/runs.py
@@ -78,7 +78,7 @@
         return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} of {command.job_id!r} is not in progress")
     job.run.reclaim = command.action
     job.note(f"run {command.epoch} on {job.run.vm} reclaimed by {command.action}: {command.reason}")
-    return Ok(Change(generation=command.epoch, reference=job.job_id))
+    return Ok(Change(generation=command.epoch, reference=job.run.vm))
 
 
 def _to_end(job: Job, *, run: Run, command: EndRun) -> RunEnd:
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -87,7 +87,10 @@
             submitter=self.submitter,
             clock=clock,
         )
-        self.scheduler = JobScheduler(replica=self.replica, submitter=self.submitter, leads=self.leads)
+        self.usage = UsageBook()
+        self.scheduler = JobScheduler(
+            replica=self.replica, submitter=self.submitter, leads=self.leads, book=self.usage, clock=clock
+        )
         self.calls = PeerCalls(
             member=self.member, replica=self.replica, freshness=self.freshness, ledger=self.ledger
         )
@@ -99,7 +102,6 @@
             leads=self.leads,
             clock=clock,
         )
-        self.usage = UsageBook()
         self.calls.exchanges[TOPIC] = lambda loads: take_loads(self, loads)
         self.calls.exchanges["status"] = lambda _: own_status(self)
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
--- /dev/null
+++ b/src/hyssopway/job/fleet_view.py
@@ -0,0 +1,126 @@
+"""What runs where and what is free, kept up to date from changes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hyssopway.control.record import VmState, ZoneStatus
+from hyssopway.control.tables import Tables
+from hyssopway.document import Resources
+
+from .zone_capacity import ZoneCapacity
+
+if TYPE_CHECKING:
+    from hyssopway.control.record import Job, Vm
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Placed:
+    """A run as the scheduler counts it.
+
+    Attributes:
+        vm: VM.
+        pool: Pool of the job.
+        team: Team.
+        need: Capacity that is kept for it.
+        epoch: Number of the run.
+    """
+
+    vm: str
+    pool: str
+    team: str
+    need: Resources
+    epoch: int
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetView:
+    """Free capacity by pool and zone.
+
+    Attributes:
+        tables: Agreed records.
+        zones: Capacity by pool and zone.
+        where: Pool and zone that a VM is counted in.
+        used: What is kept on each VM.
+        placed: Runs by job.
+        held: Runs by pool and team, oldest first.
+        parts: Part of the capacity that may be used, for zones that are returning.
+    """
+
+    tables: Tables
+    zones: dict[str, dict[str, ZoneCapacity]] = field(default_factory=dict)
+    where: dict[str, tuple[str, str]] = field(default_factory=dict)
+    used: dict[str, Resources] = field(default_factory=dict)
+    placed: dict[str, Placed] = field(default_factory=dict)
+    held: dict[tuple[str, str], dict[str, None]] = field(default_factory=dict)
+    parts: dict[str, float] = field(default_factory=dict)
+
+    def place(self, job: Job, *, vm: str, need: Resources, epoch: int) -> None:
+        """Keeps capacity for a run."""
+        self.release(job.job_id)
+        placed = Placed(vm=vm, pool=job.spec.pool, team=job.team, need=need, epoch=epoch)
+        self.placed[job.job_id] = placed
+        self.held.setdefault((placed.pool, placed.team), {})[job.job_id] = None
+        self.used[vm] = self.used.get(vm, Resources()) + need
+        self.refresh_vm(vm)
+
+    def release(self, job_id: str) -> None:
+        """Frees the capacity of a run."""
+        placed = self.placed.pop(job_id, None)
+        if placed is None:
+            return
+        self.held[placed.pool, placed.team].pop(job_id, None)
+        self.used[placed.vm] = self.used[placed.vm] - placed.need
+        self.refresh_vm(placed.vm)
+
+    def refresh_vm(self, name: str) -> None:
+        """Follows the record of a VM."""
+        vm = self.tables.vms.get(name)
+        place = (vm.pool, vm.zone) if vm and self._is_open(vm) else None
+        before = self.where.get(name)
+        if before is not None and before != place:
+            self.zones[before[0]][before[1]].take_out(name)
+            del self.where[name]
+        if vm is None or place is None:
+            return
+        self.where[name] = place
+        capacity = self.zones.setdefault(vm.pool, {}).setdefault(vm.zone, ZoneCapacity())
+        capacity.put(vm, free=vm.capacity - self.used.get(name, Resources()))
+
+    def find(self, *, pool: str, need: Resources) -> Vm | None:
+        """Returns a VM for a need: fewest free accelerators, then emptiest zone, then emptiest VM."""
+        zones = self.zones.get(pool, {})
+        usable = [zone for name, zone in zones.items() if zone.vms and self._allows(name, zone, need=need)]
+        usable.sort(key=lambda zone: -zone.free_part)
+        classes = sorted({number for zone in usable for number in zone.free_accelerators()})
+        for accelerators in classes:
+            if accelerators < need.accelerators:
+                continue
+            for zone in usable:
+                name = zone.find(need, accelerators=accelerators)
+                if name is not None:
+                    return zone.vms[name]
+        return None
+
+    def free_on(self, vm: str) -> Resources:
+        """Returns what a VM has free."""
+        return self.tables.vms[vm].capacity - self.used.get(vm, Resources())
+
+    def total(self) -> Resources:
+        """Returns the capacity of all VMs that take work."""
+        total = Resources()
+        for zones in self.zones.values():
+            for zone in zones.values():
+                total = total + zone.total
+        return total
+
+    def _allows(self, name: str, zone: ZoneCapacity, *, need: Resources) -> bool:
+        part = self.parts.get(name, 1.0)
+        return part >= 1.0 or zone.total.cores - zone.free_cores + need.cores <= part * zone.total.cores
+
+    def _is_open(self, vm: Vm) -> bool:
+        return vm.state is VmState.READY and self.tables.zones[vm.zone].status is not ZoneStatus.WITHDRAWN
+
+
+__all__ = ["FleetView", "Placed"]
--- /dev/null
+++ b/src/hyssopway/job/planner.py
@@ -0,0 +1,245 @@
+"""Decides which pending jobs start where."""
+
+from __future__ import annotations
+
+from heapq import heapify, heappop, heappush, heapreplace
+from typing import TYPE_CHECKING
+
+from hyssopway.control.command import RejectJob, StartRun
+from hyssopway.control.record import JobStatus, ZoneStatus
+from hyssopway.control.team_usage import TeamUsage
+from hyssopway.document import JobPolicy, Resources
+
+from .estimates import Estimates
+from .fleet_view import FleetView
+from .pending_queues import PendingQueues
+
+if TYPE_CHECKING:
+    from hyssopway.clock import Clock
+    from hyssopway.control import ControlState
+    from hyssopway.control.record import Job, Vm
+
+    from .pending_queues import GroupKey
+    from .usage_book import UsageBook
+
+# One round may not hold up the next urgent job for long; at 0.05 s a round this is far above the
+# 500 starts a second that the agreed state is designed for.
+MAX_STARTS = 250
+MAX_REJECTED = 100
+
+# A zone that returns is filled in steps, so that a second failure there hits little work.
+RETURN_STEP = 0.25
+RETURN_STEP_S = 2.0
+
+
+class Planner:
+    """Follows the agreed state and chooses starts.
+
+    Attributes:
+        state: Agreed state.
+        view: Free capacity.
+        queues: Pending jobs.
+        estimates: What kinds of tasks really use.
+        book: Last reports of workers.
+        usage: What each team holds, with the starts of this round.
+        total: Capacity of all VMs that take work.
+        blocked: Groups that fitted nowhere in this round, the first first.
+    """
+
+    __slots__ = (
+        "blocked",
+        "book",
+        "clock",
+        "estimates",
+        "queues",
+        "returning_since",
+        "state",
+        "total",
+        "usage",
+        "view",
+    )
+
+    def __init__(self, *, state: ControlState, book: UsageBook, clock: Clock) -> None:
+        self.state = state
+        self.book = book
+        self.clock = clock
+        self.view = FleetView(tables=state.tables)
+        self.queues = PendingQueues()
+        self.estimates = Estimates()
+        self.usage: dict[str, TeamUsage] = {}
+        self.total = Resources()
+        self.blocked: list[GroupKey] = []
+        self.returning_since: dict[str, float] = {}
+
+    def refresh(self, *, state: ControlState, now_ms: int) -> None:
+        """Takes over what changed; a restored snapshot is another state."""
+        changes = state.indexes.feed.drain()
+        if changes.everything or state is not self.state:
+            self._rebuild(state, now_ms=now_ms)
+        for end in changes.ends:
+            task = self.book.find(vm=end.vm, job_id=end.job_id, epoch=end.epoch)
+            if task is not None and end.outcome == "done":
+                self.estimates.observe(
+                    team=end.team, task_kind=end.task_kind, usage=task.usage, ran_s=task.ran_s
+                )
+        for name in changes.vms:
+            self.view.refresh_vm(name)
+        for job_id in (*changes.jobs, *self.queues.due(now_ms=now_ms)):
+            self.follow_job(job_id, now_ms=now_ms)
+        self._follow_zones()
+        self.total = self.view.total()
+        self.usage = {
+            team: TeamUsage(tasks=usage.tasks, resources=usage.resources)
+            for team, usage in state.indexes.usage.items()
+        }
+
+    def follow_job(self, job_id: str, *, now_ms: int) -> None:
+        """Follows the record of a job."""
+        job = self.state.tables.jobs.get(job_id)
+        if job is not None and job.status is JobStatus.PENDING:
+            self.view.release(job_id)
+            self.queues.add(job, now_ms=now_ms)
+            return
+        self.queues.remove(job_id)
+        if job is None or job.run is None:
+            self.view.release(job_id)
+            return
+        placed = self.view.placed.get(job_id)
+        if placed is None or (placed.vm, placed.epoch) != (job.run.vm, job.run.epoch):
+            self.view.place(job, vm=job.run.vm, need=self.need(job), epoch=job.run.epoch)
+
+    def plan(self) -> list[StartRun]:
+        """Returns starts, urgent work first and then the team furthest below its share."""
+        self.blocked = []
+        starts: list[StartRun] = []
+        for urgent in (True, False):
+            heads = self.queues.heads(urgent=urgent)
+            order = [(self.weighted_share(team), team) for team in heads]
+            heapify(order)
+            while order and len(starts) < MAX_STARTS:
+                team = heappop(order)[1]
+                start = self._next(heads[team])
+                if start is not None:
+                    starts.append(start)
+                    heappush(order, (self.weighted_share(team), team))
+        return starts
+
+    def reject(self) -> list[RejectJob]:
+        """Returns jobs of blocked groups that can never run."""
+        rejected: list[RejectJob] = []
+        for key in self.blocked:
+            reason = self._find_impossible(key)
+            if reason and len(rejected) < MAX_REJECTED:
+                left = MAX_REJECTED - len(rejected)
+                rejected += [
+                    RejectJob(job_id=item[1], reason=reason) for item in self.queues.groups[key][:left]
+                ]
+        return rejected
+
+    def need(self, job: Job) -> Resources:
+        """Returns the capacity to keep for a job."""
+        document = self.state.document()
+        policy = document.jobs if document else JobPolicy()
+        largest = self.state.indexes.shapes.largest(pool=job.spec.pool)
+        return self.estimates.need(job.spec, team=job.team, margin=policy.estimate_margin, largest=largest)
+
+    def share(self, team: str) -> float:
+        """Returns the dominant share that a team holds."""
+        usage = self.usage.get(team)
+        return usage.resources.dominant_share(self.total) if usage else 0.0
+
+    def weighted_share(self, team: str) -> float:
+        """Returns the dominant share of a team over its weight."""
+        return self.share(team) / self.weight(team)
+
+    def weight(self, team: str) -> float:
+        """Returns the weight of a team."""
+        document = self.state.document()
+        found = document.team(name=team) if document else None
+        return found.share if found else 1.0
+
+    def _rebuild(self, state: ControlState, *, now_ms: int) -> None:
+        self.state = state
+        self.view = FleetView(tables=state.tables)
+        self.queues = PendingQueues()
+        for name in state.tables.vms:
+            self.view.refresh_vm(name)
+        for ids in state.indexes.running.values():
+            for job_id in sorted(ids):
+                self.follow_job(job_id, now_ms=now_ms)
+        for job in state.indexes.pending.values():
+            self.queues.add(job, now_ms=now_ms)
+
+    def _follow_zones(self) -> None:
+        now = self.clock()
+        for zone in self.state.tables.zones.values():
+            if zone.status is not ZoneStatus.RETURNING:
+                self.returning_since.pop(zone.name, None)
+                continue
+            since = self.returning_since.setdefault(zone.name, now)
+            steps = 1 + int((now - since) / RETURN_STEP_S)
+            self.view.parts[zone.name] = min(1.0, RETURN_STEP * steps)
+        for name in set(self.view.parts) - set(self.returning_since):
+            del self.view.parts[name]
+
+    def _next(self, heap: list[tuple[int, GroupKey]]) -> StartRun | None:
+        """Starts the oldest job of a team that can start."""
+        while heap:
+            index, key = heap[0]
+            head = self.queues.head(key)
+            if head is None:
+                heappop(heap)
+            elif head[0] != index:
+                heapreplace(heap, (head[0], key))
+            else:
+                job = self.state.tables.jobs[head[1]]
+                start = self._start(job, key=key)
+                if start is not None:
+                    return start
+                heappop(heap)
+        return None
+
+    def _start(self, job: Job, *, key: GroupKey) -> StartRun | None:
+        document = self.state.document()
+        team = document.team(name=job.team) if document else None
+        usage = self.usage.setdefault(job.team, TeamUsage())
+        after = usage.resources + job.spec.resources
+        if team is not None and (usage.tasks >= team.max_running or not after.fits_in(team.limit)):
+            return None
+        need = self.need(job)
+        vm = self.view.find(pool=key.pool, need=need) if team is not None else None
+        if vm is None:
+            self.blocked.append(key)
+            return None
+        reason = self._explain(job, vm=vm, need=need)
+        usage.add(job.spec.resources)
+        self.queues.remove(job.job_id)
+        self.view.place(job, vm=vm.name, need=need, epoch=job.runs + 1)
+        return StartRun(job_id=job.job_id, epoch=job.runs + 1, vm=vm.name, vm_epoch=vm.epoch, reason=reason)
+
+    def _explain(self, job: Job, *, vm: Vm, need: Resources) -> str:
+        rule = "urgent first" if job.spec.urgent else "lowest dominant share for its weight"
+        free = self.view.free_on(vm.name)
+        zones = self.view.zones[job.spec.pool]
+        parts = ", ".join(f"{name} {zone.free_part:.0%}" for name, zone in sorted(zones.items()))
+        kept = "declared" if need == job.spec.resources else f"estimated from {job.spec.resources.cores:g}"
+        return (
+            f"{rule}: team {job.team} holds {self.share(job.team):.1%} at weight {self.weight(job.team):g}; "
+            f"{need.cores:g} cores ({kept}) of {free.cores:g} free; "
+            f"emptiest zone that fits of {parts} free"
+        )
+
+    def _find_impossible(self, key: GroupKey) -> str:
+        document = self.state.document()
+        if document is None:
+            return ""
+        if document.team(name=key.team) is None:
+            return f"team {key.team} is no longer in the production document"
+        if document.pool(name=key.pool) is None:
+            return f"pool {key.pool} is no longer in the production document"
+        if self.state.indexes.shapes.exceeds_all(pool=key.pool, need=key.resources):
+            return f"the job is bigger than every VM of pool {key.pool}"
+        return ""
+
+
+__all__ = ["Planner"]
--- a/src/hyssopway/job/scheduler.py
+++ b/src/hyssopway/job/scheduler.py
@@ -5,90 +5,100 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from hyssopway.control.command import StartRun
-from hyssopway.control.record import VmState, ZoneStatus
-from hyssopway.document import Resources
+from hyssopway.control.command import ReclaimRun, RejectJob, StartRun
 from hyssopway.event import Event, log_event
 
+from .planner import Planner
+from .reclaim import Reclaimer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hyssopway.control.record import Job, Vm
+    from hyssopway.clock import Clock
     from hyssopway.replica import Replica, Submitter
 
+    from .usage_book import UsageBook
+
 ROUND_S = 0.05
 SUBMIT_TIMEOUT_S = 2.0
 
 
 class JobScheduler:
-    """Chooses a VM for each pending job.
+    """Starts pending jobs and takes capacity back for them.
 
     Attributes:
         replica: Agreed state.
         submitter: Way to the agreed state.
         leads: Tells whether this daemon leads.
+        planner: Chooses starts.
+        reclaimer: Chooses runs that make room.
     """
 
-    __slots__ = ("leads", "replica", "submitter")
-
-    def __init__(self, *, replica: Replica, submitter: Submitter, leads: Callable[[], bool]) -> None:
+    __slots__ = ("leads", "planner", "reclaimer", "replica", "submitter")
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        submitter: Submitter,
+        leads: Callable[[], bool],
+        book: UsageBook,
+        clock: Clock,
+    ) -> None:
         self.replica = replica
         self.submitter = submitter
         self.leads = leads
+        self.planner = Planner(state=replica.state, book=book, clock=clock)
+        self.reclaimer = Reclaimer(planner=self.planner)
 
     async def run(self) -> None:
         """Schedules for as long as the daemon runs."""
         while True:
             if self.leads():
-                await self._schedule_once()
+                await self.schedule_once()
+            else:
+                # Changes are read only while leading; a new leader looks at everything once.
+                self.replica.state.indexes.feed.reset()
             await asyncio.sleep(ROUND_S)
 
-    async def _schedule_once(self) -> None:
+    async def schedule_once(self) -> None:
+        """Follows what changed, then proposes starts, rejections and reclaims."""
         # State time stands still while nothing is agreed; a job would then wait for ever.
         now_ms = max(self.replica.state.tables.now_ms, self.submitter.wall_ms())
-        pending = [job for job in self.replica.state.indexes.pending.values() if job.not_before_ms <= now_ms]
-        pending.sort(key=lambda job: (not job.spec.urgent, job.accepted_index))
-        free = {vm.name: self._free(vm) for vm in self._open_vms()}
-        proposals = []
-        for job in pending:
-            vm = self._choose(job, free=free)
-            if vm is not None:
-                free[vm.name] = free[vm.name] - job.spec.resources
-                proposals.append(self._start(job, vm=vm, free=free[vm.name]))
-        await asyncio.gather(*proposals)
-
-    async def _start(self, job: Job, *, vm: Vm, free: Resources) -> None:
-        reason = f"most free cores in pool {vm.pool}: {free.cores:g} left"
-        command = StartRun(
-            job_id=job.job_id, epoch=job.runs + 1, vm=vm.name, vm_epoch=vm.epoch, reason=reason
-        )
-        result = await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
-        if result.is_ok():
-            log_event(Event.JOB_PLACED, job=job.job_id, epoch=command.epoch, vm=vm.name, reason=reason)
-
-    def _choose(self, job: Job, *, free: dict[str, Resources]) -> Vm | None:
-        vms = self.replica.state.tables.vms
-        fitting = [
-            vms[name]
-            for name, left in free.items()
-            if vms[name].pool == job.spec.pool and job.spec.resources.fits_in(left)
-        ]
-        return max(fitting, key=lambda vm: (free[vm.name].cores, vm.name), default=None)
-
-    def _open_vms(self) -> list[Vm]:
-        tables = self.replica.state.tables
-        return [
-            vm
-            for vm in tables.vms.values()
-            if vm.state is VmState.READY and tables.zones[vm.zone].status is not ZoneStatus.WITHDRAWN
+        self.planner.refresh(state=self.replica.state, now_ms=now_ms)
+        starts = self.planner.plan()
+        commands: list[StartRun | RejectJob | ReclaimRun] = [
+            *starts,
+            *self.planner.reject(),
+            *self.reclaimer.plan(),
         ]
+        await asyncio.gather(*(self._submit(command) for command in commands))
+        for start in starts:
+            self.planner.follow_job(start.job_id, now_ms=now_ms)
 
-    def _free(self, vm: Vm) -> Resources:
-        state = self.replica.state
-        used = Resources()
-        for job_id in state.indexes.running.get(vm.name, ()):
-            used = used + state.tables.jobs[job_id].spec.resources
-        return vm.capacity - used
+    async def _submit(self, command: StartRun | RejectJob | ReclaimRun) -> None:
+        result = await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
+        if result.is_error():
+            return
+        match command:
+            case StartRun():
+                log_event(
+                    Event.JOB_PLACED,
+                    job=command.job_id,
+                    epoch=command.epoch,
+                    vm=command.vm,
+                    reason=command.reason,
+                )
+            case RejectJob():
+                log_event(Event.JOB_ENDED, job=command.job_id, outcome=command.reason)
+            case ReclaimRun():
+                log_event(
+                    Event.JOB_RECLAIMED,
+                    job=command.job_id,
+                    vm=result.ok.reference,
+                    action=command.action,
+                    reason=command.reason,
+                )
 
 
 __all__ = ["JobScheduler"]
--- /dev/null
+++ b/tests/job/conftest.py
@@ -0,0 +1,60 @@
+"""A leader's scheduler over a local state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hyssopway.control.command import EndRun
+from hyssopway.control.record import RunOutcome
+from hyssopway.job import JobScheduler, UsageBook
+from states import ManualClock, prepare
+
+if TYPE_CHECKING:
+    from hyssopway.control.record import Job
+
+
+class Leader:
+    """A scheduler whose commands apply at once."""
+
+    def __init__(self) -> None:
+        self.submitter = prepare()
+        self.clock = ManualClock()
+        self.book = UsageBook()
+        self.scheduler = JobScheduler(
+            replica=self.submitter.replica,
+            submitter=self.submitter,  # type: ignore[arg-type]
+            leads=lambda: True,
+            book=self.book,
+            clock=self.clock,
+        )
+
+    async def round(self, count: int = 1) -> None:
+        """Schedules, moving time by a round each."""
+        for _ in range(count):
+            await self.scheduler.schedule_once()
+            self.clock.now += 0.05
+
+    def end(self, job_id: str, outcome: RunOutcome = RunOutcome.DONE) -> None:
+        """Ends the run of a job."""
+        self.submitter.must(EndRun(job_id=job_id, epoch=self.jobs[job_id].runs, outcome=outcome))
+
+    @property
+    def jobs(self) -> dict[str, Job]:
+        """All jobs."""
+        return self.submitter.state.tables.jobs
+
+    def running(self, team: str = "") -> list[str]:
+        """Returns the running jobs of a team."""
+        return [job.job_id for job in self.jobs.values() if job.run and team in ("", job.team)]
+
+    def vm_of(self, job_id: str) -> str:
+        """Returns the VM of a job's run; empty when it does not run."""
+        run = self.jobs[job_id].run
+        return run.vm if run else ""
+
+
+@pytest.fixture
+def leader() -> Leader:
+    return Leader()
--- /dev/null
+++ b/tests/job/test_scheduler.py
@@ -0,0 +1,195 @@
+"""Placement, shares and reclaiming."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hyssopway.control.command import SetZone
+from hyssopway.control.record import JobStatus, ReclaimAction, RunOutcome, ZoneStatus
+from hyssopway.document import Resources
+from hyssopway.job import TaskUsage
+from hyssopway.job.capacity_tree import CLOSED, CapacityTree
+from hyssopway.job.shares import fair_shares
+
+HALF = Resources(cores=8, memory_gb=32)
+
+
+@pytest.mark.parametrize(
+    ("weights", "demands", "expected"),
+    [
+        ({"a": 1, "b": 3}, {"a": 1, "b": 1}, {"a": 0.25, "b": 0.75}),
+        ({"a": 1, "b": 3}, {"a": 1, "b": 0.1}, {"a": 0.9, "b": 0.1}),
+        ({"a": 1, "b": 1, "c": 2}, {"a": 0.1, "b": 1, "c": 1}, {"a": 0.1, "b": 0.3, "c": 0.6}),
+        ({"a": 1}, {"a": 0.4}, {"a": 0.4}),
+        ({}, {}, {}),
+    ],
+    ids=["full", "borrowed", "three", "fleet not full", "no team"],
+)
+def test_fair_shares(weights, demands, expected):
+    """Guards against a share that a team gets at the cost of one that asks for its own."""
+    assert fair_shares(weights=weights, demands=demands) == pytest.approx(expected)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(size=st.integers(1, 40), seed=st.integers(0, 1000))
+def test_tree_finds_a_vm_exactly_when_one_fits(size, seed):
+    """Guards against a job that waits although a VM has room, and against a VM without room."""
+    rng = random.Random(seed)
+    free = {f"v{number}": (CLOSED, CLOSED) for number in range(size)}
+    tree = CapacityTree(list(free))
+    for _ in range(3 * size):
+        name = rng.choice(list(free))
+        free[name] = (rng.randint(0, 8), rng.randint(0, 8)) if rng.random() < 0.8 else (CLOSED, CLOSED)
+        tree.set(name, cores=free[name][0], memory_gb=free[name][1])
+        cores, memory_gb = rng.randint(0, 8), rng.randint(0, 8)
+        found = tree.find(cores=cores, memory_gb=memory_gb)
+        fitting = {name for name, (left, memory) in free.items() if left >= cores and memory >= memory_gb}
+        assert (found in fitting) if fitting else found is None
+
+
+async def test_tasks_spread_over_zones_and_racks(leader):
+    """Guards against one rack whose failure takes all tasks of a kind."""
+    for number in range(8):
+        zone, rack = "ab"[number % 2], f"r{number // 2 % 2}"
+        leader.submitter.register(f"vm{number}", zone=zone, rack=rack)
+    for number in range(4):
+        leader.submitter.accept(f"j{number}", team="blue")
+    await leader.round()
+    vms = leader.submitter.state.tables.vms
+    places = {(vms[leader.vm_of(job)].zone, vms[leader.vm_of(job)].rack) for job in leader.running()}
+    assert len(places) == 4
+
+
+async def test_small_work_leaves_accelerator_vms_whole(leader):
+    """Guards against accelerators that no job can use because small work fills their VM."""
+    leader.submitter.register("plain")
+    leader.submitter.register("gpu", capacity=Resources(cores=16, memory_gb=64, accelerators=4))
+    for number in range(4):
+        leader.submitter.accept(f"small{number}", team="blue")
+    leader.submitter.accept("big", team="blue", resources=Resources(cores=16, memory_gb=64, accelerators=4))
+    await leader.round()
+    assert {leader.vm_of(f"small{number}") for number in range(4)} == {"plain"}
+    assert leader.vm_of("big") == "gpu"
+
+
+async def test_estimate_corrects_the_declared_size(leader):
+    """Guards against a fleet that stays half empty because submitters declare too much."""
+    leader.submitter.register("vm")
+    for number in range(3):
+        leader.submitter.accept(f"j{number}", team="blue", resources=HALF)
+        await leader.round()
+        usage = TaskUsage(job_id=f"j{number}", epoch=1, usage=Resources(cores=2, memory_gb=4), ran_s=5)
+        leader.book.record(vm="vm", tasks=[usage])
+        leader.end(f"j{number}")
+    for number in range(4):
+        leader.submitter.accept(f"k{number}", team="blue", resources=HALF)
+    await leader.round()
+    assert len(leader.running()) == 4
+
+
+async def test_upper_limit_holds_and_blocks_no_other_team(leader):
+    """Guards against a team at its limit that keeps others from starting."""
+    leader.submitter.register("vm", capacity=Resources(cores=64, memory_gb=256))
+    for number in range(6):
+        leader.submitter.accept(f"r{number}")
+    leader.submitter.accept("b", team="blue")
+    await leader.round(3)
+    assert len(leader.running("red")) == 3
+    assert leader.running("blue") == ["b"]
+
+
+@pytest.mark.parametrize("checkpointable", [True, False])
+async def test_urgent_work_takes_room_at_once_on_a_full_fleet(leader, checkpointable):
+    """Guards against urgent work that waits for the end of other tasks."""
+    leader.submitter.register("vm")
+    for number in range(2):
+        leader.submitter.accept(f"j{number}", team="blue", resources=HALF, checkpointable=checkpointable)
+    await leader.round()
+    leader.submitter.accept("urgent", resources=HALF, urgent=True)
+    await leader.round(2)
+    reclaimed = [job for job in leader.jobs.values() if job.run and job.run.reclaim]
+    action = ReclaimAction.CHECKPOINT if checkpointable else ReclaimAction.STOP
+    assert [job.run.reclaim for job in reclaimed] == [action]
+    leader.end(reclaimed[0].job_id, RunOutcome.CHECKPOINTED)
+    await leader.round()
+    assert leader.vm_of("urgent") == "vm"
+    assert any("reclaimed by" in line for line in reclaimed[0].history)
+
+
+async def test_share_is_reclaimed_by_throttle_and_then_by_stop(leader):
+    """Guards against a borrower that keeps what another team is entitled to."""
+    leader.submitter.register("vm", capacity=Resources(cores=16, memory_gb=256))
+    for number in range(3):
+        leader.submitter.accept(f"r{number}", resources=Resources(cores=5, memory_gb=1))
+    await leader.round()
+    for number in range(9):
+        leader.submitter.accept(f"b{number}", team="blue", resources=Resources(cores=4, memory_gb=1))
+    await leader.round()
+    assert {leader.jobs[job].run.reclaim for job in leader.running("red")} >= {ReclaimAction.THROTTLE}
+    leader.clock.now += 2
+    await leader.round(2)
+    stopped = [job for job in leader.running("red") if leader.jobs[job].run.reclaim is ReclaimAction.STOP]
+    assert len(stopped) in (1, 2)
+    for job in stopped:
+        leader.end(job, RunOutcome.STOPPED)
+    await leader.round()
+    assert leader.running("blue")
+    assert leader.jobs[stopped[0]].failures == 0
+
+
+async def test_returning_zone_is_filled_in_steps(leader):
+    """Guards against a zone that takes all work at once and fails again."""
+    for number in range(4):
+        leader.submitter.register(f"vm{number}")
+    leader.submitter.must(SetZone(zone="a", status=ZoneStatus.RETURNING, request_id="r", operator="o"))
+    for number in range(20):
+        leader.submitter.accept(f"j{number}", team="blue")
+    for expected in (4, 8, 12, 16):
+        await leader.round()
+        assert len(leader.running()) == expected
+        leader.clock.now += 2
+
+
+async def test_job_that_can_no_longer_run_is_told_and_blocks_nobody(leader):
+    """Guards against a job that waits for ever after its pool shrank."""
+    leader.submitter.accept("big", team="blue", resources=Resources(cores=99, memory_gb=1))
+    leader.submitter.accept("small", team="blue")
+    leader.submitter.register("vm")
+    await leader.round()
+    assert leader.jobs["big"].status is JobStatus.CANNOT_RUN
+    assert "bigger than every VM" in leader.jobs["big"].detail
+    assert leader.vm_of("small") == "vm"
+
+
+async def test_failed_job_is_tried_again_on_a_quiet_group(leader):
+    """Guards against a retry that waits for state time while nothing is agreed."""
+    leader.submitter.register("vm")
+    leader.submitter.accept("j")
+    await leader.round()
+    leader.end("j", RunOutcome.FAILED)
+    await leader.round()
+    assert leader.vm_of("j") == ""
+    leader.submitter.at_ms += 1_100
+    await leader.round()
+    assert leader.vm_of("j") == "vm"
+
+
+async def test_refused_start_is_taken_back(leader, monkeypatch):
+    """Guards against capacity that stays kept for a start that the state machine refused."""
+    leader.submitter.register("vm")
+    leader.submitter.accept("j", resources=Resources(cores=16, memory_gb=64))
+    submit = leader.submitter.submit
+
+    async def submit_late(command, **options):
+        leader.submitter.state.tables.vms["vm"].epoch += len(leader.submitter.commands) == 0
+        return await submit(command, **options)
+
+    monkeypatch.setattr(leader.submitter, "submit", submit_late)
+    await leader.round()
+    assert leader.vm_of("j") == ""
+    await leader.round()
+    assert leader.vm_of("j") == "vm"
