Quarantine bad VMs without emptying the fleet

Cause: a VM that fails everything ends its tasks first, so it always looked emptiest and used up the tries of many jobs.

Ruled out: counting failures of a VM alone, because a bad job sent a thousand times or a failed rack would then quarantine every VM.

Change: a failure speaks against a VM only if the job failed nowhere else and its kind is mostly done on other VMs; three such failures quarantine. At most a quarter of a pool is quarantined. Retries avoid the VMs that a job failed on. Probe runs do not count as tries; two in a row release.

Conclusion: holds on a local state; the cap and the number of blamed jobs are chosen, not measured.

--- a/src/hyssopway/job/fleet_view.py
+++ b/src/hyssopway/job/fleet_view.py
@@ -5,14 +5,16 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from hyssopway.control.record import VmState, ZoneStatus
+from hyssopway.control.record import Vm, VmState, ZoneStatus
 from hyssopway.control.tables import Tables
 from hyssopway.document import Resources
 
 from .zone_capacity import ZoneCapacity
 
 if TYPE_CHECKING:
-    from hyssopway.control.record import Job, Vm
+    from collections.abc import Sequence
+
+    from hyssopway.control.record import Job
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,6 +48,7 @@
         placed: Runs by job.
         held: Runs by pool and team, oldest first.
         parts: Part of the capacity that may be used, for zones that are returning.
+        quarantined: Quarantined VMs by name.
     """
 
     tables: Tables
@@ -55,6 +58,7 @@
     placed: dict[str, Placed] = field(default_factory=dict)
     held: dict[tuple[str, str], dict[str, None]] = field(default_factory=dict)
     parts: dict[str, float] = field(default_factory=dict)
+    quarantined: dict[str, Vm] = field(default_factory=dict)
 
     def place(self, job: Job, *, vm: str, need: Resources, epoch: int) -> None:
         """Keeps capacity for a run."""
@@ -77,6 +81,10 @@
     def refresh_vm(self, name: str) -> None:
         """Follows the record of a VM."""
         vm = self.tables.vms.get(name)
+        if vm is not None and vm.state is VmState.QUARANTINED:
+            self.quarantined[name] = vm
+        else:
+            self.quarantined.pop(name, None)
         place = (vm.pool, vm.zone) if vm and self._is_open(vm) else None
         before = self.where.get(name)
         if before is not None and before != place:
@@ -88,7 +96,17 @@
         capacity = self.zones.setdefault(vm.pool, {}).setdefault(vm.zone, ZoneCapacity())
         capacity.put(vm, free=vm.capacity - self.used.get(name, Resources()))
 
-    def find(self, *, pool: str, need: Resources) -> Vm | None:
+    def find(self, *, pool: str, need: Resources, avoid: Sequence[str] = ()) -> Vm | None:
+        """Returns a VM for a need, one to be avoided only when no other fits."""
+        avoided = [name for name in avoid if name in self.where]
+        for name in avoided:
+            self.zones[self.where[name][0]][self.where[name][1]].take_out(name)
+        found = self._find(pool=pool, need=need)
+        for name in avoided:
+            self.refresh_vm(name)
+        return found if found is not None or not avoided else self._find(pool=pool, need=need)
+
+    def _find(self, *, pool: str, need: Resources) -> Vm | None:
         """Returns a VM for a need: fewest free accelerators, then emptiest zone, then emptiest VM."""
         zones = self.zones.get(pool, {})
         usable = [zone for name, zone in zones.items() if zone.vms and self._allows(name, zone, need=need)]
--- a/src/hyssopway/job/planner.py
+++ b/src/hyssopway/job/planner.py
@@ -15,9 +15,12 @@
 from .pending_queues import PendingQueues
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hyssopway.clock import Clock
     from hyssopway.control import ControlState
     from hyssopway.control.record import Job, Vm
+    from hyssopway.control.run_end import RunEnd
 
     from .pending_queues import GroupKey
     from .usage_book import UsageBook
@@ -43,13 +46,17 @@
         book: Last reports of workers.
         usage: What each team holds, with the starts of this round.
         total: Capacity of all VMs that take work.
+        ends: Runs that ended since the last round.
+        avoid: Returns VMs that a job should not run on again.
         blocked: Groups that fitted nowhere in this round, the first first.
     """
 
     __slots__ = (
+        "avoid",
         "blocked",
         "book",
         "clock",
+        "ends",
         "estimates",
         "queues",
         "returning_since",
@@ -69,6 +76,8 @@
         self.usage: dict[str, TeamUsage] = {}
         self.total = Resources()
         self.blocked: list[GroupKey] = []
+        self.ends: list[RunEnd] = []
+        self.avoid: Callable[[Job], list[str]] = lambda _: []
         self.returning_since: dict[str, float] = {}
 
     def refresh(self, *, state: ControlState, now_ms: int) -> None:
@@ -76,6 +85,7 @@
         changes = state.indexes.feed.drain()
         if changes.everything or state is not self.state:
             self._rebuild(state, now_ms=now_ms)
+        self.ends = changes.ends
         for end in changes.ends:
             task = self.book.find(vm=end.vm, job_id=end.job_id, epoch=end.epoch)
             if task is not None and end.outcome == "done":
@@ -201,21 +211,40 @@
 
     def _start(self, job: Job, *, key: GroupKey) -> StartRun | None:
         document = self.state.document()
-        team = document.team(name=job.team) if document else None
-        usage = self.usage.setdefault(job.team, TeamUsage())
-        after = usage.resources + job.spec.resources
-        if team is not None and (usage.tasks >= team.max_running or not after.fits_in(team.limit)):
+        known = document is not None and document.team(name=job.team) is not None
+        if known and not self.within_limit(job):
             return None
         need = self.need(job)
-        vm = self.view.find(pool=key.pool, need=need) if team is not None else None
+        avoided = self.avoid(job)
+        vm = self.view.find(pool=key.pool, need=need, avoid=avoided) if known else None
         if vm is None:
             self.blocked.append(key)
             return None
         reason = self._explain(job, vm=vm, need=need)
-        usage.add(job.spec.resources)
+        if avoided:
+            reason += f"; ruled out if others fit, because it failed there: {', '.join(avoided)}"
+        return self._take(job, vm=vm, need=need, reason=reason)
+
+    def start_probe(self, job: Job, *, vm: Vm) -> StartRun:
+        """Returns a run that tests a quarantined VM."""
+        reason = f"probe of quarantined VM {vm.name}: {vm.reason}"
+        return self._take(job, vm=vm, need=job.spec.resources, reason=reason, probe=True)
+
+    def within_limit(self, job: Job) -> bool:
+        """Tells whether the upper limit of the team leaves room for a job."""
+        document = self.state.document()
+        team = document.team(name=job.team) if document else None
+        usage = self.usage.get(job.team, TeamUsage())
+        after = usage.resources + job.spec.resources
+        return team is not None and usage.tasks < team.max_running and after.fits_in(team.limit)
+
+    def _take(self, job: Job, *, vm: Vm, need: Resources, reason: str, probe: bool = False) -> StartRun:
+        self.usage.setdefault(job.team, TeamUsage()).add(job.spec.resources)
         self.queues.remove(job.job_id)
         self.view.place(job, vm=vm.name, need=need, epoch=job.runs + 1)
-        return StartRun(job_id=job.job_id, epoch=job.runs + 1, vm=vm.name, vm_epoch=vm.epoch, reason=reason)
+        return StartRun(
+            job_id=job.job_id, epoch=job.runs + 1, vm=vm.name, vm_epoch=vm.epoch, reason=reason, probe=probe
+        )
 
     def _explain(self, job: Job, *, vm: Vm, need: Resources) -> str:
         rule = "urgent first" if job.spec.urgent else "lowest dominant share for its weight"
--- a/src/hyssopway/job/scheduler.py
+++ b/src/hyssopway/job/scheduler.py
@@ -5,10 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from hyssopway.control.command import ReclaimRun, RejectJob, StartRun
+from hyssopway.control.command import ChangeVm, ReclaimRun, RejectJob, StartRun
+from hyssopway.control.record import VmState
 from hyssopway.event import Event, log_event
 
 from .planner import Planner
+from .quarantine import Quarantine
 from .reclaim import Reclaimer
 
 if TYPE_CHECKING:
@@ -19,6 +21,8 @@
 
     from .usage_book import UsageBook
 
+Proposal = StartRun | RejectJob | ReclaimRun | ChangeVm
+
 ROUND_S = 0.05
 SUBMIT_TIMEOUT_S = 2.0
 
@@ -31,10 +35,11 @@
         submitter: Way to the agreed state.
         leads: Tells whether this daemon leads.
         planner: Chooses starts.
+        quarantine: Tells bad VMs from bad jobs.
         reclaimer: Chooses runs that make room.
     """
 
-    __slots__ = ("leads", "planner", "reclaimer", "replica", "submitter")
+    __slots__ = ("leads", "planner", "quarantine", "reclaimer", "replica", "submitter")
 
     def __init__(
         self,
@@ -49,6 +54,8 @@
         self.submitter = submitter
         self.leads = leads
         self.planner = Planner(state=replica.state, book=book, clock=clock)
+        self.quarantine = Quarantine(planner=self.planner)
+        self.planner.avoid = self.quarantine.avoid
         self.reclaimer = Reclaimer(planner=self.planner)
 
     async def run(self) -> None:
@@ -66,8 +73,10 @@
         # State time stands still while nothing is agreed; a job would then wait for ever.
         now_ms = max(self.replica.state.tables.now_ms, self.submitter.wall_ms())
         self.planner.refresh(state=self.replica.state, now_ms=now_ms)
-        starts = self.planner.plan()
-        commands: list[StartRun | RejectJob | ReclaimRun] = [
+        changes = self.quarantine.observe(self.planner.ends)
+        starts = [*self.quarantine.probe(), *self.planner.plan()]
+        commands: list[Proposal] = [
+            *changes,
             *starts,
             *self.planner.reject(),
             *self.reclaimer.plan(),
@@ -76,7 +85,7 @@
         for start in starts:
             self.planner.follow_job(start.job_id, now_ms=now_ms)
 
-    async def _submit(self, command: StartRun | RejectJob | ReclaimRun) -> None:
+    async def _submit(self, command: Proposal) -> None:
         result = await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
         if result.is_error():
             return
@@ -89,6 +98,10 @@
                     vm=command.vm,
                     reason=command.reason,
                 )
+            case ChangeVm(state=VmState.QUARANTINED):
+                log_event(Event.VM_QUARANTINED, vm=command.vm, reason=command.reason)
+            case ChangeVm():
+                log_event(Event.VM_RELEASED, vm=command.vm)
             case RejectJob():
                 log_event(Event.JOB_ENDED, job=command.job_id, outcome=command.reason)
             case ReclaimRun():
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -200,6 +200,8 @@
             return "worker restarted"
         if self.replica.state.tables.zones[vm.zone].status is ZoneStatus.WITHDRAWN:
             return f"zone {vm.zone} was withdrawn before the task started"
+        if vm.state is VmState.QUARANTINED and not job.run.probe:
+            return f"VM {vm.name} was quarantined before the task started"
         if vm.state not in (VmState.READY, VmState.DRAINING, VmState.QUARANTINED):
             return f"VM {vm.name} is {vm.state}"
         if self.clock() - seen_at > START_WINDOW_S:
--- /dev/null
+++ b/tests/job/test_quarantine.py
@@ -0,0 +1,73 @@
+"""Bad VMs and bad jobs."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.control.record import JobStatus, RunOutcome, VmState
+
+
+async def _run_burst(leader, *, rounds, fails):
+    """Keeps four jobs a round coming and ends every run at once; returns starts on each VM."""
+    starts: dict[str, int] = {}
+    for number in range(rounds):
+        for part in range(4):
+            leader.submitter.accept(f"j{number}-{part}", team="blue", task_kind=f"k{part % 2}")
+        await leader.round()
+        for job in [leader.jobs[name] for name in leader.running()]:
+            vm = job.run.vm
+            starts[vm] = starts.get(vm, 0) + 1
+            leader.end(job.job_id, RunOutcome.FAILED if fails(job, vm) else RunOutcome.DONE)
+        leader.submitter.at_ms += 500
+        leader.clock.now += 0.5
+    return starts
+
+
+def _states(leader):
+    return [vm.state for vm in leader.submitter.state.tables.vms.values()]
+
+
+@pytest.mark.parametrize(
+    ("fails", "quarantined"),
+    [
+        (lambda _, vm: vm == "vm0", 1),
+        (lambda job, _: job.spec.task_kind == "k1", 0),
+        (lambda _, vm: vm in ("vm0", "vm1", "vm2", "vm3"), 2),
+        (lambda *_: True, 0),
+        (lambda *_: False, 0),
+    ],
+    ids=["one bad VM", "one bad kind sent again and again", "a bad rack", "everything fails", "all well"],
+)
+async def test_quarantine_finds_bad_vms_and_spares_the_fleet(leader, fails, quarantined):
+    """Guards against a bad worker that eats jobs, and against a bad job that empties the fleet."""
+    for number in range(8):
+        leader.submitter.register(f"vm{number}", rack=f"r{number // 4}")
+    await _run_burst(leader, rounds=30, fails=fails)
+    assert _states(leader).count(VmState.QUARANTINED) == quarantined
+
+
+async def test_bad_vm_is_found_within_a_handful_of_starts_and_loses_no_job(leader):
+    """Guards against jobs that use up their tries on one bad VM."""
+    for number in range(8):
+        leader.submitter.register(f"vm{number}")
+    starts = await _run_burst(leader, rounds=40, fails=lambda _, vm: vm == "vm0")
+    assert leader.submitter.state.tables.vms["vm0"].state is VmState.QUARANTINED
+    assert starts["vm0"] <= 12
+    assert not [job for job in leader.jobs.values() if job.status is JobStatus.FAILED]
+
+
+async def test_repaired_vm_is_released_after_probe_runs(leader):
+    """Guards against a VM that stays out of work after its repair."""
+    for number in range(4):
+        leader.submitter.register(f"vm{number}")
+    bad = {"vm0"}
+    await _run_burst(leader, rounds=30, fails=lambda _, vm: vm in bad)
+    assert leader.submitter.state.tables.vms["vm0"].state is VmState.QUARANTINED
+    bad.clear()
+    for round_ in range(30, 200):
+        leader.submitter.accept(f"more{round_}", team="blue", task_kind="k0")
+        await leader.round()
+        for name in leader.running():
+            leader.end(name)
+        leader.clock.now += 1
+    assert leader.submitter.state.tables.vms["vm0"].state is VmState.READY
