Try a burst of jobs under kills, freezes and restarts of processes

Cause: the safety of runs was shown on local state only.

Ruled out: reading the truth from the daemons. It is counted at the worker stand-ins, which note each start and each end of a task.

Change: a whole run with 300 jobs of two teams while one daemon is killed and restarted, the entry the operator uses is frozen for 7 s, two more are killed or frozen, one worker restarts and one stops to sync until its lease ends. It checks that all jobs end as done, that no job has two live runs, that no run starts twice on a VM and that no team exceeds its limit.

--- a/src/hyssopway_standins/worker.py
+++ b/src/hyssopway_standins/worker.py
@@ -36,6 +36,7 @@
         time_scale: Factor on declared run times.
         choose_outcome: Decides how a run ends.
         starts: Every start with its local time.
+        ends: Every end of a task with its local time.
         tasks: Running tasks by job.
         ended: Ended runs that are not acknowledged.
     """
@@ -51,6 +52,7 @@
     sync_s: float = SYNC_S
     choose_outcome: Callable[[StartOrder], RunOutcome] = lambda _: RunOutcome.DONE
     starts: list[tuple[float, str, int]] = field(default_factory=list)
+    ends: list[tuple[float, str, int]] = field(default_factory=list)
     tasks: dict[str, RunningStandInTask] = field(default_factory=dict)
     ended: dict[str, EndedRun] = field(default_factory=dict)
     lease_until: float = 0.0
@@ -70,10 +72,23 @@
             self.loop_task.cancel()
         if self.lease_timer is not None:
             self.lease_timer.cancel()
-        for task in self.tasks.values():
+        for job_id, task in self.tasks.items():
             task.timer.cancel()
+            self.ends.append((time.monotonic(), job_id, task.order.epoch))
         self.tasks.clear()
 
+    def restart(self) -> None:
+        """Starts again as a new process that knows nothing of its former tasks."""
+        self.boot_id = secrets.token_hex(4)
+        self.ended.clear()
+        self.number = self.seen_index = 0
+        self.start()
+
+    def isolate(self) -> None:
+        """Stops to sync; tasks go on until the lease ends."""
+        if self.loop_task is not None:
+            self.loop_task.cancel()
+
     async def sync_until_cancelled(self) -> None:
         """Syncs with the first entry that answers; stops tasks when the lease ends."""
         position = 0
@@ -162,6 +177,7 @@
         if task is None:
             return
         task.timer.cancel()
+        self.ends.append((time.monotonic(), job_id, task.order.epoch))
         checkpoint = "checkpoint" if outcome is RunOutcome.CHECKPOINTED else ""
         self.ended[job_id] = EndedRun(
             job_id=job_id, epoch=task.order.epoch, outcome=outcome, detail=detail, checkpoint=checkpoint
--- /dev/null
+++ b/tests/whole/test_job_faults.py
@@ -0,0 +1,156 @@
+"""A burst of jobs while daemons and workers fail; the truth is counted at the workers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import pytest
+
+if TYPE_CHECKING:
+    from hyssopway_standins.operator_client import OperatorClient
+    from hyssopway_standins.outside import Outside
+    from hyssopway_standins.processes import Deployment
+    from hyssopway_standins.worker import WorkerStandIn
+
+FINAL = {"done", "failed", "cancelled", "cannot_run"}
+TEAMS = ("granite-hearth", "seacoast-volunteers")
+POOLS = ("restock", "matching", "pickup", "dispatch")
+JOBS = 300
+CORES = 8
+
+
+@pytest.mark.faults
+async def test_burst_of_jobs_survives_kills_freezes_and_restarts(
+    deployment: Deployment, outside: Outside, operator: OperatorClient, session: aiohttp.ClientSession
+):
+    """Guards against lost jobs, two live runs of one job and a team above its upper limit."""
+    keys = {team: await operator.grant_key(team) for team in TEAMS}
+    limits = await _read_limits(operator)
+    burst = asyncio.create_task(_submit_all(deployment, session, keys=keys))
+    await _break_things(deployment, outside)
+    teams = await burst
+    jobs = await _wait_for_ends(deployment, session, keys=keys)
+    assert set(jobs) == set(teams)
+    assert Counter(job["status"] for job in jobs.values()) == {"done": JOBS}
+    spans = _spans(list(outside.workers.values()))
+    for job_id, team in teams.items():
+        assert _most_at_once([span for name, span in spans if name == job_id]) == 1, (job_id, team)
+    for team, limit in limits.items():
+        assert 1 <= _most_at_once([span for name, span in spans if teams[name] == team]) <= limit
+
+
+async def _break_things(deployment: Deployment, outside: Outside) -> None:
+    daemons = deployment.daemons
+    workers = {
+        zone: [w for w in outside.workers.values() if w.zone == zone] for zone in ("Nashua", "Portland")
+    }
+    await asyncio.sleep(2)
+    workers["Nashua"][0].stop()
+    workers["Nashua"][1].isolate()
+    daemons["worcester-1"].kill()
+    await asyncio.sleep(2)
+    workers["Nashua"][0].restart()
+    daemons["worcester-1"].start()
+    daemons["nashua-1"].send(signal.SIGSTOP)
+    await asyncio.sleep(7)
+    daemons["nashua-1"].send(signal.SIGCONT)
+    workers["Nashua"][1].start()
+    daemons["portland-1"].kill()
+    await asyncio.sleep(1)
+    daemons["portland-1"].start()
+    daemons["providence-1"].send(signal.SIGSTOP)
+    await asyncio.sleep(2)
+    daemons["providence-1"].send(signal.SIGCONT)
+
+
+async def _submit_all(
+    deployment: Deployment, session: aiohttp.ClientSession, *, keys: dict[str, str]
+) -> dict[str, str]:
+    slots = asyncio.Semaphore(16)
+
+    async def submit(number: int) -> tuple[str, str]:
+        team = list(keys)[number % len(keys)]
+        await asyncio.sleep(number * 0.03)
+        async with slots:
+            return await _submit(deployment, session, number=number, key=keys[team]), team
+
+    return dict(await asyncio.gather(*(submit(number) for number in range(JOBS))))
+
+
+async def _submit(deployment: Deployment, session: aiohttp.ClientSession, *, number: int, key: str) -> str:
+    urls = [daemon.url for daemon in deployment.daemons.values()]
+    spec = {
+        "task_kind": f"kind-{number % 5}",
+        "pool": POOLS[number % len(POOLS)],
+        "resources": {"cores": CORES, "memory_gb": 8},
+        "run_s": 100,
+    }
+    headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": f"job-{number}"}
+    deadline = time.monotonic() + 60
+    attempt = number
+    while time.monotonic() < deadline:
+        attempt += 1
+        url = f"{urls[attempt % len(urls)]}/v1/jobs"
+        timeout = aiohttp.ClientTimeout(total=3)
+        try:
+            async with session.post(url, json=spec, headers=headers, timeout=timeout) as answer:
+                if answer.status == 202:
+                    return str((await answer.json())["job_id"])
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+        await asyncio.sleep(0.1)
+    raise TimeoutError(f"job {number} was not accepted")
+
+
+async def _wait_for_ends(
+    deployment: Deployment, session: aiohttp.ClientSession, *, keys: dict[str, str]
+) -> dict[str, Any]:
+    url = deployment.daemons["worcester-2"].url
+    deadline = time.monotonic() + 60
+    while True:
+        jobs: dict[str, Any] = {}
+        for key in keys.values():
+            async with session.get(f"{url}/v1/jobs", headers={"Authorization": f"Bearer {key}"}) as answer:
+                body = json.loads(await answer.read())
+            jobs |= {job["job_id"]: job for job in body.get("jobs", [])}
+        left = [job for job in jobs.values() if job["status"] not in FINAL]
+        if len(jobs) >= JOBS and not left:
+            return jobs
+        assert time.monotonic() < deadline, (
+            len(jobs),
+            [(j["status"], j["run"], j["history"]) for j in left[:5]],
+        )
+        await asyncio.sleep(0.5)
+
+
+async def _read_limits(operator: OperatorClient) -> dict[str, int]:
+    teams = [shown["team"] for shown in (await operator.get("/v1/teams"))["teams"]]
+    return {
+        team["name"]: min(team["max_running"], int(team["limit"]["cores"]) // CORES)
+        for team in teams
+        if team["name"] in TEAMS
+    }
+
+
+def _spans(workers: list[WorkerStandIn]) -> list[tuple[str, tuple[float, float]]]:
+    found = []
+    for worker in workers:
+        ends = {(job_id, epoch): at for at, job_id, epoch in worker.ends}
+        assert len(ends) == len(worker.ends), f"a run started twice on {worker.vm}"
+        found += [(job_id, (at, ends.get((job_id, epoch), at + 1e9))) for at, job_id, epoch in worker.starts]
+    return found
+
+
+def _most_at_once(spans: list[tuple[float, float]]) -> int:
+    changes = sorted([(at, 1) for at, _ in spans] + [(at, -1) for _, at in spans])
+    most = present = 0
+    for _, change in changes:
+        present += change
+        most = max(most, present)
+    return most
