--- a/src/hyssopway/control/apply/runs.py
+++ b/src/hyssopway/control/apply/runs.py
@@ -8,6 +8,7 @@
 
 from hyssopway.control.change import Change
 from hyssopway.control.record import JobStatus, Run, RunOutcome, VmState, ZoneStatus
+from hyssopway.control.run_end import RunEnd
 from hyssopway.control.team_usage import TeamUsage
 from hyssopway.document import JobPolicy
 from hyssopway.result import ResultCode
@@ -16,7 +17,7 @@
 from .refusal import refuse
 
 if TYPE_CHECKING:
-    from hyssopway.control.command import EndRun, StartRun
+    from hyssopway.control.command import EndRun, ReclaimRun, StartRun
     from hyssopway.control.record import Job
     from hyssopway.control.state import ControlState
     from hyssopway.result import Failure
@@ -33,7 +34,7 @@
         return refuse(
             ResultCode.STALE_EPOCH, f"next run of job {job.job_id} is {job.runs + 1}, not {command.epoch}"
         )
-    refusal = _check_vm(state, command) or _check_limit(state, job=job)
+    refusal = _check_vm(state, command, pool=job.spec.pool) or _check_limit(state, job=job)
     if refusal is not None:
         return refusal
     job.runs = command.epoch
@@ -44,8 +45,9 @@
         started_ms=state.tables.wall_ms,
         reason=command.reason,
         probe=command.probe,
+        boot_id=state.tables.vms[command.vm].boot_id,
     )
-    job.history.append(f"run {command.epoch} on {command.vm}: {command.reason}")
+    job.note(f"run {command.epoch} on {command.vm}: {command.reason}")
     state.indexes.add_run(job=job, vm=command.vm)
     return Ok(Change(generation=command.epoch, reference=job.job_id))
 
@@ -57,20 +59,59 @@
         return refuse(ResultCode.UNKNOWN_JOB, f"job {command.job_id!r} does not exist")
     if job.run is None or job.run.epoch != command.epoch:
         return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} of job {job.job_id} is not in progress")
+    refusal = _check_reporter(state, command, vm=job.run.vm)
+    if refusal is not None:
+        return refusal
     state.indexes.remove_run(job=job, vm=job.run.vm)
+    state.indexes.feed.note_end(_to_end(job, run=job.run, command=command))
     if command.checkpoint:
         job.checkpoint = command.checkpoint
-    job.history.append(f"run {command.epoch} on {job.run.vm} {command.outcome}: {command.detail}")
+    job.note(f"run {command.epoch} on {job.run.vm} {command.outcome}: {command.detail}")
     _conclude(state, job=job, command=command)
     return Ok(Change(generation=command.epoch, reference=job.status))
 
 
-def _check_vm(state: ControlState, command: StartRun) -> Result[Change, Failure] | None:
+def reclaim_run(state: ControlState, command: ReclaimRun) -> Result[Change, Failure]:
+    """Marks a run to be checkpointed, throttled or stopped for the sake of others."""
+    job = state.tables.jobs.get(command.job_id)
+    if job is None or job.run is None or job.run.epoch != command.epoch:
+        return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} of {command.job_id!r} is not in progress")
+    job.run.reclaim = command.action
+    job.note(f"run {command.epoch} on {job.run.vm} reclaimed by {command.action}: {command.reason}")
+    return Ok(Change(generation=command.epoch, reference=job.run.vm))
+
+
+def _to_end(job: Job, *, run: Run, command: EndRun) -> RunEnd:
+    return RunEnd(
+        job_id=job.job_id,
+        epoch=run.epoch,
+        team=job.team,
+        task_kind=job.spec.task_kind,
+        vm=run.vm,
+        outcome=command.outcome,
+        probe=run.probe,
+    )
+
+
+def _check_reporter(state: ControlState, command: EndRun, *, vm: str) -> Result[Change, Failure] | None:
+    if command.vm and command.vm != vm:
+        return refuse(ResultCode.STALE_EPOCH, f"run {command.epoch} is on VM {vm}, not on {command.vm}")
+    # A home that was frozen may give up a run that the worker started through its next home.
+    home_epoch = state.tables.vms[vm].home_epoch if vm in state.tables.vms else 0
+    if command.home_epoch and command.home_epoch != home_epoch:
+        message = f"VM {vm} is at home epoch {home_epoch}, not {command.home_epoch}"
+        return refuse(ResultCode.STALE_EPOCH, message)
+    return None
+
+
+def _check_vm(state: ControlState, command: StartRun, *, pool: str) -> Result[Change, Failure] | None:
     vm = state.tables.vms.get(command.vm)
     if vm is None:
         return refuse(ResultCode.UNKNOWN_VM, f"VM {command.vm!r} does not exist")
     if vm.epoch != command.vm_epoch:
         return refuse(ResultCode.STALE_EPOCH, f"VM {vm.name} is at epoch {vm.epoch}, not {command.vm_epoch}")
+    if vm.pool != pool:
+        return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is in pool {vm.pool}, not {pool}")
     allowed = VmState.QUARANTINED if command.probe else VmState.READY
     if vm.state is not allowed:
         return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is {vm.state}")
@@ -93,12 +134,13 @@
 
 
 def _conclude(state: ControlState, *, job: Job, command: EndRun) -> None:
+    probe = job.run is not None and job.run.probe
     job.run = None
     if command.outcome is RunOutcome.DONE:
         finish_job(state, job=job, status=JobStatus.DONE, detail=command.detail)
     elif job.cancelling:
         finish_job(state, job=job, status=JobStatus.CANCELLED, detail=command.detail or "stopped")
-    elif command.outcome is RunOutcome.FAILED:
+    elif command.outcome is RunOutcome.FAILED and not probe:
         _count_failure(state, job=job, detail=command.detail)
     else:
         _requeue(state, job=job, detail=command.detail)
@@ -122,4 +164,4 @@
     state.indexes.pending[job.job_id] = job
 
 
-__all__ = ["end_run", "start_run"]
+__all__ = ["end_run", "reclaim_run", "start_run"]
--- a/src/hyssopway/control/record/run.py
+++ b/src/hyssopway/control/record/run.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from .reclaim_action import ReclaimAction
+
 
 @dataclass(slots=True, kw_only=True)
 class Run:
@@ -15,6 +17,8 @@
         started_ms: Wall-clock time in milliseconds, for display.
         reason: Why this VM.
         probe: Whether it tests a quarantined VM.
+        boot_id: Worker process that it was placed on; no other process starts it.
+        reclaim: What the worker is asked to do so that others get the capacity.
     """
 
     epoch: int
@@ -22,6 +26,8 @@
     started_ms: int
     reason: str
     probe: bool = False
+    boot_id: str = ""
+    reclaim: ReclaimAction = ReclaimAction.NONE
 
 
 __all__ = ["Run"]
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -25,15 +25,16 @@
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.http import json_response
-from hyssopway.job import JobScheduler
+from hyssopway.job import JobScheduler, LostHomes, UsageBook
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, MemberRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Proposer, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import CreditLedger, Router
-from hyssopway.worker import WorkerSessions
+from hyssopway.worker import WorkerSessions, watch_silence
 
 from .dump import dump_daemon
+from .load_push import TOPIC, push_loads, take_loads
 from .members import CHANGE_TOPIC, LIST_TOPIC, Members
 from .peer_calls import PeerCalls
 from .status import collect_status, group_with_state, own_status
@@ -95,8 +96,14 @@
             submitter=self.submitter,
             clock=clock,
         )
+        self.usage = UsageBook()
         self.scheduler = JobScheduler(
-            replica=self.replica, submitter=self.submitter, leads=self.leads, now_ms=self.now_ms
+            replica=self.replica,
+            submitter=self.submitter,
+            leads=self.leads,
+            now_ms=self.now_ms,
+            book=self.usage,
+            clock=clock,
         )
         self.calls = PeerCalls(
             member=self.member,
@@ -105,6 +112,15 @@
             freshness=self.freshness,
             ledger=self.ledger,
         )
+        self.lost_homes = LostHomes(
+            own_name=settings.name,
+            replica=self.replica,
+            submitter=self.submitter,
+            contacts=self.calls.contacts,
+            leads=self.leads,
+            clock=clock,
+        )
+        self.calls.exchanges[TOPIC] = lambda loads: take_loads(self, loads)
         self.calls.exchanges["status"] = lambda _: own_status(self)
         self.members = Members(
             own_name=settings.name,
@@ -244,9 +260,12 @@
             self._start("replication", lambda: run_replication(member=member, transport=self.peers))
             self._start("confirm", self._follow_leader)
             self._start("jobs", self.scheduler.run)
+            self._start("lost_homes", self.lost_homes.run)
         else:
             self._start("watch", self._follow_upstream)
         self._start("expire", self._expire)
+        self._start("loads", lambda: push_loads(self))
+        self._start("silence", lambda: watch_silence(self.sessions))
 
     def _start(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
         self.tasks.append(asyncio.create_task(_keep_running(name, loop), name=name))
--- a/src/hyssopway/daemon/status.py
+++ b/src/hyssopway/daemon/status.py
@@ -27,7 +27,7 @@
         "zone": daemon.settings.zone,
         "reachable": True,
         "member_id": member.member_id if member else "",
-        "has_agreed_state": state.tables.now_ms > 0 or _changed_members(member),
+        "has_agreed_state": state.tables.wall_ms > 0 or _changed_members(member),
         "role": member.role if member else "entry",
         "leader": member.leader_daemon if member else daemon.submitter.leader,
         "applied_index": state.applied_index,
--- a/src/hyssopway_standins/worker.py
+++ b/src/hyssopway_standins/worker.py
@@ -36,6 +36,7 @@
         time_scale: Factor on declared run times.
         choose_outcome: Decides how a run ends.
         starts: Every start with its local time.
+        ends: Every end of a task with its local time.
         tasks: Running tasks by job.
         ended: Ended runs that are not acknowledged.
     """
@@ -51,11 +52,15 @@
     sync_s: float = SYNC_S
     choose_outcome: Callable[[StartOrder], RunOutcome] = lambda _: RunOutcome.DONE
     starts: list[tuple[float, str, int]] = field(default_factory=list)
+    ends: list[tuple[float, str, int]] = field(default_factory=list)
     tasks: dict[str, RunningStandInTask] = field(default_factory=dict)
     ended: dict[str, EndedRun] = field(default_factory=dict)
     lease_until: float = 0.0
     boot_id: str = field(default_factory=lambda: secrets.token_hex(4))
     loop_task: asyncio.Task[None] | None = None
+    number: int = 0
+    seen_index: int = 0
+    lease_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Begins to sync."""
@@ -65,10 +70,25 @@
         """Stops at once, as a killed VM does."""
         if self.loop_task is not None:
             self.loop_task.cancel()
-        for task in self.tasks.values():
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
+        for job_id, task in self.tasks.items():
             task.timer.cancel()
+            self.ends.append((time.monotonic(), job_id, task.order.epoch))
         self.tasks.clear()
 
+    def restart(self) -> None:
+        """Starts again as a new process that knows nothing of its former tasks."""
+        self.boot_id = secrets.token_hex(4)
+        self.ended.clear()
+        self.number = self.seen_index = 0
+        self.start()
+
+    def isolate(self) -> None:
+        """Stops to sync; tasks go on until the lease ends."""
+        if self.loop_task is not None:
+            self.loop_task.cancel()
+
     async def sync_until_cancelled(self) -> None:
         """Syncs with the first entry that answers; stops tasks when the lease ends."""
         position = 0
@@ -78,12 +98,11 @@
                 entry = self.entries[position % len(self.entries)]
                 if not await self._sync(session, entry):
                     position += 1
-                if time.monotonic() > self.lease_until:
-                    self._stop_all("lease ended")
                 await asyncio.sleep(self.sync_s)
 
     async def _sync(self, session: aiohttp.ClientSession, entry: str) -> bool:
         sent_at = time.monotonic()
+        self.number += 1
         url = f"{entry}/v1/workers/{self.vm}/sync"
         headers = {"Authorization": f"Bearer {self.fleet_token}"}
         reported = dict(self.ended)
@@ -94,7 +113,8 @@
                 reply = _REPLY.validate_json(await answer.read())
         except (aiohttp.ClientError, TimeoutError):
             return False
-        self.lease_until = sent_at + reply.lease_s
+        self.seen_index = max(self.seen_index, reply.state_index)
+        self._renew(sent_at + reply.lease_s)
         for job_id in reply.acknowledged:
             if self.ended.get(job_id) is reported.get(job_id):
                 self.ended.pop(job_id, None)
@@ -107,6 +127,14 @@
                 self._begin(order)
         return True
 
+    def _renew(self, lease_until: float) -> None:
+        # A timer of its own ends the lease on time also while a sync waits for an answer.
+        self.lease_until = lease_until
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
+        left_s = max(0.0, lease_until - time.monotonic())
+        self.lease_timer = asyncio.get_running_loop().call_later(left_s, self._stop_all, "lease ended")
+
     def make_report(self) -> SyncRequest:
         """Returns what the next sync reports."""
         now = time.monotonic()
@@ -126,6 +154,8 @@
                 for job_id, task in self.tasks.items()
             ],
             ended=list(self.ended.values()),
+            number=self.number,
+            seen_index=self.seen_index,
         )
 
     def _begin(self, order: StartOrder) -> None:
@@ -148,6 +178,7 @@
         if task is None:
             return
         task.timer.cancel()
+        self.ends.append((time.monotonic(), job_id, task.order.epoch))
         checkpoint = "checkpoint" if outcome is RunOutcome.CHECKPOINTED else ""
         self.ended[job_id] = EndedRun(
             job_id=job_id, epoch=task.order.epoch, outcome=outcome, detail=detail, checkpoint=checkpoint
