Keep slot credits at the entries and queue requests for them

Cause: the router asked the homes for every request and polled every 20 ms for each request that waited, had no fairness between entries, lost the lease of a long request, and a new home did not know the credits that an earlier home had handed out.

Ruled out: pushing credits from the home, because a credit that comes back to its entry is reused without any call while there is a queue; ejecting at the home, because what one entry sees may be its own network.

Change: one queue with one refill task for each service; batches, renewal, return after 0.3 s without need; own zone first, spill when the local wait is longer than a call; recall by max-min shares when other entries wait; summaries over the "routing" exchange every 0.5 s; a new home collects held credits and blocks the rest for 4.1 s when a daemon is silent (endpoint lease plus credit lease, because the earlier home may be alive behind a partition); slow start, ejection with probes and at most half of a service; endpoints on VMs that are not ready are drained.

Conclusion: the sum of credits stays within the slots in the tests of the ledger, also when the home changes and holders are silent.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -12,7 +12,8 @@
 
 from hyssopway.agreement import Configuration, Member, Store, run_elections, run_replication
 from hyssopway.clock import monotonic_s, wall_ms
-from hyssopway.endpoint import EndpointRegistry
+from hyssopway.control.record import VmState
+from hyssopway.endpoint import EndpointHealth, EndpointRegistry
 from hyssopway.event import Event, log_event
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
@@ -22,7 +23,7 @@
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Replica, Submitter, follow_leader, follow_upstream
-from hyssopway.routing import CreditLedger, Router
+from hyssopway.routing import TOPIC, CreditLedger, HeldCollector, Homes, Router
 from hyssopway.worker import WorkerSessions
 
 from .dump import dump_daemon
@@ -70,15 +71,24 @@
             clock=clock,
             wall_ms=wall_ms,
         )
-        self.registry = EndpointRegistry(clock=clock)
-        self.ledger = CreditLedger(registry=self.registry, clock=clock)
-        self.router = Router(
+        self.registry = EndpointRegistry(clock=clock, may_serve=self._vm_may_serve)
+        self.ledger = CreditLedger(registry=self.registry, clock=clock, entries=len(settings.peers))
+        self.homes = Homes(
             own_name=settings.name,
             ledger=self.ledger,
             peers=self.peers,
-            homes=_nearest_first(settings),
+            others={peer.name: peer.zone == settings.zone for peer in settings.others()},
             clock=clock,
         )
+        self.router = Router(homes=self.homes, health=EndpointHealth(clock=clock), clock=clock)
+        self.collector = HeldCollector(
+            own_name=settings.name,
+            ledger=self.ledger,
+            router=self.router,
+            peers=self.peers,
+            others=_nearest_first(settings),
+        )
+        self.registry.arrived = self.collector.begin
         self.sessions = WorkerSessions(
             own_name=settings.name,
             replica=self.replica,
@@ -88,8 +98,13 @@
         )
         self.scheduler = JobScheduler(replica=self.replica, submitter=self.submitter, leads=self.leads)
         self.calls = PeerCalls(
-            member=self.member, replica=self.replica, freshness=self.freshness, ledger=self.ledger
+            member=self.member,
+            replica=self.replica,
+            freshness=self.freshness,
+            ledger=self.ledger,
+            router=self.router,
         )
+        self.calls.exchanges[TOPIC] = self.homes.answer
         self.calls.exchanges["status"] = lambda _: own_status(self)
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
 
@@ -135,6 +150,7 @@
         await self.runner.cleanup()
         for task in self.tasks:
             task.cancel()
+        self.router.close()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.peer_server.close()
         self.peers.close()
@@ -147,6 +163,11 @@
         """Returns the state of this process."""
         return dump_daemon(self)
 
+    def _vm_may_serve(self, name: str) -> bool:
+        # A VM without a worker is not in the agreed state and is not drained by it.
+        vm = self.replica.state.tables.vms.get(name)
+        return vm is None or vm.state is VmState.READY
+
     def _build_member(self) -> Member | None:
         if self.settings.data_dir is None:
             return None
@@ -194,6 +215,8 @@
         else:
             self._start("watch", self._follow_upstream)
         self._start("expire", self._expire)
+        self._start("credits", self.router.run)
+        self._start("summaries", self.homes.run)
 
     def _start(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
         self.tasks.append(asyncio.create_task(_keep_running(name, loop), name=name))
@@ -224,6 +247,7 @@
     async def _expire(self) -> None:
         while True:
             self.registry.expire()
+            self.ledger.expire()
             await asyncio.sleep(EXPIRE_S)
 
 
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -25,7 +25,7 @@
     )
     from hyssopway.peer import Credit, CreditReply, CreditRequest
     from hyssopway.replica import Freshness, Replica
-    from hyssopway.routing import CreditLedger
+    from hyssopway.routing import CreditLedger, Router
 
 PROPOSE_TIMEOUT_S = 3.0
 MAX_WATCH_ENTRIES_BYTES = 4 * 1024 * 1024
@@ -39,19 +39,27 @@
         replica: Agreed state.
         freshness: How current the replica is.
         ledger: Slot credits of endpoints whose home is this daemon.
+        router: Slot credits held by this daemon.
         exchanges: Answers to exchanges of soft state by topic.
         parts: Snapshot of a leader while it arrives.
     """
 
-    __slots__ = ("exchanges", "freshness", "ledger", "member", "parts", "replica")
+    __slots__ = ("exchanges", "freshness", "ledger", "member", "parts", "replica", "router")
 
     def __init__(
-        self, *, member: Member | None, replica: Replica, freshness: Freshness, ledger: CreditLedger
+        self,
+        *,
+        member: Member | None,
+        replica: Replica,
+        freshness: Freshness,
+        ledger: CreditLedger,
+        router: Router,
     ) -> None:
         self.member = member
         self.replica = replica
         self.freshness = freshness
         self.ledger = ledger
+        self.router = router
         self.exchanges: dict[str, Callable[[Any], Any]] = {}
         self.parts = bytearray()
 
@@ -112,9 +120,9 @@
         """Hands out slot credits of endpoints that announced themselves here."""
         return self.ledger.answer(request)
 
-    async def held_credits(self, endpoint: str) -> list[Credit]:
-        """Returns the credits that this daemon holds for an endpoint."""
-        return []
+    async def held_credits(self, *, daemon: str, endpoint: str) -> list[Credit]:
+        """Returns the credits held here for an endpoint whose home is now the daemon that asks."""
+        return self.router.hand_over(endpoint=endpoint, home=daemon)
 
     async def exchange(self, *, topic: str, data: bytes) -> bytes:
         """Takes and returns soft state."""
--- a/src/hyssopway/endpoint/registry.py
+++ b/src/hyssopway/endpoint/registry.py
@@ -9,6 +9,8 @@
 from .endpoint import Endpoint
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hyssopway.clock import Clock
 
     from .announcement import Announcement
@@ -21,24 +23,32 @@
 
     Attributes:
         endpoints: Endpoints by name.
+        may_serve: Tells whether the VM of an endpoint may take new requests.
+        arrived: Called with each endpoint that is new here.
     """
 
-    __slots__ = ("clock", "endpoints")
+    __slots__ = ("arrived", "clock", "endpoints", "may_serve")
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, may_serve: Callable[[str], bool] = lambda _: True) -> None:
         self.clock = clock
+        self.may_serve = may_serve
+        self.arrived: Callable[[Endpoint], None] = lambda _: None
         self.endpoints: dict[str, Endpoint] = {}
 
     def announce(self, *, name: str, announcement: Announcement) -> Endpoint:
         """Adds an endpoint or renews its lease."""
         now = self.clock()
         endpoint = self.endpoints.get(name)
+        new = endpoint is None or endpoint.expires_at <= now
         if endpoint is None:
             endpoint = Endpoint(name=name, announcement=announcement, expires_at=now, announced_at=now)
             self.endpoints[name] = endpoint
             log_event(Event.ENDPOINT_ANNOUNCED, endpoint=name, service=announcement.service)
         endpoint.announcement = announcement
         endpoint.expires_at = now + ENDPOINT_LEASE_S
+        if new:
+            endpoint.announced_at = now
+            self.arrived(endpoint)
         return endpoint
 
     def leave(self, *, name: str, reason: str) -> None:
@@ -54,7 +64,7 @@
                 self.leave(name=endpoint.name, reason="lease ended")
 
     def serving(self, *, environment: str, service: str) -> list[Endpoint]:
-        """Returns the endpoints of a service whose lease is valid."""
+        """Returns the endpoints of a service that may take new requests."""
         now = self.clock()
         return [
             endpoint
@@ -62,6 +72,7 @@
             if endpoint.announcement.service == service
             and endpoint.announcement.environment == environment
             and endpoint.expires_at > now
+            and self.may_serve(endpoint.announcement.vm)
         ]
 
 
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -48,6 +48,11 @@
     REQUEST_REFUSED = (4004, "DEBUG", "request to {service} refused: {code} {message}")
     REQUEST_FAILED = (4005, "WARNING", "request to {service} failed: {code} {message}")
     CLAIM_UNRESOLVED = (4006, "WARNING", "outcome of claim {claim} is unknown")
+    HOLDERS_SILENT = (
+        4007,
+        "WARNING",
+        "endpoint {endpoint} changed its home; {daemons} did not say which credits they hold",
+    )
     WORKER_CONNECTED = (5001, "INFO", "worker {vm} syncs here, home epoch {epoch}")
     WORKER_LOST = (5002, "WARNING", "worker {vm} is silent for {silent_s:.1f} s")
     JOB_PLACED = (5003, "DEBUG", "job {job} run {epoch} placed on {vm}: {reason}")
--- a/src/hyssopway/gateway/gateway.py
+++ b/src/hyssopway/gateway/gateway.py
@@ -24,8 +24,7 @@
     from hyssopway.document import Service
     from hyssopway.metrics import Metrics
     from hyssopway.replica import Freshness, Replica
-    from hyssopway.routing import Router
-    from hyssopway.routing.router import HeldCredit
+    from hyssopway.routing import HeldCredit, Router
 
     from .claims import ClaimKeeper
 
--- a/src/hyssopway/peer/client.py
+++ b/src/hyssopway/peer/client.py
@@ -130,7 +130,9 @@
 
     async def held_credits(self, *, endpoint: str, timeout_s: float) -> list[Credit]:
         """Asks which credits the daemon holds for an endpoint."""
-        answer = await self._call(lambda remote: remote.heldCredits(endpoint), timeout_s=timeout_s)
+        answer = await self._call(
+            lambda remote: remote.heldCredits(endpoint, self.own_name), timeout_s=timeout_s
+        )
         return [conversion.credit_from_wire(credit) for credit in answer.credits]
 
     async def exchange(self, *, topic: str, data: bytes, timeout_s: float) -> bytes:
--- a/src/hyssopway/peer/conversion.py
+++ b/src/hyssopway/peer/conversion.py
@@ -173,6 +173,8 @@
         wanted=request.wanted,
         renewed=list(request.renewed),
         returned=list(request.returned),
+        waiting=request.waiting,
+        avoided=list(request.avoided),
     )
 
 
@@ -185,6 +187,8 @@
         wanted=wire.wanted,
         renewed=tuple(wire.renewed),
         returned=tuple(wire.returned),
+        waiting=wire.waiting,
+        avoided=tuple(str(name) for name in wire.avoided),
     )
 
 
@@ -194,6 +198,7 @@
         credits=[credit_to_wire(credit) for credit in reply.credits],
         renewed=list(reply.renewed),
         waiting=reply.waiting,
+        recalled=list(reply.recalled),
     )
 
 
@@ -203,6 +208,7 @@
         credits=tuple(credit_from_wire(credit) for credit in wire.credits),
         renewed=tuple(wire.renewed),
         waiting=wire.waiting,
+        recalled=tuple(wire.recalled),
     )
 
 
--- a/src/hyssopway/peer/credits.py
+++ b/src/hyssopway/peer/credits.py
@@ -37,6 +37,8 @@
         wanted: Credits wanted in addition.
         renewed: Credits whose lease is to be renewed.
         returned: Credits given back.
+        waiting: Requests that wait at the daemon for a slot.
+        avoided: Endpoints that the daemon has ejected and wants no credits of.
     """
 
     daemon: str
@@ -45,6 +47,8 @@
     wanted: int = 0
     renewed: tuple[int, ...] = ()
     returned: tuple[int, ...] = ()
+    waiting: int = 0
+    avoided: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,12 +58,14 @@
     Attributes:
         credits: New credits.
         renewed: Credits whose lease was renewed.
-        waiting: Requests that wait at the home itself.
+        waiting: Requests that wait at all daemons that lately asked the home.
+        recalled: Credits to be given back once the request that uses them has ended.
     """
 
     credits: tuple[Credit, ...] = ()
     renewed: tuple[int, ...] = ()
     waiting: int = 0
+    recalled: tuple[int, ...] = ()
 
 
 __all__ = ["Credit", "CreditReply", "CreditRequest"]
--- a/src/hyssopway/peer/handlers.py
+++ b/src/hyssopway/peer/handlers.py
@@ -52,8 +52,8 @@
         """Hands out slot credits of endpoints that announced themselves here."""
         ...
 
-    async def held_credits(self, endpoint: str) -> list[Credit]:
-        """Returns the credits that this daemon holds for an endpoint."""
+    async def held_credits(self, *, daemon: str, endpoint: str) -> list[Credit]:
+        """Returns the credits held here for an endpoint whose home is now the daemon that asks."""
         ...
 
     async def exchange(self, *, topic: str, data: bytes) -> bytes:
--- a/src/hyssopway/peer/schema.capnp
+++ b/src/hyssopway/peer/schema.capnp
@@ -85,12 +85,15 @@
   wanted @3 :UInt32;
   renewed @4 :List(UInt64);
   returned @5 :List(UInt64);
+  waiting @6 :UInt32;
+  avoided @7 :List(Text);
 }
 
 struct CreditReply {
   credits @0 :List(Credit);
   renewed @1 :List(UInt64);
   waiting @2 :UInt32;
+  recalled @3 :List(UInt64);
 }
 
 interface Peer {
@@ -102,7 +105,7 @@
   watch @5 (daemon :Text, fromIndex :UInt64, waitMs :UInt32) -> (reply :WatchReply);
   readSnapshot @6 (offset :UInt64) -> (data :Data, index :UInt64, total :UInt64);
   credits @7 (request :CreditRequest) -> (reply :CreditReply);
-  heldCredits @8 (endpoint :Text) -> (credits :List(Credit));
+  heldCredits @8 (endpoint :Text, daemon :Text) -> (credits :List(Credit));
   exchange @9 (topic :Text, data :Data) -> (data :Data);
 }
 
--- a/src/hyssopway/peer/server.py
+++ b/src/hyssopway/peer/server.py
@@ -106,8 +106,8 @@
         reply = await self.handlers.credits(conversion.credit_request_from_wire(request))
         return conversion.credit_reply_to_wire(reply)
 
-    async def heldCredits(self, endpoint: str, **_: Any) -> Any:
-        held = await self.handlers.held_credits(str(endpoint))
+    async def heldCredits(self, endpoint: str, daemon: str, **_: Any) -> Any:
+        held = await self.handlers.held_credits(daemon=str(daemon), endpoint=str(endpoint))
         return [conversion.credit_to_wire(credit) for credit in held]
 
     async def exchange(self, topic: str, data: bytes, **_: Any) -> Any:
--- a/src/hyssopway/routing/__init__.py
+++ b/src/hyssopway/routing/__init__.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from .collector import HeldCollector
+from .held_credit import HeldCredit
+from .homes import TOPIC, Homes
 from .ledger import CREDIT_LEASE_S, CreditLedger
 from .router import Router
 
-__all__ = ["CREDIT_LEASE_S", "CreditLedger", "Router"]
+__all__ = ["CREDIT_LEASE_S", "TOPIC", "CreditLedger", "HeldCollector", "HeldCredit", "Homes", "Router"]
--- /dev/null
+++ b/src/hyssopway/routing/grant.py
@@ -0,0 +1,27 @@
+"""A credit at its home."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True)
+class Grant:
+    """A credit that was handed out.
+
+    Attributes:
+        endpoint: Endpoint.
+        address: Base URL of the endpoint when it was handed out.
+        service: Environment and service.
+        daemon: Daemon that holds the credit.
+        expires_at: Local time at which it surely is no longer used.
+    """
+
+    endpoint: str
+    address: str
+    service: tuple[str, str]
+    daemon: str
+    expires_at: float
+
+
+__all__ = ["Grant"]
--- a/src/hyssopway/routing/router.py
+++ b/src/hyssopway/routing/router.py
@@ -3,105 +3,118 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from expression import Error, Ok, Result
-
-from hyssopway.peer import Credit, CreditRequest, PeerUnreachableError
-from hyssopway.result import Failure, ResultCode
+from .service_queue import ServiceQueue
+from .summary import Summary
 
 if TYPE_CHECKING:
-    from hyssopway.clock import Clock
-    from hyssopway.peer import PeerDirectory
-
-    from .ledger import CreditLedger
-
-CALL_TIMEOUT_S = 0.5
-POLL_S = 0.02
-
+    from expression import Result
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HeldCredit:
-    """A credit and the daemon that handed it out.
+    from hyssopway.clock import Clock
+    from hyssopway.endpoint import EndpointHealth
+    from hyssopway.peer import Credit
+    from hyssopway.result import Failure
 
-    Attributes:
-        home: Daemon that handed it out.
-        credit: The credit.
-    """
+    from .held_credit import HeldCredit
+    from .homes import Homes
 
-    home: str
-    credit: Credit
+MAINTAIN_S = 0.1
+# The endpoint learns from the closed connection that a request was given up; its slot is used again only
+# after this time.
+SETTLE_S = 0.05
+FORGET_HEALTH_S = 60.0
 
 
 class Router:
-    """Obtains and returns slot credits.
+    """Slot credits held by this daemon.
 
     Attributes:
-        own_name: Name of this daemon.
-        ledger: Credits of endpoints whose home is this daemon.
-        peers: Clients of the other daemons.
-        homes: Other daemons, those of the own zone first.
+        homes: Homes of endpoints.
+        health: Outcomes of requests sent from here.
+        queues: Credits and waiting requests by environment and service.
     """
 
-    __slots__ = ("clock", "homes", "ledger", "own_name", "peers", "tasks")
+    __slots__ = ("clock", "health", "homes", "queues")
 
-    def __init__(
-        self, *, own_name: str, ledger: CreditLedger, peers: PeerDirectory, homes: list[str], clock: Clock
-    ) -> None:
-        self.own_name = own_name
-        self.ledger = ledger
-        self.peers = peers
+    def __init__(self, *, homes: Homes, health: EndpointHealth, clock: Clock) -> None:
         self.homes = homes
+        self.health = health
         self.clock = clock
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.queues: dict[tuple[str, str], ServiceQueue] = {}
+        homes.summarise = self.summarise
 
     async def acquire(
-        self, *, environment: str, service: str, deadline: float
+        self, *, environment: str, service: str, deadline: float, queue_limit: int = 1000
     ) -> Result[HeldCredit, Failure]:
-        """Waits for a slot until a local time."""
-        request = CreditRequest(daemon=self.own_name, environment=environment, service=service, wanted=1)
+        """Waits for a slot until a local time; refuses at once what cannot be done by then."""
+        queue = self._queue((environment, service))
+        return await queue.acquire(deadline=deadline, queue_limit=queue_limit)
+
+    def release(self, held: HeldCredit, *, given_up: bool = False) -> None:
+        """Takes a credit back once its request has ended.
+
+        Args:
+            held: The credit.
+            given_up: Whether the endpoint may still be at work on the request.
+        """
+        queue = self._queue((held.credit.environment, held.credit.service))
+        if given_up:
+            asyncio.get_running_loop().call_later(SETTLE_S, queue.release, held)
+        else:
+            queue.release(held)
+
+    def hand_over(self, *, endpoint: str, home: str) -> list[Credit]:
+        """Returns the credits held for an endpoint that announced itself to a new home."""
+        if home != self.homes.own_name:
+            self.homes.ledger.registry.leave(name=endpoint, reason=f"moved to {home}")
+        found = [
+            held for queue in self.queues.values() for held in queue.hand_over(endpoint=endpoint, home=home)
+        ]
+        return [held.credit for held in found]
+
+    def summarise(self) -> list[Summary]:
+        """Returns what other daemons need to know of the endpoints announced here."""
+        registry = self.homes.ledger.registry
+        services = {
+            (endpoint.announcement.environment, endpoint.announcement.service)
+            for endpoint in registry.endpoints.values()
+        }
+        return [self._summary(service) for service in services]
+
+    async def run(self) -> None:
+        """Renews and returns credits again and again."""
         while True:
-            held = await self._ask_homes(request)
-            if held is not None:
-                return Ok(held)
-            if self.clock() + POLL_S >= deadline:
-                message = f"no endpoint of {service} has a free slot in time"
-                return Error(Failure(code=ResultCode.NO_ENDPOINT, message=message, retry_after_s=1.0))
-            await asyncio.sleep(POLL_S)
-
-    def release(self, held: HeldCredit) -> None:
-        """Gives a credit back to its home."""
-        request = CreditRequest(
-            daemon=self.own_name,
-            environment=held.credit.environment,
-            service=held.credit.service,
-            returned=(held.credit.credit_id,),
+            await asyncio.gather(*(queue.maintain() for queue in self.queues.values()))
+            self.health.forget(unseen_s=FORGET_HEALTH_S)
+            await asyncio.sleep(MAINTAIN_S)
+
+    def close(self) -> None:
+        """Ends the refill tasks."""
+        for queue in self.queues.values():
+            if queue.refilling is not None:
+                queue.refilling.cancel()
+
+    def _queue(self, service: tuple[str, str]) -> ServiceQueue:
+        queue = self.queues.get(service)
+        if queue is None:
+            queue = self.queues[service] = ServiceQueue(
+                service=service, homes=self.homes, health=self.health, clock=self.clock
+            )
+        return queue
+
+    def _summary(self, service: tuple[str, str]) -> Summary:
+        ledger = self.homes.ledger
+        endpoints = ledger.registry.serving(environment=service[0], service=service[1])
+        queue = self.queues.get(service)
+        return Summary(
+            environment=service[0],
+            service=service[1],
+            slots=sum(endpoint.announcement.slots for endpoint in endpoints),
+            free=sum(ledger.free(endpoint) for endpoint in endpoints),
+            waiting=len(queue.waiting) if queue else 0,
+            service_s=queue.drain.service_s if queue else 0.0,
         )
-        if held.home == self.own_name:
-            self.ledger.answer(request)
-            return
-        task = asyncio.create_task(self._return_to(home=held.home, request=request))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def _ask_homes(self, request: CreditRequest) -> HeldCredit | None:
-        for credit in self.ledger.answer(request).credits:
-            return HeldCredit(home=self.own_name, credit=credit)
-        for home in self.homes:
-            try:
-                reply = await self.peers.client(home).credits(request=request, timeout_s=CALL_TIMEOUT_S)
-            except PeerUnreachableError:
-                continue
-            for credit in reply.credits:
-                return HeldCredit(home=home, credit=credit)
-        return None
-
-    async def _return_to(self, *, home: str, request: CreditRequest) -> None:
-        try:
-            await self.peers.client(home).credits(request=request, timeout_s=CALL_TIMEOUT_S)
-        except PeerUnreachableError:
-            return  # the lease ends by itself
-
-
-__all__ = ["HeldCredit", "Router"]
+
+
+__all__ = ["Router"]
