Stream requests and answers, retry in one layer and close gaps of claims

Cause: bodies and answers were collected whole; an answer of another request on a kept connection would have been passed on; aiohttp itself sends GET, PUT and DELETE again on a broken kept connection, which can run a non-idempotent service twice; a timeout while connecting counted as sent; answers lost their Content-Encoding; a claim granted after its outcome was lost blocked every resend; a claim could be forgotten while its request ran (outcome_kept_s shorter than the deadline); a lagging replica gave status 0; environments shared idempotency keys; a resolve was tried for 10 s with the caller waiting.

Change: request id echoed by endpoints, Hyssopway-Not-Run, answers without a length refused, a retry budget of a tenth of the successes, key and deadline checked again after any wait, callers who hang up free place and slot, a non-idempotent request that was sent goes on without its caller, resolve and release repeated in the background. New codes 411 and 412, event 4008.

--- a/src/hyssopway/control/apply/claims.py
+++ b/src/hyssopway/control/apply/claims.py
@@ -75,7 +75,8 @@
         daemon=command.daemon,
         token=command.token,
         unknown_after_ms=state.tables.now_ms + round(command.deadline_s * 1000),
-        kept_until_ms=state.tables.now_ms + round(command.kept_s * 1000),
+        # A claim that is forgotten while its request is in progress would let a resend run.
+        kept_until_ms=state.tables.now_ms + round((command.deadline_s + command.kept_s) * 1000),
         kept_s=command.kept_s,
     )
 
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
 from aiohttp import web
 
 from hyssopway.agreement import Configuration, Member, Store, run_elections, run_replication
@@ -17,7 +16,9 @@
 from hyssopway.event import Event, log_event
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
-from hyssopway.http import json_response
+from hyssopway.gateway.forwarder import Forwarder
+from hyssopway.gateway.sessions import open_session
+from hyssopway.http import finish_handlers, json_response
 from hyssopway.job import JobScheduler
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
@@ -37,6 +38,7 @@
 
 RESTART_S = 1.0
 EXPIRE_S = 0.25
+CLAIMS_FINISH_S = 5.0
 
 
 class Daemon:
@@ -118,18 +120,25 @@
         if self.member is not None:
             self.member.open(initial=self._initial_configuration() if self.initialise else None)
         await self.peer_server.open(host=own.host, port=own.peer_port)
-        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
+        self.session = open_session(reuse_connections=True)
+        self.once_session = open_session(reuse_connections=False)
+        self.claims = ClaimKeeper(own_name=self.settings.name, submitter=self.submitter)
         self.gateway = Gateway(
             replica=self.replica,
             freshness=self.freshness,
             router=self.router,
-            claims=ClaimKeeper(own_name=self.settings.name, submitter=self.submitter),
-            session=self.session,
+            forwarder=Forwarder(
+                claims=self.claims,
+                session=self.session,
+                once_session=self.once_session,
+                clock=self.clock,
+            ),
             metrics=self.metrics,
+            max_body_bytes=self.settings.max_body_bytes,
             clock=self.clock,
         )
         self._start_tasks()
-        self.runner = web.AppRunner(self._build_app(), access_log=None)
+        self.runner = web.AppRunner(self._build_app(), access_log=None, handler_cancellation=True)
         await self.runner.setup()
         await web.TCPSite(self.runner, own.host, own.http_port).start()
         log_event(
@@ -148,6 +157,7 @@
         while self.gateway.open_requests and self.clock() < deadline:  # noqa: ASYNC110  bounded by shutdown_s
             await asyncio.sleep(0.05)
         await self.runner.cleanup()
+        await self.claims.finish(timeout_s=CLAIMS_FINISH_S)
         for task in self.tasks:
             task.cancel()
         self.router.close()
@@ -155,6 +165,7 @@
         self.peer_server.close()
         self.peers.close()
         await self.session.close()
+        await self.once_session.close()
         if self.member is not None:
             self.member.store.close()
         log_event(Event.DAEMON_STOPPED)
@@ -183,7 +194,7 @@
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
     def _build_app(self) -> web.Application:
-        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        app = web.Application(client_max_size=self.settings.max_body_bytes, middlewares=[finish_handlers])
         app.router.add_get("/health", self._answer_health)
         self.gateway.add_routes(app)
         EndpointRoutes(registry=self.registry, token=self.settings.fleet_token).add_routes(app)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -48,6 +48,7 @@
     REQUEST_REFUSED = (4004, "DEBUG", "request to {service} refused: {code} {message}")
     REQUEST_FAILED = (4005, "WARNING", "request to {service} failed: {code} {message}")
     CLAIM_UNRESOLVED = (4006, "WARNING", "outcome of claim {claim} is unknown")
+    ANSWER_ABORTED = (4008, "WARNING", "answer of {endpoint} was cut short, caller aborted: {error}")
     HOLDERS_SILENT = (
         4007,
         "WARNING",
--- a/src/hyssopway/gateway/gateway.py
+++ b/src/hyssopway/gateway/gateway.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import hashlib
 from typing import TYPE_CHECKING
 
-import aiohttp
 from aiohttp import web
-from expression import Result
+from expression import Error, Ok, Result
 
 from hyssopway.control.record import Claim
 from hyssopway.document import QueueAccess
@@ -17,7 +17,12 @@
 from hyssopway.key import check_key
 from hyssopway.result import Failure, ResultCode, WorkState
 
+from .call import Call
 from .claims import HeldClaim
+from .headers import ENVIRONMENT_HEADER, IDEMPOTENCY_HEADER, TIMEOUT_HEADER
+from .request_body import BodyError, RequestBody
+from .retry_budget import RetryBudget
+from .try_failed import TryFailedError
 
 if TYPE_CHECKING:
     from hyssopway.clock import Clock
@@ -26,24 +31,12 @@
     from hyssopway.replica import Freshness, Replica
     from hyssopway.routing import HeldCredit, Router
 
-    from .claims import ClaimKeeper
+    from .forwarder import Forwarder
 
-ENVIRONMENT_HEADER = "Hyssopway-Environment"
-TIMEOUT_HEADER = "Hyssopway-Timeout"
-IDEMPOTENCY_HEADER = "Idempotency-Key"
 MAX_TIMEOUT_S = 3600.0
-HOP_HEADERS = {
-    "authorization",
-    "connection",
-    "content-encoding",
-    "content-length",
-    "host",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-}
+# Bodies up to this size are kept for a retry; the rest of larger ones is streamed.
+BUFFERED_BODY_BYTES = 64 * 1024
+MAX_IDEMPOTENCY_KEY = 256
 
 
 class Gateway:
@@ -53,13 +46,25 @@
         replica: Agreed state.
         freshness: Whether keys can be confirmed.
         router: Slots of endpoints.
-        claims: Claims of non-idempotent requests.
-        session: HTTP client towards endpoints.
+        forwarder: Makes one try at an endpoint.
         metrics: Latencies and counts.
+        max_body_bytes: Largest request body accepted.
+        budget: Retries that may still be made.
         open_requests: Requests in progress.
     """
 
-    __slots__ = ("claims", "clock", "freshness", "metrics", "open_requests", "replica", "router", "session")
+    __slots__ = (
+        "budget",
+        "clock",
+        "forwarder",
+        "freshness",
+        "max_body_bytes",
+        "metrics",
+        "open_requests",
+        "replica",
+        "router",
+        "tasks",
+    )
 
     def __init__(
         self,
@@ -67,19 +72,21 @@
         replica: Replica,
         freshness: Freshness,
         router: Router,
-        claims: ClaimKeeper,
-        session: aiohttp.ClientSession,
+        forwarder: Forwarder,
         metrics: Metrics,
+        max_body_bytes: int,
         clock: Clock,
     ) -> None:
         self.replica = replica
         self.freshness = freshness
         self.router = router
-        self.claims = claims
-        self.session = session
+        self.forwarder = forwarder
         self.metrics = metrics
+        self.max_body_bytes = max_body_bytes
         self.clock = clock
+        self.budget = RetryBudget()
         self.open_requests = 0
+        self.tasks: set[asyncio.Task[web.StreamResponse]] = set()
 
     def add_routes(self, app: web.Application) -> None:
         """Adds the callers' routes."""
@@ -98,138 +105,187 @@
         return answer
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        match self._admit(request):
+            case Result(tag="ok", ok=call):
+                pass
+            case Result(error=failure):
+                return self._refuse(request, failure)
+        idempotent = call.service.idempotent
+        try:
+            await call.body.read_start(up_to=BUFFERED_BODY_BYTES if idempotent else self.max_body_bytes)
+        except BodyError as error:
+            return self._refuse(request, error.failure)
+        if idempotent:
+            return await self._run(call)
+        return await self._run_detached(call)
+
+    def _admit(self, request: web.Request) -> Result[Call, Failure]:
         environment = request.headers.get(ENVIRONMENT_HEADER, "production")
         document = self.replica.state.document(environment=environment)
         service = document.service(name=request.match_info["service"]) if document else None
         if service is None:
             message = f"service {request.match_info['service']!r} is not in the {environment} document"
-            return self._refuse(request, Failure(code=ResultCode.UNKNOWN_SERVICE, message=message))
-        team = ""
-        if service.access is QueueAccess.KEYED:
-            match check_key(text=bearer_token(request), replica=self.replica, freshness=self.freshness):
-                case Result(tag="ok", ok=key):
-                    team = key.team
-                case Result(error=failure):
-                    return self._refuse(request, failure)
+            return Error(Failure(code=ResultCode.UNKNOWN_SERVICE, message=message))
+        match self._check_key(request, service=service):
+            case Result(tag="ok", ok=team):
+                pass
+            case Result(error=failure):
+                return Error(failure)
         timeout_s = _read_timeout(request, default=service.timeout_s)
         if timeout_s is None:
             message = f"{TIMEOUT_HEADER} must be a number of seconds up to {MAX_TIMEOUT_S:.0f}"
-            return self._refuse(request, Failure(code=ResultCode.MALFORMED_REQUEST, message=message))
-        body = await request.read()
+            return Error(Failure(code=ResultCode.MALFORMED_REQUEST, message=message))
+        if not service.idempotent and not 0 < len(_idempotency_key(request)) <= MAX_IDEMPOTENCY_KEY:
+            message = (
+                f"{service.name} is not idempotent; send a unique {IDEMPOTENCY_HEADER} header "
+                f"of at most {MAX_IDEMPOTENCY_KEY} characters"
+            )
+            return Error(Failure(code=ResultCode.IDEMPOTENCY_KEY_MISSING, message=message))
         deadline = self.clock() + timeout_s
-        if service.idempotent:
-            return await self._run(
-                request, service=service, environment=environment, body=body, deadline=deadline
+        body = RequestBody(request=request, limit=self.max_body_bytes, deadline=deadline, clock=self.clock)
+        return Ok(
+            Call(
+                request=request,
+                service=service,
+                environment=environment,
+                team=team,
+                deadline=deadline,
+                body=body,
             )
-        return await self._run_once(
-            request, service=service, environment=environment, team=team, body=body, deadline=deadline
         )
 
-    async def _run_once(
-        self,
-        request: web.Request,
-        *,
-        service: Service,
-        environment: str,
-        team: str,
-        body: bytes,
-        deadline: float,
-    ) -> web.StreamResponse:
-        idempotency_key = request.headers.get(IDEMPOTENCY_HEADER, "")
-        if not idempotency_key:
-            message = f"{service.name} is not idempotent; send a unique {IDEMPOTENCY_HEADER} header"
-            return self._refuse(request, Failure(code=ResultCode.IDEMPOTENCY_KEY_MISSING, message=message))
-        fingerprint = hashlib.sha256(b"\0".join((request.method.encode(), request.raw_path.encode(), body)))
-        claimed = await self.claims.claim(
-            service=service,
-            team=team,
-            idempotency_key=idempotency_key,
-            fingerprint=fingerprint.hexdigest(),
-            deadline_s=deadline - self.clock(),
+    def _check_key(self, request: web.Request, *, service: Service) -> Result[str, Failure]:
+        if service.access is not QueueAccess.KEYED:
+            return Ok("")
+        checked = check_key(text=bearer_token(request), replica=self.replica, freshness=self.freshness)
+        return checked.map(lambda key: key.team)
+
+    async def _run_detached(self, call: Call) -> web.StreamResponse:
+        """Runs a non-idempotent request to its end even if the caller hangs up after it was sent."""
+        task = asyncio.create_task(self._run_once(call))
+        self.tasks.add(task)
+        task.add_done_callback(self._end_detached)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not call.sending:
+                task.cancel()
+            raise
+
+    def _end_detached(self, task: asyncio.Task[web.StreamResponse]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # the handler raises it, or its caller has hung up
+
+    async def _run_once(self, call: Call) -> web.StreamResponse:
+        request = call.request
+        # Method, path and body, so that an idempotency key cannot stand for two requests.
+        parts = (request.method.encode(), request.raw_path.encode(), call.body.start)
+        claimed = await self.forwarder.claims.claim(
+            environment=call.environment,
+            service=call.service,
+            team=call.team,
+            idempotency_key=_idempotency_key(request),
+            fingerprint=hashlib.sha256(b"\0".join(parts)).hexdigest(),
+            deadline_s=call.deadline - self.clock(),
         )
         match claimed:
             case Result(tag="ok", ok=Claim() as stored):
                 return _stored_answer(stored)
             case Result(tag="ok", ok=HeldClaim() as held):
-                return await self._run(
-                    request, service=service, environment=environment, body=body, deadline=deadline, held=held
-                )
+                call.claim = held
+                return await self._run(call)
             case Result(error=failure):
                 return self._refuse(request, failure)
         raise AssertionError("a claim is held, stored or refused")
 
-    async def _run(
-        self,
-        request: web.Request,
-        *,
-        service: Service,
-        environment: str,
-        body: bytes,
-        deadline: float,
-        held: HeldClaim | None = None,
-    ) -> web.StreamResponse:
-        acquired = await self.router.acquire(environment=environment, service=service.name, deadline=deadline)
+    async def _run(self, call: Call) -> web.StreamResponse:
+        try:
+            while True:
+                match await self._try(call):
+                    case Result(tag="ok", ok=answer):
+                        return answer
+                    case Result(error=TryFailedError() as failed):
+                        if not self._may_retry(call, failed=failed):
+                            return self._give_up(call, failure=failed.failure)
+                        self.metrics.count("retries")
+        except asyncio.CancelledError:
+            self._release_claim(call)
+            raise
+
+    async def _try(self, call: Call) -> Result[web.StreamResponse, TryFailedError]:
+        acquired = await self.router.acquire(
+            environment=call.environment,
+            service=call.service.name,
+            deadline=call.deadline,
+            queue_limit=call.service.queue_limit,
+            avoided=call.tried,
+        )
         match acquired:
             case Result(tag="ok", ok=credit):
                 pass
             case Result(error=failure):
-                if held is not None:
-                    await self.claims.release(held)
-                return self._refuse(request, failure)
+                return Error(TryFailedError(failure, retry=False, endpoint_failed=False))
+        refused = self._recheck(call)
+        if refused is not None:
+            self.router.release(credit)
+            return Error(TryFailedError(refused, retry=False, endpoint_failed=False))
+        return await self._send(call, credit=credit)
+
+    async def _send(self, call: Call, *, credit: HeldCredit) -> Result[web.StreamResponse, TryFailedError]:
+        given_up = True
+        started = self.clock()
+        service = (call.environment, call.service.name)
         try:
-            return await self._forward(request, credit=credit, body=body, deadline=deadline, held=held)
-        except (aiohttp.ClientConnectorError, aiohttp.ServerDisconnectedError) as error:
-            return await self._failed(request, error=error, held=held, sent=not _is_connect_error(error))
-        except (aiohttp.ClientError, TimeoutError) as error:
-            return await self._failed(request, error=error, held=held, sent=True)
+            answer = await self.forwarder.send(call, credit=credit)
+            given_up = False
+            self.budget.succeeded()
+            seconds = self.clock() - started
+            self.router.health.succeeded(credit.credit.endpoint, service=service, seconds=seconds)
+            return Ok(answer)
+        except TryFailedError as error:
+            given_up = call.sending
+            call.tried |= {credit.credit.endpoint}
+            call.may_have_run = call.may_have_run or error.failure.work is not WorkState.NOT_RUN
+            if error.endpoint_failed:
+                self.router.health.failed(credit.credit.endpoint, service=service)
+            return Error(error)
         finally:
-            self.router.release(credit)
+            self.router.release(credit, given_up=given_up)
 
-    async def _forward(
-        self,
-        request: web.Request,
-        *,
-        credit: HeldCredit,
-        body: bytes,
-        deadline: float,
-        held: HeldClaim | None,
-    ) -> web.StreamResponse:
-        path = request.match_info.get("path", "")
-        query = f"?{request.query_string}" if request.query_string else ""
-        headers = {name: value for name, value in request.headers.items() if name.lower() not in HOP_HEADERS}
-        timeout = aiohttp.ClientTimeout(total=max(0.001, deadline - self.clock()))
-        async with self.session.request(
-            request.method,
-            f"{credit.credit.address}/{path}{query}",
-            data=body,
-            headers=headers,
-            timeout=timeout,
-            allow_redirects=False,
-        ) as answer:
-            content = await answer.read()
-            if held is not None:
-                await self.claims.resolve(
-                    held, status=answer.status, content_type=answer.content_type, body=content
-                )
-            kept = {name: value for name, value in answer.headers.items() if name.lower() not in HOP_HEADERS}
-            return web.Response(status=answer.status, headers=kept, body=content)
-
-    async def _failed(
-        self, request: web.Request, *, error: Exception, held: HeldClaim | None, sent: bool
-    ) -> web.Response:
-        reason = str(error) or type(error).__name__
-        if sent:
-            message = f"the endpoint failed after the request was sent: {reason}"
-            failure = Failure(code=ResultCode.ENDPOINT_FAILED, message=message, work=WorkState.MAY_HAVE_RUN)
-        else:
-            if held is not None:
-                await self.claims.release(held)
-            message = f"the endpoint could not be reached: {reason}"
-            failure = Failure(code=ResultCode.ENDPOINT_FAILED, message=message, retry_after_s=1.0)
-        service = request.match_info["service"]
+    def _recheck(self, call: Call) -> Failure | None:
+        """Checks again what may have changed while the request waited or this process was frozen."""
+        if call.deadline <= self.clock():
+            message = "the deadline of the request passed before it was sent to an endpoint"
+            return Failure(code=ResultCode.DEADLINE_EXCEEDED, message=message)
+        checked = self._check_key(call.request, service=call.service)
+        return checked.error if checked.is_error() else None
+
+    def _may_retry(self, call: Call, *, failed: TryFailedError) -> bool:
+        surely_not_run = failed.failure.work is WorkState.NOT_RUN
+        return (
+            failed.retry
+            and (surely_not_run or call.service.idempotent)
+            and not call.answering
+            and not call.body.consumed
+            and call.deadline > self.clock()
+            and self.budget.take()
+        )
+
+    def _give_up(self, call: Call, *, failure: Failure) -> web.Response:
+        failure = call.final(failure)
+        if failure.work is WorkState.NOT_RUN:
+            self._release_claim(call)
+            return self._refuse(call.request, failure)
+        service = call.service.name
+        self.metrics.count(f"failed.{failure.code.name}")
         log_event(Event.REQUEST_FAILED, service=service, code=int(failure.code), message=failure.message)
         return failure_response(failure)
 
+    def _release_claim(self, call: Call) -> None:
+        if call.claim is not None and not call.sending and not call.may_have_run:
+            self.forwarder.claims.release(call.claim)
+
     def _refuse(self, request: web.Request, failure: Failure) -> web.Response:
         self.metrics.count(f"refused.{failure.code.name}")
         service = request.match_info["service"]
@@ -237,6 +293,10 @@
         return failure_response(failure)
 
 
+def _idempotency_key(request: web.Request) -> str:
+    return request.headers.get(IDEMPOTENCY_HEADER, "")
+
+
 def _read_timeout(request: web.Request, *, default: float) -> float | None:
     text = request.headers.get(TIMEOUT_HEADER)
     if text is None:
@@ -248,19 +308,14 @@
     return timeout_s if 0 < timeout_s <= MAX_TIMEOUT_S else None
 
 
-def _is_connect_error(error: Exception) -> bool:
-    return isinstance(error, aiohttp.ClientConnectorError)
-
-
 def _stored_answer(claim: Claim) -> web.Response:
     if claim.body is None:
         message = "the request ran before; its answer was too large to be kept"
         return failure_response(Failure(code=ResultCode.CLAIM_UNKNOWN, message=message, work=WorkState.RAN))
-    return web.Response(
-        status=claim.status,
-        body=base64.b64decode(claim.body),
-        headers={"Content-Type": claim.content_type, "Hyssopway-Replayed": "true"},
-    )
+    headers = {"Hyssopway-Replayed": "true"}
+    if claim.content_type:
+        headers["Content-Type"] = claim.content_type
+    return web.Response(status=claim.status, body=base64.b64decode(claim.body), headers=headers)
 
 
 __all__ = ["Gateway"]
--- /dev/null
+++ b/src/hyssopway/http/detaching.py
@@ -0,0 +1,31 @@
+"""Lets handlers finish when their client hangs up."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+CANCELLED_PREFIX = "/call/"
+
+_tasks: set[asyncio.Task[web.StreamResponse]] = set()
+
+
+@web.middleware
+async def finish_handlers(
+    request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+) -> web.StreamResponse:
+    """Cancels only callers' requests on a lost connection; other handlers change state and finish."""
+    if request.path.startswith(CANCELLED_PREFIX):
+        return await handler(request)
+    task = asyncio.ensure_future(handler(request))
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
+    return await asyncio.shield(task)
+
+
+__all__ = ["finish_handlers"]
--- a/src/hyssopway/routing/router.py
+++ b/src/hyssopway/routing/router.py
@@ -45,11 +45,17 @@
         homes.summarise = self.summarise
 
     async def acquire(
-        self, *, environment: str, service: str, deadline: float, queue_limit: int = 1000
+        self,
+        *,
+        environment: str,
+        service: str,
+        deadline: float,
+        queue_limit: int = 1000,
+        avoided: frozenset[str] = frozenset(),
     ) -> Result[HeldCredit, Failure]:
         """Waits for a slot until a local time; refuses at once what cannot be done by then."""
         queue = self._queue((environment, service))
-        return await queue.acquire(deadline=deadline, queue_limit=queue_limit)
+        return await queue.acquire(deadline=deadline, queue_limit=queue_limit, avoided=avoided)
 
     def release(self, held: HeldCredit, *, given_up: bool = False) -> None:
         """Takes a credit back once its request has ended.
--- a/src/hyssopway/routing/service_queue.py
+++ b/src/hyssopway/routing/service_queue.py
@@ -26,6 +26,8 @@
 # A new endpoint is known at all entries after one exchange of summaries, which takes 0.5 s.
 NO_ENDPOINT_S = 1.0
 RENEW_S = 0.5
+# A retry waits this long for another endpoint before it takes one that failed it.
+AVOID_S = 0.1
 # Credits that no request needed for this time are given back.
 IDLE_WINDOW_S = 0.3
 RETRY_JITTER = 0.5
@@ -94,10 +96,12 @@
         self.window_at = clock()
         self.refilling: asyncio.Task[None] | None = None
 
-    async def acquire(self, *, deadline: float, queue_limit: int) -> Result[HeldCredit, Failure]:
+    async def acquire(
+        self, *, deadline: float, queue_limit: int, avoided: frozenset[str] = frozenset()
+    ) -> Result[HeldCredit, Failure]:
         """Waits for a slot; refuses at once when none will be free in time."""
         if not self.waiting:
-            held = self._take_idle()
+            held = self._take_idle(avoided=avoided)
             if held is not None:
                 return Ok(held)
         failure = self._check_bound(deadline=deadline, queue_limit=queue_limit)
@@ -106,6 +110,7 @@
         waiter = Waiter(
             future=asyncio.get_running_loop().create_future(),
             give_up_at=deadline - min(self.drain.service_s, (deadline - self.clock()) / 2),
+            avoided=avoided,
         )
         self.waiting[waiter] = None
         self._start_refill()
@@ -167,7 +172,7 @@
 
     async def _wait(self, waiter: Waiter) -> Result[HeldCredit, Failure]:
         started = self.clock()
-        limit = min(waiter.give_up_at, started + NO_ENDPOINT_S)
+        limit = min(waiter.give_up_at, started + (AVOID_S if waiter.avoided else NO_ENDPOINT_S))
         while True:
             try:
                 async with asyncio.timeout(max(0.0, limit - self.clock())):
@@ -179,7 +184,10 @@
                     return Error(self._refusal(f"{self.service[1]} has no free slot in time"))
                 if not self.in_use and not self.idle and not self.homes.slots(self.service):
                     return Error(self._no_endpoint())
-                limit = waiter.give_up_at
+                if waiter.avoided and (held := self._stop_avoiding(waiter)) is not None:
+                    return Ok(held)
+                limit = min(waiter.give_up_at, max(limit, started + NO_ENDPOINT_S))
+                limit = limit if limit > self.clock() else waiter.give_up_at
             except asyncio.CancelledError:
                 if waiter.future.done():
                     self.release(waiter.future.result())
@@ -193,7 +201,11 @@
             retry_after_s=1.0 + self.rng.uniform(0, RETRY_JITTER),
         )
 
-    def _take_idle(self) -> HeldCredit | None:
+    def _stop_avoiding(self, waiter: Waiter) -> HeldCredit | None:
+        waiter.avoided = frozenset()
+        return self._take_idle()
+
+    def _take_idle(self, *, avoided: frozenset[str] = frozenset()) -> HeldCredit | None:
         now = self.clock()
         while self.idle:
             usable = [held for held in self.idle if self._usable(held, now=now)]
@@ -201,6 +213,9 @@
                 for held in [held for held in self.idle if held.expires_at <= now or held.recalled]:
                     self.idle.remove(held)
                 return None
+            usable = [held for held in usable if held.credit.endpoint not in avoided]
+            if not usable:
+                return None
             pair = self.rng.sample(usable, k=min(2, len(usable)))
             held = min(pair, key=lambda item: self.outstanding.get(item.credit.endpoint, 0))
             self.idle.remove(held)
@@ -227,12 +242,12 @@
         if not self._usable(held, now=now):
             self.returning.setdefault(held.home, []).append(held.credit.credit_id)
             return False
-        while self.waiting:
-            waiter = next(iter(self.waiting))
+        endpoint = held.credit.endpoint
+        waiter = next((item for item in self.waiting if endpoint not in item.avoided), None)
+        if waiter is not None:
             del self.waiting[waiter]
-            if not waiter.future.done():
-                waiter.future.set_result(self._take(held, now=now))
-                return True
+            waiter.future.set_result(self._take(held, now=now))
+            return True
         self.idle.append(held)
         return True
 
@@ -296,9 +311,15 @@
             renewed=renewed,
             returned=returned,
             waiting=len(self.waiting),
-            avoided=(*self.health.ejected(self.service), *self._at_limit()),
+            avoided=(*self.health.ejected(self.service), *self._at_limit(), *self._avoided_by_all()),
         )
 
+    def _avoided_by_all(self) -> frozenset[str]:
+        first, *others = self.waiting or (None,)
+        if first is None or not first.avoided:
+            return frozenset()
+        return first.avoided.intersection(*(waiter.avoided for waiter in others))
+
     def _at_limit(self) -> list[str]:
         return [
             endpoint
--- a/src/hyssopway/routing/waiter.py
+++ b/src/hyssopway/routing/waiter.py
@@ -15,10 +15,12 @@
     Attributes:
         future: Receives the credit.
         give_up_at: Local time after which the request can no longer be done.
+        avoided: Endpoints that failed an earlier try of the request.
     """
 
     future: asyncio.Future[HeldCredit]
     give_up_at: float
+    avoided: frozenset[str] = frozenset()
 
 
 __all__ = ["Waiter"]
--- a/src/hyssopway_standins/endpoint.py
+++ b/src/hyssopway_standins/endpoint.py
@@ -56,7 +56,7 @@
         """Listens and begins to announce itself."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_route("*", "/{path:.*}", self.handle)
-        self.runner = web.AppRunner(app, access_log=None)
+        self.runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await self.runner.setup()
         await web.TCPSite(self.runner, host, port).start()
         bound_host, bound_port = self.runner.addresses[0][:2]
@@ -86,7 +86,9 @@
             self.seen[request.headers.get("Idempotency-Key", "")] += 1
             await asyncio.sleep(self.service_s)
             self.completed += 1
-            return web.Response(body=body, headers={"Served-By": self.name})
+            request_id = request.headers.get("Hyssopway-Request-Id", "")
+            headers = {"Served-By": self.name, "Hyssopway-Request-Id": request_id}
+            return web.Response(body=body, headers=headers)
         finally:
             self.in_progress -= 1
 
--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,255 @@
+"""A gateway on loopback with fakes for the agreed state and for endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from expression import Error, Ok
+
+from hyssopway.clock import monotonic_s
+from hyssopway.control import ControlState, Envelope, encode_command
+from hyssopway.document import Service
+from hyssopway.endpoint import Announcement, EndpointHealth, EndpointRegistry
+from hyssopway.gateway import Gateway
+from hyssopway.gateway.claims import ClaimKeeper
+from hyssopway.gateway.forwarder import Forwarder
+from hyssopway.gateway.sessions import open_session
+from hyssopway.http import finish_handlers
+from hyssopway.metrics import Metrics
+from hyssopway.replica import Freshness
+from hyssopway.result import Failure, ResultCode, WorkState
+from hyssopway.routing import CreditLedger, Homes, Router
+
+if TYPE_CHECKING:
+    from hyssopway.control.command import ClaimRequest, ReleaseClaim, ResolveClaim
+
+KIB = 1024
+UNKNOWN = Failure(code=ResultCode.OUTCOME_UNKNOWN, message="no outcome", work=WorkState.MAY_HAVE_RUN)
+
+
+@dataclass(slots=True)
+class FakeSubmitter:
+    """Applies commands to a state at once; `lose` names the kinds whose outcome gets lost."""
+
+    state: ControlState = field(default_factory=ControlState)
+    now_ms: int = 1_000_000
+    lose: set[str] = field(default_factory=set)
+    index: int = 0
+    hold: asyncio.Event | None = None
+
+    @property
+    def replica(self) -> Any:
+        """The state as a replica has it."""
+        return SimpleNamespace(state=self.state)
+
+    async def submit(self, command: ClaimRequest | ResolveClaim | ReleaseClaim, *, timeout_s: float = 5.0):
+        """Applies a command, also when its outcome gets lost."""
+        await asyncio.sleep(0)
+        if self.hold is not None:
+            await self.hold.wait()
+        self.index += 1
+        data = encode_command(Envelope(at_ms=self.now_ms, command=command))
+        outcome = self.state.apply(index=self.index, data=data)
+        if command.kind in self.lose:
+            return Error(UNKNOWN)
+        return Error(outcome.failure) if outcome.failure else Ok(outcome)
+
+
+@dataclass(slots=True)
+class FakeEndpoint:
+    """An endpoint at socket level that answers in one of the ways of `_ANSWERS`."""
+
+    way: str
+    ran: Counter[str] = field(default_factory=Counter)
+    in_progress: int = 0
+    most_in_progress: int = 0
+    server: Any = None
+    port: int = 0
+    go_on: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def open(self) -> None:
+        """Listens, or picks a port that refuses."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        if self.way == "refuses":
+            self.server.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves the requests of one connection."""
+        try:
+            if self.way == "resets before reading":
+                writer.transport.abort()
+            while not writer.is_closing():
+                await self.serve_one(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one request."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in head.split("\r\n")[1:])
+        }
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if self.way != "did not run":
+            self.ran[headers.get("idempotency-key", "")] += 1
+        self.in_progress += 1
+        self.most_in_progress = max(self.most_in_progress, self.in_progress)
+        try:
+            if self.way != "slowly" or not await _closes(reader, within_s=0.2):
+                await self.answer(headers["hyssopway-request-id"], body, writer)
+        finally:
+            self.in_progress -= 1
+
+    async def answer(self, request_id: str, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Answers in its way."""
+        own = f"Hyssopway-Request-Id: {request_id}\r\n"
+        large = b"x" * (200 * KIB)
+        match self.way:
+            case "whole" | "slowly":
+                writer.write(_answer(own, body))
+            case "whole large":
+                writer.write(_answer(own, large))
+            case "resets after reading":
+                writer.transport.abort()
+            case "half":
+                writer.write(_answer(own, b"0123456789")[:-5])
+                writer.close()
+            case "half chunked":
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n".encode()
+                )
+                writer.close()
+            case "half large":
+                writer.write(_answer(own, large)[: -50 * KIB])
+                writer.close()
+            case "twice":
+                writer.write(_answer(own, body) * 2)
+            case "wrong id":
+                writer.write(_answer("Hyssopway-Request-Id: 0\r\n", b"of another"))
+            case "no id":
+                writer.write(_answer("", body))
+            case "no length":
+                writer.write(f"HTTP/1.1 200 OK\r\n{own}\r\nabc".encode())
+                writer.close()
+            case "did not run":
+                writer.write(_answer(f"{own}Hyssopway-Not-Run: true\r\n", b"", status="503 Busy"))
+            case "never":
+                await asyncio.wait_for(self.go_on.wait(), timeout=5)
+                writer.write(_answer(own, body))
+        await writer.drain()
+
+
+async def _closes(reader: asyncio.StreamReader, *, within_s: float) -> bool:
+    try:
+        async with asyncio.timeout(within_s):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+
+
+def _answer(headers: str, body: bytes, *, status: str = "200 OK") -> bytes:
+    return f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+@dataclass(slots=True)
+class Bench:
+    """A gateway and what surrounds it."""
+
+    url: str
+    gateway: Gateway
+    submitter: FakeSubmitter
+    registry: EndpointRegistry
+    freshness: Freshness
+    session: aiohttp.ClientSession
+    endpoints: list[FakeEndpoint] = field(default_factory=list)
+
+    async def add(self, way: str, *, slots: int = 4, service: str = "plan") -> FakeEndpoint:
+        """Adds an endpoint."""
+        endpoint = FakeEndpoint(way)
+        await endpoint.open()
+        name = f"endpoint-{len(self.endpoints)}"
+        address = f"http://127.0.0.1:{endpoint.port}"
+        announcement = Announcement(service=service, address=address, slots=slots)
+        record = self.registry.announce(name=name, announcement=announcement)
+        record.announced_at -= 10
+        record.expires_at += 100
+        self.endpoints.append(endpoint)
+        return endpoint
+
+    async def call(self, service: str = "plan", *, key: str = "", **options: Any) -> tuple[int, Any]:
+        """Sends a request and returns status and JSON or bytes."""
+        headers = options.pop("headers", {}) | ({"Idempotency-Key": key} if key else {})
+        url = f"{self.url}/call/{service}/path"
+        async with self.session.post(url, headers=headers, **options) as answer:
+            is_json = answer.content_type == "application/json"
+            return answer.status, await (answer.json() if is_json else answer.read())
+
+
+SERVICES = [
+    Service(name="plan", pool="p", timeout_s=2.0),
+    Service(name="once", pool="p", timeout_s=2.0, idempotent=False),
+    Service(name="keyed", pool="p", timeout_s=2.0, access="keyed"),
+]
+
+
+@pytest.fixture
+def submitter() -> FakeSubmitter:
+    return FakeSubmitter()
+
+
+@pytest.fixture
+async def bench():
+    """A gateway without endpoints."""
+    clock = monotonic_s
+    submitter = FakeSubmitter()
+    document = SimpleNamespace(
+        service=lambda *, name: next((item for item in SERVICES if item.name == name), None)
+    )
+    submitter.state.indexes.parsed["production"] = document
+    registry = EndpointRegistry(clock=clock)
+    ledger = CreditLedger(registry=registry, clock=clock)
+    homes = Homes(own_name="one", ledger=ledger, peers=None, others={}, clock=clock)
+    router = Router(homes=homes, health=EndpointHealth(clock=clock), clock=clock)
+    maintaining = asyncio.create_task(router.run())
+    sessions = [open_session(reuse_connections=reuse) for reuse in (True, False)]
+    claims = ClaimKeeper(own_name="one", submitter=submitter)
+    freshness = Freshness(clock=clock)
+    freshness.confirm(at=clock() + 1000)
+    forwarder = Forwarder(claims=claims, session=sessions[0], once_session=sessions[1], clock=clock)
+    gateway = Gateway(
+        replica=submitter.replica,
+        freshness=freshness,
+        router=router,
+        forwarder=forwarder,
+        metrics=Metrics(),
+        max_body_bytes=256 * KIB,
+        clock=clock,
+    )
+    app = web.Application(middlewares=[finish_handlers])
+    gateway.add_routes(app)
+    runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10)) as session:
+        made = Bench(f"http://{host}:{port}", gateway, submitter, registry, freshness, session)
+        yield made
+    for endpoint in made.endpoints:
+        endpoint.go_on.set()
+        endpoint.server.close()
+    maintaining.cancel()
+    router.close()
+    await runner.cleanup()
+    for item in sessions:
+        await item.close()
