Answer malformed and slow input with numbered failures

Cause: parse errors, unknown paths and failed handlers were answered in plain text without a work state; a connection that sends nothing was kept.

Ruled out: a proxy layer in front of aiohttp, because its connection class can be replaced for the one method that writes errors.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -18,7 +18,7 @@
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.gateway.forwarder import Forwarder
 from hyssopway.gateway.sessions import open_session
-from hyssopway.http import finish_handlers, json_response
+from hyssopway.http import Runner, finish_handlers, json_response, number_errors
 from hyssopway.job import JobScheduler
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
@@ -138,7 +138,7 @@
             clock=self.clock,
         )
         self._start_tasks()
-        self.runner = web.AppRunner(self._build_app(), access_log=None, handler_cancellation=True)
+        self.runner = Runner(self._build_app())
         await self.runner.setup()
         await web.TCPSite(self.runner, own.host, own.http_port).start()
         log_event(
@@ -194,7 +194,9 @@
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
     def _build_app(self) -> web.Application:
-        app = web.Application(client_max_size=self.settings.max_body_bytes, middlewares=[finish_handlers])
+        app = web.Application(
+            client_max_size=self.settings.max_body_bytes, middlewares=[number_errors, finish_handlers]
+        )
         app.router.add_get("/health", self._answer_health)
         self.gateway.add_routes(app)
         EndpointRoutes(registry=self.registry, token=self.settings.fleet_token).add_routes(app)
--- a/src/hyssopway/http/detaching.py
+++ b/src/hyssopway/http/detaching.py
@@ -7,6 +7,10 @@
 
 from aiohttp import web
 
+from hyssopway.result import Failure, ResultCode
+
+from .answers import failure_response
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -28,4 +32,16 @@
     return await asyncio.shield(task)
 
 
-__all__ = ["finish_handlers"]
+@web.middleware
+async def number_errors(
+    request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+) -> web.StreamResponse:
+    """Answers paths and methods without a route with a numbered failure."""
+    try:
+        return await handler(request)
+    except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as error:
+        message = f"{request.method} {request.path} does not exist: {error.reason}"
+        return failure_response(Failure(code=ResultCode.UNKNOWN_RESOURCE, message=message))
+
+
+__all__ = ["finish_handlers", "number_errors"]
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -15,13 +15,13 @@
 
 from hyssopway.clock import monotonic_s
 from hyssopway.control import ControlState, Envelope, encode_command
-from hyssopway.document import Service
+from hyssopway.document import QueueAccess, Service
 from hyssopway.endpoint import Announcement, EndpointHealth, EndpointRegistry
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.gateway.forwarder import Forwarder
 from hyssopway.gateway.sessions import open_session
-from hyssopway.http import finish_handlers
+from hyssopway.http import Runner, finish_handlers, number_errors
 from hyssopway.metrics import Metrics
 from hyssopway.replica import Freshness
 from hyssopway.result import Failure, ResultCode, WorkState
@@ -199,7 +199,7 @@
 SERVICES = [
     Service(name="plan", pool="p", timeout_s=2.0),
     Service(name="once", pool="p", timeout_s=2.0, idempotent=False),
-    Service(name="keyed", pool="p", timeout_s=2.0, access="keyed"),
+    Service(name="keyed", pool="p", timeout_s=2.0, access=QueueAccess.KEYED),
 ]
 
 
@@ -236,9 +236,9 @@
         max_body_bytes=256 * KIB,
         clock=clock,
     )
-    app = web.Application(middlewares=[finish_handlers])
+    app = web.Application(middlewares=[number_errors, finish_handlers])
     gateway.add_routes(app)
-    runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+    runner = Runner(app)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     host, port = runner.addresses[0][:2]
