--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
 from aiohttp import web
 
 from hyssopway.agreement import (
@@ -20,21 +19,24 @@
 )
 from hyssopway.clock import monotonic_s, wall_ms
 from hyssopway.control import AgreedClock
-from hyssopway.endpoint import EndpointRegistry
+from hyssopway.control.record import VmState
+from hyssopway.endpoint import EndpointHealth, EndpointRegistry
 from hyssopway.event import Event, log_event
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
-from hyssopway.http import json_response
+from hyssopway.gateway.forwarder import Forwarder
+from hyssopway.gateway.sessions import open_session
+from hyssopway.http import Runner, finish_handlers, json_response, number_errors
 from hyssopway.job import JobScheduler, LostHomes, UsageBook
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, MemberRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Proposer, Replica, Submitter, follow_leader, follow_upstream
-from hyssopway.routing import CreditLedger, Router
+from hyssopway.routing import SUMMARY_TOPIC, CreditLedger, HeldCollector, Homes, Router
 from hyssopway.worker import WorkerSessions, watch_silence
 
 from .dump import dump_daemon
-from .load_push import TOPIC, push_loads, take_loads
+from .load_push import LOAD_TOPIC, push_loads, take_loads
 from .members import CHANGE_TOPIC, LIST_TOPIC, Members
 from .peer_calls import PeerCalls
 from .status import collect_status, group_with_state, own_status
@@ -46,6 +48,7 @@
 
 RESTART_S = 1.0
 EXPIRE_S = 0.25
+CLAIMS_FINISH_S = 5.0
 
 
 class Daemon:
@@ -80,15 +83,24 @@
             replica=self.replica,
             clock=clock,
         )
-        self.registry = EndpointRegistry(clock=clock)
-        self.ledger = CreditLedger(registry=self.registry, clock=clock)
-        self.router = Router(
+        self.registry = EndpointRegistry(clock=clock, may_serve=self._vm_may_serve)
+        self.ledger = CreditLedger(registry=self.registry, clock=clock, entries=len(settings.peers))
+        self.homes = Homes(
             own_name=settings.name,
             ledger=self.ledger,
             peers=self.peers,
-            homes=_nearest_first(settings),
+            others={peer.name: peer.zone == settings.zone for peer in settings.others()},
             clock=clock,
         )
+        self.router = Router(homes=self.homes, health=EndpointHealth(clock=clock), clock=clock)
+        self.collector = HeldCollector(
+            own_name=settings.name,
+            ledger=self.ledger,
+            router=self.router,
+            peers=self.peers,
+            others=_nearest_first(settings),
+        )
+        self.registry.arrived = self.collector.begin
         self.sessions = WorkerSessions(
             own_name=settings.name,
             replica=self.replica,
@@ -111,6 +123,7 @@
             replica=self.replica,
             freshness=self.freshness,
             ledger=self.ledger,
+            router=self.router,
         )
         self.lost_homes = LostHomes(
             own_name=settings.name,
@@ -120,7 +133,8 @@
             leads=self.leads,
             clock=clock,
         )
-        self.calls.exchanges[TOPIC] = lambda loads: take_loads(self, loads)
+        self.calls.exchanges[LOAD_TOPIC] = lambda loads: take_loads(self, loads)
+        self.calls.exchanges[SUMMARY_TOPIC] = self.homes.answer
         self.calls.exchanges["status"] = lambda _: own_status(self)
         self.members = Members(
             own_name=settings.name,
@@ -147,18 +161,25 @@
         if self.member is not None:
             await self._open_member(self.member)
         await self.peer_server.open(host=own.host, port=own.peer_port)
-        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
+        self.session = open_session(reuse_connections=True)
+        self.once_session = open_session(reuse_connections=False)
+        self.claims = ClaimKeeper(own_name=self.settings.name, submitter=self.submitter)
         self.gateway = Gateway(
             replica=self.replica,
             freshness=self.freshness,
             router=self.router,
-            claims=ClaimKeeper(own_name=self.settings.name, submitter=self.submitter),
-            session=self.session,
+            forwarder=Forwarder(
+                claims=self.claims,
+                session=self.session,
+                once_session=self.once_session,
+                clock=self.clock,
+            ),
             metrics=self.metrics,
+            max_body_bytes=self.settings.max_body_bytes,
             clock=self.clock,
         )
         self._start_tasks()
-        self.runner = web.AppRunner(self._build_app(), access_log=None)
+        self.runner = Runner(self._build_app())
         await self.runner.setup()
         await web.TCPSite(self.runner, own.host, own.http_port).start()
         log_event(
@@ -191,12 +212,15 @@
         while self.gateway.open_requests and self.clock() < deadline:  # noqa: ASYNC110  bounded by shutdown_s
             await asyncio.sleep(0.05)
         await self.runner.cleanup()
+        await self.claims.finish(timeout_s=CLAIMS_FINISH_S)
         for task in self.tasks:
             task.cancel()
+        self.router.close()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.peer_server.close()
         self.peers.close()
         await self.session.close()
+        await self.once_session.close()
         if self.member is not None:
             self.member.store.close()
         log_event(Event.DAEMON_STOPPED)
@@ -205,6 +229,11 @@
         """Returns the state of this process."""
         return dump_daemon(self)
 
+    def _vm_may_serve(self, name: str) -> bool:
+        # A VM without a worker is not in the agreed state and is not drained by it.
+        vm = self.replica.state.tables.vms.get(name)
+        return vm is None or vm.state is VmState.READY
+
     def _build_member(self) -> Member | None:
         if self.settings.data_dir is None:
             return None
@@ -230,7 +259,9 @@
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
     def _build_app(self) -> web.Application:
-        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        app = web.Application(
+            client_max_size=self.settings.max_body_bytes, middlewares=[number_errors, finish_handlers]
+        )
         app.router.add_get("/health", self._answer_health)
         self.gateway.add_routes(app)
         EndpointRoutes(registry=self.registry, token=self.settings.fleet_token).add_routes(app)
@@ -266,6 +297,8 @@
         self._start("expire", self._expire)
         self._start("loads", lambda: push_loads(self))
         self._start("silence", lambda: watch_silence(self.sessions))
+        self._start("credits", self.router.run)
+        self._start("summaries", self.homes.run)
 
     def _start(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
         self.tasks.append(asyncio.create_task(_keep_running(name, loop), name=name))
@@ -296,6 +329,7 @@
     async def _expire(self) -> None:
         while True:
             self.registry.expire()
+            self.ledger.expire()
             await asyncio.sleep(EXPIRE_S)
 
 
--- a/src/hyssopway/daemon/load_push.py
+++ b/src/hyssopway/daemon/load_push.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from .daemon import Daemon
 
-TOPIC = "loads"
+LOAD_TOPIC = "loads"
 PUSH_S = 1.0
 CALL_TIMEOUT_S = 1.0
 
@@ -79,7 +79,7 @@
         return ""
     try:
         answer = await daemon.peers.client(target).exchange(
-            topic=TOPIC, data=to_json(own_loads(daemon)), timeout_s=CALL_TIMEOUT_S
+            topic=LOAD_TOPIC, data=to_json(own_loads(daemon)), timeout_s=CALL_TIMEOUT_S
         )
     except PeerUnreachableError:
         return ""
@@ -92,4 +92,4 @@
     return TaskUsage(job_id=job_id, epoch=epoch, usage=usage, ran_s=ran_s)
 
 
-__all__ = ["TOPIC", "own_loads", "push_loads", "take_loads"]
+__all__ = ["LOAD_TOPIC", "own_loads", "push_loads", "take_loads"]
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -32,7 +32,7 @@
     )
     from hyssopway.peer import Credit, CreditReply, CreditRequest
     from hyssopway.replica import Freshness, Proposer, Replica
-    from hyssopway.routing import CreditLedger
+    from hyssopway.routing import CreditLedger, Router
 
 PROPOSE_TIMEOUT_S = 3.0
 MAX_WATCH_ENTRIES_BYTES = 4 * 1024 * 1024
@@ -47,6 +47,7 @@
         replica: Agreed state.
         freshness: How current the replica is.
         ledger: Slot credits of endpoints whose home is this daemon.
+        router: Slot credits held by this daemon.
         contacts: Local time of the last confirm or watch call of each daemon.
         exchanges: Answers to exchanges of soft state by topic.
         parts: Snapshot of a leader while it arrives.
@@ -61,6 +62,7 @@
         "parts",
         "proposer",
         "replica",
+        "router",
     )
 
     def __init__(
@@ -71,6 +73,7 @@
         replica: Replica,
         freshness: Freshness,
         ledger: CreditLedger,
+        router: Router,
     ) -> None:
         self.member = member
         self.proposer = proposer
@@ -78,6 +81,7 @@
         self.freshness = freshness
         self.ledger = ledger
         self.contacts: dict[str, float] = {}
+        self.router = router
         self.exchanges: dict[str, Callable[[Any], Any]] = {}
         self.parts = SnapshotParts()
 
@@ -142,9 +146,9 @@
         """Hands out slot credits of endpoints that announced themselves here."""
         return self.ledger.answer(request)
 
-    async def held_credits(self, endpoint: str) -> list[Credit]:
-        """Returns the credits that this daemon holds for an endpoint."""
-        return []
+    async def held_credits(self, *, daemon: str, endpoint: str) -> list[Credit]:
+        """Returns the credits held here for an endpoint whose home is now the daemon that asks."""
+        return self.router.hand_over(endpoint=endpoint, home=daemon)
 
     async def exchange(self, *, topic: str, data: bytes) -> bytes:
         """Takes and returns soft state."""
--- a/src/hyssopway/routing/__init__.py
+++ b/src/hyssopway/routing/__init__.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
+from .collector import HeldCollector
+from .held_credit import HeldCredit
+from .homes import SUMMARY_TOPIC, Homes
 from .ledger import CREDIT_LEASE_S, CreditLedger
 from .router import Router
 
-__all__ = ["CREDIT_LEASE_S", "CreditLedger", "Router"]
+__all__ = [
+    "CREDIT_LEASE_S",
+    "SUMMARY_TOPIC",
+    "CreditLedger",
+    "HeldCollector",
+    "HeldCredit",
+    "Homes",
+    "Router",
+]
