Add the command line, numbered HTTP errors, reload, drain and TLS

Cause: there was no `hyssopway` command, unknown routes answered with plain text, a stopping daemon closed its port at once, and TLS settings had no effect.

Change: cli package with one file for each group of commands; entry VMs are tried in turn with one request id, and a change whose answer was lost ends in exit status 4 with the way to resend it. GET /v1/status says which processes have applied a log index and when the others lose their authority. The HTTP layer answers parser errors, slow heads, half-closed connections, unknown routes and failed handlers with numbered JSON. SIGHUP takes over tokens, log and drain settings. Health is 503 for drain_health_s before the port closes.

Conclusion: reload, drain and TLS are not yet covered by tests.

--- /dev/null
+++ b/src/hyssopway/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators and teams."""
--- /dev/null
+++ b/src/hyssopway/cli/exit_status.py
@@ -0,0 +1,22 @@
+"""Exit statuses of the command line; `docs/operators.md` has the table."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class ExitStatus(IntEnum):
+    """Exit status, stable across releases."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    MAY_HAVE_RUN = 4
+    UNREACHABLE = 5
+    WAIT_INCOMPLETE = 6
+    BAD_FILE = 64
+    NOT_PERMITTED = 77
+
+
+__all__ = ["ExitStatus"]
--- /dev/null
+++ b/src/hyssopway/cli/member_commands.py
@@ -0,0 +1,63 @@
+"""Commands about control members."""
+
+from typing import Annotated
+
+import typer
+
+from .access import operator_connection
+from .options import Json, RequestId
+from .output import write_fields, write_json, write_table
+
+app = typer.Typer(help="List, add, promote and remove control members.", no_args_is_help=True)
+
+MemberName = Annotated[str, typer.Argument(metavar="MEMBER", help="Id that `members list` shows.")]
+
+
+@app.command("list")
+def list_members(context: typer.Context, as_json: Json = False) -> None:
+    """List control members.
+
+    Example: hyssopway members list
+    """
+    data = operator_connection(context).read("/v1/members")
+    if as_json:
+        write_json(data)
+        return
+    members = data["members"]
+    columns = list(dict.fromkeys(name for member in members for name in member))
+    write_table(columns=columns, rows=[[member.get(name) for name in columns] for member in members])
+
+
+@app.command()
+def add(context: typer.Context, member: MemberName, request_id: RequestId = "") -> None:
+    """Add a member as a learner without a vote.
+
+    Example: hyssopway members add MEMBER
+    """
+    _change(context, action="add", member=member, request_id=request_id)
+
+
+@app.command()
+def promote(context: typer.Context, member: MemberName, request_id: RequestId = "") -> None:
+    """Give a learner that has caught up a vote.
+
+    Example: hyssopway members promote MEMBER
+    """
+    _change(context, action="promote", member=member, request_id=request_id)
+
+
+@app.command()
+def remove(context: typer.Context, member: MemberName, request_id: RequestId = "") -> None:
+    """Remove a member; do this first when a VM is lost for good.
+
+    Example: hyssopway members remove MEMBER
+    """
+    _change(context, action="remove", member=member, request_id=request_id)
+
+
+def _change(context: typer.Context, *, action: str, member: str, request_id: str) -> None:
+    body = {"action": action, "member": member}
+    write_fields(operator_connection(context).change("POST", "/v1/members", body, request_id=request_id))
+
+
+__all__ = ["app"]
--- /dev/null
+++ b/src/hyssopway/cli/status_commands.py
@@ -0,0 +1,60 @@
+"""Commands that show the processes of a deployment."""
+
+from typing import Annotated, Any
+
+import typer
+
+from .access import operator_connection
+from .options import Json
+from .output import write_json, write_line, write_table
+
+
+def status(context: typer.Context, as_json: Json = False) -> None:
+    """Show all daemons and which configuration is in force on them.
+
+    Example: hyssopway status
+    """
+    data = operator_connection(context).read("/v1/status")
+    if as_json:
+        write_json(data)
+        return
+    columns = ("daemon", "zone", "reachable", "role", "confirmed", "generation", "endpoints", "workers")
+    write_table(columns=columns, rows=[_row(daemon) for daemon in data["daemons"]])
+    rollout = data["rollout"]
+    write_line(f"production generation {rollout['generation']}: {_describe(rollout)}")
+
+
+def dump(
+    context: typer.Context,
+    entry: Annotated[
+        str, typer.Option("--of", metavar="URL", help="Process to ask; the first entry VM.")
+    ] = "",
+) -> None:
+    """Print the state of one process as JSON.
+
+    Example: hyssopway dump
+    """
+    connection = operator_connection(context)
+    if entry:
+        connection.entries = [entry]
+    write_json(connection.read("/v1/dump"))
+
+
+def _row(daemon: dict[str, Any]) -> tuple[Any, ...]:
+    reachable = "yes" if daemon["reachable"] else "no"
+    confirmed = {True: "yes", False: "no"}.get(daemon.get("confirmed", ""), "")
+    rest = [daemon.get(name, "") for name in ("generation", "endpoints", "workers")]
+    return (daemon["daemon"], daemon["zone"], reachable, daemon.get("role"), confirmed, *rest)
+
+
+def _describe(rollout: dict[str, Any]) -> str:
+    parts = [f"in force on {len(rollout['in_force'])} processes"]
+    if rollout["behind"]:
+        parts.append(f"not yet on {', '.join(rollout['behind'])}")
+    if rollout["unreachable"]:
+        names = ", ".join(rollout["unreachable"])
+        parts.append(f"not reachable: {names}, without authority in {rollout['old_ends_in_s']:.1f} s")
+    return "; ".join(parts)
+
+
+__all__ = ["dump", "status"]
--- /dev/null
+++ b/src/hyssopway/cli/zone_commands.py
@@ -0,0 +1,104 @@
+"""Commands about availability zones."""
+
+from typing import Annotated
+
+import typer
+
+from .access import operator_connection
+from .options import Json, RequestId, Wait, WaitSeconds
+from .output import write_fields, write_json, write_line, write_table
+from .route_path import route_path
+from .waiting import wait_in_force
+
+app = typer.Typer(help="Withdraw, restore and list availability zones.", no_args_is_help=True)
+
+ZoneName = Annotated[str, typer.Argument(metavar="ZONE")]
+Epoch = Annotated[
+    int | None, typer.Option("--expect", metavar="EPOCH", help="Refuse unless the zone is at this epoch.")
+]
+
+
+@app.command("list")
+def list_zones(context: typer.Context, as_json: Json = False) -> None:
+    """List availability zones.
+
+    Example: hyssopway zones list
+    """
+    data = operator_connection(context).read("/v1/zones")
+    if as_json:
+        write_json(data)
+        return
+    rows = [(zone["name"], zone["status"], zone["epoch"], zone["changed_by"]) for zone in data["zones"]]
+    write_table(columns=("zone", "status", "epoch", "changed by"), rows=rows)
+
+
+@app.command()
+def withdraw(
+    context: typer.Context,
+    zone: ZoneName,
+    dry_run: Annotated[bool, typer.Option("--dry-run", help="Only show what would happen.")] = False,
+    expect: Epoch = None,
+    request_id: RequestId = "",
+    wait: Wait = False,
+    wait_timeout: WaitSeconds = 16,
+) -> None:
+    """Take a zone out of service: no task starts there any more.
+
+    Example: hyssopway zones withdraw Portland --wait
+    """
+    if dry_run:
+        write_fields(operator_connection(context).read(route_path("zones", zone, "withdrawal")))
+        return
+    _set_zone(
+        context,
+        zone=zone,
+        status="withdrawn",
+        expect=expect,
+        request_id=request_id,
+        wait_s=wait_timeout if wait else None,
+    )
+
+
+@app.command()
+def restore(
+    context: typer.Context,
+    zone: ZoneName,
+    at_once: Annotated[bool, typer.Option("--at-once", help="Use its whole capacity immediately.")] = False,
+    expect: Epoch = None,
+    request_id: RequestId = "",
+    wait: Wait = False,
+    wait_timeout: WaitSeconds = 16,
+) -> None:
+    """Bring a zone back; the scheduler raises its load in steps.
+
+    Example: hyssopway zones restore Portland
+    """
+    _set_zone(
+        context,
+        zone=zone,
+        status="open" if at_once else "returning",
+        expect=expect,
+        request_id=request_id,
+        wait_s=wait_timeout if wait else None,
+    )
+
+
+def _set_zone(
+    context: typer.Context,
+    *,
+    zone: str,
+    status: str,
+    expect: int | None,
+    request_id: str,
+    wait_s: float | None,
+) -> None:
+    connection = operator_connection(context)
+    body = {"status": status, "expected_epoch": expect}
+    resend = "" if expect is None else f"--expect {expect}"
+    outcome = connection.change("POST", route_path("zones", zone), body, request_id=request_id, resend=resend)
+    write_line(f"zone {zone} is {status} at epoch {outcome['generation']}")
+    if wait_s is not None:
+        wait_in_force(connection, index=outcome["index"], timeout_s=wait_s)
+
+
+__all__ = ["app"]
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -16,17 +16,20 @@
 from hyssopway.event import Event, log_event
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
-from hyssopway.http import json_response
+from hyssopway.http import HttpListener, answer_errors, json_response
 from hyssopway.job import JobScheduler
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import CreditLedger, Router
+from hyssopway.settings import http_context, peer_client_context, peer_server_context
 from hyssopway.worker import WorkerSessions
 
+from .applied_times import SAMPLE_S, AppliedTimes
 from .dump import dump_daemon
 from .peer_calls import PeerCalls
+from .reloading import reload_settings
 from .status import collect_status, own_status
 
 if TYPE_CHECKING:
@@ -59,7 +62,9 @@
         self.metrics = Metrics()
         self.replica = Replica()
         self.freshness = Freshness(clock=clock)
-        self.peers = PeerDirectory(settings=settings)
+        self.applied_times = AppliedTimes(clock=clock, read_index=lambda: self.replica.state.applied_index)
+        tls = settings.tls
+        self.peers = PeerDirectory(settings=settings, tls=peer_client_context(tls) if tls else None)
         self.member = self._build_member()
         self.submitter = Submitter(
             own_name=settings.name,
@@ -92,6 +97,15 @@
         )
         self.calls.exchanges["status"] = lambda _: own_status(self)
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
+        self.endpoint_routes = EndpointRoutes(registry=self.registry, token=settings.fleet_token)
+        self.worker_routes = WorkerRoutes(sessions=self.sessions, token=settings.fleet_token)
+        self.operator_routes = OperatorRoutes(
+            replica=self.replica,
+            submitter=self.submitter,
+            token=settings.operator_token,
+            read_status=lambda index: collect_status(self, index=index),
+            read_dump=self.dump,
+        )
 
     def leads(self) -> bool:
         """Tells whether this daemon leads its region."""
@@ -102,7 +116,10 @@
         own = self.settings.own
         if self.member is not None:
             self.member.open(initial=self._initial_configuration() if self.initialise else None)
-        await self.peer_server.open(host=own.host, port=own.peer_port)
+        tls = self.settings.tls
+        await self.peer_server.open(
+            host=own.host, port=own.peer_port, tls=peer_server_context(tls) if tls else None
+        )
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
         self.gateway = Gateway(
             replica=self.replica,
@@ -114,9 +131,8 @@
             clock=self.clock,
         )
         self._start_tasks()
-        self.runner = web.AppRunner(self._build_app(), access_log=None)
-        await self.runner.setup()
-        await web.TCPSite(self.runner, own.host, own.http_port).start()
+        self.listener = HttpListener(app=self._build_app(), shutdown_s=self.settings.shutdown_s)
+        await self.listener.open(host=own.host, port=own.http_port, tls=http_context(tls) if tls else None)
         log_event(
             Event.DAEMON_STARTED,
             daemon=self.settings.name,
@@ -126,13 +142,16 @@
         )
 
     async def stop(self) -> None:
-        """Stops gracefully: health turns first, then requests in progress finish."""
+        """Stops gracefully.
+
+        Health turns first, and everything is still served until the balancer looks elsewhere. Then no new
+        connection is accepted, and all requests in progress finish.
+        """
         self.stopping = True
+        log_event(Event.DAEMON_DRAINING, seconds=self.settings.drain_health_s)
+        await asyncio.sleep(self.settings.drain_health_s)
         log_event(Event.DAEMON_STOPPING, open_requests=self.gateway.open_requests)
-        deadline = self.clock() + self.settings.shutdown_s
-        while self.gateway.open_requests and self.clock() < deadline:  # noqa: ASYNC110  bounded by shutdown_s
-            await asyncio.sleep(0.05)
-        await self.runner.cleanup()
+        await self.listener.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -147,6 +166,10 @@
         """Returns the state of this process."""
         return dump_daemon(self)
 
+    def reload(self, path: Path) -> None:
+        """Takes over a changed settings file."""
+        reload_settings(self, path=path)
+
     def _build_member(self) -> Member | None:
         if self.settings.data_dir is None:
             return None
@@ -162,21 +185,21 @@
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
     def _build_app(self) -> web.Application:
-        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        app = web.Application(client_max_size=self.settings.max_body_bytes, middlewares=[answer_errors])
         app.router.add_get("/health", self._answer_health)
         self.gateway.add_routes(app)
-        EndpointRoutes(registry=self.registry, token=self.settings.fleet_token).add_routes(app)
-        WorkerRoutes(sessions=self.sessions, token=self.settings.fleet_token).add_routes(app)
+        self.endpoint_routes.add_routes(app)
+        self.worker_routes.add_routes(app)
         JobRoutes(replica=self.replica, freshness=self.freshness, submitter=self.submitter).add_routes(app)
-        OperatorRoutes(
-            replica=self.replica,
-            submitter=self.submitter,
-            token=self.settings.operator_token,
-            read_status=lambda: collect_status(self),
-            read_dump=self.dump,
-        ).add_routes(app)
+        self.operator_routes.add_routes(app)
+        app.on_response_prepare.append(self._close_when_stopping)
         return app
 
+    async def _close_when_stopping(self, request: web.Request, response: web.StreamResponse) -> None:
+        # A caller that keeps its connection would send into its end otherwise.
+        if self.stopping:
+            response.force_close()
+
     async def _answer_health(self, request: web.Request) -> web.Response:
         status = 503 if self.stopping else 200
         return json_response({"healthy": not self.stopping, "daemon": self.settings.name}, status=status)
@@ -194,6 +217,7 @@
         else:
             self._start("watch", self._follow_upstream)
         self._start("expire", self._expire)
+        self._start("applied_times", self._sample_index)
 
     def _start(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
         self.tasks.append(asyncio.create_task(_keep_running(name, loop), name=name))
@@ -226,6 +250,11 @@
             self.registry.expire()
             await asyncio.sleep(EXPIRE_S)
 
+    async def _sample_index(self) -> None:
+        while True:
+            self.applied_times.sample()
+            await asyncio.sleep(SAMPLE_S)
+
 
 def _nearest_first(settings: DaemonSettings) -> list[str]:
     others = sorted(settings.others(), key=lambda peer: (peer.zone != settings.zone, peer.name))
--- a/src/hyssopway/daemon/status.py
+++ b/src/hyssopway/daemon/status.py
@@ -7,8 +7,10 @@
 
 from pydantic_core import from_json
 
+from hyssopway.control.state import TRIAL
 from hyssopway.metrics import Metrics
 from hyssopway.peer import PeerUnreachableError
+from hyssopway.replica.freshness import AUTHORITY_TTL_S
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -29,6 +31,7 @@
         "applied_index": state.applied_index,
         "confirmed": daemon.freshness.is_valid,
         "generation": state.generation(),
+        "trial_generation": state.generation(environment=TRIAL),
         "endpoints": len(daemon.registry.endpoints),
         "workers": len(daemon.sessions.sessions),
         "open_requests": daemon.gateway.open_requests,
@@ -37,14 +40,37 @@
     }
 
 
-async def collect_status(daemon: Daemon) -> dict[str, Any]:
-    """Asks all daemons and merges their metrics."""
+async def collect_status(daemon: Daemon, *, index: int | None = None) -> dict[str, Any]:
+    """Asks all daemons and merges their metrics.
+
+    Args:
+        daemon: The daemon that asks.
+        index: Log index whose progress is reported; by default what this daemon has applied.
+    """
+    wanted = daemon.replica.state.applied_index if index is None else index
     statuses = await asyncio.gather(*(_ask(daemon, name=peer.name) for peer in daemon.settings.peers))
     merged = Metrics()
     for status in statuses:
         if "metrics" in status:
             merged.merge(status.pop("metrics"))
-    return {"daemons": statuses, "metrics": merged.summarise()}
+    return {
+        "daemons": statuses,
+        "metrics": merged.summarise(),
+        "rollout": _describe_rollout(daemon, statuses=statuses, index=wanted),
+    }
+
+
+def _describe_rollout(daemon: Daemon, *, statuses: list[dict[str, Any]], index: int) -> dict[str, Any]:
+    reachable = [status for status in statuses if status["reachable"]]
+    return {
+        "index": index,
+        "generation": daemon.replica.state.generation(),
+        "in_force": [status["daemon"] for status in reachable if status["applied_index"] >= index],
+        "behind": [status["daemon"] for status in reachable if status["applied_index"] < index],
+        "unreachable": [status["daemon"] for status in statuses if not status["reachable"]],
+        "authority_ttl_s": AUTHORITY_TTL_S,
+        "old_ends_in_s": daemon.applied_times.old_ends_in_s(index),
+    }
 
 
 async def _ask(daemon: Daemon, *, name: str) -> dict[str, Any]:
--- a/src/hyssopway/document/yaml_reading.py
+++ b/src/hyssopway/document/yaml_reading.py
@@ -46,10 +46,13 @@
 
 
 def _to_problem(*, detail: Any, file: str) -> Problem:
+    path = ".".join(str(part) for part in detail["loc"])
     found = "nothing" if detail["type"].startswith("missing") else repr(detail["input"])
+    if path.endswith("_token") and found != "nothing":
+        # Problems go to logs and terminals.
+        found = f"a secret of {len(str(detail['input']))} characters"
     if len(found) > MAX_FOUND_CHARACTERS:
         found = found[:MAX_FOUND_CHARACTERS] + "..."
-    path = ".".join(str(part) for part in detail["loc"])
     return Problem(file=file, path=path, found=found, allowed=detail["msg"])
 
 
--- a/src/hyssopway/http/bodies.py
+++ b/src/hyssopway/http/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TypeVar
 
 from aiohttp import web
@@ -12,13 +13,19 @@
 
 T = TypeVar("T")
 
+BODY_TIMEOUT_S = 10.0
+
 
 async def read_json(request: web.Request, adapter: TypeAdapter[T]) -> Result[T, Failure]:
     """Reads and checks a JSON body; unknown fields are refused."""
     try:
-        raw = await request.read()
-    except web.HTTPRequestEntityTooLarge:
-        return Error(Failure(code=ResultCode.BODY_TOO_LARGE, message="the request body is too large"))
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            raw = await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        return Error(Failure(code=ResultCode.BODY_TOO_LARGE, message=error.text or "the body is too large"))
+    except TimeoutError:
+        message = f"the request body did not arrive within {BODY_TIMEOUT_S:.0f} s"
+        return Error(Failure(code=ResultCode.REQUEST_TOO_SLOW, message=message))
     try:
         return Ok(adapter.validate_json(raw, extra="forbid"))
     except ValidationError as error:
--- /dev/null
+++ b/src/hyssopway/http/connection_handler.py
@@ -0,0 +1,140 @@
+"""One HTTP connection, with numbered answers to input that never becomes a request."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from aiohttp.web_protocol import RequestHandler
+from pydantic_core import to_json
+
+from hyssopway.result import Failure, ResultCode, http_status
+
+from .answers import failure_response
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from aiohttp import web
+    from aiohttp.web_request import BaseRequest
+
+# A caller that has not sent the head of a request in this time does not keep a connection busy.
+HEAD_TIMEOUT_S = 10.0
+MAX_LINE_BYTES = 8190
+MAX_FIELD_BYTES = 8190
+MAX_HEADERS = 100
+
+
+class ConnectionHandler(RequestHandler):
+    """Serves one connection.
+
+    Attributes:
+        head_timer: Ends the connection when the head of a request does not arrive in time.
+    """
+
+    __slots__ = ("head_timer", "loop")
+
+    def __init__(self, server: web.Server, *, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(
+            server,
+            loop=loop,
+            access_log=None,  # type: ignore[arg-type]  # aiohttp takes None for no access log
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            max_headers=MAX_HEADERS,
+        )
+        self.loop = loop
+        self.head_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the connection."""
+        super().data_received(data)
+        if self._is_idle():
+            if self.head_timer is None:
+                self.head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self._end_slow_head)
+        else:
+            self._cancel_timer()
+
+    def eof_received(self) -> bool | None:  # type: ignore[override]
+        """Handles a caller that closed its sending side.
+
+        Returns:
+            True to keep the sending side of this process open until the request in progress is answered.
+        """
+        super().eof_received()
+        if self._is_idle():
+            if self.head_timer is not None:
+                self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request head")
+            return None
+        request = self._current_request
+        if request is not None and not request.content.is_eof():
+            self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request body")
+            return None
+        self.close()
+        return True
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forgets the connection."""
+        self._cancel_timer()
+        super().connection_lost(exc)
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers input that the HTTP parser refuses."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has already begun")
+        code = ResultCode.INTERNAL
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            name = type(exc).__name__
+            too_large = name in ("LineTooLong", "HeaderTooLarge") or status == 431
+            code = ResultCode.HEADER_TOO_LARGE if too_large else ResultCode.MALFORMED_REQUEST
+        text = " ".join((message or str(exc) or "the request is not valid HTTP").split())[:300]
+        answer = failure_response(Failure(code=code, message=text))
+        answer.force_close()
+        return answer
+
+    def _is_idle(self) -> bool:
+        return self._current_request is None and not self._messages
+
+    def _end_slow_head(self) -> None:
+        self.head_timer = None
+        if self._is_idle():
+            message = f"the request head did not arrive within {HEAD_TIMEOUT_S:.0f} s"
+            self._refuse(ResultCode.REQUEST_TOO_SLOW, message)
+
+    def _refuse(self, code: ResultCode, message: str) -> None:
+        transport: Any = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.write(_raw_answer(Failure(code=code, message=message)))
+            transport.close()
+
+    def _cancel_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+
+def _raw_answer(failure: Failure) -> bytes:
+    status = http_status(failure.code)
+    body = to_json(
+        {
+            "code": int(failure.code),
+            "name": failure.code.name,
+            "message": failure.message,
+            "work": failure.work,
+            "retry_after_s": None,
+        }
+    )
+    head = (
+        f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+__all__ = ["ConnectionHandler"]
--- /dev/null
+++ b/src/hyssopway/http/listener.py
@@ -0,0 +1,50 @@
+"""Listens for HTTP connections."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from .connection_handler import ConnectionHandler
+
+if TYPE_CHECKING:
+    import ssl
+
+BACKLOG = 1024
+
+
+class HttpListener:
+    """Serves an application on one address.
+
+    Attributes:
+        runner: Runs the application.
+        listening: Listening socket while open.
+    """
+
+    __slots__ = ("listening", "runner")
+
+    def __init__(self, *, app: web.Application, shutdown_s: float) -> None:
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=shutdown_s)
+        self.listening: asyncio.Server | None = None
+
+    async def open(self, *, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
+        """Starts to listen."""
+        await self.runner.setup()
+        server = self.runner.server
+        if server is None:
+            raise RuntimeError("the HTTP application is not set up")
+        loop = asyncio.get_running_loop()
+        self.listening = await loop.create_server(
+            lambda: ConnectionHandler(server, loop=loop), host, port, ssl=tls, backlog=BACKLOG
+        )
+
+    async def close(self) -> None:
+        """Stops to listen and waits for requests in progress."""
+        if self.listening is not None:
+            self.listening.close()
+        await self.runner.cleanup()
+
+
+__all__ = ["HttpListener"]
--- a/src/hyssopway/operator_api/operator_routes.py
+++ b/src/hyssopway/operator_api/operator_routes.py
@@ -15,6 +15,7 @@
 from hyssopway.result import Failure, ResultCode
 
 from .bodies import GrantBody, PromoteBody, TrialBody, ZoneBody
+from .request_explanation import explain_request
 
 if TYPE_CHECKING:
     from hyssopway.control.command import Command
@@ -25,6 +26,7 @@
 REQUEST_ID_HEADER = "Idempotency-Key"
 OPERATOR_HEADER = "Hyssopway-Operator"
 SUBMIT_TIMEOUT_S = 5.0
+MAX_INDEX_DIGITS = 18
 
 _TRIAL = TypeAdapter(TrialBody)
 _PROMOTE = TypeAdapter(PromoteBody)
@@ -39,7 +41,7 @@
         replica: Agreed state.
         submitter: Way to the agreed state.
         token: Secret that operators present.
-        read_status: Returns the status of all daemons.
+        read_status: Returns the status of all daemons and the progress of a log index.
         read_dump: Returns the state of this process.
     """
 
@@ -51,7 +53,7 @@
         replica: Replica,
         submitter: Submitter,
         token: str,
-        read_status: Callable[[], Awaitable[Any]],
+        read_status: Callable[[int | None], Awaitable[Any]],
         read_dump: Callable[[], Any],
     ) -> None:
         self.replica = replica
@@ -76,6 +78,7 @@
         router.add_get("/v1/pools", self._guard(self.list_pools))
         router.add_get("/v1/teams", self._guard(self.list_teams))
         router.add_get("/v1/explain/job/{job}", self._guard(self.explain_job))
+        router.add_get("/v1/explain/request/{request}", self._guard(self.explain_request))
         router.add_get("/v1/status", self._guard(self.status))
         router.add_get("/v1/dump", self._guard(self.dump))
 
@@ -216,9 +219,24 @@
             return failure_response(Failure(code=ResultCode.UNKNOWN_JOB, message=message))
         return json_response(job)
 
+    async def explain_request(self, request: web.Request) -> web.Response:
+        """Explains a change or a non-idempotent request by its id."""
+        request_id = request.match_info["request"]
+        found = explain_request(state=self.replica.state, request_id=request_id)
+        if found is None:
+            message = f"nothing is kept for request id {request_id!r}; idempotent requests leave no record"
+            return failure_response(Failure(code=ResultCode.UNKNOWN_RESOURCE, message=message))
+        return json_response(found)
+
     async def status(self, request: web.Request) -> web.Response:
-        """Shows the status of all daemons."""
-        return json_response(await self.read_status())
+        """Shows the status of all daemons and how far a log index, by default the last, has come."""
+        text = request.query.get("index")
+        if text is None:
+            return json_response(await self.read_status(None))
+        if not text.isdecimal() or len(text) > MAX_INDEX_DIGITS:
+            message = f"index is {text[:40]!r}; it must be a log index"
+            return failure_response(Failure(code=ResultCode.MALFORMED_REQUEST, message=message))
+        return json_response(await self.read_status(int(text)))
 
     async def dump(self, request: web.Request) -> web.Response:
         """Dumps the state of this process."""
--- /dev/null
+++ b/src/hyssopway/operator_api/request_explanation.py
@@ -0,0 +1,53 @@
+"""Explains what became of a request id."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any
+
+from hyssopway.control.state import PRODUCTION, TRIAL
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hyssopway.control import ControlState
+    from hyssopway.control.record import Claim
+
+
+def explain_request(*, state: ControlState, request_id: str) -> dict[str, Any] | None:
+    """Returns what is kept about an operators' change or a non-idempotent request."""
+    stored = state.tables.outcomes.get(request_id)
+    claims = [_describe(claim, team=team) for claim, team in _find_claims(state, request_id=request_id)]
+    if stored is None and not claims:
+        return None
+    return {"request": request_id, "change": stored.outcome if stored else None, "claims": claims}
+
+
+def _find_claims(state: ControlState, *, request_id: str) -> Iterator[tuple[Claim, str]]:
+    documents = [state.document(environment=name) for name in (PRODUCTION, TRIAL)]
+    present = [document for document in documents if document is not None]
+    services = {
+        service.name for document in present for service in document.services if not service.idempotent
+    }
+    teams = {team.name for document in present for team in document.teams} | {""}
+    for service in sorted(services):
+        for team in sorted(teams):
+            identity = f"{service}\0{team}\0{request_id}"
+            claim_id = hashlib.sha256(identity.encode()).hexdigest()[:32]
+            claim = state.tables.claims.get(claim_id)
+            if claim is not None:
+                yield claim, team
+
+
+def _describe(claim: Claim, *, team: str) -> dict[str, Any]:
+    return {
+        "claim": claim.claim_id,
+        "service": claim.service,
+        "team": team,
+        "daemon": claim.daemon,
+        "status": claim.status or "pending",
+        "answer_kept": claim.body is not None,
+    }
+
+
+__all__ = ["explain_request"]
--- a/src/hyssopway/run.py
+++ b/src/hyssopway/run.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import capnp
+import typer
 from expression import Result
 from pydantic_core import to_json
 
@@ -29,14 +29,41 @@
 EXIT_STORAGE = 74
 
 
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def run(
+    *,
+    settings: Annotated[Path, typer.Option("--settings", metavar="FILE", help="Settings in YAML.")],
+    initialise: Annotated[
+        bool,
+        typer.Option(
+            "--initialise",
+            help="Start a new group of control members if the data folder is empty; only for a new deployment.",
+        ),
+    ] = False,
+) -> None:
+    """Fleet capacity and maintenance daemon; runs until it is told to stop."""
+    raise typer.Exit(_serve(path=settings, initialise=initialise))
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the daemon until it is told to stop.
 
     Returns:
-        Exit status: 0 after a graceful stop, 64 for bad settings, 74 for a data folder that cannot be used.
+        Exit status: 0 after a graceful stop, 2 for wrong options, 64 for bad settings, 74 for a data folder
+        that cannot be used.
     """
-    options = _parse(arguments)
-    match load_settings(options.settings):
+    try:
+        app(args=None if arguments is None else list(arguments), prog_name="hyssopwayd")
+    except SystemExit as stop:
+        return stop.code if isinstance(stop.code, int) else int(stop.code is not None)
+    return EXIT_OK
+
+
+def _serve(*, path: Path, initialise: bool) -> int:
+    match load_settings(path):
         case Result(tag="ok", ok=settings):
             pass
         case Result(error=problems):
@@ -45,31 +72,21 @@
             return EXIT_BAD_SETTINGS
     set_up_logging(level=settings.log_level, json_output=settings.log_json)
     try:
-        asyncio.run(capnp.run(_run(settings=settings, initialise=options.initialise)))
+        asyncio.run(capnp.run(_run(settings=settings, path=path, initialise=initialise)))
     except (LogDamagedError, StorageError) as error:
         log_event(Event.STORAGE_FAILED, error=str(error))
         return EXIT_STORAGE
     return EXIT_OK
 
 
-def _parse(arguments: Sequence[str] | None) -> argparse.Namespace:
-    parser = argparse.ArgumentParser(prog="hyssopwayd", description="Fleet capacity and maintenance daemon.")
-    parser.add_argument("--settings", type=Path, required=True, metavar="FILE", help="settings in YAML")
-    parser.add_argument(
-        "--initialise",
-        action="store_true",
-        help="start a new group of control members if the data folder is empty; only for a new deployment",
-    )
-    return parser.parse_args(arguments)
-
-
-async def _run(*, settings: DaemonSettings, initialise: bool) -> None:
+async def _run(*, settings: DaemonSettings, path: Path, initialise: bool) -> None:
     daemon = Daemon(settings=settings, initialise=initialise)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, _write_dump, daemon)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload, path)
     await daemon.start()
     await stop.wait()
     await daemon.stop()
--- a/src/hyssopway/settings/daemon_settings.py
+++ b/src/hyssopway/settings/daemon_settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Literal
 
 from pydantic import Field
 
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+LogLevel = Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"]
 Secret = Annotated[str, Field(min_length=8, repr=False)]
 
 
@@ -31,7 +32,8 @@
         log_level: Lowest level written to the log.
         log_json: One JSON object for each log event.
         dump_dir: Folder for dumps on SIGUSR1.
-        shutdown_s: Seconds that requests in progress get when the daemon stops.
+        drain_health_s: Seconds that a stopping daemon still serves while its health is 503.
+        shutdown_s: Seconds that requests in progress then get.
         snapshot_entries: Log entries between two snapshots.
         max_body_bytes: Largest request body accepted.
         tls: Certificates; plain TCP without.
@@ -44,9 +46,10 @@
     peer_token: Secret
     data_dir: str | None = None
     platform_url: str | None = None
-    log_level: str = "INFO"
+    log_level: LogLevel = "INFO"
     log_json: bool = False
     dump_dir: str = "."
+    drain_health_s: Annotated[float, Field(ge=0, le=600)] = 5.0
     shutdown_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
     snapshot_entries: Annotated[int, Field(ge=10)] = 10_000
     max_body_bytes: Annotated[int, Field(ge=1024)] = 16 * 1024 * 1024
--- a/src/hyssopway/settings/loading.py
+++ b/src/hyssopway/settings/loading.py
@@ -11,10 +11,13 @@
 from hyssopway.document.yaml_reading import read_yaml, validate
 
 from .daemon_settings import DaemonSettings
+from .tls_context import peer_server_context
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from .tls_settings import TlsSettings
+
 _ADAPTER = TypeAdapter(DaemonSettings)
 
 
@@ -52,7 +55,19 @@
         problems.append(
             Problem(file=file, path="data_dir", found="nothing", allowed="a folder, since this is a member")
         )
-    return problems
+    return [*problems, *_find_tls_problems(tls=settings.tls, file=file)]
+
+
+def _find_tls_problems(*, tls: TlsSettings | None, file: str) -> list[Problem]:
+    if tls is None:
+        return []
+    try:
+        peer_server_context(tls)
+    except (OSError, ValueError) as error:
+        found = f"{tls.certificate}, {tls.private_key}, {tls.authority}: {error}"
+        allowed = "readable PEM files, the private key fitting the certificate"
+        return [Problem(file=file, path="tls", found=found, allowed=allowed)]
+    return []
 
 
 __all__ = ["load_settings"]
--- a/src/hyssopway/settings/peer_address.py
+++ b/src/hyssopway/settings/peer_address.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import Field
+
+Port = Annotated[int, Field(ge=1, le=65_535)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,8 +26,8 @@
     name: str
     zone: str
     host: str
-    http_port: int
-    peer_port: int
+    http_port: Port
+    peer_port: Port
     member: bool = False
 
 
--- a/src/hyssopway_standins/processes.py
+++ b/src/hyssopway_standins/processes.py
@@ -116,6 +116,8 @@
             if "data_dir" in settings:
                 settings["data_dir"] = str(folder / settings["data_dir"])
             settings.pop("platform_url", None)
+            # There is no balancer in front of the stand-ins that needs time to look away.
+            settings["drain_health_s"] = 0.1
             settings |= overrides or {}
             target = folder / path.name
             target.write_text(yaml.safe_dump(settings))
