--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -37,6 +37,8 @@
 
     from hyssopway.settings import DaemonSettings
 
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 RESTART_S = 1.0
 EXPIRE_S = 0.25
 
@@ -185,20 +187,25 @@
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
     def _build_app(self) -> web.Application:
-        app = web.Application(client_max_size=self.settings.max_body_bytes, middlewares=[answer_errors])
+        app = web.Application(
+            client_max_size=self.settings.max_body_bytes,
+            middlewares=[self._close_when_stopping, answer_errors],
+        )
         app.router.add_get("/health", self._answer_health)
         self.gateway.add_routes(app)
         self.endpoint_routes.add_routes(app)
         self.worker_routes.add_routes(app)
         JobRoutes(replica=self.replica, freshness=self.freshness, submitter=self.submitter).add_routes(app)
         self.operator_routes.add_routes(app)
-        app.on_response_prepare.append(self._close_when_stopping)
         return app
 
-    async def _close_when_stopping(self, request: web.Request, response: web.StreamResponse) -> None:
-        # A caller that keeps its connection would send into its end otherwise.
-        if self.stopping:
-            response.force_close()
+    @web.middleware
+    async def _close_when_stopping(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        answer = await handler(request)
+        if self.stopping and not answer.prepared:
+            # A caller that keeps its connection would send into its end otherwise.
+            answer.force_close()
+        return answer
 
     async def _answer_health(self, request: web.Request) -> web.Response:
         status = 503 if self.stopping else 200
--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 from pydantic_core import to_json
 
@@ -90,8 +91,8 @@
             raise ConnectionError("the answer has already begun")
         code = ResultCode.INTERNAL
         if status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            name = type(exc).__name__
-            too_large = name in ("LineTooLong", "HeaderTooLarge") or status == 431
+            # aiohttp reports a line that is too long and too many fields by different means.
+            too_large = isinstance(exc, LineTooLong) or "Too many headers" in f"{message}{exc}"
             code = ResultCode.HEADER_TOO_LARGE if too_large else ResultCode.MALFORMED_REQUEST
         text = " ".join((message or str(exc) or "the request is not valid HTTP").split())[:300]
         answer = failure_response(Failure(code=code, message=text))
--- a/src/hyssopway_standins/processes.py
+++ b/src/hyssopway_standins/processes.py
@@ -50,7 +50,8 @@
     @property
     def url(self) -> str:
         """Base URL of its HTTP interface."""
-        return f"http://{self.own['host']}:{self.own['http_port']}"
+        scheme = "https" if self.settings.get("tls") else "http"
+        return f"{scheme}://{self.own['host']}:{self.own['http_port']}"
 
     @property
     def zone(self) -> str:
--- /dev/null
+++ b/tests/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of one daemon process."""
