Refuse more bad documents, settings and requests

Cause: tables of bad input found a repeated YAML field that silently replaced the first, infinite shares and periods, host names in settings, references that were only checked in documents without other problems, and job and key fields without limits.

Change: strict YAML loader, finite numbers, IP numbers and ports checked, unknown pools named together with all other problems, limits on fields that are kept in agreed state.

Ruled out: checking references only after the data classes fit, which needs two checks for two errors.

--- a/src/hyssopway/control/record/job_spec.py
+++ b/src/hyssopway/control/record/job_spec.py
@@ -3,9 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import Field
 
 from hyssopway.document import Resources
 
+# Every job is replicated to all daemons and kept in snapshots; larger input belongs elsewhere.
+MAX_ARGUMENTS_CHARACTERS = 65_536
+MAX_NAME_CHARACTERS = 200
+
+Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+
 
 @dataclass(slots=True, kw_only=True)
 class JobSpec:
@@ -21,12 +30,12 @@
         checkpointable: Whether a run may continue from a checkpoint.
     """
 
-    task_kind: str
-    pool: str
+    task_kind: Name
+    pool: Name
     resources: Resources
-    run_s: float = 60.0
+    run_s: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 60.0
     urgent: bool = False
-    arguments: str = ""
+    arguments: Annotated[str, Field(max_length=MAX_ARGUMENTS_CHARACTERS)] = ""
     checkpointable: bool = False
 
 
--- a/src/hyssopway/document/checking.py
+++ b/src/hyssopway/document/checking.py
@@ -10,6 +10,7 @@
 
 from .environment_document import EnvironmentDocument
 from .problem import Problem
+from .reference_checking import find_unknown_pools
 from .yaml_reading import parse_yaml, validate
 
 if TYPE_CHECKING:
@@ -30,7 +31,7 @@
             problems = check_document(document=document, file=file)
             return Error(problems) if problems else Ok(document)
         case Result(error=problems):
-            return Error(problems)
+            return Error([*problems, *find_unknown_pools(data=data, file=file)])
 
 
 def check_document(*, document: EnvironmentDocument, file: str) -> list[Problem]:
--- a/src/hyssopway/document/maintenance_policy.py
+++ b/src/hyssopway/document/maintenance_policy.py
@@ -20,10 +20,10 @@
         max_lost: Lost VMs at which a wave pauses.
     """
 
-    period_s: Annotated[float, Field(gt=0)] = 7 * 7 * 86_400.0
+    period_s: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 7 * 7 * 86_400.0
     canaries: Annotated[int, Field(ge=0)] = 1
-    drain_s: Annotated[float, Field(gt=0)] = 600.0
-    return_s: Annotated[float, Field(gt=0)] = 600.0
+    drain_s: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 600.0
+    return_s: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 600.0
     max_lost: Annotated[int, Field(ge=1)] = 2
 
 
--- a/src/hyssopway/document/service.py
+++ b/src/hyssopway/document/service.py
@@ -42,7 +42,7 @@
     timeout_s: Annotated[float, Field(gt=0, le=3600)] = 10.0
     queue_limit: Annotated[int, Field(ge=0, le=1_000_000)] = 1000
     may_borrow: bool = False
-    outcome_kept_s: Annotated[float, Field(gt=0)] = 86_400.0
+    outcome_kept_s: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 86_400.0
 
 
 __all__ = ["QueueAccess", "Service"]
--- a/src/hyssopway/document/team.py
+++ b/src/hyssopway/document/team.py
@@ -25,7 +25,7 @@
     name: str
     limit: Resources
     organisation: str = ""
-    share: Annotated[float, Field(gt=0)] = 1.0
+    share: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 1.0
     max_running: Annotated[int, Field(ge=0)] = 1000
 
 
--- a/src/hyssopway/document/yaml_reading.py
+++ b/src/hyssopway/document/yaml_reading.py
@@ -9,6 +9,7 @@
 from pydantic import ValidationError
 
 from .problem import Problem
+from .strict_loader import StrictLoader
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -31,8 +32,8 @@
 def parse_yaml(*, text: str, file: str) -> Result[Any, list[Problem]]:
     """Parses YAML text; `file` names its origin in problems."""
     try:
-        return Ok(yaml.safe_load(text))
-    except yaml.YAMLError as error:
+        return Ok(yaml.load(text, Loader=StrictLoader))  # noqa: S506  a subclass of the safe loader
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         found = " ".join(str(error).split())
         return Error([Problem(file=file, path="", found=found, allowed="valid YAML")])
 
--- a/src/hyssopway/http/error_answers.py
+++ b/src/hyssopway/http/error_answers.py
@@ -17,6 +17,10 @@
 
     Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
+# These values are kept in agreed state on every daemon.
+LIMITED_FIELDS = ("Idempotency-Key", "Hyssopway-Operator")
+MAX_ID_CHARACTERS = 256
+
 _CODES = {
     HTTPStatus.NOT_FOUND: ResultCode.UNKNOWN_RESOURCE,
     HTTPStatus.METHOD_NOT_ALLOWED: ResultCode.METHOD_NOT_ALLOWED,
@@ -29,6 +33,10 @@
 @web.middleware
 async def answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
     """Turns exceptions of handlers and of the router into numbered JSON answers."""
+    for name in LIMITED_FIELDS:
+        if len(request.headers.get(name, "")) > MAX_ID_CHARACTERS:
+            message = f"header {name} is longer than {MAX_ID_CHARACTERS} characters"
+            return failure_response(Failure(code=ResultCode.HEADER_TOO_LARGE, message=message))
     try:
         return await handler(request)
     except web.HTTPException as error:
--- a/src/hyssopway/operator_api/bodies.py
+++ b/src/hyssopway/operator_api/bodies.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import Field
 
 from hyssopway.control.record import ZoneStatus
 
@@ -17,7 +20,7 @@
     """
 
     text: str
-    expected_generation: int
+    expected_generation: Annotated[int, Field(ge=0)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,8 +32,8 @@
         expected_generation: Generation that the operator saw.
     """
 
-    digest: str
-    expected_generation: int
+    digest: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    expected_generation: Annotated[int, Field(ge=0)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,9 +46,9 @@
         team: Team.
     """
 
-    key_id: str
-    key_hash: str
-    team: str
+    key_id: Annotated[str, Field(pattern=r"^[0-9A-Za-z]{1,64}$")]
+    key_hash: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    team: Annotated[str, Field(min_length=1, max_length=200)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/hyssopway/settings/peer_address.py
+++ b/src/hyssopway/settings/peer_address.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import ipaddress
 from dataclasses import dataclass
 from typing import Annotated
 
-from pydantic import Field
+from pydantic import AfterValidator, Field
 
+
+def _check_ip_number(text: str) -> str:
+    ipaddress.ip_address(text)
+    return text
+
+
+IpNumber = Annotated[str, AfterValidator(_check_ip_number)]
 Port = Annotated[int, Field(ge=1, le=65_535)]
 
 
@@ -25,7 +33,7 @@
 
     name: str
     zone: str
-    host: str
+    host: IpNumber
     http_port: Port
     peer_port: Port
     member: bool = False
