--- a/src/hyssopway/document/yaml_reading.py
+++ b/src/hyssopway/document/yaml_reading.py
@@ -54,7 +54,9 @@
         found = f"a secret of {len(str(detail['input']))} characters"
     if len(found) > MAX_FOUND_CHARACTERS:
         found = found[:MAX_FOUND_CHARACTERS] + "..."
-    return Problem(file=file, path=path, found=found, allowed=detail["msg"])
+    unknown = detail["type"] in ("unexpected_keyword_argument", "extra_forbidden")
+    allowed = "no field of this name" if unknown else detail["msg"]
+    return Problem(file=file, path=path, found=found, allowed=allowed)
 
 
 __all__ = ["parse_yaml", "read_yaml", "validate"]
--- a/src/hyssopway/run.py
+++ b/src/hyssopway/run.py
@@ -90,6 +90,10 @@
     await daemon.start()
     await stop.wait()
     await daemon.stop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A second signal between the end of the loop and the exit would end a graceful stop by status -15.
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _write_dump(daemon: Daemon) -> None:
--- /dev/null
+++ b/src/hyssopway_standins/demo.py
@@ -0,0 +1,314 @@
+"""Demonstrates a whole deployment on loopback: ``python -m hyssopway_standins.demo``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from hyssopway.document import QueueAccess
+
+from .command_line import CommandLine
+from .fleet import EXAMPLES, load_example_document
+from .outside import Outside
+from .processes import Deployment
+from .summary import Summary
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from hyssopway.document import Service
+
+    from .command_line import Finished
+
+JOBS = 6
+WITHDRAWN_S = 5.0
+IN_FORCE_S = 16.0
+SETTLE_S = 10.0
+
+
+class Demo:
+    """One demonstration.
+
+    Attributes:
+        deployment: The daemons.
+        outside: Endpoints and workers.
+        session: HTTP client of the callers.
+        cli: The command line.
+        summary: Expected against found.
+    """
+
+    def __init__(self, *, deployment: Deployment, outside: Outside, session: aiohttp.ClientSession) -> None:
+        self.deployment = deployment
+        self.outside = outside
+        self.session = session
+        self.cli = CommandLine(deployment=deployment)
+        self.summary = Summary()
+        self.document = load_example_document(deployment.name)
+        self.path = str(EXAMPLES / deployment.name / "document.yaml")
+        self.team = self.document.teams[0].name
+        self.key = ""
+
+    async def run(self) -> None:
+        """Runs all steps in order."""
+        await self.put_in_force()
+        await self.outside.start()
+        await self.grant_key()
+        await self.call_services()
+        await self.run_jobs()
+        await self.withdraw_key()
+        await self.withdraw_zone()
+        await self.kill_daemon()
+        await self.show_processes()
+
+    async def put_in_force(self) -> None:
+        """Checks, tries and promotes the example document."""
+        await self.expect("check", self.path)
+        await self.expect("promote", self.path, status=3)
+        await self.expect("trial", self.path)
+        started = time.monotonic()
+        await self.expect("promote", self.path, "--wait")
+        self.summary.limit("seconds to be in force", at_most=IN_FORCE_S, found=time.monotonic() - started)
+
+    async def grant_key(self) -> None:
+        """Grants a key to the first team."""
+        granted = await self.expect("keys", "grant", self.team)
+        self.key = granted.out.strip()
+
+    async def call_services(self) -> None:
+        """Calls an open, a keyed and a non-idempotent service through every entry VM."""
+        for kind, service in self._pick_services().items():
+            # Endpoints have just started; an entry VM that knows none yet refuses with NO_ENDPOINT.
+            await self._wait_served(service)
+            answers = [
+                await self._call(service, url=daemon.url, tag=f"resent-{kind}")
+                for daemon in self.deployment.daemons.values()
+            ]
+            self.summary.compare(
+                f"answers of {service.name} ({kind}) through every entry",
+                expected=6,
+                found=answers.count(200),
+            )
+            if not service.idempotent:
+                runs = sum(endpoint.seen[f"resent-{kind}"] for endpoint in self.outside.endpoints.values())
+                self.summary.compare(
+                    f"runs of one {service.name} request sent 6 times", expected=1, found=runs
+                )
+            if service.access is QueueAccess.KEYED:
+                refused = await self._call(service, url=self._url(0), tag="no-key", key="")
+                self.summary.compare(
+                    f"HTTP status of {service.name} without key", expected=401, found=refused
+                )
+
+    async def run_jobs(self) -> None:
+        """Submits jobs through all entry VMs and explains one."""
+        jobs = await self.submit_jobs()
+        self.summary.compare("jobs done", expected=JOBS, found=await self._count_done(jobs))
+        explained = await self.expect("explain", "job", jobs[0], "--json")
+        history = json.loads(explained.out or "{}").get("history", [])
+        self.summary.compare(
+            "explanation names the run", expected=True, found=any("run 1" in h for h in history)
+        )
+
+    async def withdraw_key(self) -> None:
+        """Withdraws a key and measures until no entry VM accepts it."""
+        service = self._pick_services()["keyed"]
+        second = (await self.expect("keys", "grant", self.team)).out.strip()
+        await self._wait_served(service, key=second)
+        started = time.monotonic()
+        await self.expect("keys", "withdraw", second.split("_")[1])
+        urls = [daemon.url for daemon in self.deployment.daemons.values()]
+
+        async def refused_everywhere() -> bool:
+            answers = [await self._call(service, url=url, tag="late", key=second) for url in urls]
+            return set(answers) == {403}
+
+        await _until(refused_everywhere)
+        found = time.monotonic() - started
+        self.summary.limit("seconds until a withdrawn key stops", at_most=WITHDRAWN_S, found=found)
+
+    async def withdraw_zone(self) -> None:
+        """Withdraws a zone, runs jobs elsewhere and restores the zone."""
+        zone = self.document.zones[-1]
+        await self.expect("zones", "withdraw", zone, "--wait")
+        before = self._starts_in(zone)
+        jobs = await self.submit_jobs()
+        self.summary.compare(
+            "jobs done while a zone is out", expected=JOBS, found=await self._count_done(jobs)
+        )
+        self.summary.compare(f"starts in {zone} while out", expected=0, found=self._starts_in(zone) - before)
+        await self.expect("zones", "restore", zone, "--at-once", "--wait")
+        listed = json.loads((await self.expect("zones", "list", "--json")).out)["zones"]
+        self.summary.compare("zones open again", expected=len(listed), found=_count(listed, status="open"))
+
+    async def kill_daemon(self) -> None:
+        """Kills a daemon, if possible the leader, works on without it and starts it again."""
+        victim = await self._pick_victim()
+        daemon = self.deployment.daemons[victim]
+        daemon.kill()
+        print(f"killed {victim}")
+        jobs = await self.submit_jobs()
+        found = await self._count_done(jobs)
+        self.summary.compare("jobs done without the killed daemon", expected=JOBS, found=found)
+        down = [item["daemon"] for item in await self._daemons() if not item["reachable"]]
+        self.summary.compare("daemons that status names as not reachable", expected=[victim], found=down)
+        daemon.start()
+        await self.deployment.wait_ready()
+        print(f"started {victim} again")
+
+    async def show_processes(self) -> None:
+        """Shows status and dump."""
+        await self.expect("status")
+        confirmed = _count(await self._daemons(), confirmed=True)
+        self.summary.compare("daemons that are confirmed", expected=6, found=confirmed)
+        dumped = await self.expect("dump", quiet=True)
+        self.summary.compare(
+            "dump holds secrets", expected=False, found=self.key.rsplit("_")[-1] in dumped.out
+        )
+
+    async def submit_jobs(self) -> list[str]:
+        """Submits jobs to all pools, each through another entry VM first."""
+        names = list(self.deployment.daemons)
+        pools = [pool.name for pool in self.document.pools]
+
+        async def submit(number: int) -> str:
+            options = ["--kind", "plan", "--cores", "2", "--memory-gb", "4", "--run-s", "10"]
+            pool = pools[number % len(pools)]
+            command = ("jobs", "submit", *options, "--pool", pool)
+            done = await self.cli.run(*command, first=names[number % len(names)], key=self.key)
+            return done.out.strip()
+
+        jobs = await asyncio.gather(*(submit(number) for number in range(JOBS)))
+        print(f"submitted {len([job for job in jobs if job])} jobs through {len(names)} entry VMs")
+        return list(jobs)
+
+    async def expect(self, *arguments: str, status: int = 0, quiet: bool = False) -> Finished:
+        """Runs a command, prints it and compares its exit status."""
+        done = await self.cli.run(*arguments, key=self.key)
+        shown = [Path(part).name if "/" in part else part for part in arguments]
+        print(f"$ hyssopway {' '.join(shown)}")
+        text = (done.out + done.err).replace(self.key or "\0", "KEY")
+        if not quiet and "grant" not in arguments:
+            print("".join(f"    {line}\n" for line in text.splitlines()[:12]), end="")
+        self.summary.compare(f"exit status of {' '.join(shown[:2])}", expected=status, found=done.status)
+        return done
+
+    def _pick_services(self) -> dict[str, Service]:
+        kinds: dict[str, Service] = {}
+        for service in self.document.services:
+            kind = str(service.access) if service.idempotent else "non-idempotent"
+            kinds.setdefault(kind, service)
+        return kinds
+
+    async def _wait_served(self, service: Service, *, key: str | None = None) -> None:
+        async def served_everywhere() -> bool:
+            tag = f"warm-up-{time.monotonic_ns()}"
+            urls = [daemon.url for daemon in self.deployment.daemons.values()]
+            answers = [
+                await self._call(service, url=url, tag=f"{tag}-{number}", key=key)
+                for number, url in enumerate(urls)
+            ]
+            return set(answers) == {200}
+
+        await _until(served_everywhere)
+
+    async def _call(self, service: Service, *, url: str, tag: str, key: str | None = None) -> int:
+        secret = self.key if key is None else key
+        headers = {"Idempotency-Key": tag} | ({"Authorization": f"Bearer {secret}"} if secret else {})
+        body = f"{service.name} {tag}".encode()
+        try:
+            async with self.session.post(f"{url}/call/{service.name}", data=body, headers=headers) as answer:
+                whole = await answer.read() == body
+                return answer.status if whole or answer.status != 200 else -1
+        except aiohttp.ClientError:
+            return 0
+
+    async def _count_done(self, jobs: list[str]) -> int:
+        async def all_ended() -> bool:
+            return len(await self._find(jobs, ended=True)) == len(jobs)
+
+        await _until(all_ended)
+        return _count(await self._find(jobs, ended=True), status="done")
+
+    async def _find(self, jobs: list[str], *, ended: bool) -> list[dict[str, Any]]:
+        listed = await self.cli.run("jobs", "list", "--json", key=self.key)
+        found = json.loads(listed.out)["jobs"] if listed.status == 0 else []
+        return [job for job in found if job["job_id"] in jobs and (not ended or job["ended_ms"])]
+
+    async def _pick_victim(self) -> str:
+        # In a zone with one entry VM the workers have no other home, and their runs wait for its return.
+        paired = [
+            daemon.name
+            for daemon in self.deployment.daemons.values()
+            if len(self.deployment.entries(daemon.zone)) > 1
+        ]
+        leaders = [item["daemon"] for item in await self._daemons() if item.get("role") == "leader"]
+        return next((name for name in leaders if name in paired), paired[0])
+
+    async def _daemons(self) -> list[dict[str, Any]]:
+        status = await self.cli.run("status", "--json")
+        daemons: list[dict[str, Any]] = json.loads(status.out)["daemons"]
+        return daemons
+
+    def _starts_in(self, zone: str) -> int:
+        return sum(len(worker.starts) for worker in self.outside.workers.values() if worker.zone == zone)
+
+    def _url(self, position: int) -> str:
+        return list(self.deployment.daemons.values())[position].url
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the demonstration; the exit status is 1 when anything in the summary is wrong."""
+    parser = argparse.ArgumentParser(description="Demonstration on loopback.")
+    parser.add_argument("--deployment", choices=("pantry", "association"), default="pantry")
+    return asyncio.run(_run(parser.parse_args(arguments).deployment))
+
+
+async def _run(name: str) -> int:
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment.prepare(name=name, folder=Path(folder))
+        outside = Outside.prepare(deployment)
+        timeout = aiohttp.ClientTimeout(total=10)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            demo = Demo(deployment=deployment, outside=outside, session=session)
+            deployment.start()
+            try:
+                await deployment.wait_ready()
+                print(f"{len(deployment.daemons)} daemons, {len(outside.workers)} workers", end=" and ")
+                print(f"{len(outside.endpoints)} endpoints of the {name} deployment")
+                await demo.run()
+            except Exception as error:
+                demo.summary.compare("error", expected=None, found=repr(error))
+            finally:
+                await outside.stop()
+                statuses = await asyncio.to_thread(deployment.stop)
+    demo.summary.compare("exit statuses of the daemons", expected={0}, found=set(statuses.values()))
+    print(f"\n{demo.summary.render()}\n\n{time.monotonic() - started:.1f} s")
+    return 0 if demo.summary.is_right else 1
+
+
+async def _until(holds: Callable[[], Awaitable[bool]]) -> None:
+    """Waits for a condition; what is still wrong afterwards shows in the summary."""
+    deadline = time.monotonic() + SETTLE_S
+    while True:
+        if await holds() or time.monotonic() > deadline:
+            return
+        await asyncio.sleep(0.1)
+
+
+def _count(items: list[dict[str, Any]], **wanted: object) -> int:
+    return sum(all(item.get(name) == value for name, value in wanted.items()) for item in items)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
+
+__all__ = ["main"]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,12 @@
     from pathlib import Path
 
 
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption(
+        "--rewrite-golden", action="store_true", help="rewrite the golden files of whole sessions"
+    )
+
+
 @pytest.fixture
 async def session() -> AsyncIterator[aiohttp.ClientSession]:
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20)) as opened:
--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Whole sessions compared with golden files."""
--- /dev/null
+++ b/tests/golden/session.py
@@ -0,0 +1,50 @@
+"""Records a session and compares it with a golden file."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+FOLDER = Path(__file__).parent
+
+# Order matters: longer patterns first.
+_PATTERNS = (
+    (r"hk_[0-9a-f]{12}_[0-9a-f]{48}", "<key>"),
+    (r"\b[0-9a-f]{64}\b", "<digest>"),
+    (r"\b[0-9a-f]{24,32}\b", "<id>"),
+    (r"\b[0-9a-f]{12}\b", "<short>"),
+    (r"\d{4}-\d\d-\d\d \d\d:\d\d:\d\dZ", "<time>         "),
+    (r"\b1\d{12}\b", "<ms>"),
+    (r"http://127\.\d+\.\d+\.\d+:\d+", "<url>"),
+    (r"after \d+\.\d s", "after <s> s"),
+    # The rest of a job depends on how soon the scheduler sees it.
+    (r'("accepted_index":) ?\d+.*', r"\1<n>..."),
+    (r"run (\d+) on [\w-]+-vm-\d+[^\"]*", r"run \1 on <vm>"),
+)
+
+
+class Session:
+    """Steps and their normalised results."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def add(self, step: str, *results: str) -> None:
+        """Records one step."""
+        self.lines.append(f"$ {_normalise(step)}")
+        for result in results:
+            self.lines += [f"  {line}".rstrip() for line in _normalise(result).splitlines()]
+
+    def compare(self, name: str, *, rewrite: bool) -> None:
+        """Compares with a golden file, or rewrites it."""
+        path = FOLDER / f"{name}.golden"
+        text = "\n".join(self.lines) + "\n"
+        if rewrite:
+            path.write_text(text)
+        assert text == path.read_text(), f"rewrite {path.name} by --rewrite-golden if the change is wanted"
+
+
+def _normalise(text: str) -> str:
+    for pattern, replacement in _PATTERNS:
+        text = re.sub(pattern, replacement, text)
+    return text
