--- /dev/null
+++ b/tests/cli/test_waiting.py
@@ -0,0 +1,37 @@
+"""Waiting for a change to be in force."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.cli import waiting
+from hyssopway.cli.run import main
+
+CHANGED = (200, {"index": 7, "generation": 1, "reference": "Nashua"})
+
+
+def status(in_force: list[str], behind: list[str], unreachable: list[str], ends: float | None):
+    rollout = {"in_force": in_force, "behind": behind, "unreachable": unreachable, "old_ends_in_s": ends}
+    return 200, {"rollout": rollout}
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        ([status(["a", "b"], [], [], 3.0)], 0, "in force on every reachable process"),
+        ([status(["a"], ["b"], [], 3.0), status(["a", "b"], [], [], 2.9)], 0, "in force on every"),
+        ([status(["a"], [], ["b"], 0.1)], 0, "not confirmed on b: without authority"),
+        ([status(["a"], ["b"], [], 0.0)], 6, "not in force after 0.5 s on: b"),
+        ([status([], ["a"], ["b"], None)], 6, "not in force after 0.5 s on: a"),
+    ],
+)
+def test_wait_ends_only_when_no_reachable_process_is_behind(case, scripted, monkeypatch, capsys):
+    """Guards against reporting a change as in force while a process still acts on the old state."""
+    states, expected, text = case
+    monkeypatch.setattr(waiting, "POLL_S", 0.05)
+    entry = scripted(CHANGED, *states)
+    options = ["--entry", entry.url, "--token", "t" * 8, "zones", "withdraw", "Nashua"]
+    assert main([*options, "--wait", "--wait-timeout", "0.5"]) == expected
+    written = capsys.readouterr()
+    assert text in written.out + written.err
+    assert all(request["path"] == "/v1/status?index=7" for request in entry.seen[1:])
