--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -26,19 +26,22 @@
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.gateway.forwarder import Forwarder
 from hyssopway.gateway.sessions import open_session
-from hyssopway.http import Runner, finish_handlers, json_response, number_errors
+from hyssopway.http import HttpListener, answer_errors, finish_handlers, json_response
 from hyssopway.job import JobScheduler, LostHomes, UsageBook
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import EndpointRoutes, JobRoutes, MemberRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Proposer, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import SUMMARY_TOPIC, CreditLedger, HeldCollector, Homes, Router
+from hyssopway.settings import http_context, peer_client_context, peer_server_context
 from hyssopway.worker import WorkerSessions, watch_silence
 
+from .applied_times import SAMPLE_S, AppliedTimes
 from .dump import dump_daemon
 from .load_push import LOAD_TOPIC, push_loads, take_loads
 from .members import CHANGE_TOPIC, LIST_TOPIC, Members
 from .peer_calls import PeerCalls
+from .reloading import reload_settings
 from .status import collect_status, group_with_state, own_status
 
 if TYPE_CHECKING:
@@ -46,6 +49,8 @@
 
     from hyssopway.settings import DaemonSettings
 
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 RESTART_S = 1.0
 EXPIRE_S = 0.25
 CLAIMS_FINISH_S = 5.0
@@ -72,7 +77,9 @@
         self.metrics = Metrics()
         self.replica = Replica()
         self.freshness = Freshness(clock=clock)
-        self.peers = PeerDirectory(settings=settings)
+        self.applied_times = AppliedTimes(clock=clock, read_index=lambda: self.replica.state.applied_index)
+        tls = settings.tls
+        self.peers = PeerDirectory(settings=settings, tls=peer_client_context(tls) if tls else None)
         self.member = self._build_member()
         self.proposer = self._build_proposer()
         self.submitter = Submitter(
@@ -146,6 +153,15 @@
         self.calls.exchanges[LIST_TOPIC] = self.members.answer_list
         self.calls.exchanges[CHANGE_TOPIC] = self.members.answer_change
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
+        self.endpoint_routes = EndpointRoutes(registry=self.registry, token=settings.fleet_token)
+        self.worker_routes = WorkerRoutes(sessions=self.sessions, token=settings.fleet_token)
+        self.operator_routes = OperatorRoutes(
+            replica=self.replica,
+            submitter=self.submitter,
+            token=settings.operator_token,
+            read_status=lambda index: collect_status(self, index=index),
+            read_dump=self.dump,
+        )
 
     def leads(self) -> bool:
         """Tells whether this daemon leads its region."""
@@ -160,7 +176,10 @@
         own = self.settings.own
         if self.member is not None:
             await self._open_member(self.member)
-        await self.peer_server.open(host=own.host, port=own.peer_port)
+        tls = self.settings.tls
+        await self.peer_server.open(
+            host=own.host, port=own.peer_port, tls=peer_server_context(tls) if tls else None
+        )
         self.session = open_session(reuse_connections=True)
         self.once_session = open_session(reuse_connections=False)
         self.claims = ClaimKeeper(own_name=self.settings.name, submitter=self.submitter)
@@ -179,9 +198,8 @@
             clock=self.clock,
         )
         self._start_tasks()
-        self.runner = Runner(self._build_app())
-        await self.runner.setup()
-        await web.TCPSite(self.runner, own.host, own.http_port).start()
+        self.listener = HttpListener(app=self._build_app(), shutdown_s=self.settings.shutdown_s)
+        await self.listener.open(host=own.host, port=own.http_port, tls=http_context(tls) if tls else None)
         log_event(
             Event.DAEMON_STARTED,
             daemon=self.settings.name,
@@ -205,13 +223,16 @@
             log_event(Event.MEMBER_WAITS, member=member.member_id)
 
     async def stop(self) -> None:
-        """Stops gracefully: health turns first, then requests in progress finish."""
+        """Stops gracefully.
+
+        Health turns first, and everything is still served until the balancer looks elsewhere. Then no new
+        connection is accepted, and all requests in progress finish.
+        """
         self.stopping = True
+        log_event(Event.DAEMON_DRAINING, seconds=self.settings.drain_health_s)
+        await asyncio.sleep(self.settings.drain_health_s)
         log_event(Event.DAEMON_STOPPING, open_requests=self.gateway.open_requests)
-        deadline = self.clock() + self.settings.shutdown_s
-        while self.gateway.open_requests and self.clock() < deadline:  # noqa: ASYNC110  bounded by shutdown_s
-            await asyncio.sleep(0.05)
-        await self.runner.cleanup()
+        await self.listener.close()
         await self.claims.finish(timeout_s=CLAIMS_FINISH_S)
         for task in self.tasks:
             task.cancel()
@@ -229,6 +250,10 @@
         """Returns the state of this process."""
         return dump_daemon(self)
 
+    def reload(self, path: Path) -> None:
+        """Takes over a changed settings file."""
+        reload_settings(self, path=path)
+
     def _vm_may_serve(self, name: str) -> bool:
         # A VM without a worker is not in the agreed state and is not drained by it.
         vm = self.replica.state.tables.vms.get(name)
@@ -260,23 +285,26 @@
 
     def _build_app(self) -> web.Application:
         app = web.Application(
-            client_max_size=self.settings.max_body_bytes, middlewares=[number_errors, finish_handlers]
+            client_max_size=self.settings.max_body_bytes,
+            middlewares=[self._close_when_stopping, answer_errors, finish_handlers],
         )
         app.router.add_get("/health", self._answer_health)
         self.gateway.add_routes(app)
-        EndpointRoutes(registry=self.registry, token=self.settings.fleet_token).add_routes(app)
-        WorkerRoutes(sessions=self.sessions, token=self.settings.fleet_token).add_routes(app)
+        self.endpoint_routes.add_routes(app)
+        self.worker_routes.add_routes(app)
         JobRoutes(replica=self.replica, freshness=self.freshness, submitter=self.submitter).add_routes(app)
         MemberRoutes(members=self.members, token=self.settings.operator_token).add_routes(app)
-        OperatorRoutes(
-            replica=self.replica,
-            submitter=self.submitter,
-            token=self.settings.operator_token,
-            read_status=lambda: collect_status(self),
-            read_dump=self.dump,
-        ).add_routes(app)
+        self.operator_routes.add_routes(app)
         return app
 
+    @web.middleware
+    async def _close_when_stopping(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        answer = await handler(request)
+        if self.stopping and not answer.prepared:
+            # A caller that keeps its connection would send into its end otherwise.
+            answer.force_close()
+        return answer
+
     async def _answer_health(self, request: web.Request) -> web.Response:
         status = 503 if self.stopping else 200
         return json_response({"healthy": not self.stopping, "daemon": self.settings.name}, status=status)
@@ -299,6 +327,7 @@
         self._start("silence", lambda: watch_silence(self.sessions))
         self._start("credits", self.router.run)
         self._start("summaries", self.homes.run)
+        self._start("applied_times", self._sample_index)
 
     def _start(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
         self.tasks.append(asyncio.create_task(_keep_running(name, loop), name=name))
@@ -332,6 +361,11 @@
             self.ledger.expire()
             await asyncio.sleep(EXPIRE_S)
 
+    async def _sample_index(self) -> None:
+        while True:
+            self.applied_times.sample()
+            await asyncio.sleep(SAMPLE_S)
+
 
 def _nearest_first(settings: DaemonSettings) -> list[str]:
     others = sorted(settings.others(), key=lambda peer: (peer.zone != settings.zone, peer.name))
--- a/src/hyssopway/document/yaml_reading.py
+++ b/src/hyssopway/document/yaml_reading.py
@@ -9,6 +9,7 @@
 from pydantic import ValidationError
 
 from .problem import Problem
+from .strict_loader import StrictLoader
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -31,8 +32,8 @@
 def parse_yaml(*, text: str, file: str) -> Result[Any, list[Problem]]:
     """Parses YAML text; `file` names its origin in problems."""
     try:
-        return Ok(yaml.safe_load(text))
-    except yaml.YAMLError as error:
+        return Ok(yaml.load(text, Loader=StrictLoader))  # noqa: S506  a subclass of the safe loader
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         found = " ".join(str(error).split())
         return Error([Problem(file=file, path="", found=found, allowed="valid YAML")])
 
@@ -46,11 +47,16 @@
 
 
 def _to_problem(*, detail: Any, file: str) -> Problem:
+    path = ".".join(str(part) for part in detail["loc"])
     found = "nothing" if detail["type"].startswith("missing") else repr(detail["input"])
+    if path.endswith("_token") and found != "nothing":
+        # Problems go to logs and terminals.
+        found = f"a secret of {len(str(detail['input']))} characters"
     if len(found) > MAX_FOUND_CHARACTERS:
         found = found[:MAX_FOUND_CHARACTERS] + "..."
-    path = ".".join(str(part) for part in detail["loc"])
-    return Problem(file=file, path=path, found=found, allowed=detail["msg"])
+    unknown = detail["type"] in ("unexpected_keyword_argument", "extra_forbidden")
+    allowed = "no field of this name" if unknown else detail["msg"]
+    return Problem(file=file, path=path, found=found, allowed=allowed)
 
 
 __all__ = ["parse_yaml", "read_yaml", "validate"]
--- a/src/hyssopway/http/__init__.py
+++ b/src/hyssopway/http/__init__.py
@@ -5,16 +5,17 @@
 from .answers import failure_response, json_response
 from .bodies import read_json
 from .credentials import bearer_token, token_matches
-from .detaching import finish_handlers, number_errors
-from .server import Runner
+from .error_answers import answer_errors
+from .finishing import finish_handlers
+from .listener import HttpListener
 
 __all__ = [
-    "Runner",
+    "HttpListener",
+    "answer_errors",
     "bearer_token",
     "failure_response",
     "finish_handlers",
     "json_response",
-    "number_errors",
     "read_json",
     "token_matches",
 ]
--- a/src/hyssopway/settings/peer_address.py
+++ b/src/hyssopway/settings/peer_address.py
@@ -2,7 +2,20 @@
 
 from __future__ import annotations
 
+import ipaddress
 from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import AfterValidator, Field
+
+
+def _check_ip_number(text: str) -> str:
+    ipaddress.ip_address(text)
+    return text
+
+
+IpNumber = Annotated[str, AfterValidator(_check_ip_number)]
+Port = Annotated[int, Field(ge=1, le=65_535)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -20,9 +33,9 @@
 
     name: str
     zone: str
-    host: str
-    http_port: int
-    peer_port: int
+    host: IpNumber
+    http_port: Port
+    peer_port: Port
     member: bool = False
 
 
--- a/src/hyssopway_standins/processes.py
+++ b/src/hyssopway_standins/processes.py
@@ -50,7 +50,8 @@
     @property
     def url(self) -> str:
         """Base URL of its HTTP interface."""
-        return f"http://{self.own['host']}:{self.own['http_port']}"
+        scheme = "https" if self.settings.get("tls") else "http"
+        return f"{scheme}://{self.own['host']}:{self.own['http_port']}"
 
     @property
     def zone(self) -> str:
@@ -116,6 +117,8 @@
             if "data_dir" in settings:
                 settings["data_dir"] = str(folder / settings["data_dir"])
             settings.pop("platform_url", None)
+            # There is no balancer in front of the stand-ins that needs time to look away.
+            settings["drain_health_s"] = 0.1
             settings |= overrides or {}
             target = folder / path.name
             target.write_text(yaml.safe_dump(settings))
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -21,7 +21,7 @@
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.gateway.forwarder import Forwarder
 from hyssopway.gateway.sessions import open_session
-from hyssopway.http import Runner, finish_handlers, number_errors
+from hyssopway.http import HttpListener, answer_errors, finish_handlers
 from hyssopway.metrics import Metrics
 from hyssopway.replica import Freshness
 from hyssopway.result import Failure, ResultCode, WorkState
@@ -236,12 +236,11 @@
         max_body_bytes=256 * KIB,
         clock=clock,
     )
-    app = web.Application(middlewares=[number_errors, finish_handlers])
+    app = web.Application(middlewares=[answer_errors, finish_handlers])
     gateway.add_routes(app)
-    runner = Runner(app)
-    await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
-    host, port = runner.addresses[0][:2]
+    listener = HttpListener(app=app, shutdown_s=1)
+    await listener.open(host="127.0.0.1", port=0)
+    host, port = listener.listening.sockets[0].getsockname()[:2]
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10)) as session:
         made = Bench(f"http://{host}:{port}", gateway, submitter, registry, freshness, session)
         yield made
@@ -250,6 +249,6 @@
         endpoint.server.close()
     maintaining.cancel()
     router.close()
-    await runner.cleanup()
+    await listener.close()
     for item in sessions:
         await item.close()
