Add the platform client and its stand-in

Cause: planned stops need the platform's drain, reboot and return, and its answers cannot be trusted. Ruled out: taking the answer to a POST as proof. The stand-in answers 'done' without acting, and the client then reports a reboot that never took place. Change: PlatformClient.complete repeats one operation id until GET lists it as completed. The stand-in counts effects and requests for each id; the faults are a table of tests. Conclusion: a second effect comes only from a platform that does one request twice.

--- a/src/hyssopway/platform/__init__.py
+++ b/src/hyssopway/platform/__init__.py
@@ -1,3 +1,9 @@
-"""Client of the platform that owns the VMs."""
+"""Client of the platform's API."""
 
 from __future__ import annotations
+
+from .action import PlatformAction
+from .client import PlatformClient
+from .vm import PlatformState, PlatformVm
+
+__all__ = ["PlatformAction", "PlatformClient", "PlatformState", "PlatformVm"]
--- /dev/null
+++ b/tests/platform/test_platform_client.py
@@ -0,0 +1,81 @@
+"""Contract between the platform client and a platform that fails."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.platform import PlatformAction, PlatformClient, PlatformState
+from hyssopway.result import ResultCode
+from hyssopway_standins.platform import PlatformFault, PlatformStandIn, PlatformVmTruth
+
+
+@pytest.fixture
+async def platform():
+    prepared = PlatformStandIn(vms={"vm-1": PlatformVmTruth(), "vm-2": PlatformVmTruth()})
+    await prepared.start()
+    yield prepared
+    await prepared.stop()
+
+
+@pytest.fixture
+def client(platform, session):
+    return PlatformClient(url=platform.url, session=session, call_timeout_s=0.5, poll_s=0.01)
+
+
+# Faults of one operation, how often it took effect, and how often it was asked for.
+CASES = {
+    "no fault": ([], 1, 1),
+    "says done and is not": ([PlatformFault.SAYS_DONE] * 2, 1, 3),
+    "never answers": ([PlatformFault.NEVER_ANSWERS], 1, 1),
+    "answers late": ([PlatformFault.ANSWERS_LATE], 1, 2),
+    "breaks, then says done": ([PlatformFault.BREAKS, PlatformFault.SAYS_DONE], 1, 3),
+    "done twice by the platform": ([PlatformFault.TWICE], 2, 1),
+}
+
+
+@pytest.mark.parametrize("action", list(PlatformAction))
+@pytest.mark.parametrize("case", CASES)
+async def test_operation_is_completed_under_one_id(platform, client, action, case):
+    """Guards against belief in a false "done" and against a second reboot after a lost answer."""
+    faults, effects, posts = CASES[case]
+    platform.faults["vm-1"] = list(faults)
+    result = await client.complete(vm="vm-1", action=action, operation_id="op-1", timeout_s=5.0)
+    truth = platform.vms["vm-1"]
+    assert result.is_ok()
+    assert truth.state is result.ok.state
+    assert (truth.done, truth.posts) == ({"op-1": effects}, posts)
+    again = await client.complete(vm="vm-1", action=action, operation_id="op-1", timeout_s=5.0)
+    assert again.is_ok()
+    assert (truth.done, truth.posts) == ({"op-1": effects}, posts)
+
+
+@pytest.mark.parametrize(
+    ("vm", "faults", "code"),
+    [
+        ("vm-9", [], ResultCode.PLATFORM_REFUSED),
+        ("vm-1", [PlatformFault.SAYS_DONE] * 500, ResultCode.PLATFORM_UNCERTAIN),
+        ("vm-1", [PlatformFault.BREAKS] * 500, ResultCode.PLATFORM_UNCERTAIN),
+    ],
+)
+async def test_operation_that_is_never_shown_fails(platform, client, vm, faults, code):
+    """Guards against a reboot that counts as made because the platform said so."""
+    platform.faults[vm] = faults
+    result = await client.complete(vm=vm, action=PlatformAction.REBOOT, operation_id="op-1", timeout_s=0.3)
+    assert result.error.code is code
+    assert not platform.vms["vm-1"].done
+
+
+async def test_unreachable_platform_is_reported_as_not_run(session):
+    """Guards against an operator who is told that an operation may have run when it cannot have."""
+    client = PlatformClient(url="http://127.0.0.1:1", session=session, poll_s=0.01)
+    result = await client.start(vm="vm-1", action=PlatformAction.DRAIN, operation_id="op-1")
+    assert (result.error.code, result.error.work) == (ResultCode.PLATFORM_UNREACHABLE, "not_run")
+
+
+async def test_platform_reports_broken_vm_as_healthy(platform, client):
+    """Shows why health at the platform does not end a maintenance: the VM fails everything."""
+    platform.faults["vm-1"] = [PlatformFault.FALSELY_HEALTHY]
+    await client.complete(vm="vm-1", action=PlatformAction.RETURN, operation_id="op-1", timeout_s=5.0)
+    shown = {vm.name: (vm.healthy, vm.state) for vm in (await client.list_vms()).ok}
+    assert shown["vm-1"] == (True, PlatformState.SERVING)
+    assert not platform.vms["vm-1"].works
