Close gaps in the permits and add drains and moves for operators

Cause: operators had no way to drain, move or return a VM, and permits could be exceeded: a drained VM that moved counted in its new pool without a check there, withdrawal permits ignored rack and zone limits of open zones, a late ReturnPermit made a rebooting VM ready, and a VM without a permit could become drained. Ruled out: a budget of its own for moves; a VM stopped only for a move is ready in the step that moves it. Change: commands drain_vm, return_vm, request_move and decide_drain with request ids and expected epochs; budgets of services; BUDGET_BROKEN when failures alone exceed a budget; home entries order checkpoints and report a VM as drained when its worker runs nothing and no entry uses a credit of its endpoints; the leader marks silent VMs as down, completes moves and asks about drains that do not end. routing counts credits in use and keeps the VM with each grant.

--- /dev/null
+++ b/src/hyssopway/control/apply/budgets.py
@@ -0,0 +1,92 @@
+"""Compares the VMs that are down with availability budgets."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from hyssopway.control.record import PermitPurpose, VmState, ZoneStatus
+
+if TYPE_CHECKING:
+    from hyssopway.control.record import Vm
+    from hyssopway.control.state import ControlState
+    from hyssopway.document import Budget, EnvironmentDocument
+
+
+def find_excess(state: ControlState, *, vm: Vm, purpose: PermitPurpose) -> str:
+    """Says which budget one more stopped VM would exceed; empty when none."""
+    document = state.document()
+    if document is None or document.pool(name=vm.pool) is None:
+        # A VM of a pool that a newer document dropped has no promise to keep, but can only be moved.
+        return "" if document and purpose is PermitPurpose.MOVE else f"pool {vm.pool} has no budget"
+    down = [other for other in state.tables.vms.values() if other.pool == vm.pool and _is_down(other)]
+    others = [other for other in down if other.name != vm.name]
+    for owner, budget in list_budgets(document, pool=vm.pool):
+        excess = _compare(owner=owner, budget=budget, others=others, vm=vm, purpose=purpose)
+        if excess:
+            return excess
+    return ""
+
+
+def find_broken(state: ControlState) -> str:
+    """Says which budget is exceeded by failures alone; empty when none."""
+    document = state.document()
+    if document is None:
+        return ""
+    failed: dict[str, list[Vm]] = {}
+    for vm in state.tables.vms.values():
+        if vm.state in (VmState.DOWN, VmState.QUARANTINED):
+            failed.setdefault(vm.pool, []).append(vm)
+    for pool, vms in failed.items():
+        for owner, budget in list_budgets(document, pool=pool):
+            broken = _find_broken(state, owner=owner, budget=budget, failed=vms)
+            if broken:
+                return broken
+    return ""
+
+
+def list_budgets(document: EnvironmentDocument, *, pool: str) -> list[tuple[str, Budget]]:
+    """Returns the budgets that the VMs of a pool are held to, with their owners."""
+    found = document.pool(name=pool)
+    services = [service for service in document.services if service.pool == pool]
+    return [
+        *([(f"pool {pool}", found.budget)] if found else []),
+        *((f"service {service.name}", service.budget) for service in services if service.budget),
+    ]
+
+
+def _compare(*, owner: str, budget: Budget, others: list[Vm], vm: Vm, purpose: PermitPurpose) -> str:
+    in_rack = sum((other.zone, other.rack) == (vm.zone, vm.rack) for other in others)
+    in_zone = sum(other.zone == vm.zone for other in others)
+    if len(others) >= budget.max_down:
+        names = ", ".join(sorted(other.name for other in others))
+        return f"{owner} allows {budget.max_down} VMs down; already down: {names or 'none'}"
+    if purpose is PermitPurpose.WITHDRAWAL:
+        return ""
+    if in_rack >= budget.max_down_per_rack:
+        return f"{owner} allows {budget.max_down_per_rack} VMs down in rack {vm.rack}"
+    if in_zone >= budget.max_down_per_zone:
+        return f"{owner} allows {budget.max_down_per_zone} VMs down in zone {vm.zone}"
+    return ""
+
+
+def _find_broken(state: ControlState, *, owner: str, budget: Budget, failed: list[Vm]) -> str:
+    if len(failed) > budget.max_down:
+        return f"{owner} allows {budget.max_down} VMs down, {len(failed)} failed"
+    # Budgets do not limit one rack or zone while the zone is withdrawn.
+    zones = state.tables.zones
+    counted = [vm for vm in failed if zones[vm.zone].status is not ZoneStatus.WITHDRAWN]
+    for rack, count in Counter((vm.zone, vm.rack) for vm in counted).items():
+        if count > budget.max_down_per_rack:
+            return f"{owner} allows {budget.max_down_per_rack} VMs down in rack {rack[1]}, {count} failed"
+    for zone, count in Counter(vm.zone for vm in counted).items():
+        if count > budget.max_down_per_zone:
+            return f"{owner} allows {budget.max_down_per_zone} VMs down in zone {zone}, {count} failed"
+    return ""
+
+
+def _is_down(vm: Vm) -> bool:
+    return vm.state is not VmState.READY
+
+
+__all__ = ["find_broken", "find_excess", "list_budgets"]
--- a/src/hyssopway/control/apply/dispatch.py
+++ b/src/hyssopway/control/apply/dispatch.py
@@ -9,6 +9,8 @@
     CancelJob,
     ChangeVm,
     ClaimRequest,
+    DecideDrain,
+    DrainVm,
     EndRun,
     GrantKey,
     MoveVm,
@@ -16,8 +18,10 @@
     RegisterVm,
     RejectJob,
     ReleaseClaim,
+    RequestMove,
     ResolveClaim,
     ReturnPermit,
+    ReturnVm,
     SetZone,
     StartRun,
     TakePermit,
@@ -27,6 +31,7 @@
 
 from .claims import claim_request, release_claim, resolve_claim
 from .documents import promote_document, trial_document
+from .drains import decide_drain, drain_vm, request_move, return_vm
 from .jobs import accept_job, cancel_job, reject_job
 from .keys import grant_key, withdraw_key
 from .permits import return_permit, take_permit
@@ -56,6 +61,14 @@
             return withdraw_key(state, command)
         case SetZone():
             return set_zone(state, command)
+        case DrainVm():
+            return drain_vm(state, command)
+        case ReturnVm():
+            return return_vm(state, command)
+        case RequestMove():
+            return request_move(state, command)
+        case DecideDrain():
+            return decide_drain(state, command)
         case RegisterVm():
             return register_vm(state, command)
         case ChangeVm():
--- a/src/hyssopway/control/apply/permits.py
+++ b/src/hyssopway/control/apply/permits.py
@@ -7,16 +7,16 @@
 from expression import Ok, Result
 
 from hyssopway.control.change import Change
-from hyssopway.control.record import Permit, PermitPurpose, VmState
+from hyssopway.control.record import Permit, PermitPurpose, VmState, ZoneStatus
 from hyssopway.result import ResultCode
 
+from .budgets import find_broken, find_excess
 from .refusal import refuse
 
 if TYPE_CHECKING:
     from hyssopway.control.command import ReturnPermit, TakePermit
     from hyssopway.control.record import Vm
     from hyssopway.control.state import ControlState
-    from hyssopway.document import Budget
     from hyssopway.result import Failure
 
 
@@ -27,14 +27,16 @@
         return refuse(ResultCode.UNKNOWN_VM, f"VM {command.vm!r} does not exist")
     permit = state.tables.permits.get(vm.name)
     if permit is not None:
-        if permit.holder == command.holder:
+        if (permit.holder, permit.purpose) == (command.holder, command.purpose):
             return Ok(Change(generation=vm.epoch, reference=vm.name))
         return refuse(ResultCode.VM_STATE_CONFLICT, f"{permit.holder} holds the permit of VM {vm.name}")
     if vm.epoch != command.expected_epoch or vm.state not in (VmState.READY, VmState.QUARANTINED):
         return refuse(ResultCode.STALE_EPOCH, f"VM {vm.name} is {vm.state} at epoch {vm.epoch}")
-    excess = find_excess(state, vm=vm, purpose=command.purpose)
-    if excess:
-        return refuse(ResultCode.BUDGET_EXHAUSTED, excess)
+    refusal = _check_purpose(state, vm=vm, purpose=command.purpose) or _check_budgets(
+        state, vm=vm, purpose=command.purpose
+    )
+    if refusal is not None:
+        return refusal
     state.tables.permits[vm.name] = Permit(
         vm=vm.name, purpose=command.purpose, holder=command.holder, at_ms=state.tables.now_ms
     )
@@ -52,6 +54,10 @@
         return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {command.vm!r} has no permit")
     if permit.holder != command.holder:
         return refuse(ResultCode.VM_STATE_CONFLICT, f"{permit.holder} holds the permit of VM {vm.name}")
+    if command.expected_epoch not in (None, vm.epoch):
+        return refuse(ResultCode.STALE_EPOCH, f"VM {vm.name} is {vm.state} at epoch {vm.epoch}")
+    if vm.state is VmState.REBOOTING:
+        return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is rebooting; it is not ready yet")
     del state.tables.permits[vm.name]
     if vm.state is not VmState.DOWN:
         vm.state = VmState.READY
@@ -60,34 +66,30 @@
     return Ok(Change(generation=vm.epoch, reference=vm.name))
 
 
-def find_excess(state: ControlState, *, vm: Vm, purpose: PermitPurpose) -> str:
-    """Says which budget one more stopped VM would exceed; empty when none."""
-    document = state.document()
-    pool = document.pool(name=vm.pool) if document else None
-    if pool is None:
-        return f"pool {vm.pool} has no budget"
-    down = [other for other in state.tables.vms.values() if other.pool == vm.pool and _is_down(other)]
-    return _compare(budget=pool.budget, down=down, vm=vm, purpose=purpose)
+def is_for_move(state: ControlState, *, vm: Vm) -> bool:
+    """Tells whether a VM is stopped only to be moved."""
+    permit = state.tables.permits.get(vm.name)
+    return permit is not None and permit.purpose is PermitPurpose.MOVE
 
 
-def _compare(*, budget: Budget, down: list[Vm], vm: Vm, purpose: PermitPurpose) -> str:
-    others = [other for other in down if other.name != vm.name]
-    in_rack = sum((other.zone, other.rack) == (vm.zone, vm.rack) for other in others)
-    in_zone = sum(other.zone == vm.zone for other in others)
-    if len(others) >= budget.max_down:
-        names = ", ".join(sorted(other.name for other in others))
-        return f"pool {vm.pool} allows {budget.max_down} VMs down; already down: {names}"
-    if purpose is PermitPurpose.WITHDRAWAL:
-        return ""
-    if in_rack >= budget.max_down_per_rack:
-        return f"pool {vm.pool} allows {budget.max_down_per_rack} VMs down in rack {vm.rack}"
-    if in_zone >= budget.max_down_per_zone:
-        return f"pool {vm.pool} allows {budget.max_down_per_zone} VMs down in zone {vm.zone}"
-    return ""
+def _check_purpose(state: ControlState, *, vm: Vm, purpose: PermitPurpose) -> Result[Change, Failure] | None:
+    zone = state.tables.zones[vm.zone]
+    if purpose is PermitPurpose.WITHDRAWAL and zone.status is not ZoneStatus.WITHDRAWN:
+        message = f"zone {zone.name} is {zone.status}; only VMs of a withdrawn zone are emptied for it"
+        return refuse(ResultCode.VM_STATE_CONFLICT, message)
+    if purpose is PermitPurpose.MOVE and vm.state is VmState.QUARANTINED:
+        return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is quarantined; no pool can use it")
+    return None
 
 
-def _is_down(vm: Vm) -> bool:
-    return vm.state is not VmState.READY
+def _check_budgets(state: ControlState, *, vm: Vm, purpose: PermitPurpose) -> Result[Change, Failure] | None:
+    broken = find_broken(state)
+    if broken:
+        return refuse(
+            ResultCode.BUDGET_BROKEN, f"no planned stop while failures alone exceed a budget: {broken}"
+        )
+    excess = find_excess(state, vm=vm, purpose=purpose)
+    return refuse(ResultCode.BUDGET_EXHAUSTED, excess) if excess else None
 
 
-__all__ = ["find_excess", "return_permit", "take_permit"]
+__all__ = ["find_excess", "is_for_move", "return_permit", "take_permit"]
--- a/src/hyssopway/control/apply/vms.py
+++ b/src/hyssopway/control/apply/vms.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from expression import Ok, Result
 
 from hyssopway.control.change import Change
-from hyssopway.control.record import Vm, VmState
+from hyssopway.control.record import PermitPurpose, Vm, VmState
 from hyssopway.result import ResultCode
 
+from .permits import find_excess, is_for_move
 from .refusal import refuse
 
 if TYPE_CHECKING:
@@ -57,6 +59,8 @@
         return refuse(
             ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} is under a disruption permit; return it first"
         )
+    if command.state is VmState.DRAINED and vm.name not in state.tables.permits:
+        return refuse(ResultCode.VM_STATE_CONFLICT, f"VM {vm.name} has no permit that would end its drain")
     if command.state is VmState.DRAINED and state.indexes.running.get(vm.name):
         return refuse(ResultCode.VM_NOT_EMPTY, f"VM {vm.name} still runs tasks")
     vm.state = command.state
@@ -78,12 +82,26 @@
         return refuse(ResultCode.UNKNOWN_POOL, f"pool {command.target!r} is not in the production document")
     if vm.state is not VmState.DRAINED or state.indexes.running.get(vm.name):
         return refuse(ResultCode.VM_NOT_EMPTY, f"VM {vm.name} is {vm.state}; drain it before a move")
+    excess = _find_target_excess(state, vm=vm, target=command.target)
+    if excess:
+        return refuse(ResultCode.BUDGET_EXHAUSTED, excess)
     vm.pool = command.target
+    if is_for_move(state, vm=vm):
+        # In the target pool the VM would count as down until the permit is returned.
+        del state.tables.permits[vm.name]
+        vm.state = VmState.READY
     vm.reason = command.reason
     vm.epoch += 1
     return Ok(Change(generation=vm.epoch, reference=vm.name))
 
 
+def _find_target_excess(state: ControlState, *, vm: Vm, target: str) -> str:
+    """Says which budget of the target pool a VM would exceed that stays down after its move."""
+    if is_for_move(state, vm=vm):
+        return ""
+    return find_excess(state, vm=replace(vm, pool=target), purpose=PermitPurpose.MOVE)
+
+
 def _add_vm(state: ControlState, command: RegisterVm) -> Result[Change, Failure]:
     document = state.document()
     if document is None or document.pool(name=command.pool) is None:
--- a/src/hyssopway/control/command/__init__.py
+++ b/src/hyssopway/control/command/__init__.py
@@ -10,6 +10,8 @@
 from .cancel_job import CancelJob
 from .change_vm import ChangeVm
 from .claim_request import ClaimRequest
+from .decide_drain import DecideDrain
+from .drain_vm import DrainVm
 from .end_run import EndRun
 from .grant_key import GrantKey
 from .move_vm import MoveVm
@@ -17,15 +19,27 @@
 from .register_vm import RegisterVm
 from .reject_job import RejectJob
 from .release_claim import ReleaseClaim
+from .request_move import RequestMove
 from .resolve_claim import ResolveClaim
 from .return_permit import ReturnPermit
+from .return_vm import ReturnVm
 from .set_zone import SetZone
 from .start_run import StartRun
 from .take_permit import TakePermit
 from .trial_document import TrialDocument
 from .withdraw_key import WithdrawKey
 
-OperatorCommand = TrialDocument | PromoteDocument | GrantKey | WithdrawKey | SetZone
+OperatorCommand = (
+    TrialDocument
+    | PromoteDocument
+    | GrantKey
+    | WithdrawKey
+    | SetZone
+    | DrainVm
+    | ReturnVm
+    | RequestMove
+    | DecideDrain
+)
 
 Command = Annotated[
     TrialDocument
@@ -33,6 +47,10 @@
     | GrantKey
     | WithdrawKey
     | SetZone
+    | DrainVm
+    | ReturnVm
+    | RequestMove
+    | DecideDrain
     | RegisterVm
     | ChangeVm
     | MoveVm
@@ -55,6 +73,8 @@
     "ChangeVm",
     "ClaimRequest",
     "Command",
+    "DecideDrain",
+    "DrainVm",
     "EndRun",
     "GrantKey",
     "MoveVm",
@@ -63,8 +83,10 @@
     "RegisterVm",
     "RejectJob",
     "ReleaseClaim",
+    "RequestMove",
     "ResolveClaim",
     "ReturnPermit",
+    "ReturnVm",
     "SetZone",
     "StartRun",
     "TakePermit",
--- a/src/hyssopway/control/command/return_permit.py
+++ b/src/hyssopway/control/command/return_permit.py
@@ -14,11 +14,13 @@
         vm: Name of the VM.
         holder: Holder of the permit.
         reason: Why, for operators.
+        expected_epoch: Epoch of the VM that the proposer saw; None skips the comparison.
     """
 
     vm: str
     holder: str
     reason: str
+    expected_epoch: int | None = None
     kind: Literal["return_permit"] = "return_permit"
 
 
--- a/src/hyssopway/control/record/__init__.py
+++ b/src/hyssopway/control/record/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .claim import Claim
+from .drain_decision import DrainDecision
 from .job import Job
 from .job_spec import JobSpec
 from .job_status import JobStatus
@@ -20,6 +21,7 @@
 
 __all__ = [
     "Claim",
+    "DrainDecision",
     "Job",
     "JobSpec",
     "JobStatus",
--- a/src/hyssopway/control/record/permit.py
+++ b/src/hyssopway/control/record/permit.py
@@ -15,13 +15,17 @@
         vm: The VM.
         purpose: What it is stopped for.
         holder: Wave, withdrawal or operator.
-        at_ms: Wall-clock time in milliseconds, for display.
+        at_ms: Wall-clock time of the leader in milliseconds; a drain is overdue counted from here.
+        target: New pool of a VM that is to be moved.
+        stop_work: Whether an operator had the work on the VM stopped.
     """
 
     vm: str
     purpose: PermitPurpose
     holder: str
     at_ms: int
+    target: str = ""
+    stop_work: bool = False
 
 
 __all__ = ["Permit"]
--- a/src/hyssopway/control/state.py
+++ b/src/hyssopway/control/state.py
@@ -11,7 +11,7 @@
 
 from .apply import apply_command
 from .codec import decode_command, fingerprint
-from .command import GrantKey, OperatorCommand, PromoteDocument, SetZone, TrialDocument, WithdrawKey
+from .command import OperatorCommand
 from .indexes import Indexes
 from .outcome import Outcome
 from .record import StoredOutcome
@@ -80,11 +80,10 @@
             return Outcome(index=index)
         envelope = decode_command(data)
         self.tables.now_ms = max(self.tables.now_ms, envelope.at_ms)
-        match envelope.command:
-            case TrialDocument() | PromoteDocument() | GrantKey() | WithdrawKey() | SetZone() as command:
-                return self._apply_operator_command(index=index, command=command)
-            case command:
-                return self._apply_once(index=index, command=command)
+        command = envelope.command
+        if isinstance(command, OperatorCommand):
+            return self._apply_operator_command(index=index, command=command)
+        return self._apply_once(index=index, command=command)
 
     def encode_snapshot(self) -> bytes:
         """Encodes all records."""
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -14,12 +14,13 @@
 from hyssopway.clock import monotonic_s, wall_ms
 from hyssopway.endpoint import EndpointRegistry
 from hyssopway.event import Event, log_event
+from hyssopway.fleet import FleetController, SessionsExchange, VmRequests
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.http import json_response
 from hyssopway.job import JobScheduler
 from hyssopway.metrics import Metrics
-from hyssopway.operator_api import EndpointRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
+from hyssopway.operator_api import EndpointRoutes, FleetRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.replica import Freshness, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import CreditLedger, Router
@@ -79,18 +80,33 @@
             homes=_nearest_first(settings),
             clock=clock,
         )
+        self.vm_requests = VmRequests(
+            registry=self.registry, ledger=self.ledger, router=self.router, peers=self.peers
+        )
         self.sessions = WorkerSessions(
             own_name=settings.name,
             replica=self.replica,
             freshness=self.freshness,
             submitter=self.submitter,
             clock=clock,
+            count_requests=self.vm_requests.count,
+        )
+        self.silences = SessionsExchange(sessions=self.sessions, peers=self.peers)
+        self.fleet = FleetController(
+            replica=self.replica,
+            submitter=self.submitter,
+            leads=self.leads,
+            collect=self.silences.collect,
+            clock=clock,
+            wall_ms=wall_ms,
         )
         self.scheduler = JobScheduler(replica=self.replica, submitter=self.submitter, leads=self.leads)
         self.calls = PeerCalls(
             member=self.member, replica=self.replica, freshness=self.freshness, ledger=self.ledger
         )
         self.calls.exchanges["status"] = lambda _: own_status(self)
+        self.calls.exchanges["vm_requests"] = self.vm_requests.own
+        self.calls.exchanges["workers"] = lambda _: self.silences.own()
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
 
     def leads(self) -> bool:
@@ -175,6 +191,12 @@
             read_status=lambda: collect_status(self),
             read_dump=self.dump,
         ).add_routes(app)
+        FleetRoutes(
+            replica=self.replica,
+            submitter=self.submitter,
+            token=self.settings.operator_token,
+            wall_ms=wall_ms,
+        ).add_routes(app)
         return app
 
     async def _answer_health(self, request: web.Request) -> web.Response:
@@ -191,6 +213,7 @@
             self._start("replication", lambda: run_replication(member=member, transport=self.peers))
             self._start("confirm", self._follow_leader)
             self._start("jobs", self.scheduler.run)
+            self._start("fleet", self.fleet.run)
         else:
             self._start("watch", self._follow_upstream)
         self._start("expire", self._expire)
--- a/src/hyssopway/document/service.py
+++ b/src/hyssopway/document/service.py
@@ -8,6 +8,8 @@
 
 from pydantic import Field
 
+from .budget import Budget
+
 
 class QueueAccess(StrEnum):
     """Who may send to a service's queue."""
@@ -31,6 +33,7 @@
         queue_limit: Most requests waiting in one entry process.
         may_borrow: Whether idle VMs of the spare pool may serve it.
         outcome_kept_s: How long the outcome of a non-idempotent request is returned to resends.
+        budget: Availability budget of the VMs of its pool, besides the budget of the pool itself.
     """
 
     name: str
@@ -43,6 +46,7 @@
     queue_limit: Annotated[int, Field(ge=0, le=1_000_000)] = 1000
     may_borrow: bool = False
     outcome_kept_s: Annotated[float, Field(gt=0)] = 86_400.0
+    budget: Budget | None = None
 
 
 __all__ = ["QueueAccess", "Service"]
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -61,6 +61,8 @@
     PERMIT_REFUSED = (6004, "INFO", "permit for {vm} refused: {reason}")
     PLATFORM_FAILED = (6005, "WARNING", "platform call {call} failed: {error}")
     OPERATOR_NEEDED = (6006, "WARNING", "{subject} needs a decision: {question}")
+    BUDGET_BROKEN = (6007, "ERROR", "failures alone exceed a budget, all planned stops wait: {reason}")
+    BUDGET_RESTORED = (6008, "INFO", "failures are within all budgets again, planned stops go on")
 
     @property
     def number(self) -> int:
--- a/src/hyssopway/fleet/__init__.py
+++ b/src/hyssopway/fleet/__init__.py
@@ -1,3 +1,10 @@
-"""Pools, drains, maintenance waves and availability zones."""
+"""Pools, permits, waves, zones and buffers."""
 
 from __future__ import annotations
+
+from .controller import FleetController
+from .liveness import Liveness
+from .sessions_exchange import SessionsExchange
+from .vm_requests import VmRequests
+
+__all__ = ["FleetController", "Liveness", "SessionsExchange", "VmRequests"]
--- /dev/null
+++ b/src/hyssopway/fleet/controller.py
@@ -0,0 +1,128 @@
+"""Carries planned stops through while this daemon leads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.control.apply.budgets import find_broken
+from hyssopway.control.command import ChangeVm, MoveVm
+from hyssopway.event import Event, log_event
+
+from .drains import decide_moves, find_overdue
+from .liveness import Liveness
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from hyssopway.clock import Clock
+    from hyssopway.control.command import ReturnPermit
+    from hyssopway.replica import Replica, Submitter
+
+ROUND_S = 0.5
+SUBMIT_TIMEOUT_S = 2.0
+
+
+class FleetController:
+    """One task that looks at the agreed state and proposes the next steps.
+
+    Everything that must survive a change of leader is in the agreed state.
+
+    Attributes:
+        replica: Agreed state.
+        submitter: Way to the agreed state.
+        leads: Tells whether this daemon leads.
+        collect: Collects the silences of workers.
+        clock: Monotonic seconds.
+        wall_ms: Wall-clock milliseconds.
+        liveness: When workers were heard; None while another daemon leads.
+        asked: Drains that the operator was asked about, by VM and start.
+        broken: Budget that failures alone exceed, as reported last.
+    """
+
+    __slots__ = (
+        "asked",
+        "broken",
+        "clock",
+        "collect",
+        "leads",
+        "liveness",
+        "replica",
+        "submitter",
+        "wall_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        submitter: Submitter,
+        leads: Callable[[], bool],
+        collect: Callable[[Liveness], Awaitable[None]],
+        clock: Clock,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self.replica = replica
+        self.submitter = submitter
+        self.leads = leads
+        self.collect = collect
+        self.clock = clock
+        self.wall_ms = wall_ms
+        self.liveness: Liveness | None = None
+        self.asked: set[tuple[str, int]] = set()
+        self.broken = ""
+
+    async def run(self) -> None:
+        """Controls for as long as the daemon runs."""
+        while True:
+            if self.leads():
+                await self.control_once()
+            else:
+                self.liveness = None
+            await asyncio.sleep(ROUND_S)
+
+    async def control_once(self) -> None:
+        """Makes one round."""
+        if self.liveness is None:
+            self.liveness = Liveness(led_since=self.clock())
+        await self.collect(self.liveness)
+        state = self.replica.state
+        changes = self.liveness.decide(state=state, now=self.clock())
+        await asyncio.gather(*(self._submit(command) for command in changes))
+        await asyncio.gather(*(self._submit(command) for command in decide_moves(state)))
+        self._ask_operator()
+        self._report_broken()
+
+    async def _submit(self, command: ChangeVm | MoveVm | ReturnPermit) -> None:
+        source = self.replica.state.tables.vms[command.vm].pool
+        # A refusal means that the state has moved on; the next round looks at it again.
+        result = await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
+        if result.is_error():
+            return
+        match command:
+            case ChangeVm():
+                log_event(Event.VM_STATE_CHANGED, vm=command.vm, state=command.state, reason=command.reason)
+            case MoveVm():
+                log_event(
+                    Event.VM_MOVED, vm=command.vm, source=source, target=command.target, reason=command.reason
+                )
+
+    def _ask_operator(self) -> None:
+        overdue = {
+            (permit.vm, permit.at_ms) for permit in find_overdue(self.replica.state, now_ms=self.wall_ms())
+        }
+        for vm, _ in sorted(overdue - self.asked):
+            question = f"its work does not end; wait on, or have it stopped? POST /v1/vms/{vm}/decision"
+            log_event(Event.OPERATOR_NEEDED, subject=f"VM {vm}", question=question)
+        self.asked = overdue
+
+    def _report_broken(self) -> None:
+        broken = find_broken(self.replica.state)
+        if broken and broken != self.broken:
+            log_event(Event.BUDGET_BROKEN, reason=broken)
+        if self.broken and not broken:
+            log_event(Event.BUDGET_RESTORED)
+        self.broken = broken
+
+
+__all__ = ["FleetController"]
--- /dev/null
+++ b/src/hyssopway/fleet/vm_requests.py
@@ -0,0 +1,75 @@
+"""Counts the requests in progress on the endpoints of a VM."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from pydantic_core import from_json, to_json
+
+from hyssopway.peer import PeerUnreachableError
+
+if TYPE_CHECKING:
+    from hyssopway.endpoint import EndpointRegistry
+    from hyssopway.peer import PeerDirectory
+    from hyssopway.routing import CreditLedger, Router
+
+TOPIC = "vm_requests"
+CALL_TIMEOUT_S = 1.0
+
+
+class VmRequests:
+    """Asks all entries, because any of them may send to an endpoint of the VM.
+
+    Attributes:
+        registry: Endpoints whose home is this daemon.
+        ledger: Their credits.
+        router: Credits that this daemon uses.
+        peers: Clients of the other daemons.
+    """
+
+    __slots__ = ("ledger", "peers", "registry", "router")
+
+    def __init__(
+        self, *, registry: EndpointRegistry, ledger: CreditLedger, router: Router, peers: PeerDirectory
+    ) -> None:
+        self.registry = registry
+        self.ledger = ledger
+        self.router = router
+        self.peers = peers
+
+    async def count(self, vm: str) -> int | None:
+        """Returns the number of requests in progress; None when an entry does not answer."""
+        answers = await asyncio.gather(*(self._ask(name, vm=vm) for name in self.peers.clients))
+        answers.append(self.own(vm))
+        known = [answer for answer in answers if answer is not None]
+        if len(known) < len(answers):
+            return None
+        endpoints = {name for answer in known for name in answer["endpoints"]}
+        in_use = sum(int(answer["in_use"].get(name, 0)) for answer in known for name in endpoints)
+        return in_use + sum(int(answer["granted"]) for answer in known)
+
+    def own(self, vm: str) -> dict[str, Any]:
+        """Returns what this daemon knows of the VM's endpoints."""
+        grants = [grant for grant in self.ledger.grants.values() if grant.vm == vm]
+        now = self.ledger.clock()
+        endpoints = self.registry.endpoints.values()
+        names = {endpoint.name for endpoint in endpoints if endpoint.announcement.vm == vm}
+        return {
+            "endpoints": sorted(names | {grant.endpoint for grant in grants}),
+            "granted": sum(grant.expires_at > now for grant in grants),
+            "in_use": dict(self.router.in_use),
+        }
+
+    async def _ask(self, name: str, *, vm: str) -> dict[str, Any] | None:
+        try:
+            data = await self.peers.client(name).exchange(
+                topic=TOPIC, data=to_json(vm), timeout_s=CALL_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return None
+        answer: dict[str, Any] = from_json(data)
+        return answer
+
+
+__all__ = ["TOPIC", "VmRequests"]
--- a/src/hyssopway/operator_api/__init__.py
+++ b/src/hyssopway/operator_api/__init__.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from .endpoint_routes import EndpointRoutes
+from .fleet_routes import FleetRoutes
 from .job_routes import JobRoutes
 from .operator_routes import OperatorRoutes
 from .worker_routes import WorkerRoutes
 
-__all__ = ["EndpointRoutes", "JobRoutes", "OperatorRoutes", "WorkerRoutes"]
+__all__ = ["EndpointRoutes", "FleetRoutes", "JobRoutes", "OperatorRoutes", "WorkerRoutes"]
--- /dev/null
+++ b/src/hyssopway/operator_api/fleet_bodies.py
@@ -0,0 +1,47 @@
+"""Request bodies of operators about VMs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hyssopway.control.record import DrainDecision
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmBody:
+    """Drains a VM or returns it.
+
+    Attributes:
+        expected_epoch: Epoch of the VM that the operator saw.
+    """
+
+    expected_epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MoveBody:
+    """Moves a VM to another pool.
+
+    Attributes:
+        expected_epoch: Epoch of the VM that the operator saw.
+        target: New pool.
+    """
+
+    expected_epoch: int
+    target: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DecisionBody:
+    """Answers the question about a drain that does not end.
+
+    Attributes:
+        expected_epoch: Epoch of the VM that the operator saw.
+        decision: What to do with the work.
+    """
+
+    expected_epoch: int
+    decision: DrainDecision
+
+
+__all__ = ["DecisionBody", "MoveBody", "VmBody"]
--- a/src/hyssopway/routing/ledger.py
+++ b/src/hyssopway/routing/ledger.py
@@ -25,11 +25,13 @@
         endpoint: Endpoint.
         daemon: Daemon that holds the credit.
         expires_at: Local time at which it surely is no longer used.
+        vm: VM of the endpoint; kept here because a departing endpoint leaves the registry first.
     """
 
     endpoint: str
     daemon: str
     expires_at: float
+    vm: str = ""
 
 
 class CreditLedger:
@@ -90,7 +92,10 @@
         credit_id = self.next_id
         self.next_id += 1
         self.grants[credit_id] = Grant(
-            endpoint=endpoint.name, daemon=daemon, expires_at=now + CREDIT_LEASE_S + HOME_MARGIN_S
+            endpoint=endpoint.name,
+            daemon=daemon,
+            expires_at=now + CREDIT_LEASE_S + HOME_MARGIN_S,
+            vm=endpoint.announcement.vm,
         )
         return Credit(
             endpoint=endpoint.name,
--- a/src/hyssopway/routing/router.py
+++ b/src/hyssopway/routing/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -42,9 +43,10 @@
         ledger: Credits of endpoints whose home is this daemon.
         peers: Clients of the other daemons.
         homes: Other daemons, those of the own zone first.
+        in_use: Credits in use by endpoint.
     """
 
-    __slots__ = ("clock", "homes", "ledger", "own_name", "peers", "tasks")
+    __slots__ = ("clock", "homes", "in_use", "ledger", "own_name", "peers", "tasks")
 
     def __init__(
         self, *, own_name: str, ledger: CreditLedger, peers: PeerDirectory, homes: list[str], clock: Clock
@@ -54,6 +56,7 @@
         self.peers = peers
         self.homes = homes
         self.clock = clock
+        self.in_use: Counter[str] = Counter()
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def acquire(
@@ -64,6 +67,7 @@
         while True:
             held = await self._ask_homes(request)
             if held is not None:
+                self.in_use[held.credit.endpoint] += 1
                 return Ok(held)
             if self.clock() + POLL_S >= deadline:
                 message = f"no endpoint of {service} has a free slot in time"
@@ -72,6 +76,8 @@
 
     def release(self, held: HeldCredit) -> None:
         """Gives a credit back to its home."""
+        self.in_use[held.credit.endpoint] -= 1
+        self.in_use += Counter()  # drops endpoints without credits in use
         request = CreditRequest(
             daemon=self.own_name,
             environment=held.credit.environment,
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
 
-from hyssopway.control.command import EndRun, RegisterVm
-from hyssopway.control.record import JobStatus, RunOutcome, ZoneStatus
+from hyssopway.control.command import ChangeVm, EndRun, RegisterVm
+from hyssopway.control.record import JobStatus, RunOutcome, VmState, ZoneStatus
 from hyssopway.document import JobPolicy
 from hyssopway.event import Event, log_event
 from hyssopway.replica import AUTHORITY_TTL_S
@@ -23,6 +24,8 @@
 
     from .messages import EndedRun, SyncRequest
 
+CountRequests = Callable[[str], Awaitable[int | None]]
+
 WORKER_LEASE_S = 4.0
 SUBMIT_TIMEOUT_S = 2.0
 
@@ -32,18 +35,27 @@
 
     Attributes:
         sessions: Sessions by VM.
+        count_requests: Counts the requests in progress on a VM's endpoints; None when some are unknown.
     """
 
-    __slots__ = ("clock", "freshness", "own_name", "replica", "sessions", "submitter")
+    __slots__ = ("clock", "count_requests", "freshness", "own_name", "replica", "sessions", "submitter")
 
     def __init__(
-        self, *, own_name: str, replica: Replica, freshness: Freshness, submitter: Submitter, clock: Clock
+        self,
+        *,
+        own_name: str,
+        replica: Replica,
+        freshness: Freshness,
+        submitter: Submitter,
+        clock: Clock,
+        count_requests: CountRequests | None = None,
     ) -> None:
         self.own_name = own_name
         self.replica = replica
         self.freshness = freshness
         self.submitter = submitter
         self.clock = clock
+        self.count_requests = count_requests or _count_none
         self.sessions: dict[str, WorkerSession] = {}
 
     async def sync(self, *, vm: str, request: SyncRequest) -> Result[SyncReply, Failure]:
@@ -53,6 +65,7 @@
             return Error(refusal)
         acknowledged = [ended.job_id for ended in request.ended if await self._report(ended)]
         await self._report_lost(vm=vm, request=request)
+        await self._report_drained(vm=vm, request=request)
         now = self.clock()
         lease_s = WORKER_LEASE_S if self._may_renew() else 0.0
         session = self.sessions.get(vm)
@@ -63,6 +76,7 @@
                 lease_s=lease_s,
                 start=self._starts(vm=vm, request=request),
                 stop=self._stops(vm=vm, request=request),
+                checkpoint=self._checkpoints(vm=vm, request=request),
                 acknowledged=acknowledged,
             )
         )
@@ -112,6 +126,22 @@
                 )
                 await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
 
+    async def _report_drained(self, *, vm: str, request: SyncRequest) -> None:
+        """Reports a VM as drained when its worker runs nothing and its endpoints have no requests."""
+        tables = self.replica.state.tables
+        known, permit = tables.vms[vm], tables.permits.get(vm)
+        if known.state is not VmState.DRAINING or permit is None or not self.freshness.is_valid:
+            return
+        if request.running or request.ended or self.replica.state.indexes.running.get(vm):
+            return
+        if not permit.stop_work and await self.count_requests(vm) != 0:
+            return
+        command = ChangeVm(
+            vm=vm, state=VmState.DRAINED, expected_epoch=known.epoch, reason="no task and no request left"
+        )
+        if (await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)).is_ok():
+            log_event(Event.VM_STATE_CHANGED, vm=vm, state=command.state, reason=command.reason)
+
     def _may_renew(self) -> bool:
         document = self.replica.state.document()
         policy = document.jobs if document else JobPolicy()
@@ -136,14 +166,28 @@
             for job in self._runs_on(vm)
             if job.run is not None and not job.cancelling
         }
+        permit = self.replica.state.tables.permits.get(vm)
+        if permit is not None and permit.stop_work:
+            valid.clear()
         return [task.job_id for task in request.running if (task.job_id, task.epoch) not in valid]
 
+    def _checkpoints(self, *, vm: str, request: SyncRequest) -> list[str]:
+        if self.replica.state.tables.vms[vm].state is not VmState.DRAINING:
+            return []
+        stopped = set(self._stops(vm=vm, request=request))
+        running = {task.job_id for task in request.running} - stopped
+        return [job.job_id for job in self._runs_on(vm) if job.job_id in running and job.spec.checkpointable]
+
     def _runs_on(self, vm: str) -> list[Job]:
         jobs = self.replica.state.tables.jobs
         ids = self.replica.state.indexes.running.get(vm, ())
         return [jobs[job_id] for job_id in sorted(ids) if jobs[job_id].status is JobStatus.RUNNING]
 
 
+async def _count_none(vm: str) -> int | None:
+    return 0
+
+
 def _to_order(job: Job, *, start_within_s: float) -> StartOrder:
     return StartOrder(
         job_id=job.job_id,
--- /dev/null
+++ b/tests/control/small_fleet.py
@@ -0,0 +1,29 @@
+"""A small fleet in agreed state."""
+
+from __future__ import annotations
+
+from hyssopway_standins.agreed import AgreedStandIn
+
+BUDGET = {"max_down": 2, "max_down_per_rack": 1, "max_down_per_zone": 2}
+
+
+def small_document(**budget):
+    return {
+        "name": "small",
+        "zones": ["east", "west"],
+        "pools": [
+            {"name": "web", "budget": BUDGET | budget},
+            {"name": "batch", "budget": dict(BUDGET)},
+            {"name": "spare", "spare": True, "budget": dict(BUDGET)},
+        ],
+        "services": [{"name": "plan", "pool": "web"}],
+    }
+
+
+def small_fleet(**budget):
+    agreed = AgreedStandIn.prepare(data=small_document(**budget))
+    for pool in ("web", "batch", "spare"):
+        for number in range(8):
+            zone = ("east", "west")[number % 2]
+            agreed.register(f"{pool}-{number}", zone=zone, rack=f"{zone}-{number // 4}", pool=pool)
+    return agreed
