Test drains, moves and lost VMs through whole processes

Cause: drains and moves were tested in agreed state only. Ruled out: nothing; no fault was found by these tests. Conclusion: a checkpointable task continues elsewhere, another one is stopped only on an operator's word.

--- /dev/null
+++ b/tests/whole/test_drains.py
@@ -0,0 +1,124 @@
+"""Drains and moves through real processes; truth is counted at the workers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from hyssopway_standins.fleet import EXAMPLES
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from hyssopway_standins.operator_client import OperatorClient
+    from hyssopway_standins.outside import Outside
+    from hyssopway_standins.processes import Deployment
+
+
+@pytest.fixture
+async def start_job(
+    deployment: Deployment, outside: Outside, operator: OperatorClient, session: aiohttp.ClientSession
+):
+    """Starts a job of 30 s and returns its id and VM."""
+    key = await operator.grant_key("granite-hearth")
+    url = deployment.daemons["portland-1"].url
+
+    async def start(*, checkpointable: bool) -> tuple[str, str]:
+        resources = {"cores": 4, "memory_gb": 8}
+        spec = {"task_kind": "plan", "pool": "restock", "resources": resources, "run_s": 3000}
+        spec["checkpointable"] = checkpointable
+        headers = {"Authorization": f"Bearer {key}"}
+
+        async def accept() -> Any:
+            async with session.post(f"{url}/v1/jobs", json=spec, headers=headers) as answer:
+                return await answer.json() if answer.status == 202 else None
+
+        job_id = (await wait_for(accept))["job_id"]
+
+        async def find() -> Any:
+            return next((vm for vm, worker in outside.workers.items() if job_id in worker.tasks), None)
+
+        return job_id, await wait_for(find)
+
+    return start
+
+
+async def test_drain_checkpoints_or_waits_and_operator_decides(
+    deployment: Deployment, outside: Outside, operator: OperatorClient, start_job: Any
+):
+    """Guards against a drain that cuts work off, and against one that ends without an answer."""
+    text = (EXAMPLES / "pantry" / "document.yaml").read_text().replace("drain_s: 600", "drain_s: 1")
+    tried = await operator.post("/v1/documents/trial", {"text": text, "expected_generation": 1})
+    await operator.post("/v1/documents/production", {"digest": tried["reference"], "expected_generation": 1})
+    saved, vm = await start_job(checkpointable=True)
+    await operator.post(f"/v1/vms/{vm}/drain", {"expected_epoch": await epoch(operator, vm)})
+    await wait_for(lambda: in_state(operator, vm, "drained"))
+    assert (await operator.get(f"/v1/explain/job/{saved}"))["checkpoint"] == "checkpoint"
+    moved = next(name for name, worker in outside.workers.items() if saved in worker.tasks)
+    assert moved != vm
+    await operator.post(f"/v1/vms/{vm}/return", {"expected_epoch": await epoch(operator, vm)})
+
+    job, vm = await start_job(checkpointable=False)
+    await operator.post(f"/v1/vms/{vm}/drain", {"expected_epoch": await epoch(operator, vm)})
+    await wait_for(lambda: overdue(operator, vm))
+    assert job in outside.workers[vm].tasks
+    stop = {"expected_epoch": await epoch(operator, vm), "decision": "stop"}
+    await operator.post(f"/v1/vms/{vm}/decision", stop)
+    await wait_for(lambda: in_state(operator, vm, "drained"))
+    logs = "".join(daemon.log_path.read_text() for daemon in deployment.daemons.values())
+    assert f"VM {vm} needs a decision" in logs
+    assert (await operator.get(f"/v1/explain/job/{job}"))["status"] in ("pending", "running")
+
+
+async def test_move_and_failure_of_a_vm(
+    deployment: Deployment, outside: Outside, operator: OperatorClient, session: aiohttp.ClientSession
+):
+    """Guards against a move that leaves the VM stopped, and a lost VM that stays in use."""
+    vm = "back-office-vm-1"
+    await wait_for(lambda: in_state(operator, vm, "ready"))
+    body = {"expected_epoch": await epoch(operator, vm), "target": "restock"}
+    first = await operator.post(f"/v1/vms/{vm}/move", body, request_id="move-1")
+    moved = await wait_for(lambda: in_pool(operator, vm, "restock"))
+    assert moved["state"] == "ready"
+    assert await operator.post(f"/v1/vms/{vm}/move", body, request_id="move-1") == first
+    outside.workers[vm].stop()
+    await wait_for(lambda: in_state(operator, vm, "down"))
+    outside.workers[vm].start()
+    await wait_for(lambda: in_state(operator, vm, "ready"))
+
+
+async def find_vm(operator: OperatorClient, vm: str) -> Any:
+    listed = (await operator.get("/v1/vms"))["vms"]
+    return next((item["vm"] for item in listed if item["vm"]["name"] == vm), None)
+
+
+async def epoch(operator: OperatorClient, vm: str) -> int:
+    return int((await find_vm(operator, vm))["epoch"])
+
+
+async def in_state(operator: OperatorClient, vm: str, state: str) -> Any:
+    found = await find_vm(operator, vm)
+    return found if found and found["state"] == state else None
+
+
+async def in_pool(operator: OperatorClient, vm: str, pool: str) -> Any:
+    found = await find_vm(operator, vm)
+    return found if found and found["pool"] == pool else None
+
+
+async def overdue(operator: OperatorClient, vm: str) -> bool:
+    permits = (await operator.get("/v1/permits"))["permits"]
+    return any(item["permit"]["vm"] == vm and item["overdue"] for item in permits)
+
+
+async def wait_for(check: Any) -> Any:
+    deadline = time.monotonic() + 15
+    while True:
+        found = await check()
+        if found:
+            return found
+        assert time.monotonic() < deadline, "not reached in 15 s"
+        await asyncio.sleep(0.1)
