Add maintenance waves as agreed state

Cause: VMs could be drained one by one only, and nothing remembered which VMs were maintained. Ruled out: separate commands for permit, state and progress; a leader lost between them would leave a VM drained. One command takes a VM to its next step and changes all three. Change: start_wave, control_wave and advance_wave; the decisions of the leader as functions of the agreed state; canary first and alone, then zone by zone, idle VMs first, busy pools only when the wave is late; pause at max_lost, after a lost canary and on two losses in one rack; lost VMs are replaced from the spare pool and take no work until a new worker process shows that their reboot is over; routes /v1/waves. Conclusion: the driven waves reboot each VM once within budgets for both example deployments.

--- a/src/hyssopway/control/apply/dispatch.py
+++ b/src/hyssopway/control/apply/dispatch.py
@@ -6,9 +6,11 @@
 
 from hyssopway.control.command import (
     AcceptJob,
+    AdvanceWave,
     CancelJob,
     ChangeVm,
     ClaimRequest,
+    ControlWave,
     DecideDrain,
     DrainVm,
     EndRun,
@@ -24,6 +26,7 @@
     ReturnVm,
     SetZone,
     StartRun,
+    StartWave,
     TakePermit,
     TrialDocument,
     WithdrawKey,
@@ -37,6 +40,7 @@
 from .permits import return_permit, take_permit
 from .runs import end_run, start_run
 from .vms import change_vm, move_vm, register_vm
+from .waves import advance_wave, control_wave, start_wave
 from .zones import set_zone
 
 if TYPE_CHECKING:
@@ -69,6 +73,12 @@
             return request_move(state, command)
         case DecideDrain():
             return decide_drain(state, command)
+        case StartWave():
+            return start_wave(state, command)
+        case ControlWave():
+            return control_wave(state, command)
+        case AdvanceWave():
+            return advance_wave(state, command)
         case RegisterVm():
             return register_vm(state, command)
         case ChangeVm():
--- a/src/hyssopway/control/command/__init__.py
+++ b/src/hyssopway/control/command/__init__.py
@@ -7,9 +7,11 @@
 from pydantic import Field
 
 from .accept_job import AcceptJob
+from .advance_wave import AdvanceWave
 from .cancel_job import CancelJob
 from .change_vm import ChangeVm
 from .claim_request import ClaimRequest
+from .control_wave import ControlWave, WaveAction
 from .decide_drain import DecideDrain
 from .drain_vm import DrainVm
 from .end_run import EndRun
@@ -25,6 +27,7 @@
 from .return_vm import ReturnVm
 from .set_zone import SetZone
 from .start_run import StartRun
+from .start_wave import StartWave
 from .take_permit import TakePermit
 from .trial_document import TrialDocument
 from .withdraw_key import WithdrawKey
@@ -39,6 +42,8 @@
     | ReturnVm
     | RequestMove
     | DecideDrain
+    | StartWave
+    | ControlWave
 )
 
 Command = Annotated[
@@ -51,6 +56,9 @@
     | ReturnVm
     | RequestMove
     | DecideDrain
+    | StartWave
+    | ControlWave
+    | AdvanceWave
     | RegisterVm
     | ChangeVm
     | MoveVm
@@ -69,10 +77,12 @@
 
 __all__ = [
     "AcceptJob",
+    "AdvanceWave",
     "CancelJob",
     "ChangeVm",
     "ClaimRequest",
     "Command",
+    "ControlWave",
     "DecideDrain",
     "DrainVm",
     "EndRun",
@@ -89,7 +99,9 @@
     "ReturnVm",
     "SetZone",
     "StartRun",
+    "StartWave",
     "TakePermit",
     "TrialDocument",
+    "WaveAction",
     "WithdrawKey",
 ]
--- a/src/hyssopway/control/record/__init__.py
+++ b/src/hyssopway/control/record/__init__.py
@@ -16,6 +16,9 @@
 from .stored_outcome import StoredOutcome
 from .vm import Vm
 from .vm_state import VmState
+from .wave import Wave
+from .wave_status import WaveStatus
+from .wave_vm import WaveVm, WaveVmStatus
 from .zone import Zone
 from .zone_status import ZoneStatus
 
@@ -34,6 +37,10 @@
     "StoredOutcome",
     "Vm",
     "VmState",
+    "Wave",
+    "WaveStatus",
+    "WaveVm",
+    "WaveVmStatus",
     "Zone",
     "ZoneStatus",
 ]
--- a/src/hyssopway/control/tables.py
+++ b/src/hyssopway/control/tables.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from .record import Claim, Job, Key, Permit, StoredDocument, StoredOutcome, Vm, Zone
+from .record import Claim, Job, Key, Permit, StoredDocument, StoredOutcome, Vm, Wave, Zone
 
 
 @dataclass(slots=True, kw_only=True)
@@ -21,6 +21,7 @@
         zones: Availability zones by name.
         vms: VMs by name.
         permits: Disruption permits by VM.
+        waves: Maintenance waves by id, oldest first.
         claims: Claims by id.
         jobs: Jobs by id.
         ended_jobs: Ids of ended jobs, oldest first.
@@ -35,6 +36,7 @@
     zones: dict[str, Zone] = field(default_factory=dict)
     vms: dict[str, Vm] = field(default_factory=dict)
     permits: dict[str, Permit] = field(default_factory=dict)
+    waves: dict[str, Wave] = field(default_factory=dict)
     claims: dict[str, Claim] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     ended_jobs: list[str] = field(default_factory=list)
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -14,14 +14,22 @@
 from hyssopway.clock import monotonic_s, wall_ms
 from hyssopway.endpoint import EndpointRegistry
 from hyssopway.event import Event, log_event
-from hyssopway.fleet import FleetController, SessionsExchange, VmRequests
+from hyssopway.fleet import FleetController, Reboots, SessionsExchange, VmRequests
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.http import json_response
 from hyssopway.job import JobScheduler
 from hyssopway.metrics import Metrics
-from hyssopway.operator_api import EndpointRoutes, FleetRoutes, JobRoutes, OperatorRoutes, WorkerRoutes
+from hyssopway.operator_api import (
+    EndpointRoutes,
+    FleetRoutes,
+    JobRoutes,
+    OperatorRoutes,
+    WaveRoutes,
+    WorkerRoutes,
+)
 from hyssopway.peer import PeerDirectory, PeerServer
+from hyssopway.platform import PlatformClient
 from hyssopway.replica import Freshness, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import CreditLedger, Router
 from hyssopway.worker import WorkerSessions
@@ -129,6 +137,9 @@
             metrics=self.metrics,
             clock=self.clock,
         )
+        if self.settings.platform_url is not None:
+            platform = PlatformClient(url=self.settings.platform_url, session=self.session)
+            self.fleet.reboots = Reboots(platform=platform)
         self._start_tasks()
         self.runner = web.AppRunner(self._build_app(), access_log=None)
         await self.runner.setup()
@@ -191,6 +202,12 @@
             read_status=lambda: collect_status(self),
             read_dump=self.dump,
         ).add_routes(app)
+        WaveRoutes(
+            replica=self.replica,
+            submitter=self.submitter,
+            token=self.settings.operator_token,
+            wall_ms=wall_ms,
+        ).add_routes(app)
         FleetRoutes(
             replica=self.replica,
             submitter=self.submitter,
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -63,6 +63,7 @@
     OPERATOR_NEEDED = (6006, "WARNING", "{subject} needs a decision: {question}")
     BUDGET_BROKEN = (6007, "ERROR", "failures alone exceed a budget, all planned stops wait: {reason}")
     BUDGET_RESTORED = (6008, "INFO", "failures are within all budgets again, planned stops go on")
+    WAVE_ADVANCED = (6009, "INFO", "{wave}: VM {vm} is {status}")
 
     @property
     def number(self) -> int:
--- a/src/hyssopway/fleet/controller.py
+++ b/src/hyssopway/fleet/controller.py
@@ -6,11 +6,13 @@
 from typing import TYPE_CHECKING
 
 from hyssopway.control.apply.budgets import find_broken
-from hyssopway.control.command import ChangeVm, MoveVm
+from hyssopway.control.command import AdvanceWave, ChangeVm, ControlWave, MoveVm
+from hyssopway.control.record import WaveVmStatus
 from hyssopway.event import Event, log_event
 
 from .drains import decide_moves, find_overdue
 from .liveness import Liveness
+from .waves import decide_waves
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -19,6 +21,8 @@
     from hyssopway.control.command import ReturnPermit
     from hyssopway.replica import Replica, Submitter
 
+    from .reboots import Reboots
+
 ROUND_S = 0.5
 SUBMIT_TIMEOUT_S = 2.0
 
@@ -33,6 +37,7 @@
         submitter: Way to the agreed state.
         leads: Tells whether this daemon leads.
         collect: Collects the silences of workers.
+        reboots: Has the platform reboot VMs; None without a platform, and waves do not start then.
         clock: Monotonic seconds.
         wall_ms: Wall-clock milliseconds.
         liveness: When workers were heard; None while another daemon leads.
@@ -47,6 +52,7 @@
         "collect",
         "leads",
         "liveness",
+        "reboots",
         "replica",
         "submitter",
         "wall_ms",
@@ -61,6 +67,7 @@
         collect: Callable[[Liveness], Awaitable[None]],
         clock: Clock,
         wall_ms: Callable[[], int],
+        reboots: Reboots | None = None,
     ) -> None:
         self.replica = replica
         self.submitter = submitter
@@ -68,6 +75,7 @@
         self.collect = collect
         self.clock = clock
         self.wall_ms = wall_ms
+        self.reboots = reboots
         self.liveness: Liveness | None = None
         self.asked: set[tuple[str, int]] = set()
         self.broken = ""
@@ -78,7 +86,7 @@
             if self.leads():
                 await self.control_once()
             else:
-                self.liveness = None
+                self._rest()
             await asyncio.sleep(ROUND_S)
 
     async def control_once(self) -> None:
@@ -90,9 +98,33 @@
         changes = self.liveness.decide(state=state, now=self.clock())
         await asyncio.gather(*(self._submit(command) for command in changes))
         await asyncio.gather(*(self._submit(command) for command in decide_moves(state)))
+        await self._advance_waves()
         self._ask_operator()
         self._report_broken()
 
+    def _rest(self) -> None:
+        self.liveness = None
+        if self.reboots is not None:
+            self.reboots.stop()
+
+    async def _advance_waves(self) -> None:
+        if self.reboots is None:
+            return
+        state = self.replica.state
+        self.reboots.follow(state)
+        steps = decide_waves(state, now_ms=self.wall_ms(), returned=self.reboots.returned)
+        await asyncio.gather(*(self._submit_step(step) for step in steps))
+
+    async def _submit_step(self, step: AdvanceWave | ControlWave) -> None:
+        result = await self.submitter.submit(step, timeout_s=SUBMIT_TIMEOUT_S)
+        match step:
+            case ControlWave() if result.is_ok():
+                log_event(Event.WAVE_CHANGED, wave=step.wave, status="paused", reason=step.reason)
+            case AdvanceWave() if result.is_ok():
+                log_event(Event.WAVE_ADVANCED, wave=step.wave, vm=step.vm, status=step.status)
+            case AdvanceWave(status=WaveVmStatus.DRAINING):
+                log_event(Event.PERMIT_REFUSED, vm=step.vm, reason=result.error.message)
+
     async def _submit(self, command: ChangeVm | MoveVm | ReturnPermit) -> None:
         source = self.replica.state.tables.vms[command.vm].pool
         # A refusal means that the state has moved on; the next round looks at it again.
--- a/src/hyssopway/fleet/liveness.py
+++ b/src/hyssopway/fleet/liveness.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from hyssopway.control.apply.waves import LOST
 from hyssopway.control.command import ChangeVm
 from hyssopway.control.record import VmState
 from hyssopway.worker import WORKER_LEASE_S
@@ -53,6 +54,8 @@
     if vm.state is VmState.DOWN:
         if not heard or silent_s > RECENT_S:
             return None, ""
+        if _may_still_reboot(state, vm=vm):
+            return None, ""
         if vm.name not in state.tables.permits:
             return VmState.READY, "its worker syncs again"
         empty = not state.indexes.running.get(vm.name)
@@ -63,4 +66,15 @@
     return None, ""
 
 
+def _may_still_reboot(state: ControlState, *, vm: Vm) -> bool:
+    """Tells whether the platform was asked for a reboot that it may still carry out.
+
+    Work placed on the VM would be cut off by it. A new worker process shows that the reboot is over.
+    """
+    return any(
+        vm.name in wave.vms and wave.vms[vm.name].status in LOST and wave.vms[vm.name].boot_id == vm.boot_id
+        for wave in state.tables.waves.values()
+    )
+
+
 __all__ = ["RECENT_S", "SILENT_S", "Liveness"]
--- a/src/hyssopway/operator_api/__init__.py
+++ b/src/hyssopway/operator_api/__init__.py
@@ -6,6 +6,7 @@
 from .fleet_routes import FleetRoutes
 from .job_routes import JobRoutes
 from .operator_routes import OperatorRoutes
+from .wave_routes import WaveRoutes
 from .worker_routes import WorkerRoutes
 
-__all__ = ["EndpointRoutes", "FleetRoutes", "JobRoutes", "OperatorRoutes", "WorkerRoutes"]
+__all__ = ["EndpointRoutes", "FleetRoutes", "JobRoutes", "OperatorRoutes", "WaveRoutes", "WorkerRoutes"]
--- a/src/hyssopway/operator_api/fleet_bodies.py
+++ b/src/hyssopway/operator_api/fleet_bodies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hyssopway.control.record import DrainDecision
 
@@ -44,4 +44,26 @@
     decision: DrainDecision
 
 
-__all__ = ["DecisionBody", "MoveBody", "VmBody"]
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaveBody:
+    """Starts a maintenance wave.
+
+    Attributes:
+        pools: Pools; all when empty.
+    """
+
+    pools: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaveActionBody:
+    """Pauses, resumes or aborts a maintenance wave.
+
+    Attributes:
+        expected_epoch: Epoch of the wave that the operator saw.
+    """
+
+    expected_epoch: int
+
+
+__all__ = ["DecisionBody", "MoveBody", "VmBody", "WaveActionBody", "WaveBody"]
--- /dev/null
+++ b/src/hyssopway_standins/wave_driver.py
@@ -0,0 +1,104 @@
+"""Drives the decisions about waves with a fake clock and without processes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hyssopway.control.command import AdvanceWave, ChangeVm, StartWave
+from hyssopway.control.record import VmState, WaveStatus, WaveVmStatus
+from hyssopway.fleet.drains import decide_moves
+from hyssopway.fleet.waves import decide_waves
+
+from .agreed import AgreedStandIn
+
+if TYPE_CHECKING:
+    from hyssopway.control.record import Vm, Wave
+
+
+@dataclass(slots=True, kw_only=True)
+class WaveDriver:
+    """Stands in for home entries, workers and platform, and counts what was really done.
+
+    Attributes:
+        agreed: Agreed state.
+        drain_ms: Time until a VM is empty.
+        reboot_ms: Time until a rebooted VM syncs again.
+        never_return: VMs that do not come back.
+        reboots: Reboots by VM.
+        most_down: Most VMs down at once by pool.
+        rebooting: Time at which each rebooting VM is back.
+        returned: Waves and VMs that are back.
+    """
+
+    agreed: AgreedStandIn
+    drain_ms: int = 20_000
+    reboot_ms: int = 60_000
+    round_ms: int = 5_000
+    never_return: set[str] = field(default_factory=set)
+    reboots: Counter[str] = field(default_factory=Counter)
+    most_down: Counter[str] = field(default_factory=Counter)
+    rebooting: dict[str, int] = field(default_factory=dict)
+    returned: set[tuple[str, str]] = field(default_factory=set)
+
+    def start(self, *pools: str) -> Wave:
+        """Starts a wave."""
+        index = self.agreed.state.applied_index
+        outcome = self.agreed.apply(StartWave(pools=list(pools), request_id=f"w{index}", operator="operator"))
+        return self.agreed.state.tables.waves[outcome.reference]
+
+    def run(self, wave: Wave, *, rounds: int = 4000) -> None:
+        """Runs rounds until the wave is not running."""
+        for _ in range(rounds):
+            if wave.status is not WaveStatus.RUNNING:
+                return
+            self.run_round()
+
+    def run_round(self) -> None:
+        """Makes one round of the leader and of everything around it."""
+        state = self.agreed.state
+        self.agreed.now_ms += self.round_ms
+        for step in decide_waves(state, now_ms=self.agreed.now_ms, returned=self.returned):
+            refused = self.agreed.apply(step).failure
+            if (
+                isinstance(step, AdvanceWave)
+                and step.status is WaveVmStatus.REBOOTING
+                and refused is None
+                and step.vm not in self.never_return
+            ):
+                self.reboots[step.vm] += 1
+                self.rebooting[step.vm] = self.agreed.now_ms + self.reboot_ms
+        for move in decide_moves(state):
+            self.agreed.apply(move)
+        self._empty_vms()
+        self._boot_vms()
+        down = Counter(vm.pool for vm in state.tables.vms.values() if vm.state is not VmState.READY)
+        self.most_down |= down
+
+    def change(self, vm: str, state: VmState) -> None:
+        """Reports a state of a VM."""
+        epoch = self.agreed.vm(vm).epoch
+        self.agreed.apply(ChangeVm(vm=vm, state=state, expected_epoch=epoch, reason="driver"))
+
+    def _empty_vms(self) -> None:
+        tables = self.agreed.state.tables
+        for permit in list(tables.permits.values()):
+            empty = self.agreed.now_ms - permit.at_ms >= self.drain_ms
+            if tables.vms[permit.vm].state is VmState.DRAINING and empty:
+                self.change(permit.vm, VmState.DRAINED)
+
+    def _boot_vms(self) -> None:
+        for name, at_ms in list(self.rebooting.items()):
+            if at_ms <= self.agreed.now_ms:
+                del self.rebooting[name]
+                self._boot(self.agreed.vm(name))
+
+    def _boot(self, vm: Vm) -> None:
+        boot_id = f"boot-{self.agreed.state.applied_index}"
+        self.agreed.register(vm.name, zone=vm.zone, rack=vm.rack, pool=vm.pool, boot_id=boot_id)
+        waves = self.agreed.state.tables.waves
+        self.returned |= {(wave, vm.name) for wave in waves}
+
+
+__all__ = ["WaveDriver"]
--- /dev/null
+++ b/tests/fleet/test_waves.py
@@ -0,0 +1,195 @@
+"""Maintenance waves, driven with a fake clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.control import ControlState
+from hyssopway.control.command import AdvanceWave, ControlWave, SetZone, StartWave, WaveAction
+from hyssopway.control.record import VmState, WaveStatus, WaveVmStatus, ZoneStatus
+from hyssopway.fleet import Liveness
+from hyssopway.fleet.wave_order import forecast_end_ms
+from hyssopway.fleet.waves import decide_waves
+from hyssopway.result import ResultCode
+from hyssopway_standins.agreed import AgreedStandIn
+from hyssopway_standins.wave_driver import WaveDriver
+
+
+@pytest.fixture
+def driver():
+    return WaveDriver(agreed=AgreedStandIn.prepare_example("pantry"))
+
+
+def control(driver, wave, action, operator="kim", request_id="c"):
+    command = ControlWave(
+        wave=wave.wave_id,
+        action=action,
+        expected_epoch=wave.epoch,
+        operator=operator,
+        request_id=f"{request_id}-{wave.epoch}",
+    )
+    return driver.agreed.apply(command).failure
+
+
+def tell(wave):
+    return {name: vm.status for name, vm in wave.vms.items()}
+
+
+@pytest.mark.parametrize("deployment", ["pantry", "association"])
+def test_wave_reboots_each_vm_once_within_budgets(deployment):
+    """Guards against a VM that is rebooted twice or left out, and against exceeded budgets."""
+    driver = WaveDriver(agreed=AgreedStandIn.prepare_example(deployment))
+    wave = driver.start()
+    driver.run(wave)
+    document = driver.agreed.state.document()
+    assert (wave.status, wave.reason) == (WaveStatus.DONE, "every VM was visited")
+    assert driver.reboots == dict.fromkeys(driver.agreed.state.tables.vms, 1)
+    assert all(driver.most_down[pool.name] <= pool.budget.max_down for pool in document.pools)
+    assert not driver.agreed.state.tables.permits
+    assert {vm.state for vm in driver.agreed.state.tables.vms.values()} == {VmState.READY}
+
+
+def test_canary_goes_first_and_alone(driver):
+    """Guards against a bad change that meets several VMs before the first one is back."""
+    wave = driver.start()
+    while not wave.count(WaveVmStatus.DONE):
+        driver.run_round()
+        assert sum(driver.most_down.values()) <= 1
+
+
+def test_new_leader_continues_from_a_snapshot(driver):
+    """Guards against a new leader that does a VM twice or leaves one drained."""
+    wave = driver.start()
+    for _ in range(3000):
+        if wave.status is not WaveStatus.RUNNING:
+            break
+        driver.run_round()
+        state = ControlState()
+        state.restore_snapshot(driver.agreed.state.encode_snapshot())
+        driver.agreed.state = state
+        wave = state.tables.waves[wave.wave_id]
+    assert wave.status is WaveStatus.DONE
+    assert set(driver.reboots.values()) == {1}
+
+
+def test_steps_of_two_leaders_are_applied_once(driver):
+    """Guards against an older leader whose steps arrive after those of the new one."""
+    driver.start()
+    steps = decide_waves(driver.agreed.state, now_ms=5000, returned=())
+    assert [driver.agreed.apply(step).failure for step in steps] == [None]
+    codes = [driver.agreed.apply(step).failure.code for step in steps]
+    assert codes == [ResultCode.WAVE_CONFLICT]
+
+
+# VMs that do not return, the status of the wave then, and a part of the reason.
+LOSSES = {
+    "canary": (["restock-vm-1", "back-office-vm-1"], WaveStatus.PAUSED, "a canary was lost"),
+    "one": (["pickup-vm-1"], WaveStatus.DONE, "every VM"),
+    "max_lost": (["pickup-vm-1", "dispatch-vm-2"], WaveStatus.PAUSED, "max_lost is 2"),
+}
+
+
+@pytest.mark.parametrize("case", LOSSES)
+def test_losses_pause_the_wave_and_are_replaced(driver, case):
+    """Guards against a wave that goes on while it destroys VMs."""
+    lost, status, reason = LOSSES[case]
+    driver.never_return = set(lost)
+    wave = driver.start()
+    driver.run(wave)
+    assert wave.status is status
+    assert reason in wave.reason
+    for _ in range(10):
+        driver.run_round()
+    replaced = list(wave.select(WaveVmStatus.REPLACED))
+    pools = [vm.pool for vm in driver.agreed.state.tables.vms.values() if vm.state is VmState.READY]
+    assert all(pools.count(driver.agreed.vm(name).pool) == 8 for name in replaced)
+    assert len(replaced) == sum(not name.startswith("back") for name in tell_lost(wave))
+
+
+def tell_lost(wave):
+    return list(wave.select(WaveVmStatus.LOST, WaveVmStatus.REPLACED))
+
+
+def test_pause_resume_and_abort_leave_no_vm_stopped(driver):
+    """Guards against VMs that stay drained after an abort, and against starts while paused."""
+    wave = driver.start()
+    while wave.count(WaveVmStatus.DONE) < 3:
+        driver.run_round()
+    assert control(driver, wave, WaveAction.PAUSE) is None
+    for _ in range(40):
+        driver.run_round()
+    assert not driver.agreed.state.tables.permits
+    done = wave.count(WaveVmStatus.DONE)
+    assert control(driver, wave, WaveAction.RESUME) is None
+    driver.run_round()
+    assert driver.agreed.state.tables.permits
+    assert control(driver, wave, WaveAction.ABORT) is None
+    for _ in range(40):
+        driver.run_round()
+    assert not driver.agreed.state.tables.permits
+    assert set(tell(wave).values()) == {WaveVmStatus.DONE, WaveVmStatus.SKIPPED}
+    assert wave.count(WaveVmStatus.DONE) == done
+
+
+def test_operators_race_to_control_a_wave(driver):
+    """Guards against an abort that is undone by a resume sent at the same time."""
+    wave = driver.start()
+    stale = ControlWave(
+        wave=wave.wave_id, action=WaveAction.PAUSE, expected_epoch=1, operator="lee", request_id="x"
+    )
+    assert control(driver, wave, WaveAction.ABORT) is None
+    assert driver.agreed.apply(stale).failure.code is ResultCode.GENERATION_CONFLICT
+    second = StartWave(request_id="second", operator="lee")
+    assert driver.agreed.apply(second).failure is None
+
+
+def test_withdrawal_during_a_wave_leaves_its_zone_for_later(driver):
+    """Guards against a wave that uses up the budget that a withdrawal needs."""
+    wave = driver.start()
+    zone = SetZone(zone="Nashua", status=ZoneStatus.WITHDRAWN, request_id="z", operator="kim")
+    driver.agreed.apply(zone)
+    for _ in range(1500):
+        driver.run_round()
+    waiting = [driver.agreed.vm(name).zone for name in wave.select(WaveVmStatus.WAITING)]
+    assert set(waiting) == {"Nashua"}
+    assert wave.count(WaveVmStatus.DONE) == 30
+    zone = SetZone(zone="Nashua", status=ZoneStatus.OPEN, request_id="y", operator="kim")
+    driver.agreed.apply(zone)
+    driver.run(wave)
+    assert wave.status is WaveStatus.DONE
+
+
+def test_lost_vm_takes_no_work_until_its_reboot_is_over(driver):
+    """Guards against tasks that a late reboot of the platform cuts off."""
+    driver.never_return = {"back-office-vm-1"}
+    wave = driver.start()
+    driver.run(wave)
+    vm = driver.agreed.vm("back-office-vm-1")
+    assert vm.state is VmState.DOWN
+    liveness = Liveness(led_since=0.0, heard_at=dict.fromkeys(driver.agreed.state.tables.vms, 100.0))
+    assert not liveness.decide(state=driver.agreed.state, now=100.0)
+    driver.agreed.register(vm.name, zone=vm.zone, rack=vm.rack, pool=vm.pool, boot_id="boot-new")
+    (change,) = liveness.decide(state=driver.agreed.state, now=100.0)
+    assert (change.vm, change.state) == (vm.name, VmState.READY)
+
+
+def test_forecast_follows_the_pace(driver):
+    """Guards against a forecast that is far from the end of an even wave."""
+    wave = driver.start()
+    assert forecast_end_ms(wave, now_ms=0) is None
+    while wave.count(WaveVmStatus.DONE) < 20:
+        driver.run_round()
+    forecast = forecast_end_ms(wave, now_ms=driver.agreed.now_ms)
+    driver.run(wave)
+    assert abs(forecast - driver.agreed.now_ms) < 0.3 * driver.agreed.now_ms
+
+
+def test_step_for_an_unknown_vm_or_wave_is_refused(driver):
+    """Guards against steps that name what does not exist."""
+    wave = driver.start("pickup")
+    for name, vm, code in [
+        ("wave-0", "pickup-vm-1", ResultCode.UNKNOWN_WAVE),
+        (wave.wave_id, "restock-vm-1", ResultCode.UNKNOWN_VM),
+    ]:
+        step = AdvanceWave(wave=name, vm=vm, status=WaveVmStatus.DRAINING, expected_epoch=1)
+        assert driver.agreed.apply(step).failure.code is code
