Add dry run, emptying and stepwise return of withdrawn zones

Cause: a withdrawal stopped task starts and left the VMs of the zone as they were; nothing said what it costs. A killed entry VM also blocked every drain, because its requests in progress stayed unknown. Ruled out: counting a silent entry as empty at once; a partitioned one may still wait for an answer. It counts as empty after the longest timeout of a service. Ruled out: returning all VMs of a zone in one step. Change: emptying under withdrawal permits after a spare VM of another zone was asked for, urgent work and the most invested run time first; return of one VM for each pool every 5 s, then the zone opens and borrowed VMs go back; GET /v1/zones/{zone}/withdrawal; a whole run of a wave with platform faults and a killed leader.

--- a/src/hyssopway/control/apply/permits.py
+++ b/src/hyssopway/control/apply/permits.py
@@ -38,7 +38,11 @@
     if refusal is not None:
         return refusal
     state.tables.permits[vm.name] = Permit(
-        vm=vm.name, purpose=command.purpose, holder=command.holder, at_ms=state.tables.now_ms
+        vm=vm.name,
+        purpose=command.purpose,
+        holder=command.holder,
+        at_ms=state.tables.now_ms,
+        target=command.target,
     )
     vm.state = VmState.DRAINING
     vm.reason = f"{command.purpose} by {command.holder}"
--- a/src/hyssopway/control/apply/vms.py
+++ b/src/hyssopway/control/apply/vms.py
@@ -86,6 +86,8 @@
     if excess:
         return refuse(ResultCode.BUDGET_EXHAUSTED, excess)
     vm.pool = command.target
+    permit = state.tables.permits.get(vm.name)
+    vm.moved_for = permit.holder if permit else ""
     if is_for_move(state, vm=vm):
         # In the target pool the VM would count as down until the permit is returned.
         del state.tables.permits[vm.name]
--- a/src/hyssopway/control/command/take_permit.py
+++ b/src/hyssopway/control/command/take_permit.py
@@ -17,12 +17,14 @@
         purpose: What the VM is stopped for.
         holder: Wave, withdrawal or operator that holds the permit.
         expected_epoch: Epoch of the VM that the proposer saw.
+        target: New pool, for a move.
     """
 
     vm: str
     purpose: PermitPurpose
     holder: str
     expected_epoch: int
+    target: str = ""
     kind: Literal["take_permit"] = "take_permit"
 
 
--- a/src/hyssopway/control/record/vm.py
+++ b/src/hyssopway/control/record/vm.py
@@ -25,6 +25,7 @@
         state: State.
         epoch: Counts the changes of state and pool.
         reason: Why it is in this state.
+        moved_for: Holder of the permit of its last move; tells which VMs go back later.
     """
 
     name: str
@@ -38,6 +39,7 @@
     state: VmState = VmState.READY
     epoch: int = 1
     reason: str = ""
+    moved_for: str = ""
 
 
 __all__ = ["Vm"]
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -89,7 +89,11 @@
             clock=clock,
         )
         self.vm_requests = VmRequests(
-            registry=self.registry, ledger=self.ledger, router=self.router, peers=self.peers
+            registry=self.registry,
+            ledger=self.ledger,
+            router=self.router,
+            peers=self.peers,
+            replica=self.replica,
         )
         self.sessions = WorkerSessions(
             own_name=settings.name,
--- a/src/hyssopway/fleet/controller.py
+++ b/src/hyssopway/fleet/controller.py
@@ -6,13 +6,14 @@
 from typing import TYPE_CHECKING
 
 from hyssopway.control.apply.budgets import find_broken
-from hyssopway.control.command import AdvanceWave, ChangeVm, ControlWave, MoveVm
+from hyssopway.control.command import AdvanceWave, ChangeVm, ControlWave, MoveVm, SetZone, TakePermit
 from hyssopway.control.record import WaveVmStatus
 from hyssopway.event import Event, log_event
 
 from .drains import decide_moves, find_overdue
 from .liveness import Liveness
 from .waves import decide_waves
+from .zone_steps import decide_zones
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -42,6 +43,7 @@
         wall_ms: Wall-clock milliseconds.
         liveness: When workers were heard; None while another daemon leads.
         asked: Drains that the operator was asked about, by VM and start.
+        stepped_ms: Time of the last return step by zone.
         broken: Budget that failures alone exceed, as reported last.
     """
 
@@ -54,6 +56,7 @@
         "liveness",
         "reboots",
         "replica",
+        "stepped_ms",
         "submitter",
         "wall_ms",
     )
@@ -77,6 +80,7 @@
         self.wall_ms = wall_ms
         self.reboots = reboots
         self.liveness: Liveness | None = None
+        self.stepped_ms: dict[str, int] = {}
         self.asked: set[tuple[str, int]] = set()
         self.broken = ""
 
@@ -99,6 +103,7 @@
         await asyncio.gather(*(self._submit(command) for command in changes))
         await asyncio.gather(*(self._submit(command) for command in decide_moves(state)))
         await self._advance_waves()
+        await self._advance_zones()
         self._ask_operator()
         self._report_broken()
 
@@ -115,6 +120,15 @@
         steps = decide_waves(state, now_ms=self.wall_ms(), returned=self.reboots.returned)
         await asyncio.gather(*(self._submit_step(step) for step in steps))
 
+    async def _advance_zones(self) -> None:
+        steps = decide_zones(self.replica.state, now_ms=self.wall_ms(), stepped_ms=self.stepped_ms)
+        for step in steps:
+            result = await self.submitter.submit(step, timeout_s=SUBMIT_TIMEOUT_S)
+            if isinstance(step, TakePermit) and result.is_error():
+                log_event(Event.PERMIT_REFUSED, vm=step.vm, reason=result.error.message)
+            if isinstance(step, SetZone) and result.is_ok():
+                log_event(Event.ZONE_CHANGED, zone=step.zone, status=step.status)
+
     async def _submit_step(self, step: AdvanceWave | ControlWave) -> None:
         result = await self.submitter.submit(step, timeout_s=SUBMIT_TIMEOUT_S)
         match step:
--- a/src/hyssopway/operator_api/fleet_routes.py
+++ b/src/hyssopway/operator_api/fleet_routes.py
@@ -10,6 +10,7 @@
 
 from hyssopway.control.command import DecideDrain, DrainVm, RequestMove, ReturnVm
 from hyssopway.fleet.drains import find_overdue
+from hyssopway.fleet.zone_report import report_zone
 from hyssopway.http import failure_response, json_response, read_json, token_matches
 from hyssopway.result import Failure, ResultCode
 
@@ -58,6 +59,7 @@
         router.add_post("/v1/vms/{vm}/return", self._guard(self.return_vm))
         router.add_post("/v1/vms/{vm}/move", self._guard(self.move))
         router.add_post("/v1/vms/{vm}/decision", self._guard(self.decide))
+        router.add_get("/v1/zones/{zone}/withdrawal", self._guard(self.show_withdrawal))
         router.add_get("/v1/permits", self._guard(self.list_permits))
 
     async def drain(self, request: web.Request) -> web.Response:
@@ -120,6 +122,14 @@
             case Result(error=failure):
                 return failure_response(failure)
 
+    async def show_withdrawal(self, request: web.Request) -> web.Response:
+        """Shows what a withdrawal would do, or how far it is."""
+        zone = request.match_info["zone"]
+        if zone not in self.replica.state.tables.zones:
+            message = f"zone {zone!r} does not exist"
+            return failure_response(Failure(code=ResultCode.UNKNOWN_ZONE, message=message))
+        return json_response(report_zone(self.replica.state, zone=zone))
+
     async def list_permits(self, request: web.Request) -> web.Response:
         """Lists permits and whether their drain needs a decision."""
         overdue = {permit.vm for permit in find_overdue(self.replica.state, now_ms=self.wall_ms())}
--- /dev/null
+++ b/tests/fleet/test_zones.py
@@ -0,0 +1,129 @@
+"""Withdrawal and return of zones, driven with a fake clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from hyssopway.control.command import SetZone
+from hyssopway.control.record import PermitPurpose, VmState, ZoneStatus
+from hyssopway.fleet.zone_report import report_zone
+from hyssopway.fleet.zone_steps import decide_zones
+from hyssopway.result import ResultCode
+from hyssopway_standins.agreed import AgreedStandIn
+from hyssopway_standins.wave_driver import WaveDriver
+
+
+@pytest.fixture(params=["pantry", "association"])
+def driver(request):
+    return WaveDriver(agreed=AgreedStandIn.prepare_example(request.param))
+
+
+def set_zone(driver, zone, status, epoch=None):
+    index = driver.agreed.state.applied_index
+    command = SetZone(zone=zone, status=status, expected_epoch=epoch, request_id=f"z{index}", operator="kim")
+    return driver.agreed.apply(command).failure
+
+
+def run(driver, rounds=60, stepped_ms=None):
+    """Runs zones and moves, and checks budgets and pools in each round."""
+    stepped_ms = {} if stepped_ms is None else stepped_ms
+    document = driver.agreed.state.document()
+    returned = []
+    for _ in range(rounds):
+        steps = decide_zones(driver.agreed.state, now_ms=driver.agreed.now_ms, stepped_ms=stepped_ms)
+        returned.append(Counter(step.kind for step in steps)["return_permit"])
+        for step in steps:
+            driver.agreed.apply(step)
+        driver.run_round()
+        for pool in document.pools:
+            assert driver.most_down[pool.name] <= pool.budget.max_down
+    return returned
+
+
+def zones(driver):
+    return list(driver.agreed.state.tables.zones)
+
+
+def pools(driver):
+    return {name: vm.pool for name, vm in driver.agreed.state.tables.vms.items()}
+
+
+def states_in(driver, zone):
+    vms = driver.agreed.state.tables.vms.values()
+    return {vm.state for vm in vms if vm.zone == zone}
+
+
+def test_zone_is_emptied_within_budgets_and_everything_goes_back(driver):
+    """Guards against a withdrawal that takes a pool below its budget or keeps borrowed VMs."""
+    zone, before = zones(driver)[0], pools(driver)
+    dry = report_zone(driver.agreed.state, zone=zone)
+    assert pools(driver) == before
+    assert set_zone(driver, zone, ZoneStatus.WITHDRAWN) is None
+    run(driver)
+    permits = driver.agreed.state.tables.permits.values()
+    emptied = Counter(
+        driver.agreed.vm(permit.vm).pool for permit in permits if permit.purpose is PermitPurpose.WITHDRAWAL
+    )
+    spare = next(pool.name for pool in driver.agreed.state.document().pools if pool.spare)
+    # Moves out of the spare pool use its budget too, so fewer of its VMs may be emptied.
+    assert all(
+        emptied[pool["pool"]] == pool["emptied_at_once"] for pool in dry["budgets"] if pool["pool"] != spare
+    )
+    moved = [name for name, pool in pools(driver).items() if pool != before[name]]
+    assert moved
+    assert all(driver.agreed.vm(name).zone != zone for name in moved)
+    assert set_zone(driver, zone, ZoneStatus.RETURNING) is None
+    returned = run(driver, rounds=200)
+    assert max(returned) <= len(driver.agreed.state.document().pools)
+    assert driver.agreed.state.tables.zones[zone].status is ZoneStatus.OPEN
+    assert states_in(driver, zone) == {VmState.READY}
+    assert pools(driver) == before
+    assert not driver.agreed.state.tables.permits
+
+
+@pytest.mark.parametrize("turns", [1, 2, 5])
+def test_quick_turns_end_as_asked_last(driver, turns):
+    """Guards against VMs that stay drained after a withdrawal that was taken back at once."""
+    zone, before = zones(driver)[1], pools(driver)
+    for _ in range(turns):
+        set_zone(driver, zone, ZoneStatus.WITHDRAWN)
+        run(driver, rounds=3)
+        set_zone(driver, zone, ZoneStatus.RETURNING)
+        run(driver, rounds=2)
+    run(driver, rounds=200)
+    assert (pools(driver), states_in(driver, zone)) == (before, {VmState.READY})
+
+
+def test_two_zones_share_the_budgets(driver):
+    """Guards against budgets that each withdrawal counts for itself."""
+    first, second = zones(driver)[:2]
+    set_zone(driver, first, ZoneStatus.WITHDRAWN)
+    run(driver, rounds=2)
+    set_zone(driver, second, ZoneStatus.WITHDRAWN)
+    run(driver)
+    for zone in (first, second):
+        set_zone(driver, zone, ZoneStatus.RETURNING)
+    run(driver, rounds=300)
+    assert not driver.agreed.state.tables.permits
+    assert {zone.status for zone in driver.agreed.state.tables.zones.values()} == {ZoneStatus.OPEN}
+
+
+def test_racing_operators_change_a_zone_once(driver):
+    """Guards against a return that overtakes a withdrawal its operator had not seen."""
+    zone = zones(driver)[0]
+    assert set_zone(driver, zone, ZoneStatus.WITHDRAWN, epoch=0) is None
+    assert set_zone(driver, zone, ZoneStatus.OPEN, epoch=0).code is ResultCode.GENERATION_CONFLICT
+
+
+def test_failures_beyond_a_budget_stop_the_emptying(driver):
+    """Guards against planned stops on top of failures that already exceed a budget."""
+    zone = zones(driver)[0]
+    pool = driver.agreed.state.document().pools[0]
+    names = [name for name, in_pool in pools(driver).items() if in_pool == pool.name]
+    for name in names[: pool.budget.max_down + 1]:
+        driver.change(name, VmState.DOWN)
+    set_zone(driver, zone, ZoneStatus.WITHDRAWN)
+    assert not decide_zones(driver.agreed.state, now_ms=0, stepped_ms={})
+    assert report_zone(driver.agreed.state, zone=zone)["stopped_by_failures"]
--- /dev/null
+++ b/tests/whole/test_wave.py
@@ -0,0 +1,133 @@
+"""A wave through real processes with a failing platform; truth is counted at platform and workers."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from hyssopway_standins.platform import PlatformFault, PlatformStandIn, PlatformVmTruth
+from hyssopway_standins.processes import Deployment
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from hyssopway_standins.operator_client import OperatorClient
+    from hyssopway_standins.outside import Outside
+
+VMS = [f"pickup-vm-{number}" for number in range(1, 9)]
+RUN_S = 90.0
+
+
+@pytest.fixture
+async def platform():
+    prepared = PlatformStandIn(vms={vm: PlatformVmTruth() for vm in VMS})
+    await prepared.start()
+    yield prepared
+    await prepared.stop()
+
+
+@pytest.fixture
+async def deployment(tmp_path: Any, platform: PlatformStandIn):
+    prepared = Deployment.prepare(name="pantry", folder=tmp_path, overrides={"platform_url": platform.url})
+    prepared.start()
+    try:
+        await prepared.wait_ready()
+        yield prepared
+    finally:
+        prepared.stop()
+
+
+@pytest.mark.faults
+async def test_wave_with_failing_platform_and_lost_leader(
+    deployment: Deployment,
+    platform: PlatformStandIn,
+    outside: Outside,
+    operator: OperatorClient,
+    session: aiohttp.ClientSession,
+):
+    """Guards against reboots made twice, tasks that reboots cut off, and more VMs down than allowed."""
+    cut: list[str] = []
+    down: list[Counter[str]] = []
+
+    def reboot(vm: str) -> None:
+        worker = outside.workers[vm]
+        cut.extend(worker.tasks)
+        worker.stop()
+        worker.boot_id = secrets.token_hex(4)
+        worker.start()
+        down.append(Counter("pickup" for truth in platform.vms.values() if truth.state != "serving"))
+
+    platform.on_reboot = reboot
+    platform.faults = {
+        "pickup-vm-1": [PlatformFault.SAYS_DONE],
+        "pickup-vm-2": [PlatformFault.BREAKS, PlatformFault.ANSWERS_LATE],
+        "pickup-vm-3": [PlatformFault.NEVER_ANSWERS],
+    }
+    key = await operator.grant_key("granite-hearth")
+    jobs = asyncio.create_task(submit_jobs(session, url=deployment.daemons["portland-1"].url, key=key))
+    await wait_until(lambda: registered(operator))
+    wave = (await operator.post("/v1/waves", {"pools": ["pickup"]}))["reference"]
+    await wait_until(lambda: done_at_least(operator, wave, 2))
+    leader = next(
+        daemon["leader"] for daemon in (await operator.get("/v1/status"))["daemons"] if daemon.get("leader")
+    )
+    deployment.daemons[leader].kill()
+    if leader == "nashua-1":
+        operator.url = deployment.daemons["nashua-2"].url
+    try:
+        shown = await wait_until(lambda: ended(operator, wave))
+    finally:
+        jobs.cancel()
+    assert shown["status"] == "done", shown
+    reboots = {vm: truth.done[f"{wave}-{vm}-reboot"] for vm, truth in platform.vms.items()}
+    assert reboots == dict.fromkeys(VMS, 1)
+    assert cut == []
+    assert max(counter["pickup"] for counter in down) <= 2
+    states = {
+        item["vm"]["name"]: item["vm"]["state"]
+        for item in (await operator.get("/v1/vms"))["vms"]
+        if item["vm"]["pool"] == "pickup"
+    }
+    assert states == dict.fromkeys(VMS, "ready")
+    assert {truth.state for truth in platform.vms.values()} == {"serving"}
+
+
+async def submit_jobs(session: aiohttp.ClientSession, *, url: str, key: str) -> None:
+    """Submits a job of about 1 s, eight times a second, for a bounded time."""
+    resources = {"cores": 4, "memory_gb": 8}
+    spec = {"task_kind": "plan", "pool": "pickup", "resources": resources, "run_s": 100}
+    headers = {"Authorization": f"Bearer {key}"}
+    for number in range(int(RUN_S * 8)):
+        body = spec | {"checkpointable": number % 2 == 0}
+        async with session.post(f"{url}/v1/jobs", json=body, headers=headers) as answer:
+            await answer.read()
+        await asyncio.sleep(0.125)
+
+
+async def registered(operator: OperatorClient) -> bool:
+    vms = (await operator.get("/v1/vms"))["vms"]
+    return sum(item["vm"]["pool"] == "pickup" for item in vms) == len(VMS)
+
+
+async def done_at_least(operator: OperatorClient, wave: str, count: int) -> bool:
+    return (await operator.get(f"/v1/waves/{wave}"))["progress"].get("done", 0) >= count
+
+
+async def ended(operator: OperatorClient, wave: str) -> Any:
+    shown = await operator.get(f"/v1/waves/{wave}")
+    return shown if shown["status"] != "running" else None
+
+
+async def wait_until(check: Any) -> Any:
+    deadline = time.monotonic() + RUN_S
+    while True:
+        found = await check()
+        if found:
+            return found
+        assert time.monotonic() < deadline, f"not reached in {RUN_S} s"
+        await asyncio.sleep(0.2)
