Measure fleet decisions beside plain baselines

Cause: roll-out time, moves, buffer cost and work during a zone change were not measured. Ruled out: a simulator; the decisions run on the agreed state with a fake clock. Change: area fleet of the measurements: a wave with five faults against one VM after another, a zone change with five failures against no moves, four ways to use the spare VMs, wave rounds a second by number of VMs.

--- /dev/null
+++ b/src/hyssopway_standins/measure/fleet.py
@@ -0,0 +1,257 @@
+"""Measures fleet decisions beside plain baselines, with a fake clock and no processes."""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+from hyssopway.control import ControlState
+from hyssopway.control.command import ControlWave, SetZone, WaveAction
+from hyssopway.control.record import VmState, WaveStatus, WaveVmStatus, ZoneStatus
+from hyssopway.fleet.demand import Demand
+from hyssopway.fleet.lending import decide_lending
+from hyssopway.fleet.waves import decide_waves
+from hyssopway.fleet.zone_steps import decide_zones
+from hyssopway_standins.agreed import AgreedStandIn
+from hyssopway_standins.wave_driver import WaveDriver
+
+from .measurement import Measurement, Series
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hyssopway.control.record import Wave
+
+DEPLOYMENTS = ("pantry", "association")
+BUFFERS = ("fixed", "shared", "lent", "at_once")
+ROUND_S = 5.0
+PEAK_FACTOR = 5.0
+LOW_FACTOR = 0.05
+
+
+def measure(*, seed: int, quick: bool) -> Measurement:
+    """Measures waves, zone changes, buffers and the cost of decisions."""
+    figures: dict[str, float] = {}
+    for deployment in DEPLOYMENTS:
+        figures |= _measure_wave(deployment, seed=seed)
+        figures |= _measure_zone(deployment, seed=seed)
+        for buffer in BUFFERS:
+            figures |= _measure_buffer(deployment, buffer=buffer, seed=seed, rounds=240 if quick else 1440)
+    scale = list(_measure_scale(sizes=(40, 400) if quick else (40, 400, 4000, 21_000)))
+    for size, rate, memory_mb in scale:
+        figures[f"wave_rounds_{size}_vms_per_s"] = rate
+        figures[f"state_{size}_vms_mb"] = memory_mb
+    series = [
+        Series(
+            name="wave rounds",
+            x_label="VMs",
+            y_label="wave rounds per s",
+            points=[(size, rate) for size, rate, _ in scale],
+        ),
+        Series(
+            name="state", x_label="VMs", y_label="memory in MB", points=[(size, mb) for size, _, mb in scale]
+        ),
+    ]
+    return Measurement(area="fleet", figures=figures, series=series)
+
+
+def _measure_wave(deployment: str, *, seed: int) -> dict[str, float]:
+    """Runs a wave with five faults, and one VM after another with the same faults."""
+    figures: dict[str, float] = {}
+    for name, one_at_a_time in (("wave", False), ("one_by_one", True)):
+        driver = WaveDriver(agreed=AgreedStandIn.prepare_example(deployment), one_at_a_time=one_at_a_time)
+        failing = random.Random(seed).sample(sorted(driver.agreed.state.tables.vms), 3)
+        wave_id, pauses = driver.start().wave_id, 0
+        for number in range(4000):
+            wave = driver.agreed.state.tables.waves[wave_id]
+            if wave.status is WaveStatus.DONE:
+                break
+            if wave.status is WaveStatus.PAUSED:
+                pauses += 1
+                driver.agreed.apply(_resume(wave))
+            _inject(driver, failing=failing, number=number)
+            driver.run_round()
+        wave = driver.agreed.state.tables.waves[wave_id]
+        prefix = f"{deployment}_{name}"
+        figures[f"{prefix}_roll_out_s"] = driver.agreed.now_ms / 1000
+        figures[f"{prefix}_pauses"] = float(pauses)
+        figures[f"{prefix}_finished"] = float(wave.status is WaveStatus.DONE)
+        figures[f"{prefix}_maintained_vms"] = float(wave.count(WaveVmStatus.DONE))
+        figures[f"{prefix}_rebooted_twice_vms"] = float(sum(n > 1 for n in driver.reboots.values()))
+        figures[f"{prefix}_most_down_in_pool_vms"] = float(max(driver.most_down.values()))
+    return figures
+
+
+def _resume(wave: Wave) -> ControlWave:
+    """Stands in for an operator who resumes at once."""
+    return ControlWave(
+        request_id=f"{wave.wave_id}-{wave.epoch}-resume",
+        operator="operator",
+        wave=wave.wave_id,
+        action=WaveAction.RESUME,
+        expected_epoch=wave.epoch,
+    )
+
+
+def _inject(driver: WaveDriver, *, failing: list[str], number: int) -> None:
+    """Injects a failure, a quarantine, a VM that does not return, a new leader and an older one."""
+    down, quarantined, lost = failing
+    match number:
+        case 20:
+            driver.change(down, VmState.DOWN)
+            driver.never_return.add(lost)
+        case 30:
+            driver.change(quarantined, VmState.QUARANTINED)
+        case 40:
+            state = ControlState()
+            state.restore_snapshot(driver.agreed.state.encode_snapshot())
+            driver.agreed.state = state
+        case 50 | 80:
+            driver.repeat_steps = number == 50
+        case 70:
+            driver.change(down, VmState.READY)
+        case 90:
+            driver.change(quarantined, VmState.READY)
+
+
+def _measure_zone(deployment: str, *, seed: int) -> dict[str, float]:
+    """Withdraws and returns a zone at a demand of 0.8 of each pool, with failures mixed in."""
+    driver = WaveDriver(agreed=AgreedStandIn.prepare_example(deployment))
+    rng = random.Random(seed)
+    zone = rng.choice(sorted(driver.agreed.state.tables.zones))
+    demand = {pool: 0.8 * size for pool, size in _count_ready(driver, outside="").items()}
+    failing = rng.sample([vm.name for vm in driver.agreed.state.tables.vms.values() if vm.zone != zone], 5)
+    stepped_ms: dict[str, int] = {}
+    done = without_moves = possible = 0.0
+    for number in range(400):
+        if number in (10, 150):
+            status = ZoneStatus.WITHDRAWN if number == 10 else ZoneStatus.RETURNING
+            driver.agreed.apply(
+                SetZone(zone=zone, status=status, request_id=f"z{number}", operator="operator")
+            )
+        if number % 50 == 25 and number // 50 < len(failing):
+            driver.change(failing[number // 50], VmState.DOWN)
+        if number % 50 == 45 and number // 50 < len(failing):
+            driver.change(failing[number // 50], VmState.READY)
+        for step in decide_zones(driver.agreed.state, now_ms=driver.agreed.now_ms, stepped_ms=stepped_ms):
+            driver.agreed.apply(step)
+        driver.run_round()
+        if number < 10 or (number > 150 and not _is_changing(driver, zone=zone)):
+            continue
+        closed = driver.agreed.state.tables.zones[zone].status is ZoneStatus.WITHDRAWN
+        ready = _count_ready(driver, outside=zone if closed else "")
+        own = _count_ready(driver, outside=zone if closed else "", borrowed=False)
+        done += sum(min(demand[pool], ready[pool]) for pool in demand)
+        without_moves += sum(min(demand[pool], own[pool]) for pool in demand)
+        remaining = [
+            vm
+            for vm in driver.agreed.state.tables.vms.values()
+            if vm.state is not VmState.DOWN and not (closed and vm.zone == zone)
+        ]
+        possible += min(sum(demand.values()), float(len(remaining)))
+    return {
+        f"{deployment}_zone_work_share": done / possible,
+        f"{deployment}_zone_without_moves_work_share": without_moves / possible,
+        f"{deployment}_zone_permits_left": float(len(driver.agreed.state.tables.permits)),
+    }
+
+
+def _is_changing(driver: WaveDriver, *, zone: str) -> bool:
+    """Tells whether a zone is still on its way back, borrowed VMs included."""
+    tables = driver.agreed.state.tables
+    status = tables.zones[zone].status
+    return status is not ZoneStatus.OPEN or any(
+        permit.holder == f"withdrawal of {zone}" for permit in tables.permits.values()
+    )
+
+
+def _count_ready(driver: WaveDriver, *, outside: str, borrowed: bool = True) -> dict[str, int]:
+    """Counts the VMs by pool that may take work."""
+    state = driver.agreed.state
+    document = state.document()
+    ready = {pool.name: 0 for pool in document.pools if not pool.spare} if document else {}
+    for vm in state.tables.vms.values():
+        usable = vm.state is VmState.READY and vm.zone != outside and (borrowed or not vm.moved_for)
+        if usable and vm.pool in ready:
+            ready[vm.pool] += 1
+    return ready
+
+
+def _measure_buffer(deployment: str, *, buffer: str, seed: int, rounds: int) -> dict[str, float]:
+    """Gives each pool in turn a peak and counts idle spare VMs, moves and work done.
+
+    `fixed` divides the spare VMs among the pools for good, `shared` lends only what the buffer policy
+    does not need, `lent` lends all, and `at_once` lends all without smoothing.
+    """
+    driver = WaveDriver(agreed=AgreedStandIn.prepare_example(deployment))
+    policy = {"survive_zone": False, "survive_rack": True, "lend": buffer in ("lent", "at_once")}
+    driver.agreed.change_document(driver.agreed.data | {"buffer": policy})
+    rng = random.Random(seed)
+    pools = _count_ready(driver, outside="")
+    spares = len(driver.agreed.state.tables.vms) - sum(pools.values())
+    demand, smoothed = dict.fromkeys(pools, 0.0), Demand()
+    wanted = served = idle_s = moves = 0.0
+    failing = ""
+    for number in range(rounds):
+        # A peak lasts 60 s; five faults or more, one VM each, fall into every run.
+        peak = sorted(pools)[number // 12 % len(pools)]
+        demand = {
+            pool: size * 0.4 * (PEAK_FACTOR if pool == peak else rng.choice((LOW_FACTOR, 1.0)))
+            for pool, size in pools.items()
+        }
+        if number % 40 == 20:
+            failing = rng.choice(sorted(driver.agreed.state.tables.vms))
+            driver.change(failing, VmState.DOWN)
+        if number % 40 == 35:
+            driver.change(failing, VmState.READY)
+        ready = {pool: float(count) for pool, count in _count_ready(driver, outside="").items()}
+        if buffer == "fixed":
+            ready = {pool: count + spares / len(pools) for pool, count in ready.items()}
+        else:
+            waiting = {pool: max(0.0, demand[pool] - ready[pool]) * 64 for pool in pools}
+            if buffer == "at_once":
+                smoothed.cores = dict(waiting)
+            else:
+                smoothed.note(waiting=waiting, now=driver.agreed.now_ms / 1000)
+            for command in decide_lending(driver.agreed.state, demand=smoothed):
+                moves += driver.agreed.apply(command).failure is None
+        work = {pool: min(demand[pool], ready[pool]) for pool in pools}
+        # VMs that the pools would have without any spare are no buffer.
+        used = sum(max(0.0, work[pool] - pools[pool]) for pool in pools)
+        idle_s += max(0.0, spares - used) * ROUND_S
+        wanted += sum(demand.values())
+        served += sum(work.values())
+        driver.run_round()
+    prefix = f"{deployment}_buffer_{buffer}"
+    return {
+        f"{prefix}_idle_vm_h": idle_s / 3600,
+        f"{prefix}_served_share": served / wanted,
+        f"{prefix}_moves": moves,
+    }
+
+
+def _measure_scale(*, sizes: tuple[int, ...]) -> Iterator[tuple[int, float, float]]:
+    """Yields size, wave rounds a second and memory of the agreed state in MB."""
+    for size in sizes:
+        tracemalloc.start()
+        driver = WaveDriver(agreed=AgreedStandIn.prepare_example("pantry"))
+        pools = sorted({vm.pool for vm in driver.agreed.state.tables.vms.values()})
+        zones = sorted(driver.agreed.state.tables.zones)
+        for number in range(size - 40):
+            zone = zones[number % len(zones)]
+            rack = f"{zone}-rack-{number // 40}"
+            driver.agreed.register(f"vm-{number}", zone=zone, rack=rack, pool=pools[number % len(pools)])
+        memory_mb = tracemalloc.get_traced_memory()[0] / 1e6
+        tracemalloc.stop()
+        wave = driver.start()
+        rounds, started = 0, time.perf_counter()
+        while time.perf_counter() - started < 1.0:
+            decide_waves(driver.agreed.state, now_ms=5000, returned=())
+            rounds += 1
+        elapsed_s = time.perf_counter() - started
+        yield len(wave.vms), rounds / elapsed_s, memory_mb
+
+
+__all__ = ["measure"]
--- a/src/hyssopway_standins/wave_driver.py
+++ b/src/hyssopway_standins/wave_driver.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from hyssopway.control.command import AdvanceWave, ChangeVm, StartWave
+from hyssopway.control.command import AdvanceWave, ChangeVm, ControlWave, StartWave
 from hyssopway.control.record import VmState, WaveStatus, WaveVmStatus
 from hyssopway.fleet.drains import decide_moves
 from hyssopway.fleet.waves import decide_waves
@@ -25,6 +25,8 @@
         agreed: Agreed state.
         drain_ms: Time until a VM is empty.
         reboot_ms: Time until a rebooted VM syncs again.
+        one_at_a_time: Plain baseline that stops a VM only when no other one is stopped.
+        repeat_steps: Whether an older leader proposes each step again.
         never_return: VMs that do not come back.
         reboots: Reboots by VM.
         most_down: Most VMs down at once by pool.
@@ -36,6 +38,8 @@
     drain_ms: int = 20_000
     reboot_ms: int = 60_000
     round_ms: int = 5_000
+    one_at_a_time: bool = False
+    repeat_steps: bool = False
     never_return: set[str] = field(default_factory=set)
     reboots: Counter[str] = field(default_factory=Counter)
     most_down: Counter[str] = field(default_factory=Counter)
@@ -59,7 +63,10 @@
         """Makes one round of the leader and of everything around it."""
         state = self.agreed.state
         self.agreed.now_ms += self.round_ms
-        for step in decide_waves(state, now_ms=self.agreed.now_ms, returned=self.returned):
+        steps = decide_waves(state, now_ms=self.agreed.now_ms, returned=self.returned)
+        for step in [*steps, *(steps if self.repeat_steps else [])]:
+            if self._is_held_back(step):
+                continue
             refused = self.agreed.apply(step).failure
             if (
                 isinstance(step, AdvanceWave)
@@ -81,6 +88,11 @@
         epoch = self.agreed.vm(vm).epoch
         self.agreed.apply(ChangeVm(vm=vm, state=state, expected_epoch=epoch, reason="driver"))
 
+    def _is_held_back(self, step: AdvanceWave | ControlWave) -> bool:
+        if not self.one_at_a_time or not isinstance(step, AdvanceWave):
+            return False
+        return step.status is WaveVmStatus.DRAINING and bool(self.agreed.state.tables.permits)
+
     def _empty_vms(self) -> None:
         tables = self.agreed.state.tables
         for permit in list(tables.permits.values()):
