Merge drains, waves, zone withdrawal, lending and the platform client

Cause: the fleet packages were empty.

`LostHomes` now works in two steps: a VM whose home is out of contact counts as down after 6 s, so that budgets see a lost zone at once, and its runs end only after every lease has surely ended. The guard against a late reboot moved to the home's session. Fleet decisions use agreed time, and every daemon can read it: on an idle group the applied time stands still, so a drain never became overdue on the operators' page (`test_drain_checkpoints_or_waits_and_operator_decides` failed before).

--- a/src/hyssopway/control/apply/dispatch.py
+++ b/src/hyssopway/control/apply/dispatch.py
@@ -6,10 +6,14 @@
 
 from hyssopway.control.command import (
     AcceptJob,
+    AdvanceWave,
     CancelJob,
     CancelJobs,
     ChangeVm,
     ClaimRequest,
+    ControlWave,
+    DecideDrain,
+    DrainVm,
     EndRun,
     GrantKey,
     MoveVm,
@@ -18,10 +22,13 @@
     RegisterVm,
     RejectJob,
     ReleaseClaim,
+    RequestMove,
     ResolveClaim,
     ReturnPermit,
+    ReturnVm,
     SetZone,
     StartRun,
+    StartWave,
     TakePermit,
     TrialDocument,
     WithdrawKey,
@@ -29,11 +36,13 @@
 
 from .claims import claim_request, release_claim, resolve_claim
 from .documents import promote_document, trial_document
+from .drains import decide_drain, drain_vm, request_move, return_vm
 from .jobs import accept_job, cancel_job, cancel_jobs, reject_job
 from .keys import grant_key, withdraw_key
 from .permits import return_permit, take_permit
 from .runs import end_run, reclaim_run, start_run
 from .vms import change_vm, move_vm, register_vm
+from .waves import advance_wave, control_wave, start_wave
 from .zones import set_zone
 
 if TYPE_CHECKING:
@@ -58,6 +67,20 @@
             return withdraw_key(state, command)
         case SetZone():
             return set_zone(state, command)
+        case DrainVm():
+            return drain_vm(state, command)
+        case ReturnVm():
+            return return_vm(state, command)
+        case RequestMove():
+            return request_move(state, command)
+        case DecideDrain():
+            return decide_drain(state, command)
+        case StartWave():
+            return start_wave(state, command)
+        case ControlWave():
+            return control_wave(state, command)
+        case AdvanceWave():
+            return advance_wave(state, command)
         case RegisterVm():
             return register_vm(state, command)
         case ChangeVm():
--- a/src/hyssopway/control/record/__init__.py
+++ b/src/hyssopway/control/record/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .claim import Claim
+from .drain_decision import DrainDecision
 from .job import Job
 from .job_spec import JobSpec
 from .job_status import JobStatus
@@ -16,11 +17,15 @@
 from .stored_outcome import StoredOutcome
 from .vm import Vm
 from .vm_state import VmState
+from .wave import Wave
+from .wave_status import WaveStatus
+from .wave_vm import WaveVm, WaveVmStatus
 from .zone import Zone
 from .zone_status import ZoneStatus
 
 __all__ = [
     "Claim",
+    "DrainDecision",
     "Job",
     "JobSpec",
     "JobStatus",
@@ -34,6 +39,10 @@
     "StoredOutcome",
     "Vm",
     "VmState",
+    "Wave",
+    "WaveStatus",
+    "WaveVm",
+    "WaveVmStatus",
     "Zone",
     "ZoneStatus",
 ]
--- a/src/hyssopway/control/record/run.py
+++ b/src/hyssopway/control/record/run.py
@@ -14,7 +14,7 @@
     Attributes:
         epoch: Number of the run.
         vm: VM.
-        started_ms: Wall-clock time in milliseconds, for display.
+        started_ms: Agreed time of its start in milliseconds.
         reason: Why this VM.
         probe: Whether it tests a quarantined VM.
         boot_id: Worker process that it was placed on; no other process starts it.
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -22,6 +22,7 @@
 from hyssopway.control.record import VmState
 from hyssopway.endpoint import EndpointHealth, EndpointRegistry
 from hyssopway.event import Event, log_event
+from hyssopway.fleet import VM_REQUESTS_TOPIC, FleetController, Reboots, VmRequests
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.gateway.forwarder import Forwarder
@@ -29,8 +30,17 @@
 from hyssopway.http import HttpListener, answer_errors, finish_handlers, json_response
 from hyssopway.job import JobScheduler, LostHomes, UsageBook
 from hyssopway.metrics import Metrics
-from hyssopway.operator_api import EndpointRoutes, JobRoutes, MemberRoutes, OperatorRoutes, WorkerRoutes
+from hyssopway.operator_api import (
+    EndpointRoutes,
+    FleetRoutes,
+    JobRoutes,
+    MemberRoutes,
+    OperatorRoutes,
+    WaveRoutes,
+    WorkerRoutes,
+)
 from hyssopway.peer import PeerDirectory, PeerServer
+from hyssopway.platform import PlatformClient
 from hyssopway.replica import Freshness, Proposer, Replica, Submitter, follow_leader, follow_upstream
 from hyssopway.routing import SUMMARY_TOPIC, CreditLedger, HeldCollector, Homes, Router
 from hyssopway.settings import http_context, peer_client_context, peer_server_context
@@ -77,6 +87,7 @@
         self.metrics = Metrics()
         self.replica = Replica()
         self.freshness = Freshness(clock=clock)
+        self.agreed_clock = AgreedClock(clock=clock)
         self.applied_times = AppliedTimes(clock=clock, read_index=lambda: self.replica.state.applied_index)
         tls = settings.tls
         self.peers = PeerDirectory(settings=settings, tls=peer_client_context(tls) if tls else None)
@@ -108,12 +119,27 @@
             others=_nearest_first(settings),
         )
         self.registry.arrived = self.collector.begin
+        self.vm_requests = VmRequests(
+            registry=self.registry,
+            ledger=self.ledger,
+            router=self.router,
+            peers=self.peers,
+            replica=self.replica,
+        )
         self.sessions = WorkerSessions(
             own_name=settings.name,
             replica=self.replica,
             freshness=self.freshness,
             submitter=self.submitter,
             clock=clock,
+            count_requests=self.vm_requests.count,
+        )
+        self.fleet = FleetController(
+            replica=self.replica,
+            submitter=self.submitter,
+            leads=self.leads,
+            clock=clock,
+            now_ms=self.now_ms,
         )
         self.usage = UsageBook()
         self.scheduler = JobScheduler(
@@ -152,6 +178,7 @@
         )
         self.calls.exchanges[LIST_TOPIC] = self.members.answer_list
         self.calls.exchanges[CHANGE_TOPIC] = self.members.answer_change
+        self.calls.exchanges[VM_REQUESTS_TOPIC] = self.vm_requests.own
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
         self.endpoint_routes = EndpointRoutes(registry=self.registry, token=settings.fleet_token)
         self.worker_routes = WorkerRoutes(sessions=self.sessions, token=settings.fleet_token)
@@ -168,8 +195,8 @@
         return self.member is not None and self.member.is_leader
 
     def now_ms(self) -> int:
-        """Returns agreed time while this daemon leads."""
-        return self.proposer.now_ms() if self.proposer else self.replica.state.tables.now_ms
+        """Returns agreed time; on a daemon that does not lead it may lag behind the leader's."""
+        return self.agreed_clock.read_ms(applied_ms=self.replica.state.tables.now_ms)
 
     async def start(self) -> None:
         """Opens durable state, starts all tasks and listens."""
@@ -197,6 +224,9 @@
             max_body_bytes=self.settings.max_body_bytes,
             clock=self.clock,
         )
+        if self.settings.platform_url is not None:
+            platform = PlatformClient(url=self.settings.platform_url, session=self.session)
+            self.fleet.reboots = Reboots(platform=platform)
         self._start_tasks()
         self.listener = HttpListener(app=self._build_app(), shutdown_s=self.settings.shutdown_s)
         await self.listener.open(host=own.host, port=own.http_port, tls=http_context(tls) if tls else None)
@@ -276,7 +306,7 @@
         return Proposer(
             member=self.member,
             replica=self.replica,
-            agreed_clock=AgreedClock(clock=self.clock),
+            agreed_clock=self.agreed_clock,
             wall_ms=wall_ms,
         )
 
@@ -295,6 +325,13 @@
         JobRoutes(replica=self.replica, freshness=self.freshness, submitter=self.submitter).add_routes(app)
         MemberRoutes(members=self.members, token=self.settings.operator_token).add_routes(app)
         self.operator_routes.add_routes(app)
+        for routes in (WaveRoutes, FleetRoutes):
+            routes(
+                replica=self.replica,
+                submitter=self.submitter,
+                token=self.settings.operator_token,
+                now_ms=self.now_ms,
+            ).add_routes(app)
         return app
 
     @web.middleware
@@ -320,6 +357,7 @@
             self._start("confirm", self._follow_leader)
             self._start("jobs", self.scheduler.run)
             self._start("lost_homes", self.lost_homes.run)
+            self._start("fleet", self.fleet.run)
         else:
             self._start("watch", self._follow_upstream)
         self._start("expire", self._expire)
--- /dev/null
+++ b/src/hyssopway/fleet/controller.py
@@ -0,0 +1,171 @@
+"""Carries planned stops through while this daemon leads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.control.apply.budgets import find_broken
+from hyssopway.control.command import AdvanceWave, ChangeVm, ControlWave, MoveVm, SetZone, TakePermit
+from hyssopway.control.record import WaveVmStatus
+from hyssopway.event import Event, log_event
+
+from .demand import Demand, count_waiting_cores
+from .drains import decide_moves, find_overdue
+from .lending import decide_lending
+from .waves import decide_waves
+from .zone_steps import decide_zones
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hyssopway.clock import Clock
+    from hyssopway.control.command import ReturnPermit
+    from hyssopway.replica import Replica, Submitter
+
+    from .reboots import Reboots
+
+ROUND_S = 0.5
+SUBMIT_TIMEOUT_S = 2.0
+
+
+class FleetController:
+    """One task that looks at the agreed state and proposes the next steps.
+
+    Everything that must survive a change of leader is in the agreed state.
+
+    Attributes:
+        replica: Agreed state.
+        submitter: Way to the agreed state.
+        leads: Tells whether this daemon leads.
+        reboots: Has the platform reboot VMs; None without a platform, and waves do not start then.
+        clock: Monotonic seconds.
+        now_ms: Returns agreed time.
+        asked: Drains that the operator was asked about, by VM and start.
+        demand: Demand of pools; soft state.
+        stepped_ms: Time of the last return step by zone.
+        broken: Budget that failures alone exceed, as reported last.
+    """
+
+    __slots__ = (
+        "asked",
+        "broken",
+        "clock",
+        "demand",
+        "leads",
+        "now_ms",
+        "reboots",
+        "replica",
+        "stepped_ms",
+        "submitter",
+    )
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        submitter: Submitter,
+        leads: Callable[[], bool],
+        clock: Clock,
+        now_ms: Callable[[], int],
+        reboots: Reboots | None = None,
+    ) -> None:
+        self.replica = replica
+        self.submitter = submitter
+        self.leads = leads
+        self.clock = clock
+        self.now_ms = now_ms
+        self.reboots = reboots
+        self.demand = Demand()
+        self.stepped_ms: dict[str, int] = {}
+        self.asked: set[tuple[str, int]] = set()
+        self.broken = ""
+
+    async def run(self) -> None:
+        """Controls for as long as the daemon runs."""
+        while True:
+            if self.leads():
+                await self.control_once()
+            else:
+                self._rest()
+            await asyncio.sleep(ROUND_S)
+
+    async def control_once(self) -> None:
+        """Makes one round."""
+        state = self.replica.state
+        await asyncio.gather(*(self._submit(command) for command in decide_moves(state)))
+        await self._advance_waves()
+        await self._advance_zones()
+        await self._lend()
+        self._ask_operator()
+        self._report_broken()
+
+    def _rest(self) -> None:
+        if self.reboots is not None:
+            self.reboots.stop()
+
+    async def _advance_waves(self) -> None:
+        if self.reboots is None:
+            return
+        state = self.replica.state
+        self.reboots.follow(state)
+        steps = decide_waves(state, now_ms=self.now_ms(), returned=self.reboots.returned)
+        await asyncio.gather(*(self._submit_step(step) for step in steps))
+
+    async def _advance_zones(self) -> None:
+        steps = decide_zones(self.replica.state, now_ms=self.now_ms(), stepped_ms=self.stepped_ms)
+        for step in steps:
+            result = await self.submitter.submit(step, timeout_s=SUBMIT_TIMEOUT_S)
+            if isinstance(step, TakePermit) and result.is_error():
+                log_event(Event.PERMIT_REFUSED, vm=step.vm, reason=result.error.message)
+            if isinstance(step, SetZone) and result.is_ok():
+                log_event(Event.ZONE_CHANGED, zone=step.zone, status=step.status)
+
+    async def _lend(self) -> None:
+        self.demand.note(waiting=count_waiting_cores(self.replica.state), now=self.clock())
+        for command in decide_lending(self.replica.state, demand=self.demand):
+            await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
+
+    async def _submit_step(self, step: AdvanceWave | ControlWave) -> None:
+        result = await self.submitter.submit(step, timeout_s=SUBMIT_TIMEOUT_S)
+        match step:
+            case ControlWave() if result.is_ok():
+                log_event(Event.WAVE_CHANGED, wave=step.wave, status="paused", reason=step.reason)
+            case AdvanceWave() if result.is_ok():
+                log_event(Event.WAVE_ADVANCED, wave=step.wave, vm=step.vm, status=step.status)
+            case AdvanceWave(status=WaveVmStatus.DRAINING):
+                log_event(Event.PERMIT_REFUSED, vm=step.vm, reason=result.error.message)
+
+    async def _submit(self, command: ChangeVm | MoveVm | ReturnPermit) -> None:
+        source = self.replica.state.tables.vms[command.vm].pool
+        # A refusal means that the state has moved on; the next round looks at it again.
+        result = await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
+        if result.is_error():
+            return
+        match command:
+            case ChangeVm():
+                log_event(Event.VM_STATE_CHANGED, vm=command.vm, state=command.state, reason=command.reason)
+            case MoveVm():
+                log_event(
+                    Event.VM_MOVED, vm=command.vm, source=source, target=command.target, reason=command.reason
+                )
+
+    def _ask_operator(self) -> None:
+        overdue = {
+            (permit.vm, permit.at_ms) for permit in find_overdue(self.replica.state, now_ms=self.now_ms())
+        }
+        for vm, _ in sorted(overdue - self.asked):
+            question = f"its work does not end; wait on, or have it stopped? POST /v1/vms/{vm}/decision"
+            log_event(Event.OPERATOR_NEEDED, subject=f"VM {vm}", question=question)
+        self.asked = overdue
+
+    def _report_broken(self) -> None:
+        broken = find_broken(self.replica.state)
+        if broken and broken != self.broken:
+            log_event(Event.BUDGET_BROKEN, reason=broken)
+        if self.broken and not broken:
+            log_event(Event.BUDGET_RESTORED)
+        self.broken = broken
+
+
+__all__ = ["FleetController"]
--- a/src/hyssopway/job/lost_homes.py
+++ b/src/hyssopway/job/lost_homes.py
@@ -24,6 +24,10 @@
 # Covers clock rates, delays of answers on their way and the pause between two contacts.
 MARGIN_S = 5.0
 
+# A worker whose home died has found another entry by then. Its VM counts against the budgets from then on,
+# so that a loss of many VMs stops planned stops at once; its runs go on until every lease has surely ended.
+DOWN_S = WORKER_LEASE_S + 2.0
+
 # A leader that was frozen this long has not read the calls that arrived meanwhile.
 MAX_PAUSE_S = 2.0
 
@@ -91,19 +95,25 @@
         homes = {vm.home for vm in self.replica.state.tables.vms.values()} - {self.own_name}
         for home in sorted(homes):
             silent_s = now - max(self.contacts.get(home, self.counts_from), self.counts_from)
+            if silent_s > DOWN_S:
+                await self._take_down(home, silent_s=silent_s)
             if silent_s > allowed_s:
                 await self._end_runs(home, silent_s=silent_s)
         self.checked_at = self.clock()
 
     async def _end_runs(self, home: str, *, silent_s: float) -> None:
-        vms = [vm for vm in self.replica.state.tables.vms.values() if vm.home == home]
-        watched = [vm for vm in vms if vm.state in WATCHED]
-        ends = [command for vm in vms for command in self._ends(vm, silent_s=silent_s)]
-        if watched or ends:
+        ends = [command for vm in self._vms(home) for command in self._ends(vm, silent_s=silent_s)]
+        if ends:
             log_event(Event.HOME_LOST, home=home, silent_s=silent_s)
-        commands: list[ChangeVm | EndRun] = [*(_to_down(vm, silent_s=silent_s) for vm in watched), *ends]
+        await asyncio.gather(*(self.submitter.submit(item, timeout_s=SUBMIT_TIMEOUT_S) for item in ends))
+
+    async def _take_down(self, home: str, *, silent_s: float) -> None:
+        commands = [_to_down(vm, silent_s=silent_s) for vm in self._vms(home) if vm.state in WATCHED]
         await asyncio.gather(*(self.submitter.submit(item, timeout_s=SUBMIT_TIMEOUT_S) for item in commands))
 
+    def _vms(self, home: str) -> list[Vm]:
+        return [vm for vm in self.replica.state.tables.vms.values() if vm.home == home]
+
     def _ends(self, vm: Vm, *, silent_s: float) -> list[EndRun]:
         state = self.replica.state
         jobs = [state.tables.jobs[job_id] for job_id in sorted(state.indexes.running.get(vm.name, ()))]
--- a/src/hyssopway/routing/grant.py
+++ b/src/hyssopway/routing/grant.py
@@ -15,6 +15,7 @@
         service: Environment and service.
         daemon: Daemon that holds the credit.
         expires_at: Local time at which it surely is no longer used.
+        vm: VM of the endpoint; kept here because a departing endpoint leaves the registry first.
     """
 
     endpoint: str
@@ -22,6 +23,7 @@
     service: tuple[str, str]
     daemon: str
     expires_at: float
+    vm: str = ""
 
 
 __all__ = ["Grant"]
--- a/src/hyssopway/routing/ledger.py
+++ b/src/hyssopway/routing/ledger.py
@@ -216,6 +216,7 @@
                 service=(request.environment, request.service),
                 daemon=request.daemon,
                 expires_at=now + CREDIT_LEASE_S + HOME_MARGIN_S,
+                vm=endpoint.announcement.vm,
             ),
         )
         return Credit(
--- a/src/hyssopway/routing/router.py
+++ b/src/hyssopway/routing/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from .service_queue import ServiceQueue
@@ -79,6 +80,10 @@
         ]
         return [held.credit for held in found]
 
+    def in_use(self) -> Counter[str]:
+        """Returns the number of requests sent from here and in progress, by endpoint."""
+        return Counter(held.credit.endpoint for queue in self.queues.values() for held in queue.in_use)
+
     def summarise(self) -> list[Summary]:
         """Returns what other daemons need to know of the endpoints announced here."""
         registry = self.homes.ledger.registry
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from math import isinf
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
 
+from hyssopway.control.apply.waves import may_still_reboot
 from hyssopway.control.command import ChangeVm, RegisterVm
 from hyssopway.control.record import JobStatus, ReclaimAction, RunOutcome, VmState, ZoneStatus
 from hyssopway.document import JobPolicy
@@ -27,6 +29,8 @@
     from .messages import SyncRequest
     from .run_reports import RunKey
 
+CountRequests = Callable[[str], Awaitable[int | None]]
+
 WORKER_LEASE_S = 4.0
 SUBMIT_TIMEOUT_S = 2.0
 CATCH_UP_S = 1.0
@@ -45,10 +49,12 @@
         sessions: Sessions by VM.
         reports: Ends of runs on their way to the agreed state.
         first_seen: Local time at which a run was first found not started on its worker.
+        count_requests: Counts the requests in progress on a VM's endpoints; None when some are unknown.
     """
 
     __slots__ = (
         "clock",
+        "count_requests",
         "first_seen",
         "freshness",
         "own_name",
@@ -59,13 +65,21 @@
     )
 
     def __init__(
-        self, *, own_name: str, replica: Replica, freshness: Freshness, submitter: Submitter, clock: Clock
+        self,
+        *,
+        own_name: str,
+        replica: Replica,
+        freshness: Freshness,
+        submitter: Submitter,
+        clock: Clock,
+        count_requests: CountRequests | None = None,
     ) -> None:
         self.own_name = own_name
         self.replica = replica
         self.freshness = freshness
         self.submitter = submitter
         self.clock = clock
+        self.count_requests = count_requests or _count_none
         self.sessions: dict[str, WorkerSession] = {}
         self.reports = RunReports(submitter=submitter)
         self.first_seen: dict[RunKey, float] = {}
@@ -76,6 +90,7 @@
         if refusal is not None:
             return Error(refusal)
         acknowledged = await self.reports.settle(vm=vm, ended=request.ended)
+        await self._report_drained(vm=vm, request=request)
         # Nothing below waits, so the decisions rest on one state and on the worker's latest report.
         session = self.sessions.get(vm)
         if session is not None and session.overtakes(request):
@@ -94,7 +109,7 @@
                 lease_s=lease_s,
                 start=self._starts(vm=record, request=request),
                 stop=self._stops(vm=vm, request=request),
-                checkpoint=self._reclaimed(request, action=ReclaimAction.CHECKPOINT),
+                checkpoint=self._checkpoints(vm=vm, request=request),
                 throttle=find_throttles(
                     request, reclaimed=self._reclaimed(request, action=ReclaimAction.THROTTLE)
                 ),
@@ -147,7 +162,7 @@
     async def _bring_back(self, vm: Vm) -> Failure | None:
         """Takes a VM out of `down`; one under a permit stays out of work."""
         under_permit = vm.name in self.replica.state.tables.permits
-        if under_permit and self.runs_on(vm.name):
+        if (under_permit and self.runs_on(vm.name)) or may_still_reboot(self.replica.state, vm=vm):
             return None
         command = ChangeVm(
             vm=vm.name,
@@ -158,6 +173,22 @@
         await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)
         return None
 
+    async def _report_drained(self, *, vm: str, request: SyncRequest) -> None:
+        """Reports a VM as drained when its worker runs nothing and its endpoints have no requests."""
+        tables = self.replica.state.tables
+        known, permit = tables.vms[vm], tables.permits.get(vm)
+        if known.state is not VmState.DRAINING or permit is None or not self.freshness.is_valid:
+            return
+        if request.running or request.ended or self.replica.state.indexes.running.get(vm):
+            return
+        if not permit.stop_work and await self.count_requests(vm) != 0:
+            return
+        command = ChangeVm(
+            vm=vm, state=VmState.DRAINED, expected_epoch=known.epoch, reason="no task and no request left"
+        )
+        if (await self.submitter.submit(command, timeout_s=SUBMIT_TIMEOUT_S)).is_ok():
+            log_event(Event.VM_STATE_CHANGED, vm=vm, state=command.state, reason=command.reason)
+
     def _may_renew(self) -> bool:
         document = self.replica.state.document()
         policy = document.jobs if document else JobPolicy()
@@ -224,6 +255,9 @@
             for job in self.runs_on(vm)
             if job.run is not None and not job.cancelling
         }
+        permit = self.replica.state.tables.permits.get(vm)
+        if permit is not None and permit.stop_work:
+            valid.clear()
         stopped = set(self._reclaimed(request, action=ReclaimAction.STOP))
         return [
             task.job_id
@@ -231,6 +265,18 @@
             if (task.job_id, task.epoch) not in valid or task.job_id in stopped
         ]
 
+    def _checkpoints(self, *, vm: str, request: SyncRequest) -> list[str]:
+        wanted = self._reclaimed(request, action=ReclaimAction.CHECKPOINT)
+        if self.replica.state.tables.vms[vm].state is VmState.DRAINING:
+            running = {task.job_id for task in request.running}
+            wanted += [
+                job.job_id
+                for job in self.runs_on(vm)
+                if job.job_id in running and job.spec.checkpointable and job.job_id not in wanted
+            ]
+        stopped = set(self._stops(vm=vm, request=request))
+        return [job_id for job_id in wanted if job_id not in stopped]
+
     def _reclaimed(self, request: SyncRequest, *, action: ReclaimAction) -> list[str]:
         jobs = self.replica.state.tables.jobs
         runs = {
@@ -249,6 +295,10 @@
     return job.run is not None and job.run.epoch == epoch
 
 
+async def _count_none(vm: str) -> int | None:
+    return 0
+
+
 def _to_order(job: Job, *, start_within_s: float) -> StartOrder:
     return StartOrder(
         job_id=job.job_id,
--- /dev/null
+++ b/tests/fleet/test_decisions.py
@@ -0,0 +1,69 @@
+"""Decisions of the leader about liveness, moves and drains."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.control.command import ChangeVm, DrainVm, RequestMove
+from hyssopway.control.record import VmState
+from hyssopway.fleet.drains import decide_moves, find_overdue
+from hyssopway_standins.agreed import AgreedStandIn
+
+VM = "restock-vm-1"
+
+
+@pytest.fixture
+def agreed():
+    return AgreedStandIn.prepare_example("pantry")
+
+
+def operate(agreed, kind, **fields):
+    outcome = agreed.apply(
+        kind(vm=VM, expected_epoch=agreed.vm(VM).epoch, request_id="r", operator="kim", **fields)
+    )
+    assert outcome.failure is None
+
+
+def change(agreed, *states):
+    for state in states:
+        agreed.apply(ChangeVm(vm=VM, state=state, expected_epoch=agreed.vm(VM).epoch, reason="test"))
+
+
+# States that the VM went through, whether it is under a permit, its silence, and the next state.
+def test_move_is_made_once_the_vm_is_empty(agreed):
+    """Guards against a move that a new leader forgets."""
+    operate(agreed, RequestMove, target="pickup")
+    assert not decide_moves(agreed.state)
+    change(agreed, VmState.DRAINED)
+    (move,) = decide_moves(agreed.state)
+    agreed.apply(move)
+    assert (agreed.vm(VM).pool, agreed.vm(VM).state) == ("pickup", VmState.READY)
+    assert not decide_moves(agreed.state)
+
+
+def test_move_to_a_dropped_pool_is_taken_back(agreed):
+    """Guards against a VM that stays drained because its new pool no longer exists."""
+    operate(agreed, RequestMove, target="pickup")
+    change(agreed, VmState.DRAINED)
+    data = agreed.data
+    data["pools"] = [pool for pool in data["pools"] if pool["name"] != "pickup"]
+    data["services"] = [service for service in data["services"] if service["pool"] != "pickup"]
+    agreed.change_document(data)
+    for command in decide_moves(agreed.state):
+        agreed.apply(command)
+    assert agreed.vm(VM).state is VmState.READY
+
+
+@pytest.mark.parametrize(
+    ("after_ms", "states", "overdue"),
+    [
+        (599_000, (), False),
+        (601_000, (), True),
+        (601_000, (VmState.DRAINED,), False),
+    ],
+)
+def test_drain_that_does_not_end_is_found(agreed, after_ms, states, overdue):
+    """Guards against a drain that blocks its budget without anybody knowing."""
+    operate(agreed, DrainVm)
+    change(agreed, *states)
+    assert [permit.vm for permit in find_overdue(agreed.state, now_ms=after_ms)] == [VM] * overdue
