Count a lost home by the longest cut-off time that it may still know

Cause: a home that is cut off renews leases by the document that it has. When operators lower cut_off_run_s meanwhile, the leader would end its runs while they still run. A run that was placed before its VM began to drain was still ordered.

Ruled out: the wall-clock time of the promotion, because steps of the wall clock may have no effect.

Change: replaced larger values stay in agreed state, at most 50; a leader counts each of them from when it first saw the replacement. Runs that did not start before a drain are given up.

Conclusion: closed on a local state; not tried with processes.

--- a/src/hyssopway/control/apply/documents.py
+++ b/src/hyssopway/control/apply/documents.py
@@ -43,13 +43,18 @@
     if text is None:
         message = f"document {command.digest[:12]} was not accepted by the trial environment; run trial first"
         return refuse(ResultCode.NOT_TRIALED, message)
-    return _put_in_force(
+    before = state.document()
+    result = _put_in_force(
         state,
         environment=PRODUCTION,
         text=text,
         operator=command.operator,
         expected_generation=command.expected_generation,
     )
+    after = state.document()
+    if before and after and before.jobs.cut_off_run_s > after.jobs.cut_off_run_s:
+        state.tables.note_cut_off(before.jobs.cut_off_run_s)
+    return result
 
 
 def _find_tried(state: ControlState, *, digest: str) -> str | None:
--- a/src/hyssopway/control/tables.py
+++ b/src/hyssopway/control/tables.py
@@ -6,6 +6,8 @@
 
 from .record import Claim, Job, Key, Permit, StoredDocument, StoredOutcome, Vm, Zone
 
+MAX_CUT_OFFS = 50
+
 
 @dataclass(slots=True, kw_only=True)
 class Tables:
@@ -24,6 +26,8 @@
         claims: Claims by id.
         jobs: Jobs by id.
         ended_jobs: Ids of ended jobs, oldest first.
+        cut_offs: Values of `cut_off_run_s` that a smaller one replaced, with the log index; a home that
+            was cut off before still renews leases by them.
     """
 
     applied_index: int = 0
@@ -38,6 +42,14 @@
     claims: dict[str, Claim] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     ended_jobs: list[str] = field(default_factory=list)
+    cut_offs: list[tuple[int, float]] = field(default_factory=list)
+
+    def note_cut_off(self, replaced_s: float) -> None:
+        """Keeps a replaced value; of too many the two oldest become their larger one."""
+        self.cut_offs.append((self.applied_index, replaced_s))
+        if len(self.cut_offs) > MAX_CUT_OFFS:
+            first, second = self.cut_offs[:2]
+            self.cut_offs[:2] = [(second[0], max(first[1], second[1]))]
 
 
 __all__ = ["Tables"]
--- a/src/hyssopway/job/lost_homes.py
+++ b/src/hyssopway/job/lost_homes.py
@@ -37,6 +37,7 @@
         contacts: Local time of the last contact by daemon.
         counts_from: Local time since which contacts are counted; None while another daemon leads.
         checked_at: Local time of the last check.
+        replaced_at: Local time at which a replaced cut-off time was first seen, by log index.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "counts_from",
         "leads",
         "own_name",
+        "replaced_at",
         "replica",
         "submitter",
     )
@@ -68,6 +70,7 @@
         self.clock = clock
         self.counts_from: float | None = None
         self.checked_at = clock()
+        self.replaced_at: dict[int, float] = {}
 
     async def run(self) -> None:
         """Checks for as long as the daemon runs."""
@@ -82,12 +85,12 @@
         self.checked_at = now
         if not self.leads():
             self.counts_from = None
+            self.replaced_at.clear()
             return
         if self.counts_from is None or paused:
             self.counts_from = now
-        document = self.replica.state.document()
-        policy = document.jobs if document else JobPolicy()
-        allowed_s = policy.cut_off_run_s + WORKER_LEASE_S + MARGIN_S
+            self.replaced_at.clear()
+        allowed_s = self._longest_cut_off_s(now) + WORKER_LEASE_S + MARGIN_S
         homes = {vm.home for vm in self.replica.state.tables.vms.values()} - {self.own_name}
         for home in sorted(homes):
             silent_s = now - max(self.contacts.get(home, self.counts_from), self.counts_from)
@@ -95,6 +98,24 @@
                 await self._end_runs(home, silent_s=silent_s)
         self.checked_at = self.clock()
 
+    def _longest_cut_off_s(self, now: float) -> float:
+        """Returns the longest value that a home out of contact may still go by.
+
+        A home that was cut off before a document lowered the value does not know the new one. Times count
+        from when this leader first saw that the value was replaced, so no wall clock is needed.
+        """
+        state = self.replica.state
+        document = state.document()
+        policy = document.jobs if document else JobPolicy()
+        for index, _ in state.tables.cut_offs:
+            self.replaced_at.setdefault(index, now)
+        replaced = [
+            value_s
+            for index, value_s in state.tables.cut_offs
+            if now - self.replaced_at[index] <= value_s + WORKER_LEASE_S + MARGIN_S
+        ]
+        return max([policy.cut_off_run_s, *replaced])
+
     async def _end_runs(self, home: str, *, silent_s: float) -> None:
         vms = [vm for vm in self.replica.state.tables.vms.values() if vm.home == home]
         watched = [vm for vm in vms if vm.state in WATCHED]
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -202,7 +202,7 @@
             return f"zone {vm.zone} was withdrawn before the task started"
         if vm.state is VmState.QUARANTINED and not job.run.probe:
             return f"VM {vm.name} was quarantined before the task started"
-        if vm.state not in (VmState.READY, VmState.DRAINING, VmState.QUARANTINED):
+        if vm.state not in (VmState.READY, VmState.QUARANTINED):
             return f"VM {vm.name} is {vm.state}"
         if self.clock() - seen_at > START_WINDOW_S:
             return f"the task did not start within {START_WINDOW_S:.0f} s"
--- a/tests/job/test_lost_homes.py
+++ b/tests/job/test_lost_homes.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from hyssopway.control.command import PromoteDocument, TrialDocument
 from hyssopway.control.record import JobStatus, VmState
 from hyssopway.job import LostHomes
-from states import ManualClock, prepare
+from states import DOCUMENT, ManualClock, prepare
 
 # cut_off_run_s of the default policy, the worker's lease and the margin.
 ALLOWED_S = 120 + 4 + 5
@@ -48,3 +49,32 @@
         clock.now += 60.0 if freeze else 0.5
     assert (job.status is JobStatus.PENDING) is lost
     assert (vm.state is VmState.DOWN) is lost
+
+
+async def test_home_cut_off_before_a_lower_limit_keeps_its_old_one():
+    """Guards against a second run while a cut-off home still renews leases by the former document."""
+    submitter = prepare()
+    submitter.register("vm", home="h2")
+    submitter.accept("job")
+    submitter.start("job", "vm")
+    clock = ManualClock(now=0.0)
+    homes = LostHomes(
+        own_name="h1",
+        replica=submitter.replica,
+        submitter=submitter,  # type: ignore[arg-type]
+        contacts={},
+        leads=lambda: True,
+        clock=clock,
+    )
+    await homes.check()
+    text = DOCUMENT.replace("cut_off_run_s: 120", "cut_off_run_s: 10")
+    digest = submitter.must(
+        TrialDocument(text=text, expected_generation=1, request_id="t2", operator="o")
+    ).reference
+    submitter.must(PromoteDocument(digest=digest, expected_generation=1, request_id="p2", operator="o"))
+    lost_at = 0.0
+    while not lost_at and clock.now < 2 * ALLOWED_S:
+        clock.now += 0.5
+        await homes.check()
+        lost_at = clock.now if submitter.state.tables.jobs["job"].status is JobStatus.PENDING else 0.0
+    assert ALLOWED_S < lost_at <= ALLOWED_S + 2
--- a/tests/states.py
+++ b/tests/states.py
@@ -27,6 +27,7 @@
 DOCUMENT = """
 name: test
 zones: [a, b]
+jobs: {cut_off_run_s: 120}
 pools:
   - name: p
     budget: {max_down: 2, max_down_per_rack: 2, max_down_per_zone: 2}
--- a/tests/worker/test_sessions.py
+++ b/tests/worker/test_sessions.py
@@ -72,6 +72,10 @@
     home.submitter.must(CancelJob(job_id="job", team="red"))
 
 
+def _drain(home: Home) -> None:
+    home.submitter.must(TakePermit(vm="vm", purpose=PermitPurpose.OPERATOR, holder="o", expected_epoch=1))
+
+
 def _expire(home: Home) -> None:
     home.clock.now += 4
 
@@ -82,9 +86,10 @@
         (_withdraw, "b1", JobStatus.PENDING, "withdrawn"),
         (_cancel, "b1", JobStatus.CANCELLED, "cancelled"),
         (lambda _: None, "b2", JobStatus.PENDING, "restarted"),
+        (_drain, "b1", JobStatus.PENDING, "draining"),
         (_expire, "b1", JobStatus.RUNNING, ""),
     ],
-    ids=["zone withdrawn", "cancelled", "worker restarted", "authority expired"],
+    ids=["zone withdrawn", "cancelled", "worker restarted", "draining", "authority expired"],
 )
 async def test_run_that_may_not_start_is_not_ordered(home, change, boot_id, status, detail):
     """Guards against a start from a stale order and against a run that holds its limit for ever."""
