Hold out VMs that only fail, and try a frozen home and a burst

Cause: in a first burst nothing is done elsewhere yet, so a bad worker went on to eat jobs until the first others were done.

Ruled out: quarantine without a comparison, because a bad kind of job would then take VMs out of work for long.

Change: a VM whose last three runs failed, of different jobs, gets nothing for up to 5 s while others are compared; the cap of a quarter of the pool includes it. A process test freezes a home until the leader ends its runs; the measurement adds durable acceptance and cancellation over HTTP.

--- a/src/hyssopway/job/fleet_view.py
+++ b/src/hyssopway/job/fleet_view.py
@@ -49,6 +49,7 @@
         held: Runs by pool and team, oldest first.
         parts: Part of the capacity that may be used, for zones that are returning.
         quarantined: Quarantined VMs by name.
+        held_out: VMs under suspicion, with the local time until which they get nothing.
     """
 
     tables: Tables
@@ -59,6 +60,7 @@
     held: dict[tuple[str, str], dict[str, None]] = field(default_factory=dict)
     parts: dict[str, float] = field(default_factory=dict)
     quarantined: dict[str, Vm] = field(default_factory=dict)
+    held_out: dict[str, float] = field(default_factory=dict)
 
     def place(self, job: Job, *, vm: str, need: Resources, epoch: int) -> None:
         """Keeps capacity for a run."""
@@ -121,6 +123,17 @@
                     return zone.vms[name]
         return None
 
+    def hold_out(self, name: str, *, until: float) -> None:
+        """Gives a VM nothing for a while."""
+        self.held_out[name] = until
+        self.refresh_vm(name)
+
+    def let_in(self, *, now: float) -> None:
+        """Ends holds whose time is over."""
+        for name in [name for name, until in self.held_out.items() if until <= now]:
+            del self.held_out[name]
+            self.refresh_vm(name)
+
     def free_on(self, vm: str) -> Resources:
         """Returns what a VM has free."""
         return self.tables.vms[vm].capacity - self.used.get(vm, Resources())
@@ -138,6 +151,8 @@
         return part >= 1.0 or zone.total.cores - zone.free_cores + need.cores <= part * zone.total.cores
 
     def _is_open(self, vm: Vm) -> bool:
+        if vm.name in self.held_out:
+            return False
         return vm.state is VmState.READY and self.tables.zones[vm.zone].status is not ZoneStatus.WITHDRAWN
 
 
--- a/src/hyssopway/job/planner.py
+++ b/src/hyssopway/job/planner.py
@@ -97,6 +97,7 @@
         for job_id in (*changes.jobs, *self.queues.due(now_ms=now_ms)):
             self.follow_job(job_id, now_ms=now_ms)
         self._follow_zones()
+        self.view.let_in(now=self.clock())
         self.total = self.view.total()
         self.usage = {
             team: TeamUsage(tasks=usage.tasks, resources=usage.resources)
--- a/src/hyssopway/job/quarantine.py
+++ b/src/hyssopway/job/quarantine.py
@@ -24,6 +24,9 @@
 # One part in so many of a pool may be quarantined, so that a wave of failures does not empty it.
 POOL_PART = 4
 
+# In a first burst nothing is done elsewhere yet to compare with. A VM that only fails waits until it is.
+HOLD_S = 5.0
+
 FIRST_PROBE_S = 2.0
 MAX_PROBE_S = 60.0
 MIN_PROBES_DONE = 2
@@ -77,6 +80,12 @@
             command = self._judge_probe(vm, done=done) if end.probe else self._judge(vm, done=done)
             if command is not None and command.vm not in {item.vm for item in commands}:
                 commands.append(command)
+            elif not done and not end.probe:
+                self._suspect(vm)
+        for name in list(self.planner.view.held_out):
+            command = self._judge(self.planner.state.tables.vms[name], done=False)
+            if command is not None and command.vm not in {item.vm for item in commands}:
+                commands.append(command)
         return commands
 
     def probe(self) -> list[StartRun]:
@@ -117,6 +126,19 @@
             if len(self.failed_on) > MAX_JOBS_REMEMBERED:
                 del self.failed_on[next(iter(self.failed_on))]
 
+    def _suspect(self, vm: Vm) -> None:
+        """Holds out a VM whose last runs all failed, of different jobs."""
+        last = list(self.on_vm[vm.name])[-MIN_BLAMED:]
+        if any(done for _, _, done in last) or len({job_id for job_id, _, _ in last}) < MIN_BLAMED:
+            return
+        held = sum(self._pool(name) == vm.pool for name in self.planner.view.held_out)
+        if vm.state is VmState.READY and not self._is_full(vm.pool, more=held):
+            self.planner.view.hold_out(vm.name, until=self.planner.clock() + HOLD_S)
+
+    def _pool(self, name: str) -> str:
+        vm = self.planner.state.tables.vms.get(name)
+        return vm.pool if vm else ""
+
     def _judge(self, vm: Vm, *, done: bool) -> ChangeVm | None:
         if done or vm.state is not VmState.READY:
             return None
@@ -140,11 +162,11 @@
         reason = f"{MIN_PROBES_DONE} probe runs in a row were done"
         return ChangeVm(vm=vm.name, state=VmState.READY, expected_epoch=vm.epoch, reason=reason)
 
-    def _is_full(self, pool: str) -> bool:
+    def _is_full(self, pool: str, *, more: int = 0) -> bool:
         state = self.planner.state
         size = sum(state.indexes.shapes.counts.get(pool, {}).values())
         quarantined = sum(vm.pool == pool for vm in self.planner.view.quarantined.values())
-        return quarantined >= max(1, size // POOL_PART)
+        return quarantined + more >= max(1, size // POOL_PART)
 
     def _choose_job(self, vm: Vm) -> Job | None:
         """Returns the oldest plain job that fits and has not failed yet."""
--- a/src/hyssopway_standins/measure/jobs.py
+++ b/src/hyssopway_standins/measure/jobs.py
@@ -73,6 +73,7 @@
         late = [distance for at, distance in points if 10 <= at <= 30]
         late_four = [distance for at, distance in points if at >= 18]
         measurement.figures[f"share_distance_mean_after_10_s_{name}_%"] = 100 * sum(late) / len(late)
+        measurement.figures[f"share_distance_worst_after_10_s_{name}_%"] = 100 * max(late)
         measurement.figures[f"share_distance_mean_after_18_s_{name}_%"] = (
             100 * sum(late_four) / len(late_four)
         )
@@ -201,6 +202,7 @@
             await outside.start()
             try:
                 waits = await _time_urgent(deployment, outside, count=count)
+                await _measure_burst(measurement, deployment, outside, count=125 * count)
             finally:
                 await outside.stop()
         finally:
@@ -209,6 +211,36 @@
     measurement.figures["urgent_start_on_full_pool_worst_s"] = max(waits)
 
 
+async def _measure_burst(
+    measurement: Measurement, deployment: Deployment, outside: Outside, *, count: int
+) -> None:
+    """Submits from 64 callers at once over all entry VMs, then cancels everything in one request."""
+    urls = [daemon.url for daemon in deployment.daemons.values()]
+    workers = [worker for worker in outside.workers.values() if worker.pool == "matching"]
+    async with aiohttp.ClientSession() as session:
+        operator = OperatorClient(session=session, url=urls[0], token=deployment.operator_token)
+        key = await operator.grant_key("monadnock-freezers")
+        entries = [TeamJobs(session=session, url=url, key=key) for url in urls]
+        slots = asyncio.Semaphore(64)
+
+        async def submit(number: int) -> str:
+            async with slots:
+                return await entries[number % len(entries)].submit(cores=64, urgent=False, pool="matching")
+
+        started = time.monotonic()
+        ids = await asyncio.gather(*(submit(number) for number in range(count)))
+        measurement.figures["accepted_durably_64_callers_per_s"] = count / (time.monotonic() - started)
+        started = time.monotonic()
+        await entries[0].cancel(ids)
+        cancelled_at = time.monotonic()
+        measurement.figures["cancelled_over_http_per_s"] = count / (cancelled_at - started)
+        await asyncio.sleep(3)
+        late = [
+            at for worker in workers for at, job_id, _ in worker.starts if at > cancelled_at and job_id in ids
+        ]
+        measurement.figures["cancelled_jobs_started_later_jobs"] = len(late)
+
+
 async def _time_urgent(deployment: Deployment, outside: Outside, *, count: int) -> list[float]:
     url = deployment.daemons["nashua-1"].url
     async with aiohttp.ClientSession() as session:
@@ -243,11 +275,11 @@
         self.url = url
         self.key = key
 
-    async def submit(self, *, cores: int, urgent: bool) -> str:
-        """Submits a job of the restock pool and returns its id."""
+    async def submit(self, *, cores: int, urgent: bool, pool: str = "restock") -> str:
+        """Submits a job and returns its id."""
         spec = {
             "task_kind": "urgent" if urgent else "long",
-            "pool": "restock",
+            "pool": pool,
             "resources": {"cores": cores, "memory_gb": 8},
             "run_s": 60_000,
             "urgent": urgent,
@@ -264,6 +296,14 @@
                 raise TimeoutError(f"job was not accepted: {body}")
             await asyncio.sleep(0.05)
 
+    async def cancel(self, ids: list[str]) -> None:
+        """Cancels jobs in one request."""
+        headers = {"Authorization": f"Bearer {self.key}"}
+        async with self.session.post(
+            f"{self.url}/v1/jobs/cancel", json={"job_ids": ids}, headers=headers
+        ) as answer:
+            answer.raise_for_status()
+
 
 def _runs(workers: list[WorkerStandIn], job_id: str) -> bool:
     return any(job_id in worker.tasks for worker in workers)
--- a/tests/job/test_quarantine.py
+++ b/tests/job/test_quarantine.py
@@ -71,3 +71,20 @@
             leader.end(name)
         leader.clock.now += 1
     assert leader.submitter.state.tables.vms["vm0"].state is VmState.READY
+
+
+async def test_vm_that_only_fails_is_held_out_before_others_are_done(leader):
+    """Guards against a bad worker that eats a first burst, when nothing is done elsewhere yet."""
+    for number in range(8):
+        leader.submitter.register(f"vm{number}")
+    for number in range(60):
+        leader.submitter.accept(f"j{number}", team="blue")
+    starts = 0
+    for _ in range(10):
+        await leader.round()
+        failed = [name for name in leader.running() if leader.vm_of(name) == "vm0"]
+        starts += len(failed)
+        for name in failed:
+            leader.end(name, RunOutcome.FAILED)
+    assert starts == 4
+    assert leader.submitter.state.tables.vms["vm0"].state is VmState.READY
--- a/tests/whole/test_job_faults.py
+++ b/tests/whole/test_job_faults.py
@@ -12,9 +12,13 @@
 import aiohttp
 import pytest
 
+from hyssopway_standins.fleet import EXAMPLES
+from hyssopway_standins.operator_client import OperatorClient
+from hyssopway_standins.outside import Outside
+
 if TYPE_CHECKING:
-    from hyssopway_standins.operator_client import OperatorClient
-    from hyssopway_standins.outside import Outside
+    from collections.abc import Callable
+
     from hyssopway_standins.processes import Deployment
     from hyssopway_standins.worker import WorkerStandIn
 
@@ -45,6 +49,42 @@
         assert 1 <= _most_at_once([span for name, span in spans if teams[name] == team]) <= limit
 
 
+@pytest.mark.faults
+async def test_runs_of_a_frozen_home_move_on_and_never_run_twice_at_once(
+    deployment: Deployment, session: aiohttp.ClientSession
+):
+    """Guards against runs that wait for ever for a lost home, and against starting them too early."""
+    home = deployment.daemons["portland-1"]
+    url = deployment.daemons["nashua-1"].url
+    operator = OperatorClient(session=session, url=url, token=deployment.operator_token)
+    text = (EXAMPLES / "pantry" / "document.yaml").read_text()
+    await operator.put_in_force(text.replace("cut_off_run_s: 120", "cut_off_run_s: 5"))
+    key = await operator.grant_key(TEAMS[0])
+    outside = Outside.prepare(deployment)
+    await outside.start()
+    try:
+        submit = (_submit(deployment, session, number=number, key=key, run_s=800) for number in range(32))
+        ids = await asyncio.gather(*submit)
+        await _wait_until(lambda: sum(len(w.tasks) for w in outside.workers.values()) == len(ids))
+        home.send(signal.SIGSTOP)
+        jobs = await _wait_for_ends(deployment, session, keys={TEAMS[0]: key}, count=len(ids))
+        home.send(signal.SIGCONT)
+        await asyncio.sleep(5)
+    finally:
+        await outside.stop()
+    assert Counter(job["status"] for job in jobs.values()) == {"done": len(ids)}
+    assert any("portland-1 out of contact" in line for job in jobs.values() for line in job["history"])
+    spans = _spans(list(outside.workers.values()))
+    for job_id in ids:
+        assert _most_at_once([span for name, span in spans if name == job_id]) == 1
+
+
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20):
+        while not condition():  # noqa: ASYNC110  bounded by the timeout
+            await asyncio.sleep(0.05)
+
+
 async def _break_things(deployment: Deployment, outside: Outside) -> None:
     daemons = deployment.daemons
     workers = {
@@ -83,13 +123,15 @@
     return dict(await asyncio.gather(*(submit(number) for number in range(JOBS))))
 
 
-async def _submit(deployment: Deployment, session: aiohttp.ClientSession, *, number: int, key: str) -> str:
+async def _submit(
+    deployment: Deployment, session: aiohttp.ClientSession, *, number: int, key: str, run_s: float = 100
+) -> str:
     urls = [daemon.url for daemon in deployment.daemons.values()]
     spec = {
         "task_kind": f"kind-{number % 5}",
         "pool": POOLS[number % len(POOLS)],
         "resources": {"cores": CORES, "memory_gb": 8},
-        "run_s": 100,
+        "run_s": run_s,
     }
     headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": f"job-{number}"}
     deadline = time.monotonic() + 60
@@ -109,7 +151,7 @@
 
 
 async def _wait_for_ends(
-    deployment: Deployment, session: aiohttp.ClientSession, *, keys: dict[str, str]
+    deployment: Deployment, session: aiohttp.ClientSession, *, keys: dict[str, str], count: int = JOBS
 ) -> dict[str, Any]:
     url = deployment.daemons["worcester-2"].url
     deadline = time.monotonic() + 60
@@ -120,7 +162,7 @@
                 body = json.loads(await answer.read())
             jobs |= {job["job_id"]: job for job in body.get("jobs", [])}
         left = [job for job in jobs.values() if job["status"] not in FINAL]
-        if len(jobs) >= JOBS and not left:
+        if len(jobs) >= count and not left:
             return jobs
         assert time.monotonic() < deadline, (
             len(jobs),
