Bring teams back to a lowered limit and explain waiting jobs

Cause: a limit that operators lowered held for new starts only; the history of a pending job did not say why it waits.

Ruled out: ending the excess when the document is applied, because workers can checkpoint only on an order through their sync.

Conclusion: until the worker's next syncs the team stays above a limit that was just lowered; a limit that is not lowered holds exactly.

--- a/src/hyssopway/job/__init__.py
+++ b/src/hyssopway/job/__init__.py
@@ -5,5 +5,6 @@
 from .lost_homes import LostHomes
 from .scheduler import JobScheduler
 from .usage_book import TaskUsage, UsageBook
+from .waiting import explain_waiting
 
-__all__ = ["JobScheduler", "LostHomes", "TaskUsage", "UsageBook"]
+__all__ = ["JobScheduler", "LostHomes", "TaskUsage", "UsageBook", "explain_waiting"]
--- a/src/hyssopway/job/scheduler.py
+++ b/src/hyssopway/job/scheduler.py
@@ -9,6 +9,7 @@
 from hyssopway.control.record import VmState
 from hyssopway.event import Event, log_event
 
+from .limit_excess import reclaim_excess
 from .planner import Planner
 from .quarantine import Quarantine
 from .reclaim import Reclaimer
@@ -80,6 +81,7 @@
             *starts,
             *self.planner.reject(),
             *self.reclaimer.plan(),
+            *reclaim_excess(self.planner),
         ]
         await asyncio.gather(*(self._submit(command) for command in commands))
         for start in starts:
--- a/src/hyssopway/operator_api/operator_routes.py
+++ b/src/hyssopway/operator_api/operator_routes.py
@@ -4,6 +4,7 @@
 
 import secrets
 from collections.abc import Awaitable, Callable
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -12,6 +13,7 @@
 
 from hyssopway.control.command import GrantKey, PromoteDocument, SetZone, TrialDocument, WithdrawKey
 from hyssopway.http import failure_response, json_response, read_json, token_matches
+from hyssopway.job import explain_waiting
 from hyssopway.result import Failure, ResultCode
 
 from .bodies import GrantBody, PromoteBody, TrialBody, ZoneBody
@@ -232,7 +234,8 @@
         if job is None:
             message = f"job {request.match_info['job']!r} does not exist"
             return failure_response(Failure(code=ResultCode.UNKNOWN_JOB, message=message))
-        return json_response(job)
+        waiting = explain_waiting(self.replica.state, job=job)
+        return json_response({**asdict(job), "waiting": waiting})
 
     async def status(self, request: web.Request) -> web.Response:
         """Shows the status of all daemons."""
--- a/tests/job/test_scheduler.py
+++ b/tests/job/test_scheduler.py
@@ -8,12 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hyssopway.control.command import SetZone
+from hyssopway.control.command import PromoteDocument, SetZone, TrialDocument
 from hyssopway.control.record import JobStatus, ReclaimAction, RunOutcome, ZoneStatus
 from hyssopway.document import Resources
-from hyssopway.job import TaskUsage
+from hyssopway.job import TaskUsage, explain_waiting
 from hyssopway.job.capacity_tree import CLOSED, CapacityTree
 from hyssopway.job.shares import fair_shares
+from states import DOCUMENT
 
 HALF = Resources(cores=8, memory_gb=32)
 
@@ -193,3 +194,40 @@
     assert leader.vm_of("j") == ""
     await leader.round()
     assert leader.vm_of("j") == "vm"
+
+
+async def test_lowered_limit_is_enforced_on_running_tasks(leader):
+    """Guards against a team that stays above a limit that operators lowered."""
+    leader.submitter.register("vm", capacity=Resources(cores=64, memory_gb=256))
+    for number in range(3):
+        leader.submitter.accept(f"r{number}")
+    await leader.round()
+    text = DOCUMENT.replace("max_running: 3,", "max_running: 1,")
+    trial = TrialDocument(text=text, expected_generation=1, request_id="t2", operator="o")
+    digest = leader.submitter.must(trial).reference
+    leader.submitter.must(
+        PromoteDocument(digest=digest, expected_generation=1, request_id="p2", operator="o")
+    )
+    await leader.round(3)
+    reclaimed = [job for job in leader.jobs.values() if job.run and job.run.reclaim is ReclaimAction.STOP]
+    assert len(reclaimed) == 2
+    assert "above its upper limit of 1 tasks" in reclaimed[0].history[-1]
+    assert len(reclaimed[0].history) == 2
+
+
+@pytest.mark.parametrize(
+    ("jobs", "register", "rule"),
+    [
+        (4, True, "upper limit: team red holds 3 of 3"),
+        (1, False, "room: by declared sizes the job fits on 0"),
+    ],
+    ids=["limit", "room"],
+)
+async def test_waiting_job_is_explained(leader, jobs, register, rule):
+    """Guards against a job that waits without a reason."""
+    if register:
+        leader.submitter.register("vm")
+    for number in range(jobs):
+        leader.submitter.accept(f"r{number}")
+    await leader.round()
+    assert rule in explain_waiting(leader.submitter.state, job=leader.jobs[f"r{jobs - 1}"])
