--- a/src/hyssopway/job/planner.py
+++ b/src/hyssopway/job/planner.py
@@ -92,11 +92,15 @@
                 self.estimates.observe(
                     team=end.team, task_kind=end.task_kind, usage=task.usage, ran_s=task.ran_s
                 )
+        if changes.zones:
+            changed = [vm.name for vm in state.tables.vms.values() if vm.zone in changes.zones]
+            changes.vms.update(dict.fromkeys(changed))
         for name in changes.vms:
             self.view.refresh_vm(name)
         for job_id in (*changes.jobs, *self.queues.due(now_ms=now_ms)):
             self.follow_job(job_id, now_ms=now_ms)
         self._follow_zones()
+        self.view.let_in(now=self.clock())
         self.total = self.view.total()
         self.usage = {
             team: TeamUsage(tasks=usage.tasks, resources=usage.resources)
--- a/tests/job/test_scheduler.py
+++ b/tests/job/test_scheduler.py
@@ -8,12 +8,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hyssopway.control.command import SetZone
+from hyssopway.control.command import PromoteDocument, SetZone, TrialDocument
 from hyssopway.control.record import JobStatus, ReclaimAction, RunOutcome, ZoneStatus
 from hyssopway.document import Resources
-from hyssopway.job import TaskUsage
+from hyssopway.job import TaskUsage, explain_waiting
 from hyssopway.job.capacity_tree import CLOSED, CapacityTree
+from hyssopway.job.estimates import MAX_KINDS, Estimates
 from hyssopway.job.shares import fair_shares
+from states import DOCUMENT
 
 HALF = Resources(cores=8, memory_gb=32)
 
@@ -41,6 +43,9 @@
     rng = random.Random(seed)
     free = {f"v{number}": (CLOSED, CLOSED) for number in range(size)}
     tree = CapacityTree(list(free))
+    filled = [name for name in free if rng.random() < 0.5]
+    free |= {name: (rng.randint(0, 8), rng.randint(0, 8)) for name in filled}
+    tree.fill({name: free[name] for name in filled})
     for _ in range(3 * size):
         name = rng.choice(list(free))
         free[name] = (rng.randint(0, 8), rng.randint(0, 8)) if rng.random() < 0.8 else (CLOSED, CLOSED)
@@ -193,3 +198,70 @@
     assert leader.vm_of("j") == ""
     await leader.round()
     assert leader.vm_of("j") == "vm"
+
+
+async def test_lowered_limit_is_enforced_on_running_tasks(leader):
+    """Guards against a team that stays above a limit that operators lowered."""
+    leader.submitter.register("vm", capacity=Resources(cores=64, memory_gb=256))
+    for number in range(3):
+        leader.submitter.accept(f"r{number}")
+    await leader.round()
+    text = DOCUMENT.replace("max_running: 3,", "max_running: 1,")
+    trial = TrialDocument(text=text, expected_generation=1, request_id="t2", operator="o")
+    digest = leader.submitter.must(trial).reference
+    leader.submitter.must(
+        PromoteDocument(digest=digest, expected_generation=1, request_id="p2", operator="o")
+    )
+    await leader.round(3)
+    reclaimed = [job for job in leader.jobs.values() if job.run and job.run.reclaim is ReclaimAction.STOP]
+    assert len(reclaimed) == 2
+    assert "above its upper limit of 1 tasks" in reclaimed[0].history[-1]
+    assert len(reclaimed[0].history) == 2
+
+
+@pytest.mark.parametrize(
+    ("jobs", "register", "rule"),
+    [
+        (4, True, "upper limit: team red holds 3 of 3"),
+        (1, False, "room: by declared sizes the job fits on 0"),
+    ],
+    ids=["limit", "room"],
+)
+async def test_waiting_job_is_explained(leader, jobs, register, rule):
+    """Guards against a job that waits without a reason."""
+    if register:
+        leader.submitter.register("vm")
+    for number in range(jobs):
+        leader.submitter.accept(f"r{number}")
+    await leader.round()
+    assert rule in explain_waiting(leader.submitter.state, job=leader.jobs[f"r{jobs - 1}"])
+
+
+def test_estimates_forget_the_oldest_of_too_many_kinds():
+    """Guards against submitters that fill the leader with names of kinds."""
+    estimates = Estimates()
+    for number in range(MAX_KINDS + 5):
+        estimates.observe(team="red", task_kind=f"k{number}", usage=HALF, ran_s=1)
+    assert len(estimates.kinds) == MAX_KINDS
+    assert ("red", "k0") not in estimates.kinds
+
+
+async def test_withdrawn_zone_takes_nothing_and_takes_work_again_when_open(leader):
+    """Guards against a scheduler that overlooks the change of a zone."""
+    leader.submitter.register("vm-a", zone="a")
+    leader.submitter.register("vm-b", zone="b")
+    for number, (status, vms) in enumerate(
+        [
+            (ZoneStatus.OPEN, {"vm-a", "vm-b"}),
+            (ZoneStatus.WITHDRAWN, {"vm-b"}),
+            (ZoneStatus.OPEN, {"vm-a", "vm-b"}),
+        ]
+    ):
+        leader.submitter.must(SetZone(zone="a", status=status, request_id=f"z{number}", operator="o"))
+        for part in range(2):
+            leader.submitter.accept(f"j{number}-{part}", team="blue")
+        await leader.round()
+        assert {leader.vm_of(name) for name in leader.running()} == vms
+        assert all(outcome is None for outcome in leader.submitter.outcomes)
+        for name in leader.running():
+            leader.end(name)
