Return recalled credits at once and tolerate an uneven division

Cause: in a burst some slots were unused while credits changed hands: a recalled credit waited up to 0.1 s for the next maintenance, and the remainder of an uneven division moved between entries with their queues.

Change: recalled credits are returned by a task of their own; a holder of one more than its share is not recalled.

--- a/src/hyssopway/routing/ledger.py
+++ b/src/hyssopway/routing/ledger.py
@@ -26,6 +26,9 @@
 # A new endpoint gets a quarter of its slots at first and all of them after this time.
 SLOW_START_S = 2.0
 SLOW_START_PART = 0.25
+# The remainder of an uneven division moves between the daemons with their queues; recalling for it
+# would leave slots unused on the way.
+TOLERATED = 1
 # Holders report their queue at least every 0.5 s; an older report says nothing.
 WAITING_VALID_S = 1.0
 
@@ -162,6 +165,8 @@
         self, renewed: list[int], *, endpoints: list[Endpoint], allowed: int | None, avoided: tuple[str, ...]
     ) -> list[int]:
         serving = {endpoint.name for endpoint in endpoints} - set(avoided)
+        if allowed is not None and len(renewed) <= allowed + TOLERATED:
+            allowed = None
         kept = 0
         recalled = []
         for credit_id in renewed:
--- a/src/hyssopway/routing/service_queue.py
+++ b/src/hyssopway/routing/service_queue.py
@@ -60,6 +60,7 @@
     __slots__ = (
         "clock",
         "drain",
+        "flushing",
         "health",
         "homes",
         "idle",
@@ -101,6 +102,7 @@
         self.short = False
         self.window_at = clock()
         self.refilling: asyncio.Task[None] | None = None
+        self.flushing: asyncio.Task[None] | None = None
 
     async def acquire(
         self, *, deadline: float, queue_limit: int, avoided: frozenset[str] = frozenset()
@@ -248,7 +250,7 @@
         """Gives a credit to the first request that waits, keeps it or gives it back."""
         now = self.clock()
         if not self._usable(held, now=now):
-            self.returning.setdefault(held.home, []).append(held.credit.credit_id)
+            self._give_back(held)
             return False
         endpoint = held.credit.endpoint
         waiter = next((item for item in self.waiting if endpoint not in item.avoided), None)
@@ -259,6 +261,15 @@
         self.idle.append(held)
         return True
 
+    def _give_back(self, held: HeldCredit) -> None:
+        # Others wait for it; the next maintenance is up to 0.1 s away.
+        self.returning.setdefault(held.home, []).append(held.credit.credit_id)
+        if self.flushing is None or self.flushing.done():
+            self.flushing = asyncio.create_task(self._flush())
+
+    async def _flush(self) -> None:
+        await asyncio.gather(*(self._renew(home, []) for home in list(self.returning)))
+
     def _start_refill(self) -> None:
         self.wanted.set()
         if self.refilling is None or self.refilling.done():
@@ -377,7 +388,7 @@
                 held.recalled = True
         for held in [held for held in self.idle if held.recalled]:
             self.idle.remove(held)
-            self.returning.setdefault(held.home, []).append(held.credit.credit_id)
+            self._give_back(held)
 
 
 __all__ = ["ServiceQueue"]
