Test claims by seeded resends over mixed faults

Cause: no test mixed the faults of endpoints with resends of one key.

Ruled out: more processes for it; the claims are decided in the agreed state, which the fake submitter applies.

--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections import Counter
 
 import pytest
 
@@ -141,3 +143,23 @@
     await asyncio.sleep(0.3)
     assert await bench.call("once", key="k", data=b"x") == (200, b"x")
     assert endpoint.ran["k"] == 1
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_seeded_resends_over_mixed_faults_run_at_most_once(bench, seed):
+    """Guards against a second run, and against a false "not run", in random mixes of faults."""
+    rng = random.Random(seed)
+    ways = ["whole", "did not run", "refuses", "resets after reading", "half", "slowly", "wrong id"]
+    endpoints = [await bench.add(way, service="once", slots=2) for way in ways]
+    told: dict[str, list[str]] = {}
+
+    async def send(key: str) -> None:
+        await asyncio.sleep(rng.random() * 0.3)
+        status, body = await bench.call("once", key=key, data=b"x")
+        told.setdefault(key, []).append("ran" if status == 200 else body["work"])
+
+    await asyncio.gather(*(send(f"key-{number % 50}") for number in range(200)))
+    runs = sum((endpoint.ran for endpoint in endpoints), Counter())
+    assert max(runs.values()) == 1
+    assert [key for key, works in told.items() if set(works) == {"not_run"} and runs[key]] == []
+    assert [key for key, works in told.items() if "ran" in works and not runs[key]] == []
