Test that the HTTP client sends nothing a second time

Cause: the switch against the retries of aiohttp is a private attribute, which an update may rename without an error.

Ruled out: relying on POST tests; aiohttp repeats only GET, PUT, DELETE and the like on kept connections.

Change: a test with PUT on a kept connection that breaks.

Conclusion: a renamed attribute will be noticed.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -191,7 +191,8 @@
         """Sends a request and returns status and JSON or bytes."""
         headers = options.pop("headers", {}) | ({"Idempotency-Key": key} if key else {})
         url = f"{self.url}/call/{service}/path"
-        async with self.session.post(url, headers=headers, **options) as answer:
+        method = options.pop("method", "POST")
+        async with self.session.request(method, url, headers=headers, **options) as answer:
             is_json = answer.content_type == "application/json"
             return answer.status, await (answer.json() if is_json else answer.read())
 
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -55,6 +55,16 @@
     assert sum(endpoint.ran.values()) <= 52
 
 
+async def test_http_client_sends_nothing_a_second_time(bench):
+    """Guards against retries of the HTTP client itself, which know no budget and no idempotency."""
+    endpoint = await bench.add("whole", slots=1)
+    assert await bench.call(method="PUT", data=b"x") == (200, b"x")
+    endpoint.way = "resets after reading"
+    bench.gateway.budget.balance = 0.0
+    assert (await bench.call(method="PUT", data=b"x"))[0] == 502
+    assert sum(endpoint.ran.values()) == 2
+
+
 @pytest.mark.parametrize("way", ["twice", "whole", "slowly"])
 async def test_answers_are_whole_and_belong_to_their_request(bench, way):
     """Guards against an answer that reaches another caller over a kept connection."""
