End with a status instead of a traceback when a daemon cannot start

Change: such a folder is a storage failure (74), such an address a problem of the settings (64).

Ruled out: a status of its own for addresses; 0, 64 and 74 are the contract.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -10,7 +10,7 @@
 import aiohttp
 from aiohttp import web
 
-from hyssopway.agreement import Configuration, Member, Store, run_elections, run_replication
+from hyssopway.agreement import Configuration, Member, StorageError, Store, run_elections, run_replication
 from hyssopway.clock import monotonic_s, wall_ms
 from hyssopway.endpoint import EndpointRegistry
 from hyssopway.event import Event, log_event
@@ -116,8 +116,7 @@
     async def start(self) -> None:
         """Opens durable state, starts all tasks and listens."""
         own = self.settings.own
-        if self.member is not None:
-            self.member.open(initial=self._initial_configuration() if self.initialise else None)
+        self._open_member()
         tls = self.settings.tls
         await self.peer_server.open(
             host=own.host, port=own.peer_port, tls=peer_server_context(tls) if tls else None
@@ -183,6 +182,14 @@
             snapshot_entries=self.settings.snapshot_entries,
         )
 
+    def _open_member(self) -> None:
+        if self.member is None:
+            return
+        try:
+            self.member.open(initial=self._initial_configuration() if self.initialise else None)
+        except OSError as error:
+            raise StorageError(f"data folder {self.settings.data_dir}: {error}") from error
+
     def _initial_configuration(self) -> Configuration:
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
--- a/src/hyssopway/run.py
+++ b/src/hyssopway/run.py
@@ -76,6 +76,10 @@
     except (LogDamagedError, StorageError) as error:
         log_event(Event.STORAGE_FAILED, error=str(error))
         return EXIT_STORAGE
+    except OSError as error:
+        # Only addresses of the settings are opened before the daemon serves.
+        log_event(Event.SETTINGS_REJECTED, problem=f"{path}: peers: {error}")
+        return EXIT_BAD_SETTINGS
     return EXIT_OK
 
 
