Send the epochs that the fleet routes expect

Waves show their progress as a cell.

Ruled out: leaving the epoch to the server, which would drop the protection against two operators.

--- a/src/hyssopway/cli/vm_commands.py
+++ b/src/hyssopway/cli/vm_commands.py
@@ -12,6 +12,10 @@
 app = typer.Typer(help="List, drain, return and move VMs.", no_args_is_help=True)
 
 VmName = Annotated[str, typer.Argument(metavar="VM")]
+Epoch = Annotated[
+    int | None,
+    typer.Option("--expect", metavar="EPOCH", help="Refuse unless the VM is at this epoch; read by default."),
+]
 
 
 @app.command("list")
@@ -40,21 +44,21 @@
 
 
 @app.command()
-def drain(context: typer.Context, vm: VmName, request_id: RequestId = "") -> None:
+def drain(context: typer.Context, vm: VmName, expect: Epoch = None, request_id: RequestId = "") -> None:
     """Take a permit for a VM and let its work end.
 
     Example: hyssopway vms drain restock-vm-1
     """
-    _change(context, vm=vm, action="drain", body={}, request_id=request_id)
+    _change(context, vm=vm, action="drain", body={}, expect=expect, request_id=request_id)
 
 
 @app.command("return")
-def return_vm(context: typer.Context, vm: VmName, request_id: RequestId = "") -> None:
+def return_vm(context: typer.Context, vm: VmName, expect: Epoch = None, request_id: RequestId = "") -> None:
     """Return a drained VM to its pool.
 
     Example: hyssopway vms return restock-vm-1
     """
-    _change(context, vm=vm, action="return", body={}, request_id=request_id)
+    _change(context, vm=vm, action="return", body={}, expect=expect, request_id=request_id)
 
 
 @app.command()
@@ -62,18 +66,34 @@
     context: typer.Context,
     vm: VmName,
     pool: Annotated[str, typer.Argument(metavar="POOL", help="Pool that it moves to.")],
+    expect: Epoch = None,
     request_id: RequestId = "",
 ) -> None:
     """Move a drained VM to another pool.
 
     Example: hyssopway vms move restock-vm-1 matching
     """
-    _change(context, vm=vm, action="move", body={"pool": pool}, request_id=request_id)
+    _change(context, vm=vm, action="move", body={"target": pool}, expect=expect, request_id=request_id)
 
 
-def _change(context: typer.Context, *, vm: str, action: str, body: dict[str, Any], request_id: str) -> None:
+def _change(
+    context: typer.Context,
+    *,
+    vm: str,
+    action: str,
+    body: dict[str, Any],
+    expect: int | None,
+    request_id: str,
+) -> None:
+    connection = operator_connection(context)
+    if expect is None:
+        vms = [item["vm"] for item in connection.read("/v1/vms")["vms"]]
+        # The server has the message for a VM that does not exist.
+        expect = next((int(item["epoch"]) for item in vms if item["name"] == vm), 0)
     path = route_path("vms", vm, action)
-    write_fields(operator_connection(context).change("POST", path, body, request_id=request_id))
+    body = body | {"expected_epoch": expect}
+    resend = f"--expect {expect}"
+    write_fields(connection.change("POST", path, body, request_id=request_id, resend=resend))
 
 
 def _row(item: dict[str, Any]) -> tuple[Any, ...]:
--- a/src/hyssopway/cli/wave_commands.py
+++ b/src/hyssopway/cli/wave_commands.py
@@ -12,6 +12,12 @@
 app = typer.Typer(help="Start, show and control maintenance waves.", no_args_is_help=True)
 
 WaveName = Annotated[str, typer.Argument(metavar="WAVE")]
+Epoch = Annotated[
+    int | None,
+    typer.Option(
+        "--expect", metavar="EPOCH", help="Refuse unless the wave is at this epoch; read by default."
+    ),
+]
 
 
 @app.command()
@@ -29,30 +35,30 @@
 
 
 @app.command()
-def pause(context: typer.Context, wave: WaveName, request_id: RequestId = "") -> None:
+def pause(context: typer.Context, wave: WaveName, expect: Epoch = None, request_id: RequestId = "") -> None:
     """Take no further VM; work on VMs already taken ends.
 
     Example: hyssopway waves pause WAVE
     """
-    _change(context, wave=wave, action="pause", request_id=request_id)
+    _change(context, wave=wave, action="pause", expect=expect, request_id=request_id)
 
 
 @app.command()
-def resume(context: typer.Context, wave: WaveName, request_id: RequestId = "") -> None:
+def resume(context: typer.Context, wave: WaveName, expect: Epoch = None, request_id: RequestId = "") -> None:
     """Continue a paused wave.
 
     Example: hyssopway waves resume WAVE
     """
-    _change(context, wave=wave, action="resume", request_id=request_id)
+    _change(context, wave=wave, action="resume", expect=expect, request_id=request_id)
 
 
 @app.command()
-def abort(context: typer.Context, wave: WaveName, request_id: RequestId = "") -> None:
+def abort(context: typer.Context, wave: WaveName, expect: Epoch = None, request_id: RequestId = "") -> None:
     """End a wave; VMs already taken are returned.
 
     Example: hyssopway waves abort WAVE
     """
-    _change(context, wave=wave, action="abort", request_id=request_id)
+    _change(context, wave=wave, action="abort", expect=expect, request_id=request_id)
 
 
 @app.command()
@@ -66,21 +72,28 @@
     Example: hyssopway waves show
     """
     data = operator_connection(context).read("/v1/waves")
-    waves = [item for item in data["waves"] if wave in ("", item.get("wave"), item.get("name"))]
+    waves = [item for item in data["waves"] if wave in ("", item["wave"])]
     if as_json:
         write_json({"waves": waves})
         return
-    columns = list(dict.fromkeys(name for item in waves for name, value in item.items() if _is_plain(value)))
-    write_table(columns=columns, rows=[[item.get(name) for name in columns] for item in waves])
+    columns = list(dict.fromkeys(name for item in waves for name in item))
+    write_table(columns=columns, rows=[[_cell(item.get(name)) for name in columns] for item in waves])
 
 
-def _change(context: typer.Context, *, wave: str, action: str, request_id: str) -> None:
+def _change(context: typer.Context, *, wave: str, action: str, expect: int | None, request_id: str) -> None:
+    connection = operator_connection(context)
+    if expect is None:
+        waves = connection.read("/v1/waves")["waves"]
+        # The server has the message for a wave that does not exist.
+        expect = next((int(item["epoch"]) for item in waves if item["wave"] == wave), 0)
     path = route_path("waves", wave, action)
-    write_fields(operator_connection(context).change("POST", path, {}, request_id=request_id))
+    body = {"expected_epoch": expect}
+    resend = f"--expect {expect}"
+    write_fields(connection.change("POST", path, body, request_id=request_id, resend=resend))
 
 
-def _is_plain(value: object) -> bool:
-    return not isinstance(value, dict | list)
+def _cell(value: object) -> object:
+    return ", ".join(f"{count} {name}" for name, count in value.items()) if isinstance(value, dict) else value
 
 
 __all__ = ["app"]
