List daemons that wait to be added as control members

Change: `members list` prints them below the table.

Ruled out: a column in the table, since these daemons are no members yet.

--- a/src/hyssopway/cli/member_commands.py
+++ b/src/hyssopway/cli/member_commands.py
@@ -6,7 +6,7 @@
 
 from .access import operator_connection
 from .options import Json, RequestId
-from .output import write_fields, write_json, write_table
+from .output import write_fields, write_json, write_line, write_table
 
 app = typer.Typer(help="List, add, promote and remove control members.", no_args_is_help=True)
 
@@ -26,6 +26,8 @@
     members = data["members"]
     columns = list(dict.fromkeys(name for member in members for name in member))
     write_table(columns=columns, rows=[[member.get(name) for name in columns] for member in members])
+    for name in data.get("waiting", []):
+        write_line(f"waits to be added: {name}")
 
 
 @app.command()
