--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -13,6 +13,7 @@
     Configuration,
     InitialiseRefusedError,
     Member,
+    StorageError,
     Store,
     run_elections,
     run_replication,
@@ -248,7 +249,10 @@
                 log_event(Event.INITIALISE_REFUSED, reason=reason)
                 raise InitialiseRefusedError(reason)
             initial = self._initial_configuration()
-        member.open(initial=initial)
+        try:
+            member.open(initial=initial)
+        except OSError as error:
+            raise StorageError(f"data folder {self.settings.data_dir}: {error}") from error
         if not member.configuration.members:
             log_event(Event.MEMBER_WAITS, member=member.member_id)
 
