--- a/src/hyssopway/replica/following.py
+++ b/src/hyssopway/replica/following.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from hyssopway.peer import PeerUnreachableError
@@ -48,7 +49,7 @@
         elif leader:
             await _confirm_with(client=peers.client(leader), replica=replica, freshness=freshness)
         freshness.report()
-        await asyncio.sleep(CONFIRM_INTERVAL_S if freshness.is_valid else RETRY_S)
+        await asyncio.sleep(_with_jitter(CONFIRM_INTERVAL_S if freshness.is_valid else RETRY_S))
 
 
 async def follow_upstream(
@@ -73,7 +74,12 @@
         freshness.report()
         if not useful:
             position += 1
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(_with_jitter(RETRY_S))
+
+
+def _with_jitter(seconds: float) -> float:
+    # Followers that lost the same daemon do not all come to the next one at the same moment.
+    return seconds * random.uniform(0.5, 1.5)
 
 
 async def _confirm_with(*, client: PeerClient, replica: Replica, freshness: Freshness) -> None:
@@ -111,11 +117,17 @@
 
 async def _read_snapshot(*, client: PeerClient, replica: Replica) -> None:
     parts = bytearray()
+    index = 0
     while True:
         part = await client.read_snapshot(offset=len(parts), timeout_s=SNAPSHOT_TIMEOUT_S)
+        if parts and part.index != index:
+            return  # replaced by a later one in the meantime; the next watch starts again
+        index = part.index
         parts += part.data
-        if len(parts) >= part.total or not part.data:
+        if len(parts) >= part.total:
             break
+        if not part.data:
+            return
     replica.restore_snapshot(bytes(parts))
 
 
--- a/src/hyssopway/replica/replica.py
+++ b/src/hyssopway/replica/replica.py
@@ -69,14 +69,16 @@
         if index + 1 < self.first_recent_index:
             return None
         missing = self.applied_index - index
-        return tuple(self.recent)[len(self.recent) - missing :] if missing > 0 else ()
+        return tuple(self.recent[position] for position in range(-missing, 0))
 
     def cached_snapshot(self, *, offset: int) -> tuple[int, bytes]:
         """Returns index and bytes of a snapshot; a new one only for a reader at its start.
 
-        Readers in the middle of a snapshot keep getting the parts of the same one.
+        The snapshot is shared while its readers can go on with the entries that are kept, so that many
+        followers that start together neither have it encoded for each nor replace it under one another.
         """
-        if offset == 0 and self.snapshot[0] != self.applied_index:
+        too_old = self.applied_index - self.snapshot[0] > min(len(self.recent), RECENT_ENTRIES // 2)
+        if offset == 0 and (too_old or not self.snapshot[1]):
             self.snapshot = (self.applied_index, self.encode_snapshot())
         return self.snapshot
 
