Kill processes at named points between receive and answer

Cause: nothing showed what a crash between a write, its sync and its answer does to acknowledged changes.

SIGKILL keeps the page cache, so lost syncs are covered only by the tests of torn writes.

--- a/src/hyssopway/agreement/log_file.py
+++ b/src/hyssopway/agreement/log_file.py
@@ -7,6 +7,7 @@
 
 from hyssopway.event import Event, log_event
 
+from .crash_points import crash_point
 from .record import decode_records, encode_record, find_later_record
 from .storage_error import LogDamagedError, StorageError
 
@@ -73,9 +74,11 @@
             offset += len(record)
         try:
             _write_all(self.descriptor, b"".join(chunks), offset=self.end)
+            crash_point("written")
             os.fdatasync(self.descriptor)
         except OSError as error:
             raise StorageError(f"cannot write {self.path}: {error}") from error
+        crash_point("synced")
         self.syncs += 1
         self.offsets += starts
         self.end = offset
@@ -95,6 +98,7 @@
         except (OSError, StorageError) as error:
             fresh.close()
             raise StorageError(f"cannot replace {self.path}: {error}") from error
+        crash_point("log-replaced")
         # From the rename on the old file has no name; entries written to it would be lost.
         os.close(self.descriptor)
         self.descriptor = fresh.descriptor
--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -17,6 +17,7 @@
 from hyssopway.result import Failure, ResultCode, WorkState
 
 from .configuration import Configuration, daemon_of
+from .crash_points import crash_point
 from .entry import Entry, EntryKind
 from .membership import next_configuration
 from .progress import Progress
@@ -137,6 +138,7 @@
         if not self.is_leader:
             message = f"leader is {self.leader_daemon}" if self.leader_id else "no leader is known"
             return Error(Failure(code=ResultCode.NOT_LEADER, message=message))
+        crash_point("received")
         self.store.entries.append(entry)
         index = self.store.last_index
         if entry.kind is EntryKind.CONFIGURATION:
@@ -155,6 +157,7 @@
             return Error(
                 Failure(code=ResultCode.OUTCOME_UNKNOWN, message=message, work=WorkState.MAY_HAVE_RUN)
             )
+        crash_point("answering")
         return Ok(outcome)
 
     async def change_members(self, change: MemberChange, *, timeout_s: float) -> Result[Outcome, Failure]:
@@ -334,6 +337,8 @@
         data = entry.data if entry.kind is EntryKind.COMMAND else b""
         outcome = self.machine.apply(index=index, data=data)
         self.applied_index = index
+        if entry.kind is EntryKind.COMMAND:
+            crash_point("applied")
         term, future = self.waiting.get(index, (0, None))
         if future is not None and not future.done():
             future.set_result(outcome if term == entry.term else None)
--- a/src/hyssopway/agreement/replication.py
+++ b/src/hyssopway/agreement/replication.py
@@ -9,6 +9,7 @@
 from hyssopway.event import Event, log_event
 
 from .configuration import daemon_of
+from .crash_points import crash_point
 from .messages import AppendReply, AppendRequest, SnapshotChunk
 from .role import Role
 from .snapshot import Snapshot
@@ -253,6 +254,7 @@
         fresh.pop(0)
         start += 1
     if fresh:
+        crash_point("received")
         del store.entries[start - store.snapshot.index - 1 :]
         store.synced_index = min(store.synced_index, start - 1)
         store.entries += fresh
--- a/src/hyssopway/agreement/store.py
+++ b/src/hyssopway/agreement/store.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .configuration import Configuration, daemon_of
+from .crash_points import crash_point
 from .entry import Entry, EntryKind
 from .log_file import LogFile, sync_folder
 from .slot_file import SlotFile
@@ -144,6 +145,7 @@
         """Makes term and vote durable."""
         vote = Vote(member_id=self.vote.member_id, term=term, voted_for=voted_for, initial=self.vote.initial)
         self.vote_file.write(vote.encode())
+        crash_point("vote-synced")
         self.vote = vote
 
     def write_entries(self, *, index: int, entries: Sequence[Entry]) -> None:
@@ -154,6 +156,7 @@
     def write_snapshot(self, snapshot: Snapshot) -> None:
         """Makes a snapshot durable; `adopt_snapshot` must follow on the event loop."""
         write_whole(self.folder / "snapshot", snapshot.encode())
+        crash_point("snapshot-written")
         kept = self._kept_entries(snapshot)
         durable = kept[: max(0, self.synced_index - snapshot.index)]
         self.log_file.rewrite(first_index=snapshot.index + 1, entries=durable)
