--- a/src/hyssopway_standins/measure/__main__.py
+++ b/src/hyssopway_standins/measure/__main__.py
@@ -15,7 +15,7 @@
     from .measurement import Measurement
 
 # Each area is a module of this package with `measure(*, seed: int, quick: bool) -> Measurement`.
-AREAS: tuple[str, ...] = ()
+AREAS: tuple[str, ...] = ("agreement",)
 
 
 def main() -> int:
