Keep a peer connection when only one call failed

Cause: an exception of a handler, such as a proposal without a quorum in time, closed the connection of the caller, and with it the answers of all other calls in progress were lost.

Ruled out: a connection for each kind of call; the fault was in the reaction of the client.

Change: only a lost connection, a failed authentication or silence closes it. Contract tests of client and server run over a real connection with a table of faults.

Conclusion: a refused call no longer disturbs others on its connection.

--- a/src/hyssopway/peer/client.py
+++ b/src/hyssopway/peer/client.py
@@ -159,11 +159,22 @@
             raise PeerUnreachableError(f"{self.daemon} did not answer in {timeout_s:.2f} s") from error
         except (OSError, capnp.KjException) as error:
             reason = str(error).splitlines()[0] if str(error) else type(error).__name__
-            if self.client is not None:
-                log_event(Event.PEER_LOST, peer=self.daemon, error=reason)
-            self.close()
+            if not self._only_this_call_failed(error):
+                if self.client is not None:
+                    log_event(Event.PEER_LOST, peer=self.daemon, error=reason)
+                self.close()
             raise PeerUnreachableError(f"{self.daemon}: {reason}") from error
 
+    def _only_this_call_failed(self, error: Exception) -> bool:
+        # A handler that raised says nothing about the connection; closing it would lose the answers of all
+        # other calls, entries of a leader among them.
+        kinds = capnp.KjException.Type
+        return (
+            self.remote is not None
+            and isinstance(error, capnp.KjException)
+            and error.type in (kinds.FAILED, kinds.UNIMPLEMENTED)
+        )
+
     async def _connect(self) -> Any:
         async with self.connecting:
             if self.remote is not None:
--- /dev/null
+++ b/tests/peer/test_contract.py
@@ -0,0 +1,116 @@
+"""Contract of peer client and server over a real connection, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import capnp
+import pytest
+
+from hyssopway.agreement.entry import Entry, EntryKind
+from hyssopway.agreement.messages import AppendReply, AppendRequest, SnapshotChunk, VoteReply, VoteRequest
+from hyssopway.peer import PeerClient, PeerServer, PeerUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+VOTE = VoteRequest(term=3, candidate="a/0", target="b/0", last_index=7, last_term=2, pre_vote=True)
+APPEND = AppendRequest(
+    term=3,
+    leader="a/0",
+    target="b/0",
+    previous_index=6,
+    previous_term=2,
+    commit_index=5,
+    entries=(Entry(term=3, data=b"x"), Entry(term=3, kind=EntryKind.CONFIGURATION, data=b"y" * 600_000)),
+)
+TOKEN = "right-token"
+CHUNK = SnapshotChunk(
+    term=3, leader="a/0", index=9, index_term=2, configuration=b"c", offset=4, data=b"d", last=True
+)
+
+
+class Handlers:
+    """Records requests; fails or waits when told to."""
+
+    def __init__(self) -> None:
+        self.seen: list[Any] = []
+
+    async def vote(self, request: VoteRequest) -> VoteReply:
+        """Grants."""
+        self.seen.append(request)
+        return VoteReply(term=4, granted=True)
+
+    async def append(self, request: AppendRequest) -> AppendReply:
+        """Accepts."""
+        self.seen.append(request)
+        return AppendReply(term=4, success=True, match_index=8, member="b/0")
+
+    async def install_snapshot(self, chunk: SnapshotChunk) -> AppendReply:
+        """Accepts."""
+        self.seen.append(chunk)
+        return AppendReply(term=4, success=False, match_index=0, member="b/0")
+
+    async def exchange(self, *, topic: str, data: bytes) -> bytes:
+        """Fails, waits or echoes."""
+        if topic == "fail":
+            raise RuntimeError("handler failed")
+        if topic == "slow":
+            await asyncio.sleep(0.5)
+        return data
+
+
+@asynccontextmanager
+async def connected(*, token: str = TOKEN, listen: bool = True) -> AsyncIterator[tuple[Any, Handlers]]:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    handlers: Any = Handlers()
+    async with capnp.kj_loop():
+        server = PeerServer(handlers=handlers, token=TOKEN)
+        if listen:
+            await server.open(host="127.0.0.1", port=port)
+        client = PeerClient(daemon="b", host="127.0.0.1", port=port, own_name="a", token=token)
+        yield client, handlers
+        client.close()
+        server.close()
+        await asyncio.sleep(0.05)
+
+
+async def test_messages_arrive_unchanged():
+    """Guards against a field that the wire format drops."""
+    async with connected() as (client, handlers):
+        vote = await client.vote(request=VOTE, timeout_s=2)
+        append = await client.append(request=APPEND, timeout_s=2)
+        chunk = await client.install_snapshot(chunk=CHUNK, timeout_s=2)
+    assert handlers.seen == [VOTE, APPEND, CHUNK]
+    assert vote == VoteReply(term=4, granted=True)
+    assert append == AppendReply(term=4, success=True, match_index=8, member="b/0")
+    assert not chunk.success
+
+
+@pytest.mark.parametrize(
+    ("options", "topic"),
+    [({"listen": False}, "echo"), ({"token": "wrong"}, "echo"), ({}, "fail"), ({}, "slow")],
+    ids=["nobody listens", "wrong token", "handler fails", "too slow"],
+)
+async def test_every_fault_is_an_unreachable_peer(options: dict[str, Any], topic: str):
+    """Guards against an exception that ends the replication or election task of a member."""
+    async with connected(**options) as (client, _):
+        with pytest.raises(PeerUnreachableError):
+            await client.exchange(topic=topic, data=b"1", timeout_s=0.2)
+        if not options:
+            assert await client.exchange(topic="echo", data=b"2", timeout_s=2) == b"2"
+
+
+async def test_failed_handler_does_not_break_other_calls():
+    """Guards against one refused call that loses the answers of all others on the connection."""
+    async with connected() as (client, _):
+        slow = asyncio.create_task(client.exchange(topic="slow", data=b"kept", timeout_s=3))
+        await asyncio.sleep(0.1)
+        with pytest.raises(PeerUnreachableError):
+            await client.exchange(topic="fail", data=b"", timeout_s=2)
+        assert await slow == b"kept"
