--- a/src/hyssopway_standins/measure/nodes.py
+++ b/src/hyssopway_standins/measure/nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import tempfile
+import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -38,10 +39,12 @@
     Attributes:
         cpu: Processor seconds a second.
         largest_rss_mb: Resident memory of the largest daemon.
+        workers_cpu: Processor seconds a second of this process, which plays the workers.
     """
 
     cpu: float
     largest_rss_mb: float
+    workers_cpu: float
 
 
 def measure(*, seed: int, quick: bool) -> Measurement:
@@ -69,6 +72,7 @@
     workers: list[WorkerStandIn] = []
     cpu: list[tuple[float, float]] = [(0, idle.cpu)]
     memory: list[tuple[float, float]] = [(0, idle.largest_rss_mb)]
+    own_cpu: list[tuple[float, float]] = [(0, idle.workers_cpu)]
     try:
         for size in sizes:
             while len(workers) < size:
@@ -77,10 +81,11 @@
             cost = await _cost(deployment)
             cpu.append((size, cost.cpu))
             memory.append((size, cost.largest_rss_mb))
+            own_cpu.append((size, cost.workers_cpu))
     finally:
         for worker in workers:
             worker.stop()
-    cpu_fit, memory_fit = fit_line(cpu), fit_line(memory)
+    cpu_fit, memory_fit, own_fit = fit_line(cpu), fit_line(memory), fit_line(own_cpu)
     sent, received = await _bytes_per_sync(deployment, worker=workers[0])
     return Measurement(
         area="nodes",
@@ -88,6 +93,9 @@
             "idle_cpu_of_all_six_daemons": idle.cpu,
             "cpu_ms_per_sync": cpu_fit.slope * SYNC_S * 1000,
             "cpu_fit_error": cpu_fit.error,
+            "cpu_per_worker": cpu_fit.slope,
+            "worker_cpu": own_fit.slope,
+            "worker_cpu_fit_error": own_fit.error,
             "daemon_rss_mb_idle": memory_fit.base,
             "daemon_rss_kb_per_worker": memory_fit.slope * 1024,
             "rss_fit_error": memory_fit.error,
@@ -126,11 +134,15 @@
         for daemon in deployment.daemons.values()
         if daemon.process is not None
     ]
-    before = sum(sum(process.cpu_times()[:2]) for process in processes)
+    before, own_before = sum(sum(process.cpu_times()[:2]) for process in processes), time.process_time()
     await asyncio.sleep(WINDOW_S)
-    after = sum(sum(process.cpu_times()[:2]) for process in processes)
+    after, own_after = sum(sum(process.cpu_times()[:2]) for process in processes), time.process_time()
     largest = max(process.memory_info().rss for process in processes)
-    return Cost(cpu=(after - before) / WINDOW_S, largest_rss_mb=largest / 2**20)
+    return Cost(
+        cpu=(after - before) / WINDOW_S,
+        largest_rss_mb=largest / 2**20,
+        workers_cpu=(own_after - own_before) / WINDOW_S,
+    )
 
 
 async def _bytes_per_sync(deployment: Deployment, *, worker: WorkerStandIn) -> tuple[int, int]:
