Split the daemon by responsibility

Cause: daemon.py had 427 lines and built every part in one constructor, so each change of any area touched the same file and the tasks and exchange topics were spread over it.

Ruled out: keeping all parts as flat attributes of the daemon; it needs one assignment for each part and hides which area a part belongs to.

Change: the constructor now builds ControlGroup, RequestPath, FleetParts, JobPath and HttpApplication. background_tasks.py lists all tasks, exchanges.py all topics of exchanges, opening.py opens the data folder. Behaviour is unchanged. Parts keep their names below daemon.group, .requests, .fleet, .jobs and .http; replica, freshness and member stay on the daemon itself.

`pytest -n 2 -m 'not faults' tests`: 757 passed in 117 s.

Conclusion: a new task is one line in background_tasks.py and a new topic one line in exchanges.py.

--- a/src/hyssopway/daemon/dump.py
+++ b/src/hyssopway/daemon/dump.py
@@ -20,11 +20,11 @@
         "agreement": _dump_member(daemon.member) if daemon.member else None,
         "freshness_age_s": daemon.freshness.age_s,
         "agreed_state": _dump_state(daemon),
-        "endpoints": list(daemon.registry.endpoints.values()),
-        "credits": daemon.ledger.grants,
-        "workers": daemon.sessions.sessions,
-        "open_requests": daemon.gateway.open_requests,
-        "metrics": daemon.metrics.summarise(),
+        "endpoints": list(daemon.requests.registry.endpoints.values()),
+        "credits": daemon.requests.ledger.grants,
+        "workers": daemon.jobs.sessions.sessions,
+        "open_requests": daemon.requests.gateway.open_requests,
+        "metrics": daemon.requests.metrics.summarise(),
     }
 
 
--- /dev/null
+++ b/src/hyssopway/daemon/exchanges.py
@@ -0,0 +1,32 @@
+"""All topics on which daemons exchange soft state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from hyssopway.fleet import VM_REQUESTS_TOPIC
+from hyssopway.routing import SUMMARY_TOPIC
+
+from .load_push import LOAD_TOPIC, take_loads
+from .members import CHANGE_TOPIC, LIST_TOPIC, STATUS_TOPIC
+from .status import own_status
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .daemon import Daemon
+
+
+def list_exchanges(daemon: Daemon) -> dict[str, Callable[[Any], Any]]:
+    """Returns the answer to each topic."""
+    return {
+        LOAD_TOPIC: lambda loads: take_loads(daemon, loads),
+        SUMMARY_TOPIC: daemon.requests.homes.answer,
+        STATUS_TOPIC: lambda _: own_status(daemon),
+        LIST_TOPIC: daemon.group.members.answer_list,
+        CHANGE_TOPIC: daemon.group.members.answer_change,
+        VM_REQUESTS_TOPIC: daemon.fleet.vm_requests.own,
+    }
+
+
+__all__ = ["list_exchanges"]
--- /dev/null
+++ b/src/hyssopway/daemon/fleet_parts.py
@@ -0,0 +1,52 @@
+"""Parts of a daemon that maintain the fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hyssopway.fleet import FleetController, Reboots, VmRequests
+from hyssopway.platform import PlatformClient
+
+if TYPE_CHECKING:
+    from .control_group import ControlGroup
+    from .request_path import RequestPath
+
+
+class FleetParts:
+    """Requests in progress on VMs and the leader's control of the fleet.
+
+    Attributes:
+        group: Agreed state and ways to the other daemons.
+        requests: Request path, whose client also calls the platform.
+        vm_requests: Counts the requests in progress on a VM.
+        controller: Drains, moves, waves and zones; acts on the leader.
+    """
+
+    __slots__ = ("controller", "group", "requests", "vm_requests")
+
+    def __init__(self, *, group: ControlGroup, requests: RequestPath) -> None:
+        self.group = group
+        self.requests = requests
+        self.vm_requests = VmRequests(
+            registry=requests.registry,
+            ledger=requests.ledger,
+            router=requests.router,
+            peers=group.peers,
+            replica=group.replica,
+        )
+        self.controller = FleetController(
+            replica=group.replica,
+            submitter=group.submitter,
+            leads=group.leads,
+            clock=group.clock,
+            now_ms=group.now_ms,
+        )
+
+    def open(self) -> None:
+        """Connects to the platform; the request path must be open."""
+        url = self.group.settings.platform_url
+        if url is not None:
+            self.controller.reboots = Reboots(platform=PlatformClient(url=url, session=self.requests.session))
+
+
+__all__ = ["FleetParts"]
--- /dev/null
+++ b/src/hyssopway/daemon/http_application.py
@@ -0,0 +1,92 @@
+"""HTTP application of a daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from hyssopway.http import answer_errors, json_response
+from hyssopway.operator_api import (
+    EndpointRoutes,
+    FleetRoutes,
+    JobRoutes,
+    MemberRoutes,
+    OperatorRoutes,
+    WaveRoutes,
+    WorkerRoutes,
+)
+
+from .status import collect_status
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .daemon import Daemon
+
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class HttpApplication:
+    """All routes of a daemon.
+
+    Attributes:
+        daemon: The daemon.
+        endpoint_routes: Routes of endpoints.
+        worker_routes: Routes of workers.
+        operator_routes: Routes of operators.
+    """
+
+    __slots__ = ("daemon", "endpoint_routes", "operator_routes", "worker_routes")
+
+    def __init__(self, *, daemon: Daemon) -> None:
+        self.daemon = daemon
+        settings, group = daemon.settings, daemon.group
+        self.endpoint_routes = EndpointRoutes(registry=daemon.requests.registry, token=settings.fleet_token)
+        self.worker_routes = WorkerRoutes(sessions=daemon.jobs.sessions, token=settings.fleet_token)
+        self.operator_routes = OperatorRoutes(
+            replica=group.replica,
+            submitter=group.submitter,
+            token=settings.operator_token,
+            read_status=lambda index: collect_status(daemon, index=index),
+            read_dump=daemon.dump,
+        )
+
+    def build(self) -> web.Application:
+        """Returns the application; the request path must be open."""
+        settings, group = self.daemon.settings, self.daemon.group
+        app = web.Application(
+            client_max_size=settings.max_body_bytes,
+            middlewares=[self._close_when_stopping, answer_errors],
+        )
+        app.router.add_get("/health", self._answer_health)
+        self.daemon.requests.gateway.add_routes(app)
+        self.endpoint_routes.add_routes(app)
+        self.worker_routes.add_routes(app)
+        JobRoutes(replica=group.replica, freshness=group.freshness, submitter=group.submitter).add_routes(app)
+        MemberRoutes(members=group.members, token=settings.operator_token).add_routes(app)
+        self.operator_routes.add_routes(app)
+        for routes in (WaveRoutes, FleetRoutes):
+            routes(
+                replica=group.replica,
+                submitter=group.submitter,
+                token=settings.operator_token,
+                now_ms=group.now_ms,
+            ).add_routes(app)
+        return app
+
+    @web.middleware
+    async def _close_when_stopping(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        answer = await handler(request)
+        if self.daemon.stopping and not answer.prepared:
+            # A caller that keeps its connection would send into its end otherwise.
+            answer.force_close()
+        return answer
+
+    async def _answer_health(self, request: web.Request) -> web.Response:
+        stopping = self.daemon.stopping
+        status = 503 if stopping else 200
+        return json_response({"healthy": not stopping, "daemon": self.daemon.settings.name}, status=status)
+
+
+__all__ = ["HttpApplication"]
--- a/src/hyssopway/daemon/load_push.py
+++ b/src/hyssopway/daemon/load_push.py
@@ -25,7 +25,7 @@
     members = [peer.name for peer in daemon.settings.peers if peer.member]
     attempt = 0
     while True:
-        if daemon.leads():
+        if daemon.group.leads():
             take_loads(daemon, own_loads(daemon))
         else:
             attempt += 1
@@ -39,7 +39,7 @@
 
     A daemon without a log is confirmed by the daemon that it watches, so its watchers' ages travel along.
     """
-    now = daemon.clock()
+    now = daemon.group.clock()
     return {
         "daemon": daemon.settings.name,
         "contacts": {name: now - at for name, at in daemon.calls.contacts.items()},
@@ -55,22 +55,22 @@
                 ]
                 for task in session.report.running
             ]
-            for vm, session in daemon.sessions.sessions.items()
+            for vm, session in daemon.jobs.sessions.sessions.items()
         },
     }
 
 
 def take_loads(daemon: Daemon, loads: dict[str, Any]) -> dict[str, Any]:
     """Records the report of a daemon and answers who leads."""
-    if not daemon.leads():
+    if not daemon.group.leads():
         return {"leader": daemon.member.leader_daemon if daemon.member else ""}
-    now = daemon.clock()
+    now = daemon.group.clock()
     contacts = daemon.calls.contacts
     contacts[loads["daemon"]] = now
     for name, age_s in loads["contacts"].items():
         contacts[name] = max(contacts.get(name, now - age_s), now - age_s)
     for vm, rows in loads["vms"].items():
-        daemon.usage.record(vm=vm, tasks=[_to_usage(row) for row in rows])
+        daemon.jobs.usage.record(vm=vm, tasks=[_to_usage(row) for row in rows])
     return {"leader": daemon.settings.name}
 
 
@@ -78,7 +78,7 @@
     if target == daemon.settings.name:
         return ""
     try:
-        answer = await daemon.peers.client(target).exchange(
+        answer = await daemon.group.peers.client(target).exchange(
             topic=LOAD_TOPIC, data=to_json(own_loads(daemon)), timeout_s=CALL_TIMEOUT_S
         )
     except PeerUnreachableError:
--- a/src/hyssopway/daemon/members.py
+++ b/src/hyssopway/daemon/members.py
@@ -184,4 +184,4 @@
     return {"failure": failure, "leader": member.leader_daemon if member else ""}
 
 
-__all__ = ["CHANGE_TOPIC", "LIST_TOPIC", "Members"]
+__all__ = ["CHANGE_TOPIC", "LIST_TOPIC", "STATUS_TOPIC", "Members"]
--- a/src/hyssopway/daemon/reloading.py
+++ b/src/hyssopway/daemon/reloading.py
@@ -52,12 +52,12 @@
     }
     for name in changed & RELOADABLE:
         setattr(current, name, getattr(settings, name))
-    daemon.operator_routes.token = current.operator_token
-    daemon.endpoint_routes.token = current.fleet_token
-    daemon.worker_routes.token = current.fleet_token
+    daemon.http.operator_routes.token = current.operator_token
+    daemon.http.endpoint_routes.token = current.fleet_token
+    daemon.http.worker_routes.token = current.fleet_token
     # Connections that are open keep their authentication; the new secret counts from the next one.
     daemon.peer_server.token = current.peer_token
-    for client in daemon.peers.clients.values():
+    for client in daemon.group.peers.clients.values():
         client.token = current.peer_token
     if changed & {"log_level", "log_json"}:
         set_up_logging(level=current.log_level, json_output=current.log_json)
--- /dev/null
+++ b/src/hyssopway/daemon/request_path.py
@@ -0,0 +1,125 @@
+"""Parts of a daemon that bring requests to endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.control.record import VmState
+from hyssopway.endpoint import EndpointHealth, EndpointRegistry
+from hyssopway.gateway import Gateway
+from hyssopway.gateway.claims import ClaimKeeper
+from hyssopway.gateway.forwarder import Forwarder
+from hyssopway.gateway.sessions import open_session
+from hyssopway.metrics import Metrics
+from hyssopway.routing import CreditLedger, HeldCollector, Homes, Router
+
+from .control_group import nearest_first
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from .control_group import ControlGroup
+
+EXPIRE_S = 0.25
+
+
+class RequestPath:
+    """Endpoints, slot credits and the gateway of callers.
+
+    Attributes:
+        group: Agreed state and ways to the other daemons.
+        metrics: Latencies and counters of requests.
+        registry: Endpoints whose home is this daemon.
+        ledger: Slot credits issued by this daemon.
+        homes: Summaries of endpoints at all homes.
+        router: Slot credits held by this daemon and queues of requests.
+        collector: Finds the credits that are still held when an endpoint arrives.
+        session: Client of endpoints and of the platform.
+        once_session: Client of endpoints for requests that must not run twice.
+        claims: Claims of non-idempotent requests.
+        gateway: Interface of callers.
+    """
+
+    __slots__ = (
+        "claims",
+        "collector",
+        "gateway",
+        "group",
+        "homes",
+        "ledger",
+        "metrics",
+        "once_session",
+        "registry",
+        "router",
+        "session",
+    )
+
+    session: aiohttp.ClientSession
+    once_session: aiohttp.ClientSession
+    claims: ClaimKeeper
+    gateway: Gateway
+
+    def __init__(self, *, group: ControlGroup) -> None:
+        self.group = group
+        settings, clock = group.settings, group.clock
+        self.metrics = Metrics()
+        self.registry = EndpointRegistry(clock=clock, may_serve=self._vm_may_serve)
+        self.ledger = CreditLedger(registry=self.registry, clock=clock, entries=len(settings.peers))
+        self.homes = Homes(
+            own_name=settings.name,
+            ledger=self.ledger,
+            peers=group.peers,
+            others={peer.name: peer.zone == settings.zone for peer in settings.others()},
+            clock=clock,
+        )
+        self.router = Router(homes=self.homes, health=EndpointHealth(clock=clock), clock=clock)
+        self.collector = HeldCollector(
+            own_name=settings.name,
+            ledger=self.ledger,
+            router=self.router,
+            peers=group.peers,
+            others=nearest_first(settings),
+        )
+        self.registry.arrived = self.collector.begin
+
+    def open(self) -> None:
+        """Opens the clients, which need a running loop, and builds the gateway."""
+        group = self.group
+        self.session = open_session(reuse_connections=True)
+        self.once_session = open_session(reuse_connections=False)
+        self.claims = ClaimKeeper(own_name=group.settings.name, submitter=group.submitter)
+        self.gateway = Gateway(
+            replica=group.replica,
+            freshness=group.freshness,
+            router=self.router,
+            forwarder=Forwarder(
+                claims=self.claims,
+                session=self.session,
+                once_session=self.once_session,
+                clock=group.clock,
+            ),
+            metrics=self.metrics,
+            max_body_bytes=group.settings.max_body_bytes,
+            clock=group.clock,
+        )
+
+    async def close(self) -> None:
+        """Closes the clients."""
+        await self.session.close()
+        await self.once_session.close()
+
+    async def expire(self) -> None:
+        """Ends leases of endpoints and credits for as long as the daemon runs."""
+        while True:
+            self.registry.expire()
+            self.ledger.expire()
+            await asyncio.sleep(EXPIRE_S)
+
+    def _vm_may_serve(self, name: str) -> bool:
+        # A VM without a worker is not in the agreed state and is not drained by it.
+        vm = self.group.replica.state.tables.vms.get(name)
+        return vm is None or vm.state is VmState.READY
+
+
+__all__ = ["RequestPath"]
--- a/src/hyssopway/daemon/status.py
+++ b/src/hyssopway/daemon/status.py
@@ -31,16 +31,16 @@
         "member_id": member.member_id if member else "",
         "has_agreed_state": state.tables.wall_ms > 0 or _changed_members(member),
         "role": member.role if member else "entry",
-        "leader": member.leader_daemon if member else daemon.submitter.leader,
+        "leader": member.leader_daemon if member else daemon.group.submitter.leader,
         "applied_index": state.applied_index,
         "confirmed": daemon.freshness.is_valid,
         "generation": state.generation(),
         "trial_generation": state.generation(environment=TRIAL),
-        "endpoints": len(daemon.registry.endpoints),
-        "workers": len(daemon.sessions.sessions),
-        "open_requests": daemon.gateway.open_requests,
+        "endpoints": len(daemon.requests.registry.endpoints),
+        "workers": len(daemon.jobs.sessions.sessions),
+        "open_requests": daemon.requests.gateway.open_requests,
         "stopping": daemon.stopping,
-        "metrics": daemon.metrics.encode(),
+        "metrics": daemon.requests.metrics.encode(),
     }
 
 
@@ -83,7 +83,7 @@
         "behind": [status["daemon"] for status in reachable if status["applied_index"] < index],
         "unreachable": [status["daemon"] for status in statuses if not status["reachable"]],
         "authority_ttl_s": AUTHORITY_TTL_S,
-        "old_ends_in_s": daemon.applied_times.old_ends_in_s(index),
+        "old_ends_in_s": daemon.group.applied_times.old_ends_in_s(index),
     }
 
 
@@ -91,7 +91,7 @@
     if name == daemon.settings.name:
         return own_status(daemon)
     try:
-        client = daemon.peers.client(name)
+        client = daemon.group.peers.client(name)
         answer = await client.exchange(topic="status", data=b"{}", timeout_s=CALL_TIMEOUT_S)
     except PeerUnreachableError as error:
         zone = daemon.settings.peer(name=name).zone
