Call the platform through a session of its own

Cause: the daemon gave the platform client the session for endpoints. Since requests are streamed, that session notes in each request's trace context that sending began; calls of the platform have no such context, so every reboot task ended with an AttributeError. Nobody read the error, and each round started the task again, so the first VM of a wave stayed `rebooting`.

Ruled out: the watch of silent workers and of lost homes. The VM was drained and taken to `rebooting` in 0.6 s, no worker was reported lost, and the platform listed no operation for it.

Change: PlatformClient.open makes a plain session, which also sends a content type again. The contract test uses it. An error of a reboot task is logged as TASK_FAILED.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -83,6 +83,7 @@
         self.initialise = initialise
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
+        self.platform: PlatformClient | None = None
         clock = monotonic_s
         self.clock = clock
         self.metrics = Metrics()
@@ -226,8 +227,8 @@
             clock=self.clock,
         )
         if self.settings.platform_url is not None:
-            platform = PlatformClient(url=self.settings.platform_url, session=self.session)
-            self.fleet.reboots = Reboots(platform=platform)
+            self.platform = PlatformClient.open(url=self.settings.platform_url)
+            self.fleet.reboots = Reboots(platform=self.platform)
         self._start_tasks()
         self.listener = HttpListener(app=self._build_app(), shutdown_s=self.settings.shutdown_s)
         await self.listener.open(host=own.host, port=own.http_port, tls=http_context(tls) if tls else None)
@@ -276,6 +277,8 @@
         self.peers.close()
         await self.session.close()
         await self.once_session.close()
+        if self.platform is not None:
+            await self.platform.close()
         if self.member is not None:
             self.member.store.close()
         log_event(Event.DAEMON_STOPPED)
--- a/src/hyssopway/fleet/reboots.py
+++ b/src/hyssopway/fleet/reboots.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hyssopway.control.record import WaveVmStatus
+from hyssopway.event import Event, log_event
 from hyssopway.platform import PlatformAction
 
 if TYPE_CHECKING:
@@ -43,9 +44,11 @@
         }
         self.returned &= wanted
         for key in [key for key, task in self.tasks.items() if task.done() or key not in wanted]:
-            self.tasks.pop(key).cancel()
+            _end(self.tasks.pop(key))
         for key in sorted(wanted - self.returned - self.tasks.keys()):
-            self.tasks[key] = asyncio.create_task(self._reboot(wave=key[0], vm=key[1]))
+            self.tasks[key] = asyncio.create_task(
+                self._reboot(wave=key[0], vm=key[1]), name=f"reboot {key[1]}"
+            )
 
     def stop(self) -> None:
         """Stops asking; the platform goes on with what it was asked for."""
@@ -67,4 +70,13 @@
         self.returned.add((wave, vm))
 
 
+def _end(task: asyncio.Task[None]) -> None:
+    """Cancels a task, or reports the fault that ended it: the next round starts it again."""
+    if task.cancel() or task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        log_event(Event.TASK_FAILED, task=task.get_name(), error=repr(error))
+
+
 __all__ = ["Reboots"]
--- a/src/hyssopway/platform/client.py
+++ b/src/hyssopway/platform/client.py
@@ -51,6 +51,21 @@
         self.call_timeout_s = call_timeout_s
         self.poll_s = poll_s
 
+    @staticmethod
+    def open(*, url: str, call_timeout_s: float = CALL_TIMEOUT_S, poll_s: float = POLL_S) -> PlatformClient:
+        """Opens a client with a session of its own.
+
+        Sessions towards endpoints trace each request in a context that the calls here do not have, and
+        send no content type.
+        """
+        return PlatformClient(
+            url=url, session=aiohttp.ClientSession(), call_timeout_s=call_timeout_s, poll_s=poll_s
+        )
+
+    async def close(self) -> None:
+        """Closes the session."""
+        await self.session.close()
+
     async def list_vms(self) -> Result[list[PlatformVm], Failure]:
         """Reads all VMs."""
         return await self._call("GET", "/vms", adapter=_VMS)
--- /dev/null
+++ b/tests/fleet/test_reboots.py
@@ -0,0 +1,43 @@
+"""Reboots by a platform client that fails in ways that are not results."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from loguru import logger
+
+from hyssopway.control.record import WaveVmStatus
+from hyssopway.fleet.reboots import Reboots
+from hyssopway_standins.agreed import AgreedStandIn
+from hyssopway_standins.wave_driver import WaveDriver
+
+
+class BrokenClient:
+    """Raises instead of returning a failure."""
+
+    async def complete(self, **_):
+        raise AttributeError("sending")
+
+
+@pytest.fixture
+def rebooting():
+    """A wave whose first VM waits for the platform."""
+    driver = WaveDriver(agreed=AgreedStandIn.prepare_example("pantry"), never_return={"pickup-vm-1"})
+    wave = driver.start("pickup")
+    while not wave.count(WaveVmStatus.REBOOTING):
+        driver.run_round()
+    return driver.agreed.state
+
+
+async def test_fault_of_a_reboot_is_logged_and_tried_again(rebooting):
+    """Guards against a wave that waits without a word, because the task of its reboot fails each time."""
+    lines = []
+    sink = logger.add(lines.append, level="ERROR")
+    reboots = Reboots(platform=BrokenClient())
+    for _ in range(3):
+        reboots.follow(rebooting)
+        await asyncio.gather(*reboots.tasks.values(), return_exceptions=True)
+    logger.remove(sink)
+    assert len([line for line in lines if "task reboot" in line and "sending" in line]) == 2
+    assert len(reboots.tasks) == 1
--- a/tests/platform/test_platform_client.py
+++ b/tests/platform/test_platform_client.py
@@ -18,8 +18,10 @@
 
 
 @pytest.fixture
-def client(platform, session):
-    return PlatformClient(url=platform.url, session=session, call_timeout_s=0.5, poll_s=0.01)
+async def client(platform):
+    opened = PlatformClient.open(url=platform.url, call_timeout_s=0.5, poll_s=0.01)
+    yield opened
+    await opened.close()
 
 
 # Faults of one operation, how often it took effect, and how often it was asked for.
