Cover waves in the state machine of the fleet

Cause: the machine had no waves, and a VM reached `drained` only by chance, so that it did not find a move of a stopped VM into a pool without a check of its budget.

Change: rules for starting, controlling and advancing waves and for workers that restart; rules that pick VMs by state; an invariant that ties permits of maintenance to the steps of waves.

--- a/tests/control/test_fleet_machine.py
+++ b/tests/control/test_fleet_machine.py
@@ -10,16 +10,21 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from small_fleet import BUDGET, small_fleet
 
+from hyssopway.control.apply.waves import is_under_way
 from hyssopway.control.command import (
+    AdvanceWave,
     ChangeVm,
+    ControlWave,
     DrainVm,
     MoveVm,
     RequestMove,
     ReturnVm,
     SetZone,
+    StartWave,
     TakePermit,
+    WaveAction,
 )
-from hyssopway.control.record import PermitPurpose, VmState, ZoneStatus
+from hyssopway.control.record import PermitPurpose, VmState, WaveStatus, WaveVmStatus, ZoneStatus
 
 VMS = st.sampled_from([f"{pool}-{number}" for pool in ("web", "batch", "spare") for number in range(8)])
 POOLS = st.sampled_from(["web", "batch", "spare"])
@@ -94,6 +99,32 @@
             self.pools[vm] = pool
             assert self.down_in(pool) <= max(before, BUDGET["max_down"])
 
+    def pick(self, state, number):
+        """Returns a VM in a state, so that long sequences get further than by chance."""
+        names = sorted(vm.name for vm in self.agreed.state.tables.vms.values() if vm.state is state)
+        return names[number % len(names)] if names else None
+
+    @rule(number=st.integers(0, 7))
+    def empty(self, number):
+        """A home entry reports a draining VM as empty."""
+        vm = self.pick(VmState.DRAINING, number)
+        if vm:
+            self.change(vm, VmState.DRAINED)
+
+    @rule(number=st.integers(0, 7), pool=POOLS)
+    def move_empty(self, number, pool):
+        """The leader moves an empty VM."""
+        vm = self.pick(VmState.DRAINED, number)
+        if vm:
+            self.move(vm, pool)
+
+    @rule(number=st.integers(0, 7), status=st.sampled_from(list(WaveVmStatus)))
+    def advance_empty(self, number, status):
+        """The leader takes an empty or rebooting VM to a step of the last wave."""
+        vm = self.pick(VmState.DRAINED, number) or self.pick(VmState.REBOOTING, number)
+        if vm:
+            self.advance_wave(vm, status, vm)
+
     @rule(vm=VMS)
     def give_back(self, vm):
         """An operator returns a VM."""
@@ -105,6 +136,57 @@
         index = self.agreed.state.applied_index
         self.agreed.apply(SetZone(zone=zone, status=status, request_id=f"z{index}", operator="kim"))
 
+    @rule(pools=st.lists(POOLS, max_size=2, unique=True))
+    def start_wave(self, pools):
+        """An operator starts a wave."""
+        waves = self.agreed.state.tables.waves
+        busy = any(is_under_way(wave) for wave in waves.values())
+        index = self.agreed.state.applied_index
+        command = StartWave(pools=pools, request_id=f"w{index}", operator="kim")
+        assert (self.agreed.apply(command).failure is None) == (not busy)
+
+    @rule(vm=VMS, status=st.sampled_from(list(WaveVmStatus)), replacement=VMS)
+    def advance_wave(self, vm, status, replacement):
+        """The leader, or an older one, takes a VM to a step of the last wave."""
+        waves = list(self.agreed.state.tables.waves.values())
+        if not waves:
+            return
+        command = AdvanceWave(
+            wave=waves[-1].wave_id,
+            vm=vm,
+            status=status,
+            expected_epoch=self.agreed.vm(vm).epoch,
+            reason="rule",
+            replacement=replacement,
+        )
+        stopped = replacement if status is WaveVmStatus.REPLACED else vm
+        # Only these two steps take a permit; the others may return one.
+        if status in (WaveVmStatus.DRAINING, WaveVmStatus.REPLACED):
+            self.stop(stopped, lambda: self.agreed.apply(command).failure is None)
+        else:
+            self.agreed.apply(command)
+
+    @rule(vm=VMS, boot=st.integers(0, 2))
+    def sync(self, vm, boot):
+        """A worker syncs, perhaps as a new process."""
+        known = self.agreed.vm(vm)
+        self.agreed.register(vm, zone=known.zone, rack=known.rack, pool=known.pool, boot_id=f"boot-{boot}")
+
+    @rule(action=st.sampled_from(list(WaveAction)))
+    def control_wave(self, action):
+        """An operator controls the last wave."""
+        waves = list(self.agreed.state.tables.waves.values())
+        for wave in waves[-1:]:
+            self.agreed.apply(
+                ControlWave(
+                    request_id=f"c{self.agreed.state.applied_index}",
+                    operator="kim",
+                    wave=wave.wave_id,
+                    action=action,
+                    expected_epoch=wave.epoch,
+                )
+            )
+
     def down_in(self, pool):
         """Counts the VMs of a pool that are not ready."""
         vms = self.agreed.state.tables.vms.values()
@@ -122,6 +204,18 @@
         planned = Counter(tables.vms[vm].pool for vm in tables.permits)
         assert max(planned.values(), default=0) <= BUDGET["max_down"]
 
+    @invariant()
+    def wave_holds_the_permits_of_its_steps(self):
+        """Guards against a permit of a wave that nobody returns, and against a reboot without one."""
+        tables = self.agreed.state.tables
+        in_progress = (WaveVmStatus.DRAINING, WaveVmStatus.REBOOTING)
+        steps = {(wave.wave_id, vm) for wave in tables.waves.values() for vm in wave.select(*in_progress)}
+        permits = tables.permits.values()
+        held = {(p.holder, p.vm) for p in permits if p.purpose is PermitPurpose.MAINTENANCE}
+        assert held == steps
+        for wave in tables.waves.values():
+            assert wave.status is not WaveStatus.DONE or not is_under_way(wave)
+
     @invariant()
     def stopped_vm_has_a_permit(self):
         """Guards against a VM that nobody puts back to work."""
