--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -115,6 +115,7 @@
         self.peer_server.close()
         self.group.peers.close()
         await self.requests.close()
+        await self.fleet.close()
         if self.member is not None:
             self.member.store.close()
         log_event(Event.DAEMON_STOPPED)
--- a/src/hyssopway/daemon/fleet_parts.py
+++ b/src/hyssopway/daemon/fleet_parts.py
@@ -17,16 +17,18 @@
 
     Attributes:
         group: Agreed state and ways to the other daemons.
-        requests: Request path, whose client also calls the platform.
+        requests: Request path.
+        platform: Client of the platform while open; None without one.
         vm_requests: Counts the requests in progress on a VM.
         controller: Drains, moves, waves and zones; acts on the leader.
     """
 
-    __slots__ = ("controller", "group", "requests", "vm_requests")
+    __slots__ = ("controller", "group", "platform", "requests", "vm_requests")
 
     def __init__(self, *, group: ControlGroup, requests: RequestPath) -> None:
         self.group = group
         self.requests = requests
+        self.platform: PlatformClient | None = None
         self.vm_requests = VmRequests(
             registry=requests.registry,
             ledger=requests.ledger,
@@ -43,10 +45,16 @@
         )
 
     def open(self) -> None:
-        """Connects to the platform; the request path must be open."""
+        """Opens the client of the platform."""
         url = self.group.settings.platform_url
         if url is not None:
-            self.controller.reboots = Reboots(platform=PlatformClient(url=url, session=self.requests.session))
+            self.platform = PlatformClient.open(url=url)
+            self.controller.reboots = Reboots(platform=self.platform)
+
+    async def close(self) -> None:
+        """Closes the client of the platform."""
+        if self.platform is not None:
+            await self.platform.close()
 
 
 __all__ = ["FleetParts"]
