Place no job on workers whose home is out of contact

Cause: when the only entry of a zone was killed, its VMs stayed ready for 6 s and runs placed there waited for cut_off_run_s plus lease and margin, because the leader could not know whether the home had ordered them.

Ruled out: ending such runs by silence alone, since a home that is cut off in one direction still gets log entries and orders them for 3 s; and ending them by the acknowledged log index, since an entry can arrive although its acknowledgement is lost.

Change: a home silent for 1.5 s gets no starts. A home with a log orders a run only after the leader confirmed its start index, and the leader takes back runs of its own term that it never confirmed to a silent home, while it withholds confirmations from that home.

Conclusion: jobs accepted after the loss of an entry no longer wait for it. Runs ordered by the lost home still wait for its whole cut-off time.

--- a/src/hyssopway/control/apply/runs.py
+++ b/src/hyssopway/control/apply/runs.py
@@ -46,6 +46,8 @@
         reason=command.reason,
         probe=command.probe,
         boot_id=state.tables.vms[command.vm].boot_id,
+        started_index=state.applied_index,
+        home_epoch=state.tables.vms[command.vm].home_epoch,
     )
     job.note(f"run {command.epoch} on {command.vm}: {command.reason}")
     state.indexes.add_run(job=job, vm=command.vm)
--- a/src/hyssopway/control/record/run.py
+++ b/src/hyssopway/control/record/run.py
@@ -18,6 +18,8 @@
         reason: Why this VM.
         probe: Whether it tests a quarantined VM.
         boot_id: Worker process that it was placed on; no other process starts it.
+        started_index: Log index of its start.
+        home_epoch: Home epoch of the VM at its start.
         reclaim: What the worker is asked to do so that others get the capacity.
     """
 
@@ -27,6 +29,8 @@
     reason: str
     probe: bool = False
     boot_id: str = ""
+    started_index: int = 0
+    home_epoch: int = 0
     reclaim: ReclaimAction = ReclaimAction.NONE
 
 
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -29,7 +29,7 @@
 from hyssopway.gateway.forwarder import Forwarder
 from hyssopway.gateway.sessions import open_session
 from hyssopway.http import HttpListener, answer_errors, json_response
-from hyssopway.job import JobScheduler, LostHomes, UsageBook
+from hyssopway.job import JobScheduler, LostHomes, UnorderedRuns, UsageBook
 from hyssopway.metrics import Metrics
 from hyssopway.operator_api import (
     EndpointRoutes,
@@ -167,6 +167,8 @@
             leads=self.leads,
             clock=clock,
         )
+        self.scheduler.planner.find_silent = self.lost_homes.find_silent
+        self.unordered_runs = self._build_unordered_runs()
         self.calls.exchanges[LOAD_TOPIC] = lambda loads: take_loads(self, loads)
         self.calls.exchanges[SUMMARY_TOPIC] = self.homes.answer
         self.calls.exchanges["status"] = lambda _: own_status(self)
@@ -314,6 +316,19 @@
             wall_ms=wall_ms,
         )
 
+    def _build_unordered_runs(self) -> UnorderedRuns | None:
+        if self.member is None or self.proposer is None:
+            return None
+        return UnorderedRuns(
+            replica=self.replica,
+            member=self.member,
+            proposer=self.proposer,
+            lost_homes=self.lost_homes,
+            confirmed_homes={peer.name for peer in self.settings.peers if peer.member},
+            covered=self.calls.covered,
+            withheld=self.calls.withheld,
+        )
+
     def _initial_configuration(self) -> Configuration:
         return Configuration(voters=tuple(f"{peer.name}/0" for peer in self.settings.peers if peer.member))
 
@@ -361,6 +376,8 @@
             self._start("confirm", self._follow_leader)
             self._start("jobs", self.scheduler.run)
             self._start("lost_homes", self.lost_homes.run)
+            if self.unordered_runs is not None:
+                self._start("unordered_runs", self.unordered_runs.run)
             self._start("fleet", self.fleet.run)
         else:
             self._start("watch", self._follow_upstream)
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from inspect import isawaitable
+from math import inf, isfinite
 from typing import TYPE_CHECKING, Any
 
 from expression import Result
@@ -30,6 +31,7 @@
         VoteReply,
         VoteRequest,
     )
+    from hyssopway.control.command import EndRun
     from hyssopway.peer import Credit, CreditReply, CreditRequest
     from hyssopway.replica import Freshness, Proposer, Replica
     from hyssopway.routing import CreditLedger, Router
@@ -49,12 +51,15 @@
         ledger: Slot credits of endpoints whose home is this daemon.
         router: Slot credits held by this daemon.
         contacts: Local time of the last confirm or watch call of each daemon.
+        covered: Largest index that this daemon confirmed to each daemon as leader.
+        withheld: Daemons that get no confirmation while runs placed there are taken back.
         exchanges: Answers to exchanges of soft state by topic.
         parts: Snapshot of a leader while it arrives.
     """
 
     __slots__ = (
         "contacts",
+        "covered",
         "exchanges",
         "freshness",
         "ledger",
@@ -63,6 +68,7 @@
         "proposer",
         "replica",
         "router",
+        "withheld",
     )
 
     def __init__(
@@ -81,6 +87,8 @@
         self.freshness = freshness
         self.ledger = ledger
         self.contacts: dict[str, float] = {}
+        self.covered: dict[str, int] = {}
+        self.withheld: dict[str, list[EndRun]] = {}
         self.router = router
         self.exchanges: dict[str, Callable[[Any], Any]] = {}
         self.parts = SnapshotParts()
@@ -113,9 +121,12 @@
         """Says how fresh the leader's knowledge is."""
         member = self._member()
         self.contacts[daemon] = self.freshness.clock()
-        return ConfirmReply(
-            commit_index=member.commit_index, confirmed_age_s=member.clock() - member.confirmed_at()
-        )
+        if daemon in self.withheld:
+            return ConfirmReply(commit_index=member.commit_index, confirmed_age_s=inf)
+        age_s = member.clock() - member.confirmed_at()
+        if isfinite(age_s):
+            self.covered[daemon] = member.commit_index
+        return ConfirmReply(commit_index=member.commit_index, confirmed_age_s=age_s)
 
     async def watch(self, *, daemon: str, from_index: int, wait_s: float) -> WatchReply:
         """Returns entries behind an index, waiting for the first."""
--- a/src/hyssopway/job/__init__.py
+++ b/src/hyssopway/job/__init__.py
@@ -4,7 +4,8 @@
 
 from .lost_homes import LostHomes
 from .scheduler import JobScheduler
+from .unordered_runs import UnorderedRuns
 from .usage_book import TaskUsage, UsageBook
 from .waiting import explain_waiting
 
-__all__ = ["JobScheduler", "LostHomes", "TaskUsage", "UsageBook", "explain_waiting"]
+__all__ = ["JobScheduler", "LostHomes", "TaskUsage", "UnorderedRuns", "UsageBook", "explain_waiting"]
--- a/src/hyssopway/job/fleet_view.py
+++ b/src/hyssopway/job/fleet_view.py
@@ -49,6 +49,7 @@
         held: Runs by pool and team, oldest first.
         parts: Part of the capacity that may be used, for zones that are returning.
         quarantined: Quarantined VMs by name.
+        silent: Homes out of contact, whose VMs get nothing.
         held_out: VMs under suspicion, with the local time until which they get nothing.
     """
 
@@ -61,6 +62,7 @@
     parts: dict[str, float] = field(default_factory=dict)
     quarantined: dict[str, Vm] = field(default_factory=dict)
     held_out: dict[str, float] = field(default_factory=dict)
+    silent: frozenset[str] = frozenset()
 
     def place(self, job: Job, *, vm: str, need: Resources, epoch: int) -> None:
         """Keeps capacity for a run."""
@@ -128,6 +130,14 @@
         self.held_out[name] = until
         self.refresh_vm(name)
 
+    def skip_silent(self, homes: frozenset[str]) -> None:
+        """Gives VMs of these homes nothing until the homes are in contact again."""
+        changed = homes ^ self.silent
+        self.silent = homes
+        if changed:
+            for name in [vm.name for vm in self.tables.vms.values() if vm.home in changed]:
+                self.refresh_vm(name)
+
     def let_in(self, *, now: float) -> None:
         """Ends holds whose time is over."""
         for name in [name for name, until in self.held_out.items() if until <= now]:
@@ -151,7 +161,7 @@
         return part >= 1.0 or zone.total.cores - zone.free_cores + need.cores <= part * zone.total.cores
 
     def _is_open(self, vm: Vm) -> bool:
-        if vm.name in self.held_out:
+        if vm.name in self.held_out or vm.home in self.silent:
             return False
         return vm.state is VmState.READY and self.tables.zones[vm.zone].status is not ZoneStatus.WITHDRAWN
 
--- a/src/hyssopway/job/lost_homes.py
+++ b/src/hyssopway/job/lost_homes.py
@@ -28,6 +28,9 @@
 # so that a loss of many VMs stops planned stops at once; its runs go on until every lease has surely ended.
 DOWN_S = WORKER_LEASE_S + 2.0
 
+# A home confirms about every 0.5 s and reports its load every second; two missed calls are no accident.
+SILENT_S = 1.5
+
 # A leader that was frozen this long has not read the calls that arrived meanwhile.
 MAX_PAUSE_S = 2.0
 
@@ -41,6 +44,7 @@
         contacts: Local time of the last contact by daemon.
         counts_from: Local time since which contacts are counted; None while another daemon leads.
         checked_at: Local time of the last check.
+        homes: Homes of all VMs at the last check, without this daemon.
         replaced_at: Local time at which a replaced cut-off time was first seen, by log index.
     """
 
@@ -49,6 +53,7 @@
         "clock",
         "contacts",
         "counts_from",
+        "homes",
         "leads",
         "own_name",
         "replaced_at",
@@ -74,6 +79,7 @@
         self.clock = clock
         self.counts_from: float | None = None
         self.checked_at = clock()
+        self.homes: set[str] = set()
         self.replaced_at: dict[int, float] = {}
 
     async def run(self) -> None:
@@ -95,8 +101,8 @@
             self.counts_from = now
             self.replaced_at.clear()
         allowed_s = self._longest_cut_off_s(now) + WORKER_LEASE_S + MARGIN_S
-        homes = {vm.home for vm in self.replica.state.tables.vms.values()} - {self.own_name}
-        for home in sorted(homes):
+        self.homes = {vm.home for vm in self.replica.state.tables.vms.values()} - {self.own_name}
+        for home in sorted(self.homes):
             silent_s = now - max(self.contacts.get(home, self.counts_from), self.counts_from)
             if silent_s > DOWN_S:
                 await self._take_down(home, silent_s=silent_s)
@@ -104,6 +110,16 @@
                 await self._end_runs(home, silent_s=silent_s)
         self.checked_at = self.clock()
 
+    def silent_s(self, home: str) -> float:
+        """Returns how long a home has been out of contact with this leader."""
+        if self.counts_from is None:
+            return 0.0
+        return self.clock() - max(self.contacts.get(home, self.counts_from), self.counts_from)
+
+    def find_silent(self) -> frozenset[str]:
+        """Returns the homes that get no new work because they are out of contact."""
+        return frozenset(home for home in self.homes if self.silent_s(home) > SILENT_S)
+
     def _longest_cut_off_s(self, now: float) -> float:
         """Returns the longest value that a home out of contact may still go by.
 
--- a/src/hyssopway/job/planner.py
+++ b/src/hyssopway/job/planner.py
@@ -48,6 +48,7 @@
         total: Capacity of all VMs that take work.
         ends: Runs that ended since the last round.
         avoid: Returns VMs that a job should not run on again.
+        find_silent: Returns the homes that are out of contact.
         blocked: Groups that fitted nowhere in this round, the first first.
     """
 
@@ -58,6 +59,7 @@
         "clock",
         "ends",
         "estimates",
+        "find_silent",
         "queues",
         "returning_since",
         "state",
@@ -78,6 +80,7 @@
         self.blocked: list[GroupKey] = []
         self.ends: list[RunEnd] = []
         self.avoid: Callable[[Job], list[str]] = lambda _: []
+        self.find_silent: Callable[[], frozenset[str]] = frozenset
         self.returning_since: dict[str, float] = {}
 
     def refresh(self, *, state: ControlState, now_ms: int) -> None:
@@ -101,6 +104,7 @@
             self.follow_job(job_id, now_ms=now_ms)
         self._follow_zones()
         self.view.let_in(now=self.clock())
+        self.view.skip_silent(self.find_silent())
         self.total = self.view.total()
         self.usage = {
             team: TeamUsage(tasks=usage.tasks, resources=usage.resources)
--- a/src/hyssopway/job/quarantine.py
+++ b/src/hyssopway/job/quarantine.py
@@ -97,7 +97,8 @@
         for vm in list(self.planner.view.quarantined.values()):
             probing = self.probing.setdefault(vm.name, Probing(due_at=now + FIRST_PROBE_S))
             busy = self.planner.state.indexes.running.get(vm.name)
-            if busy or now < probing.due_at or tables.zones[vm.zone].status is ZoneStatus.WITHDRAWN:
+            silent = vm.home in self.planner.view.silent
+            if busy or silent or now < probing.due_at or tables.zones[vm.zone].status is ZoneStatus.WITHDRAWN:
                 continue
             job = self._choose_job(vm)
             if job is not None:
--- /dev/null
+++ b/src/hyssopway/job/unordered_runs.py
@@ -0,0 +1,145 @@
+"""Takes back runs that a home out of contact cannot have ordered."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from hyssopway.control import encode_command
+from hyssopway.control.command import EndRun
+from hyssopway.control.record import RunOutcome
+from hyssopway.event import Event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
+    from hyssopway.agreement import Member
+    from hyssopway.control.record import Run
+    from hyssopway.replica import Proposer, Replica
+
+    from .lost_homes import LostHomes
+
+CHECK_S = 0.25
+PROPOSE_TIMEOUT_S = 2.0
+
+
+class UnorderedRuns:
+    """Ends runs that were placed on workers of a home after its last confirmation.
+
+    A home with a log orders a run only after a leader confirmed the run's index to it. While ends are
+    proposed here, the home gets no confirmation from this leader. Another leader confirms nothing before
+    it applied all entries of former terms, so a run that is taken back is never ordered.
+
+    Attributes:
+        replica: Agreed state.
+        member: Control member of this daemon.
+        proposer: Way into this daemon's own log; an end may not pass through another leader.
+        lost_homes: Tells which homes are out of contact.
+        confirmed_homes: Homes that ask the leader itself for confirmations.
+        covered: Largest index that this daemon confirmed to each home as leader.
+        withheld: Ends that are not decided yet, by home.
+        term: Term that the ends were found in.
+    """
+
+    __slots__ = (
+        "confirmed_homes",
+        "covered",
+        "lost_homes",
+        "member",
+        "proposer",
+        "replica",
+        "term",
+        "withheld",
+    )
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        member: Member,
+        proposer: Proposer,
+        lost_homes: LostHomes,
+        confirmed_homes: AbstractSet[str],
+        covered: dict[str, int],
+        withheld: dict[str, list[EndRun]],
+    ) -> None:
+        self.replica = replica
+        self.member = member
+        self.proposer = proposer
+        self.lost_homes = lost_homes
+        self.confirmed_homes = confirmed_homes
+        self.covered = covered
+        self.withheld = withheld
+        self.term = 0
+
+    async def run(self) -> None:
+        """Checks for as long as the daemon runs."""
+        while True:
+            await self.check()
+            await asyncio.sleep(CHECK_S)
+
+    async def check(self) -> None:
+        """Ends the runs of homes out of contact that those cannot have ordered."""
+        term = self.member.term
+        if not self.member.is_leader or term != self.term:
+            # Another leader may have confirmed these runs in between.
+            self.withheld.clear()
+            self.term = term
+        if not self.member.is_leader:
+            return
+        for home in self.lost_homes.find_silent() & self.confirmed_homes:
+            if home not in self.withheld and (ends := self._find_ends(home)):
+                self.withheld[home] = ends
+        await asyncio.gather(*(self._settle(home, term=term) for home in list(self.withheld)))
+
+    async def _settle(self, home: str, *, term: int) -> None:
+        """Proposes ends until each is applied or refused; one of unknown outcome may still take effect."""
+        ends = [end for end in self.withheld[home] if self._is_open(end)]
+        decided = await asyncio.gather(*(self._propose(end, term=term) for end in ends))
+        left = [end for end, done in zip(ends, decided, strict=True) if not done]
+        if left:
+            self.withheld[home] = left
+        else:
+            self.withheld.pop(home, None)
+
+    async def _propose(self, end: EndRun, *, term: int) -> bool:
+        if self.member.term != term:
+            return False
+        command = encode_command(end)
+        match await self.proposer.propose(command=command, timeout_s=PROPOSE_TIMEOUT_S):
+            case Result(tag="ok", ok=outcome):
+                if outcome.failure is None:
+                    log_event(Event.JOB_ENDED, job=end.job_id, outcome=end.outcome)
+                return True
+        return False
+
+    def _find_ends(self, home: str) -> list[EndRun]:
+        silent_s = self.lost_homes.silent_s(home)
+        confirmed = max(self.covered.get(home, 0), self.member.term_start)
+        state = self.replica.state
+        return [
+            EndRun(
+                job_id=job_id,
+                epoch=run.epoch,
+                outcome=RunOutcome.STOPPED,
+                detail=f"home {home} fell silent {silent_s:.1f} s ago and did not order the run",
+                vm=vm.name,
+                home_epoch=vm.home_epoch,
+            )
+            for vm in state.tables.vms.values()
+            if vm.home == home
+            for job_id in sorted(state.indexes.running.get(vm.name, ()))
+            if (run := state.tables.jobs[job_id].run) is not None
+            and run.started_index > confirmed
+            and run.home_epoch == vm.home_epoch
+        ]
+
+    def _is_open(self, end: EndRun) -> bool:
+        job = self.replica.state.tables.jobs.get(end.job_id)
+        run: Run | None = job.run if job is not None else None
+        return run is not None and run.epoch == end.epoch
+
+
+__all__ = ["UnorderedRuns"]
--- a/src/hyssopway/replica/following.py
+++ b/src/hyssopway/replica/following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from hyssopway.peer import PeerUnreachableError
@@ -45,11 +46,14 @@
     while True:
         leader = find_leader()
         if leader == own_name:
-            freshness.confirm(at=own_confirmed_at())
+            confirmed_at = own_confirmed_at()
+            freshness.confirm(at=confirmed_at)
+            if isfinite(confirmed_at):
+                freshness.cover(index=replica.applied_index)
         elif leader:
             await _confirm_with(client=peers.client(leader), replica=replica, freshness=freshness)
         freshness.report()
-        await asyncio.sleep(_with_jitter(CONFIRM_INTERVAL_S if freshness.is_valid else RETRY_S))
+        await freshness.rest(_with_jitter(CONFIRM_INTERVAL_S if freshness.is_valid else RETRY_S))
 
 
 async def follow_upstream(
@@ -92,6 +96,8 @@
     if replica.applied_index >= reply.commit_index:
         # The answer was written after it was asked for, so counting from the question is on the safe side.
         freshness.confirm(at=sent_at - reply.confirmed_age_s)
+        if isfinite(reply.confirmed_age_s):
+            freshness.cover(index=reply.commit_index)
 
 
 async def _watch_once(*, client: PeerClient, replica: Replica, freshness: Freshness) -> bool:
@@ -105,6 +111,8 @@
     _apply(reply=reply, replica=replica)
     if replica.applied_index >= reply.applied_index:
         freshness.confirm(at=sent_at + reply.waited_s - reply.confirmed_age_s)
+        # The leader does not take back runs of a daemon without a log: its contacts come second-hand.
+        freshness.cover(index=replica.applied_index)
     return freshness.is_valid or bool(reply.entries)
 
 
--- a/src/hyssopway/replica/freshness.py
+++ b/src/hyssopway/replica/freshness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
@@ -21,13 +22,19 @@
     Attributes:
         clock: Monotonic seconds.
         confirmed_at: Local time of the confirmation.
+        covered_index: Largest index that the leader knows this daemon may act on.
+        asked: Set when a confirmation is wanted at once.
+        advanced: Set when `covered_index` grew.
     """
 
-    __slots__ = ("clock", "confirmed_at", "reported")
+    __slots__ = ("advanced", "asked", "clock", "confirmed_at", "covered_index", "reported")
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
         self.confirmed_at = float("-inf")
+        self.covered_index = 0
+        self.asked = asyncio.Event()
+        self.advanced = asyncio.Event()
         self.reported = True
 
     @property
@@ -44,6 +51,33 @@
         """Records that everything agreed before a local time is applied."""
         self.confirmed_at = max(self.confirmed_at, at)
 
+    def cover(self, *, index: int) -> None:
+        """Records that the leader confirmed everything up to an index to this daemon."""
+        if index > self.covered_index:
+            self.covered_index = index
+            self.advanced.set()
+
+    async def wait_covered(self, index: int, *, timeout_s: float) -> bool:
+        """Asks for a confirmation at once and waits until it covers an index."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.covered_index < index:
+                    self.asked.set()
+                    self.advanced.clear()
+                    await self.advanced.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def rest(self, seconds: float) -> None:
+        """Waits before the next confirmation unless one is wanted at once."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.asked.wait()
+        except TimeoutError:
+            pass
+        self.asked.clear()
+
     def report(self) -> None:
         """Logs when authority expires and when it is confirmed again."""
         if self.reported and not self.is_valid:
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -34,6 +34,7 @@
 WORKER_LEASE_S = 4.0
 SUBMIT_TIMEOUT_S = 2.0
 CATCH_UP_S = 1.0
+COVER_S = 0.25
 
 # An order that the worker did not take for this long is void; it rests on an old decision.
 START_WINDOW_S = 10.0
@@ -91,6 +92,7 @@
             return Error(refusal)
         acknowledged = await self.reports.settle(vm=vm, ended=request.ended)
         await self._report_drained(vm=vm, request=request)
+        await self._cover_starts(vm=vm, request=request)
         # Nothing below waits, so the decisions rest on one state and on the worker's latest report.
         session = self.sessions.get(vm)
         if session is not None and session.overtakes(request):
@@ -135,6 +137,17 @@
             return Failure(code=ResultCode.REPLICA_BEHIND, message=message, retry_after_s=0.5)
         return None
 
+    async def _cover_starts(self, *, vm: str, request: SyncRequest) -> None:
+        """Lets the leader know of waiting runs before they are ordered.
+
+        The leader takes back runs that it never confirmed to a home that fell silent.
+        """
+        known = _known_runs(request)
+        runs = [job.run for job in self.runs_on(vm) if job.run and (job.job_id, job.run.epoch) not in known]
+        index = max((run.started_index for run in runs), default=0)
+        if index > self.freshness.covered_index and self.freshness.is_valid:
+            await self.freshness.wait_covered(index, timeout_s=COVER_S)
+
     async def _register(self, *, vm: str, request: SyncRequest) -> Failure | None:
         known = self.replica.state.tables.vms.get(vm)
         if known and known.home == self.own_name and known.boot_id == request.boot_id:
@@ -199,8 +212,7 @@
         start_within_s = AUTHORITY_TTL_S - self.freshness.age_s
         if start_within_s <= 0:
             return []
-        known = {(task.job_id, task.epoch) for task in request.running}
-        known |= {(ended.job_id, ended.epoch) for ended in request.ended}
+        known = _known_runs(request)
         jobs = self.runs_on(vm.name)
         waiting = [job for job in jobs if job.run and (job.job_id, job.run.epoch) not in known]
         orders = []
@@ -210,7 +222,7 @@
                 lost = job.run is not None and job.run.boot_id not in ("", vm.boot_id)
                 outcome = RunOutcome.LOST if lost else RunOutcome.STOPPED
                 self.reports.give_up(job=job, vm=vm, outcome=outcome, detail=reason)
-            else:
+            elif job.run is not None and job.run.started_index <= self.freshness.covered_index:
                 orders.append(_to_order(job, start_within_s=start_within_s))
         self._prune()
         return orders
@@ -291,6 +303,11 @@
         ]
 
 
+def _known_runs(request: SyncRequest) -> set[RunKey]:
+    running = {(task.job_id, task.epoch) for task in request.running}
+    return running | {(ended.job_id, ended.epoch) for ended in request.ended}
+
+
 def _runs(job: Job, *, epoch: int) -> bool:
     return job.run is not None and job.run.epoch == epoch
 
--- a/tests/job/test_scheduler.py
+++ b/tests/job/test_scheduler.py
@@ -265,3 +265,17 @@
         assert all(outcome is None for outcome in leader.submitter.outcomes)
         for name in leader.running():
             leader.end(name)
+
+
+async def test_vms_of_a_silent_home_take_nothing_until_it_is_in_contact(leader):
+    """Guards against jobs placed on workers that nobody can give orders to."""
+    leader.submitter.register("vm-1", home="h1")
+    leader.submitter.register("vm-2", home="h2")
+    for number, (silent, vms) in enumerate([({"h2"}, {"vm-1"}), (set(), {"vm-1", "vm-2"})]):
+        leader.scheduler.planner.find_silent = lambda silent=silent: frozenset(silent)
+        for part in range(2):
+            leader.submitter.accept(f"j{number}-{part}", team="blue")
+        await leader.round()
+        assert {leader.vm_of(name) for name in leader.running()} == vms
+        for name in leader.running():
+            leader.end(name)
--- a/tests/states.py
+++ b/tests/states.py
@@ -125,4 +125,5 @@
 def fresh(clock: ManualClock) -> Freshness:
     freshness = Freshness(clock=clock)
     freshness.confirm(at=clock.now)
+    freshness.cover(index=1_000_000)
     return freshness
--- a/tests/whole/test_job_faults.py
+++ b/tests/whole/test_job_faults.py
@@ -17,7 +17,7 @@
 from hyssopway_standins.outside import Outside
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from hyssopway_standins.processes import Deployment
     from hyssopway_standins.worker import WorkerStandIn
@@ -79,6 +79,32 @@
         assert _most_at_once([span for name, span in spans if name == job_id]) == 1
 
 
+@pytest.mark.faults
+async def test_jobs_go_elsewhere_when_the_only_entry_of_a_zone_is_killed(
+    deployment: Deployment, outside: Outside, operator: OperatorClient, session: aiohttp.ClientSession
+):
+    """Guards against jobs that wait on workers whose only entry is gone."""
+    key = await operator.grant_key(TEAMS[0])
+    workers = list(outside.workers.values())
+    lost = [worker for worker in workers if worker.zone == "Portland"]
+    await _wait_until(lambda: all(worker.lease_until for worker in workers))
+    before = await _submit_many(deployment, session, key=key, numbers=range(20))
+    await _wait_until(lambda: any(worker.starts for worker in lost))
+    deployment.daemons["portland-1"].kill()
+    killed_at = time.monotonic()
+    after = await _submit_many(deployment, session, key=key, numbers=range(20, 60))
+    accepted_at = time.monotonic()
+    jobs = await _wait_for_ends(deployment, session, keys={TEAMS[0]: key}, ids=after)
+    took_s = time.monotonic() - accepted_at
+    assert Counter(jobs[job_id]["status"] for job_id in after) == {"done": len(after)}
+    assert took_s < 6, took_s
+    late = [job_id for worker in lost for at, job_id, _ in worker.starts if at > killed_at]
+    assert not set(late) & set(after)
+    spans = _spans(workers)
+    for job_id in (*before, *after):
+        assert _most_at_once([span for name, span in spans if name == job_id]) <= 1
+
+
 async def _wait_until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(20):
         while not condition():  # noqa: ASYNC110  bounded by the timeout
@@ -123,6 +149,13 @@
     return dict(await asyncio.gather(*(submit(number) for number in range(JOBS))))
 
 
+async def _submit_many(
+    deployment: Deployment, session: aiohttp.ClientSession, *, key: str, numbers: range
+) -> list[str]:
+    jobs = (_submit(deployment, session, number=number, key=key) for number in numbers)
+    return list(await asyncio.gather(*jobs))
+
+
 async def _submit(
     deployment: Deployment, session: aiohttp.ClientSession, *, number: int, key: str, run_s: float = 100
 ) -> str:
@@ -151,7 +184,12 @@
 
 
 async def _wait_for_ends(
-    deployment: Deployment, session: aiohttp.ClientSession, *, keys: dict[str, str], count: int = JOBS
+    deployment: Deployment,
+    session: aiohttp.ClientSession,
+    *,
+    keys: dict[str, str],
+    count: int = JOBS,
+    ids: Sequence[str] = (),
 ) -> dict[str, Any]:
     url = deployment.daemons["worcester-2"].url
     deadline = time.monotonic() + 60
@@ -161,8 +199,9 @@
             async with session.get(f"{url}/v1/jobs", headers={"Authorization": f"Bearer {key}"}) as answer:
                 body = json.loads(await answer.read())
             jobs |= {job["job_id"]: job for job in body.get("jobs", [])}
-        left = [job for job in jobs.values() if job["status"] not in FINAL]
-        if len(jobs) >= count and not left:
+        awaited = [jobs[job_id] for job_id in ids if job_id in jobs] if ids else list(jobs.values())
+        left = [job for job in awaited if job["status"] not in FINAL]
+        if len(awaited) >= (len(ids) or count) and not left:
             return jobs
         assert time.monotonic() < deadline, (
             len(jobs),
--- a/tests/worker/test_sessions.py
+++ b/tests/worker/test_sessions.py
@@ -205,3 +205,13 @@
     assert (
         submitter.apply(ChangeVm(vm="other", state=VmState.DOWN, expected_epoch=1, reason="")).failure is None
     )
+
+
+async def test_run_is_ordered_only_once_the_leader_confirmed_it(home):
+    """Guards against a start that the leader takes back because this home fell silent."""
+    home.freshness.covered_index = home.job.run.started_index - 1
+    assert (await home.reply()).start == []
+    waiting = asyncio.create_task(home.reply())
+    await asyncio.wait_for(home.freshness.asked.wait(), 5)
+    home.freshness.cover(index=home.job.run.started_index)
+    assert [order.job_id for order in (await waiting).start] == ["job"]
