--- a/src/hyssopway/daemon/background_tasks.py
+++ b/src/hyssopway/daemon/background_tasks.py
@@ -48,7 +48,7 @@
 def _list_with_member(daemon: Daemon, *, member: Member) -> dict[str, Loop]:
     peers = daemon.group.peers
     rng = random.Random()
-    return {
+    loops: dict[str, Loop] = {
         "sync_log": member.sync_own_log,
         "apply": member.apply_committed,
         "elections": lambda: run_elections(member=member, transport=peers, rng=rng),
@@ -58,6 +58,9 @@
         "lost_homes": daemon.jobs.lost_homes.run,
         "fleet": daemon.fleet.controller.run,
     }
+    if daemon.jobs.unordered_runs is not None:
+        loops["unordered_runs"] = daemon.jobs.unordered_runs.run
+    return loops
 
 
 async def _keep_running(name: str, loop: Loop) -> None:
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -69,7 +69,7 @@
             ledger=self.requests.ledger,
             router=self.requests.router,
         )
-        self.jobs = JobPath(group=self.group, fleet=self.fleet, contacts=self.calls.contacts)
+        self.jobs = JobPath(group=self.group, fleet=self.fleet, calls=self.calls)
         self.calls.exchanges.update(list_exchanges(self))
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
         self.http = HttpApplication(daemon=self)
--- a/src/hyssopway/daemon/job_path.py
+++ b/src/hyssopway/daemon/job_path.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from hyssopway.job import JobScheduler, LostHomes, UsageBook
+from hyssopway.job import JobScheduler, LostHomes, UnorderedRuns, UsageBook
 from hyssopway.worker import WorkerSessions
 
 if TYPE_CHECKING:
     from .control_group import ControlGroup
     from .fleet_parts import FleetParts
+    from .peer_calls import PeerCalls
 
 
 class JobPath:
@@ -20,11 +21,12 @@
         usage: Reported usage of running tasks.
         scheduler: Places jobs; acts on the leader.
         lost_homes: Declares runs of unreachable homes lost; acts on the leader.
+        unordered_runs: Takes back runs that an unreachable home did not order; None without a disk.
     """
 
-    __slots__ = ("lost_homes", "scheduler", "sessions", "usage")
+    __slots__ = ("lost_homes", "scheduler", "sessions", "unordered_runs", "usage")
 
-    def __init__(self, *, group: ControlGroup, fleet: FleetParts, contacts: dict[str, float]) -> None:
+    def __init__(self, *, group: ControlGroup, fleet: FleetParts, calls: PeerCalls) -> None:
         own_name = group.settings.name
         self.sessions = WorkerSessions(
             own_name=own_name,
@@ -47,10 +49,25 @@
             own_name=own_name,
             replica=group.replica,
             submitter=group.submitter,
-            contacts=contacts,
+            contacts=calls.contacts,
             leads=group.leads,
             clock=group.clock,
         )
+        self.scheduler.planner.find_silent = self.lost_homes.find_silent
+        self.unordered_runs = self._build_unordered_runs(group=group, calls=calls)
+
+    def _build_unordered_runs(self, *, group: ControlGroup, calls: PeerCalls) -> UnorderedRuns | None:
+        if group.member is None or group.proposer is None:
+            return None
+        return UnorderedRuns(
+            replica=group.replica,
+            member=group.member,
+            proposer=group.proposer,
+            lost_homes=self.lost_homes,
+            confirmed_homes={peer.name for peer in group.settings.peers if peer.member},
+            covered=calls.covered,
+            withheld=calls.withheld,
+        )
 
 
 __all__ = ["JobPath"]
