--- /dev/null
+++ b/tests/agreed.py
@@ -0,0 +1,49 @@
+"""Reads what all daemons of a deployment agree on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from hyssopway.replica import AUTHORITY_TTL_S
+from hyssopway_standins.operator_client import OperatorClient
+from hyssopway_standins.waiting import wait_until
+
+if TYPE_CHECKING:
+    from hyssopway_standins.processes import Deployment
+
+
+async def leader_of(operator: OperatorClient) -> str:
+    """Returns the daemon that leads, as the operator's entry knows it."""
+
+    async def find() -> str:
+        try:
+            agreement = (await operator.get("/v1/dump"))["agreement"]
+        except (aiohttp.ClientError, RuntimeError):
+            return ""
+        return str(agreement["leader"]).split("/", maxsplit=1)[0]
+
+    return str(await wait_until(find))
+
+
+async def read_dumps(deployment: Deployment, operator: OperatorClient) -> list[dict[str, Any]]:
+    """Reads the dumps of all daemons."""
+    clients = [
+        OperatorClient(session=operator.session, url=daemon.url, token=operator.token)
+        for daemon in deployment.daemons.values()
+    ]
+    return list(await asyncio.gather(*(client.get("/v1/dump") for client in clients)))
+
+
+def is_confirmed(dump: dict[str, Any]) -> bool:
+    """Tells whether a daemon makes decisions on its state."""
+    return dump["freshness_age_s"] is not None and dump["freshness_age_s"] <= AUTHORITY_TTL_S
+
+
+async def all_equal(deployment: Deployment, operator: OperatorClient) -> bool:
+    """Tells whether all daemons hold the same state and confirm it."""
+    dumps = await read_dumps(deployment, operator)
+    same = all(dump["agreed_state"] == dumps[0]["agreed_state"] for dump in dumps)
+    return same and all(is_confirmed(dump) for dump in dumps)
