Try urgent work elsewhere after a second when a reclaim makes no room

Ruled out: a shorter time for all reclaims; shares are not urgent, and more reclaims mean more moved work.

Change: reclaims for urgent work are tried elsewhere after 1 s, and a run that was asked to end is not chosen again.

Before: the new test fails (one run asked in 1.5 s). After: it passes with all tests of job, worker and control.

Conclusion: three tries fit into the bound; the cause of the first try making no room (estimates far below the real size) stays open.

--- a/src/hyssopway/job/reclaim.py
+++ b/src/hyssopway/job/reclaim.py
@@ -24,8 +24,14 @@
 # A throttled task shows that it is not needed at full speed; then it is stopped.
 THROTTLE_S = 2.0
 
-# Order, end and report each wait for a sync of 0.5 s; after this the reclaim is tried elsewhere.
+# After this a reclaim that made no room is tried elsewhere.
 DEAL_S = 5.0
+# Order, end and report take about 0.2 s over a waiting sync. Three tries fit into the 3.3 s in which urgent
+# work must start; one run took 5.03 s when the first deal made no room.
+URGENT_DEAL_S = 1.0
+
+# A run that was asked to end makes no more room when it is asked again.
+ENDING = (ReclaimAction.CHECKPOINT, ReclaimAction.STOP)
 
 MAX_DEALS = 50
 MAX_CANDIDATES = 300
@@ -117,7 +123,8 @@
             now = self.planner.clock()
             action = self._choose_action(key, victims=victims, checkpointable=checkpointable)
             if action is not ReclaimAction.THROTTLE:
-                self.deals.append(Deal(key=key, victims=tuple(victims), until=now + DEAL_S))
+                until = now + (URGENT_DEAL_S if key.urgent else DEAL_S)
+                self.deals.append(Deal(key=key, victims=tuple(victims), until=until))
                 for job_id in victims:
                     placed = self.planner.view.placed[job_id]
                     shares[placed.team] = shares.get(placed.team, 0.0) - placed.need.dominant_share(
@@ -175,6 +182,8 @@
             # A start of this round is not agreed yet and cannot be reclaimed.
             if job is None or job.run is None or job.cancelling or job.spec.urgent or job_id in busy:
                 continue
+            if job.run.reclaim in ENDING:
+                continue
             if job.spec.checkpointable is checkpointable and view.placed[job_id].vm in view.where:
                 yield job_id
 
--- a/tests/job/test_scheduler.py
+++ b/tests/job/test_scheduler.py
@@ -15,7 +15,7 @@
 from hyssopway.job.capacity_tree import CLOSED, CapacityTree
 from hyssopway.job.estimates import MAX_KINDS, Estimates
 from hyssopway.job.shares import fair_shares
-from states import DOCUMENT
+from states import CAPACITY, DOCUMENT
 
 HALF = Resources(cores=8, memory_gb=32)
 
@@ -125,6 +125,17 @@
     assert any("reclaimed by" in line for line in reclaimed[0].history)
 
 
+async def test_urgent_work_is_tried_elsewhere_while_it_can_still_start_in_time(leader):
+    """Guards against urgent work that waits for one task which does not end."""
+    for number in range(2):
+        leader.submitter.register(f"vm{number}", rack=f"a-{number}")
+        leader.submitter.accept(f"j{number}", team="blue", resources=CAPACITY)
+    await leader.round()
+    leader.submitter.accept("urgent", resources=CAPACITY, urgent=True)
+    await leader.round(30)
+    assert [job.run.reclaim for job in leader.jobs.values() if job.run] == [ReclaimAction.STOP] * 2
+
+
 async def test_share_is_reclaimed_by_throttle_and_then_by_stop(leader):
     """Guards against a borrower that keeps what another team is entitled to."""
     leader.submitter.register("vm", capacity=Resources(cores=16, memory_gb=256))
