Find out what lending costs, and leave jobs held back by a limit out of demand

Cause: `measure fleet` showed that lent spare VMs serve less than a fixed division of them. The baseline never lost a spare VM, and demand counted jobs that their team's limit keeps waiting.

Lent tasks are the way for peaks; they are not built yet.

--- a/src/hyssopway/fleet/demand.py
+++ b/src/hyssopway/fleet/demand.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from hyssopway.control.team_usage import TeamUsage
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -37,9 +39,25 @@
 
 
 def count_waiting_cores(state: ControlState) -> dict[str, float]:
-    """Returns the declared cores of pending jobs by pool."""
+    """Returns the declared cores of pending jobs by pool, without those that a team's limit holds back.
+
+    No VM would run them, however many are lent.
+    """
     cores: dict[str, float] = {}
+    document = state.document()
+    if document is None:
+        return cores
+    usage: dict[str, TeamUsage] = {}
     for job in state.indexes.pending.values():
+        if job.team not in usage:
+            running = state.indexes.usage.get(job.team) or TeamUsage()
+            usage[job.team] = TeamUsage(tasks=running.tasks, resources=running.resources)
+        used, team = usage[job.team], document.team(name=job.team)
+        if team is None or used.tasks >= team.max_running:
+            continue
+        if not (used.resources + job.spec.resources).fits_in(team.limit):
+            continue
+        used.add(job.spec.resources)
         cores[job.spec.pool] = cores.get(job.spec.pool, 0.0) + job.spec.resources.cores
     return cores
 
--- a/src/hyssopway_standins/measure/fleet.py
+++ b/src/hyssopway_standins/measure/fleet.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 import tracemalloc
-from typing import TYPE_CHECKING
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+from expression import Error, Result
 
 from hyssopway.control import ControlState
 from hyssopway.control.command import ControlWave, SetZone, WaveAction
 from hyssopway.control.record import VmState, WaveStatus, WaveVmStatus, ZoneStatus
+from hyssopway.fleet import FleetController
 from hyssopway.fleet.demand import Demand
 from hyssopway.fleet.lending import decide_lending
 from hyssopway.fleet.waves import decide_waves
 from hyssopway.fleet.zone_steps import decide_zones
+from hyssopway.result import Failure, ResultCode
 from hyssopway_standins.agreed import AgreedStandIn
 from hyssopway_standins.wave_driver import WaveDriver
 
@@ -22,13 +28,27 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from hyssopway.control import Outcome
     from hyssopway.control.record import Wave
 
 DEPLOYMENTS = ("pantry", "association")
-BUFFERS = ("fixed", "shared", "lent", "at_once")
+BUFFERS = (
+    "none",
+    "fixed",
+    "fixed_without_failures",
+    "shared",
+    "lent",
+    "at_once",
+    "no_drain",
+    "tasks_10",
+    "tasks_25",
+    "tasks_50",
+)
 ROUND_S = 5.0
 PEAK_FACTOR = 5.0
 LOW_FACTOR = 0.05
+# Part of a pool's work that a spare VM can run as tasks and give up at once by a checkpoint.
+CHECKPOINTABLE = {"tasks_10": 0.10, "tasks_25": 0.25, "tasks_50": 0.50}
 
 
 def measure(*, seed: int, quick: bool) -> Measurement:
@@ -40,7 +60,8 @@
         for buffer in BUFFERS:
             figures |= _measure_buffer(deployment, buffer=buffer, seed=seed, rounds=240 if quick else 1440)
     scale = list(_measure_scale(sizes=(40, 400) if quick else (40, 400, 4000, 21_000)))
-    for size, rate, memory_mb in scale:
+    for size, rate, memory_mb, round_ms in scale:
+        figures[f"controller_round_{size}_vms_ms"] = round_ms
         figures[f"wave_rounds_{size}_vms_per_s"] = rate
         figures[f"state_{size}_vms_mb"] = memory_mb
     series = [
@@ -48,10 +69,13 @@
             name="wave rounds",
             x_label="VMs",
             y_label="wave rounds per s",
-            points=[(size, rate) for size, rate, _ in scale],
+            points=[(size, rate) for size, rate, *_ in scale],
         ),
         Series(
-            name="state", x_label="VMs", y_label="memory in MB", points=[(size, mb) for size, _, mb in scale]
+            name="state",
+            x_label="VMs",
+            y_label="memory in MB",
+            points=[(size, mb) for size, _, mb, _ in scale],
         ),
     ]
     return Measurement(area="fleet", figures=figures, series=series)
@@ -182,11 +206,15 @@
 def _measure_buffer(deployment: str, *, buffer: str, seed: int, rounds: int) -> dict[str, float]:
     """Gives each pool in turn a peak and counts idle spare VMs, moves and work done.
 
-    `fixed` divides the spare VMs among the pools for good, `shared` lends only what the buffer policy
-    does not need, `lent` lends all, and `at_once` lends all without smoothing.
+    `none` leaves the spare VMs idle. `fixed` divides the spare VMs among the pools for good; `fixed_without_failures` does so with spare VMs
+    that never fail. `shared` lends only what the buffer policy does not need, `lent` lends all, `at_once`
+    lends all without smoothing and `no_drain` also with drains of no time. The ways called
+    `tasks` move no VM: spare VMs run the checkpointable part of other pools' work, without cost for its
+    start and its checkpoint, so their figures are upper bounds.
     """
     driver = WaveDriver(agreed=AgreedStandIn.prepare_example(deployment))
-    policy = {"survive_zone": False, "survive_rack": True, "lend": buffer in ("lent", "at_once")}
+    driver.drain_ms = 0 if buffer == "no_drain" else driver.drain_ms
+    policy = {"survive_zone": False, "survive_rack": True, "lend": buffer in ("lent", "at_once", "no_drain")}
     driver.agreed.change_document(driver.agreed.data | {"buffer": policy})
     rng = random.Random(seed)
     pools = _count_ready(driver, outside="")
@@ -207,11 +235,14 @@
         if number % 40 == 35:
             driver.change(failing, VmState.READY)
         ready = {pool: float(count) for pool, count in _count_ready(driver, outside="").items()}
-        if buffer == "fixed":
-            ready = {pool: count + spares / len(pools) for pool, count in ready.items()}
-        else:
+        working = float(spares if buffer == "fixed_without_failures" else _count_ready_spares(driver))
+        if buffer.startswith("fixed"):
+            ready = {pool: count + working / len(pools) for pool, count in ready.items()}
+        elif buffer in CHECKPOINTABLE:
+            ready = _lend_tasks(ready, demand=demand, spares=working, part=CHECKPOINTABLE[buffer])
+        elif buffer != "none":
             waiting = {pool: max(0.0, demand[pool] - ready[pool]) * 64 for pool in pools}
-            if buffer == "at_once":
+            if buffer in ("at_once", "no_drain"):
                 smoothed.cores = dict(waiting)
             else:
                 smoothed.note(waiting=waiting, now=driver.agreed.now_ms / 1000)
@@ -232,8 +263,28 @@
     }
 
 
-def _measure_scale(*, sizes: tuple[int, ...]) -> Iterator[tuple[int, float, float]]:
-    """Yields size, wave rounds a second and memory of the agreed state in MB."""
+def _count_ready_spares(driver: WaveDriver) -> int:
+    """Counts the spare VMs that may take work."""
+    state = driver.agreed.state
+    document = state.document()
+    spare = {pool.name for pool in document.pools if pool.spare} if document else set()
+    return sum(vm.pool in spare and vm.state is VmState.READY for vm in state.tables.vms.values())
+
+
+def _lend_tasks(
+    ready: dict[str, float], *, demand: dict[str, float], spares: float, part: float
+) -> dict[str, float]:
+    """Gives the spare VMs to the pools with the most waiting work that can be checkpointed."""
+    lent = dict(ready)
+    for pool in sorted(ready, key=lambda name: ready[name] - demand[name]):
+        given = min(spares, max(0.0, demand[pool] - ready[pool]), demand[pool] * part)
+        lent[pool] += given
+        spares -= given
+    return lent
+
+
+def _measure_scale(*, sizes: tuple[int, ...]) -> Iterator[tuple[int, float, float, float]]:
+    """Yields size, wave rounds a second, memory of the agreed state in MB and ms of a controller round."""
     for size in sizes:
         tracemalloc.start()
         driver = WaveDriver(agreed=AgreedStandIn.prepare_example("pantry"))
@@ -251,7 +302,38 @@
             decide_waves(driver.agreed.state, now_ms=5000, returned=())
             rounds += 1
         elapsed_s = time.perf_counter() - started
-        yield len(wave.vms), rounds / elapsed_s, memory_mb
+        yield len(wave.vms), rounds / elapsed_s, memory_mb, _time_round(driver, zone=zones[0])
+
+
+def _time_round(driver: WaveDriver, *, zone: str) -> float:
+    """Returns the longest of five controller rounds in ms, with a wave and a withdrawn zone at once.
+
+    Every proposal is refused, so the figure holds no agreement and each round decides the same again.
+    """
+
+    async def refuse(*_: Any, **__: Any) -> Result[Outcome, Failure]:
+        return Error(Failure(code=ResultCode.NOT_LEADER, message="measured without a group"))
+
+    driver.agreed.apply(
+        SetZone(zone=zone, status=ZoneStatus.WITHDRAWN, request_id="measure", operator="operator")
+    )
+    replica: Any = SimpleNamespace(state=driver.agreed.state)
+    submitter: Any = SimpleNamespace(submit=refuse)
+    reboots: Any = SimpleNamespace(follow=lambda _: None, returned=())
+    controller = FleetController(
+        replica=replica,
+        submitter=submitter,
+        leads=lambda: True,
+        clock=time.monotonic,
+        now_ms=lambda: driver.agreed.now_ms,
+        reboots=reboots,
+    )
+    longest_s = 0.0
+    for _ in range(5):
+        started = time.perf_counter()
+        asyncio.run(controller.control_once())
+        longest_s = max(longest_s, time.perf_counter() - started)
+    return longest_s * 1000
 
 
 __all__ = ["measure"]
--- a/tests/fleet/test_lending.py
+++ b/tests/fleet/test_lending.py
@@ -8,10 +8,11 @@
 
 from hyssopway.control.command import SetZone
 from hyssopway.control.record import VmState, ZoneStatus
-from hyssopway.fleet.demand import Demand
+from hyssopway.fleet.demand import Demand, count_waiting_cores
 from hyssopway.fleet.lending import decide_lending, required_spare
 from hyssopway_standins.agreed import AgreedStandIn
 from hyssopway_standins.wave_driver import WaveDriver
+from states import prepare
 
 
 @pytest.fixture
@@ -86,3 +87,26 @@
         assert required_spare(driver.agreed.state, document=document, spare="back-office") == kept
     run(driver, rounds=200, waiting={"pickup": 5000.0}, demand=Demand())
     assert size(driver, "back-office") == kept
+
+
+@pytest.mark.parametrize(
+    ("team", "started", "accepted", "cores"),
+    [("red", 0, 2, 8), ("red", 0, 9, 12), ("red", 2, 5, 4), ("red", 3, 5, 0), ("blue", 3, 9, 24)],
+)
+def test_jobs_that_a_limit_holds_back_are_no_demand(team, started, accepted, cores):
+    """Guards against VMs that are moved for jobs which their team's limit of 3 tasks keeps waiting."""
+    submitter = prepare()
+    submitter.register("vm-1")
+    for number in range(accepted):
+        assert submitter.accept(f"job-{number}", team=team).failure is None
+    for number in range(started):
+        assert submitter.start(f"job-{number}", "vm-1").failure is None
+    assert count_waiting_cores(submitter.state) == ({"p": cores} if cores else {})
+
+
+def test_jobs_of_a_dropped_team_are_no_demand():
+    """Guards against VMs that are lent for jobs of a team that a newer document dropped."""
+    submitter = prepare()
+    submitter.accept("job-1", team="red")
+    submitter.state.document().teams.clear()
+    assert count_waiting_cores(submitter.state) == {}
