Ask about a drain once over all leaders, report late waves and stop at a failing canary

Cause: a new leader asked operators again about each overdue drain; nothing said that a wave would miss `period_s`; a canary that failed all work after its reboot counted as done, and with `max_lost` 2 the wave went on.

Change: the question is recorded in the permit by NoteQuestion; waves show `due_ms` and `late_ms` and are reported as late; a canary that is down or quarantined pauses its wave.

Conclusion: maintenance says what is late, and a VM that the platform calls healthy stops the wave if it fails.

--- a/src/hyssopway/control/apply/drains.py
+++ b/src/hyssopway/control/apply/drains.py
@@ -15,7 +15,7 @@
 from .refusal import refuse
 
 if TYPE_CHECKING:
-    from hyssopway.control.command import DecideDrain, DrainVm, RequestMove, ReturnVm
+    from hyssopway.control.command import DecideDrain, DrainVm, NoteQuestion, RequestMove, ReturnVm
     from hyssopway.control.state import ControlState
     from hyssopway.result import Failure
 
@@ -64,12 +64,23 @@
     match command.decision:
         case DrainDecision.WAIT:
             permit.at_ms = state.tables.now_ms
+            permit.asked = False
         case DrainDecision.STOP:
             permit.stop_work = True
             vm.reason = f"work stopped by {command.operator}"
     return Ok(Change(generation=vm.epoch, reference=vm.name))
 
 
+def note_question(state: ControlState, command: NoteQuestion) -> Result[Change, Failure]:
+    """Records that operators were asked about the work on a draining VM."""
+    permit = state.tables.permits.get(command.vm)
+    if permit is None or (permit.holder, permit.at_ms) != (command.holder, command.at_ms) or permit.asked:
+        message = f"nobody is to be asked about a drain of VM {command.vm!r} from {command.at_ms}"
+        return refuse(ResultCode.VM_STATE_CONFLICT, message)
+    permit.asked = True
+    return Ok(Change(reference=command.vm))
+
+
 def _take(
     state: ControlState, command: DrainVm | RequestMove, *, purpose: PermitPurpose
 ) -> Result[Change, Failure]:
--- a/src/hyssopway/control/command/__init__.py
+++ b/src/hyssopway/control/command/__init__.py
@@ -18,6 +18,7 @@
 from .end_run import EndRun
 from .grant_key import GrantKey
 from .move_vm import MoveVm
+from .note_question import NoteQuestion
 from .promote_document import PromoteDocument
 from .reclaim_run import ReclaimRun
 from .register_vm import RegisterVm
@@ -66,6 +67,7 @@
     | MoveVm
     | TakePermit
     | ReturnPermit
+    | NoteQuestion
     | ClaimRequest
     | ResolveClaim
     | ReleaseClaim
@@ -93,6 +95,7 @@
     "EndRun",
     "GrantKey",
     "MoveVm",
+    "NoteQuestion",
     "OperatorCommand",
     "PromoteDocument",
     "ReclaimRun",
--- a/src/hyssopway/control/record/permit.py
+++ b/src/hyssopway/control/record/permit.py
@@ -17,6 +17,7 @@
         holder: Wave, withdrawal or operator.
         at_ms: Agreed time in milliseconds; a drain is overdue counted from here.
         target: New pool of a VM that is to be moved.
+        asked: Whether operators were asked about work that does not end.
         stop_work: Whether an operator had the work on the VM stopped.
     """
 
@@ -26,6 +27,7 @@
     at_ms: int
     target: str = ""
     stop_work: bool = False
+    asked: bool = False
 
 
 __all__ = ["Permit"]
--- a/src/hyssopway/fleet/controller.py
+++ b/src/hyssopway/fleet/controller.py
@@ -6,13 +6,23 @@
 from typing import TYPE_CHECKING
 
 from hyssopway.control.apply.budgets import find_broken
-from hyssopway.control.command import AdvanceWave, ChangeVm, ControlWave, MoveVm, SetZone, TakePermit
+from hyssopway.control.apply.waves import is_under_way
+from hyssopway.control.command import (
+    AdvanceWave,
+    ChangeVm,
+    ControlWave,
+    MoveVm,
+    NoteQuestion,
+    SetZone,
+    TakePermit,
+)
 from hyssopway.control.record import WaveVmStatus
 from hyssopway.event import Event, log_event
 
 from .demand import Demand, count_waiting_cores
 from .drains import decide_moves, find_overdue
 from .lending import decide_lending
+from .wave_order import find_late_ms
 from .waves import decide_waves
 from .zone_steps import decide_zones
 
@@ -41,17 +51,19 @@
         reboots: Has the platform reboot VMs; None without a platform, and waves do not start then.
         clock: Monotonic seconds.
         now_ms: Returns agreed time.
-        asked: Drains that the operator was asked about, by VM and start.
+        asking: Questions about drains whose record is on its way, by VM and start.
+        late: Waves that were reported as late.
         demand: Demand of pools; soft state.
         stepped_ms: Time of the last return step by zone.
         broken: Budget that failures alone exceed, as reported last.
     """
 
     __slots__ = (
-        "asked",
+        "asking",
         "broken",
         "clock",
         "demand",
+        "late",
         "leads",
         "now_ms",
         "reboots",
@@ -78,7 +90,8 @@
         self.reboots = reboots
         self.demand = Demand()
         self.stepped_ms: dict[str, int] = {}
-        self.asked: set[tuple[str, int]] = set()
+        self.asking: set[tuple[str, int]] = set()
+        self.late: set[str] = set()
         self.broken = ""
 
     async def run(self) -> None:
@@ -97,7 +110,8 @@
         await self._advance_waves()
         await self._advance_zones()
         await self._lend()
-        self._ask_operator()
+        await self._ask_operator()
+        self._report_late()
         self._report_broken()
 
     def _rest(self) -> None:
@@ -154,14 +168,41 @@
                     Event.VM_MOVED, vm=command.vm, source=source, target=command.target, reason=command.reason
                 )
 
-    def _ask_operator(self) -> None:
-        overdue = {
-            (permit.vm, permit.at_ms) for permit in find_overdue(self.replica.state, now_ms=self.now_ms())
+    async def _ask_operator(self) -> None:
+        """Asks once about each overdue drain, over all leaders."""
+        overdue = find_overdue(self.replica.state, now_ms=self.now_ms())
+        self.asking &= {(permit.vm, permit.at_ms) for permit in overdue}
+        for permit in overdue:
+            key = (permit.vm, permit.at_ms)
+            if not permit.asked:
+                # The answer may be lost after the record was agreed; the next round then finds it.
+                self.asking.add(key)
+                await self.submitter.submit(
+                    NoteQuestion(vm=permit.vm, holder=permit.holder, at_ms=permit.at_ms),
+                    timeout_s=SUBMIT_TIMEOUT_S,
+                )
+            if permit.asked and key in self.asking:
+                self.asking.discard(key)
+                question = (
+                    f"its work does not end; wait on, or have it stopped? POST /v1/vms/{permit.vm}/decision"
+                )
+                log_event(Event.OPERATOR_NEEDED, subject=f"VM {permit.vm}", question=question)
+
+    def _report_late(self) -> None:
+        """Tells operators once in a leadership that a wave will miss its deadline."""
+        state = self.replica.state
+        late = {
+            wave.wave_id: late_ms
+            for wave in state.tables.waves.values()
+            if is_under_way(wave) and (late_ms := find_late_ms(state, wave=wave, now_ms=self.now_ms()))
         }
-        for vm, _ in sorted(overdue - self.asked):
-            question = f"its work does not end; wait on, or have it stopped? POST /v1/vms/{vm}/decision"
-            log_event(Event.OPERATOR_NEEDED, subject=f"VM {vm}", question=question)
-        self.asked = overdue
+        for wave_id in sorted(late.keys() - self.late):
+            question = (
+                f"it will end {late[wave_id] / 1000:.0f} s after period_s; "
+                "raise budgets or period_s, or leave it late?"
+            )
+            log_event(Event.OPERATOR_NEEDED, subject=wave_id, question=question)
+        self.late = set(late)
 
     def _report_broken(self) -> None:
         broken = find_broken(self.replica.state)
--- a/src/hyssopway/fleet/waves.py
+++ b/src/hyssopway/fleet/waves.py
@@ -80,6 +80,9 @@
         return f"{lost} VMs lost; max_lost is {policy.max_lost}"
     if lost > wave.lost_accepted and wave.count(WaveVmStatus.DONE) < policy.canaries:
         return "a canary was lost"
+    failed = _find_failed_canary(state, wave=wave, canaries=policy.canaries)
+    if failed and lost > wave.lost_accepted:
+        return f"canary {failed} fails after its reboot"
     racks = Counter((state.tables.vms[name].zone, state.tables.vms[name].rack) for name in wave.select(*LOST))
     for (zone, rack), count in racks.items():
         if count > MAX_LOST_PER_RACK and lost > wave.lost_accepted:
@@ -87,6 +90,13 @@
     return ""
 
 
+def _find_failed_canary(state: ControlState, *, wave: Wave, canaries: int) -> str:
+    """Returns a canary that came back and is down or quarantined by now; the platform may call it healthy."""
+    done = sorted(wave.select(WaveVmStatus.DONE), key=lambda name: wave.vms[name].changed_ms)
+    vms = [state.tables.vms[name] for name in done[:canaries]]
+    return next((vm.name for vm in vms if vm.state in (VmState.DOWN, VmState.QUARANTINED)), "")
+
+
 def _skip_rest(state: ControlState, *, wave: Wave) -> Iterator[AdvanceWave]:
     """Ends a wave whose last VMs are down; it would wait for them without end."""
     left = [state.tables.vms[name] for name in wave.select(*OPEN)]
--- a/src/hyssopway/operator_api/wave_routes.py
+++ b/src/hyssopway/operator_api/wave_routes.py
@@ -11,7 +11,7 @@
 
 from hyssopway.control.apply.waves import is_under_way
 from hyssopway.control.command import ControlWave, StartWave, WaveAction
-from hyssopway.fleet.wave_order import forecast_end_ms
+from hyssopway.fleet.wave_order import find_due_ms, find_late_ms, forecast_end_ms
 from hyssopway.http import failure_response, json_response, read_json, token_matches
 from hyssopway.result import Failure, ResultCode
 
@@ -112,6 +112,10 @@
             "started_ms": wave.started_ms,
             "progress": Counter(vm.status.value for vm in wave.vms.values()),
             "forecast_end_ms": end_ms,
+            "due_ms": find_due_ms(self.replica.state, wave=wave),
+            "late_ms": find_late_ms(self.replica.state, wave=wave, now_ms=self.now_ms())
+            if is_under_way(wave)
+            else 0,
         }
 
     async def _submit(self, command: Command) -> web.Response:
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
+from expression import Error, Ok
+from loguru import logger
 
-from hyssopway.control.command import ChangeVm, DrainVm, RequestMove
-from hyssopway.control.record import VmState
+from hyssopway.control.command import ChangeVm, DecideDrain, DrainVm, RequestMove
+from hyssopway.control.record import DrainDecision, VmState
+from hyssopway.fleet import FleetController
 from hyssopway.fleet.drains import decide_moves, find_overdue
 from hyssopway_standins.agreed import AgreedStandIn
 
@@ -19,7 +24,7 @@
 
 def operate(agreed, kind, **fields):
     outcome = agreed.apply(
-        kind(vm=VM, expected_epoch=agreed.vm(VM).epoch, request_id="r", operator="kim", **fields)
+        kind(vm=VM, expected_epoch=agreed.vm(VM).epoch, request_id=kind.__name__, operator="kim", **fields)
     )
     assert outcome.failure is None
 
@@ -67,3 +72,36 @@
     operate(agreed, DrainVm)
     change(agreed, *states)
     assert [permit.vm for permit in find_overdue(agreed.state, now_ms=after_ms)] == [VM] * overdue
+
+
+async def test_question_about_a_drain_is_asked_once_over_two_leaders(agreed):
+    """Guards against a new leader that asks again, and against silence after the operator waited on."""
+    lines = []
+    sink = logger.add(lines.append, level="WARNING")
+    operate(agreed, DrainVm)
+    agreed.now_ms = 601_000
+    leaders = [make_controller(agreed) for _ in range(2)]
+    for leader in [leaders[0], leaders[0], leaders[1], leaders[1]]:
+        await leader.control_once()
+    assert len(lines) == 1
+    operate(agreed, DecideDrain, decision=DrainDecision.WAIT)
+    await leaders[1].control_once()
+    assert len(lines) == 1
+    agreed.now_ms += 601_000
+    await leaders[1].control_once()
+    logger.remove(sink)
+    assert len(lines) == 2
+
+
+def make_controller(agreed):
+    async def submit(command, timeout_s):
+        outcome = agreed.apply(command)
+        return Error(outcome.failure) if outcome.failure else Ok(outcome)
+
+    return FleetController(
+        replica=SimpleNamespace(state=agreed.state),
+        submitter=SimpleNamespace(submit=submit),
+        leads=lambda: True,
+        clock=lambda: 0.0,
+        now_ms=lambda: agreed.now_ms,
+    )
--- a/tests/whole/test_wave.py
+++ b/tests/whole/test_wave.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hyssopway.control.record import RunOutcome
 from hyssopway_standins.job_load import submit_jobs
 from hyssopway_standins.platform import PlatformFault, PlatformStandIn, PlatformVmTruth
 from hyssopway_standins.processes import Deployment
@@ -107,6 +108,68 @@
     assert {truth.state for truth in platform.vms.values()} == {"serving"}
 
 
+@pytest.mark.faults
+async def test_canary_that_fails_everything_after_its_reboot_pauses_the_wave(
+    deployment: Deployment, platform: PlatformStandIn, outside: Outside, operator: OperatorClient
+):
+    """Guards against a wave that goes on because the platform calls a VM healthy that fails its work."""
+    rebooted: list[str] = []
+
+    def reboot(vm: str) -> None:
+        worker = outside.workers[vm]
+        worker.stop()
+        if not rebooted:
+            worker.choose_outcome = lambda _: RunOutcome.FAILED
+        rebooted.append(vm)
+        worker.restart()
+
+    platform.on_reboot = reboot
+    key = await operator.grant_key("granite-hearth")
+    accepted: list[str] = []
+    jobs = asyncio.create_task(
+        submit_jobs(
+            operator.session,
+            url=deployment.daemons["portland-1"].url,
+            key=key,
+            pools=("pickup",),
+            accepted=accepted,
+            for_s=RUN_S,
+        )
+    )
+    try:
+        await wait_until(lambda: registered(operator), timeout_s=RUN_S)
+        wave = (await operator.post("/v1/waves", {"pools": ["pickup"]}))["reference"]
+        shown = await wait_until(lambda: ended(operator, wave), timeout_s=RUN_S)
+        assert (shown["status"], shown["reason"]) == (
+            "paused",
+            f"canary {rebooted[0]} fails after its reboot",
+        )
+        assert await state_of(operator, rebooted[0]) == "quarantined"
+        outside.workers[rebooted[0]].choose_outcome = lambda _: RunOutcome.DONE
+        await operator.post(f"/v1/waves/{wave}/resume", {"expected_epoch": shown["epoch"]})
+        shown = await wait_until(lambda: ended(operator, wave), timeout_s=RUN_S)
+        await wait_until(lambda: is_ready(operator, rebooted[0]), timeout_s=RUN_S)
+    finally:
+        jobs.cancel()
+    assert shown["status"] == "done", shown
+    assert sorted(rebooted) == VMS
+    await wait_until(lambda: all_done(operator, accepted), timeout_s=RUN_S)
+
+
+async def state_of(operator: OperatorClient, name: str) -> str:
+    vms = (await operator.get("/v1/vms"))["vms"]
+    return next(item["vm"]["state"] for item in vms if item["vm"]["name"] == name)
+
+
+async def is_ready(operator: OperatorClient, name: str) -> bool:
+    return await state_of(operator, name) == "ready"
+
+
+async def all_done(operator: OperatorClient, accepted: list[str]) -> bool:
+    jobs = [await operator.get(f"/v1/explain/job/{job_id}") for job_id in accepted]
+    return all(job["status"] == "done" for job in jobs)
+
+
 async def registered(operator: OperatorClient) -> bool:
     vms = (await operator.get("/v1/vms"))["vms"]
     return sum(item["vm"]["pool"] == "pickup" for item in vms) == len(VMS)
