Skip VMs of dropped pools in waves, and measure zone changes with real jobs

Cause: a wave waited without end for VMs whose pool a newer document had dropped, since such a pool has no budget to stop them by. The work done during a zone change was counted from VM states, not from jobs.

Change: a wave skips waiting VMs of a pool that is not in the document; a test changes documents during a wave. The measurement drives the job planner and the fleet controller through a withdrawal and a return of a zone with six failures of VMs and a change of leader.

The gateway is not changed here.

--- a/src/hyssopway/fleet/waves.py
+++ b/src/hyssopway/fleet/waves.py
@@ -98,7 +98,14 @@
 
 
 def _skip_rest(state: ControlState, *, wave: Wave) -> Iterator[AdvanceWave]:
-    """Ends a wave whose last VMs are down; it would wait for them without end."""
+    """Skips VMs that the wave would wait for without end: the last ones when down, and those without a budget."""
+    document = state.document()
+    pools = {pool.name for pool in document.pools} if document else set()
+    for name in wave.select(WaveVmStatus.WAITING):
+        vm = state.tables.vms[name]
+        if vm.pool not in pools:
+            reason = f"pool {vm.pool} is not in the document"
+            yield _step(wave, vm=vm, status=WaveVmStatus.SKIPPED, reason=reason)
     left = [state.tables.vms[name] for name in wave.select(*OPEN)]
     if all(vm.state is VmState.DOWN for vm in left):
         for vm in left:
--- a/src/hyssopway_standins/measure/fleet.py
+++ b/src/hyssopway_standins/measure/fleet.py
@@ -24,6 +24,7 @@
 from hyssopway_standins.wave_driver import WaveDriver
 
 from .measurement import Measurement, Series
+from .zone_work import measure_zone_work
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -57,6 +58,7 @@
     for deployment in DEPLOYMENTS:
         figures |= _measure_wave(deployment, seed=seed)
         figures |= _measure_zone(deployment, seed=seed)
+        figures |= asyncio.run(measure_zone_work(deployment, seed=seed))
         for buffer in BUFFERS:
             figures |= _measure_buffer(deployment, buffer=buffer, seed=seed, rounds=240 if quick else 1440)
     scale = list(_measure_scale(sizes=(40, 400) if quick else (40, 400, 4000, 21_000)))
--- a/src/hyssopway_standins/measure/job_world.py
+++ b/src/hyssopway_standins/measure/job_world.py
@@ -65,14 +65,7 @@
             f"  - {{name: {team}, share: {weight}, max_running: 1000000, limit: {limit}}}"
             for team, weight in self.weights.items()
         )
-        text = f"name: measure\nzones: [a, b, c, d]\npools:\n  - name: p\nteams:\n{teams}\n"
-        tried = self.apply(TrialDocument(text=text, expected_generation=0, request_id="t", operator="o"))
-        self.apply(
-            PromoteDocument(digest=tried.reference, expected_generation=0, request_id="p", operator="o")
-        )
-        for team in self.weights:
-            key = GrantKey(key_id=team, key_hash="0" * 64, team=team, request_id=f"k-{team}", operator="o")
-            self.apply(key)
+        self.put_in_force(f"name: measure\nzones: [a, b, c, d]\npools:\n  - name: p\nteams:\n{teams}\n")
         for number in range(vms):
             zone = "abcd"[number % 4]
             command = RegisterVm(
@@ -86,6 +79,16 @@
             )
             self.apply(command)
 
+    def put_in_force(self, text: str) -> None:
+        """Tries and promotes a document, and grants a key to each team."""
+        tried = self.apply(TrialDocument(text=text, expected_generation=0, request_id="t", operator="o"))
+        self.apply(
+            PromoteDocument(digest=tried.reference, expected_generation=0, request_id="p", operator="o")
+        )
+        for team in self.weights:
+            key = GrantKey(key_id=team, key_hash="0" * 64, team=team, request_id=f"k-{team}", operator="o")
+            self.apply(key)
+
     def scheduler(self) -> JobScheduler:
         """Returns a scheduler that leads."""
         return JobScheduler(
@@ -124,9 +127,18 @@
                 heapq.heappush(self.ends, (self.now + RECLAIM_S, command.job_id, command.epoch))
         return Ok(outcome)
 
-    def accept(self, job_id: str, *, team: str, task_kind: str = "k", need: Resources) -> None:
+    def accept(
+        self,
+        job_id: str,
+        *,
+        team: str,
+        need: Resources,
+        task_kind: str = "k",
+        pool: str = "p",
+        checkpointable: bool = True,
+    ) -> None:
         """Accepts a job."""
-        spec = JobSpec(task_kind=task_kind, pool="p", resources=need, checkpointable=True)
+        spec = JobSpec(task_kind=task_kind, pool=pool, resources=need, checkpointable=checkpointable)
         self.apply(AcceptJob(job_id=job_id, key_id=team, team=team, spec=spec))
 
     def step(self) -> None:
--- /dev/null
+++ b/src/hyssopway_standins/measure/zone_work.py
@@ -0,0 +1,214 @@
+"""Measures the work done while a zone leaves and returns, through the real planner of jobs."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import yaml
+
+from hyssopway.control.command import ChangeVm, EndRun, RegisterVm, SetZone
+from hyssopway.control.record import JobStatus, RunOutcome, VmState, ZoneStatus
+from hyssopway.document import Resources
+from hyssopway.fleet import FleetController
+from hyssopway_standins.fleet import EXAMPLES, load_example_document, load_sizes, place_vms
+
+from .job_world import CAPACITY, STEP_S, JobWorld
+
+if TYPE_CHECKING:
+    from hyssopway.control.record import Job, Vm
+    from hyssopway.job import JobScheduler
+
+TEAM = "one"
+NEED = Resources(cores=8, memory_gb=8)
+# Part of each pool's cores that is asked for; the rest of the fleet has room for a zone's work.
+DEMAND = 0.8
+# A home passes the agreed state to its workers within a sync of 0.5 s.
+SYNC_STEPS = round(0.5 / STEP_S)
+LEAVES_S, RETURNS_S, ENDS_S = 30.0, 150.0, 300.0
+# A VM is down for 20 s; the leader is replaced once.
+FAULTS_S = (40.0, 70.0, 100.0, 160.0, 190.0, 220.0)
+DOWN_S = 20.0
+NEW_LEADER_S = 45.0
+
+
+@dataclass(slots=True, kw_only=True)
+class ZoneWork:
+    """One run of a deployment.
+
+    Attributes:
+        deployment: Example deployment.
+        rng: Source of run times and faults.
+        world: Jobs and agreed state.
+        demand: Cores asked for by pool.
+        failed: VMs that are down by their time of return.
+        accepted: Accepted jobs.
+        most_down: Most planned stops at once in a pool.
+        late_starts: Starts in the zone later than 5 s after it was withdrawn.
+    """
+
+    deployment: str
+    rng: random.Random
+    world: JobWorld
+    demand: dict[str, float] = field(default_factory=dict)
+    failed: dict[str, float] = field(default_factory=dict)
+    accepted: int = 0
+    most_down: int = 0
+    late_starts: int = 0
+
+    async def run(self) -> dict[str, float]:
+        """Returns the work done as a part of what the remaining VMs could do, with the checks beside it."""
+        zone = self._prepare()
+        scheduler, controller = self.world.scheduler(), self._controller()
+        done = possible = 0.0
+        for step in range(round(ENDS_S / STEP_S)):
+            self._inject(step, zone=zone)
+            if step == round(NEW_LEADER_S / STEP_S):
+                # A daemon resets its feed while another one leads, so that it then plans from the whole state.
+                self.world.replica.state.indexes.feed.reset()
+                scheduler, controller = self.world.scheduler(), self._controller()
+            if step % SYNC_STEPS == 0:
+                self._end_drains()
+                await controller.control_once()
+            self._ask()
+            await scheduler.schedule_once()
+            self.world.step()
+            if self.world.now >= LEAVES_S:
+                done += self._count_running(zone=zone)
+                possible += self._count_possible(zone=zone)
+        await self._finish(scheduler, controller)
+        jobs = self.world.replica.state.tables.jobs.values()
+        prefix = f"{self.deployment}_zone_jobs"
+        return {
+            f"{prefix}_work_share": done / possible,
+            f"{prefix}_faults": len(FAULTS_S) + 1.0,
+            f"{prefix}_accepted": float(self.accepted),
+            f"{prefix}_not_done": float(sum(job.status is not JobStatus.DONE for job in jobs)),
+            f"{prefix}_late_starts": float(self.late_starts),
+            f"{prefix}_most_planned_down_in_pool_vms": float(self.most_down),
+        }
+
+    def _prepare(self) -> str:
+        data = yaml.safe_load((EXAMPLES / self.deployment / "document.yaml").read_text())
+        limit = {"cores": 1e6, "memory_gb": 1e6, "accelerators": 0}
+        data["teams"] = [{"name": TEAM, "share": 1, "max_running": 1_000_000, "limit": limit}]
+        self.world.put_in_force(yaml.safe_dump(data))
+        document = load_example_document(self.deployment)
+        for place in place_vms(document=document, sizes=load_sizes(self.deployment)):
+            self.world.apply(
+                RegisterVm(
+                    vm=place.name,
+                    zone=place.zone,
+                    rack=place.rack,
+                    pool=place.pool,
+                    capacity=CAPACITY,
+                    home="h",
+                    boot_id="b",
+                )
+            )
+        cores = DEMAND * CAPACITY.cores * load_sizes(self.deployment).workers_per_pool
+        self.demand = {pool.name: cores for pool in document.pools if not pool.spare}
+        return self.rng.choice(document.zones)
+
+    def _controller(self) -> FleetController:
+        return FleetController(
+            replica=self.world.replica,
+            submitter=self.world,  # type: ignore[arg-type]
+            leads=lambda: True,
+            clock=self.world.clock,
+            now_ms=self.world.now_ms,
+        )
+
+    def _inject(self, step: int, *, zone: str) -> None:
+        at_s = step * STEP_S
+        for change_s, status in ((LEAVES_S, ZoneStatus.WITHDRAWN), (RETURNS_S, ZoneStatus.RETURNING)):
+            if step == round(change_s / STEP_S):
+                self.world.apply(
+                    SetZone(zone=zone, status=status, request_id=f"z{step}", operator="operator")
+                )
+        if step in {round(fault_s / STEP_S) for fault_s in FAULTS_S}:
+            vms = self.world.replica.state.tables.vms.values()
+            vm = self.rng.choice([vm for vm in vms if vm.state is VmState.READY and vm.zone != zone])
+            self._end_runs(vm, outcome=RunOutcome.LOST, checkpointable=False)
+            self._change(vm, VmState.DOWN)
+            self.failed[vm.name] = at_s + DOWN_S
+        for name in [name for name, until_s in self.failed.items() if until_s <= at_s]:
+            del self.failed[name]
+            self._change(self.world.replica.state.tables.vms[name], VmState.READY)
+
+    def _ask(self) -> None:
+        """Keeps the demand of each pool running or waiting."""
+        state = self.world.replica.state
+        asked = Counter(job.spec.pool for job in [*state.indexes.pending.values(), *self._running()])
+        for pool, cores in self.demand.items():
+            for _ in range(round(cores / NEED.cores) - asked[pool]):
+                self.accepted += 1
+                self.world.accept(
+                    f"job-{self.accepted}",
+                    team=TEAM,
+                    need=NEED,
+                    pool=pool,
+                    checkpointable=self.accepted % 2 == 0,
+                )
+
+    def _running(self) -> list[Job]:
+        state = self.world.replica.state
+        return [state.tables.jobs[job_id] for ids in state.indexes.running.values() for job_id in ids]
+
+    def _end_drains(self) -> None:
+        """Checkpoints what can be, and reports VMs that are empty."""
+        tables = self.world.replica.state.tables
+        for vm in [tables.vms[name] for name in tables.permits]:
+            if vm.state is VmState.DRAINING:
+                self._end_runs(vm, outcome=RunOutcome.CHECKPOINTED, checkpointable=True)
+                self._change(vm, VmState.DRAINED)
+        planned = Counter(tables.vms[name].pool for name in tables.permits)
+        self.most_down = max(self.most_down, *planned.values(), 0)
+
+    def _end_runs(self, vm: Vm, *, outcome: RunOutcome, checkpointable: bool) -> None:
+        state = self.world.replica.state
+        for job_id in sorted(state.indexes.running.get(vm.name, ())):
+            job = state.tables.jobs[job_id]
+            if job.run is not None and (job.spec.checkpointable or not checkpointable):
+                self.world.apply(EndRun(job_id=job_id, epoch=job.run.epoch, outcome=outcome))
+
+    def _change(self, vm: Vm, state: VmState) -> None:
+        self.world.apply(ChangeVm(vm=vm.name, state=state, expected_epoch=vm.epoch, reason="measure"))
+
+    def _count_running(self, *, zone: str) -> float:
+        state = self.world.replica.state
+        runs = [job.run for job in self._running() if job.run is not None]
+        withdrawn = LEAVES_S + 5.0 < self.world.now < RETURNS_S
+        for run in runs:
+            in_zone = state.tables.vms[run.vm].zone == zone
+            self.late_starts += withdrawn and in_zone and run.started_ms > (LEAVES_S + 5.0) * 1000
+        return len(runs) * NEED.cores
+
+    def _count_possible(self, *, zone: str) -> float:
+        closed = self.world.now < RETURNS_S
+        vms = self.world.replica.state.tables.vms.values()
+        remaining = sum(vm.state is not VmState.DOWN and not (closed and vm.zone == zone) for vm in vms)
+        return min(sum(self.demand.values()), remaining * CAPACITY.cores)
+
+    async def _finish(self, scheduler: JobScheduler, controller: FleetController) -> None:
+        """Lets all accepted jobs end."""
+        for step in range(round(60 / STEP_S)):
+            if not self.world.replica.state.indexes.pending and not self.world.ends:
+                return
+            if step % SYNC_STEPS == 0:
+                self._end_drains()
+                await controller.control_once()
+            await scheduler.schedule_once()
+            self.world.step()
+
+
+async def measure_zone_work(deployment: str, *, seed: int) -> dict[str, float]:
+    """Runs a deployment through a withdrawal and a return with faults."""
+    rng = random.Random(seed)
+    world = JobWorld(weights={TEAM: 1.0}, run_s=lambda _: rng.uniform(2, 6))
+    return await ZoneWork(deployment=deployment, rng=rng, world=world).run()
+
+
+__all__ = ["measure_zone_work"]
--- a/tests/fleet/test_waves.py
+++ b/tests/fleet/test_waves.py
@@ -196,6 +196,38 @@
     assert (driver.agreed.now_ms > find_due_ms(driver.agreed.state, wave=wave)) == late
 
 
+def change_pools(data, case):
+    """Changes the pools of a document."""
+    for pool in data["pools"]:
+        if case == "lower budget":
+            pool["budget"] = {"max_down": 1, "max_down_per_rack": 1, "max_down_per_zone": 1}
+    if case == "dropped pool":
+        data["pools"] = [pool for pool in data["pools"] if pool["name"] != "pickup"]
+        data["services"] = [service for service in data["services"] if service["pool"] != "pickup"]
+    return data
+
+
+@pytest.mark.parametrize("case", ["lower budget", "dropped pool"])
+def test_document_that_changes_during_a_wave(driver, case):
+    """Guards against stops by a budget that is no longer in force, and against a wave without an end."""
+    wave = driver.start()
+    for _ in range(20):
+        driver.run_round()
+    driver.agreed.change_document(change_pools(driver.agreed.data, case))
+    # The stops from before end first: a drain of 20 s and a reboot of 60 s are 16 rounds.
+    for _ in range(20):
+        driver.run_round()
+    driver.most_down.clear()
+    driver.run(wave)
+    assert wave.status is WaveStatus.DONE
+    if case == "lower budget":
+        assert max(driver.most_down.values()) == 1
+        assert driver.reboots == dict.fromkeys(wave.vms, 1)
+    skipped = wave.select(WaveVmStatus.SKIPPED)
+    assert {driver.agreed.vm(name).pool for name in skipped} <= {"pickup"}
+    assert not driver.agreed.state.tables.permits
+
+
 def test_step_for_an_unknown_vm_or_wave_is_refused(driver):
     """Guards against steps that name what does not exist."""
     wave = driver.start("pickup")
