--- a/tests/fleet/test_waves.py
+++ b/tests/fleet/test_waves.py
@@ -8,7 +8,7 @@
 from hyssopway.control.apply.waves import may_still_reboot
 from hyssopway.control.command import AdvanceWave, ControlWave, SetZone, StartWave, WaveAction
 from hyssopway.control.record import VmState, WaveStatus, WaveVmStatus, ZoneStatus
-from hyssopway.fleet.wave_order import forecast_end_ms
+from hyssopway.fleet.wave_order import find_due_ms, find_late_ms, forecast_end_ms
 from hyssopway.fleet.waves import decide_waves
 from hyssopway.result import ResultCode
 from hyssopway_standins.agreed import AgreedStandIn
@@ -182,6 +182,52 @@
     assert abs(forecast - driver.agreed.now_ms) < 0.3 * driver.agreed.now_ms
 
 
+@pytest.mark.parametrize(("period_s", "late"), [(4000, False), (300, True)])
+def test_lateness_follows_the_document_in_force(driver, period_s, late):
+    """Guards against a wave that misses its deadline without a word, also after a document changed it."""
+    wave = driver.start()
+    for _ in range(20):
+        driver.run_round()
+    assert find_late_ms(driver.agreed.state, wave=wave, now_ms=driver.agreed.now_ms) == 0
+    driver.agreed.change_document(driver.agreed.data | {"maintenance": {"period_s": period_s}})
+    known = find_late_ms(driver.agreed.state, wave=wave, now_ms=driver.agreed.now_ms)
+    assert bool(known) == late
+    driver.run(wave)
+    assert (driver.agreed.now_ms > find_due_ms(driver.agreed.state, wave=wave)) == late
+
+
+def change_pools(data, case):
+    """Changes the pools of a document."""
+    for pool in data["pools"]:
+        if case == "lower budget":
+            pool["budget"] = {"max_down": 1, "max_down_per_rack": 1, "max_down_per_zone": 1}
+    if case == "dropped pool":
+        data["pools"] = [pool for pool in data["pools"] if pool["name"] != "pickup"]
+        data["services"] = [service for service in data["services"] if service["pool"] != "pickup"]
+    return data
+
+
+@pytest.mark.parametrize("case", ["lower budget", "dropped pool"])
+def test_document_that_changes_during_a_wave(driver, case):
+    """Guards against stops by a budget that is no longer in force, and against a wave without an end."""
+    wave = driver.start()
+    for _ in range(20):
+        driver.run_round()
+    driver.agreed.change_document(change_pools(driver.agreed.data, case))
+    # The stops from before end first: a drain of 20 s and a reboot of 60 s are 16 rounds.
+    for _ in range(20):
+        driver.run_round()
+    driver.most_down.clear()
+    driver.run(wave)
+    assert wave.status is WaveStatus.DONE
+    if case == "lower budget":
+        assert max(driver.most_down.values()) == 1
+        assert driver.reboots == dict.fromkeys(wave.vms, 1)
+    skipped = wave.select(WaveVmStatus.SKIPPED)
+    assert {driver.agreed.vm(name).pool for name in skipped} <= {"pickup"}
+    assert not driver.agreed.state.tables.permits
+
+
 def test_step_for_an_unknown_vm_or_wave_is_refused(driver):
     """Guards against steps that name what does not exist."""
     wave = driver.start("pickup")
