Measure how fast changes reach daemon processes and followers

Cause: the spread of changes was measured with members as tasks of one process, without capnp, sockets or daemons without a disk.

Change: the area `agreement` starts six daemon processes and watches each of them from three further processes, then with 60 followers, and reports the time from sending a change until the last watcher has applied it. An idle window behind counting relays gives bytes and processor time of a follower.

Ruled out: reading the index from each daemon's status, whose polling is slower than the spread. A watcher adds one call to the figure, so it is an upper bound.

--- a/src/hyssopway_standins/measure/agreement.py
+++ b/src/hyssopway_standins/measure/agreement.py
@@ -36,6 +36,7 @@
 from hyssopway_standins.fleet import EXAMPLES
 
 from .measurement import Measurement, Series
+from .spread import measure_spread
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -162,6 +163,7 @@
     for part in parts:
         with tempfile.TemporaryDirectory() as folder:
             asyncio.run(_run_part(part, measurement, Path(folder), seed=seed, quick=quick))
+    measure_spread(measurement, quick=quick)
     _restarts(measurement, quick=quick)
     _memory(measurement, quick=quick)
     return measurement
--- a/src/hyssopway_standins/network.py
+++ b/src/hyssopway_standins/network.py
@@ -29,12 +29,14 @@
         healed: Set while nothing is cut.
         servers: Listeners of the relays.
         connections: Tasks of open connections.
+        forwarded: Bytes that got through, in all directions.
     """
 
     cuts: set[tuple[str, str]] = field(default_factory=set)
     healed: asyncio.Event = field(default_factory=asyncio.Event)
     servers: list[asyncio.Server] = field(default_factory=list)
     connections: set[asyncio.Task[None]] = field(default_factory=set)
+    forwarded: int = 0
 
     async def attach(self, deployment: Deployment) -> None:
         """Opens the relays and writes their addresses into the settings of daemons that do not run yet."""
@@ -96,6 +98,7 @@
             while data := await _read(reader):
                 lost = lost or direction in self.cuts
                 if not lost:
+                    self.forwarded += len(data)
                     writer.write(data)
                     await writer.drain()
             if direction in self.cuts:
