Stop a member only after its last write has ended

Cause: a graceful stop closed the log while a cancelled task's write still ran in a thread; two of six daemons logged `1005 settings are invalid: ... Bad file descriptor` on stop, which ends in status 64.

Ruled out: waiting for the loop's default executor, which other parts use too.

Change: each member writes in one thread of its own; `Member.stop` refuses calls of others, waits for that thread and closes the store. Only errors while addresses are opened count as problems of the settings.

Conclusion: a write left behind by a cancelled task can no longer meet the next one either.

--- a/src/hyssopway/agreement/election.py
+++ b/src/hyssopway/agreement/election.py
@@ -94,7 +94,7 @@
         member.drop_unsynced()
         term = member.term + 1
         try:
-            await asyncio.to_thread(member.store.write_vote, term=term, voted_for=member.member_id)
+            await member.run_write(member.store.write_vote, term=term, voted_for=member.member_id)
         except StorageError as error:
             member.fail_storage(error)
             return False
--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from expression import Error, Ok, Result
 
@@ -27,12 +29,16 @@
 from .timers import Timers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hyssopway.clock import Clock
 
     from .membership import MemberChange
     from .state_machine import StateMachine
     from .store import Store
 
+T = TypeVar("T")
+
 APPLY_BATCH = 200
 
 
@@ -58,6 +64,7 @@
         held_up_since: Local time since which a leader's own disk holds up the group.
         term_start: Index of the first entry of a leader's own term.
         lock: Held while durable state changes.
+        writer: The one thread that writes to the store.
     """
 
     def __init__(
@@ -89,6 +96,7 @@
         self.suspended_until = float("-inf")
         self.held_up_since = float("inf")
         self.lock = asyncio.Lock()
+        self.writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="store")
         self.unsynced = asyncio.Event()
         self.committed = asyncio.Event()
         self.confirmed = asyncio.Condition()
@@ -216,12 +224,41 @@
         for progress in self.progress.values():
             progress.wake.set()
 
+    async def run_write(self, call: Callable[..., T], **arguments: Any) -> T:
+        """Runs a blocking call of the store in the member's one writing thread.
+
+        One thread keeps a write that a cancelled task left behind from meeting the next one.
+        """
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self.writer, partial(call, **arguments))
+
+    def check_running(self) -> None:
+        """Refuses calls of others once the member has stopped; the caller holds the lock.
+
+        Raises:
+            StorageError: The store is being closed.
+        """
+        if self.role is Role.STOPPED:
+            raise StorageError(f"member {self.member_id} has stopped")
+
+    async def stop(self) -> None:
+        """Stops for good and closes the store after the last write has ended.
+
+        Cancelled tasks leave writes behind in threads; closing the files under them would fail these writes
+        or, worse, let them reach a file that was opened since.
+        """
+        async with self.lock:
+            self.step_down(reason="the daemon stops")
+            self.role = Role.STOPPED
+        await asyncio.to_thread(self.writer.shutdown)
+        self.store.close()
+
     async def adopt_term(self, term: int) -> None:
         """Follows a higher term; the caller holds the lock."""
-        if term <= self.term:
+        if term <= self.term or self.role is Role.STOPPED:
             return
         self.step_down(reason=f"term {term} was seen")
-        await asyncio.to_thread(self.store.write_vote, term=term, voted_for="")
+        await self.run_write(self.store.write_vote, term=term, voted_for="")
         self.leader_id = ""
 
     def step_down(self, *, reason: str) -> None:
@@ -298,7 +335,7 @@
                 if not batch:
                     continue
                 try:
-                    await asyncio.to_thread(self.store.write_entries, index=start, entries=batch)
+                    await self.run_write(self.store.write_entries, index=start, entries=batch)
                 except StorageError as error:
                     self.fail_storage(error)
                     continue
@@ -361,7 +398,7 @@
                 data=self.machine.encode_snapshot(),
             )
             try:
-                await asyncio.to_thread(self.store.write_snapshot, snapshot)
+                await self.run_write(self.store.write_snapshot, snapshot=snapshot)
             except StorageError as error:
                 self.fail_storage(error)
                 return
--- a/src/hyssopway/agreement/replication.py
+++ b/src/hyssopway/agreement/replication.py
@@ -67,6 +67,7 @@
         member.heard_at = member.clock()
         return _reply(member, success=True, match_index=0)
     async with member.lock:
+        member.check_running()
         if request.term < member.term:
             return _reply(member, success=False, match_index=member.store.last_index)
         try:
@@ -84,6 +85,7 @@
 async def answer_snapshot(*, member: Member, parts: SnapshotParts, chunk: SnapshotChunk) -> AppendReply:
     """Collects a snapshot of the leader and installs it when it is complete."""
     async with member.lock:
+        member.check_running()
         if chunk.term < member.term:
             return _reply(member, success=False, match_index=0)
         try:
@@ -267,7 +269,7 @@
         store.synced_index = min(store.synced_index, start - 1)
         store.entries += fresh
         try:
-            await asyncio.to_thread(store.write_entries, index=start, entries=fresh)
+            await member.run_write(store.write_entries, index=start, entries=fresh)
         except StorageError:
             del store.entries[start - store.snapshot.index - 1 :]
             raise
@@ -284,7 +286,7 @@
     snapshot = Snapshot(
         index=chunk.index, term=chunk.index_term, configuration=chunk.configuration, data=data
     )
-    await asyncio.to_thread(member.store.write_snapshot, snapshot)
+    await member.run_write(member.store.write_snapshot, snapshot=snapshot)
     member.store.adopt_snapshot(snapshot)
     member.machine.restore_snapshot(data)
     member.commit_index = member.applied_index = chunk.index
--- a/src/hyssopway/agreement/voting.py
+++ b/src/hyssopway/agreement/voting.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from .messages import VoteReply, VoteRequest
@@ -19,6 +18,7 @@
         # committed entries.
         return VoteReply(term=member.term, granted=False)
     async with member.lock:
+        member.check_running()
         if _hears_leader(member):
             # A member that was cut off must not disturb a group whose leader works.
             return VoteReply(term=member.term, granted=False)
@@ -41,7 +41,7 @@
         and _is_up_to_date(member, request)
     )
     if granted:
-        await asyncio.to_thread(member.store.write_vote, term=member.term, voted_for=request.candidate)
+        await member.run_write(member.store.write_vote, term=member.term, voted_for=request.candidate)
         member.heard_at = member.clock()
     return VoteReply(term=member.term, granted=granted)
 
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -117,7 +117,7 @@
         await self.requests.close()
         await self.fleet.close()
         if self.member is not None:
-            self.member.store.close()
+            await self.member.stop()
         log_event(Event.DAEMON_STOPPED)
 
     def dump(self) -> dict[str, Any]:
--- a/src/hyssopway/run.py
+++ b/src/hyssopway/run.py
@@ -62,6 +62,10 @@
     return EXIT_OK
 
 
+class AddressError(Exception):
+    """An address of the settings cannot be used."""
+
+
 def _serve(*, path: Path, initialise: bool) -> int:
     match load_settings(path):
         case Result(tag="ok", ok=settings):
@@ -76,8 +80,7 @@
     except (LogDamagedError, StorageError) as error:
         log_event(Event.STORAGE_FAILED, error=str(error))
         return EXIT_STORAGE
-    except OSError as error:
-        # Only addresses of the settings are opened before the daemon serves.
+    except AddressError as error:
         log_event(Event.SETTINGS_REJECTED, problem=f"{path}: peers: {error}")
         return EXIT_BAD_SETTINGS
     return EXIT_OK
@@ -91,7 +94,10 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, _write_dump, daemon)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload, path)
-    await daemon.start()
+    try:
+        await daemon.start()
+    except OSError as error:
+        raise AddressError(str(error)) from error
     await stop.wait()
     await daemon.stop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/agreement/test_slow_disk.py
+++ b/tests/agreement/test_slow_disk.py
@@ -6,6 +6,10 @@
 import time
 from typing import TYPE_CHECKING
 
+import pytest
+
+from hyssopway.agreement import StorageError
+
 from .group import NAMES, TIMERS, name_of
 
 if TYPE_CHECKING:
@@ -73,3 +77,17 @@
     assert group.sent[name_of(leader)] - before < 4 * 2 / TIMERS.heartbeat_s
     follower.store.full = False
     assert await group.converged() == [b"1"]
+
+
+async def test_stop_waits_for_the_write_in_progress(group: Group):
+    """Guards against a graceful stop that closes the log under a write and ends with an error."""
+    leader = await group.leader()
+    leader.store.delay_s = 0.3
+    proposing = asyncio.create_task(leader.member.propose(data=b"last", timeout_s=0.1))
+    await asyncio.sleep(0.1)
+    leader.stop_tasks()
+    await leader.member.stop()
+    assert leader.store.last_index == leader.store.synced_index
+    with pytest.raises(StorageError):
+        leader.member.check_running()
+    assert (await proposing).error.work == "may_have_run"
