Close gaps of the command line and list jobs and VMs in pages

Cause: operators could not answer the question about a drain, cancel many jobs or read long lists in parts, the dry run of a withdrawal printed nested JSON, and status said nothing about waves, permits, zones or open questions. No recorded session ran the commands about VMs, waves and members.

Ruled out: cursors by position; they repeat or leave out items when others come or go between two pages. Cursors are the accepted index of a job and the VM's name.

Change: vms decide, jobs cancel with several jobs, limit and after for both lists, filters of VMs on the server, a table for the dry run, more in status, and a golden session of the fleet. test_resends withdrew a zone before it drained a VM; the withdrawal takes spare VMs by itself, so the drain was sometimes refused. It now withdraws last; all checks are kept.

Conclusion: each command about VMs, waves and members runs against real processes.

--- a/src/hyssopway/cli/job_commands.py
+++ b/src/hyssopway/cli/job_commands.py
@@ -3,16 +3,15 @@
 import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
-from urllib.parse import quote
 
 import typer
 
 from .access import team_connection
 from .command_error import CommandError
 from .exit_status import ExitStatus
-from .options import Json, RequestId
-from .output import format_time, write_fields, write_json, write_line, write_note, write_table
-from .route_path import route_path
+from .options import After, Json, Limit, RequestId
+from .output import format_time, write_fields, write_json, write_line, write_next, write_note, write_table
+from .route_path import list_path, route_path
 
 if TYPE_CHECKING:
     from .connection import Connection
@@ -67,12 +66,26 @@
 
 
 @app.command()
-def cancel(context: typer.Context, job: JobId, request_id: RequestId = "") -> None:
-    """Cancel a job.
+def cancel(
+    context: typer.Context,
+    jobs: Annotated[list[str], typer.Argument(metavar="JOB...", help="Jobs of the team.")],
+    request_id: RequestId = "",
+) -> None:
+    """Cancel jobs; many are cancelled by one change.
 
     Example: hyssopway jobs cancel JOB
     """
-    write_fields(team_connection(context).change("DELETE", _path(job), request_id=request_id))
+    connection = team_connection(context)
+    if len(jobs) == 1:
+        write_fields(connection.change("DELETE", _path(jobs[0]), request_id=request_id))
+        return
+    body = {"job_ids": jobs}
+    found = connection.change("POST", "/v1/jobs/cancel", body, request_id=request_id)["jobs"]
+    write_table(columns=("job", "status"), rows=[(job, found.get(job, "unknown")) for job in jobs])
+    unknown = [job for job in jobs if job not in found]
+    if unknown:
+        message = f"{len(unknown)} of {len(jobs)} jobs do not exist or belong to another team"
+        raise CommandError(status=ExitStatus.REFUSED, message=message)
 
 
 @app.command()
@@ -92,14 +105,16 @@
 def list_jobs(
     context: typer.Context,
     status: Annotated[str, typer.Option("--status", help="Only jobs with this status.")] = "",
+    limit: Limit = 0,
+    after: After = "",
     as_json: Json = False,
 ) -> None:
-    """List the jobs of the team.
+    """List the jobs of the team in the order in which they were accepted.
 
-    Example: hyssopway jobs list --status running
+    Example: hyssopway jobs list --status running --limit 100
     """
-    query = f"?status={quote(status)}" if status else ""
-    data = team_connection(context).read(f"/v1/jobs{query}")
+    path = list_path("jobs", status=status, limit=limit, after=after)
+    data = team_connection(context).read(path)
     if as_json:
         write_json(data)
         return
@@ -115,6 +130,7 @@
         for job in data["jobs"]
     ]
     write_table(columns=("job", "kind", "pool", "status", "VM", "accepted"), rows=rows)
+    write_next(data.get("next"))
 
 
 def _read_spec(file: Path | None) -> dict[str, Any]:
--- a/src/hyssopway/cli/options.py
+++ b/src/hyssopway/cli/options.py
@@ -13,4 +13,7 @@
     float, typer.Option("--wait-timeout", metavar="S", min=0.1, max=3600, help="Longest wait in seconds.")
 ]
 
-__all__ = ["Json", "RequestId", "Wait", "WaitSeconds"]
+Limit = Annotated[int, typer.Option("--limit", metavar="N", min=0, help="Most lines; all by default.")]
+After = Annotated[str, typer.Option("--after", metavar="CURSOR", help="Continue after an earlier page.")]
+
+__all__ = ["After", "Json", "Limit", "RequestId", "Wait", "WaitSeconds"]
--- a/src/hyssopway/cli/output.py
+++ b/src/hyssopway/cli/output.py
@@ -43,6 +43,12 @@
         write_line(f"{name}: {text}")
 
 
+def write_next(cursor: str | None) -> None:
+    """Says on standard error how the next page of a list is read."""
+    if cursor is not None:
+        write_note(f"there are more; continue with --after {cursor}")
+
+
 def format_time(at_ms: float | None) -> str:
     """Formats wall time in UTC; empty for none."""
     return time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(at_ms / 1000)) if at_ms else ""
@@ -82,4 +88,12 @@
     "quarantined": "yellow",
 }
 
-__all__ = ["format_time", "write_fields", "write_json", "write_line", "write_note", "write_table"]
+__all__ = [
+    "format_time",
+    "write_fields",
+    "write_json",
+    "write_line",
+    "write_next",
+    "write_note",
+    "write_table",
+]
--- a/src/hyssopway/cli/route_path.py
+++ b/src/hyssopway/cli/route_path.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 
 def route_path(*parts: str) -> str:
@@ -10,4 +10,10 @@
     return "/v1/" + "/".join(quote(part, safe="") for part in parts)
 
 
-__all__ = ["route_path"]
+def list_path(*parts: str, **query: str | int) -> str:
+    """Builds the path of a list; empty values are left out."""
+    given = {name: value for name, value in query.items() if value}
+    return route_path(*parts) + (f"?{urlencode(given)}" if given else "")
+
+
+__all__ = ["list_path", "route_path"]
--- a/src/hyssopway/cli/status_commands.py
+++ b/src/hyssopway/cli/status_commands.py
@@ -10,7 +10,7 @@
 
 
 def status(context: typer.Context, as_json: Json = False) -> None:
-    """Show all daemons and which configuration is in force on them.
+    """Show daemons, the configuration in force, waves, zones, open questions and latencies.
 
     Example: hyssopway status
     """
@@ -22,6 +22,8 @@
     write_table(columns=columns, rows=[_row(daemon) for daemon in data["daemons"]])
     rollout = data["rollout"]
     write_line(f"production generation {rollout['generation']}: {_describe(rollout)}")
+    _write_fleet(data["fleet"])
+    _write_latencies(data["metrics"]["latencies_ms"])
 
 
 def dump(
@@ -40,6 +42,28 @@
     write_json(connection.read("/v1/dump"))
 
 
+def _write_fleet(fleet: dict[str, Any]) -> None:
+    permits = ", ".join(f"{count} for {purpose}" for purpose, count in sorted(fleet["permits"].items()))
+    write_line(f"permits: {permits or 'none'}")
+    for zone in fleet["zones_out"]:
+        write_line(f"zone {zone['zone']}: {zone['status']} by {zone['changed_by']}")
+    for wave in fleet["waves"]:
+        progress = ", ".join(f"{count} {name}" for name, count in sorted(wave["progress"].items()))
+        reason = f" ({wave['reason']})" if wave["reason"] else ""
+        write_line(f"wave {wave['wave']}: {wave['status']}{reason}: {progress}")
+    for question in fleet["questions"]:
+        vm = question["vm"]
+        waited = f"work on VM {vm} has not ended after {question['waiting_s']:.0f} s"
+        write_line(f"question: {waited}; answer with: hyssopway vms decide {vm} wait|stop")
+
+
+def _write_latencies(latencies: dict[str, Any]) -> None:
+    if latencies:
+        columns = ("count", "p50", "p90", "p99", "p99.9", "max")
+        rows = [[name, *(item[column] for column in columns)] for name, item in latencies.items()]
+        write_table(columns=["latency in ms", *columns], rows=rows)
+
+
 def _row(daemon: dict[str, Any]) -> tuple[Any, ...]:
     reachable = "yes" if daemon["reachable"] else "no"
     confirmed = {True: "yes", False: "no"}.get(daemon.get("confirmed", ""), "")
--- a/src/hyssopway/cli/vm_commands.py
+++ b/src/hyssopway/cli/vm_commands.py
@@ -1,15 +1,24 @@
 """Commands about VMs."""
 
+from enum import StrEnum
 from typing import Annotated, Any
 
 import typer
 
 from .access import operator_connection
-from .options import Json, RequestId
-from .output import write_fields, write_json, write_table
-from .route_path import route_path
+from .options import After, Json, Limit, RequestId
+from .output import write_fields, write_json, write_next, write_table
+from .route_path import list_path, route_path
 
-app = typer.Typer(help="List, drain, return and move VMs.", no_args_is_help=True)
+
+class Decision(StrEnum):
+    """What happens to work that does not end in time."""
+
+    WAIT = "wait"
+    STOP = "stop"
+
+
+app = typer.Typer(help="List, drain, return and move VMs, and decide about drains.", no_args_is_help=True)
 
 VmName = Annotated[str, typer.Argument(metavar="VM")]
 Epoch = Annotated[
@@ -24,23 +33,22 @@
     pool: Annotated[str, typer.Option("--pool", help="Only VMs of this pool.")] = "",
     zone: Annotated[str, typer.Option("--zone", help="Only VMs of this zone.")] = "",
     state: Annotated[str, typer.Option("--state", help="Only VMs in this state.")] = "",
+    limit: Limit = 0,
+    after: After = "",
     as_json: Json = False,
 ) -> None:
     """List VMs with their state and running jobs.
 
-    Example: hyssopway vms list --pool restock --state ready
+    Example: hyssopway vms list --pool restock --state ready --limit 100
     """
-    wanted = {"pool": pool, "zone": zone, "state": state}
-    items = [
-        item
-        for item in operator_connection(context).read("/v1/vms")["vms"]
-        if all(item["vm"][name] == value for name, value in wanted.items() if value)
-    ]
+    path = list_path("vms", pool=pool, zone=zone, state=state, limit=limit, after=after)
+    data = operator_connection(context).read(path)
     if as_json:
-        write_json({"vms": items})
+        write_json(data)
         return
-    rows = [_row(item) for item in items]
+    rows = [_row(item) for item in data["vms"]]
     write_table(columns=("VM", "pool", "zone", "rack", "state", "running", "reason"), rows=rows)
+    write_next(data.get("next"))
 
 
 @app.command()
@@ -76,6 +84,24 @@
     _change(context, vm=vm, action="move", body={"target": pool}, expect=expect, request_id=request_id)
 
 
+@app.command()
+def decide(
+    context: typer.Context,
+    vm: VmName,
+    decision: Annotated[
+        Decision, typer.Argument(metavar="wait|stop", help="Wait longer for the work, or stop it.")
+    ],
+    expect: Epoch = None,
+    request_id: RequestId = "",
+) -> None:
+    """Answer the question about a drain whose work does not end.
+
+    Example: hyssopway vms decide restock-vm-1 stop
+    """
+    body = {"decision": decision.value}
+    _change(context, vm=vm, action="decision", body=body, expect=expect, request_id=request_id)
+
+
 def _change(
     context: typer.Context,
     *,
--- a/src/hyssopway/cli/zone_commands.py
+++ b/src/hyssopway/cli/zone_commands.py
@@ -1,12 +1,13 @@
 """Commands about availability zones."""
 
-from typing import Annotated
+import json
+from typing import Annotated, Any
 
 import typer
 
 from .access import operator_connection
 from .options import Json, RequestId, Wait, WaitSeconds
-from .output import write_fields, write_json, write_line, write_table
+from .output import write_json, write_line, write_table
 from .route_path import route_path
 from .waiting import wait_in_force
 
@@ -47,7 +48,7 @@
     Example: hyssopway zones withdraw Portland --wait
     """
     if dry_run:
-        write_fields(operator_connection(context).read(route_path("zones", zone, "withdrawal")))
+        _write_report(operator_connection(context).read(route_path("zones", zone, "withdrawal")))
         return
     _set_zone(
         context,
@@ -101,4 +102,25 @@
         wait_in_force(connection, index=outcome["index"], timeout_s=wait_s)
 
 
+def _write_report(report: dict[str, Any]) -> None:
+    zone = report["zone"]
+    write_line(f"zone {zone['name']} is {zone['status']} at epoch {zone['epoch']}")
+    write_line(f"VMs: {_count(report['vms'])}")
+    columns = ("pool", "vms", "down", "max_down", "to_empty", "emptied_at_once", "kept_waiting")
+    rows = [[budget[name] for name in columns] for budget in report["budgets"]]
+    write_table(columns=[name.replace("_", " ") for name in columns], rows=rows)
+    write_line(f"services: {', '.join(report['services']) or 'none'}")
+    write_line(f"jobs: {_count(report['jobs'])}")
+    write_line(f"VMs missing in other zones: {_count(report['missing_vms'])}")
+    write_line(f"spare VMs: {', '.join(sorted(report['spare_vms'])) or 'none'}")
+    if report["stopped_by_failures"]:
+        write_line(f"stopped by failures: {json.dumps(report['stopped_by_failures'])}")
+
+
+def _count(counts: Any) -> str:
+    if not isinstance(counts, dict):
+        return str(counts)
+    return ", ".join(f"{count} {name.replace('_', ' ')}" for name, count in sorted(counts.items())) or "none"
+
+
 __all__ = ["app"]
--- a/src/hyssopway/daemon/status.py
+++ b/src/hyssopway/daemon/status.py
@@ -12,6 +12,8 @@
 from hyssopway.peer import PeerUnreachableError
 from hyssopway.replica.freshness import AUTHORITY_TTL_S
 
+from .fleet_status import describe_fleet
+
 if TYPE_CHECKING:
     from hyssopway.agreement import Member
 
@@ -71,6 +73,7 @@
         "daemons": statuses,
         "metrics": merged.summarise(),
         "rollout": _describe_rollout(daemon, statuses=statuses, index=wanted),
+        "fleet": describe_fleet(daemon.replica.state, now_ms=daemon.group.now_ms()),
     }
 
 
--- a/src/hyssopway/operator_api/job_routes.py
+++ b/src/hyssopway/operator_api/job_routes.py
@@ -16,6 +16,7 @@
 from hyssopway.result import Failure, ResultCode
 
 from .bodies import CancelBody
+from .paging import read_page
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -87,12 +88,20 @@
         if wanted is not None and wanted not in set(JobStatus):
             message = f"status must be one of {', '.join(JobStatus)}"
             return failure_response(Failure(code=ResultCode.MALFORMED_REQUEST, message=message))
-        jobs = [
-            job
-            for job in self.replica.state.tables.jobs.values()
-            if job.team == checked.ok.team and wanted in (None, job.status)
-        ]
-        return json_response({"jobs": jobs})
+        match read_page(request.query, numbered=True):
+            case Result(tag="ok", ok=page):
+                pass
+            case Result(error=failure):
+                return failure_response(failure)
+        jobs, following = page.cut(
+            (
+                job
+                for job in self.replica.state.tables.jobs.values()
+                if job.team == checked.ok.team and wanted in (None, job.status)
+            ),
+            cursor=lambda job: job.accepted_index,
+        )
+        return json_response({"jobs": jobs, "next": following})
 
     async def show(self, request: web.Request) -> web.Response:
         """Shows one job of the team."""
--- a/src/hyssopway/operator_api/operator_routes.py
+++ b/src/hyssopway/operator_api/operator_routes.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
+from expression import Result
 from pydantic import TypeAdapter
 
 from hyssopway.control.command import GrantKey, PromoteDocument, SetZone, TrialDocument, WithdrawKey
@@ -14,6 +15,7 @@
 
 from .bodies import GrantBody, PromoteBody, TrialBody, ZoneBody
 from .operator_access import identify
+from .paging import read_page
 from .request_explanation import explain_request
 
 if TYPE_CHECKING:
@@ -26,6 +28,7 @@
     from .operator_access import OperatorAccess
 
 MAX_INDEX_DIGITS = 18
+VM_FILTERS = ("pool", "zone", "state")
 
 _TRIAL = TypeAdapter(TrialBody)
 _PROMOTE = TypeAdapter(PromoteBody)
@@ -156,13 +159,24 @@
         return json_response({"zones": list(self.replica.state.tables.zones.values())})
 
     async def list_vms(self, request: web.Request) -> web.Response:
-        """Lists VMs with their running jobs."""
+        """Lists VMs with their running jobs, by name."""
+        match read_page(request.query):
+            case Result(tag="ok", ok=page):
+                pass
+            case Result(error=failure):
+                return failure_response(failure)
+        wanted = {name: request.query[name] for name in VM_FILTERS if name in request.query}
+        vms, following = page.cut(
+            (
+                vm
+                for vm in self.replica.state.tables.vms.values()
+                if all(getattr(vm, name) == value for name, value in wanted.items())
+            ),
+            cursor=lambda vm: vm.name,
+        )
         running = self.replica.state.indexes.running
-        vms = [
-            {"vm": vm, "running": sorted(running.get(vm.name, ()))}
-            for vm in self.replica.state.tables.vms.values()
-        ]
-        return json_response({"vms": vms})
+        listed = [{"vm": vm, "running": sorted(running.get(vm.name, ()))} for vm in vms]
+        return json_response({"vms": listed, "next": following})
 
     async def list_pools(self, request: web.Request) -> web.Response:
         """Lists pools with their VMs."""
--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -17,6 +17,14 @@
     (r"\b1\d{12}\b", "<ms>"),
     (r"http://127\.\d+\.\d+\.\d+:\d+", "<url>"),
     (r"after \d+\.\d s", "after <s> s"),
+    (r"\bwave-\d+\b", "<wave>"),
+    (r"\bindex: \d+", "index: <n>"),
+    (r'("at_ms": )\d+', r"\1<ms>"),
+    (r'("boot_id": ")[0-9a-f]+', r"\1<boot>"),
+    (r"(pause by ana +\d+ +)\d+ +", r"\1<ms>  "),
+    # Who leads, and how far the members are, differs from run to run.
+    (r"\b(?:leader|follower) {2,}", "<role>  "),
+    (r"^((?:\w+-\d/\w+) .*(?:True|False)) .*", r"\1 <progress>"),
     # The rest of a job depends on how soon the scheduler sees it.
     (r'("accepted_index":) ?\d+.*', r"\1<n>..."),
     (r"run (\d+) on [\w-]+-vm-\d+[^\"]*", r"run \1 on <vm>"),
@@ -46,5 +54,5 @@
 
 def _normalise(text: str) -> str:
     for pattern, replacement in _PATTERNS:
-        text = re.sub(pattern, replacement, text)
+        text = re.sub(pattern, replacement, text, flags=re.MULTILINE)
     return text
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -8,6 +8,7 @@
 
 from hyssopway_standins.command_line import CommandLine
 from hyssopway_standins.fleet import EXAMPLES
+from hyssopway_standins.waiting import wait_until
 
 from .session import Session
 
@@ -70,6 +71,66 @@
     session.compare("operator", rewrite=rewrite)
 
 
+FLEET_STEPS = (
+    ("vms list --pool restock", ""),
+    ("vms list --limit 2 --after restock-vm-1", ""),
+    ("vms drain restock-vm-1", "drained"),
+    ("vms list --pool restock --state drained", ""),
+    ("vms decide restock-vm-1 wait", ""),
+    ("explain vm restock-vm-1", ""),
+    ("status", ""),
+    ("vms return restock-vm-1", "ready"),
+    ("vms drain restock-vm-1 --expect 0", ""),
+    ("vms move back-office-vm-1 matching", "moved"),
+    ("vms list --pool matching", ""),
+    ("zones withdraw Portland --dry-run", ""),
+    ("zones withdraw Boston --dry-run", ""),
+    ("waves start pickup", ""),
+    ("waves start pickup", ""),
+    ("waves pause WAVE", ""),
+    ("waves show", ""),
+    ("waves abort WAVE", ""),
+    ("waves resume WAVE", ""),
+    ("members list", ""),
+    ("members promote nashua-1", ""),
+    ("members remove absent", ""),
+    ("jobs list --limit 1", ""),
+    ("jobs cancel absent", ""),
+    ("jobs cancel absent other", ""),
+)
+
+
+async def test_fleet_session(deployment, outside, operator, rewrite):
+    """Guards against an unnoticed change of what operators see while they maintain the fleet.
+
+    No platform is set, so the wave stays before its canary.
+    """
+    cli = CommandLine(deployment=deployment, operator="ana")
+    session = Session()
+    key = await operator.grant_key("granite-hearth")
+
+    async def reached(wanted):
+        vms = {item["vm"]["name"]: item["vm"] for item in (await operator.get("/v1/vms"))["vms"]}
+        match wanted:
+            case "registered":
+                return len(vms) == len(outside.workers)
+            case "moved":
+                vm = vms["back-office-vm-1"]
+                return (vm["pool"], vm["state"]) == ("matching", "ready")
+            case state:
+                return vms["restock-vm-1"]["state"] == state
+
+    await wait_until(lambda: reached("registered"))
+    for command, wanted in FLEET_STEPS:
+        waves = (await operator.get("/v1/waves"))["waves"]
+        real = command.replace("WAVE", waves[0]["wave"] if waves else "")
+        done = await cli.run(*real.split(), key=key)
+        session.add(f"hyssopway {command}", done.out, done.err, f"[{done.status}]")
+        if wanted:
+            await wait_until(lambda state=wanted: reached(state))
+    session.compare("fleet", rewrite=rewrite)
+
+
 async def test_caller_session(deployment, outside, operator, session, rewrite):
     """Guards against an unnoticed change of the answers that callers and submitters get."""
     key = await operator.grant_key("casco-bay")
--- a/tests/operator_api/test_resends.py
+++ b/tests/operator_api/test_resends.py
@@ -11,7 +11,6 @@
 EPOCH, STALE = {"expected_epoch": "VM"}, {"expected_epoch": 99}
 CHANGES = [
     ("/v1/keys", GRANT, GRANT | {"key_id": "a2"}, "ready"),
-    ("/v1/zones/Portland", {"status": "withdrawn", "expected_epoch": 0}, {"status": "open"}, "ready"),
     (f"/v1/vms/{VM}/drain", EPOCH, STALE, "ready"),
     (f"/v1/vms/{VM}/decision", EPOCH | {"decision": "stop"}, STALE | {"decision": "stop"}, "drained"),
     (f"/v1/vms/{VM}/return", EPOCH, STALE, "drained"),
@@ -25,6 +24,8 @@
         {"action": "promote", "member": "worcester-1"},
         "ready",
     ),
+    # Last: a withdrawal takes spare VMs by itself.
+    ("/v1/zones/Portland", {"status": "withdrawn", "expected_epoch": 0}, {"status": "open"}, "ready"),
 ]
 
 
