Limit connections, trickled bodies and callers that do not read

Cause: a caller that sent a byte now and then, or stopped reading, kept a slot of an endpoint until its deadline, which may be an hour, and a process took connections until it had no descriptors left.

Ruled out: one fixed time for a whole body, which ends large uploads on slow networks; closing a connection beyond the limit at once, which resets it before the caller can read the refusal.

Change: a lowest rate for bodies of /call, a time limit for each write to a caller, and max_connections with TOO_MANY_CONNECTIONS (413, HTTP 503). The command line goes on to another entry VM on it. A slow reader does not count against the endpoint's health.

Conclusion: slots of endpoints are held only while bytes move.

--- a/src/hyssopway/cli/answer.py
+++ b/src/hyssopway/cli/answer.py
@@ -7,9 +7,9 @@
 
 from .exit_status import ExitStatus
 
-# Another entry VM may still answer: 203 KEY_UNCONFIRMED, 410 SHUTTING_DOWN, 501 NOT_LEADER, 502 NO_QUORUM,
+# Another entry VM may still answer: 203 KEY_UNCONFIRMED, 410 SHUTTING_DOWN, 413 TOO_MANY_CONNECTIONS, 501 NOT_LEADER, 502 NO_QUORUM,
 # 503 OUTCOME_UNKNOWN, 508 PEER_UNREACHABLE.
-_WORTH_ANOTHER_ENTRY = frozenset({203, 410, 501, 502, 503, 508})
+_WORTH_ANOTHER_ENTRY = frozenset({203, 410, 413, 501, 502, 503, 508})
 _HUNDREDS = {2: ExitStatus.NOT_PERMITTED, 3: ExitStatus.CONFLICT}
 
 
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -86,7 +86,11 @@
         self.requests.open()
         self.fleet.open()
         self.tasks = start_tasks(self)
-        self.listener = HttpListener(app=self.http.build(), shutdown_s=self.settings.shutdown_s)
+        self.listener = HttpListener(
+            app=self.http.build(),
+            shutdown_s=self.settings.shutdown_s,
+            max_connections=self.settings.max_connections,
+        )
         await self.listener.open(host=own.host, port=own.http_port, tls=http_context(tls) if tls else None)
         log_event(
             Event.DAEMON_STARTED,
--- a/src/hyssopway/gateway/forwarder.py
+++ b/src/hyssopway/gateway/forwarder.py
@@ -24,10 +24,16 @@
     from .claims import ClaimKeeper
 
 CONNECT_S = 1.0
+# A caller that takes nothing for this time would keep a slot of the endpoint until its deadline.
+OUTPUT_IDLE_S = 5.0
 # Answers up to this size are read whole first, so that one that is cut short can be tried again.
 BUFFERED_ANSWER_BYTES = 64 * 1024
 
 
+class SlowReaderError(ConnectionError):
+    """The caller does not take its answer."""
+
+
 class Forwarder:
     """Makes one try.
 
@@ -117,20 +123,29 @@
     ) -> None:
         try:
             await response.prepare(call.request)
-            await response.write(start)
+            await _write(response, part=start)
             while part := await answer.content.readany():
-                await response.write(part)
+                await _write(response, part=part)
             await response.write_eof()
         except (aiohttp.ClientError, OSError, asyncio.CancelledError) as error:
             # Only a broken connection tells the caller that what it has got is not the whole answer.
             transport = call.request.transport
-            call.caller_gone = transport is None or transport.is_closing()
-            if not call.caller_gone:
+            open_still = transport is not None and not transport.is_closing()
+            call.caller_gone = not open_still or isinstance(error, SlowReaderError)
+            if open_still:
                 transport.abort()
             log_event(Event.ANSWER_ABORTED, endpoint=endpoint, error=str(error) or type(error).__name__)
             raise
 
 
+async def _write(response: web.StreamResponse, *, part: bytes) -> None:
+    try:
+        async with asyncio.timeout(OUTPUT_IDLE_S):
+            await response.write(part)
+    except TimeoutError as error:
+        raise SlowReaderError(f"the caller took nothing for {OUTPUT_IDLE_S:g} s") from error
+
+
 async def _read_start(answer: aiohttp.ClientResponse) -> tuple[bytes, bool]:
     """Returns the beginning of an answer and whether it is all of it."""
     parts: list[bytes] = []
--- a/src/hyssopway/gateway/request_body.py
+++ b/src/hyssopway/gateway/request_body.py
@@ -17,6 +17,10 @@
 
 # A caller that sends nothing for this time is given up.
 INPUT_IDLE_S = 5.0
+# A caller that trickles its body would keep a slot until its deadline, which may be an hour. A phone on a slow
+# mobile network sends more than this.
+INPUT_GRACE_S = 10.0
+MIN_INPUT_BYTES_PER_S = 1024
 _INPUT_ERRORS = (web.RequestPayloadError, HttpProcessingError, ConnectionError)
 
 
@@ -38,6 +42,7 @@
     Attributes:
         request: Request of the caller.
         limit: Most bytes accepted.
+        started: Local time at which the request arrived.
         deadline: Local time by which it must have arrived.
         start: Beginning of the body.
         whole: Whether the beginning is all of it.
@@ -45,13 +50,14 @@
         problem: Why it could not be read.
     """
 
-    __slots__ = ("clock", "consumed", "deadline", "limit", "problem", "request", "start", "whole")
+    __slots__ = ("clock", "consumed", "deadline", "limit", "problem", "request", "start", "started", "whole")
 
     def __init__(self, *, request: web.Request, limit: int, deadline: float, clock: Clock) -> None:
         self.request = request
         self.limit = limit
         self.deadline = deadline
         self.clock = clock
+        self.started = clock()
         self.start = b""
         self.whole = not request.body_exists
         self.consumed = False
@@ -96,7 +102,9 @@
             if content.is_eof():  # all of it has arrived, which is the usual case
                 part = content.read_nowait()
             else:
-                async with asyncio.timeout(max(0.0, min(INPUT_IDLE_S, self.deadline - self.clock()))):
+                slowest = self.started + INPUT_GRACE_S + size / MIN_INPUT_BYTES_PER_S
+                left_s = min(self.deadline, slowest) - self.clock()
+                async with asyncio.timeout(max(0.0, min(INPUT_IDLE_S, left_s))):
                     part = await content.readany()
         except TimeoutError as error:
             message = "the request body did not arrive in time"
--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -33,12 +33,19 @@
     """Serves one connection.
 
     Attributes:
+        connections: All connections that are served, this one included.
         head_timer: Ends the connection when the head of a request does not arrive in time.
     """
 
-    __slots__ = ("head_timer", "loop")
+    __slots__ = ("connections", "head_timer", "loop")
 
-    def __init__(self, server: web.Server, *, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        connections: set[ConnectionHandler],
+    ) -> None:
         super().__init__(
             server,
             loop=loop,
@@ -50,11 +57,13 @@
             lingering_time=LINGER_S,
         )
         self.loop = loop
+        self.connections = connections
         self.head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to wait for the first request."""
         super().connection_made(transport)
+        self.connections.add(self)
         self.head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self._end_slow_head)
 
     def data_received(self, data: bytes) -> None:
@@ -87,6 +96,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forgets the connection."""
         self._cancel_timer()
+        self.connections.discard(self)
         super().connection_lost(exc)
 
     def handle_error(
@@ -121,7 +131,7 @@
     def _refuse(self, code: ResultCode, message: str) -> None:
         transport: Any = self.transport
         if transport is not None and not transport.is_closing():
-            transport.write(_raw_answer(Failure(code=code, message=message)))
+            transport.write(raw_answer(Failure(code=code, message=message)))
             transport.close()
 
     def _cancel_timer(self) -> None:
@@ -130,7 +140,8 @@
             self.head_timer = None
 
 
-def _raw_answer(failure: Failure) -> bytes:
+def raw_answer(failure: Failure) -> bytes:
+    """Encodes a failure as a whole HTTP answer that ends the connection."""
     status = http_status(failure.code)
     body = to_json(
         {
@@ -148,4 +159,4 @@
     return head.encode() + body
 
 
-__all__ = ["ConnectionHandler"]
+__all__ = ["ConnectionHandler", "raw_answer"]
--- a/src/hyssopway/http/listener.py
+++ b/src/hyssopway/http/listener.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from .connection_handler import ConnectionHandler
+from .refused_connection import RefusedConnection
 
 if TYPE_CHECKING:
     import ssl
@@ -20,15 +21,19 @@
 
     Attributes:
         runner: Runs the application.
+        max_connections: Most connections at a time.
+        connections: Connections that are served.
         listening: Listening socket while open.
     """
 
-    __slots__ = ("listening", "runner")
+    __slots__ = ("connections", "listening", "max_connections", "runner")
 
-    def __init__(self, *, app: web.Application, shutdown_s: float) -> None:
+    def __init__(self, *, app: web.Application, shutdown_s: float, max_connections: int = 4096) -> None:
         self.runner = web.AppRunner(
             app, access_log=None, shutdown_timeout=shutdown_s, handler_cancellation=True
         )
+        self.max_connections = max_connections
+        self.connections: set[ConnectionHandler] = set()
         self.listening: asyncio.Server | None = None
 
     async def open(self, *, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
@@ -38,9 +43,13 @@
         if server is None:
             raise RuntimeError("the HTTP application is not set up")
         loop = asyncio.get_running_loop()
-        self.listening = await loop.create_server(
-            lambda: ConnectionHandler(server, loop=loop), host, port, ssl=tls, backlog=BACKLOG
-        )
+
+        def serve() -> asyncio.Protocol:
+            if len(self.connections) >= self.max_connections:
+                return RefusedConnection(loop=loop, limit=self.max_connections)
+            return ConnectionHandler(server, loop=loop, connections=self.connections)
+
+        self.listening = await loop.create_server(serve, host, port, ssl=tls, backlog=BACKLOG)
 
     async def close(self) -> None:
         """Stops to listen and waits for requests in progress."""
--- a/src/hyssopway/settings/daemon_settings.py
+++ b/src/hyssopway/settings/daemon_settings.py
@@ -36,6 +36,7 @@
         shutdown_s: Seconds that requests in progress then get.
         snapshot_entries: Log entries between two snapshots.
         max_body_bytes: Largest request body accepted.
+        max_connections: Most HTTP connections at a time; more are refused.
         tls: Certificates; plain TCP without.
     """
 
@@ -53,6 +54,7 @@
     shutdown_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
     snapshot_entries: Annotated[int, Field(ge=10)] = 10_000
     max_body_bytes: Annotated[int, Field(ge=1024)] = 16 * 1024 * 1024
+    max_connections: Annotated[int, Field(ge=10, le=1_000_000)] = 4096
     tls: TlsSettings | None = field(default=None)
 
     @property
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -120,6 +120,8 @@
                 writer.write(_answer(own, body))
             case "whole large":
                 writer.write(_answer(own, large))
+            case "whole huge":
+                writer.write(_answer(own, large * 50))
             case "resets after reading":
                 writer.transport.abort()
             case "half":
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -8,8 +8,9 @@
 import pytest
 
 from hyssopway.control.record import Key
-from hyssopway.gateway import request_body
+from hyssopway.gateway import forwarder, request_body
 from hyssopway.key import hash_secret, make_key, split_key
+from hyssopway_standins.waiting import wait_until
 
 HEAD = "POST /call/plan/x HTTP/1.1\r\nHost: a\r\n"
 CASES = [
@@ -63,6 +64,42 @@
     assert not endpoint.ran
 
 
+async def test_trickled_body_is_ended_before_its_deadline(bench, monkeypatch):
+    """Guards against a caller that keeps a slot by sending a byte now and then."""
+    monkeypatch.setattr(request_body, "INPUT_GRACE_S", 0.3)
+    host, port = bench.url.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(f"{HEAD}Hyssopway-Timeout: 60\r\nContent-Length: 1000\r\n\r\n".encode())
+
+    async def send_byte() -> bool:
+        writer.write(b"x")
+        return bool(reader._buffer)
+
+    await wait_until(send_byte, timeout_s=5)
+    assert b"408" in await reader.readline()
+    writer.close()
+
+
+async def test_caller_that_does_not_read_frees_its_slot(bench, monkeypatch):
+    """Guards against callers that stop reading and so keep the slots of an endpoint."""
+    monkeypatch.setattr(forwarder, "OUTPUT_IDLE_S", 0.3)
+    endpoint = await bench.add("whole huge", slots=1)
+    host, port = bench.url.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+    writer.write(f"{HEAD}Hyssopway-Timeout: 60\r\nContent-Length: 1\r\n\r\nx".encode())
+
+    async def is_freed() -> bool:
+        return bool(endpoint.ran) and bench.gateway.open_requests == 0
+
+    await wait_until(is_freed, timeout_s=5)
+    # The broken connection tells the caller that this is not the whole answer.
+    with pytest.raises((OSError, asyncio.IncompleteReadError)):
+        await reader.readexactly(10_000_000)
+    writer.close()
+    endpoint.way = "whole"
+    assert await bench.call(data=b"next") == (200, b"next")
+
+
 async def test_body_without_length_is_limited_while_it_streams(bench):
     """Guards against a chunked body that fills memory or an endpoint."""
     await bench.add("whole")
--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -11,6 +11,7 @@
 
 from hyssopway.http import HttpListener, answer_errors, bodies, connection_handler, json_response, read_json
 from hyssopway.http.answers import failure_response
+from hyssopway_standins.waiting import wait_until
 
 HOST = "127.0.0.1"
 NUMBERS = TypeAdapter(list[int])
@@ -100,6 +101,28 @@
     assert (await exchange(port, post(b"[3]"), end=True)) == (200, [3])
 
 
+async def test_connections_beyond_the_limit_are_refused_and_later_served():
+    """Guards against a process that runs out of descriptors, and against a count that only grows."""
+    app = web.Application(middlewares=[answer_errors])
+    app.router.add_post("/take", take)
+    listener = HttpListener(app=app, shutdown_s=1, max_connections=2)
+    await listener.open(host=HOST, port=0)
+    port = listener.listening.sockets[0].getsockname()[1]
+    writers = [(await asyncio.open_connection(HOST, port))[1] for _ in range(2)]
+    for _ in range(3):
+        status, body = await exchange(port, post(b"[1]"))
+        assert (status, body["code"], body["work"]) == (503, 413, "not_run")
+    for writer in writers:
+        writer.close()
+
+    async def all_closed() -> bool:
+        return not listener.connections
+
+    await wait_until(all_closed, timeout_s=5)
+    assert (await exchange(port, post(b"[1]"))) == (200, [1])
+    await listener.close()
+
+
 async def test_idle_connection_is_no_slow_request(port):
     """Guards against ending a kept connection between two requests."""
     reader, writer = await asyncio.open_connection(HOST, port)
