Describe each situation for operators and shorten the demo

Cause: docs/operators.md had no section for a lost disk or quorum, copies of a data folder, paused waves, blocked budgets, endless drains, quarantine, a cut-off zone, a full disk or clock steps; the demo printed raw JSON without headings.

Ruled out: a separate page for each situation; one page can be searched at night.

Change: a section for each situation with what is seen, run and expected, a test that every section has the three, and headings instead of JSON in the demo. The procedures for a lost quorum and a full disk follow from reading the code and were not run.

--- a/src/hyssopway_standins/demo.py
+++ b/src/hyssopway_standins/demo.py
@@ -32,6 +32,7 @@
 WITHDRAWN_S = 5.0
 IN_FORCE_S = 16.0
 SETTLE_S = 10.0
+SHOWN_LINES = 16
 
 
 class Demo:
@@ -58,15 +59,19 @@
 
     async def run(self) -> None:
         """Runs all steps in order."""
-        await self.put_in_force()
-        await self.outside.start()
-        await self.grant_key()
-        await self.call_services()
-        await self.run_jobs()
-        await self.withdraw_key()
-        await self.withdraw_zone()
-        await self.kill_daemon()
-        await self.show_processes()
+        for title, step in (
+            ("Document", self.put_in_force),
+            ("Endpoints and workers start", self.outside.start),
+            ("Key", self.grant_key),
+            ("Requests", self.call_services),
+            ("Jobs", self.run_jobs),
+            ("Key withdrawn", self.withdraw_key),
+            ("Zone withdrawn", self.withdraw_zone),
+            ("Daemon killed", self.kill_daemon),
+            ("Processes", self.show_processes),
+        ):
+            print(f"\n{title}")
+            await step()
 
     async def put_in_force(self) -> None:
         """Checks, tries and promotes the example document."""
@@ -195,8 +200,8 @@
         shown = [Path(part).name if "/" in part else part for part in arguments]
         print(f"$ hyssopway {' '.join(shown)}")
         text = (done.out + done.err).replace(self.key or "\0", "KEY")
-        if not quiet and "grant" not in arguments:
-            print("".join(f"    {line}\n" for line in text.splitlines()[:12]), end="")
+        if not quiet and not {"grant", "--json"} & set(arguments):
+            print("".join(f"    {line}\n" for line in text.splitlines()[:SHOWN_LINES]), end="")
         self.summary.compare(f"exit status of {' '.join(shown[:2])}", expected=status, found=done.status)
         return done
 
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -94,3 +94,35 @@
     page = (DOCS / "http-api.md").read_text()
     listed = re.findall(r"^\| `(any|[A-Z]+) (/[^`?]*)(?:\?[^`]*)?` \|", page, re.MULTILINE)
     assert sorted(listed) == sorted(routes)
+
+
+SITUATIONS = (
+    "Losing a member",
+    "Losing a disk",
+    "Losing the quorum",
+    "Replacing a VM",
+    "Restoring from a snapshot or a copy of a data folder",
+    "A wave",
+    "A wave that paused",
+    "A zone withdrawal",
+    "A budget that blocks",
+    "A VM that does not come back",
+    "A quarantined VM",
+    "A drain that does not end",
+    "A key that leaked",
+    "Two operators racing",
+    "A lost answer",
+    "A cut-off zone",
+    "A full disk",
+    "Clock steps",
+)
+
+
+@pytest.mark.parametrize("title", SITUATIONS)
+def test_operators_page_says_what_is_seen_run_and_expected(title):
+    """Guards against a situation for which the page leaves the operator without a command or an outcome."""
+    sections = (DOCS / "operators.md").read_text().split("\n## ")
+    text = next(section for section in sections if section.startswith(f"{title}\n"))
+    assert "Seen: " in text
+    assert "\n    hyssopway " in text
+    assert "Expect: " in text
