--- a/src/hyssopway/control/command/__init__.py
+++ b/src/hyssopway/control/command/__init__.py
@@ -24,6 +24,7 @@
 from .register_vm import RegisterVm
 from .reject_job import RejectJob
 from .release_claim import ReleaseClaim
+from .request_member_change import RequestMemberChange
 from .request_move import RequestMove
 from .resolve_claim import ResolveClaim
 from .return_permit import ReturnPermit
@@ -47,6 +48,7 @@
     | DecideDrain
     | StartWave
     | ControlWave
+    | RequestMemberChange
 )
 
 Command = Annotated[
@@ -61,6 +63,7 @@
     | DecideDrain
     | StartWave
     | ControlWave
+    | RequestMemberChange
     | AdvanceWave
     | RegisterVm
     | ChangeVm
@@ -102,6 +105,7 @@
     "RegisterVm",
     "RejectJob",
     "ReleaseClaim",
+    "RequestMemberChange",
     "RequestMove",
     "ResolveClaim",
     "ReturnPermit",
