Planned stops cut no request off, and waves reboot VMs again

Ruled out: a report of deadlines in each renewal, because a request may begin after the last one.

Change: credits carry their VM; each entry counts what it holds; silence counts from the last contact of any answering daemon; deadlines are bounded by longest_timeout_s of the document, earlier documents included; a stopping entry waits for its requests and tells the others that it has ended.

Open: an isolated home that still reaches its endpoints does not learn of a drain.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -23,7 +23,13 @@
 from hyssopway.control.record import VmState
 from hyssopway.endpoint import EndpointHealth, EndpointRegistry
 from hyssopway.event import Event, log_event
-from hyssopway.fleet import VM_REQUESTS_TOPIC, FleetController, Reboots, VmRequests
+from hyssopway.fleet import (
+    ENTRY_STOPPED_TOPIC,
+    VM_REQUESTS_TOPIC,
+    FleetController,
+    Reboots,
+    VmRequests,
+)
 from hyssopway.gateway import Gateway
 from hyssopway.gateway.claims import ClaimKeeper
 from hyssopway.gateway.forwarder import Forwarder
@@ -121,7 +127,6 @@
         )
         self.registry.arrived = self.collector.begin
         self.vm_requests = VmRequests(
-            registry=self.registry,
             ledger=self.ledger,
             router=self.router,
             peers=self.peers,
@@ -180,6 +185,7 @@
         self.calls.exchanges[LIST_TOPIC] = self.members.answer_list
         self.calls.exchanges[CHANGE_TOPIC] = self.members.answer_change
         self.calls.exchanges[VM_REQUESTS_TOPIC] = self.vm_requests.own
+        self.calls.exchanges[ENTRY_STOPPED_TOPIC] = self.vm_requests.note_stopped
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
         self.endpoint_routes = EndpointRoutes(registry=self.registry, token=settings.fleet_token)
         self.worker_routes = WorkerRoutes(sessions=self.sessions, token=settings.fleet_token)
@@ -266,8 +272,12 @@
         log_event(Event.DAEMON_DRAINING, seconds=self.settings.drain_health_s)
         await asyncio.sleep(self.settings.drain_health_s)
         log_event(Event.DAEMON_STOPPING, open_requests=self.gateway.open_requests)
-        await self.listener.close()
+        await self.listener.close(finish=self.gateway.wait_idle)
         await self.claims.finish(timeout_s=CLAIMS_FINISH_S)
+        # An answer after the message would look like a new start of this daemon.
+        for topic in (SUMMARY_TOPIC, VM_REQUESTS_TOPIC):
+            self.calls.exchanges.pop(topic)
+        await self.vm_requests.say_stopped(self.settings.name)
         for task in self.tasks:
             task.cancel()
         self.router.close()
--- a/src/hyssopway/fleet/vm_requests.py
+++ b/src/hyssopway/fleet/vm_requests.py
@@ -5,83 +5,127 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from expression import Result
 from pydantic_core import from_json, to_json
 
+from hyssopway.control.record import VmState
+from hyssopway.document import parse_document
 from hyssopway.peer import PeerUnreachableError
-from hyssopway.routing.ledger import CREDIT_LEASE_S
+from hyssopway.routing import CREDIT_LEASE_S, HOME_MARGIN_S, SUMMARY_VALID_S
 
 if TYPE_CHECKING:
-    from hyssopway.endpoint import EndpointRegistry
     from hyssopway.peer import PeerDirectory
     from hyssopway.replica import Replica
     from hyssopway.routing import CreditLedger, Router
 
 VM_REQUESTS_TOPIC = "vm_requests"
+ENTRY_STOPPED_TOPIC = "entry_stopped"
 CALL_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 0.5
+# After its last contact an entry may still renew credits until others miss its summaries, and then use them
+# until their lease ends.
+LAST_START_S = SUMMARY_VALID_S + CREDIT_LEASE_S + HOME_MARGIN_S
 
 
 class VmRequests:
     """Asks all entries, because any of them may send to an endpoint of the VM.
 
     Attributes:
-        registry: Endpoints whose home is this daemon.
-        ledger: Their credits.
+        ledger: Credits of endpoints whose home is this daemon.
         router: Requests in progress from this daemon.
         peers: Clients of the other daemons.
         replica: Agreed state, for the deadlines of services.
-        silent_since: Local time since which an entry has not answered.
+        heard_at: Local time of the last contact with each other entry, by this or another daemon. An entry
+            that was never heard counts from the start of this process, which may have known it before.
+        stopped_at: Local time at which an entry said that it had finished all requests and would stop.
+        limits: Longest deadline in each document, by digest.
     """
 
-    __slots__ = ("ledger", "peers", "registry", "replica", "router", "silent_since")
+    __slots__ = ("heard_at", "ledger", "limits", "peers", "replica", "router", "stopped_at")
 
     def __init__(
-        self,
-        *,
-        registry: EndpointRegistry,
-        ledger: CreditLedger,
-        router: Router,
-        peers: PeerDirectory,
-        replica: Replica,
+        self, *, ledger: CreditLedger, router: Router, peers: PeerDirectory, replica: Replica
     ) -> None:
-        self.registry = registry
         self.ledger = ledger
         self.router = router
         self.peers = peers
         self.replica = replica
-        self.silent_since: dict[str, float] = {}
+        self.heard_at: dict[str, float] = dict.fromkeys(router.homes.others, ledger.clock())
+        self.stopped_at: dict[str, float] = {}
+        self.limits: dict[str, float] = {}
 
     async def count(self, vm: str) -> int | None:
-        """Returns the number of requests in progress; None while an entry may have some and does not answer.
+        """Returns the number of requests in progress; None while an entry may have some and does not say.
 
-        An entry that stays silent cannot renew its credits. What it sent before has reached its deadline
-        after the longest timeout of a service; without this bound one dead entry would block all drains.
+        A silent entry cannot renew its credits. What it sent has reached its deadline after the longest
+        deadline that a document allows; without this bound one dead entry would block all drains.
         """
-        answers = await asyncio.gather(*(self._ask(name, vm=vm) for name in self.peers.clients))
-        answers.append(self.own(vm))
-        known = [answer for answer in answers if answer is not None]
-        now = self.ledger.clock()
-        if any(now - since < self._longest_request_s() for since in self.silent_since.values()):
+        asked_at = self.ledger.clock()
+        names = list(self.heard_at)
+        answers = await asyncio.gather(*(self._ask(name, vm=vm) for name in names))
+        known: list[dict[str, Any]] = [self.own(vm)]
+        for name, answer in zip(names, answers, strict=True):
+            if answer is not None:
+                self.heard_at[name] = asked_at
+                known.append(answer)
+        for answer in known:
+            for name, age_s in answer["heard"].items():
+                if name in self.heard_at and age_s is not None:
+                    self.heard_at[name] = max(self.heard_at[name], asked_at - age_s)
+        # An entry whose replica is behind still hands out credits for the VM.
+        if not all(answer["stopping"] for answer in known):
+            return None
+        silent = [name for name, answer in zip(names, answers, strict=True) if answer is None]
+        wait_s = self.longest_deadline_s() + LAST_START_S
+        if any(self._may_have_requests(name, wait_s=wait_s) for name in silent):
             return None
-        endpoints = {name for answer in known for name in answer["endpoints"]}
-        in_use = sum(int(answer["in_use"].get(name, 0)) for answer in known for name in endpoints)
-        return in_use + sum(int(answer["granted"]) for answer in known)
+        return sum(int(answer["held"]) + int(answer["granted"]) for answer in known)
 
     def own(self, vm: str) -> dict[str, Any]:
-        """Returns what this daemon knows of the VM's endpoints."""
-        grants = [grant for grant in self.ledger.grants.values() if grant.vm == vm]
+        """Returns what this daemon knows of the VM's endpoints and of the other entries."""
         now = self.ledger.clock()
-        endpoints = self.registry.endpoints.values()
-        names = {endpoint.name for endpoint in endpoints if endpoint.announcement.vm == vm}
+        known = self.replica.state.tables.vms.get(vm)
         return {
-            "endpoints": sorted(names | {grant.endpoint for grant in grants}),
-            "granted": sum(grant.expires_at > now for grant in grants),
-            "in_use": dict(self.router.in_use()),
+            "stopping": known is not None and known.state is not VmState.READY,
+            "granted": sum(
+                grant.vm == vm and grant.expires_at > now for grant in self.ledger.grants.values()
+            ),
+            "held": self.router.held_on(vm),
+            "heard": {name: now - home.heard_at for name, home in self.router.homes.others.items()},
         }
 
-    def _longest_request_s(self) -> float:
-        document = self.replica.state.document()
-        timeouts = [service.timeout_s for service in document.services] if document else []
-        return max(timeouts, default=0.0) + CREDIT_LEASE_S
+    def longest_deadline_s(self) -> float:
+        """Returns the longest deadline that a request in progress may have.
+
+        Earlier documents count as well: an entry may have taken the request under one of them.
+        """
+        tables = self.replica.state.tables
+        documents = {stored.digest: stored.text for stored in (*tables.documents.values(), *tables.history)}
+        self.limits = {
+            digest: self.limits[digest] if digest in self.limits else _longest_deadline_s(text)
+            for digest, text in documents.items()
+        }
+        return max(self.limits.values(), default=0.0)
+
+    async def say_stopped(self, own_name: str) -> None:
+        """Tells the other entries that this one has finished, so that no drain waits for it."""
+        data = to_json(own_name)
+        calls = (
+            self.peers.client(name).exchange(topic=ENTRY_STOPPED_TOPIC, data=data, timeout_s=STOP_TIMEOUT_S)
+            for name in self.heard_at
+        )
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    def note_stopped(self, name: str) -> bool:
+        """Takes what `say_stopped` sent."""
+        self.stopped_at[name] = self.ledger.clock()
+        return True
+
+    def _may_have_requests(self, name: str, *, wait_s: float) -> bool:
+        heard_at = self.heard_at[name]
+        if heard_at <= self.stopped_at.get(name, float("-inf")):
+            return False  # it has not been started again
+        return self.ledger.clock() - heard_at < wait_s
 
     async def _ask(self, name: str, *, vm: str) -> dict[str, Any] | None:
         try:
@@ -89,11 +133,17 @@
                 topic=VM_REQUESTS_TOPIC, data=to_json(vm), timeout_s=CALL_TIMEOUT_S
             )
         except PeerUnreachableError:
-            self.silent_since.setdefault(name, self.ledger.clock())
             return None
-        self.silent_since.pop(name, None)
         answer: dict[str, Any] = from_json(data)
         return answer
 
 
-__all__ = ["VM_REQUESTS_TOPIC", "VmRequests"]
+def _longest_deadline_s(text: str) -> float:
+    match parse_document(text=text, file="history"):
+        case Result(tag="ok", ok=document):
+            return max((service.deadline_limit_s for service in document.services), default=0.0)
+        case _:
+            return 0.0  # no daemon can have it in force
+
+
+__all__ = ["ENTRY_STOPPED_TOPIC", "LAST_START_S", "VM_REQUESTS_TOPIC", "VmRequests"]
--- a/src/hyssopway/gateway/gateway.py
+++ b/src/hyssopway/gateway/gateway.py
@@ -33,10 +33,10 @@
 
     from .forwarder import Forwarder
 
-MAX_TIMEOUT_S = 3600.0
 # Bodies up to this size are kept for a retry; the rest of larger ones is streamed.
 BUFFERED_BODY_BYTES = 64 * 1024
 MAX_IDEMPOTENCY_KEY = 256
+IDLE_POLL_S = 0.05
 _NO_TEAM: Result[str, Failure] = Ok("")
 
 
@@ -105,6 +105,11 @@
         self.metrics.record("request", seconds=self.clock() - started)
         return answer
 
+    async def wait_idle(self) -> None:
+        """Waits until no request is in progress; each ends by its deadline."""
+        while self.open_requests:  # noqa: ASYNC110  a stop is rare, and an event would burden each request
+            await asyncio.sleep(IDLE_POLL_S)
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         match self._admit(request):
             case Result(tag="ok", ok=call):
@@ -132,9 +137,12 @@
                 pass
             case Result(error=failure):
                 return Error(failure)
-        timeout_s = _read_timeout(request, default=service.timeout_s)
+        timeout_s = _read_timeout(request, service=service)
         if timeout_s is None:
-            message = f"{TIMEOUT_HEADER} must be a number of seconds up to {MAX_TIMEOUT_S:.0f}"
+            message = (
+                f"{TIMEOUT_HEADER} must be a number of seconds up to {service.deadline_limit_s:g}, "
+                f"the longest_timeout_s of {service.name}"
+            )
             return Error(Failure(code=ResultCode.MALFORMED_REQUEST, message=message))
         if not service.idempotent and not 0 < len(_idempotency_key(request)) <= MAX_IDEMPOTENCY_KEY:
             message = (
@@ -300,15 +308,15 @@
     return request.headers.get(IDEMPOTENCY_HEADER, "")
 
 
-def _read_timeout(request: web.Request, *, default: float) -> float | None:
+def _read_timeout(request: web.Request, *, service: Service) -> float | None:
     text = request.headers.get(TIMEOUT_HEADER)
     if text is None:
-        return default
+        return service.timeout_s
     try:
         timeout_s = float(text)
     except ValueError:
         return None
-    return timeout_s if 0 < timeout_s <= MAX_TIMEOUT_S else None
+    return timeout_s if 0 < timeout_s <= service.deadline_limit_s else None
 
 
 def _stored_answer(claim: Claim) -> web.Response:
--- a/src/hyssopway/gateway/sessions.py
+++ b/src/hyssopway/gateway/sessions.py
@@ -33,7 +33,10 @@
 
 
 async def _note_sending(_: aiohttp.ClientSession, context: SimpleNamespace, __: Any) -> None:
-    context.trace_request_ctx.sending = True
+    # The platform client uses the same session and has no call to mark; an error here ended its task, and
+    # waves stayed at their first reboot.
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx.sending = True
 
 
 __all__ = ["open_session"]
--- a/src/hyssopway/http/listener.py
+++ b/src/hyssopway/http/listener.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     import ssl
+    from collections.abc import Awaitable, Callable
 
 BACKLOG = 1024
 
@@ -42,10 +43,16 @@
             lambda: ConnectionHandler(server, loop=loop), host, port, ssl=tls, backlog=BACKLOG
         )
 
-    async def close(self) -> None:
-        """Stops to listen and waits for requests in progress."""
+    async def close(self, *, finish: Callable[[], Awaitable[None]] | None = None) -> None:
+        """Stops to listen and waits for requests in progress.
+
+        Args:
+            finish: Waits for requests that may take longer than `shutdown_s`.
+        """
         if self.listening is not None:
             self.listening.close()
+        if finish is not None:
+            await finish()
         await self.runner.cleanup()
 
 
--- a/src/hyssopway/peer/conversion.py
+++ b/src/hyssopway/peer/conversion.py
@@ -223,6 +223,7 @@
         environment=credit.environment,
         creditId=credit.credit_id,
         leaseMs=math.floor(credit.lease_s * 1000),
+        vm=credit.vm,
     )
 
 
@@ -235,6 +236,7 @@
         environment=str(wire.environment),
         credit_id=wire.creditId,
         lease_s=wire.leaseMs / 1000,
+        vm=str(wire.vm),
     )
 
 
--- a/src/hyssopway/peer/credits.py
+++ b/src/hyssopway/peer/credits.py
@@ -16,6 +16,7 @@
         environment: Environment.
         credit_id: Identity of the credit at its home.
         lease_s: Time for which it is valid, counted by the holder from when it sent the request.
+        vm: VM of the endpoint; empty when it is none of the pools' VMs.
     """
 
     endpoint: str
@@ -24,6 +25,7 @@
     environment: str
     credit_id: int
     lease_s: float
+    vm: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/hyssopway/peer/schema.capnp
+++ b/src/hyssopway/peer/schema.capnp
@@ -77,6 +77,7 @@
   environment @3 :Text;
   creditId @4 :UInt64;
   leaseMs @5 :UInt32;
+  vm @6 :Text;
 }
 
 struct CreditRequest {
--- a/src/hyssopway/routing/__init__.py
+++ b/src/hyssopway/routing/__init__.py
@@ -4,13 +4,15 @@
 
 from .collector import HeldCollector
 from .held_credit import HeldCredit
-from .homes import SUMMARY_TOPIC, Homes
-from .ledger import CREDIT_LEASE_S, CreditLedger
+from .homes import SUMMARY_TOPIC, SUMMARY_VALID_S, Homes
+from .ledger import CREDIT_LEASE_S, HOME_MARGIN_S, CreditLedger
 from .router import Router
 
 __all__ = [
     "CREDIT_LEASE_S",
+    "HOME_MARGIN_S",
     "SUMMARY_TOPIC",
+    "SUMMARY_VALID_S",
     "CreditLedger",
     "HeldCollector",
     "HeldCredit",
--- a/src/hyssopway/routing/homes.py
+++ b/src/hyssopway/routing/homes.py
@@ -131,4 +131,4 @@
         home.summaries = {(item.environment, item.service): item for item in _SUMMARIES.validate_json(data)}
 
 
-__all__ = ["SUMMARY_TOPIC", "Home", "Homes"]
+__all__ = ["SUMMARY_TOPIC", "SUMMARY_VALID_S", "Home", "Homes"]
--- a/src/hyssopway/routing/ledger.py
+++ b/src/hyssopway/routing/ledger.py
@@ -98,6 +98,7 @@
                         service=(credit.environment, credit.service),
                         daemon=daemon,
                         expires_at=expires_at,
+                        vm=credit.vm,
                     ),
                 )
 
@@ -231,6 +232,7 @@
             environment=request.environment,
             credit_id=credit_id,
             lease_s=CREDIT_LEASE_S,
+            vm=endpoint.announcement.vm,
         )
 
 
--- a/src/hyssopway/routing/router.py
+++ b/src/hyssopway/routing/router.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from .service_queue import ServiceQueue
@@ -80,9 +79,14 @@
         ]
         return [held.credit for held in found]
 
-    def in_use(self) -> Counter[str]:
-        """Returns the number of requests sent from here and in progress, by endpoint."""
-        return Counter(held.credit.endpoint for queue in self.queues.values() for held in queue.in_use)
+    def held_on(self, vm: str) -> int:
+        """Returns the credits that have or may get a request from here on endpoints of a VM."""
+        now = self.clock()
+        return sum(
+            held.credit.vm == vm
+            for queue in self.queues.values()
+            for held in (*queue.in_use, *(idle for idle in queue.idle if idle.expires_at > now))
+        )
 
     def summarise(self) -> list[Summary]:
         """Returns what other daemons need to know of the endpoints announced here."""
--- a/src/hyssopway_standins/endpoint.py
+++ b/src/hyssopway_standins/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -11,6 +12,8 @@
 from aiohttp import web
 
 RENEW_S = 0.5
+# A caller of a test names the time that its request takes.
+SECONDS_HEADER = "Stand-In-Seconds"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -32,6 +35,8 @@
         completed: Requests answered in whole.
         in_progress: Requests in progress.
         most_in_progress: Most requests in progress at once.
+        cut: Requests whose connection broke before their answer.
+        received_at: Local time of the last request received.
     """
 
     name: str
@@ -48,6 +53,8 @@
     completed: int = 0
     in_progress: int = 0
     most_in_progress: int = 0
+    cut: int = 0
+    received_at: float = 0.0
     address: str = ""
     runner: web.AppRunner | None = None
     task: asyncio.Task[None] | None = None
@@ -68,28 +75,38 @@
         if self.task is not None:
             self.task.cancel()
         if leave:
-            timeout = aiohttp.ClientTimeout(total=1.0)  # an entry may be frozen
-            async with aiohttp.ClientSession(timeout=timeout) as session:
-                for entry in self.entries:
-                    await self._leave(session, entry)
+            await self.leave()
             while self.in_progress:  # noqa: ASYNC110  ends with the last request
                 await asyncio.sleep(0.01)
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def leave(self) -> None:
+        """Stops to announce itself and tells the entries; goes on to serve."""
+        if self.task is not None:
+            self.task.cancel()
+        timeout = aiohttp.ClientTimeout(total=1.0)  # an entry may be frozen
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for entry in self.entries:
+                await self._leave(session, entry)
+
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answers with the request's body and the endpoint's name."""
         self.received += 1
+        self.received_at = time.monotonic()
         self.in_progress += 1
         self.most_in_progress = max(self.most_in_progress, self.in_progress)
         try:
             body = await request.read()
             self.seen[request.headers.get("Idempotency-Key", "")] += 1
-            await asyncio.sleep(self.service_s)
+            await asyncio.sleep(float(request.headers.get(SECONDS_HEADER, self.service_s)))
             self.completed += 1
             request_id = request.headers.get("Hyssopway-Request-Id", "")
             headers = {"Served-By": self.name, "Hyssopway-Request-Id": request_id}
             return web.Response(body=body, headers=headers)
+        except asyncio.CancelledError:
+            self.cut += 1
+            raise
         finally:
             self.in_progress -= 1
 
@@ -131,4 +148,4 @@
         return {"Authorization": f"Bearer {self.fleet_token}"}
 
 
-__all__ = ["EndpointStandIn"]
+__all__ = ["SECONDS_HEADER", "EndpointStandIn"]
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -23,6 +23,7 @@
     ("bad chunk", f"{HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, "MALFORMED_REQUEST"),
     ("slow body", f"{HEAD}Content-Length: 10\r\n\r\nabc", 408, "REQUEST_TOO_SLOW"),
     ("timeout is no number", f"{HEAD}Hyssopway-Timeout: x\r\n\r\n", 400, "MALFORMED_REQUEST"),
+    ("timeout is over the limit", f"{HEAD}Hyssopway-Timeout: 61\r\n\r\n", 400, "MALFORMED_REQUEST"),
     ("timeout is nan", f"{HEAD}Hyssopway-Timeout: nan\r\n\r\n", 400, "MALFORMED_REQUEST"),
     ("no such path", "GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n", 404, "UNKNOWN_RESOURCE"),
     ("no such service", "GET /call/none HTTP/1.1\r\nHost: a\r\n\r\n", 404, "UNKNOWN_SERVICE"),
--- a/tests/platform/test_platform_client.py
+++ b/tests/platform/test_platform_client.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hyssopway.gateway.sessions import open_session
 from hyssopway.platform import PlatformAction, PlatformClient, PlatformState
 from hyssopway.result import ResultCode
 from hyssopway_standins.platform import PlatformFault, PlatformStandIn, PlatformVmTruth
@@ -18,8 +19,10 @@
 
 
 @pytest.fixture
-def client(platform, session):
-    return PlatformClient(url=platform.url, session=session, call_timeout_s=0.5, poll_s=0.01)
+async def client(platform):
+    # The daemon's own kind of session: its tracing once broke every call to the platform.
+    async with open_session(reuse_connections=True) as session:
+        yield PlatformClient(url=platform.url, session=session, call_timeout_s=0.5, poll_s=0.01)
 
 
 # Faults of one operation, how often it took effect, and how often it was asked for.
