A dead entry of another zone delays no endpoint

Cause: a new home waits 4.1 s for every daemon that does not answer, so one permanently dead entry delays each newly announced endpoint.

Ruled out: silence for longer than a credit lease as proof. An entry that is cut off from the new home may be the earlier home itself, or get credits from one, and is silent in the same way.

Change: a silent daemon of another zone is not waited for when all entries of the own zone answer, have run for 4.1 s and have no valid credit out to it. A silent entry of the own zone still costs 4.1 s.

Conclusion: done for other zones.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -49,7 +49,7 @@
 from hyssopway.peer import PeerDirectory, PeerServer
 from hyssopway.platform import PlatformClient
 from hyssopway.replica import Freshness, Proposer, Replica, Submitter, follow_leader, follow_upstream
-from hyssopway.routing import SUMMARY_TOPIC, CreditLedger, HeldCollector, Homes, Router
+from hyssopway.routing import GRANTS_TOPIC, SUMMARY_TOPIC, CreditLedger, HeldCollector, Homes, Router
 from hyssopway.settings import http_context, peer_client_context, peer_server_context
 from hyssopway.worker import WorkerSessions, watch_silence
 
@@ -124,6 +124,7 @@
             router=self.router,
             peers=self.peers,
             others=_nearest_first(settings),
+            near=frozenset(peer.name for peer in settings.others() if peer.zone == settings.zone),
         )
         self.registry.arrived = self.collector.begin
         self.vm_requests = VmRequests(
@@ -184,6 +185,7 @@
         )
         self.calls.exchanges[LIST_TOPIC] = self.members.answer_list
         self.calls.exchanges[CHANGE_TOPIC] = self.members.answer_change
+        self.calls.exchanges[GRANTS_TOPIC] = self.collector.own_grants
         self.calls.exchanges[VM_REQUESTS_TOPIC] = self.vm_requests.own
         self.calls.exchanges[ENTRY_STOPPED_TOPIC] = self.vm_requests.note_stopped
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
--- a/src/hyssopway/routing/__init__.py
+++ b/src/hyssopway/routing/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .collector import HeldCollector
+from .collector import GRANTS_TOPIC, HeldCollector
 from .held_credit import HeldCredit
 from .homes import SUMMARY_TOPIC, SUMMARY_VALID_S, Homes
 from .ledger import CREDIT_LEASE_S, HOME_MARGIN_S, CreditLedger
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CREDIT_LEASE_S",
+    "GRANTS_TOPIC",
     "HOME_MARGIN_S",
     "SUMMARY_TOPIC",
     "SUMMARY_VALID_S",
--- a/src/hyssopway/routing/collector.py
+++ b/src/hyssopway/routing/collector.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from pydantic_core import from_json, to_json
 
 from hyssopway.endpoint import ENDPOINT_LEASE_S
 from hyssopway.event import Event, log_event
@@ -18,6 +20,7 @@
     from .ledger import CreditLedger
     from .router import Router
 
+GRANTS_TOPIC = "endpoint_grants"
 CALL_TIMEOUT_S = 0.5
 PAUSE_S = 0.25
 # A home that is cut off from this daemon may hand out credits until the endpoint's lease there ends,
@@ -34,19 +37,30 @@
         router: Credits held by this daemon.
         peers: Clients of the other daemons.
         others: Names of the other daemons.
+        near: Those of them in the own zone; only they can have been home of an endpoint here.
+        started_at: Local time at which this process began; it does not know earlier credits of its own.
         tasks: Collections in progress.
     """
 
-    __slots__ = ("ledger", "others", "own_name", "peers", "router", "tasks")
+    __slots__ = ("ledger", "near", "others", "own_name", "peers", "router", "started_at", "tasks")
 
     def __init__(
-        self, *, own_name: str, ledger: CreditLedger, router: Router, peers: PeerDirectory, others: list[str]
+        self,
+        *,
+        own_name: str,
+        ledger: CreditLedger,
+        router: Router,
+        peers: PeerDirectory,
+        others: list[str],
+        near: frozenset[str],
     ) -> None:
         self.own_name = own_name
         self.ledger = ledger
         self.router = router
         self.peers = peers
         self.others = others
+        self.near = near
+        self.started_at = ledger.clock()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def begin(self, endpoint: Endpoint) -> None:
@@ -67,12 +81,45 @@
                 if answer is not None:
                     self.ledger.adopt(answer, daemon=name)
             missing = [name for name, answer in zip(missing, answers, strict=True) if answer is None]
+            missing = await self._select_holders(missing, endpoint=endpoint.name)
             if missing:
                 await asyncio.sleep(PAUSE_S)
         if missing:
             log_event(Event.HOLDERS_SILENT, endpoint=endpoint.name, daemons=", ".join(missing))
         endpoint.blocked_until = 0.0
 
+    def own_grants(self, endpoint: str) -> dict[str, Any]:
+        """Returns which daemons hold credits that this one handed out, and how long it has known."""
+        now = self.ledger.clock()
+        grants = self.ledger.grants.values()
+        holders = {item.daemon for item in grants if item.endpoint == endpoint and item.expires_at > now}
+        return {"holders": sorted(holders), "uptime_s": now - self.started_at}
+
+    async def _select_holders(self, silent: list[str], *, endpoint: str) -> list[str]:
+        """Returns the silent daemons that may hold a credit.
+
+        Silence alone proves nothing: a daemon that is cut off from here may be the endpoint's earlier home
+        or in contact with it. A daemon of another zone got its credits from a home of this zone, and each
+        of those knows what it handed out.
+        """
+        if not silent or any(name in self.near for name in silent):
+            return silent
+        answers = await asyncio.gather(*(self._ask_grants(name, endpoint=endpoint) for name in self.near))
+        known = [answer for answer in (*answers, self.own_grants(endpoint)) if answer is not None]
+        if len(known) <= len(self.near) or any(answer["uptime_s"] < BLOCKED_S for answer in known):
+            return silent
+        return [name for name in silent if any(name in answer["holders"] for answer in known)]
+
+    async def _ask_grants(self, name: str, *, endpoint: str) -> dict[str, Any] | None:
+        try:
+            data = await self.peers.client(name).exchange(
+                topic=GRANTS_TOPIC, data=to_json(endpoint), timeout_s=CALL_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return None
+        answer: dict[str, Any] = from_json(data)
+        return answer
+
     async def _ask(self, name: str, *, endpoint: str) -> list[Credit] | None:
         try:
             return await self.peers.client(name).held_credits(endpoint=endpoint, timeout_s=CALL_TIMEOUT_S)
@@ -80,4 +127,4 @@
             return None
 
 
-__all__ = ["BLOCKED_S", "HeldCollector"]
+__all__ = ["BLOCKED_S", "GRANTS_TOPIC", "HeldCollector"]
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass, field
 
 import pytest
+from pydantic_core import from_json, to_json
 
 from hyssopway.endpoint import Announcement, EndpointHealth, EndpointRegistry
 from hyssopway.peer import PeerUnreachableError
-from hyssopway.routing import CreditLedger, Homes, Router
+from hyssopway.routing import CreditLedger, HeldCollector, Homes, Router
 
 
 @dataclass(slots=True)
@@ -58,6 +59,10 @@
         """Asks for credits held."""
         return self._target().router.hand_over(endpoint=endpoint, home=self.peers.caller)
 
+    async def exchange(self, *, topic, data, timeout_s):
+        """Asks for the credits that the daemon handed out."""
+        return to_json(self._target().collector.own_grants(from_json(data)))
+
 
 @dataclass(slots=True)
 class Entry:
@@ -69,6 +74,7 @@
     homes: Homes
     router: Router
     health: EndpointHealth
+    collector: HeldCollector
 
     def announce(self, name: str, *, age_s: float = 10.0, **fields) -> None:
         """Announces an endpoint that is past its slow start."""
@@ -98,7 +104,15 @@
         homes = Homes(own_name=name, ledger=ledger, peers=peers, others=others, clock=clock)
         health = EndpointHealth(clock=clock)
         router = Router(homes=homes, health=health, clock=clock)
-        entry = Entry(name, registry, ledger, homes, router, health)
+        collector = HeldCollector(
+            own_name=name,
+            ledger=ledger,
+            router=router,
+            peers=peers,
+            others=list(others),
+            near=frozenset(others if near else ()),
+        )
+        entry = Entry(name, registry, ledger, homes, router, health, collector)
         peers.daemons[name] = entry
         return entry
 
--- a/tests/routing/test_ledger.py
+++ b/tests/routing/test_ledger.py
@@ -8,7 +8,7 @@
 
 from hyssopway.peer import CreditRequest
 from hyssopway.routing import CREDIT_LEASE_S
-from hyssopway.routing.collector import BLOCKED_S, HeldCollector
+from hyssopway.routing.collector import BLOCKED_S
 from hyssopway.routing.fairness import fair_shares
 
 
@@ -121,12 +121,9 @@
     new = make_entry("new")
     peers.caller = "new"
     peers.silent = silent
-    collector = HeldCollector(
-        own_name="new", ledger=new.ledger, router=new.router, peers=peers, others=["old", "holder"]
-    )
-    new.registry.arrived = collector.begin
+    new.registry.arrived = new.collector.begin
     new.announce("a")
-    (task,) = collector.tasks
+    (task,) = new.collector.tasks
     await asyncio.sleep(0.01)
     free_at_first = 0 if silent else 7
     assert len(_ask(new, "new", wanted=8).credits) == free_at_first
@@ -140,3 +137,30 @@
     new.registry.endpoints["a"].expires_at = clock.now + 1.0  # it went on renewing
     assert len(_ask(new, "new", wanted=8).credits) == 8
     holder.router.close()
+
+
+@pytest.mark.parametrize(
+    ("case", "free"),
+    [("dead", 8), ("holds a credit", 0), ("own zone", 0), ("other home silent", 0), ("other home new", 0)],
+)
+async def test_dead_daemon_of_another_zone_delays_no_endpoint(make_entry, peers, clock, case, free):
+    """Guards against 4.1 s without slots for each new endpoint, and against slots handed out twice."""
+    make_entry("far")
+    old = make_entry("old")
+    old.announce("a")
+    if case != "other home new":
+        clock.now += BLOCKED_S
+    if case == "holds a credit":
+        old.announce("a")
+        assert _ask(old, "far", wanted=1).credits
+    new = make_entry("new")
+    new.collector.started_at -= BLOCKED_S
+    new.collector.near = frozenset({"old", "far"} if case == "own zone" else {"old"})
+    peers.caller = "new"
+    peers.silent = {"far", "old"} if case == "other home silent" else {"far"}
+    new.registry.arrived = new.collector.begin
+    new.announce("a")
+    (task,) = new.collector.tasks
+    await asyncio.sleep(0.01)
+    assert len(_ask(new, "new", wanted=8).credits) == free
+    task.cancel()
