Explain last requests, send remaining time, answer half-closed callers

Cause: the claim id rule stood twice and had diverged (the environment was missing in one), so the explanation found no claim at all. A caller that closed its sending side directly after a request lost the answer: aiohttp had taken the request from its queue and not begun it, which looked like an idle connection.

Measured: pytest tests/gateway tests/http tests/operator_api.

--- /dev/null
+++ b/src/hyssopway/control/claim_id.py
@@ -0,0 +1,14 @@
+"""Identity of a non-idempotent request."""
+
+from __future__ import annotations
+
+import hashlib
+
+
+def make_claim_id(*, environment: str, service: str, team: str, idempotency_key: str) -> str:
+    """Returns the id of the claim that all sends of one request share."""
+    identity = f"{environment}\0{service}\0{team}\0{idempotency_key}"
+    return hashlib.sha256(identity.encode()).hexdigest()[:32]
+
+
+__all__ = ["make_claim_id"]
--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -197,6 +197,7 @@
             token=settings.operator_token,
             read_status=lambda index: collect_status(self, index=index),
             read_dump=self.dump,
+            find_requests=self._find_requests,
         )
 
     def leads(self) -> bool:
@@ -296,6 +297,10 @@
         """Returns the state of this process."""
         return dump_daemon(self)
 
+    def _find_requests(self, request_id: str) -> list[Any]:
+        # The gateway is built later than the routes.
+        return list(self.gateway.records.find(request_id))
+
     def reload(self, path: Path) -> None:
         """Takes over a changed settings file."""
         reload_settings(self, path=path)
--- a/src/hyssopway/daemon/dump.py
+++ b/src/hyssopway/daemon/dump.py
@@ -22,6 +22,7 @@
         "agreed_state": _dump_state(daemon),
         "endpoints": list(daemon.registry.endpoints.values()),
         "credits": daemon.ledger.grants,
+        "queues": daemon.router.dump(),
         "workers": daemon.sessions.sessions,
         "open_requests": daemon.gateway.open_requests,
         "metrics": daemon.metrics.summarise(),
--- a/src/hyssopway/gateway/call.py
+++ b/src/hyssopway/gateway/call.py
@@ -9,6 +9,7 @@
 
 from .claims import HeldClaim
 from .request_body import RequestBody
+from .request_records import RequestRecord
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -22,6 +23,7 @@
         team: Team of its key; empty without.
         deadline: Local time by which the caller needs the answer.
         body: Its body.
+        record: Decisions about it, for operators.
         claim: Claim of a non-idempotent request.
         sending: Whether bytes of the present try went to an endpoint.
         may_have_run: Whether an earlier try may have run.
@@ -36,6 +38,7 @@
     team: str
     deadline: float
     body: RequestBody
+    record: RequestRecord
     claim: HeldClaim | None = None
     sending: bool = False
     may_have_run: bool = False
--- a/src/hyssopway/gateway/claims.py
+++ b/src/hyssopway/gateway/claims.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import base64
-import hashlib
 import secrets
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
 
+from hyssopway.control.claim_id import make_claim_id
 from hyssopway.control.command import ClaimRequest, ReleaseClaim, ResolveClaim
 from hyssopway.event import Event, log_event
 from hyssopway.result import Failure, ResultCode, WorkState
@@ -78,10 +78,10 @@
         Returns:
             A held claim when the request may run now, a stored claim when it ran before, or a failure.
         """
-        identity = f"{environment}\0{service.name}\0{team}\0{idempotency_key}"
-        held = HeldClaim(
-            claim_id=hashlib.sha256(identity.encode()).hexdigest()[:32], token=secrets.token_hex(8)
+        claim_id = make_claim_id(
+            environment=environment, service=service.name, team=team, idempotency_key=idempotency_key
         )
+        held = HeldClaim(claim_id=claim_id, token=secrets.token_hex(8))
         command = ClaimRequest(
             claim_id=held.claim_id,
             service=service.name,
--- a/src/hyssopway/gateway/forwarder.py
+++ b/src/hyssopway/gateway/forwarder.py
@@ -68,7 +68,8 @@
     async def _exchange(self, call: Call, *, credit: HeldCredit) -> web.StreamResponse:
         request = call.request
         request_id = secrets.token_hex(8)
-        headers = request_headers(request.headers, request_id=request_id)
+        remaining_s = call.deadline - self.clock()
+        headers = request_headers(request.headers, request_id=request_id, remaining_s=remaining_s)
         decoded = "Content-Encoding" in request.headers
         if not call.body.whole and request.content_length is not None and not decoded:
             headers["Content-Length"] = str(request.content_length)
--- a/src/hyssopway/gateway/gateway.py
+++ b/src/hyssopway/gateway/gateway.py
@@ -21,6 +21,7 @@
 from .claims import HeldClaim
 from .headers import ENVIRONMENT_HEADER, IDEMPOTENCY_HEADER, TIMEOUT_HEADER
 from .request_body import BodyError, RequestBody
+from .request_records import RequestRecord, RequestRecords
 from .retry_budget import RetryBudget
 from .try_failed import TryFailedError
 
@@ -37,6 +38,7 @@
 BUFFERED_BODY_BYTES = 64 * 1024
 MAX_IDEMPOTENCY_KEY = 256
 IDLE_POLL_S = 0.05
+_FAILED = "failed with "
 _NO_TEAM: Result[str, Failure] = Ok("")
 
 
@@ -52,6 +54,7 @@
         max_body_bytes: Largest request body accepted.
         budget: Retries that may still be made.
         open_requests: Requests in progress.
+        records: What became of the last requests.
     """
 
     __slots__ = (
@@ -62,6 +65,7 @@
         "max_body_bytes",
         "metrics",
         "open_requests",
+        "records",
         "replica",
         "router",
         "tasks",
@@ -87,6 +91,7 @@
         self.clock = clock
         self.budget = RetryBudget()
         self.open_requests = 0
+        self.records = RequestRecords()
         self.tasks: set[asyncio.Task[web.StreamResponse]] = set()
 
     def add_routes(self, app: web.Application) -> None:
@@ -98,10 +103,16 @@
         """Serves one request."""
         started = self.clock()
         self.open_requests += 1
+        request_id = _idempotency_key(request)[:MAX_IDEMPOTENCY_KEY]
+        record = RequestRecord(request_id=request_id, service=request.match_info["service"])
+        self.records.add(record)
         try:
-            answer = await self._serve(request)
+            answer = await self._serve(request, record=record)
+            if not record.outcome.startswith(_FAILED):
+                record.outcome = str(answer.status)
         finally:
             self.open_requests -= 1
+            record.took_s = self.clock() - started
         self.metrics.record("request", seconds=self.clock() - started)
         return answer
 
@@ -110,22 +121,22 @@
         while self.open_requests:  # noqa: ASYNC110  a stop is rare, and an event would burden each request
             await asyncio.sleep(IDLE_POLL_S)
 
-    async def _serve(self, request: web.Request) -> web.StreamResponse:
-        match self._admit(request):
+    async def _serve(self, request: web.Request, *, record: RequestRecord) -> web.StreamResponse:
+        match self._admit(request, record=record):
             case Result(tag="ok", ok=call):
                 pass
             case Result(error=failure):
-                return self._refuse(request, failure)
+                return self._refuse(record, failure)
         idempotent = call.service.idempotent
         try:
             await call.body.read_start(up_to=BUFFERED_BODY_BYTES if idempotent else self.max_body_bytes)
         except BodyError as error:
-            return self._refuse(request, error.failure)
+            return self._refuse(record, error.failure)
         if idempotent:
             return await self._run(call)
         return await self._run_detached(call)
 
-    def _admit(self, request: web.Request) -> Result[Call, Failure]:
+    def _admit(self, request: web.Request, *, record: RequestRecord) -> Result[Call, Failure]:
         environment = request.headers.get(ENVIRONMENT_HEADER, "production")
         document = self.replica.state.document(environment=environment)
         service = document.service(name=request.match_info["service"]) if document else None
@@ -137,6 +148,7 @@
                 pass
             case Result(error=failure):
                 return Error(failure)
+        record.team = team
         timeout_s = _read_timeout(request, service=service)
         if timeout_s is None:
             message = (
@@ -160,6 +172,7 @@
                 team=team,
                 deadline=deadline,
                 body=body,
+                record=record,
             )
         )
 
@@ -205,7 +218,7 @@
                 call.claim = held
                 return await self._run(call)
             case Result(error=failure):
-                return self._refuse(request, failure)
+                return self._refuse(call.record, failure)
         raise AssertionError("a claim is held, stored or refused")
 
     async def _run(self, call: Call) -> web.StreamResponse:
@@ -223,6 +236,7 @@
             raise
 
     async def _try(self, call: Call) -> Result[web.StreamResponse, TryFailedError]:
+        started = self.clock()
         acquired = await self.router.acquire(
             environment=call.environment,
             service=call.service.name,
@@ -230,6 +244,7 @@
             queue_limit=call.service.queue_limit,
             avoided=call.tried,
         )
+        call.record.waited_s += self.clock() - started
         match acquired:
             case Result(tag="ok", ok=credit):
                 pass
@@ -245,6 +260,7 @@
         given_up = True
         started = self.clock()
         service = (call.environment, call.service.name)
+        call.record.endpoints.append(credit.credit.endpoint)
         try:
             answer = await self.forwarder.send(call, credit=credit)
             given_up = False
@@ -287,7 +303,8 @@
         failure = call.final(failure)
         if failure.work is WorkState.NOT_RUN:
             self._release_claim(call)
-            return self._refuse(call.request, failure)
+            return self._refuse(call.record, failure)
+        call.record.outcome = _describe(failure)
         service = call.service.name
         self.metrics.count(f"failed.{failure.code.name}")
         log_event(Event.REQUEST_FAILED, service=service, code=int(failure.code), message=failure.message)
@@ -297,13 +314,18 @@
         if call.claim is not None and not call.sending and not call.may_have_run:
             self.forwarder.claims.release(call.claim)
 
-    def _refuse(self, request: web.Request, failure: Failure) -> web.Response:
+    def _refuse(self, record: RequestRecord, failure: Failure) -> web.Response:
+        record.outcome = _describe(failure)
         self.metrics.count(f"refused.{failure.code.name}")
-        service = request.match_info["service"]
-        log_event(Event.REQUEST_REFUSED, service=service, code=int(failure.code), message=failure.message)
+        code = int(failure.code)
+        log_event(Event.REQUEST_REFUSED, service=record.service, code=code, message=failure.message)
         return failure_response(failure)
 
 
+def _describe(failure: Failure) -> str:
+    return f"{_FAILED}{failure.code.name}, {failure.work}: {failure.message}"
+
+
 def _idempotency_key(request: web.Request) -> str:
     return request.headers.get(IDEMPOTENCY_HEADER, "")
 
--- a/src/hyssopway/gateway/headers.py
+++ b/src/hyssopway/gateway/headers.py
@@ -13,6 +13,7 @@
 TIMEOUT_HEADER = "Hyssopway-Timeout"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 REQUEST_ID_HEADER = "Hyssopway-Request-Id"
+REMAINING_HEADER = "Hyssopway-Remaining"
 NOT_RUN_HEADER = "Hyssopway-Not-Run"
 HOP_HEADERS = frozenset(
     {
@@ -35,14 +36,16 @@
     "expect",
     "host",
     REQUEST_ID_HEADER.lower(),
+    REMAINING_HEADER.lower(),
 }
 _DROPPED_FROM_ANSWERS = HOP_HEADERS | {REQUEST_ID_HEADER.lower(), NOT_RUN_HEADER.lower()}
 
 
-def request_headers(headers: Mapping[str, str], *, request_id: str) -> CIMultiDict[str]:
+def request_headers(headers: Mapping[str, str], *, request_id: str, remaining_s: float) -> CIMultiDict[str]:
     """Returns the headers that an endpoint gets."""
     kept = _without(headers, dropped=_DROPPED_FROM_REQUESTS)
     kept[REQUEST_ID_HEADER] = request_id
+    kept[REMAINING_HEADER] = f"{max(0.0, remaining_s):.3f}"
     return kept
 
 
@@ -65,6 +68,7 @@
     "ENVIRONMENT_HEADER",
     "IDEMPOTENCY_HEADER",
     "NOT_RUN_HEADER",
+    "REMAINING_HEADER",
     "REQUEST_ID_HEADER",
     "TIMEOUT_HEADER",
     "answer_headers",
--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -74,9 +74,16 @@
         """
         super().eof_received()
         if self._is_idle():
+            if self._waiter is None and self.head_timer is None:
+                # aiohttp took a whole head and begins its request in the next step of the event loop.
+                self.loop.call_soon(self._end_input)
+                return True
             if self.head_timer is not None:
                 self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request head")
             return None
+        return self._end_input()
+
+    def _end_input(self) -> bool | None:
         request = self._current_request
         if request is not None and not request.content.is_eof():
             self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request body")
--- a/src/hyssopway/operator_api/operator_routes.py
+++ b/src/hyssopway/operator_api/operator_routes.py
@@ -45,9 +45,10 @@
         token: Secret that operators present.
         read_status: Returns the status of all daemons and the progress of a log index.
         read_dump: Returns the state of this process.
+        find_requests: Returns what this entry keeps of a caller's request id.
     """
 
-    __slots__ = ("read_dump", "read_status", "replica", "submitter", "token")
+    __slots__ = ("find_requests", "read_dump", "read_status", "replica", "submitter", "token")
 
     def __init__(
         self,
@@ -57,12 +58,14 @@
         token: str,
         read_status: Callable[[int | None], Awaitable[Any]],
         read_dump: Callable[[], Any],
+        find_requests: Callable[[str], list[Any]],
     ) -> None:
         self.replica = replica
         self.submitter = submitter
         self.token = token
         self.read_status = read_status
         self.read_dump = read_dump
+        self.find_requests = find_requests
 
     def add_routes(self, app: web.Application) -> None:
         """Adds the operators' routes."""
@@ -244,8 +247,11 @@
         """Explains a change or a non-idempotent request by its id."""
         request_id = request.match_info["request"]
         found = explain_request(state=self.replica.state, request_id=request_id)
+        seen = self.find_requests(request_id)
+        if seen:
+            found = (found or {"request": request_id, "change": None, "claims": []}) | {"seen_here": seen}
         if found is None:
-            message = f"nothing is kept for request id {request_id!r}; idempotent requests leave no record"
+            message = f"nothing is kept for request id {request_id!r}; an entry keeps its last requests only"
             return failure_response(Failure(code=ResultCode.UNKNOWN_RESOURCE, message=message))
         return json_response(found)
 
--- a/src/hyssopway/operator_api/request_explanation.py
+++ b/src/hyssopway/operator_api/request_explanation.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import hashlib
+from itertools import product
 from typing import TYPE_CHECKING, Any
 
+from hyssopway.control.claim_id import make_claim_id
 from hyssopway.control.state import PRODUCTION, TRIAL
 
 if TYPE_CHECKING:
@@ -17,31 +18,35 @@
 def explain_request(*, state: ControlState, request_id: str) -> dict[str, Any] | None:
     """Returns what is kept about an operators' change or a non-idempotent request."""
     stored = state.tables.outcomes.get(request_id)
-    claims = [_describe(claim, team=team) for claim, team in _find_claims(state, request_id=request_id)]
+    claims = [
+        _describe(claim, environment=environment, team=team)
+        for claim, environment, team in _find_claims(state, request_id=request_id)
+    ]
     if stored is None and not claims:
         return None
     return {"request": request_id, "change": stored.outcome if stored else None, "claims": claims}
 
 
-def _find_claims(state: ControlState, *, request_id: str) -> Iterator[tuple[Claim, str]]:
+def _find_claims(state: ControlState, *, request_id: str) -> Iterator[tuple[Claim, str, str]]:
     documents = [state.document(environment=name) for name in (PRODUCTION, TRIAL)]
     present = [document for document in documents if document is not None]
     services = {
         service.name for document in present for service in document.services if not service.idempotent
     }
     teams = {team.name for document in present for team in document.teams} | {""}
-    for service in sorted(services):
-        for team in sorted(teams):
-            identity = f"{service}\0{team}\0{request_id}"
-            claim_id = hashlib.sha256(identity.encode()).hexdigest()[:32]
-            claim = state.tables.claims.get(claim_id)
-            if claim is not None:
-                yield claim, team
+    for environment, service, team in product((PRODUCTION, TRIAL), sorted(services), sorted(teams)):
+        claim_id = make_claim_id(
+            environment=environment, service=service, team=team, idempotency_key=request_id
+        )
+        claim = state.tables.claims.get(claim_id)
+        if claim is not None:
+            yield claim, environment, team
 
 
-def _describe(claim: Claim, *, team: str) -> dict[str, Any]:
+def _describe(claim: Claim, *, environment: str, team: str) -> dict[str, Any]:
     return {
         "claim": claim.claim_id,
+        "environment": environment,
         "service": claim.service,
         "team": team,
         "daemon": claim.daemon,
--- a/src/hyssopway/routing/router.py
+++ b/src/hyssopway/routing/router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from .service_queue import ServiceQueue
 from .summary import Summary
@@ -97,6 +97,10 @@
         }
         return [self._summary(service) for service in services]
 
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of all queues by environment and service."""
+        return {"/".join(service): queue.dump() for service, queue in self.queues.items()}
+
     async def run(self) -> None:
         """Renews and returns credits again and again."""
         while True:
--- a/src/hyssopway/routing/service_queue.py
+++ b/src/hyssopway/routing/service_queue.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from expression import Error, Ok, Result
 
@@ -145,6 +145,19 @@
             held.home = home
         return found
 
+    def dump(self) -> dict[str, Any]:
+        """Returns what decides about the next requests."""
+        return {
+            "waiting": len(self.waiting),
+            "idle": len(self.idle),
+            "in_use": len(self.in_use),
+            "outstanding": dict(self.outstanding),
+            "short": self.short,
+            "service_s": self.drain.service_s,
+            "ended_per_s": self.drain.rate,
+            "ejected": list(self.health.ejected(self.service)),
+        }
+
     async def maintain(self) -> None:
         """Renews leases and gives back what nobody needs."""
         self._trim()
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -72,6 +72,7 @@
     most_in_progress: int = 0
     server: Any = None
     port: int = 0
+    seen: list[dict[str, str]] = field(default_factory=list)
     go_on: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def open(self) -> None:
@@ -100,6 +101,7 @@
             name.lower(): value.strip()
             for name, _, value in (line.partition(":") for line in head.split("\r\n")[1:])
         }
+        self.seen.append(headers)
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         if self.way != "did not run":
             self.ran[headers.get("idempotency-key", "")] += 1
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 import pytest
 
 from hyssopway.control.record import Key
 from hyssopway.gateway import request_body
+from hyssopway.gateway.request_records import MAX_RECORDS
 from hyssopway.key import hash_secret, make_key, split_key
+from hyssopway.operator_api.request_explanation import explain_request
 
 HEAD = "POST /call/plan/x HTTP/1.1\r\nHost: a\r\n"
 CASES = [
@@ -64,6 +67,49 @@
     assert not endpoint.ran
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.05], ids=["at once", "while it runs"])
+@pytest.mark.parametrize("service", ["plan", "once"])
+async def test_caller_that_closes_its_sending_side_gets_the_answer(bench, service, pause_s):
+    """Guards against taking a half-closed connection for a caller that hung up."""
+    await bench.add("slowly", service=service)
+    host, port = bench.url.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST /call/{service}/x HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\n"
+    writer.write(f"{head}body".encode())
+    await asyncio.sleep(pause_s)
+    writer.write_eof()
+    answer = await asyncio.wait_for(reader.read(), timeout=3)
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.endswith(b"\r\n\r\nbody")
+
+
+async def test_endpoint_learns_the_remaining_time(bench):
+    """Guards against work that goes on after its caller has given up, and against a value set by the caller."""
+    endpoint = await bench.add("whole")
+    await bench.call(headers={"Hyssopway-Timeout": "1.5", "Hyssopway-Remaining": "99"})
+    assert 0 < float(endpoint.seen[0]["hyssopway-remaining"]) <= 1.5
+
+
+async def test_last_requests_are_explained(bench):
+    """Guards against a request whose tries and outcome nobody can find afterwards."""
+    await bench.add("did not run")
+    assert (await bench.call(key="failed"))[0] == 503
+    await bench.add("whole", service="once")
+    assert (await bench.call("once", key="ran", data=b"x"))[0] == 200
+    (failed,), (ran,) = bench.gateway.records.find("failed"), bench.gateway.records.find("ran")
+    assert failed.endpoints[0] == "endpoint-0"
+    assert "ENDPOINT_REFUSED, not_run" in failed.outcome
+    assert (ran.service, ran.endpoints, ran.outcome) == ("once", ["endpoint-1"], "200")
+    bench.submitter.state.indexes.parsed["production"] = SimpleNamespace(
+        services=[SimpleNamespace(name="once", idempotent=False)], teams=[]
+    )
+    (claim,) = explain_request(state=bench.submitter.state, request_id="ran")["claims"]
+    assert (claim["environment"], claim["service"], claim["status"]) == ("production", "once", 200)
+    bench.gateway.records.records.extend([ran] * MAX_RECORDS)
+    assert not bench.gateway.records.find("failed")
+
+
 async def test_body_without_length_is_limited_while_it_streams(bench):
     """Guards against a chunked body that fills memory or an endpoint."""
     await bench.add("whole")
