--- a/src/hyssopway/gateway/gateway.py
+++ b/src/hyssopway/gateway/gateway.py
@@ -17,6 +17,7 @@
 from hyssopway.key import check_key
 from hyssopway.result import Failure, ResultCode, WorkState
 
+from .body_memory import BodyMemory
 from .call import Call
 from .claims import HeldClaim
 from .headers import ENVIRONMENT_HEADER, IDEMPOTENCY_HEADER, TIMEOUT_HEADER
@@ -55,6 +56,7 @@
         budget: Retries that may still be made.
         open_requests: Requests in progress.
         records: What became of the last requests.
+        memory: Memory of request bodies.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         "forwarder",
         "freshness",
         "max_body_bytes",
+        "memory",
         "metrics",
         "open_requests",
         "records",
@@ -92,6 +95,7 @@
         self.budget = RetryBudget()
         self.open_requests = 0
         self.records = RequestRecords()
+        self.memory = BodyMemory()
         self.tasks: set[asyncio.Task[web.StreamResponse]] = set()
 
     def add_routes(self, app: web.Application) -> None:
@@ -128,12 +132,17 @@
             case Result(error=failure):
                 return self._refuse(record, failure)
         idempotent = call.service.idempotent
+        detached = False
         try:
             await call.body.read_start(up_to=BUFFERED_BODY_BYTES if idempotent else self.max_body_bytes)
+            if idempotent:
+                return await self._run(call)
+            detached = True
         except BodyError as error:
             return self._refuse(record, error.failure)
-        if idempotent:
-            return await self._run(call)
+        finally:
+            if not detached:
+                call.body.release()
         return await self._run_detached(call)
 
     def _admit(self, request: web.Request, *, record: RequestRecord) -> Result[Call, Failure]:
@@ -163,7 +172,13 @@
             )
             return Error(Failure(code=ResultCode.IDEMPOTENCY_KEY_MISSING, message=message))
         deadline = self.clock() + timeout_s
-        body = RequestBody(request=request, limit=self.max_body_bytes, deadline=deadline, clock=self.clock)
+        body = RequestBody(
+            request=request,
+            limit=self.max_body_bytes,
+            deadline=deadline,
+            clock=self.clock,
+            memory=self.memory,
+        )
         return Ok(
             Call(
                 request=request,
@@ -187,6 +202,7 @@
         task = asyncio.create_task(self._run_once(call))
         self.tasks.add(task)
         task.add_done_callback(self._end_detached)
+        task.add_done_callback(lambda _: call.body.release())
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
--- a/src/hyssopway/gateway/request_body.py
+++ b/src/hyssopway/gateway/request_body.py
@@ -15,6 +15,8 @@
 
     from hyssopway.clock import Clock
 
+    from .body_memory import BodyMemory
+
 # A caller that sends nothing for this time is given up.
 INPUT_IDLE_S = 5.0
 _INPUT_ERRORS = (web.RequestPayloadError, HttpProcessingError, ConnectionError)
@@ -42,12 +44,29 @@
         start: Beginning of the body.
         whole: Whether the beginning is all of it.
         consumed: Whether part of the rest was passed on, so that it cannot be sent again.
+        memory: Memory of all bodies.
+        taken: Bytes taken of it.
         problem: Why it could not be read.
     """
 
-    __slots__ = ("clock", "consumed", "deadline", "limit", "problem", "request", "start", "whole")
-
-    def __init__(self, *, request: web.Request, limit: int, deadline: float, clock: Clock) -> None:
+    __slots__ = (
+        "clock",
+        "consumed",
+        "deadline",
+        "limit",
+        "memory",
+        "problem",
+        "request",
+        "start",
+        "taken",
+        "whole",
+    )
+
+    def __init__(
+        self, *, request: web.Request, limit: int, deadline: float, clock: Clock, memory: BodyMemory
+    ) -> None:
+        self.memory = memory
+        self.taken = 0
         self.request = request
         self.limit = limit
         self.deadline = deadline
@@ -70,12 +89,20 @@
         while not self.whole and size <= up_to:
             part = await self._read_part(size=size)
             if part:
+                if not self.memory.take(len(part)):
+                    raise self._fail(_no_memory())
+                self.taken += len(part)
                 parts.append(part)
                 size += len(part)
             else:
                 self.whole = True
         self.start = b"".join(parts)
 
+    def release(self) -> None:
+        """Gives its memory back; the request has ended."""
+        self.memory.give_back(self.taken)
+        self.taken = 0
+
     def payload(self) -> bytes | AsyncIterator[bytes] | None:
         """Returns what is sent to an endpoint."""
         if self.whole:
@@ -113,6 +140,11 @@
         return BodyError(failure)
 
 
+def _no_memory() -> Failure:
+    message = "this entry holds too many bytes of request bodies"
+    return Failure(code=ResultCode.QUEUE_FULL, message=message, retry_after_s=1.0)
+
+
 def _too_large(limit: int) -> Failure:
     return Failure(code=ResultCode.BODY_TOO_LARGE, message=f"the request body is larger than {limit} bytes")
 
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -110,6 +110,19 @@
     assert not bench.gateway.records.find("failed")
 
 
+@pytest.mark.parametrize("service", ["plan", "once"])
+async def test_bodies_of_all_requests_share_a_bound(bench, service):
+    """Guards against many large bodies that fill memory, and against memory that is never given back."""
+    await bench.add("slowly", service=service)
+    bench.gateway.memory.limit = 100
+    calls = [bench.call(service, key=f"k{number}", data=b"x" * 60) for number in range(2)]
+    answers = sorted(await asyncio.gather(*calls), key=lambda answer: answer[0])
+    assert [status for status, _ in answers] == [200, 503]
+    assert (answers[1][1]["name"], answers[1][1]["work"]) == ("QUEUE_FULL", "not_run")
+    assert (await bench.call(service, key="k3", data=b"y"))[0] == 200
+    assert bench.gateway.memory.taken == 0
+
+
 async def test_body_without_length_is_limited_while_it_streams(bench):
     """Guards against a chunked body that fills memory or an endpoint."""
     await bench.add("whole")
