--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -7,8 +7,10 @@
 
 from hyssopway.clock import monotonic_s
 from hyssopway.event import Event, log_event
+from hyssopway.fleet import VM_REQUESTS_TOPIC
 from hyssopway.http import HttpListener
 from hyssopway.peer import PeerServer
+from hyssopway.routing import SUMMARY_TOPIC
 from hyssopway.settings import http_context, peer_server_context
 
 from .background_tasks import start_tasks
@@ -110,8 +112,12 @@
         log_event(Event.DAEMON_DRAINING, seconds=self.settings.drain_health_s)
         await asyncio.sleep(self.settings.drain_health_s)
         log_event(Event.DAEMON_STOPPING, open_requests=self.requests.gateway.open_requests)
-        await self.listener.close()
+        await self.listener.close(finish=self.requests.gateway.wait_idle)
         await self.requests.claims.finish(timeout_s=CLAIMS_FINISH_S)
+        # An answer after the message would look like a new start of this daemon.
+        for topic in (SUMMARY_TOPIC, VM_REQUESTS_TOPIC):
+            self.calls.exchanges.pop(topic)
+        await self.fleet.vm_requests.say_stopped(self.settings.name)
         for task in self.tasks:
             task.cancel()
         self.requests.router.close()
--- a/src/hyssopway/daemon/dump.py
+++ b/src/hyssopway/daemon/dump.py
@@ -22,6 +22,7 @@
         "agreed_state": _dump_state(daemon),
         "endpoints": list(daemon.requests.registry.endpoints.values()),
         "credits": daemon.requests.ledger.grants,
+        "queues": daemon.requests.router.dump(),
         "workers": daemon.jobs.sessions.sessions,
         "open_requests": daemon.requests.gateway.open_requests,
         "metrics": daemon.requests.metrics.summarise(),
--- a/src/hyssopway/daemon/exchanges.py
+++ b/src/hyssopway/daemon/exchanges.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from hyssopway.fleet import VM_REQUESTS_TOPIC
-from hyssopway.routing import SUMMARY_TOPIC
+from hyssopway.fleet import ENTRY_STOPPED_TOPIC, VM_REQUESTS_TOPIC
+from hyssopway.routing import GRANTS_TOPIC, SUMMARY_TOPIC
 
 from .load_push import LOAD_TOPIC, take_loads
 from .members import CHANGE_TOPIC, LIST_TOPIC, STATUS_TOPIC
@@ -25,7 +25,9 @@
         STATUS_TOPIC: lambda _: own_status(daemon),
         LIST_TOPIC: daemon.group.members.answer_list,
         CHANGE_TOPIC: daemon.group.members.answer_change,
+        GRANTS_TOPIC: daemon.requests.collector.own_grants,
         VM_REQUESTS_TOPIC: daemon.fleet.vm_requests.own,
+        ENTRY_STOPPED_TOPIC: daemon.fleet.vm_requests.note_stopped,
     }
 
 
--- a/src/hyssopway/daemon/fleet_parts.py
+++ b/src/hyssopway/daemon/fleet_parts.py
@@ -30,7 +30,6 @@
         self.requests = requests
         self.platform: PlatformClient | None = None
         self.vm_requests = VmRequests(
-            registry=requests.registry,
             ledger=requests.ledger,
             router=requests.router,
             peers=group.peers,
--- a/src/hyssopway/daemon/http_application.py
+++ b/src/hyssopway/daemon/http_application.py
@@ -70,6 +70,8 @@
             access=access,
             read_status=lambda index: collect_status(daemon, index=index),
             read_dump=daemon.dump,
+            # The gateway is built later than the routes.
+            find_requests=lambda request_id: list(daemon.requests.gateway.records.find(request_id)),
         ).add_routes(app)
         for routes in (WaveRoutes, FleetRoutes):
             routes(replica=group.replica, access=access, now_ms=group.now_ms).add_routes(app)
--- a/src/hyssopway/daemon/request_path.py
+++ b/src/hyssopway/daemon/request_path.py
@@ -35,7 +35,7 @@
         homes: Summaries of endpoints at all homes.
         router: Slot credits held by this daemon and queues of requests.
         collector: Finds the credits that are still held when an endpoint arrives.
-        session: Client of endpoints and of the platform.
+        session: Client of endpoints.
         once_session: Client of endpoints for requests that must not run twice.
         claims: Claims of non-idempotent requests.
         gateway: Interface of callers.
@@ -80,6 +80,7 @@
             router=self.router,
             peers=group.peers,
             others=nearest_first(settings),
+            near=frozenset(peer.name for peer in settings.others() if peer.zone == settings.zone),
         )
         self.registry.arrived = self.collector.begin
 
--- a/src/hyssopway/gateway/call.py
+++ b/src/hyssopway/gateway/call.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from hyssopway.result import Failure, WorkState
 
 from .claims import HeldClaim
 from .request_body import RequestBody
+from .request_records import RequestRecord
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -22,9 +23,10 @@
         team: Team of its key; empty without.
         deadline: Local time by which the caller needs the answer.
         body: Its body.
+        record: Decisions about it, for operators.
         claim: Claim of a non-idempotent request.
         sending: Whether bytes of the present try went to an endpoint.
-        may_have_run: Whether an earlier try may have run.
+        earlier: Failure of the first try that may have run.
         answering: Whether the caller has got the first byte of an answer.
         tried: Endpoints that failed an earlier try.
         caller_gone: Whether the caller's connection broke while it got the answer.
@@ -36,23 +38,23 @@
     team: str
     deadline: float
     body: RequestBody
+    record: RequestRecord
     claim: HeldClaim | None = None
     sending: bool = False
-    may_have_run: bool = False
+    earlier: Failure | None = None
     answering: bool = False
     caller_gone: bool = False
     tried: frozenset[str] = frozenset()
 
     def final(self, failure: Failure) -> Failure:
-        """Returns a failure with what is known of all tries."""
-        if not self.may_have_run or failure.work is not WorkState.NOT_RUN:
+        """Returns the failure that the caller gets after the last try.
+
+        When a further try could not be made, what went wrong at the endpoint says more than the refusal of
+        that try, and the request may have run.
+        """
+        if self.earlier is None or failure.work is not WorkState.NOT_RUN:
             return failure
-        return Failure(
-            code=failure.code,
-            message=f"{failure.message}; an earlier try may have run",
-            work=WorkState.MAY_HAVE_RUN,
-            retry_after_s=failure.retry_after_s,
-        )
+        return replace(self.earlier, message=f"{self.earlier.message}; no further try: {failure.message}")
 
 
 __all__ = ["Call"]
--- a/src/hyssopway/gateway/gateway.py
+++ b/src/hyssopway/gateway/gateway.py
@@ -17,10 +17,12 @@
 from hyssopway.key import check_key
 from hyssopway.result import Failure, ResultCode, WorkState
 
+from .body_memory import BodyMemory
 from .call import Call
 from .claims import HeldClaim
 from .headers import ENVIRONMENT_HEADER, IDEMPOTENCY_HEADER, TIMEOUT_HEADER
 from .request_body import BodyError, RequestBody
+from .request_records import RequestRecord, RequestRecords
 from .retry_budget import RetryBudget
 from .try_failed import TryFailedError
 
@@ -33,10 +35,11 @@
 
     from .forwarder import Forwarder
 
-MAX_TIMEOUT_S = 3600.0
 # Bodies up to this size are kept for a retry; the rest of larger ones is streamed.
 BUFFERED_BODY_BYTES = 64 * 1024
 MAX_IDEMPOTENCY_KEY = 256
+IDLE_POLL_S = 0.05
+_FAILED = "failed with "
 _NO_TEAM: Result[str, Failure] = Ok("")
 
 
@@ -52,6 +55,8 @@
         max_body_bytes: Largest request body accepted.
         budget: Retries that may still be made.
         open_requests: Requests in progress.
+        records: What became of the last requests.
+        memory: Memory of request bodies.
     """
 
     __slots__ = (
@@ -60,8 +65,10 @@
         "forwarder",
         "freshness",
         "max_body_bytes",
+        "memory",
         "metrics",
         "open_requests",
+        "records",
         "replica",
         "router",
         "tasks",
@@ -87,6 +94,8 @@
         self.clock = clock
         self.budget = RetryBudget()
         self.open_requests = 0
+        self.records = RequestRecords()
+        self.memory = BodyMemory()
         self.tasks: set[asyncio.Task[web.StreamResponse]] = set()
 
     def add_routes(self, app: web.Application) -> None:
@@ -98,29 +107,45 @@
         """Serves one request."""
         started = self.clock()
         self.open_requests += 1
+        request_id = _idempotency_key(request)[:MAX_IDEMPOTENCY_KEY]
+        record = RequestRecord(request_id=request_id, service=request.match_info["service"])
+        self.records.add(record)
         try:
-            answer = await self._serve(request)
+            answer = await self._serve(request, record=record)
+            if not record.outcome.startswith(_FAILED):
+                record.outcome = str(answer.status)
         finally:
             self.open_requests -= 1
+            record.took_s = self.clock() - started
         self.metrics.record("request", seconds=self.clock() - started)
         return answer
 
-    async def _serve(self, request: web.Request) -> web.StreamResponse:
-        match self._admit(request):
+    async def wait_idle(self) -> None:
+        """Waits until no request is in progress; each ends by its deadline."""
+        while self.open_requests:  # noqa: ASYNC110  a stop is rare, and an event would burden each request
+            await asyncio.sleep(IDLE_POLL_S)
+
+    async def _serve(self, request: web.Request, *, record: RequestRecord) -> web.StreamResponse:
+        match self._admit(request, record=record):
             case Result(tag="ok", ok=call):
                 pass
             case Result(error=failure):
-                return self._refuse(request, failure)
+                return self._refuse(record, failure)
         idempotent = call.service.idempotent
+        detached = False
         try:
             await call.body.read_start(up_to=BUFFERED_BODY_BYTES if idempotent else self.max_body_bytes)
+            if idempotent:
+                return await self._run(call)
+            detached = True
         except BodyError as error:
-            return self._refuse(request, error.failure)
-        if idempotent:
-            return await self._run(call)
+            return self._refuse(record, error.failure)
+        finally:
+            if not detached:
+                call.body.release()
         return await self._run_detached(call)
 
-    def _admit(self, request: web.Request) -> Result[Call, Failure]:
+    def _admit(self, request: web.Request, *, record: RequestRecord) -> Result[Call, Failure]:
         environment = request.headers.get(ENVIRONMENT_HEADER, "production")
         document = self.replica.state.document(environment=environment)
         service = document.service(name=request.match_info["service"]) if document else None
@@ -132,9 +157,13 @@
                 pass
             case Result(error=failure):
                 return Error(failure)
-        timeout_s = _read_timeout(request, default=service.timeout_s)
+        record.team = team
+        timeout_s = _read_timeout(request, service=service)
         if timeout_s is None:
-            message = f"{TIMEOUT_HEADER} must be a number of seconds up to {MAX_TIMEOUT_S:.0f}"
+            message = (
+                f"{TIMEOUT_HEADER} must be a number of seconds up to {service.deadline_limit_s:g}, "
+                f"the longest_timeout_s of {service.name}"
+            )
             return Error(Failure(code=ResultCode.MALFORMED_REQUEST, message=message))
         if not service.idempotent and not 0 < len(_idempotency_key(request)) <= MAX_IDEMPOTENCY_KEY:
             message = (
@@ -143,7 +172,13 @@
             )
             return Error(Failure(code=ResultCode.IDEMPOTENCY_KEY_MISSING, message=message))
         deadline = self.clock() + timeout_s
-        body = RequestBody(request=request, limit=self.max_body_bytes, deadline=deadline, clock=self.clock)
+        body = RequestBody(
+            request=request,
+            limit=self.max_body_bytes,
+            deadline=deadline,
+            clock=self.clock,
+            memory=self.memory,
+        )
         return Ok(
             Call(
                 request=request,
@@ -152,6 +187,7 @@
                 team=team,
                 deadline=deadline,
                 body=body,
+                record=record,
             )
         )
 
@@ -166,6 +202,7 @@
         task = asyncio.create_task(self._run_once(call))
         self.tasks.add(task)
         task.add_done_callback(self._end_detached)
+        task.add_done_callback(lambda _: call.body.release())
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -197,7 +234,7 @@
                 call.claim = held
                 return await self._run(call)
             case Result(error=failure):
-                return self._refuse(request, failure)
+                return self._refuse(call.record, failure)
         raise AssertionError("a claim is held, stored or refused")
 
     async def _run(self, call: Call) -> web.StreamResponse:
@@ -215,6 +252,7 @@
             raise
 
     async def _try(self, call: Call) -> Result[web.StreamResponse, TryFailedError]:
+        started = self.clock()
         acquired = await self.router.acquire(
             environment=call.environment,
             service=call.service.name,
@@ -222,6 +260,7 @@
             queue_limit=call.service.queue_limit,
             avoided=call.tried,
         )
+        call.record.waited_s += self.clock() - started
         match acquired:
             case Result(tag="ok", ok=credit):
                 pass
@@ -237,6 +276,7 @@
         given_up = True
         started = self.clock()
         service = (call.environment, call.service.name)
+        call.record.endpoints.append(credit.credit.endpoint)
         try:
             answer = await self.forwarder.send(call, credit=credit)
             given_up = False
@@ -247,7 +287,8 @@
         except TryFailedError as error:
             given_up = call.sending
             call.tried |= {credit.credit.endpoint}
-            call.may_have_run = call.may_have_run or error.failure.work is not WorkState.NOT_RUN
+            if call.earlier is None and error.failure.work is not WorkState.NOT_RUN:
+                call.earlier = error.failure
             if error.endpoint_failed:
                 self.router.health.failed(credit.credit.endpoint, service=service)
             return Error(error)
@@ -279,36 +320,42 @@
         failure = call.final(failure)
         if failure.work is WorkState.NOT_RUN:
             self._release_claim(call)
-            return self._refuse(call.request, failure)
+            return self._refuse(call.record, failure)
+        call.record.outcome = _describe(failure)
         service = call.service.name
         self.metrics.count(f"failed.{failure.code.name}")
         log_event(Event.REQUEST_FAILED, service=service, code=int(failure.code), message=failure.message)
         return failure_response(failure)
 
     def _release_claim(self, call: Call) -> None:
-        if call.claim is not None and not call.sending and not call.may_have_run:
+        if call.claim is not None and not call.sending and call.earlier is None:
             self.forwarder.claims.release(call.claim)
 
-    def _refuse(self, request: web.Request, failure: Failure) -> web.Response:
+    def _refuse(self, record: RequestRecord, failure: Failure) -> web.Response:
+        record.outcome = _describe(failure)
         self.metrics.count(f"refused.{failure.code.name}")
-        service = request.match_info["service"]
-        log_event(Event.REQUEST_REFUSED, service=service, code=int(failure.code), message=failure.message)
+        code = int(failure.code)
+        log_event(Event.REQUEST_REFUSED, service=record.service, code=code, message=failure.message)
         return failure_response(failure)
 
 
+def _describe(failure: Failure) -> str:
+    return f"{_FAILED}{failure.code.name}, {failure.work}: {failure.message}"
+
+
 def _idempotency_key(request: web.Request) -> str:
     return request.headers.get(IDEMPOTENCY_HEADER, "")
 
 
-def _read_timeout(request: web.Request, *, default: float) -> float | None:
+def _read_timeout(request: web.Request, *, service: Service) -> float | None:
     text = request.headers.get(TIMEOUT_HEADER)
     if text is None:
-        return default
+        return service.timeout_s
     try:
         timeout_s = float(text)
     except ValueError:
         return None
-    return timeout_s if 0 < timeout_s <= MAX_TIMEOUT_S else None
+    return timeout_s if 0 < timeout_s <= service.deadline_limit_s else None
 
 
 def _stored_answer(claim: Claim) -> web.Response:
--- a/src/hyssopway/http/listener.py
+++ b/src/hyssopway/http/listener.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import ssl
+    from collections.abc import Awaitable, Callable
 
 BACKLOG = 1024
 
@@ -51,10 +52,16 @@
 
         self.listening = await loop.create_server(serve, host, port, ssl=tls, backlog=BACKLOG)
 
-    async def close(self) -> None:
-        """Stops to listen and waits for requests in progress."""
+    async def close(self, *, finish: Callable[[], Awaitable[None]] | None = None) -> None:
+        """Stops to listen and waits for requests in progress.
+
+        Args:
+            finish: Waits for requests that may take longer than `shutdown_s`.
+        """
         if self.listening is not None:
             self.listening.close()
+        if finish is not None:
+            await finish()
         await self.runner.cleanup()
 
 
--- a/src/hyssopway/operator_api/operator_routes.py
+++ b/src/hyssopway/operator_api/operator_routes.py
@@ -44,9 +44,10 @@
         access: Check of operators and way to the agreed state.
         read_status: Returns the status of all daemons and the progress of a log index.
         read_dump: Returns the state of this process.
+        find_requests: Returns what this entry keeps of a caller's request id.
     """
 
-    __slots__ = ("access", "read_dump", "read_status", "replica")
+    __slots__ = ("access", "find_requests", "read_dump", "read_status", "replica")
 
     def __init__(
         self,
@@ -55,11 +56,13 @@
         access: OperatorAccess,
         read_status: Callable[[int | None], Awaitable[Any]],
         read_dump: Callable[[], Any],
+        find_requests: Callable[[str], list[Any]],
     ) -> None:
         self.replica = replica
         self.access = access
         self.read_status = read_status
         self.read_dump = read_dump
+        self.find_requests = find_requests
 
     def add_routes(self, app: web.Application) -> None:
         """Adds the operators' routes."""
@@ -227,8 +230,11 @@
         """Explains a change or a non-idempotent request by its id."""
         request_id = request.match_info["request"]
         found = explain_request(state=self.replica.state, request_id=request_id)
+        seen = self.find_requests(request_id)
+        if seen:
+            found = (found or {"request": request_id, "change": None, "claims": []}) | {"seen_here": seen}
         if found is None:
-            message = f"nothing is kept for request id {request_id!r}; idempotent requests leave no record"
+            message = f"nothing is kept for request id {request_id!r}; an entry keeps its last requests only"
             return failure_response(Failure(code=ResultCode.UNKNOWN_RESOURCE, message=message))
         return json_response(found)
 
--- a/tests/agreement/test_slow_disk.py
+++ b/tests/agreement/test_slow_disk.py
@@ -85,7 +85,8 @@
     leader.store.delay_s = 0.3
     proposing = asyncio.create_task(leader.member.propose(data=b"last", timeout_s=0.1))
     await asyncio.sleep(0.1)
-    leader.stop_tasks()
+    for task in leader.tasks:
+        task.cancel()
     await leader.member.stop()
     assert leader.store.last_index == leader.store.synced_index
     with pytest.raises(StorageError):
