Confirm a watcher only up to its last contact that the leader knows of

Cause: a home without a log is confirmed by the daemon that it watches, while its contacts reach the leader by separate reports. When the watch went on and those reports failed for longer than `cut_off_run_s` + 9 s, the leader could end its runs while it still renewed leases, and a job could run twice (found by reading).

Ruled out: a larger margin; nothing bounds how long reports may fail.

Change: a daemon confirms a watcher no later than the watcher's last contact in a report that the leader took. Reports go every 0.5 s instead of 1 s, since they now bound the freshness of 3 s. A watcher stays with a daemon for 1.5 s before it tries the next one, so that the first report can be made.

Before: the new test fails (age 0).

Conclusion: a watcher's authority cannot outlast what the leader counts from.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -71,6 +71,7 @@
             ledger=self.requests.ledger,
             router=self.requests.router,
         )
+        self.calls.vouched = {}
         self.jobs = JobPath(group=self.group, fleet=self.fleet, calls=self.calls)
         self.calls.exchanges.update(list_exchanges(self))
         self.peer_server = PeerServer(handlers=self.calls, token=settings.peer_token)
--- a/src/hyssopway/daemon/load_push.py
+++ b/src/hyssopway/daemon/load_push.py
@@ -15,7 +15,8 @@
     from .daemon import Daemon
 
 LOAD_TOPIC = "loads"
-PUSH_S = 1.0
+# A watcher is confirmed only up to its last contact that was reported, so reports bound its freshness of 3 s.
+PUSH_S = 0.5
 CALL_TIMEOUT_S = 1.0
 
 
@@ -77,13 +78,17 @@
 async def _push(daemon: Daemon, *, target: str) -> str:
     if target == daemon.settings.name:
         return ""
+    contacts = dict(daemon.calls.contacts)
     try:
         answer = await daemon.group.peers.client(target).exchange(
             topic=LOAD_TOPIC, data=to_json(own_loads(daemon)), timeout_s=CALL_TIMEOUT_S
         )
     except PeerUnreachableError:
         return ""
-    return str(from_json(answer)["leader"])
+    leader = str(from_json(answer)["leader"])
+    if leader == target and daemon.calls.vouched is not None:
+        daemon.calls.vouched |= contacts
+    return leader
 
 
 def _to_usage(row: list[Any]) -> TaskUsage:
--- a/src/hyssopway/daemon/peer_calls.py
+++ b/src/hyssopway/daemon/peer_calls.py
@@ -51,6 +51,8 @@
         ledger: Slot credits of endpoints whose home is this daemon.
         router: Slot credits held by this daemon.
         contacts: Local time of the last confirm or watch call of each daemon.
+        vouched: Local time of the last contact of each daemon that the leader has learned of from here; None
+            where watchers are confirmed without that.
         covered: Largest index that this daemon confirmed to each daemon as leader.
         withheld: Daemons that get no confirmation while runs placed there are taken back.
         exchanges: Answers to exchanges of soft state by topic.
@@ -68,6 +70,7 @@
         "proposer",
         "replica",
         "router",
+        "vouched",
         "withheld",
     )
 
@@ -87,6 +90,7 @@
         self.freshness = freshness
         self.ledger = ledger
         self.contacts: dict[str, float] = {}
+        self.vouched: dict[str, float] | None = None
         self.covered: dict[str, int] = {}
         self.withheld: dict[str, list[EndRun]] = {}
         self.router = router
@@ -144,7 +148,7 @@
             first_index=from_index + 1,
             entries=entries,
             applied_index=self.replica.applied_index,
-            confirmed_age_s=self.freshness.age_s,
+            confirmed_age_s=max(self.freshness.age_s, self._vouched_age_s(daemon)),
             waited_s=waited_s,
         )
 
@@ -168,6 +172,16 @@
             answer = await answer
         return to_json(answer, inf_nan_mode="null")
 
+    def _vouched_age_s(self, daemon: str) -> float:
+        """Returns the age of the last contact of a watcher that the leader knows of.
+
+        The leader ends the runs of a home that it has not heard of for long. A watcher must not be
+        confirmed for later than that, or it would renew leases of runs that are placed again.
+        """
+        if self.vouched is None or (self.member is not None and self.member.is_leader):
+            return 0.0
+        return self.freshness.clock() - self.vouched.get(daemon, -inf)
+
     def _member(self) -> Member:
         if self.member is None:
             raise RuntimeError("this daemon carries no control member")
--- a/src/hyssopway/replica/following.py
+++ b/src/hyssopway/replica/following.py
@@ -21,6 +21,8 @@
 WATCH_WAIT_S = 0.5
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.2
+# A daemon confirms a new watcher only after it has reported it to the leader, which it does every 0.5 s.
+PATIENCE_S = 1.5
 SNAPSHOT_TIMEOUT_S = 10.0
 
 
@@ -69,15 +71,19 @@
             left for the next.
     """
     position = 0
+    useful_at = freshness.clock()
     while True:
         client = peers.client(upstreams[position % len(upstreams)])
         try:
             useful = await _watch_once(client=client, replica=replica, freshness=freshness)
+            given_up = freshness.clock() - useful_at > PATIENCE_S
         except PeerUnreachableError:
-            useful = False
+            useful, given_up = False, True
         freshness.report()
+        if useful or given_up:
+            useful_at = freshness.clock()
         if not useful:
-            position += 1
+            position += given_up
             await asyncio.sleep(_with_jitter(RETRY_S))
 
 
--- a/tests/replica/test_following.py
+++ b/tests/replica/test_following.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import Any
 
@@ -61,6 +62,18 @@
         return await self.calls.read_snapshot(offset=offset)
 
 
+async def test_watcher_is_confirmed_only_up_to_its_contact_that_the_leader_knows():
+    """Guards against a home without a log that renews leases after the leader has ended its runs."""
+    upstream = Upstream()
+    upstream.fill(1)
+    upstream.calls.vouched = {}
+    unknown = await upstream.calls.watch(daemon="f", from_index=1, wait_s=0.0)
+    assert math.isinf(unknown.confirmed_age_s)
+    upstream.calls.vouched["f"] = time.monotonic() - 2.0
+    known = await upstream.calls.watch(daemon="f", from_index=1, wait_s=0.0)
+    assert 2.0 <= known.confirmed_age_s < 3.0
+
+
 class Directory:
     """Clients by name."""
 
