--- a/src/hyssopway_standins/measure/capacity_page.py
+++ b/src/hyssopway_standins/measure/capacity_page.py
@@ -43,6 +43,7 @@
 def _verdicts(capacity: Capacity) -> str:
     target, jobs, fleet = capacity.target, capacity.figures["jobs"], capacity.figures["fleet"]
     urgent = jobs["urgent_start_on_full_pool_worst_s"]
+    spread = capacity.figures["agreement"]["change in force on 60 followers, max ms"] / 1000
     rows = [
         _verdict("core of a worker's node", capacity.worker_core, target.node_core, "part of a core"),
         _verdict("bytes of a worker's node", capacity.worker_bytes, target.node_bytes_a_second, "bytes/s"),
@@ -50,6 +51,7 @@
         _verdict("memory of an entry VM", capacity.entry_memory_mb, target.node_memory_mb, "MB"),
         _verdict("log entries of the largest region", capacity.log_entries, capacity.log_limit, "entries/s"),
         _verdict("urgent work on a full pool, worst", urgent, target.urgent_start_s, "s"),
+        _verdict("change in force on 60 followers, worst", spread, target.in_force_s, "s"),
     ]
     decisions = jobs["decisions_21000_workers_scheduler_per_s"]
     rounds = fleet.get("wave_rounds_21000_vms_per_s", 0.0)
@@ -62,7 +64,9 @@
         "",
         f"Placement makes {decisions:,.0f} decisions a second at 21,000 workers in one region; the largest region",
         f"needs {target.region_workers / target.run_s:.1f}. A wave must maintain {capacity.rack_vms:.0f} VMs an hour",
-        f"in all regions; the leader makes {rounds:.1f} rounds a second with 21,000 VMs.",
+        f"in all regions; the leader makes {rounds:.1f} rounds a second with 21,000 VMs. The first look of a new leader",
+        f"takes {jobs['first_look_21000_workers_ms']:.0f} ms at 21,000 workers and",
+        f"{jobs['first_look_1000_workers_ms']:.0f} ms at 1,000, against an election timeout of 600 ms.",
         "",
         "The bound of 2.4% of a core is read as one for the nodes that run the users' work. Entry VMs are the VMs set",
         "aside; the row shows how far one is from the same bound, so that nobody plans them on shared VMs.",
@@ -89,7 +93,7 @@
 | worker's node | none of its own | a sync, {nodes["worker_bytes_sent_per_sync"]:.0f} bytes out and {nodes["worker_bytes_received_per_sync"]:.0f} in while idle | {capacity.worker_core:.4f} of a core with the stand-in's client | the users' agent, not measured here | leases and orders ride on one exchange | not reached |
 | zone | homes of its workers and endpoints | those of its entries | the sum of its entries | the sum of its entries | serves open queues while cut off; see decision 0002 | its entries |
 | endpoint | none of the system | an announcement every 0.5 s | not measured | not measured | lease of 2 s at its home | not reached |
-| command line | none | one request a command | 0.2 to 0.5 s of start-up | about 50 MB while it runs | a process for each command | not reached |"""
+| command line | none | one request a command | not measured | not measured | a process for each command | not reached |"""
 
 
 def _slopes(capacity: Capacity) -> str:
