Wait for the end of a drain on the command line

Cause: promote and zone withdrawal could be waited for, a drain could not.

Before: no such option. After: four new cases and all tests of the command line pass.

--- a/src/hyssopway/cli/vm_commands.py
+++ b/src/hyssopway/cli/vm_commands.py
@@ -6,9 +6,10 @@
 import typer
 
 from .access import operator_connection
-from .options import After, Json, Limit, RequestId
+from .options import After, Json, Limit, RequestId, WaitSeconds
 from .output import write_fields, write_json, write_next, write_table
 from .route_path import list_path, route_path
+from .waiting import wait_drained
 
 
 class Decision(StrEnum):
@@ -52,12 +53,21 @@
 
 
 @app.command()
-def drain(context: typer.Context, vm: VmName, expect: Epoch = None, request_id: RequestId = "") -> None:
+def drain(
+    context: typer.Context,
+    vm: VmName,
+    expect: Epoch = None,
+    request_id: RequestId = "",
+    wait: Annotated[bool, typer.Option("--wait", help="Wait until the VM is empty.")] = False,
+    wait_timeout: WaitSeconds = 600,
+) -> None:
     """Take a permit for a VM and let its work end.
 
-    Example: hyssopway vms drain restock-vm-1
+    Example: hyssopway vms drain restock-vm-1 --wait
     """
     _change(context, vm=vm, action="drain", body={}, expect=expect, request_id=request_id)
+    if wait:
+        wait_drained(operator_connection(context), vm=vm, timeout_s=wait_timeout)
 
 
 @app.command("return")
--- a/src/hyssopway/cli/waiting.py
+++ b/src/hyssopway/cli/waiting.py
@@ -1,4 +1,4 @@
-"""Waits until a change is in force on every reachable process."""
+"""Waits until a change is in force on every reachable process, or a VM is drained."""
 
 from __future__ import annotations
 
@@ -40,6 +40,30 @@
         time.sleep(POLL_S)
 
 
+def wait_drained(connection: Connection, *, vm: str, timeout_s: float) -> None:
+    """Waits until a VM is empty and shows what it still runs.
+
+    Raises:
+        CommandError: The VM is not empty in time, or its drain ended in another way.
+    """
+    started = time.monotonic()
+    reported = -1
+    while True:
+        items = [item for item in connection.read("/v1/vms")["vms"] if item["vm"]["name"] == vm]
+        state, left = (items[0]["vm"]["state"], len(items[0]["running"])) if items else ("unknown", 0)
+        if state == "drained":
+            write_line(f"VM {vm} is drained")
+            return
+        elapsed_s = time.monotonic() - started
+        if state != "draining" or elapsed_s > timeout_s:
+            message = f"VM {vm} is {state} with {left} tasks after {elapsed_s:.0f} s"
+            raise CommandError(status=ExitStatus.WAIT_INCOMPLETE, message=message)
+        if left != reported:
+            reported = left
+            write_note(f"{left} tasks left after {elapsed_s:.1f} s")
+        time.sleep(POLL_S)
+
+
 def _count(rollout: dict[str, Any]) -> int:
     return sum(len(rollout[name]) for name in ("in_force", "behind", "unreachable"))
 
@@ -59,4 +83,4 @@
     write_line(f"not confirmed on {', '.join(names)}: without authority on older state from {at}")
 
 
-__all__ = ["wait_in_force"]
+__all__ = ["wait_drained", "wait_in_force"]
--- a/tests/cli/test_waiting.py
+++ b/tests/cli/test_waiting.py
@@ -35,3 +35,28 @@
     written = capsys.readouterr()
     assert text in written.out + written.err
     assert all(request["path"] == "/v1/status?index=7" for request in entry.seen[1:])
+
+
+def vms(state: str, running: list[str]):
+    return 200, {"vms": [{"vm": {"name": "vm", "state": state, "epoch": 1}, "running": running}]}
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        ([vms("draining", ["j"]), vms("drained", [])], 0, "VM vm is drained"),
+        ([vms("draining", ["j"])], 6, "VM vm is draining with 1 tasks"),
+        ([vms("draining", []), vms("down", [])], 6, "VM vm is down with 0 tasks"),
+        ([(200, {"vms": []})], 6, "VM vm is unknown"),
+    ],
+    ids=["emptied", "work does not end", "lost meanwhile", "not listed"],
+)
+def test_drain_is_waited_for_until_the_vm_is_empty(case, scripted, monkeypatch, capsys):
+    """Guards against a drain that is reported as ended while the VM still runs tasks."""
+    states, expected, text = case
+    monkeypatch.setattr(waiting, "POLL_S", 0.05)
+    entry = scripted(vms("ready", []), CHANGED, *states)
+    options = ["--entry", entry.url, "--token", "t" * 8, "vms", "drain", "vm"]
+    assert main([*options, "--wait", "--wait-timeout", "0.5"]) == expected
+    written = capsys.readouterr()
+    assert text in written.out + written.err
