--- /dev/null
+++ b/src/hyssopway/dispatch/emptying.py
@@ -0,0 +1,95 @@
+"""Empties VMs so that their machines can be maintained or moved."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+from hyssopway.workflow import TaskId
+
+from .interruption import may_interrupt
+
+if TYPE_CHECKING:
+    from .dispatcher import Dispatcher
+    from .leadership import Leadership
+    from .vm_link import VmLink
+
+# Short tasks end by themselves within this time; then those that keep their work are stopped.
+FINISH_S = 2.5
+FULL_PACE_PERCENT = 100
+
+
+class Emptying:
+    """VMs that get no starts and whose work ends or moves.
+
+    Attributes:
+        leadership: The term.
+        links: VMs by identity.
+        dispatcher: Gets told which VMs are closed.
+        since: Local time since which each VM is emptied.
+    """
+
+    __slots__ = ("dispatcher", "leadership", "links", "since")
+
+    def __init__(self, *, leadership: Leadership, links: dict[str, VmLink], dispatcher: Dispatcher) -> None:
+        self.leadership = leadership
+        self.links = links
+        self.dispatcher = dispatcher
+        self.since: dict[str, float] = {}
+
+    def close(self, vm_id: str, *, reason: str) -> None:
+        """Starts to empty a VM."""
+        if vm_id not in self.since:
+            log_event(Event.VM_CLOSED, vm=vm_id, reason=reason)
+            self.since[vm_id] = self.leadership.clock()
+            self.dispatcher.closed_vms.add(vm_id)
+
+    def reopen(self, vm_id: str) -> None:
+        """Lets a VM get starts again."""
+        self.since.pop(vm_id, None)
+        self.dispatcher.closed_vms.discard(vm_id)
+        self.dispatcher.changed.set()
+
+    def is_empty(self, vm_id: str) -> bool:
+        """Tells whether nothing runs on a VM, as agreed."""
+        record = self.leadership.state.tables.vms.get(vm_id)
+        return record is None or not record.runs
+
+    def step(self) -> None:
+        """Asks for the stops that are allowed now."""
+        for vm_id in list(self.since):
+            link = self.links.get(vm_id)
+            record = self.leadership.state.tables.vms.get(vm_id)
+            if link is None or record is None:
+                self.reopen(vm_id)
+                continue
+            for key in sorted(record.runs):
+                self._consider(key, link=link, vm_id=vm_id)
+
+    def _consider(self, key: str, *, link: VmLink, vm_id: str) -> None:
+        tables = self.leadership.state.tables
+        name, _, run = key.rpartition("/")
+        task = TaskId.parse(name)
+        step = tables.workflows[task.workflow].spec.steps[task.step]
+        if step.long_running:
+            if may_interrupt(tables=tables, task=task, is_at_work=self._is_at_work):
+                self._stop(task, run=int(run), link=link)
+        elif step.checkpointing and self.leadership.clock() - self.since[vm_id] > FINISH_S:
+            self._stop(task, run=int(run), link=link)
+
+    def _stop(self, task: TaskId, *, run: int, link: VmLink) -> None:
+        link.ask_stop(task=task.name, run=run)
+        # Its own row must not let another task of the step be stopped before this one is back.
+        link.rows.pop(f"{task.name}/{run}", None)
+
+    def _is_at_work(self, key: str) -> bool:
+        task = key.rpartition("/")[0]
+        for run in self.leadership.state.tables.runs.get(task, ()):
+            link = self.links.get(run.vm)
+            row = link.rows.get(key) if link is not None and run.key == key else None
+            if row is not None:
+                return row.pace_percent == FULL_PACE_PERCENT
+        return False
+
+
+__all__ = ["Emptying"]
--- /dev/null
+++ b/src/hyssopway/dispatch/flight.py
@@ -0,0 +1,25 @@
+"""What a leader knows of a start that it ordered."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True)
+class Flight:
+    """State of one order to start a run.
+
+    Attributes:
+        is_sending: Whether the order waits for its answer.
+        accepted_at: Local time at which the VM's acceptance arrived; infinite when none did.
+        stop_asked_at: Local time at which a stop was last sent.
+        stopped_at: Local time at which the answer to a stop arrived; infinite when none did.
+    """
+
+    is_sending: bool = False
+    accepted_at: float = float("inf")
+    stop_asked_at: float = float("-inf")
+    stopped_at: float = float("inf")
+
+
+__all__ = ["Flight"]
--- /dev/null
+++ b/src/hyssopway/dispatch/platform_limits.py
@@ -0,0 +1,25 @@
+"""Bounds that the platform sets for a leader's orders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformLimits:
+    """Bounds from the settings of the platform.
+
+    Attributes:
+        longest_lease_s: Longest lease that VMs accept.
+        turn_s: Shortest time between orders of two leaders for one machine.
+        maintenance_s: Duration of the maintenance of a machine.
+        move_s: Duration of the move of a machine to another pool.
+    """
+
+    longest_lease_s: float
+    turn_s: float
+    maintenance_s: float
+    move_s: float
+
+
+__all__ = ["PlatformLimits"]
--- /dev/null
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -0,0 +1,343 @@
+"""Keeps in contact with one VM on behalf of a leader."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.clock import wall_ms
+from hyssopway.event import Event, log_event
+from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome
+
+from .flight import Flight
+from .lease import RUN_LEASE_S, VmLease, lease_end
+from .order_reply import Refusal
+from .settling import Settlement, settle_unlisted
+from .worker_calls import OtherBootError, WorkerUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hyssopway.workflow import ActiveRun, VmRecord
+
+    from .hold_reply import HoldReply
+    from .leadership import Leadership
+    from .running_row import RunningRow
+    from .worker_calls import WorkerCalls
+
+HOLD_WAIT_MS = 1000
+RETRY_S = 0.2
+STOP_AGAIN_S = 0.5
+NO_ROOM_PAUSE_S = 0.3
+# A VM whose last answer is older gets no new starts; a look waits a second for an end.
+CONTACT_S = 1.6
+# A VM that neither answers nor announces itself for this long is forgotten.
+FORGET_S = 20.0
+
+
+class VmLink:
+    """One VM as a leader sees it.
+
+    Attributes:
+        vm_id: The VM.
+        boot: Boot that the other attributes describe.
+        leadership: Term on whose behalf orders are sent.
+        calls: Client of worker VMs.
+        on_change: Called when a decision may have become possible.
+        lease: Bound on the lease of its runs.
+        is_fenced: Whether the VM answered the fencing token of this term.
+        answered_at: Local time of its last answer.
+        heard_at: Local time of its last answer or announcement.
+        rows: Runs that it listed last, by key.
+        flights: Orders to start by run key.
+        paused_until: Local time before which nothing is placed on it.
+        failures: Runs that failed there in a row.
+    """
+
+    __slots__ = (
+        "answered_at",
+        "boot",
+        "calls",
+        "failures",
+        "flights",
+        "heard_at",
+        "is_fenced",
+        "leadership",
+        "lease",
+        "on_change",
+        "paused_until",
+        "rows",
+        "stops",
+        "vm_id",
+    )
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        leadership: Leadership,
+        calls: WorkerCalls,
+        longest_lease_s: float,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.vm_id = vm_id
+        self.boot = 0
+        self.leadership = leadership
+        self.calls = calls
+        self.on_change = on_change
+        length_s = min(RUN_LEASE_S, longest_lease_s)
+        granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
+        self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
+        self.is_fenced = False
+        self.answered_at = float("-inf")
+        self.heard_at = leadership.clock()
+        self.rows: dict[str, RunningRow] = {}
+        self.flights: dict[str, Flight] = {}
+        self.stops: set[asyncio.Task[None]] = set()
+        self.paused_until = float("-inf")
+        self.failures = 0
+
+    @property
+    def record(self) -> VmRecord | None:
+        """The VM as agreed."""
+        return self.leadership.state.tables.vms.get(self.vm_id)
+
+    def in_contact(self, now: float) -> bool:
+        """Tells whether orders to the VM are likely to arrive."""
+        return self.is_fenced and now - self.answered_at <= CONTACT_S
+
+    async def run(self) -> None:
+        """Looks at the VM and renews its lease for as long as it is known."""
+        while (record := self.record) is not None:
+            if not self.leadership.may_order():
+                await asyncio.sleep(RETRY_S / 4)
+                continue
+            try:
+                await self._hold(record)
+            except OtherBootError as error:
+                await self._give_up_boot(record, reason=str(error))
+                await asyncio.sleep(RETRY_S)
+            except WorkerUnreachableError as error:
+                self._note_silence(record, reason=str(error))
+                await self._conclude_lapsed(record)
+                await asyncio.sleep(RETRY_S)
+
+    def expect_start(self, *, task: str, run: int) -> None:
+        """Notes that a start is about to be agreed and ordered."""
+        self.flights[f"{task}/{run}"] = Flight(is_sending=True)
+
+    def drop_start(self, *, task: str, run: int) -> None:
+        """Forgets a start that was not agreed."""
+        self.flights.pop(f"{task}/{run}", None)
+
+    async def start(self, run: ActiveRun, *, specification: str, checkpoint: str) -> None:
+        """Orders an agreed start and settles it when the VM refuses it."""
+        record = self.record
+        flight = self.flights.setdefault(run.key, Flight(is_sending=True))
+        now = self.leadership.clock()
+        until_ms = self.lease.renew(now=now)
+        if record is None or record.boot != run.boot or until_ms is None or not self.leadership.may_order():
+            # Nothing was sent, so the run certainly never starts.
+            await self._end([_ended(run, RunOutcome.NOT_STARTED)])
+            return
+        try:
+            reply = await self.calls.start(
+                vm=record,
+                task=run.task,
+                run=run.run,
+                specification=specification,
+                checkpoint=checkpoint,
+                lease_until_ms=until_ms,
+                fencing_token=self.leadership.term,
+            )
+        except WorkerUnreachableError as error:
+            log_event(Event.ORDER_UNANSWERED, order="start", run=run.key, vm=self.vm_id, reason=str(error))
+            return
+        finally:
+            flight.is_sending = False
+        if reply.refusal is None:
+            flight.accepted_at = self.leadership.clock()
+            return
+        log_event(Event.ORDER_REFUSED, order="start", run=run.key, vm=self.vm_id, reason=reply.refusal)
+        self.paused_until = self.leadership.clock() + NO_ROOM_PAUSE_S
+        if reply.refusal is not Refusal.OTHER_BOOT:
+            await self._end([_ended(run, RunOutcome.NOT_STARTED)])
+
+    def ask_stop(self, *, task: str, run: int) -> None:
+        """Sends a stop unless one was sent a moment ago."""
+        flight = self.flights.setdefault(f"{task}/{run}", Flight())
+        now = self.leadership.clock()
+        if now - flight.stop_asked_at < STOP_AGAIN_S or not self.leadership.may_order():
+            return
+        flight.stop_asked_at = now
+        sending = asyncio.create_task(self._stop(task=task, run=run, flight=flight))
+        self.stops.add(sending)
+        sending.add_done_callback(self.stops.discard)
+
+    async def _stop(self, *, task: str, run: int, flight: Flight) -> None:
+        record = self.record
+        if record is None:
+            return
+        try:
+            reply = await self.calls.stop(vm=record, task=task, run=run, fencing_token=self.leadership.term)
+        except WorkerUnreachableError as error:
+            log_event(
+                Event.ORDER_UNANSWERED, order="stop", run=f"{task}/{run}", vm=self.vm_id, reason=str(error)
+            )
+            return
+        if reply.refusal is None:
+            flight.stopped_at = min(flight.stopped_at, self.leadership.clock())
+
+    async def _hold(self, record: VmRecord) -> None:
+        if record.boot != self.boot:
+            self._forget_boot()
+            self.boot = record.boot
+        sent_at = self.leadership.clock()
+        reply = await self.calls.hold(
+            vm=record,
+            fencing_token=self.leadership.term,
+            last_end=record.last_end,
+            lease_until_ms=self.lease.renew(now=sent_at),
+            wait_ms=HOLD_WAIT_MS if self.is_fenced else 0,
+        )
+        if reply.boot != record.boot:
+            await self._take_new_boot(record, boot=reply.boot)
+            return
+        now = self.leadership.clock()
+        self.lease.take_reading(clock_ms=reply.clock_ms, now=now)
+        self.answered_at = self.heard_at = now
+        if not self.is_fenced:
+            self.is_fenced = True
+            log_event(Event.VM_HELD, vm=self.vm_id, token=self.leadership.term, runs=len(reply.running))
+        self.rows = {f"{row.task}/{row.run}": row for row in reply.running}
+        if reply.ends:
+            await self._take_ends(record, reply=reply)
+        await self._settle(record, reply=reply, sent_at=sent_at)
+        self.on_change()
+
+    async def _take_ends(self, record: VmRecord, *, reply: HoldReply) -> None:
+        for listed in reply.ends:
+            end = listed.end
+            self.flights.pop(f"{end.task}/{end.run}", None)
+            if end.outcome is RunOutcome.FAILED:
+                self.failures += 1
+            elif end.outcome is RunOutcome.DONE:
+                self.failures = 0
+            if end.outcome is not RunOutcome.DONE:
+                log_event(Event.RUN_ENDED, run=f"{end.task}/{end.run}", vm=self.vm_id, outcome=end.outcome)
+        ends = [listed.end for listed in reply.ends]
+        await self._end(ends, last_end=reply.ends[-1].number, boot=record.boot)
+
+    async def _settle(self, record: VmRecord, *, reply: HoldReply, sent_at: float) -> None:
+        if not reply.is_whole:
+            return
+        listed = set(self.rows) | {f"{one.end.task}/{one.end.run}" for one in reply.ends}
+        settled: list[RunEnd] = []
+        for key in sorted(record.runs - listed):
+            task, _, number = key.rpartition("/")
+            run = next(
+                (
+                    one
+                    for one in self.leadership.state.tables.runs.get(task, ())
+                    if one.run == int(number) and one.vm == self.vm_id
+                ),
+                None,
+            )
+            if run is None:
+                continue
+            decision = settle_unlisted(
+                flight=self.flights.get(key),
+                run_token=run.fencing_token,
+                own_token=self.leadership.term,
+                listing_sent_at=sent_at,
+            )
+            match decision:
+                case Settlement.STOP:
+                    self.ask_stop(task=task, run=run.run)
+                case Settlement.NEVER_RAN:
+                    settled.append(_ended(run, RunOutcome.NOT_STARTED))
+                case Settlement.VANISHED:
+                    settled.append(_ended(run, RunOutcome.LOST))
+                case Settlement.WAIT:
+                    pass
+        if settled:
+            await self._end(settled)
+        for key, row in self.rows.items():
+            if key not in record.runs:
+                # Its end was concluded while the VM was out of contact.
+                self.ask_stop(task=row.task, run=row.run)
+
+    async def _end(self, ends: list[RunEnd], *, last_end: int = 0, boot: int | None = None) -> None:
+        record = self.record
+        if record is None:
+            return
+        command = EndRuns(
+            vm=self.vm_id,
+            boot=record.boot if boot is None else boot,
+            ends=tuple(ends),
+            at_ms=wall_ms(),
+            last_end=last_end,
+        )
+        await self.leadership.propose(command)
+        for end in ends:
+            self.flights.pop(f"{end.task}/{end.run}", None)
+
+    async def _conclude_lapsed(self, record: VmRecord) -> None:
+        if not record.runs or self.leadership.clock() <= self.lease.ends_at:
+            return
+        log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
+        ends = []
+        for key in sorted(record.runs):
+            task, _, number = key.rpartition("/")
+            ends.append(RunEnd(task=task, run=int(number), outcome=RunOutcome.LAPSED))
+        self.rows = {}
+        await self._end(ends)
+        self.on_change()
+
+    async def _give_up_boot(self, record: VmRecord, *, reason: str) -> None:
+        log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
+        self._forget_boot()
+        ends = []
+        for key in sorted(record.runs):
+            task, _, number = key.rpartition("/")
+            ends.append(RunEnd(task=task, run=int(number), outcome=RunOutcome.LOST))
+        if ends:
+            await self._end(ends)
+            self.on_change()
+
+    async def _take_new_boot(self, record: VmRecord, *, boot: int) -> None:
+        log_event(Event.VM_GONE, vm=self.vm_id, reason=f"boot {boot} follows {record.boot}")
+        self._forget_boot()
+        await self.leadership.propose(
+            RegisterVm(
+                vm=record.vm_id,
+                boot=boot,
+                address=record.address,
+                pool=record.pool,
+                zone=record.zone,
+                labels=record.labels,
+                capacity=record.capacity,
+                draining=False,
+                at_ms=wall_ms(),
+            )
+        )
+        self.on_change()
+
+    def _forget_boot(self) -> None:
+        self.is_fenced = False
+        self.rows = {}
+        self.flights = {}
+        self.lease.forget_clock()
+
+    def _note_silence(self, record: VmRecord, *, reason: str) -> None:
+        if self.leadership.clock() - self.answered_at > CONTACT_S and self.is_fenced:
+            log_event(Event.VM_SILENT, vm=self.vm_id, address=record.address, reason=reason)
+            self.is_fenced = False
+            self.on_change()
+
+
+def _ended(run: ActiveRun, outcome: RunOutcome) -> RunEnd:
+    return RunEnd(task=run.task, run=run.run, outcome=outcome)
+
+
+__all__ = ["FORGET_S", "VmLink"]
--- /dev/null
+++ b/src/hyssopway/dispatch/waves.py
@@ -0,0 +1,233 @@
+"""Carries out maintenance waves on behalf of one leader."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from hyssopway.clock import wall_ms
+from hyssopway.event import Event, log_event
+from hyssopway.workflow import BeginMaintenance, ConfirmMaintenance, RemoveVm
+
+from .machine_calls import MachineCallError, MachineOrderResult, MachineState
+from .wave_choice import Candidate, choose_machines
+
+if TYPE_CHECKING:
+    from hyssopway.workflow import WaveRecord
+
+    from .emptying import Emptying
+    from .leadership import Leadership
+    from .machine_calls import Machine, MachineCalls
+
+STEP_S = 0.2
+IDLE_STEP_S = 0.5
+LIST_S = 0.8
+# A VM that still has work after this long goes down with it.
+MAX_EMPTYING_S = 8.0
+
+
+class Waves:
+    """Empties machines and orders their maintenance.
+
+    Attributes:
+        leadership: The term.
+        calls: Client of the platform.
+        emptying: VMs that are being emptied.
+        turn_s: Shortest time between orders of two leaders for one machine.
+        maintenance_s: Duration of a maintenance.
+        machines: Machines as listed last.
+        listed_at: Local time of that list.
+        own: Machines whose order this term has agreed on.
+        down: Machines of waves that are not known to be back, with the local time of the order.
+    """
+
+    __slots__ = (
+        "calls",
+        "down",
+        "emptying",
+        "leadership",
+        "listed_at",
+        "machines",
+        "maintenance_s",
+        "own",
+        "turn_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        leadership: Leadership,
+        calls: MachineCalls,
+        emptying: Emptying,
+        turn_s: float,
+        maintenance_s: float,
+    ) -> None:
+        self.leadership = leadership
+        self.calls = calls
+        self.emptying = emptying
+        self.turn_s = turn_s
+        self.maintenance_s = maintenance_s
+        self.machines: dict[str, Machine] = {}
+        self.listed_at = float("-inf")
+        self.own: set[str] = set()
+        self.down: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Works on all waves until the term ends."""
+        while self.leadership.holds:
+            open_waves = [
+                wave for wave in self.leadership.state.tables.waves.values() if not wave.is_complete
+            ]
+            if not open_waves and not self.down:
+                await asyncio.sleep(IDLE_STEP_S)
+                continue
+            if self.leadership.may_order():
+                await self._refresh()
+                for wave in open_waves:
+                    await self._advance(wave)
+            await asyncio.sleep(STEP_S)
+
+    async def _refresh(self) -> None:
+        now = self.leadership.clock()
+        if now - self.listed_at < LIST_S:
+            return
+        try:
+            machines = await self.calls.list_machines()
+        except MachineCallError as error:
+            log_event(Event.PLATFORM_FAILED, call="list_machines", error=str(error))
+            return
+        self.listed_at = now
+        self.machines = {machine.machine_id: machine for machine in machines}
+        for machine_id, ordered_at in list(self.down.items()):
+            machine = self.machines.get(machine_id)
+            is_back = machine is None or machine.state is MachineState.UP
+            if is_back and now > ordered_at + self.maintenance_s:
+                del self.down[machine_id]
+
+    async def _advance(self, wave: WaveRecord) -> None:
+        await self._confirm_gone(wave)
+        await self._repeat_unconfirmed(wave)
+        self._close_more(wave)
+        for machine_id in wave.machines:
+            machine = self.machines.get(machine_id)
+            if machine is None or machine_id in wave.begun or not self._is_emptied(machine):
+                continue
+            if len(self._down_of(wave)) < wave.max_down and machine.state is MachineState.UP:
+                await self._order(wave, machine=machine)
+
+    def _is_emptied(self, machine: Machine) -> bool:
+        if machine.vm_id not in self.leadership.state.tables.vms:
+            return True  # it is switched off, or its VM has not announced itself and runs nothing
+        closed_at = self.emptying.since.get(machine.vm_id)
+        if closed_at is None:
+            return False
+        emptying_s = self.leadership.clock() - closed_at
+        return self.emptying.is_empty(machine.vm_id) or emptying_s >= MAX_EMPTYING_S
+
+    def _down_of(self, wave: WaveRecord) -> set[str]:
+        """Machines that may be down for this wave: begun, and not known to be back."""
+        unconfirmed = set(wave.begun) - wave.confirmed
+        known_down = {
+            machine_id
+            for machine_id in wave.begun
+            if machine_id in self.down
+            or (machine_id in self.machines and self.machines[machine_id].state is MachineState.MAINTENANCE)
+        }
+        return unconfirmed | known_down
+
+    async def _confirm_gone(self, wave: WaveRecord) -> None:
+        if not self.machines:
+            return
+        for machine_id in wave.machines:
+            if machine_id not in self.machines and machine_id not in wave.confirmed:
+                log_event(
+                    Event.MAINTENANCE_ORDERED, machine=machine_id, wave=wave.number, result="machine is gone"
+                )
+                await self.leadership.propose(ConfirmMaintenance(wave=wave.number, machine=machine_id))
+
+    async def _repeat_unconfirmed(self, wave: WaveRecord) -> None:
+        for machine_id in sorted(set(wave.begun) - wave.confirmed):
+            is_own = machine_id in self.own
+            if not is_own and self.leadership.clock() - self.leadership.started_at < self.turn_s:
+                continue  # another leader may have ordered it a moment ago
+            machine = self.machines.get(machine_id)
+            if machine is not None:
+                await self._send(wave, machine=machine)
+
+    def _close_more(self, wave: WaveRecord) -> None:
+        tables = self.leadership.state.tables
+        use = self.leadership.state.indexes.vm_use
+        waiting = self.emptying.dispatcher.waiting_millis
+        pending = [
+            machine
+            for machine_id in wave.machines
+            if (machine := self.machines.get(machine_id)) is not None
+            and machine_id not in wave.begun
+            and machine.state is MachineState.UP
+            and machine.vm_id in tables.vms
+            and machine.vm_id not in self.emptying.since
+        ]
+        candidates = [
+            Candidate(
+                machine_id=machine.machine_id,
+                vm_id=machine.vm_id,
+                pool=machine.pool,
+                busy_millis=use[machine.vm_id].cpu_millis if machine.vm_id in use else 0,
+                waiting_millis=waiting.get(machine.pool, 0),
+            )
+            for machine in pending
+        ]
+        closed = Counter(tables.vms[vm_id].pool for vm_id in self.emptying.since if vm_id in tables.vms)
+        down = self._down_of(wave)
+        for machine_id in down:
+            if machine_id in self.machines:
+                closed[self.machines[machine_id].pool] += 1
+        chosen = choose_machines(
+            candidates=candidates,
+            pool_sizes=Counter(vm.pool for vm in tables.vms.values()),
+            closed_by_pool=closed,
+            room=wave.max_down - len(down) - len(self.emptying.since),
+            left_s=(wave.deadline_ms - wall_ms()) / 1000,
+            max_down=wave.max_down,
+        )
+        for one in chosen:
+            self.emptying.close(one.vm_id, reason=f"wave {wave.number}")
+        self.emptying.step()
+
+    async def _order(self, wave: WaveRecord, *, machine: Machine) -> None:
+        command = BeginMaintenance(wave=wave.number, machine=machine.machine_id, at_ms=wall_ms())
+        await self.leadership.propose(command)
+        self.own.add(machine.machine_id)
+        await self._send(wave, machine=machine)
+
+    async def _send(self, wave: WaveRecord, *, machine: Machine) -> None:
+        if not self.leadership.may_order():
+            return
+        now = self.leadership.clock()
+        try:
+            result = await self.calls.order_maintenance(
+                machine_id=machine.machine_id, wave=wave.number, fencing_token=self.leadership.term
+            )
+        except MachineCallError as error:
+            log_event(Event.PLATFORM_FAILED, call="order_maintenance", error=str(error))
+            return
+        log_event(Event.MAINTENANCE_ORDERED, machine=machine.machine_id, wave=wave.number, result=str(result))
+        match result:
+            case MachineOrderResult.DONE:
+                self.down[machine.machine_id] = now
+                await self._confirm(wave, machine=machine)
+            case MachineOrderResult.GONE | MachineOrderResult.NOT_DUE:
+                await self._confirm(wave, machine=machine)
+            case MachineOrderResult.BUSY | MachineOrderResult.FENCED:
+                pass  # asked again in the next step
+
+    async def _confirm(self, wave: WaveRecord, *, machine: Machine) -> None:
+        await self.leadership.propose(ConfirmMaintenance(wave=wave.number, machine=machine.machine_id))
+        record = self.leadership.state.tables.vms.get(machine.vm_id)
+        if record is not None:
+            await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
+        self.emptying.reopen(machine.vm_id)
+
+
+__all__ = ["Waves"]
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -83,6 +83,53 @@
     BUDGET_RESTORED = (6008, "INFO", "failures are within all budgets again, planned stops go on")
     WAVE_ADVANCED = (6009, "INFO", "{wave}: VM {vm} is {status}")
 
+    COMMAND_UNKNOWN = (7001, "ERROR", "entry {index} of the log is unknown to this release: {error}")
+    VM_ANNOUNCED = (7002, "INFO", "VM {vm} of pool {pool} at {address} announced, draining {draining}")
+    VM_HELD = (7003, "INFO", "VM {vm} holds {runs} runs under token {token}")
+    VM_SILENT = (7004, "WARNING", "VM {vm} at {address} does not answer: {reason}")
+    VM_GONE = (7005, "INFO", "VM {vm} is gone: {reason}")
+    LEASE_ENDED = (7006, "WARNING", "the lease of {runs} runs on VM {vm} has ended without contact")
+    RUN_ORDERED = (7007, "INFO", "run {run} ordered on VM {vm}, last answer {answer_age_ms} ms ago")
+    RUN_ENDED = (7008, "INFO", "run {run} on VM {vm} ended {outcome}")
+    ORDER_REFUSED = (7009, "WARNING", "{order} of run {run} refused by VM {vm}: {reason}")
+    ORDER_UNANSWERED = (7010, "WARNING", "{order} of run {run} to VM {vm} got no answer: {reason}")
+    DECISIONS_STOPPED = (7011, "WARNING", "decisions of term {term} stop: {reason}")
+    TASK_ENDED = (7012, "INFO", "task {task} ended: {reason}")
+    WORKFLOW_ACCEPTED = (7013, "INFO", "workflow {workflow} accepted in queue {queue} for team {team}")
+    WORKFLOW_REFUSED = (7014, "INFO", "workflow {workflow} refused with {status}: {reason}")
+    WORKFLOW_CANCELLED = (7015, "INFO", "workflow {workflow} cancelled")
+    FLEET_DOCUMENT_STORED = (
+        7016,
+        "INFO",
+        "fleet document version {version} stored, version {stored} in force",
+    )
+    FLEET_DOCUMENT_REFUSED = (7017, "WARNING", "fleet document refused: {reason}")
+    EVACUATION_CHANGED = (7018, "INFO", "zone {zone} evacuated: {evacuated}")
+    RELAY_FAILED = (
+        7019,
+        "WARNING",
+        "{method} {path} got no answer of a leader after {waited_ms} ms: {reason}",
+    )
+    LEADER_FOUND = (7020, "INFO", "leader is {leader}")
+    LEADER_MISSING = (7021, "WARNING", "no leader is known: {reason}")
+    MEMBER_JOINS = (7022, "INFO", "member {member} asks to join")
+    MEMBER_CHANGED = (7023, "INFO", "{change}: {result}")
+    DECISIONS_STARTED = (7024, "INFO", "decisions of term {term} start with {workflows} workflows, {vms} VMs")
+    MAINTENANCE_ORDERED = (7025, "INFO", "maintenance of machine {machine} in wave {wave}: {result}")
+    WAVE_STARTED = (
+        7026,
+        "INFO",
+        "wave {wave} of {machines} machines, {max_down} at once, until {deadline_ms}",
+    )
+    VM_CLOSED = (7028, "INFO", "VM {vm} gets no starts: {reason}")
+    POOL_LOAD = (
+        7029,
+        "INFO",
+        "pool {pool}: {vms} VMs, {capacity} cores, {steady} in use by long-running tasks, {short} by others, "
+        "{waiting} waiting",
+    )
+    INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
+
     @property
     def number(self) -> int:
         """Stable number of the event."""
--- /dev/null
+++ b/src/hyssopway/node/__init__.py
@@ -0,0 +1,9 @@
+"""Control nodes that find each other from a few seeds."""
+
+from __future__ import annotations
+
+from .control_node import ControlNode
+from .node_settings import NodeSettings
+from .request_service import RequestService
+
+__all__ = ["ControlNode", "NodeSettings", "RequestService"]
--- /dev/null
+++ b/src/hyssopway/node/control_node.py
@@ -0,0 +1,215 @@
+"""A node with a disk: a member of the group, and the place of all decisions while it leads."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import TYPE_CHECKING
+
+from hyssopway.agreement import (
+    Configuration,
+    Member,
+    Store,
+    daemon_of,
+    run_elections,
+    run_replication,
+)
+from hyssopway.clock import monotonic_s
+from hyssopway.dispatch import Conductor, Leadership, LeadershipLostError
+from hyssopway.event import Event, log_event
+from hyssopway.peer import PeerServer, PeerUnreachableError
+from hyssopway.relay import (
+    JOIN,
+    LEADER,
+    PEER_TOKEN,
+    RELAY,
+    LeaderFinder,
+    NodeDirectory,
+    Relay,
+    RelayedReply,
+    RelayedRequest,
+    keep_running,
+)
+from hyssopway.workflow import WorkflowState
+
+from .control_calls import ControlCalls
+from .group_keeper import GroupKeeper
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .node_settings import NodeSettings
+    from .request_service import RequestService
+
+LEAD_CHECK_S = 0.02
+JOIN_S = 0.5
+JOIN_TIMEOUT_S = 0.8
+LEFT_OUT_S = 2.0
+SNAPSHOT_ENTRIES = 5000
+
+
+class ControlNode:
+    """Member, leader's decisions and answers to other nodes.
+
+    Attributes:
+        settings: Settings of the node.
+        directory: Clients of other nodes.
+        state: Agreed state.
+        member: Own member.
+        finder: Knows the leader.
+        relay: Passes requests to the leader.
+        service: Answers requests while this node leads.
+        new_conductor: Builds the decisions of a term.
+        conductor: Decisions of the present term; None while this node does not lead.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        service: RequestService,
+        new_conductor: Callable[[Leadership], Conductor],
+    ) -> None:
+        if settings.data_dir is None:
+            raise ValueError("a control node needs a data folder")
+        self.settings = settings
+        self.service = service
+        self.new_conductor = new_conductor
+        self.directory = NodeDirectory(own_name=settings.host, peer_port=settings.peer_port)
+        self.state = WorkflowState()
+        self.member = Member(
+            daemon=settings.host,
+            store=Store(folder=settings.data_dir),
+            machine=self.state,
+            clock=monotonic_s,
+            snapshot_entries=SNAPSHOT_ENTRIES,
+        )
+        self.finder = LeaderFinder(
+            directory=self.directory, seed_hosts=settings.seed_hosts, clock=monotonic_s
+        )
+        self.relay = Relay(finder=self.finder)
+        self.keeper = GroupKeeper(member=self.member, tolerated_losses=settings.tolerated_losses)
+        self.conductor: Conductor | None = None
+        calls = ControlCalls(
+            member=self.member,
+            exchanges={RELAY: self._take_relayed, LEADER: self._tell_leader, JOIN: self._take_joiner},
+        )
+        self.peer_server = PeerServer(handlers=calls, token=PEER_TOKEN)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Opens durable state, listens to other nodes and starts all tasks."""
+        initial = None
+        if self.settings.is_first_start and self.settings.host in self.settings.seed_hosts:
+            voters = tuple(f"{host}/0" for host in sorted(self.settings.seed_hosts))
+            initial = Configuration(voters=voters)
+        self.member.open(initial=None if self.member.store.is_initialised else initial)
+        await self.peer_server.open(host=self.settings.host, port=self.settings.peer_port)
+        member, rng = self.member, random.Random()
+        loops = {
+            "sync_log": member.sync_own_log,
+            "apply": member.apply_committed,
+            "elections": lambda: run_elections(member=member, transport=self.directory, rng=rng),
+            "replication": lambda: run_replication(member=member, transport=self.directory),
+            "group": self.keeper.run,
+            "join": self._join,
+            "lead": self._lead,
+            "finder": self.finder.run,
+        }
+        self.tasks = [
+            asyncio.create_task(keep_running(name, loop), name=name) for name, loop in loops.items()
+        ]
+
+    async def stop(self) -> None:
+        """Stops all tasks and closes durable state."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.peer_server.close()
+        self.directory.close()
+        await self.member.stop()
+
+    async def answer(self, request: RelayedRequest) -> RelayedReply:
+        """Answers a request here if this node leads; the status is 0 when it does not."""
+        conductor = self.conductor
+        if conductor is None:
+            return RelayedReply(status=0, leader=self.member.leader_daemon)
+        try:
+            return await self.service.answer(request=request, conductor=conductor)
+        except LeadershipLostError as error:
+            log_event(Event.DECISIONS_STOPPED, term=conductor.leadership.term, reason=str(error))
+            return RelayedReply(status=0, leader=self.member.leader_daemon)
+        except Exception as error:
+            log_event(Event.HTTP_HANDLER_FAILED, method=request.method, path=request.path, error=repr(error))
+            return RelayedReply(status=500)
+
+    async def serve(self, request: RelayedRequest, *, timeout_s: float) -> RelayedReply:
+        """Answers a request that arrived at this node, here or through the leader.
+
+        Raises:
+            UnansweredError: No leader answered in time.
+        """
+        if self.conductor is not None:
+            reply = await self.answer(request)
+            if reply.status:
+                return reply
+        return await self.relay.send(request, timeout_s=timeout_s)
+
+    async def _lead(self) -> None:
+        member = self.member
+        while True:
+            await asyncio.sleep(LEAD_CHECK_S)
+            if not member.is_leader or member.applied_index < member.term_start:
+                continue
+            leadership = Leadership(member=member, state=self.state, clock=monotonic_s)
+            tables = self.state.tables
+            log_event(
+                Event.DECISIONS_STARTED,
+                term=leadership.term,
+                workflows=len(tables.workflows),
+                vms=len(tables.vms),
+            )
+            self.conductor = self.new_conductor(leadership)
+            try:
+                await self.conductor.run()
+            finally:
+                self.conductor = None
+
+    async def _join(self) -> None:
+        """Asks to join for as long as the group does not hold this member."""
+        while True:
+            member = self.member
+            # A member that was removed while it was down still has its old configuration; it hears no leader.
+            is_left_out = not member.is_leader and member.clock() - member.heard_at > LEFT_OUT_S
+            if is_left_out or member.member_id not in member.configuration.members:
+                await self._ask_to_join()
+            await asyncio.sleep(JOIN_S)
+
+    async def _ask_to_join(self) -> None:
+        leader = self.finder.leader
+        if not leader or leader == self.settings.host:
+            return
+        try:
+            await self.directory.client(leader).exchange(
+                topic=JOIN, data=self.member.member_id.encode(), timeout_s=JOIN_TIMEOUT_S
+            )
+        except PeerUnreachableError as error:
+            log_event(Event.LEADER_MISSING, reason=f"cannot ask to join: {error}")
+
+    async def _take_relayed(self, data: bytes) -> bytes:
+        return (await self.answer(RelayedRequest.decode(data))).encode()
+
+    async def _tell_leader(self, data: bytes) -> bytes:
+        members = sorted({daemon_of(member) for member in self.member.configuration.members})
+        leads = self.conductor is not None and self.conductor.leadership.may_order()
+        answer = {"leads": leads, "leader": self.member.leader_daemon, "members": members}
+        return json.dumps(answer).encode()
+
+    async def _take_joiner(self, data: bytes) -> bytes:
+        if self.member.is_leader:
+            self.keeper.take_joiner(data.decode())
+        return b""
+
+
+__all__ = ["ControlNode"]
--- /dev/null
+++ b/src/hyssopway/relay/__init__.py
@@ -0,0 +1,25 @@
+"""Finds the leader and passes requests to it."""
+
+from __future__ import annotations
+
+from .keep_running import keep_running
+from .leader_finder import LeaderFinder
+from .node_directory import PEER_TOKEN, NodeDirectory
+from .relay import Relay, UnansweredError
+from .relayed_reply import RelayedReply
+from .relayed_request import RelayedRequest
+from .topics import JOIN, LEADER, RELAY
+
+__all__ = [
+    "JOIN",
+    "LEADER",
+    "PEER_TOKEN",
+    "RELAY",
+    "LeaderFinder",
+    "NodeDirectory",
+    "Relay",
+    "RelayedReply",
+    "RelayedRequest",
+    "UnansweredError",
+    "keep_running",
+]
--- /dev/null
+++ b/src/hyssopway/relay/keep_running.py
@@ -0,0 +1,27 @@
+"""Keeps a task of a node running."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+RESTART_S = 0.5
+
+
+async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
+    """Runs work until it returns and starts it again when it fails."""
+    while True:
+        try:
+            await work()
+            return
+        except Exception as error:
+            log_event(Event.TASK_FAILED, task=name, error=repr(error))
+            await asyncio.sleep(RESTART_S)
+
+
+__all__ = ["keep_running"]
--- /dev/null
+++ b/src/hyssopway/relay/relay.py
@@ -0,0 +1,96 @@
+"""Passes requests to the leader."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+from hyssopway.peer import PeerUnreachableError
+
+from .relayed_reply import RelayedReply
+from .topics import RELAY
+
+if TYPE_CHECKING:
+    from .leader_finder import LeaderFinder
+    from .relayed_request import RelayedRequest
+
+TRY_TIMEOUT_S = 1.2
+RETRY_S = 0.05
+
+
+class UnansweredError(Exception):
+    """No leader answered in time.
+
+    Attributes:
+        may_have_run: Whether a leader may have received the request.
+    """
+
+    def __init__(self, message: str, *, may_have_run: bool) -> None:
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
+class Relay:
+    """Sends requests to whoever leads; all requests are idempotent, so a lost answer is asked for again.
+
+    Attributes:
+        finder: Knows the leader.
+    """
+
+    __slots__ = ("finder",)
+
+    def __init__(self, *, finder: LeaderFinder) -> None:
+        self.finder = finder
+
+    async def send(self, request: RelayedRequest, *, timeout_s: float) -> RelayedReply:
+        """Returns the leader's answer.
+
+        Raises:
+            UnansweredError: There was none in time.
+        """
+        clock = self.finder.clock
+        started_at = clock()
+        data = request.encode()
+        may_have_run = False
+        reason = "no leader is known"
+        while (left_s := timeout_s - (clock() - started_at)) > 0:
+            leader = await self._wait_for_leader(left_s)
+            if not leader:
+                break
+            left_s = timeout_s - (clock() - started_at)
+            try:
+                reply = await self._try(leader, data=data, timeout_s=min(TRY_TIMEOUT_S, left_s))
+            except PeerUnreachableError as error:
+                may_have_run = True
+                reason = str(error)
+                self.finder.forget_leader(leader, reason=reason)
+                continue
+            if reply.status:
+                return reply
+            reason = f"{leader} does not lead"
+            if reply.leader != leader:
+                self.finder.forget_leader(leader, reason=reason)
+                self.finder.note_leader(reply.leader)
+            await asyncio.sleep(RETRY_S)
+        waited_ms = round((clock() - started_at) * 1000)
+        log_event(
+            Event.RELAY_FAILED, method=request.method, path=request.path, waited_ms=waited_ms, reason=reason
+        )
+        raise UnansweredError(reason, may_have_run=may_have_run)
+
+    async def _try(self, leader: str, *, data: bytes, timeout_s: float) -> RelayedReply:
+        client = self.finder.directory.client(leader)
+        return RelayedReply.decode(await client.exchange(topic=RELAY, data=data, timeout_s=timeout_s))
+
+    async def _wait_for_leader(self, timeout_s: float) -> str:
+        if not self.finder.leader:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self.finder.changed.wait()
+            except TimeoutError:
+                return ""
+        return self.finder.leader
+
+
+__all__ = ["Relay", "UnansweredError"]
--- /dev/null
+++ b/src/hyssopway/relay/topics.py
@@ -0,0 +1,9 @@
+"""Topics of exchanges between nodes."""
+
+from __future__ import annotations
+
+RELAY = "relay"
+LEADER = "leader"
+JOIN = "join"
+
+__all__ = ["JOIN", "LEADER", "RELAY"]
--- /dev/null
+++ b/src/hyssopway/workflow/__init__.py
@@ -0,0 +1,77 @@
+"""Workflows of many tasks: what is agreed about them and how it changes."""
+
+from __future__ import annotations
+
+from .active_run import ActiveRun
+from .capacity import Capacity
+from .commands import (
+    AcceptWorkflow,
+    AddOccurrence,
+    BeginMaintenance,
+    CancelWorkflow,
+    Command,
+    ConfirmMaintenance,
+    EndRuns,
+    PutDocument,
+    RegisterVm,
+    RemoveVm,
+    RunStart,
+    SetZoneEvacuated,
+    StartRuns,
+    StartWave,
+)
+from .fleet_document import FleetDocument
+from .indexes import Indexes, Usage
+from .pool_policy import PoolPolicy
+from .queue import Queue
+from .run_end import RunEnd
+from .run_outcome import RunOutcome
+from .state import WorkflowState, encode_command
+from .step import Step
+from .step_progress import StepProgress
+from .tables import Tables
+from .task_id import TaskId
+from .team_policy import TeamPolicy
+from .vm_record import VmRecord
+from .wave_record import WaveRecord
+from .workflow import Workflow
+from .workflow_spec import WorkflowSpec
+from .workflow_status import WorkflowStatus
+
+__all__ = [
+    "AcceptWorkflow",
+    "ActiveRun",
+    "AddOccurrence",
+    "BeginMaintenance",
+    "CancelWorkflow",
+    "Capacity",
+    "Command",
+    "ConfirmMaintenance",
+    "EndRuns",
+    "FleetDocument",
+    "Indexes",
+    "PoolPolicy",
+    "PutDocument",
+    "Queue",
+    "RegisterVm",
+    "RemoveVm",
+    "RunEnd",
+    "RunOutcome",
+    "RunStart",
+    "SetZoneEvacuated",
+    "StartRuns",
+    "StartWave",
+    "Step",
+    "StepProgress",
+    "Tables",
+    "TaskId",
+    "TeamPolicy",
+    "Usage",
+    "VmRecord",
+    "WaveRecord",
+    "Workflow",
+    "WorkflowSpec",
+    "WorkflowState",
+    "WorkflowStatus",
+    "encode_command",
+]
--- /dev/null
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -0,0 +1,118 @@
+"""Applies changes of configuration, zones, VMs and maintenance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .apply_workflows import end_run
+from .run_end import RunEnd
+from .run_outcome import RunOutcome
+from .vm_record import VmRecord
+from .wave_record import WaveRecord
+
+if TYPE_CHECKING:
+    from .commands import (
+        BeginMaintenance,
+        ConfirmMaintenance,
+        PutDocument,
+        RegisterVm,
+        RemoveVm,
+        SetZoneEvacuated,
+        StartWave,
+    )
+    from .indexes import Indexes
+    from .tables import Tables
+
+
+def put_document(tables: Tables, indexes: Indexes, command: PutDocument) -> None:
+    """Stores a configuration whose version is higher than the one in force."""
+    document = command.document
+    if tables.document is not None and document.version <= tables.document.version:
+        return
+    tables.document = document
+    tables.queue_pools.update({queue.name: queue.pool for queue in document.queues})
+    indexes.take_document(document)
+
+
+def set_zone_evacuated(tables: Tables, command: SetZoneEvacuated) -> None:
+    """Takes a zone out of service or back."""
+    if command.evacuated:
+        tables.evacuated.add(command.zone)
+    else:
+        tables.evacuated.discard(command.zone)
+
+
+def register_vm(tables: Tables, indexes: Indexes, command: RegisterVm) -> None:
+    """Takes in what a VM says of itself."""
+    old = tables.vms.get(command.vm)
+    if old is not None and command.boot < old.boot:
+        return
+    if old is not None and command.boot > old.boot:
+        _lose_runs(tables, indexes, vm=old, at_ms=command.at_ms)
+        old = None
+    # A VM that began to drain does not return within the same boot; a late announcement must not say so.
+    draining = command.draining or (old is not None and old.draining)
+    tables.vms[command.vm] = VmRecord(
+        vm_id=command.vm,
+        boot=command.boot,
+        address=command.address,
+        pool=command.pool,
+        zone=command.zone,
+        labels=command.labels,
+        capacity=command.capacity,
+        draining=draining,
+        last_end=old.last_end if old is not None else 0,
+        runs=old.runs if old is not None else set(),
+    )
+
+
+def remove_vm(tables: Tables, indexes: Indexes, command: RemoveVm) -> None:
+    """Forgets a VM."""
+    vm = tables.vms.get(command.vm)
+    if vm is None or vm.boot != command.boot:
+        return
+    _lose_runs(tables, indexes, vm=vm, at_ms=command.at_ms)
+    del tables.vms[command.vm]
+
+
+def start_wave(tables: Tables, command: StartWave) -> None:
+    """Starts a wave unless its number is known."""
+    if command.number not in tables.waves:
+        tables.waves[command.number] = WaveRecord(
+            number=command.number,
+            machines=command.machines,
+            deadline_ms=command.deadline_ms,
+            max_down=command.max_down,
+        )
+
+
+def begin_maintenance(tables: Tables, command: BeginMaintenance) -> None:
+    """Notes that the maintenance of a machine is about to be ordered."""
+    wave = tables.waves.get(command.wave)
+    if wave is not None:
+        wave.begun.setdefault(command.machine, command.at_ms)
+
+
+def confirm_maintenance(tables: Tables, command: ConfirmMaintenance) -> None:
+    """Notes that the maintenance of a machine has begun."""
+    wave = tables.waves.get(command.wave)
+    if wave is not None:
+        wave.confirmed.add(command.machine)
+
+
+def _lose_runs(tables: Tables, indexes: Indexes, *, vm: VmRecord, at_ms: int) -> None:
+    for key in sorted(vm.runs):
+        task, _, run = key.rpartition("/")
+        end = RunEnd(task=task, run=int(run), outcome=RunOutcome.LOST)
+        end_run(tables, indexes, end=end, vm=vm.vm_id, boot=vm.boot, at_ms=at_ms)
+
+
+__all__ = [
+    "begin_maintenance",
+    "confirm_maintenance",
+    "put_document",
+    "register_vm",
+    "remove_vm",
+    "set_zone_evacuated",
+    "start_wave",
+]
--- /dev/null
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -0,0 +1,170 @@
+"""Applies changes of workflows and their runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .active_run import ActiveRun
+from .run_outcome import RunOutcome
+from .task_id import TaskId
+from .workflow import Workflow
+from .workflow_status import WorkflowStatus
+
+if TYPE_CHECKING:
+    from .commands import AcceptWorkflow, AddOccurrence, CancelWorkflow, EndRuns, RunStart, StartRuns
+    from .indexes import Indexes
+    from .run_end import RunEnd
+    from .tables import Tables
+
+
+def accept_workflow(tables: Tables, indexes: Indexes, command: AcceptWorkflow) -> None:
+    """Stores a workflow unless its identity is known."""
+    if command.workflow_id in tables.workflows:
+        return
+    workflow = Workflow(
+        workflow_id=command.workflow_id,
+        queue=command.queue,
+        team=command.team,
+        spec=command.spec,
+        accepted_ms=command.at_ms,
+    )
+    if not command.spec.repeat_count:
+        workflow.add_occurrence(0)
+    tables.workflows[command.workflow_id] = workflow
+    indexes.open_workflows[command.workflow_id] = None
+
+
+def add_occurrence(tables: Tables, command: AddOccurrence) -> None:
+    """Makes an occurrence of a scheduled workflow due."""
+    workflow = tables.workflows.get(command.workflow_id)
+    if workflow is not None and not workflow.status.is_final:
+        workflow.add_occurrence(command.occurrence)
+
+
+def cancel_workflow(tables: Tables, indexes: Indexes, command: CancelWorkflow) -> None:
+    """Cancels a workflow that has not ended; its runs stay known until they end."""
+    workflow = tables.workflows.get(command.workflow_id)
+    if workflow is not None and not workflow.status.is_final:
+        end_workflow(tables, indexes, workflow, status=WorkflowStatus.CANCELLED, at_ms=command.at_ms)
+
+
+def end_workflow(
+    tables: Tables, indexes: Indexes, workflow: Workflow, *, status: WorkflowStatus, at_ms: int
+) -> None:
+    """Ends a workflow; nothing of it starts from now on, and what runs is unwanted."""
+    workflow.status = status
+    workflow.ended_ms = at_ms
+    indexes.open_workflows.pop(workflow.workflow_id, None)
+    for occurrence, steps in workflow.progress.items():
+        for step, progress in enumerate(steps):
+            for index in range(len(progress.done)):
+                task = TaskId(workflow.workflow_id, occurrence, step, index)
+                _mark_unwanted(tables, indexes, task=task.name)
+
+
+def start_runs(tables: Tables, indexes: Indexes, command: StartRuns) -> None:
+    """Agrees on the starts that are still allowed."""
+    for start in command.starts:
+        _start_run(tables, indexes, start=start, fencing_token=command.fencing_token)
+
+
+def end_runs(tables: Tables, indexes: Indexes, command: EndRuns) -> None:
+    """Agrees on ends; what is known already changes nothing."""
+    vm = tables.vms.get(command.vm)
+    if vm is not None and vm.boot == command.boot:
+        vm.last_end = max(vm.last_end, command.last_end)
+    for end in command.ends:
+        end_run(tables, indexes, end=end, vm=command.vm, boot=command.boot, at_ms=command.at_ms)
+
+
+def end_run(tables: Tables, indexes: Indexes, *, end: RunEnd, vm: str, boot: int, at_ms: int) -> None:
+    """Ends one run if it is in progress on this boot of the VM."""
+    runs = tables.runs.get(end.task, [])
+    run = next((one for one in runs if (one.run, one.vm, one.boot) == (end.run, vm, boot)), None)
+    if run is None:
+        return
+    indexes.count_run(tables=tables, run=run, sign=-1)
+    runs.remove(run)
+    if not runs:
+        del tables.runs[end.task]
+    record = tables.vms.get(vm)
+    if record is not None:
+        record.runs.discard(run.key)
+    indexes.unwanted.pop(run.key, None)
+    _take_outcome(tables, indexes, end=end, is_last=not runs, at_ms=at_ms)
+
+
+def _start_run(tables: Tables, indexes: Indexes, *, start: RunStart, fencing_token: int) -> None:
+    task = TaskId.parse(start.task)
+    workflow = tables.workflows.get(task.workflow)
+    vm = tables.vms.get(start.vm)
+    if workflow is None or vm is None or workflow.status.is_final or vm.draining:
+        return
+    if vm.zone in tables.evacuated or task.occurrence not in workflow.progress:
+        return
+    step = workflow.spec.steps[task.step]
+    progress = workflow.progress[task.occurrence][task.step]
+    if progress.done[task.number] or start.run <= progress.last_run[task.number]:
+        return
+    if start.task in tables.runs and not step.duplicates:
+        return
+    if not indexes.fits_limit(workflow=workflow, step=step):
+        return
+    progress.last_run[task.number] = start.run
+    progress.pending.discard(task.number)
+    run = ActiveRun(task=start.task, run=start.run, vm=start.vm, boot=vm.boot, fencing_token=fencing_token)
+    tables.runs.setdefault(start.task, []).append(run)
+    vm.runs.add(run.key)
+    indexes.count_run(tables=tables, run=run, sign=1)
+    workflow.status = WorkflowStatus.RUNNING
+
+
+def _take_outcome(tables: Tables, indexes: Indexes, *, end: RunEnd, is_last: bool, at_ms: int) -> None:
+    task = TaskId.parse(end.task)
+    workflow = tables.workflows[task.workflow]
+    step = workflow.spec.steps[task.step]
+    progress = workflow.progress[task.occurrence][task.step]
+    if end.checkpoint and not progress.done[task.number]:
+        progress.saved[task.number] = end.checkpoint
+    if end.outcome is RunOutcome.DONE and not step.long_running:
+        _finish_task(tables, indexes, workflow=workflow, task=task, at_ms=at_ms)
+        return
+    if end.outcome is RunOutcome.FAILED and not step.long_running:
+        progress.failures[task.number] += 1
+        queue = indexes.queues.get(workflow.queue)
+        max_attempts = queue.max_attempts if queue is not None else 1
+        if progress.failures[task.number] >= max_attempts and not workflow.status.is_final:
+            end_workflow(tables, indexes, workflow, status=WorkflowStatus.FAILED, at_ms=at_ms)
+    if is_last and not progress.done[task.number]:
+        progress.pending.add(task.number)
+
+
+def _finish_task(tables: Tables, indexes: Indexes, *, workflow: Workflow, task: TaskId, at_ms: int) -> None:
+    progress = workflow.progress[task.occurrence][task.step]
+    if progress.done[task.number]:
+        return
+    progress.done[task.number] = True
+    progress.pending.discard(task.number)
+    progress.saved.pop(task.number, None)
+    progress.open_count -= 1
+    _mark_unwanted(tables, indexes, task=task.name)
+    if any(step.open_count for step in workflow.progress[task.occurrence]):
+        return
+    workflow.occurrences_done += 1
+    if workflow.occurrences_done == workflow.spec.occurrence_count and not workflow.status.is_final:
+        end_workflow(tables, indexes, workflow, status=WorkflowStatus.COMPLETED, at_ms=at_ms)
+
+
+def _mark_unwanted(tables: Tables, indexes: Indexes, *, task: str) -> None:
+    for run in tables.runs.get(task, ()):
+        indexes.unwanted[run.key] = run.vm
+
+
+__all__ = [
+    "accept_workflow",
+    "add_occurrence",
+    "cancel_workflow",
+    "end_run",
+    "end_runs",
+    "start_runs",
+]
--- /dev/null
+++ b/src/hyssopway/workflow/state.py
@@ -0,0 +1,116 @@
+"""The replicated state machine of workflows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Annotated
+
+from pydantic import Field, TypeAdapter
+
+from hyssopway.control import Outcome
+from hyssopway.event import Event, log_event
+
+from . import apply_fleet, apply_workflows
+from .commands import (
+    AcceptWorkflow,
+    AddOccurrence,
+    BeginMaintenance,
+    CancelWorkflow,
+    Command,
+    ConfirmMaintenance,
+    EndRuns,
+    PutDocument,
+    RegisterVm,
+    RemoveVm,
+    SetZoneEvacuated,
+    StartRuns,
+    StartWave,
+)
+from .indexes import Indexes
+from .tables import Tables
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_COMMAND: TypeAdapter[Command] = TypeAdapter(Annotated[Command, Field(discriminator="kind")])
+_TABLES = TypeAdapter(Tables)
+
+
+def encode_command(command: Command) -> bytes:
+    """Encodes a command for the log."""
+    return _COMMAND.dump_json(command, exclude_defaults=False)
+
+
+class WorkflowState:
+    """Applies commands in the order of the log; the same log gives the same state on every member.
+
+    Attributes:
+        tables: Agreed data.
+        indexes: Views of it.
+        applied_index: Index of the last entry applied.
+        on_change: Called after each entry.
+    """
+
+    __slots__ = ("applied_index", "indexes", "on_change", "tables")
+
+    def __init__(self) -> None:
+        self.tables = Tables()
+        self.indexes = Indexes(self.tables)
+        self.applied_index = 0
+        self.on_change: Callable[[], None] | None = None
+
+    def apply(self, *, index: int, data: bytes) -> Outcome:
+        """Applies one committed entry; an empty one changes nothing."""
+        self.applied_index = index
+        if data:
+            try:
+                command = _COMMAND.validate_json(data)
+            except ValueError as error:
+                # A newer release wrote it; all members of this release skip it alike.
+                log_event(Event.COMMAND_UNKNOWN, index=index, error=str(error).splitlines()[0])
+                return Outcome(index=index)
+            self._apply_command(command)
+        if self.on_change is not None:
+            self.on_change()
+        return Outcome(index=index)
+
+    def encode_snapshot(self) -> bytes:
+        """Encodes the state."""
+        return _TABLES.dump_json(self.tables)
+
+    def restore_snapshot(self, data: bytes) -> None:
+        """Replaces the state."""
+        self.tables = _TABLES.validate_json(data)
+        self.indexes = Indexes(self.tables)
+        if self.on_change is not None:
+            self.on_change()
+
+    def _apply_command(self, command: Command) -> None:
+        tables, indexes = self.tables, self.indexes
+        match command:
+            case StartRuns():
+                apply_workflows.start_runs(tables, indexes, command)
+            case EndRuns():
+                apply_workflows.end_runs(tables, indexes, command)
+            case AcceptWorkflow():
+                apply_workflows.accept_workflow(tables, indexes, command)
+            case AddOccurrence():
+                apply_workflows.add_occurrence(tables, command)
+            case CancelWorkflow():
+                apply_workflows.cancel_workflow(tables, indexes, command)
+            case RegisterVm():
+                apply_fleet.register_vm(tables, indexes, command)
+            case RemoveVm():
+                apply_fleet.remove_vm(tables, indexes, command)
+            case PutDocument():
+                apply_fleet.put_document(tables, indexes, command)
+            case SetZoneEvacuated():
+                apply_fleet.set_zone_evacuated(tables, command)
+            case StartWave():
+                apply_fleet.start_wave(tables, command)
+            case BeginMaintenance():
+                apply_fleet.begin_maintenance(tables, command)
+            case ConfirmMaintenance():
+                apply_fleet.confirm_maintenance(tables, command)
+
+
+__all__ = ["WorkflowState", "encode_command"]
--- /dev/null
+++ b/src/hyssopway/workflow/tables.py
@@ -0,0 +1,37 @@
+"""The agreed data of workflows, VMs and configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .active_run import ActiveRun
+from .fleet_document import FleetDocument
+from .vm_record import VmRecord
+from .wave_record import WaveRecord
+from .workflow import Workflow
+
+
+@dataclass(slots=True, kw_only=True)
+class Tables:
+    """Everything that the log agrees on.
+
+    Attributes:
+        document: Configuration in force; None before the first.
+        workflows: Workflows by identity.
+        vms: VMs by identity.
+        runs: Runs in progress by task name; several only for steps that allow duplicates.
+        evacuated: Zones out of service.
+        waves: Maintenance waves by number.
+        queue_pools: Last known pool of each queue; outlives a queue that was dropped from the configuration.
+    """
+
+    document: FleetDocument | None = None
+    workflows: dict[str, Workflow] = field(default_factory=dict)
+    vms: dict[str, VmRecord] = field(default_factory=dict)
+    runs: dict[str, list[ActiveRun]] = field(default_factory=dict)
+    evacuated: set[str] = field(default_factory=set)
+    waves: dict[int, WaveRecord] = field(default_factory=dict)
+    queue_pools: dict[str, str] = field(default_factory=dict)
+
+
+__all__ = ["Tables"]
--- /dev/null
+++ b/tests/event/test_line_sink.py
@@ -0,0 +1,52 @@
+"""Log lines that are bounded and never wait."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import pytest
+
+from hyssopway.event import Event, log_event, set_up_line_logging
+from hyssopway.event.line_sink import MAX_LINES_A_SECOND
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    with os.fdopen(reader, "rb") as source, os.fdopen(writer, "w") as stream:
+        os.set_blocking(source.fileno(), False)
+        set_up_line_logging(level="INFO", stream=stream)
+        yield source
+
+
+def read_lines(source):
+    return [json.loads(line) for line in (source.read() or b"").splitlines()]
+
+
+def test_line_holds_number_and_fields(pipe):
+    """Guards against a line without the inputs of its decision."""
+    log_event(Event.RUN_ENDED, run="w.0.0.0/1", vm="vm-1", outcome="done")
+    (line,) = read_lines(pipe)
+    assert (line["event"], line["run"], line["vm"], line["outcome"]) == (7008, "w.0.0.0/1", "vm-1", "done")
+
+
+def test_lines_of_one_event_are_bounded_and_counted(pipe):
+    """Guards against a flood of one event that hides the others."""
+    for _ in range(3 * MAX_LINES_A_SECOND):
+        log_event(Event.RUN_ENDED, run="r", vm="v", outcome="done")
+    log_event(Event.VM_GONE, vm="v", reason="gone")
+    lines = read_lines(pipe)
+    # The second may turn once during the loop.
+    assert MAX_LINES_A_SECOND <= len(lines) - 1 <= 2 * MAX_LINES_A_SECOND
+    assert sum(line["left_out"]["7008"] for line in lines if "left_out" in line) >= MAX_LINES_A_SECOND
+
+
+def test_reader_that_does_not_keep_up_blocks_nobody(pipe):
+    """Guards against a process that stands still because nobody reads its log."""
+    for number in range(20):
+        for event in (Event.VM_GONE, Event.RUN_ENDED, Event.LEADER_MISSING):
+            fields = {"vm": "v", "run": "r", "outcome": "done", "reason": "x" * 5000, "number": number}
+            log_event(event, **fields)
+    for line in (pipe.read() or b"").splitlines()[:-1]:
+        json.loads(line)
--- /dev/null
+++ b/tests/workflow/conftest.py
@@ -0,0 +1,80 @@
+"""A state machine with one queue, one team and two VMs."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.workflow import (
+    AcceptWorkflow,
+    Capacity,
+    FleetDocument,
+    PoolPolicy,
+    PutDocument,
+    Queue,
+    RegisterVm,
+    Step,
+    TeamPolicy,
+    WorkflowSpec,
+    WorkflowState,
+    encode_command,
+)
+
+
+class Log:
+    """Applies commands to a state one after another."""
+
+    def __init__(self, state):
+        self.state = state
+
+    def apply(self, command):
+        self.state.apply(index=self.state.applied_index + 1, data=encode_command(command))
+
+
+def make_document(*, version=1, limit=0, max_attempts=2, queues=("plans",)):
+    return FleetDocument(
+        version=version,
+        queues=tuple(
+            Queue(
+                name=name, host="a.example", path_prefix=f"/{name}/", pool="vans", max_attempts=max_attempts
+            )
+            for name in queues
+        ),
+        pools=(PoolPolicy(name="vans"),),
+        teams=(TeamPolicy(name="pantry", keys=("key-1",), upper_limit=Capacity(cpu_millis=limit)),),
+        max_body_bytes=1000,
+        source=f"document {version}",
+    )
+
+
+def make_vm(name, *, boot=1, draining=False, zone="nashua"):
+    return RegisterVm(
+        vm=name,
+        boot=boot,
+        address=f"10.0.0.{name[-1]}:80",
+        pool="vans",
+        zone=zone,
+        labels=("a", "r1"),
+        capacity=Capacity(cpu_millis=8000, memory_mb=1000),
+        draining=draining,
+        at_ms=0,
+    )
+
+
+def make_workflow(name, *, steps=None, **spec):
+    chosen = steps or (Step(count=2, cpu_millis=1000, estimate_ms=100), Step(count=1, after=(0,)))
+    return AcceptWorkflow(
+        workflow_id=name,
+        queue="plans",
+        team="pantry",
+        spec=WorkflowSpec(specification="text", steps=chosen, **spec),
+        at_ms=5,
+    )
+
+
+@pytest.fixture
+def log():
+    built = Log(WorkflowState())
+    built.apply(PutDocument(document=make_document()))
+    for name in ("vm-1", "vm-2"):
+        built.apply(make_vm(name))
+    return built
