Move idle machines to the standby pool and settle only runs that cannot be ending

Machines follow the demand of pools: a rise forecast over the time of a move, a machine leaves when it was idle for as long as a move there and back is worth. No order for machines leaves in the first turn of a term.

--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -11,8 +11,10 @@
 
 from .dispatcher import Dispatcher
 from .emptying import Emptying
-from .pool_load import measure_pools
 from .leadership import LeadershipLostError
+from .machine_list import MachineList
+from .pool_load import measure_pools
+from .pool_mover import PoolMover
 from .vm_link import FORGET_S, VmLink
 from .waves import Waves
 
@@ -38,11 +40,22 @@
         links: VMs by identity.
         dispatcher: Places tasks.
         waves: Carries out maintenance waves.
+        mover: Moves machines between pools.
         tasks: Running tasks by VM.
         reported_at: Local time of the last report of the load.
     """
 
-    __slots__ = ("calls", "dispatcher", "leadership", "limits", "links", "reported_at", "tasks", "waves")
+    __slots__ = (
+        "calls",
+        "dispatcher",
+        "leadership",
+        "limits",
+        "links",
+        "mover",
+        "reported_at",
+        "tasks",
+        "waves",
+    )
 
     def __init__(
         self,
@@ -60,9 +73,19 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
         emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
+        machine_list = MachineList(leadership=leadership, calls=machines)
+        self.mover = PoolMover(
+            leadership=leadership,
+            calls=machines,
+            machines=machine_list,
+            emptying=emptying,
+            turn_s=limits.turn_s,
+            move_s=limits.move_s,
+        )
         self.waves = Waves(
             leadership=leadership,
             calls=machines,
+            machines=machine_list,
             emptying=emptying,
             turn_s=limits.turn_s,
             maintenance_s=limits.maintenance_s,
@@ -71,7 +94,7 @@
     async def run(self) -> None:
         """Leads until the term ends."""
         self.leadership.state.on_change = self.dispatcher.changed.set
-        works = {"dispatcher": self.dispatcher.run, "waves": self.waves.run}
+        works = {"dispatcher": self.dispatcher.run, "waves": self.waves.run, "pools": self.mover.run}
         running: dict[str, asyncio.Task[None]] = {}
         try:
             while self.leadership.holds:
@@ -125,7 +148,7 @@
                     vm_id=vm_id,
                     leadership=self.leadership,
                     calls=self.calls,
-                    longest_lease_s=self.limits.longest_lease_s,
+                    limits=self.limits,
                     on_change=self.dispatcher.changed.set,
                 )
             self.tasks[vm_id] = asyncio.create_task(_until_lost(f"VM {vm_id}", link.run()))
--- a/src/hyssopway/dispatch/flight.py
+++ b/src/hyssopway/dispatch/flight.py
@@ -14,12 +14,15 @@
         accepted_at: Local time at which the VM's acceptance arrived; infinite when none did.
         stop_asked_at: Local time at which a stop was last sent.
         stopped_at: Local time at which the answer to a stop arrived; infinite when none did.
+        unlisted_since: Local time at which the first of the latest listings without the run was asked for; infinite
+            while it is listed.
     """
 
     is_sending: bool = False
     accepted_at: float = float("inf")
     stop_asked_at: float = float("-inf")
     stopped_at: float = float("inf")
+    unlisted_since: float = float("inf")
 
 
 __all__ = ["Flight"]
--- a/src/hyssopway/dispatch/platform_limits.py
+++ b/src/hyssopway/dispatch/platform_limits.py
@@ -11,12 +11,14 @@
 
     Attributes:
         longest_lease_s: Longest lease that VMs accept.
+        stop_s: Longest time that a VM takes to stop a run.
         turn_s: Shortest time between orders of two leaders for one machine.
         maintenance_s: Duration of the maintenance of a machine.
         move_s: Duration of the move of a machine to another pool.
     """
 
     longest_lease_s: float
+    stop_s: float
     turn_s: float
     maintenance_s: float
     move_s: float
--- /dev/null
+++ b/src/hyssopway/dispatch/pool_mover.py
@@ -0,0 +1,235 @@
+"""Moves machines between pools on behalf of one leader."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.clock import wall_ms
+from hyssopway.event import Event, log_event
+from hyssopway.workflow import RemoveVm
+
+from .demand_trend import DemandTrend
+from .machine_calls import MachineCallError, MachineOrderResult
+from .pool_load import measure_pools
+from .pool_plan import PoolDemand, plan_moves
+
+if TYPE_CHECKING:
+    from .emptying import Emptying
+    from .leadership import Leadership
+    from .machine_calls import MachineCalls
+    from .machine_list import MachineList
+    from .pool_load import PoolLoad
+    from .pool_plan import MachineMove
+
+STEP_S = 0.25
+LIST_S = 1.0
+# A move there and back costs about as much as a machine in a pool for this long.
+IDLE_KEEP_S = 3.0
+# A moved machine is counted for its new pool for this long beyond the move, until its VM announces itself.
+ARRIVAL_S = 1.5
+
+
+class PoolMover:
+    """Follows the demand of all pools and moves idle machines.
+
+    Attributes:
+        leadership: The term.
+        calls: Client of the platform.
+        machines: Machines as listed last.
+        emptying: VMs that get no starts.
+        turn_s: Shortest time between orders of two leaders for one machine.
+        move_s: Duration of a move.
+        trends: Demand by pool.
+        idle_since: Local time since which each machine has been idle.
+        arrivals: Machines on their way, with their next pool and the local time until which they count there.
+        refused: Pairs of pools that machines cannot move between.
+    """
+
+    __slots__ = (
+        "arrivals",
+        "calls",
+        "emptying",
+        "idle_since",
+        "leadership",
+        "machines",
+        "move_s",
+        "refused",
+        "trends",
+        "turn_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        leadership: Leadership,
+        calls: MachineCalls,
+        machines: MachineList,
+        emptying: Emptying,
+        turn_s: float,
+        move_s: float,
+    ) -> None:
+        self.leadership = leadership
+        self.calls = calls
+        self.machines = machines
+        self.emptying = emptying
+        self.turn_s = turn_s
+        self.move_s = move_s
+        self.trends: dict[str, DemandTrend] = {}
+        self.idle_since: dict[str, float] = {}
+        self.arrivals: dict[str, tuple[str, float]] = {}
+        self.refused: set[tuple[str, str]] = set()
+
+    async def run(self) -> None:
+        """Looks at the pools again and again until the term ends."""
+        while self.leadership.holds:
+            await asyncio.sleep(STEP_S)
+            document = self.leadership.state.tables.document
+            standby = next((pool.name for pool in document.pools if pool.standby), "") if document else ""
+            loads = measure_pools(
+                tables=self.leadership.state.tables,
+                waiting_millis=self.emptying.dispatcher.waiting_millis,
+            )
+            self._sample(loads)
+            # The former leader may have ordered any machine until a moment ago.
+            is_turn = self.leadership.clock() - self.leadership.started_at >= self.turn_s
+            if standby and is_turn and self.leadership.may_order():
+                await self.machines.refresh(max_age_s=LIST_S)
+                await self._step(standby, loads=loads)
+
+    def _sample(self, loads: dict[str, PoolLoad]) -> None:
+        now = self.leadership.clock()
+        for pool in {*self.trends, *loads}:
+            load = loads.get(pool)
+            demand = load.short_millis + load.waiting_millis if load is not None else 0
+            self.trends.setdefault(pool, DemandTrend()).add(now=now, demand=demand)
+
+    async def _step(self, standby: str, *, loads: dict[str, PoolLoad]) -> None:
+        now = self.leadership.clock()
+        self.arrivals = {key: value for key, value in self.arrivals.items() if now < value[1]}
+        sizes = [vm.capacity.cpu_millis for vm in self.leadership.state.tables.vms.values()]
+        if not sizes or not self.machines.machines:
+            return
+        moves = plan_moves(
+            demands=[self._describe(pool, load=load) for pool, load in loads.items() if pool != standby],
+            standby=standby,
+            standby_machines=self._list_standby(standby),
+            vm_millis=sorted(sizes)[len(sizes) // 2],
+        )
+        for move in moves:
+            if (move.source, move.target) not in self.refused:
+                await self._move(move)
+
+    def _describe(self, pool: str, *, load: PoolLoad) -> PoolDemand:
+        tables = self.leadership.state.tables
+        now = self.leadership.clock()
+        evacuated = tables.evacuated
+        usable = sum(
+            vm.pool == pool
+            and not vm.draining
+            and vm.zone not in evacuated
+            and vm_id in self._in_contact(now)
+            for vm_id, vm in tables.vms.items()
+        )
+        announced = {
+            machine.machine_id for machine in self.machines.machines.values() if machine.vm_id in tables.vms
+        }
+        coming = sum(
+            target == pool and machine_id not in announced
+            for machine_id, (target, _) in self.arrivals.items()
+        )
+        trend = self.trends[pool]
+        idle = self._list_idle(pool)
+        return PoolDemand(
+            pool=pool,
+            vms=usable + coming,
+            steady_millis=load.steady_millis,
+            short_millis=round(trend.peak),
+            rise_millis_per_s=trend.rise_per_s(),
+            spread_vms=self._spread_vms(pool),
+            idle_machines=idle,
+            long_idle=sum(now - self.idle_since[machine_id] >= IDLE_KEEP_S for machine_id in idle),
+        )
+
+    def _in_contact(self, now: float) -> set[str]:
+        return {vm_id for vm_id, link in self.emptying.links.items() if link.in_contact(now)}
+
+    def _list_idle(self, pool: str) -> tuple[str, ...]:
+        tables = self.leadership.state.tables
+        now = self.leadership.clock()
+        idle = []
+        for machine in self.machines.machines.values():
+            record = tables.vms.get(machine.vm_id)
+            if record is None or record.pool != pool:
+                continue
+            if record.runs or record.draining or not self.machines.is_available(machine.machine_id):
+                self.idle_since.pop(machine.machine_id, None)
+                continue
+            since = self.idle_since.setdefault(machine.machine_id, now)
+            if machine.vm_id not in self.emptying.since:
+                idle.append((since, machine.machine_id))
+        return tuple(machine_id for _, machine_id in sorted(idle))
+
+    def _list_standby(self, standby: str) -> list[str]:
+        evacuated = self.leadership.state.tables.evacuated
+        return sorted(
+            machine.machine_id
+            for machine in self.machines.machines.values()
+            if machine.pool == standby
+            and machine.zone not in evacuated
+            and self.machines.is_available(machine.machine_id)
+        )
+
+    def _spread_vms(self, pool: str) -> int:
+        """VMs that the widest open step with a limit on tasks a VM needs."""
+        state = self.leadership.state
+        widest = 0
+        for workflow_id in state.indexes.open_workflows:
+            workflow = state.tables.workflows[workflow_id]
+            if state.tables.queue_pools.get(workflow.queue) != pool:
+                continue
+            for step in workflow.spec.steps:
+                if step.spread_limit:
+                    widest = max(widest, -(-step.count // step.spread_limit))
+        return widest
+
+    async def _move(self, move: MachineMove) -> None:
+        machine = self.machines.machines[move.machine_id]
+        record = self.leadership.state.tables.vms.get(machine.vm_id)
+        if record is not None:
+            # Closed first: a start that was agreed in between keeps the machine where it is.
+            self.emptying.close(record.vm_id, reason=f"moves to pool {move.target}")
+            if record.runs:
+                self.emptying.reopen(record.vm_id)
+                return
+        if not self.leadership.may_order():
+            return
+        self.machines.note_order(move.machine_id, duration_s=self.move_s)
+        try:
+            result = await self.calls.order_move(
+                machine_id=move.machine_id, pool=move.target, fencing_token=self.leadership.term
+            )
+        except MachineCallError as error:
+            log_event(Event.PLATFORM_FAILED, call="order_move", error=str(error))
+            # It may have been carried out; the list shows the machine when it is up again.
+            self.emptying.reopen(machine.vm_id)
+            return
+        log_event(
+            Event.MACHINE_MOVED,
+            machine=move.machine_id,
+            source=move.source,
+            target=move.target,
+            result=str(result),
+        )
+        self.emptying.reopen(machine.vm_id)
+        if result is MachineOrderResult.GONE:
+            self.refused.add((move.source, move.target))
+        if result is not MachineOrderResult.DONE:
+            return
+        until = self.leadership.clock() + self.move_s + ARRIVAL_S
+        self.arrivals[move.machine_id] = (move.target, until)
+        if record is not None:
+            await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
+
+
+__all__ = ["PoolMover"]
--- a/src/hyssopway/dispatch/settling.py
+++ b/src/hyssopway/dispatch/settling.py
@@ -16,37 +16,45 @@
 class Settlement(Enum):
     """What is known of an agreed run that its VM does not list."""
 
-    WAIT = auto()  # the order is on its way
+    WAIT = auto()  # the order is on its way, or the run may be ending
     STOP = auto()  # the order may still arrive; a stop makes the VM refuse it
     NEVER_RAN = auto()
     VANISHED = auto()  # it was accepted and is listed neither as running nor as ended
 
 
 def settle_unlisted(
-    *, flight: Flight | None, run_token: int, own_token: int, listing_sent_at: float
+    *,
+    flight: Flight,
+    run_token: int,
+    own_token: int,
+    fenced_at: float,
+    listing_sent_at: float,
+    stop_s: float,
 ) -> Settlement:
     """Settles a run that is not in a listing.
 
+    A run that is being stopped is listed neither as running nor as ended, and still works. So a run is settled only
+    when it stays unlisted for as long as a stop may take, from when its start has become impossible.
+
     Args:
-        flight: The order as this leader knows it; None when another leader sent it.
+        flight: The order as this leader knows it; a fresh one when another leader sent it.
         run_token: Fencing token under which the run was agreed.
         own_token: Fencing token that the VM answered.
+        fenced_at: Local time at which the VM first answered that token.
         listing_sent_at: Local time at which the listing was asked for.
+        stop_s: Longest time that the VM takes to stop a run.
     """
-    if run_token < own_token:
-        # The VM has seen the higher token, so an order of the former leader does nothing from now on.
-        return Settlement.NEVER_RAN
-    if flight is None:
-        return Settlement.STOP
     if flight.is_sending:
         return Settlement.WAIT
-    if listing_sent_at > flight.stopped_at:
-        return Settlement.NEVER_RAN
-    if listing_sent_at > flight.accepted_at:
-        return Settlement.VANISHED
-    if flight.accepted_at != float("inf"):
+    was_accepted = flight.accepted_at != float("inf")
+    # The VM has seen the higher token, so an order of a former leader does nothing from then on.
+    settled_since = fenced_at if run_token < own_token else flight.stopped_at
+    settled_since = min(settled_since, flight.accepted_at)
+    if settled_since == float("inf"):
+        return Settlement.STOP
+    if listing_sent_at < max(settled_since, flight.unlisted_since) + stop_s:
         return Settlement.WAIT
-    return Settlement.STOP
+    return Settlement.VANISHED if was_accepted else Settlement.NEVER_RAN
 
 
 __all__ = ["Settlement", "settle_unlisted"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -22,12 +22,14 @@
 
     from .hold_reply import HoldReply
     from .leadership import Leadership
+    from .platform_limits import PlatformLimits
     from .running_row import RunningRow
     from .worker_calls import WorkerCalls
 
 HOLD_WAIT_MS = 1000
 RETRY_S = 0.2
 STOP_AGAIN_S = 0.5
+STOP_SLACK_S = 0.2
 NO_ROOM_PAUSE_S = 0.3
 # A VM whose last answer is older gets no new starts; a look waits a second for an end.
 CONTACT_S = 1.6
@@ -45,7 +47,9 @@
         calls: Client of worker VMs.
         on_change: Called when a decision may have become possible.
         lease: Bound on the lease of its runs.
-        is_fenced: Whether the VM answered the fencing token of this term.
+        is_fenced: Whether the VM answers, with the fencing token of this term.
+        fenced_at: Local time at which it first answered that token after a silence.
+        stop_s: Longest time that it takes to stop a run.
         answered_at: Local time of its last answer.
         heard_at: Local time of its last answer or announcement.
         rows: Runs that it listed last, by key.
@@ -59,6 +63,7 @@
         "boot",
         "calls",
         "failures",
+        "fenced_at",
         "flights",
         "heard_at",
         "is_fenced",
@@ -67,6 +72,7 @@
         "on_change",
         "paused_until",
         "rows",
+        "stop_s",
         "stops",
         "vm_id",
     )
@@ -77,7 +83,7 @@
         vm_id: str,
         leadership: Leadership,
         calls: WorkerCalls,
-        longest_lease_s: float,
+        limits: PlatformLimits,
         on_change: Callable[[], None],
     ) -> None:
         self.vm_id = vm_id
@@ -85,10 +91,12 @@
         self.leadership = leadership
         self.calls = calls
         self.on_change = on_change
-        length_s = min(RUN_LEASE_S, longest_lease_s)
+        length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
+        self.stop_s = limits.stop_s + STOP_SLACK_S
         self.is_fenced = False
+        self.fenced_at = float("inf")
         self.answered_at = float("-inf")
         self.heard_at = leadership.clock()
         self.rows: dict[str, RunningRow] = {}
@@ -208,8 +216,13 @@
         self.answered_at = self.heard_at = now
         if not self.is_fenced:
             self.is_fenced = True
+            self.fenced_at = now
             log_event(Event.VM_HELD, vm=self.vm_id, token=self.leadership.term, runs=len(reply.running))
         self.rows = {f"{row.task}/{row.run}": row for row in reply.running}
+        for key in self.rows:
+            flight = self.flights.setdefault(key, Flight())
+            flight.accepted_at = min(flight.accepted_at, now)
+            flight.unlisted_since = float("inf")
         if reply.ends:
             await self._take_ends(record, reply=reply)
         await self._settle(record, reply=reply, sent_at=sent_at)
@@ -245,11 +258,15 @@
             )
             if run is None:
                 continue
+            flight = self.flights.setdefault(key, Flight())
+            flight.unlisted_since = min(flight.unlisted_since, sent_at)
             decision = settle_unlisted(
-                flight=self.flights.get(key),
+                flight=flight,
                 run_token=run.fencing_token,
                 own_token=self.leadership.term,
+                fenced_at=self.fenced_at,
                 listing_sent_at=sent_at,
+                stop_s=self.stop_s,
             )
             match decision:
                 case Settlement.STOP:
--- a/src/hyssopway/dispatch/waves.py
+++ b/src/hyssopway/dispatch/waves.py
@@ -19,6 +19,7 @@
     from .emptying import Emptying
     from .leadership import Leadership
     from .machine_calls import Machine, MachineCalls
+    from .machine_list import MachineList
 
 STEP_S = 0.2
 IDLE_STEP_S = 0.5
@@ -37,20 +38,14 @@
         turn_s: Shortest time between orders of two leaders for one machine.
         maintenance_s: Duration of a maintenance.
         machines: Machines as listed last.
-        listed_at: Local time of that list.
-        own: Machines whose order this term has agreed on.
-        down: Machines of waves that are not known to be back, with the local time of the order.
     """
 
     __slots__ = (
         "calls",
-        "down",
         "emptying",
         "leadership",
-        "listed_at",
         "machines",
         "maintenance_s",
-        "own",
         "turn_s",
     )
 
@@ -59,6 +54,7 @@
         *,
         leadership: Leadership,
         calls: MachineCalls,
+        machines: MachineList,
         emptying: Emptying,
         turn_s: float,
         maintenance_s: float,
@@ -68,10 +64,7 @@
         self.emptying = emptying
         self.turn_s = turn_s
         self.maintenance_s = maintenance_s
-        self.machines: dict[str, Machine] = {}
-        self.listed_at = float("-inf")
-        self.own: set[str] = set()
-        self.down: dict[str, float] = {}
+        self.machines = machines
 
     async def run(self) -> None:
         """Works on all waves until the term ends."""
@@ -79,41 +72,26 @@
             open_waves = [
                 wave for wave in self.leadership.state.tables.waves.values() if not wave.is_complete
             ]
-            if not open_waves and not self.down:
+            if not open_waves:
                 await asyncio.sleep(IDLE_STEP_S)
                 continue
-            if self.leadership.may_order():
-                await self._refresh()
+            # The former leader may have ordered any machine until a moment ago.
+            is_turn = self.leadership.clock() - self.leadership.started_at >= self.turn_s
+            if is_turn and self.leadership.may_order():
+                await self.machines.refresh(max_age_s=LIST_S)
                 for wave in open_waves:
                     await self._advance(wave)
             await asyncio.sleep(STEP_S)
 
-    async def _refresh(self) -> None:
-        now = self.leadership.clock()
-        if now - self.listed_at < LIST_S:
-            return
-        try:
-            machines = await self.calls.list_machines()
-        except MachineCallError as error:
-            log_event(Event.PLATFORM_FAILED, call="list_machines", error=str(error))
-            return
-        self.listed_at = now
-        self.machines = {machine.machine_id: machine for machine in machines}
-        for machine_id, ordered_at in list(self.down.items()):
-            machine = self.machines.get(machine_id)
-            is_back = machine is None or machine.state is MachineState.UP
-            if is_back and now > ordered_at + self.maintenance_s:
-                del self.down[machine_id]
-
     async def _advance(self, wave: WaveRecord) -> None:
         await self._confirm_gone(wave)
         await self._repeat_unconfirmed(wave)
         self._close_more(wave)
         for machine_id in wave.machines:
-            machine = self.machines.get(machine_id)
+            machine = self.machines.machines.get(machine_id)
             if machine is None or machine_id in wave.begun or not self._is_emptied(machine):
                 continue
-            if len(self._down_of(wave)) < wave.max_down and machine.state is MachineState.UP:
+            if len(self._down_of(wave)) < wave.max_down and self.machines.is_available(machine_id):
                 await self._order(wave, machine=machine)
 
     def _is_emptied(self, machine: Machine) -> bool:
@@ -131,16 +109,19 @@
         known_down = {
             machine_id
             for machine_id in wave.begun
-            if machine_id in self.down
-            or (machine_id in self.machines and self.machines[machine_id].state is MachineState.MAINTENANCE)
+            if machine_id in self.machines.ordered or self._is_in_maintenance(machine_id)
         }
         return unconfirmed | known_down
 
+    def _is_in_maintenance(self, machine_id: str) -> bool:
+        machine = self.machines.machines.get(machine_id)
+        return machine is not None and machine.state is MachineState.MAINTENANCE
+
     async def _confirm_gone(self, wave: WaveRecord) -> None:
-        if not self.machines:
+        if not self.machines.machines:
             return
         for machine_id in wave.machines:
-            if machine_id not in self.machines and machine_id not in wave.confirmed:
+            if machine_id not in self.machines.machines and machine_id not in wave.confirmed:
                 log_event(
                     Event.MAINTENANCE_ORDERED, machine=machine_id, wave=wave.number, result="machine is gone"
                 )
@@ -148,10 +129,7 @@
 
     async def _repeat_unconfirmed(self, wave: WaveRecord) -> None:
         for machine_id in sorted(set(wave.begun) - wave.confirmed):
-            is_own = machine_id in self.own
-            if not is_own and self.leadership.clock() - self.leadership.started_at < self.turn_s:
-                continue  # another leader may have ordered it a moment ago
-            machine = self.machines.get(machine_id)
+            machine = self.machines.machines.get(machine_id)
             if machine is not None:
                 await self._send(wave, machine=machine)
 
@@ -162,9 +140,9 @@
         pending = [
             machine
             for machine_id in wave.machines
-            if (machine := self.machines.get(machine_id)) is not None
+            if (machine := self.machines.machines.get(machine_id)) is not None
             and machine_id not in wave.begun
-            and machine.state is MachineState.UP
+            and self.machines.is_available(machine_id)
             and machine.vm_id in tables.vms
             and machine.vm_id not in self.emptying.since
         ]
@@ -181,8 +159,8 @@
         closed = Counter(tables.vms[vm_id].pool for vm_id in self.emptying.since if vm_id in tables.vms)
         down = self._down_of(wave)
         for machine_id in down:
-            if machine_id in self.machines:
-                closed[self.machines[machine_id].pool] += 1
+            if machine_id in self.machines.machines:
+                closed[self.machines.machines[machine_id].pool] += 1
         chosen = choose_machines(
             candidates=candidates,
             pool_sizes=Counter(vm.pool for vm in tables.vms.values()),
@@ -198,13 +176,11 @@
     async def _order(self, wave: WaveRecord, *, machine: Machine) -> None:
         command = BeginMaintenance(wave=wave.number, machine=machine.machine_id, at_ms=wall_ms())
         await self.leadership.propose(command)
-        self.own.add(machine.machine_id)
         await self._send(wave, machine=machine)
 
     async def _send(self, wave: WaveRecord, *, machine: Machine) -> None:
         if not self.leadership.may_order():
             return
-        now = self.leadership.clock()
         try:
             result = await self.calls.order_maintenance(
                 machine_id=machine.machine_id, wave=wave.number, fencing_token=self.leadership.term
@@ -215,7 +191,7 @@
         log_event(Event.MAINTENANCE_ORDERED, machine=machine.machine_id, wave=wave.number, result=str(result))
         match result:
             case MachineOrderResult.DONE:
-                self.down[machine.machine_id] = now
+                self.machines.note_order(machine.machine_id, duration_s=self.maintenance_s)
                 await self._confirm(wave, machine=machine)
             case MachineOrderResult.GONE | MachineOrderResult.NOT_DUE:
                 await self._confirm(wave, machine=machine)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -125,9 +125,9 @@
     POOL_LOAD = (
         7029,
         "INFO",
-        "pool {pool}: {vms} VMs, {capacity} cores, {steady} in use by long-running tasks, {short} by others, "
-        "{waiting} waiting",
+        "pool {pool}: {vms} VMs of {capacity} cores, {steady} steady and {short} short in use, {waiting} waiting",
     )
+    MACHINE_MOVED = (7030, "INFO", "machine {machine} moves from pool {source} to pool {target}: {result}")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- /dev/null
+++ b/tests/dispatch/test_interruption.py
@@ -0,0 +1,41 @@
+"""Interruptions of long-running tasks."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.dispatch.interruption import may_interrupt
+from hyssopway.workflow import (
+    AcceptWorkflow,
+    PutDocument,
+    RunStart,
+    StartRuns,
+    Step,
+    TaskId,
+    WorkflowSpec,
+    WorkflowState,
+)
+from workflow.conftest import Log, make_document, make_vm
+
+
+@pytest.fixture
+def tables():
+    log = Log(WorkflowState())
+    log.apply(PutDocument(document=make_document()))
+    log.apply(make_vm("vm-1"))
+    step = Step(count=4, long_running=True, disruption_allowance=2)
+    spec = WorkflowSpec(specification="", steps=(step,))
+    log.apply(AcceptWorkflow(workflow_id="w", queue="plans", team="pantry", spec=spec, at_ms=0))
+    starts = tuple(RunStart(task=f"w.0.0.{number}", run=1, vm="vm-1") for number in range(4))
+    log.apply(StartRuns(fencing_token=1, starts=starts))
+    return log.state.tables
+
+
+@pytest.mark.parametrize(
+    ("away", "allowed"),
+    [((), True), (("w.0.0.1/1",), True), (("w.0.0.1/1", "w.0.0.2/1"), False)],
+)
+def test_allowance_counts_other_tasks_that_are_away(tables, away, allowed):
+    """Guards against an interruption beside others that are not back at work."""
+    task = TaskId("w", 0, 0, 0)
+    assert may_interrupt(tables=tables, task=task, is_at_work=lambda key: key not in away) is allowed
