--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -116,20 +116,28 @@
 
     async def run(self) -> None:
         """Looks at the VM and renews its lease for as long as it is known."""
-        while (record := self.record) is not None:
+        while self.record is not None:
             if not self.leadership.may_order():
                 await asyncio.sleep(RETRY_S / 4)
-                continue
-            try:
-                await self._hold(record)
-            except OtherBootError as error:
-                await self._give_up_boot(record, reason=str(error))
-                await asyncio.sleep(RETRY_S)
-            except WorkerUnreachableError as error:
-                self._note_silence(record, reason=str(error))
-                await self._conclude_lapsed(record)
+            elif not await self.look():
                 await asyncio.sleep(RETRY_S)
 
+    async def look(self) -> bool:
+        """Looks at the VM once and tells whether it answered."""
+        record = self.record
+        if record is None:
+            return False
+        try:
+            await self._hold(record)
+        except OtherBootError as error:
+            await self._give_up_boot(record, reason=str(error))
+            return False
+        except WorkerUnreachableError as error:
+            self._note_silence(record, reason=str(error))
+            await self._conclude_lapsed(record)
+            return False
+        return True
+
     def expect_start(self, *, task: str, run: int) -> None:
         """Notes that a start is about to be agreed and ordered."""
         self.flights[f"{task}/{run}"] = Flight(is_sending=True)
@@ -205,7 +213,8 @@
             vm=record,
             fencing_token=self.leadership.term,
             last_end=record.last_end,
-            lease_until_ms=self.lease.renew(now=sent_at),
+            # A VM that is silent gets no new lease: an unanswered look may have extended it.
+            lease_until_ms=self.lease.renew(now=sent_at) if self.is_fenced else None,
             wait_ms=HOLD_WAIT_MS if self.is_fenced else 0,
         )
         if reply.boot != record.boot:
--- /dev/null
+++ b/tests/dispatch/conftest.py
@@ -0,0 +1,90 @@
+"""A leader without a network: commands apply at once, VMs answer as told."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.dispatch import HoldReply, OrderReply, PlatformLimits, RunningRow, WorkerUnreachableError
+from hyssopway.workflow import PutDocument, WorkflowState, encode_command
+from workflow.conftest import make_document, make_vm, make_workflow
+
+LIMITS = PlatformLimits(longest_lease_s=10.0, stop_s=0.4, turn_s=3.0, maintenance_s=2.0, move_s=1.5)
+
+
+class FakeLeadership:
+    """A term whose commands apply at once."""
+
+    def __init__(self):
+        self.state = WorkflowState()
+        self.term = 3
+        self.now = 100.0
+        self.started_at = 100.0
+        self.holds = True
+        self.is_confirmed = True
+
+    def clock(self):
+        return self.now
+
+    def may_order(self):
+        return self.is_confirmed
+
+    async def propose(self, command):
+        self.state.apply(index=self.state.applied_index + 1, data=encode_command(command))
+
+
+class FakeVms:
+    """VMs that run what they are told; each may be silent."""
+
+    def __init__(self, leadership):
+        self.leadership = leadership
+        self.silent = False
+        self.boot = 1
+        self.running = {}
+        self.ends = []
+        self.leases = []
+        self.orders = []
+
+    def _answer(self):
+        if self.silent:
+            raise WorkerUnreachableError("silent")
+
+    async def hold(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms):
+        self.leases.append(lease_until_ms)
+        self._answer()
+        rows = tuple(RunningRow(task, run, "", 100, 0) for task, run in self.running)
+        return HoldReply(
+            clock_ms=round(self.leadership.now * 1000),
+            boot=self.boot,
+            running=rows,
+            ends=tuple(end for end in self.ends if end.number > last_end),
+            is_whole=True,
+        )
+
+    async def start(self, *, vm, task, run, **_):
+        self.orders.append(("start", task, run))
+        self._answer()
+        self.running[task, run] = True
+        return OrderReply()
+
+    async def stop(self, *, vm, task, run, fencing_token):
+        self.orders.append(("stop", task, run))
+        self._answer()
+        return OrderReply()
+
+
+@pytest.fixture
+def leadership():
+    return FakeLeadership()
+
+
+@pytest.fixture
+def vms(leadership):
+    return FakeVms(leadership)
+
+
+@pytest.fixture
+async def fleet(leadership):
+    await leadership.propose(PutDocument(document=make_document()))
+    await leadership.propose(make_vm("vm-1"))
+    await leadership.propose(make_workflow("w"))
+    return leadership
