--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -17,6 +17,7 @@
 from .pool_mover import PoolMover
 from .vm_link import FORGET_S, VmLink
 from .waves import Waves
+from .work_scale import WorkScale
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -40,6 +41,7 @@
         links: VMs by identity.
         dispatcher: Places tasks.
         waves: Carries out maintenance waves.
+        scale: How far declared durations are off.
         mover: Moves machines between pools.
         tasks: Running tasks by VM.
         reported_at: Local time of the last report of the load.
@@ -53,6 +55,7 @@
         "links",
         "mover",
         "reported_at",
+        "scale",
         "tasks",
         "waves",
     )
@@ -71,15 +74,16 @@
         self.links: dict[str, VmLink] = {}
         self.reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.scale = WorkScale()
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
         emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
-        machine_list = MachineList(leadership=leadership, calls=machines)
+        machine_list = MachineList(leadership=leadership, calls=machines, turn_s=limits.turn_s)
         self.mover = PoolMover(
             leadership=leadership,
             calls=machines,
             machines=machine_list,
             emptying=emptying,
-            turn_s=limits.turn_s,
+            scale=self.scale,
             move_s=limits.move_s,
         )
         self.waves = Waves(
@@ -87,7 +91,6 @@
             calls=machines,
             machines=machine_list,
             emptying=emptying,
-            turn_s=limits.turn_s,
             maintenance_s=limits.maintenance_s,
         )
 
@@ -149,6 +152,7 @@
                     leadership=self.leadership,
                     calls=self.calls,
                     limits=self.limits,
+                    scale=self.scale,
                     on_change=self.dispatcher.changed.set,
                 )
             self.tasks[vm_id] = asyncio.create_task(_until_lost(f"VM {vm_id}", link.run()))
--- a/src/hyssopway/dispatch/machine_list.py
+++ b/src/hyssopway/dispatch/machine_list.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
 
 from .machine_calls import MachineCallError, MachineState
@@ -13,6 +14,8 @@
     from .machine_calls import Machine, MachineCalls
 
 RETRY_S = 0.5
+# Wall clocks of two nodes may differ by this much, also after a step.
+WALL_CLOCK_SLACK_S = 5.0
 
 
 class MachineList:
@@ -26,17 +29,32 @@
         ordered: Machines that were ordered to move or into maintenance, with the local time until which a list
             may not show it yet.
         tried_at: Local time of the last try.
+        turn_s: Shortest time between orders of two leaders for one machine.
+        others_orders: Machines that a former leader may have ordered a moment ago.
     """
 
-    __slots__ = ("calls", "leadership", "listed_at", "machines", "ordered", "tried_at")
-
-    def __init__(self, *, leadership: Leadership, calls: MachineCalls) -> None:
+    __slots__ = (
+        "calls",
+        "leadership",
+        "listed_at",
+        "machines",
+        "ordered",
+        "others_orders",
+        "tried_at",
+        "turn_s",
+    )
+
+    def __init__(self, *, leadership: Leadership, calls: MachineCalls, turn_s: float) -> None:
         self.leadership = leadership
         self.calls = calls
         self.machines: dict[str, Machine] = {}
         self.listed_at = float("-inf")
         self.tried_at = float("-inf")
         self.ordered: dict[str, float] = {}
+        self.turn_s = turn_s
+        recent_ms = wall_ms() - (turn_s + WALL_CLOCK_SLACK_S) * 1000
+        orders = leadership.state.tables.machine_orders
+        self.others_orders = {machine_id for machine_id, at_ms in orders.items() if at_ms > recent_ms}
 
     async def refresh(self, *, max_age_s: float) -> None:
         """Reads the list again when it is older than asked for."""
@@ -63,7 +81,12 @@
 
     def is_available(self, machine_id: str) -> bool:
         """Tells whether a machine is up and no order for it is in progress."""
-        return machine_id not in self.ordered and self._is_up(machine_id)
+        return machine_id not in self.ordered and self._is_up(machine_id) and self.may_order(machine_id)
+
+    def may_order(self, machine_id: str) -> bool:
+        """Tells whether no former leader can have ordered a machine within a turn."""
+        term_s = self.leadership.clock() - self.leadership.started_at
+        return machine_id not in self.others_orders or term_s >= self.turn_s
 
     def _is_up(self, machine_id: str) -> bool:
         machine = self.machines.get(machine_id)
--- a/src/hyssopway/dispatch/pool_mover.py
+++ b/src/hyssopway/dispatch/pool_mover.py
@@ -7,10 +7,11 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
-from hyssopway.workflow import RemoveVm
+from hyssopway.workflow import NoteMachineOrders, RemoveVm
 
 from .demand_trend import DemandTrend
 from .machine_calls import MachineCallError, MachineOrderResult
+from .offered_load import measure_offered
 from .pool_load import measure_pools
 from .pool_plan import PoolDemand, plan_moves
 
@@ -21,6 +22,7 @@
     from .machine_list import MachineList
     from .pool_load import PoolLoad
     from .pool_plan import MachineMove
+    from .work_scale import WorkScale
 
 STEP_S = 0.25
 LIST_S = 1.0
@@ -38,7 +40,7 @@
         calls: Client of the platform.
         machines: Machines as listed last.
         emptying: VMs that get no starts.
-        turn_s: Shortest time between orders of two leaders for one machine.
+        scale: How far declared durations are off.
         move_s: Duration of a move.
         trends: Demand by pool.
         idle_since: Local time since which each machine has been idle.
@@ -55,8 +57,8 @@
         "machines",
         "move_s",
         "refused",
+        "scale",
         "trends",
-        "turn_s",
     )
 
     def __init__(
@@ -66,14 +68,14 @@
         calls: MachineCalls,
         machines: MachineList,
         emptying: Emptying,
-        turn_s: float,
+        scale: WorkScale,
         move_s: float,
     ) -> None:
         self.leadership = leadership
         self.calls = calls
         self.machines = machines
         self.emptying = emptying
-        self.turn_s = turn_s
+        self.scale = scale
         self.move_s = move_s
         self.trends: dict[str, DemandTrend] = {}
         self.idle_since: dict[str, float] = {}
@@ -91,9 +93,7 @@
                 waiting_millis=self.emptying.dispatcher.waiting_millis,
             )
             self._sample(loads)
-            # The former leader may have ordered any machine until a moment ago.
-            is_turn = self.leadership.clock() - self.leadership.started_at >= self.turn_s
-            if standby and is_turn and self.leadership.may_order():
+            if standby and self.leadership.may_order():
                 await self.machines.refresh(max_age_s=LIST_S)
                 await self._step(standby, loads=loads)
 
@@ -110,17 +110,29 @@
         sizes = [vm.capacity.cpu_millis for vm in self.leadership.state.tables.vms.values()]
         if not sizes or not self.machines.machines:
             return
+        state = self.leadership.state
+        offered = measure_offered(
+            tables=state.tables, indexes=state.indexes, scale=self.scale.read, now_ms=wall_ms()
+        )
         moves = plan_moves(
-            demands=[self._describe(pool, load=load) for pool, load in loads.items() if pool != standby],
+            demands=[
+                self._describe(pool, load=load, offered=offered.get(pool, 0.0))
+                for pool, load in loads.items()
+                if pool != standby
+            ],
             standby=standby,
             standby_machines=self._list_standby(standby),
             vm_millis=sorted(sizes)[len(sizes) // 2],
         )
+        moves = [move for move in moves if (move.source, move.target) not in self.refused]
+        if not moves:
+            return
+        machine_ids = tuple(move.machine_id for move in moves)
+        await self.leadership.propose(NoteMachineOrders(machines=machine_ids, at_ms=wall_ms()))
         for move in moves:
-            if (move.source, move.target) not in self.refused:
-                await self._move(move)
+            await self._move(move)
 
-    def _describe(self, pool: str, *, load: PoolLoad) -> PoolDemand:
+    def _describe(self, pool: str, *, load: PoolLoad, offered: float) -> PoolDemand:
         tables = self.leadership.state.tables
         now = self.leadership.clock()
         evacuated = tables.evacuated
@@ -146,6 +158,7 @@
             steady_millis=load.steady_millis,
             short_millis=round(trend.peak),
             rise_millis_per_s=trend.rise_per_s(),
+            offered_millis=offered,
             spread_vms=self._spread_vms(pool),
             idle_machines=idle,
             long_idle=sum(now - self.idle_since[machine_id] >= IDLE_KEEP_S for machine_id in idle),
--- a/src/hyssopway/dispatch/pool_plan.py
+++ b/src/hyssopway/dispatch/pool_plan.py
@@ -11,8 +11,8 @@
 
 # A pool keeps this many VMs beyond its demand, for work that arrives while a machine is on its way.
 RESERVE_VMS = 1
-# Time from the decision to move a machine until its new VM takes work.
-MOVE_LEAD_S = 2.2
+# A rise is carried on for part of the time of a move; it is measured over few arrivals.
+RISE_LEAD_S = 1.2
 MIN_VMS = 2
 
 
@@ -26,6 +26,7 @@
         steady_millis: Processor of long-running tasks.
         short_millis: Processor that other tasks use or wait for; a recent peak.
         rise_millis_per_s: How fast that grows.
+        offered_millis: Processor that recent arrivals need.
         spread_vms: VMs that the widest step with a limit on tasks a VM needs.
         idle_machines: Machines of the pool on which nothing runs, the longest idle first.
         long_idle: Number of these that have been idle for longer than a move there and back is worth.
@@ -36,6 +37,7 @@
     steady_millis: int
     short_millis: int
     rise_millis_per_s: float
+    offered_millis: float
     spread_vms: int
     idle_machines: tuple[str, ...]
     long_idle: int
@@ -58,7 +60,8 @@
 
 def wanted_vms(demand: PoolDemand, *, vm_millis: int) -> int:
     """Returns the number of VMs that serve a pool's demand when a machine ordered now arrives."""
-    expected = demand.short_millis + max(0.0, demand.rise_millis_per_s) * MOVE_LEAD_S
+    grown = demand.short_millis + max(0.0, demand.rise_millis_per_s) * RISE_LEAD_S
+    expected = max(grown, demand.offered_millis)
     by_load = -(-int(demand.steady_millis + expected) // vm_millis) + RESERVE_VMS
     return max(MIN_VMS, demand.spread_vms, by_load)
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -7,7 +7,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
-from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome
+from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
 from .flight import Flight
 from .lease import RUN_LEASE_S, VmLease, lease_end
@@ -24,6 +24,7 @@
     from .leadership import Leadership
     from .platform_limits import PlatformLimits
     from .running_row import RunningRow
+    from .work_scale import WorkScale
     from .worker_calls import WorkerCalls
 
 HOLD_WAIT_MS = 1000
@@ -45,6 +46,7 @@
         boot: Boot that the other attributes describe.
         leadership: Term on whose behalf orders are sent.
         calls: Client of worker VMs.
+        scale: Learns how far declared durations are off.
         on_change: Called when a decision may have become possible.
         lease: Bound on the lease of its runs.
         is_fenced: Whether the VM answers, with the fencing token of this term.
@@ -72,6 +74,7 @@
         "on_change",
         "paused_until",
         "rows",
+        "scale",
         "stop_s",
         "stops",
         "vm_id",
@@ -84,6 +87,7 @@
         leadership: Leadership,
         calls: WorkerCalls,
         limits: PlatformLimits,
+        scale: WorkScale,
         on_change: Callable[[], None],
     ) -> None:
         self.vm_id = vm_id
@@ -91,6 +95,7 @@
         self.leadership = leadership
         self.calls = calls
         self.on_change = on_change
+        self.scale = scale
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
@@ -240,7 +245,9 @@
     async def _take_ends(self, record: VmRecord, *, reply: HoldReply) -> None:
         for listed in reply.ends:
             end = listed.end
-            self.flights.pop(f"{end.task}/{end.run}", None)
+            flight = self.flights.pop(f"{end.task}/{end.run}", None)
+            if end.outcome is RunOutcome.DONE and flight is not None:
+                self._learn(end, accepted_at=flight.accepted_at)
             if end.outcome is RunOutcome.FAILED:
                 self.failures += 1
             elif end.outcome is RunOutcome.DONE:
@@ -250,6 +257,14 @@
         ends = [listed.end for listed in reply.ends]
         await self._end(ends, last_end=reply.ends[-1].number, boot=record.boot)
 
+    def _learn(self, end: RunEnd, *, accepted_at: float) -> None:
+        real_s = self.leadership.clock() - accepted_at
+        task = TaskId.parse(end.task)
+        workflow = self.leadership.state.tables.workflows[task.workflow]
+        step = workflow.spec.steps[task.step]
+        if real_s > 0 and step.estimate_ms and not step.long_running:
+            self.scale.add(workflow.queue, declared_ms=step.estimate_ms, real_ms=real_s * 1000)
+
     async def _settle(self, record: VmRecord, *, reply: HoldReply, sent_at: float) -> None:
         if not reply.is_whole:
             return
--- a/src/hyssopway/dispatch/waves.py
+++ b/src/hyssopway/dispatch/waves.py
@@ -35,7 +35,6 @@
         leadership: The term.
         calls: Client of the platform.
         emptying: VMs that are being emptied.
-        turn_s: Shortest time between orders of two leaders for one machine.
         maintenance_s: Duration of a maintenance.
         machines: Machines as listed last.
     """
@@ -46,7 +45,6 @@
         "leadership",
         "machines",
         "maintenance_s",
-        "turn_s",
     )
 
     def __init__(
@@ -56,13 +54,11 @@
         calls: MachineCalls,
         machines: MachineList,
         emptying: Emptying,
-        turn_s: float,
         maintenance_s: float,
     ) -> None:
         self.leadership = leadership
         self.calls = calls
         self.emptying = emptying
-        self.turn_s = turn_s
         self.maintenance_s = maintenance_s
         self.machines = machines
 
@@ -75,9 +71,7 @@
             if not open_waves:
                 await asyncio.sleep(IDLE_STEP_S)
                 continue
-            # The former leader may have ordered any machine until a moment ago.
-            is_turn = self.leadership.clock() - self.leadership.started_at >= self.turn_s
-            if is_turn and self.leadership.may_order():
+            if self.leadership.may_order():
                 await self.machines.refresh(max_age_s=LIST_S)
                 for wave in open_waves:
                     await self._advance(wave)
@@ -130,7 +124,7 @@
     async def _repeat_unconfirmed(self, wave: WaveRecord) -> None:
         for machine_id in sorted(set(wave.begun) - wave.confirmed):
             machine = self.machines.machines.get(machine_id)
-            if machine is not None:
+            if machine is not None and self.machines.may_order(machine_id):
                 await self._send(wave, machine=machine)
 
     def _close_more(self, wave: WaveRecord) -> None:
--- a/src/hyssopway/metrics/__init__.py
+++ b/src/hyssopway/metrics/__init__.py
@@ -1,7 +1,8 @@
-"""Latencies and counters."""
+"""Counters and latencies of one process."""
 
 from __future__ import annotations
 
+from .exposition import format_metrics
 from .metrics import Metrics
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "format_metrics"]
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -130,6 +130,28 @@
         self.directory.close()
         await self.member.stop()
 
+    def read_gauges(self) -> dict[str, float]:
+        """Returns present values for metrics and dumps."""
+        member, tables = self.member, self.state.tables
+        conductor = self.conductor
+        now = member.clock()
+        links = conductor.links.values() if conductor is not None else ()
+        return {
+            "leads": float(conductor is not None),
+            "term": member.term,
+            "commit_index": member.commit_index,
+            "applied_index": member.applied_index,
+            "voters": len(member.configuration.voters),
+            "learners": len(member.configuration.learners),
+            "vms": len(tables.vms),
+            "vms_in_contact": sum(link.in_contact(now) for link in links),
+            "workflows": len(tables.workflows),
+            "open_workflows": len(self.state.indexes.open_workflows),
+            "runs": sum(len(runs) for runs in tables.runs.values()),
+            "waiting_cores": sum(conductor.dispatcher.waiting_millis.values()) / 1000 if conductor else 0.0,
+            "document_version": tables.document.version if tables.document is not None else 0,
+        }
+
     async def answer(self, request: RelayedRequest) -> RelayedReply:
         """Answers a request here if this node leads; the status is 0 when it does not."""
         conductor = self.conductor
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -14,6 +14,7 @@
     from .commands import (
         BeginMaintenance,
         ConfirmMaintenance,
+        NoteMachineOrders,
         PutDocument,
         RegisterVm,
         RemoveVm,
@@ -91,6 +92,7 @@
     wave = tables.waves.get(command.wave)
     if wave is not None:
         wave.begun.setdefault(command.machine, command.at_ms)
+        tables.machine_orders[command.machine] = command.at_ms
 
 
 def confirm_maintenance(tables: Tables, command: ConfirmMaintenance) -> None:
@@ -100,6 +102,12 @@
         wave.confirmed.add(command.machine)
 
 
+def note_machine_orders(tables: Tables, command: NoteMachineOrders) -> None:
+    """Notes that machines are about to be ordered to move."""
+    for machine in command.machines:
+        tables.machine_orders[machine] = command.at_ms
+
+
 def _lose_runs(tables: Tables, indexes: Indexes, *, vm: VmRecord, at_ms: int) -> None:
     for key in sorted(vm.runs):
         task, _, run = key.rpartition("/")
@@ -110,6 +118,7 @@
 __all__ = [
     "begin_maintenance",
     "confirm_maintenance",
+    "note_machine_orders",
     "put_document",
     "register_vm",
     "remove_vm",
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -148,6 +148,15 @@
     kind: Literal["maintenance_confirmed"] = "maintenance_confirmed"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoteMachineOrders:
+    """Agrees that machines are about to be ordered to move, so that a successor leaves them alone for a while."""
+
+    machines: tuple[str, ...]
+    at_ms: int
+    kind: Literal["machine_orders"] = "machine_orders"
+
+
 Command = (
     PutDocument
     | SetZoneEvacuated
@@ -161,6 +170,7 @@
     | StartWave
     | BeginMaintenance
     | ConfirmMaintenance
+    | NoteMachineOrders
 )
 
 __all__ = [
@@ -171,6 +181,7 @@
     "Command",
     "ConfirmMaintenance",
     "EndRuns",
+    "NoteMachineOrders",
     "PutDocument",
     "RegisterVm",
     "RemoveVm",
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -18,6 +18,7 @@
     Command,
     ConfirmMaintenance,
     EndRuns,
+    NoteMachineOrders,
     PutDocument,
     RegisterVm,
     RemoveVm,
@@ -111,6 +112,8 @@
                 apply_fleet.begin_maintenance(tables, command)
             case ConfirmMaintenance():
                 apply_fleet.confirm_maintenance(tables, command)
+            case NoteMachineOrders():
+                apply_fleet.note_machine_orders(tables, command)
 
 
 __all__ = ["WorkflowState", "encode_command"]
--- a/src/hyssopway/workflow/tables.py
+++ b/src/hyssopway/workflow/tables.py
@@ -22,6 +22,7 @@
         runs: Runs in progress by task name; several only for steps that allow duplicates.
         evacuated: Zones out of service.
         waves: Maintenance waves by number.
+        machine_orders: Wall-clock time of the last order about each machine.
         queue_pools: Last known pool of each queue; outlives a queue that was dropped from the configuration.
     """
 
@@ -31,6 +32,7 @@
     runs: dict[str, list[ActiveRun]] = field(default_factory=dict)
     evacuated: set[str] = field(default_factory=set)
     waves: dict[int, WaveRecord] = field(default_factory=dict)
+    machine_orders: dict[str, int] = field(default_factory=dict)
     queue_pools: dict[str, str] = field(default_factory=dict)
 
 
