--- a/src/hyssopway/dispatch/emptying.py
+++ b/src/hyssopway/dispatch/emptying.py
@@ -16,7 +16,7 @@
 
 # Short tasks end by themselves within this time; then those that keep their work are stopped.
 FINISH_S = 2.5
-FULL_PACE_PERCENT = 100
+AT_WORK_PERCENT = 100
 
 
 class Emptying:
@@ -88,7 +88,7 @@
             link = self.links.get(run.vm)
             row = link.rows.get(key) if link is not None and run.key == key else None
             if row is not None:
-                return row.pace_percent == FULL_PACE_PERCENT
+                return row.percent == AT_WORK_PERCENT
         return False
 
 
--- a/src/hyssopway/dispatch/running_row.py
+++ b/src/hyssopway/dispatch/running_row.py
@@ -12,7 +12,7 @@
         task: Text form of the task's identity.
         run: Number of the run.
         checkpoint: Last checkpoint; empty for none.
-        pace_percent: Share of its work that it may do; 100 when it is at work without a limit.
+        percent: Share of its work that is done; for a long-running task 100 once it is at work without a limit.
         reading: Tail of the response time in milliseconds for a task that serves, else thousandths of a core
             in use; over the last half second.
     """
@@ -20,7 +20,7 @@
     task: str
     run: int
     checkpoint: str
-    pace_percent: int
+    percent: int
     reading: int
 
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -13,6 +13,7 @@
 from .lease import RUN_LEASE_S, VmLease, lease_end
 from .order_reply import Refusal
 from .settling import Settlement, settle_unlisted
+from .stall_watch import StallWatch
 from .worker_calls import OtherBootError, WorkerUnreachableError
 
 if TYPE_CHECKING:
@@ -31,6 +32,8 @@
 RETRY_S = 0.2
 STOP_AGAIN_S = 0.5
 STOP_SLACK_S = 0.2
+# A VM on which a run stands still gets nothing for this long.
+STALL_PAUSE_S = 2.0
 NO_ROOM_PAUSE_S = 0.3
 # A VM whose last answer is older gets no new starts; a look waits a second for an end.
 CONTACT_S = 1.6
@@ -54,6 +57,7 @@
         stop_s: Longest time that it takes to stop a run.
         answered_at: Local time of its last answer.
         heard_at: Local time of its last answer or announcement.
+        stalls: Progress of its runs.
         rows: Runs that it listed last, by key.
         flights: Orders to start by run key.
         paused_until: Local time before which nothing is placed on it.
@@ -75,6 +79,7 @@
         "paused_until",
         "rows",
         "scale",
+        "stalls",
         "stop_s",
         "stops",
         "vm_id",
@@ -96,6 +101,7 @@
         self.calls = calls
         self.on_change = on_change
         self.scale = scale
+        self.stalls = StallWatch()
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
@@ -237,6 +243,7 @@
             flight = self.flights.setdefault(key, Flight())
             flight.accepted_at = min(flight.accepted_at, now)
             flight.unlisted_since = float("inf")
+        self._stop_stalled(now)
         if reply.ends:
             await self._take_ends(record, reply=reply)
         await self._settle(record, reply=reply, sent_at=sent_at)
@@ -257,6 +264,23 @@
         ends = [listed.end for listed in reply.ends]
         await self._end(ends, last_end=reply.ends[-1].number, boot=record.boot)
 
+    def _stop_stalled(self, now: float) -> None:
+        workflows = self.leadership.state.tables.workflows
+        short: dict[str, float] = {}
+        for key, row in self.rows.items():
+            task = TaskId.parse(row.task)
+            workflow = workflows.get(task.workflow)
+            step = workflow.spec.steps[task.step] if workflow is not None else None
+            if step is not None and not step.long_running and not step.fills and not step.gang:
+                short[key] = step.estimate_ms
+        self.stalls.take(((key, self.rows[key].percent) for key in short), now=now)
+        for key, declared_ms in short.items():
+            if self.stalls.is_stalled(key, declared_ms=declared_ms, now=now):
+                row = self.rows[key]
+                log_event(Event.RUN_STALLED, run=key, vm=self.vm_id, percent=row.percent)
+                self.paused_until = now + STALL_PAUSE_S
+                self.ask_stop(task=row.task, run=row.run)
+
     def _learn(self, end: RunEnd, *, accepted_at: float) -> None:
         real_s = self.leadership.clock() - accepted_at
         task = TaskId.parse(end.task)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -128,6 +128,7 @@
         "pool {pool}: {vms} VMs of {capacity} cores, {steady} steady and {short} short in use, {waiting} waiting",
     )
     MACHINE_MOVED = (7030, "INFO", "machine {machine} moves from pool {source} to pool {target}: {result}")
+    RUN_STALLED = (7031, "WARNING", "run {run} on VM {vm} stands still at {percent}%")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
