Count a run whose stop was sent as away

Ruled out: a decision of another leader (one term all the time), a wrong allowance (1, as declared).

Change: a run whose stop was sent never counts as at work; tests/dispatch/test_emptying.py failed first.

--- a/src/hyssopway/dispatch/emptying.py
+++ b/src/hyssopway/dispatch/emptying.py
@@ -79,14 +79,14 @@
 
     def _stop(self, task: TaskId, *, run: int, link: VmLink) -> None:
         link.ask_stop(task=task.name, run=run)
-        # Its own row must not let another task of the step be stopped before this one is back.
-        link.rows.pop(f"{task.name}/{run}", None)
 
     def _is_at_work(self, key: str) -> bool:
         task = key.rpartition("/")[0]
         for run in self.leadership.state.tables.runs.get(task, ()):
             link = self.links.get(run.vm)
-            row = link.rows.get(key) if link is not None and run.key == key else None
+            if link is None or run.key != key or link.is_stop_asked(key):
+                continue  # a listing may be older than the stop
+            row = link.rows.get(key)
             if row is not None:
                 return row.percent == AT_WORK_PERCENT
         return False
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -190,6 +190,11 @@
         if reply.refusal is not Refusal.OTHER_BOOT:
             await self._end([_ended(run, RunOutcome.NOT_STARTED)])
 
+    def is_stop_asked(self, key: str) -> bool:
+        """Tells whether a stop of a run was sent."""
+        flight = self.flights.get(key)
+        return flight is not None and flight.stop_asked_at > float("-inf")
+
     def ask_stop(self, *, task: str, run: int) -> None:
         """Sends a stop unless one was sent a moment ago."""
         flight = self.flights.setdefault(f"{task}/{run}", Flight())
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -51,7 +51,11 @@
     async def hold(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms):
         self.leases.append(lease_until_ms)
         self._answer()
-        rows = tuple(RunningRow(task, run, "", 100, 0) for task, run in self.running)
+        rows = tuple(
+            RunningRow(task, run, "", 100, 0)
+            for (task, run), name in self.running.items()
+            if name == vm.vm_id
+        )
         return HoldReply(
             clock_ms=round(self.leadership.now * 1000),
             boot=self.boot,
@@ -63,7 +67,7 @@
     async def start(self, *, vm, task, run, **_):
         self.orders.append(("start", task, run))
         self._answer()
-        self.running[task, run] = True
+        self.running[task, run] = vm.vm_id
         return OrderReply()
 
     async def stop(self, *, vm, task, run, fencing_token):
--- /dev/null
+++ b/tests/dispatch/test_emptying.py
@@ -0,0 +1,55 @@
+"""Long-running tasks on VMs that are emptied."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dispatch.conftest import LIMITS
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.emptying import Emptying
+from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.dispatch.work_scale import WorkScale
+from hyssopway.workflow import RunStart, StartRuns, Step
+from workflow.conftest import make_vm, make_workflow
+
+
+@pytest.fixture
+async def emptying(fleet, vms):
+    await fleet.propose(make_vm("vm-2"))
+    step = Step(count=2, long_running=True, disruption_allowance=1)
+    await fleet.propose(make_workflow("steady", steps=(step,)))
+    links = {
+        name: VmLink(
+            vm_id=name, leadership=fleet, calls=vms, limits=LIMITS, scale=WorkScale(), on_change=lambda: None
+        )
+        for name in ("vm-1", "vm-2")
+    }
+    starts = tuple(RunStart(task=f"steady.0.0.{n}", run=1, vm=f"vm-{n + 1}") for n in range(2))
+    await fleet.propose(StartRuns(fencing_token=fleet.term, starts=starts))
+    vms.running = {(start.task, 1): start.vm for start in starts}
+    for link in links.values():
+        await link.look()
+    dispatcher = Dispatcher(leadership=fleet, links=links)
+    return Emptying(leadership=fleet, links=links, dispatcher=dispatcher)
+
+
+async def test_one_task_of_a_step_is_interrupted_at_a_time(emptying, vms):
+    """Guards against a second interruption after a listing that was older than the first stop."""
+    for name in ("vm-1", "vm-2"):
+        emptying.close(name, reason="test")
+    for _ in range(3):
+        emptying.step()
+        await asyncio.sleep(0)
+        for link in emptying.links.values():
+            await link.look()  # the VMs list both tasks as at work still
+    assert {task for order, task, _ in vms.orders if order == "stop"} == {"steady.0.0.0"}
+
+
+async def test_closed_vm_gets_starts_again_when_it_is_reopened(emptying):
+    """Guards against a VM that stays closed after its order was refused."""
+    emptying.close("vm-1", reason="test")
+    assert emptying.dispatcher.closed_vms == {"vm-1"}
+    emptying.reopen("vm-1")
+    assert not emptying.dispatcher.closed_vms
