Take no VM with long-running work down for maintenance

Change: only VMs without long-running work go down before they are empty (test_waves failed first). Long-running tasks avoid VMs that are due, stops are logged with their reason, one line a round lists the runs ordered.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -35,17 +35,19 @@
         leadership: The term.
         links: VMs by identity.
         closed_vms: VMs that get no starts because they are being emptied.
+        due_vms: VMs whose machine waits for its maintenance.
         waiting_millis: Processor by pool that waited after the last round.
         changed: Set when a round may find something to do.
         sending: Orders in progress.
     """
 
-    __slots__ = ("changed", "closed_vms", "leadership", "links", "sending", "waiting_millis")
+    __slots__ = ("changed", "closed_vms", "due_vms", "leadership", "links", "sending", "waiting_millis")
 
     def __init__(self, *, leadership: Leadership, links: dict[str, VmLink]) -> None:
         self.leadership = leadership
         self.links = links
         self.closed_vms: set[str] = set()
+        self.due_vms: set[str] = set()
         self.waiting_millis: dict[str, int] = {}
         self.changed = asyncio.Event()
         self.sending: set[asyncio.Task[None]] = set()
@@ -74,7 +76,7 @@
             link = self.links.get(vm)
             if link is not None:
                 task, _, run = key.rpartition("/")
-                link.ask_stop(task=task, run=int(run))
+                link.ask_stop(task=task, run=int(run), reason="its task needs it no more")
 
     async def _add_due_occurrences(self) -> None:
         state = self.leadership.state
@@ -103,9 +105,20 @@
             # Known before it is agreed: a listing that arrives in between must not settle it.
             self.links[start.vm].expect_start(task=start.task, run=start.run)
         await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
+        log_event(
+            Event.RUNS_ORDERED,
+            count=len(starts),
+            runs={f"{start.task}/{start.run}": start.vm for start in starts},
+            answer_age_ms=self._answer_ages_ms(starts),
+        )
         for start in starts:
             self._order_start(start)
 
+    def _answer_ages_ms(self, starts: list[RunStart]) -> dict[str, int]:
+        now = self.leadership.clock()
+        links = {start.vm: self.links[start.vm] for start in starts if start.vm in self.links}
+        return {vm: round((now - link.answered_at) * 1000) for vm, link in links.items()}
+
     def _count_waiting(self, ready: list[ReadyStep], *, starts: list[RunStart]) -> None:
         started = {start.task for start in starts}
         for one in ready:
@@ -145,12 +158,6 @@
         checkpoint = saved.get(task.number, "")
         if workflow.spec.steps[task.step].gang:
             checkpoint = next(iter(saved.values()), "")
-        log_event(
-            Event.RUN_ORDERED,
-            run=run.key,
-            vm=run.vm,
-            answer_age_ms=round((self.leadership.clock() - link.answered_at) * 1000),
-        )
         await link.start(run, specification=workflow.spec.specification, checkpoint=checkpoint)
 
     def _list_rooms(self) -> dict[str, list[VmRoom]]:
@@ -164,7 +171,9 @@
             if record.draining or record.zone in tables.evacuated or vm_id in self.closed_vms:
                 continue
             use = self.leadership.state.indexes.vm_use.get(vm_id)
-            rooms.setdefault(record.pool, []).append(_describe_room(record, use=use, failures=link.failures))
+            rooms.setdefault(record.pool, []).append(
+                _describe_room(record, use=use, failures=link.failures, is_due=vm_id in self.due_vms)
+            )
         return rooms
 
 
@@ -204,7 +213,7 @@
     return all(not most or amount <= most for amount, most in zip(amounts, limits, strict=True))
 
 
-def _describe_room(record: VmRecord, *, use: Usage | None, failures: int) -> VmRoom:
+def _describe_room(record: VmRecord, *, use: Usage | None, failures: int, is_due: bool) -> VmRoom:
     capacity = record.capacity
     return VmRoom(
         vm_id=record.vm_id,
@@ -214,6 +223,7 @@
         memory_mb=capacity.memory_mb - (use.memory_mb if use else 0),
         accelerators=capacity.accelerators - (use.accelerators if use else 0),
         suspicion=min(failures, MAX_SUSPICION),
+        is_due=is_due,
     )
 
 
--- a/src/hyssopway/dispatch/emptying.py
+++ b/src/hyssopway/dispatch/emptying.py
@@ -55,6 +55,16 @@
         record = self.leadership.state.tables.vms.get(vm_id)
         return record is None or not record.runs
 
+    def has_long_running(self, vm_id: str) -> bool:
+        """Tells whether a long-running task is on a VM; these end only within their allowance."""
+        tables = self.leadership.state.tables
+        record = tables.vms.get(vm_id)
+        for key in record.runs if record is not None else ():
+            task = TaskId.parse(key.rpartition("/")[0])
+            if tables.workflows[task.workflow].spec.steps[task.step].long_running:
+                return True
+        return False
+
     def step(self) -> None:
         """Asks for the stops that are allowed now."""
         for vm_id in list(self.since):
@@ -78,7 +88,7 @@
             self._stop(task, run=int(run), link=link)
 
     def _stop(self, task: TaskId, *, run: int, link: VmLink) -> None:
-        link.ask_stop(task=task.name, run=run)
+        link.ask_stop(task=task.name, run=run, reason="its VM is emptied")
 
     def _is_at_work(self, key: str) -> bool:
         task = key.rpartition("/")[0]
@@ -86,6 +96,8 @@
             link = self.links.get(run.vm)
             if link is None or run.key != key or link.is_stop_asked(key):
                 continue  # a listing may be older than the stop
+            if not link.in_contact(self.leadership.clock()):
+                continue
             row = link.rows.get(key)
             if row is not None:
                 return row.percent == AT_WORK_PERCENT
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -138,7 +138,7 @@
 def _cost(ready: ReadyStep, *, step: Step, room: VmRoom) -> tuple[float, ...]:
     is_far = bool(step.data_rack) and step.data_rack not in room.labels
     if step.long_running:
-        return (room.suspicion, is_far, ready.placed.get(room.vm_id, 0), -room.cpu_millis)
+        return (room.suspicion, is_far, room.is_due, ready.placed.get(room.vm_id, 0), -room.cpu_millis)
     return (room.suspicion, is_far, room.cpu_millis)
 
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -195,13 +195,14 @@
         flight = self.flights.get(key)
         return flight is not None and flight.stop_asked_at > float("-inf")
 
-    def ask_stop(self, *, task: str, run: int) -> None:
+    def ask_stop(self, *, task: str, run: int, reason: str) -> None:
         """Sends a stop unless one was sent a moment ago."""
         flight = self.flights.setdefault(f"{task}/{run}", Flight())
         now = self.leadership.clock()
         if now - flight.stop_asked_at < STOP_AGAIN_S or not self.leadership.may_order():
             return
         flight.stop_asked_at = now
+        log_event(Event.STOP_ORDERED, run=f"{task}/{run}", vm=self.vm_id, reason=reason)
         sending = asyncio.create_task(self._stop(task=task, run=run, flight=flight))
         self.stops.add(sending)
         sending.add_done_callback(self.stops.discard)
@@ -284,7 +285,7 @@
                 row = self.rows[key]
                 log_event(Event.RUN_STALLED, run=key, vm=self.vm_id, percent=row.percent)
                 self.paused_until = now + STALL_PAUSE_S
-                self.ask_stop(task=row.task, run=row.run)
+                self.ask_stop(task=row.task, run=row.run, reason="it stands still")
 
     def _learn(self, end: RunEnd, *, accepted_at: float) -> None:
         real_s = self.leadership.clock() - accepted_at
@@ -323,7 +324,7 @@
             )
             match decision:
                 case Settlement.STOP:
-                    self.ask_stop(task=task, run=run.run)
+                    self.ask_stop(task=task, run=run.run, reason="its start was not answered")
                 case Settlement.NEVER_RAN:
                     settled.append(_ended(run, RunOutcome.NOT_STARTED))
                 case Settlement.VANISHED:
@@ -335,7 +336,7 @@
         for key, row in self.rows.items():
             if key not in record.runs:
                 # Its end was concluded while the VM was out of contact.
-                self.ask_stop(task=row.task, run=row.run)
+                self.ask_stop(task=row.task, run=row.run, reason="its end was concluded before")
 
     async def _end(self, ends: list[RunEnd], *, last_end: int = 0, boot: int | None = None) -> None:
         record = self.record
--- a/src/hyssopway/dispatch/vm_room.py
+++ b/src/hyssopway/dispatch/vm_room.py
@@ -20,6 +20,7 @@
         cpu_millis: Free processor.
         memory_mb: Free memory.
         accelerators: Free accelerators.
+        is_due: Whether its machine waits for its maintenance, so that what starts there is interrupted soon.
         suspicion: Runs that failed there in a row; the lowest is used first.
     """
 
@@ -30,6 +31,7 @@
     memory_mb: int
     accelerators: int
     suspicion: int = 0
+    is_due: bool = False
 
     def fits(self, step: Step) -> bool:
         """Tells whether one more task of a step fits."""
--- a/src/hyssopway/dispatch/waves.py
+++ b/src/hyssopway/dispatch/waves.py
@@ -24,7 +24,7 @@
 STEP_S = 0.2
 IDLE_STEP_S = 0.5
 LIST_S = 0.8
-# A VM that still has work after this long goes down with it.
+# A VM that still has short work after this long goes down with it.
 MAX_EMPTYING_S = 8.0
 
 
@@ -74,10 +74,11 @@
             if self.leadership.may_order():
                 await self.machines.refresh(max_age_s=LIST_S)
                 for wave in open_waves:
-                    await self._advance(wave)
+                    await self.advance(wave)
             await asyncio.sleep(STEP_S)
 
-    async def _advance(self, wave: WaveRecord) -> None:
+    async def advance(self, wave: WaveRecord) -> None:
+        """Empties and orders the machines of a wave that may go now."""
         await self._confirm_gone(wave)
         await self._repeat_unconfirmed(wave)
         self._close_more(wave)
@@ -95,7 +96,9 @@
         if closed_at is None:
             return False
         emptying_s = self.leadership.clock() - closed_at
-        return self.emptying.is_empty(machine.vm_id) or emptying_s >= MAX_EMPTYING_S
+        if emptying_s >= MAX_EMPTYING_S:
+            return not self.emptying.has_long_running(machine.vm_id)
+        return self.emptying.is_empty(machine.vm_id)
 
     def _down_of(self, wave: WaveRecord) -> set[str]:
         """Machines that may be down for this wave: begun, and not known to be back."""
@@ -155,6 +158,7 @@
         for machine_id in down:
             if machine_id in self.machines.machines:
                 closed[self.machines.machines[machine_id].pool] += 1
+        self.emptying.dispatcher.due_vms = {machine.vm_id for machine in pending}
         chosen = choose_machines(
             candidates=candidates,
             pool_sizes=Counter(vm.pool for vm in tables.vms.values()),
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -89,7 +89,7 @@
     VM_SILENT = (7004, "WARNING", "VM {vm} at {address} does not answer: {reason}")
     VM_GONE = (7005, "INFO", "VM {vm} is gone: {reason}")
     LEASE_ENDED = (7006, "WARNING", "the lease of {runs} runs on VM {vm} has ended without contact")
-    RUN_ORDERED = (7007, "INFO", "run {run} ordered on VM {vm}, last answer {answer_age_ms} ms ago")
+    RUNS_ORDERED = (7007, "INFO", "{count} runs ordered")
     RUN_ENDED = (7008, "INFO", "run {run} on VM {vm} ended {outcome}")
     ORDER_REFUSED = (7009, "WARNING", "{order} of run {run} refused by VM {vm}: {reason}")
     ORDER_UNANSWERED = (7010, "WARNING", "{order} of run {run} to VM {vm} got no answer: {reason}")
@@ -129,6 +129,7 @@
     )
     MACHINE_MOVED = (7030, "INFO", "machine {machine} moves from pool {source} to pool {target}: {result}")
     RUN_STALLED = (7031, "WARNING", "run {run} on VM {vm} stands still at {percent}%")
+    STOP_ORDERED = (7032, "INFO", "stop of run {run} ordered on VM {vm}: {reason}")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- /dev/null
+++ b/tests/dispatch/test_waves.py
@@ -0,0 +1,92 @@
+"""Maintenance waves over VMs with work."""
+
+from __future__ import annotations
+
+import pytest
+
+from dispatch.conftest import LIMITS
+from hyssopway.clock import wall_ms
+from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.emptying import Emptying
+from hyssopway.dispatch.machine_list import MachineList
+from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.dispatch.waves import MAX_EMPTYING_S, Waves
+from hyssopway.dispatch.work_scale import WorkScale
+from hyssopway.workflow import RunStart, StartRuns, StartWave, Step
+from workflow.conftest import make_workflow
+
+
+class FakePlatform:
+    """Lists one machine and carries out orders."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def list_machines(self):
+        return [Machine(machine_id="m1", pool="vans", state=MachineState.UP, zone="nashua", vm_id="vm-1")]
+
+    async def order_maintenance(self, *, machine_id, wave, fencing_token):
+        self.orders.append(machine_id)
+        return MachineOrderResult.DONE
+
+
+@pytest.fixture
+def platform():
+    return FakePlatform()
+
+
+@pytest.fixture
+async def waves(fleet, vms, platform):
+    link = VmLink(
+        vm_id="vm-1", leadership=fleet, calls=vms, limits=LIMITS, scale=WorkScale(), on_change=lambda: None
+    )
+    links = {"vm-1": link}
+    emptying = Emptying(leadership=fleet, links=links, dispatcher=Dispatcher(leadership=fleet, links=links))
+    machines = MachineList(leadership=fleet, calls=platform, turn_s=LIMITS.turn_s)
+    await machines.refresh(max_age_s=1.0)
+    await fleet.propose(StartWave(number=1, machines=("m1",), deadline_ms=wall_ms() + 60_000, max_down=1))
+    return Waves(
+        leadership=fleet,
+        calls=platform,
+        machines=machines,
+        emptying=emptying,
+        maintenance_s=LIMITS.maintenance_s,
+    )
+
+
+async def run_task(fleet, step):
+    await fleet.propose(make_workflow("busy", steps=(step,)))
+    starts = (RunStart(task="busy.0.0.0", run=1, vm="vm-1"),)
+    await fleet.propose(StartRuns(fencing_token=fleet.term, starts=starts))
+
+
+async def advance(waves, *, seconds):
+    wave = waves.leadership.state.tables.waves[1]
+    for _ in range(int(seconds)):
+        await waves.advance(wave)
+        waves.leadership.now += 1.0
+    return wave
+
+
+async def test_empty_vm_goes_at_once(waves, platform):
+    """Guards against a wave that waits for nothing."""
+    wave = await advance(waves, seconds=2)
+    assert platform.orders == ["m1"]
+    assert wave.is_complete
+
+
+async def test_short_work_holds_a_wave_up_for_a_bounded_time(waves, platform, fleet):
+    """Guards against one task that keeps a wave from ending."""
+    await run_task(fleet, Step(count=1))
+    await advance(waves, seconds=MAX_EMPTYING_S - 2)
+    assert platform.orders == []
+    await advance(waves, seconds=5)
+    assert platform.orders == ["m1"]
+
+
+async def test_long_running_task_is_never_ended_by_maintenance(waves, platform, fleet):
+    """Guards against an interruption beyond the allowance of the step after a long wait."""
+    await run_task(fleet, Step(count=3, long_running=True, disruption_allowance=1))
+    await advance(waves, seconds=MAX_EMPTYING_S * 3)
+    assert platform.orders == []
