Let idle machines leave sooner and pack long-running tasks

Change: idle time counts for a VM, and 2 s are enough; a pool keeps room for one step of its usual width (one VM at least); long-running tasks share the fullest VMs, at most half of a step on one; the rise is carried on for 0.8 s.

--- a/src/hyssopway/dispatch/demand_trend.py
+++ b/src/hyssopway/dispatch/demand_trend.py
@@ -5,7 +5,7 @@
 import math
 
 # A pool keeps its size for a moment after its demand has fallen, so that machines do not go to and fro.
-DECAY_S = 1.5
+DECAY_S = 1.0
 # The rise is measured over this span; the arrivals of one moment say little.
 RISE_SPAN_S = 1.0
 
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -1,8 +1,8 @@
 """Decides on which VM each waiting task starts.
 
 Answers the load pattern of queues that ask in turn for several times what their pool holds: steps are served in a
-given order, a task goes to the VM where it leaves the least room that nothing else fits into, and long-running
-tasks are spread so that the loss of one VM interrupts few of them.
+given order, and a task goes to the fullest VM that has room for it, so that whole VMs stay free for wide tasks or can
+leave the pool.
 """
 
 from __future__ import annotations
@@ -138,7 +138,9 @@
 def _cost(ready: ReadyStep, *, step: Step, room: VmRoom) -> tuple[float, ...]:
     is_far = bool(step.data_rack) and step.data_rack not in room.labels
     if step.long_running:
-        return (room.suspicion, is_far, room.is_due, ready.placed.get(room.vm_id, 0), -room.cpu_millis)
+        # Long-running tasks share few VMs, so that the others can leave the pool, but no VM holds most of a step.
+        is_most = ready.placed.get(room.vm_id, 0) >= -(-step.count // 2)
+        return (room.suspicion, is_far, room.is_due, is_most, room.cpu_millis)
     return (room.suspicion, is_far, room.cpu_millis)
 
 
--- a/src/hyssopway/dispatch/pool_mover.py
+++ b/src/hyssopway/dispatch/pool_mover.py
@@ -14,6 +14,7 @@
 from .offered_load import measure_offered
 from .pool_load import measure_pools
 from .pool_plan import PoolDemand, plan_moves
+from .step_sizes import StepSizes
 
 if TYPE_CHECKING:
     from .emptying import Emptying
@@ -26,8 +27,8 @@
 
 STEP_S = 0.25
 LIST_S = 1.0
-# A move there and back costs about as much as a machine in a pool for this long.
-IDLE_KEEP_S = 3.0
+# Below what a move there and back costs (3 s of a machine in a pool): few idle machines are needed again in a turn.
+IDLE_KEEP_S = 2.0
 # A moved machine is counted for its new pool for this long beyond the move, until its VM announces itself.
 ARRIVAL_S = 1.5
 
@@ -43,7 +44,8 @@
         scale: How far declared durations are off.
         move_s: Duration of a move.
         trends: Demand by pool.
-        idle_since: Local time since which each machine has been idle.
+        idle_since: Local time since which each VM has been idle; a machine that moves gets another VM.
+        step_sizes: How wide the steps of each pool are.
         arrivals: Machines on their way, with their next pool and the local time until which they count there.
         refused: Pairs of pools that machines cannot move between.
     """
@@ -58,6 +60,7 @@
         "move_s",
         "refused",
         "scale",
+        "step_sizes",
         "trends",
     )
 
@@ -80,6 +83,7 @@
         self.trends: dict[str, DemandTrend] = {}
         self.idle_since: dict[str, float] = {}
         self.arrivals: dict[str, tuple[str, float]] = {}
+        self.step_sizes = StepSizes()
         self.refused: set[tuple[str, str]] = set()
 
     async def run(self) -> None:
@@ -114,6 +118,7 @@
         offered = measure_offered(
             tables=state.tables, indexes=state.indexes, scale=self.scale.read, now_ms=wall_ms()
         )
+        self.step_sizes.follow(tables=state.tables, indexes=state.indexes)
         moves = plan_moves(
             demands=[
                 self._describe(pool, load=load, offered=offered.get(pool, 0.0))
@@ -161,9 +166,14 @@
             offered_millis=offered,
             spread_vms=self._spread_vms(pool),
             idle_machines=idle,
-            long_idle=sum(now - self.idle_since[machine_id] >= IDLE_KEEP_S for machine_id in idle),
+            long_idle=sum(self._idle_s(machine_id) >= IDLE_KEEP_S for machine_id in idle),
+            step_millis=self.step_sizes.read(pool),
         )
 
+    def _idle_s(self, machine_id: str) -> float:
+        vm_id = self.machines.machines[machine_id].vm_id
+        return self.leadership.clock() - self.idle_since[vm_id]
+
     def _in_contact(self, now: float) -> set[str]:
         return {vm_id for vm_id, link in self.emptying.links.items() if link.in_contact(now)}
 
@@ -176,9 +186,9 @@
             if record is None or record.pool != pool:
                 continue
             if record.runs or record.draining or not self.machines.is_available(machine.machine_id):
-                self.idle_since.pop(machine.machine_id, None)
+                self.idle_since.pop(machine.vm_id, None)
                 continue
-            since = self.idle_since.setdefault(machine.machine_id, now)
+            since = self.idle_since.setdefault(machine.vm_id, now)
             if machine.vm_id not in self.emptying.since:
                 idle.append((since, machine.machine_id))
         return tuple(machine_id for _, machine_id in sorted(idle))
--- a/src/hyssopway/dispatch/pool_plan.py
+++ b/src/hyssopway/dispatch/pool_plan.py
@@ -9,10 +9,11 @@
 
 from dataclasses import dataclass
 
-# A pool keeps this many VMs beyond its demand, for work that arrives while a machine is on its way.
-RESERVE_VMS = 1
+# A pool keeps room beyond its demand for this many steps of the usual width, and for one VM at least: work that
+# arrives while a machine is on its way waits for about 2 s otherwise.
+RESERVE_STEPS = 1.0
 # A rise is carried on for part of the time of a move; it is measured over few arrivals.
-RISE_LEAD_S = 1.2
+RISE_LEAD_S = 0.8
 MIN_VMS = 2
 
 
@@ -27,6 +28,7 @@
         short_millis: Processor that other tasks use or wait for; a recent peak.
         rise_millis_per_s: How fast that grows.
         offered_millis: Processor that recent arrivals need.
+        step_millis: Processor of one step of the usual width.
         spread_vms: VMs that the widest step with a limit on tasks a VM needs.
         idle_machines: Machines of the pool on which nothing runs, the longest idle first.
         long_idle: Number of these that have been idle for longer than a move there and back is worth.
@@ -38,6 +40,7 @@
     short_millis: int
     rise_millis_per_s: float
     offered_millis: float
+    step_millis: float
     spread_vms: int
     idle_machines: tuple[str, ...]
     long_idle: int
@@ -62,7 +65,8 @@
     """Returns the number of VMs that serve a pool's demand when a machine ordered now arrives."""
     grown = demand.short_millis + max(0.0, demand.rise_millis_per_s) * RISE_LEAD_S
     expected = max(grown, demand.offered_millis)
-    by_load = -(-int(demand.steady_millis + expected) // vm_millis) + RESERVE_VMS
+    reserve = max(float(vm_millis), RESERVE_STEPS * demand.step_millis)
+    by_load = -(-int(demand.steady_millis + expected + reserve) // vm_millis)
     return max(MIN_VMS, demand.spread_vms, by_load)
 
 
--- a/tests/dispatch/test_pool_plan.py
+++ b/tests/dispatch/test_pool_plan.py
@@ -10,7 +10,9 @@
 VM = 64_000
 
 
-def demand(pool, *, vms, steady=0, short=0, rise=0.0, offered=0.0, spread=0, idle=(), long_idle=None):
+def demand(
+    pool, *, vms, steady=0, short=0, rise=0.0, offered=0.0, step=0.0, spread=0, idle=(), long_idle=None
+):
     return PoolDemand(
         pool=pool,
         vms=vms,
@@ -18,6 +20,7 @@
         short_millis=short,
         rise_millis_per_s=rise,
         offered_millis=offered,
+        step_millis=step,
         spread_vms=spread,
         idle_machines=tuple(idle),
         long_idle=len(idle) if long_idle is None else long_idle,
@@ -64,6 +67,7 @@
     ("demanded", "least"),
     [
         pytest.param(demand("a", vms=8), MIN_VMS, id="no work"),
+        pytest.param(demand("a", vms=8, step=2.5 * VM), 3, id="steps are wide"),
         pytest.param(demand("a", vms=8, spread=5), 5, id="a step may have one task a VM"),
         pytest.param(demand("a", vms=8, steady=3 * VM), 4, id="long-running tasks stay"),
         pytest.param(demand("a", vms=8, short=VM, rise=2.0 * VM), 4, id="demand rises"),
