--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -25,6 +25,7 @@
     LEADER,
     PEER_TOKEN,
     RELAY,
+    STOPPING,
     LeaderFinder,
     NodeDirectory,
     Relay,
@@ -47,6 +48,7 @@
 JOIN_S = 0.5
 JOIN_TIMEOUT_S = 0.8
 LEFT_OUT_S = 2.0
+STOPPING_TIMEOUT_S = 0.3
 SNAPSHOT_ENTRIES = 5000
 # Control nodes of one deployment are about a millisecond apart; the shortest silence stays above the age up to which
 # a leader may order (`dispatch.leadership`).
@@ -98,7 +100,12 @@
         self.conductor: Conductor | None = None
         calls = ControlCalls(
             member=self.member,
-            exchanges={RELAY: self._take_relayed, LEADER: self._tell_leader, JOIN: self._take_joiner},
+            exchanges={
+                RELAY: self._take_relayed,
+                LEADER: self._tell_leader,
+                JOIN: self._take_joiner,
+                STOPPING: self._take_stopping,
+            },
         )
         self.peer_server = PeerServer(handlers=calls, token=PEER_TOKEN)
         self.tasks: list[asyncio.Task[None]] = []
@@ -126,6 +133,16 @@
             asyncio.create_task(keep_running(name, loop), name=name) for name, loop in loops.items()
         ]
 
+    async def hand_over(self) -> None:
+        """Gives up the lead, if this node has it, and lets the others elect a leader at once."""
+        member = self.member
+        if not member.is_leader:
+            return
+        member.suspend()
+        member.step_down(reason="the node stops")
+        others = [daemon_of(voter) for voter in member.configuration.voters if voter != member.member_id]
+        await asyncio.gather(*(self._tell_stopping(other) for other in others))
+
     async def stop(self) -> None:
         """Stops all tasks and closes durable state."""
         for task in self.tasks:
@@ -233,6 +250,22 @@
         answer = {"leads": leads, "leader": self.member.leader_daemon, "members": members}
         return json.dumps(answer).encode()
 
+    async def _tell_stopping(self, host: str) -> None:
+        data = self.member.member_id.encode()
+        try:
+            await self.directory.client(host).exchange(
+                topic=STOPPING, data=data, timeout_s=STOPPING_TIMEOUT_S
+            )
+        except PeerUnreachableError as error:
+            log_event(Event.LEADER_MISSING, reason=f"cannot tell that this node stops: {error}")
+
+    async def _take_stopping(self, data: bytes) -> bytes:
+        """Takes in that the leader has given up, so that nobody waits for its silence."""
+        if self.member.leader_id == data.decode():
+            self.member.leader_id = ""
+            self.member.heard_at = float("-inf")
+        return b""
+
     async def _take_joiner(self, data: bytes) -> bytes:
         if self.member.is_leader:
             self.keeper.take_joiner(data.decode())
--- a/src/hyssopway/relay/__init__.py
+++ b/src/hyssopway/relay/__init__.py
@@ -8,13 +8,14 @@
 from .relay import Relay, UnansweredError
 from .relayed_reply import RelayedReply
 from .relayed_request import RelayedRequest
-from .topics import JOIN, LEADER, RELAY
+from .topics import JOIN, LEADER, RELAY, STOPPING
 
 __all__ = [
     "JOIN",
     "LEADER",
     "PEER_TOKEN",
     "RELAY",
+    "STOPPING",
     "LeaderFinder",
     "NodeDirectory",
     "Relay",
--- a/src/hyssopway/relay/topics.py
+++ b/src/hyssopway/relay/topics.py
@@ -5,5 +5,6 @@
 RELAY = "relay"
 LEADER = "leader"
 JOIN = "join"
+STOPPING = "stopping"
 
-__all__ = ["JOIN", "LEADER", "RELAY"]
+__all__ = ["JOIN", "LEADER", "RELAY", "STOPPING"]
--- /dev/null
+++ b/tests/node/test_control_nodes.py
@@ -0,0 +1,121 @@
+"""Control nodes as one group, in one process, on loopback addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import capnp
+import pytest
+
+from hyssopway.clock import monotonic_s
+from hyssopway.dispatch import Conductor, PlatformLimits
+from hyssopway.node import ControlNode, NodeSettings
+from hyssopway.relay import RelayedReply, RelayedRequest
+from hyssopway.workflow import SetZoneEvacuated
+
+HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
+LIMITS = PlatformLimits(longest_lease_s=10.0, stop_s=0.4, turn_s=3.0, maintenance_s=2.0, move_s=1.5)
+REQUEST = RelayedRequest(entry="control", method="POST", path="/zone", host="", credential="", body=b"")
+
+
+class ZoneService:
+    """Agrees on one change for each request."""
+
+    async def answer(self, *, request, conductor):
+        await conductor.leadership.propose(SetZoneEvacuated(zone="nashua", evacuated=True))
+        return RelayedReply(status=200)
+
+
+class NoMachines:
+    """A platform without machines."""
+
+    async def list_machines(self):
+        return []
+
+
+def find_port():
+    with socket.socket() as probe:
+        probe.bind((HOSTS[0], 0))
+        return probe.getsockname()[1]
+
+
+def build(host, *, port, folder, is_first_start=True):
+    settings = NodeSettings(
+        name=host,
+        host=host,
+        peer_port=port,
+        seed_hosts=HOSTS,
+        data_dir=folder / host,
+        is_first_start=is_first_start,
+        tolerated_losses=1,
+        stop_timeout_s=1.0,
+    )
+    return ControlNode(
+        settings=settings,
+        service=ZoneService(),
+        new_conductor=lambda leadership: Conductor(
+            leadership=leadership, calls=None, machines=NoMachines(), limits=LIMITS
+        ),
+    )
+
+
+async def wait_until(condition, *, seconds=10.0):
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110  states of three nodes have no common event
+            await asyncio.sleep(0.02)
+
+
+def leaders(nodes):
+    return [node for node in nodes if node.conductor is not None]
+
+
+@pytest.fixture
+async def group(tmp_path):
+    async with capnp.kj_loop():
+        port = find_port()
+        nodes = [build(host, port=port, folder=tmp_path) for host in HOSTS]
+        for node in nodes:
+            await node.start()
+        await wait_until(lambda: len(leaders(nodes)) == 1)
+        yield nodes
+        for node in nodes:
+            await node.stop()
+
+
+async def test_request_to_any_node_is_agreed_on_all(group):
+    """Guards against a node that cannot reach the leader, and against members that do not follow."""
+    for node in group:
+        assert (await node.serve(REQUEST, timeout_s=5.0)).status == 200
+    await wait_until(lambda: all("nashua" in node.state.tables.evacuated for node in group))
+
+
+async def test_lead_is_handed_over_without_waiting_for_silence(group):
+    """Guards against a planned stop that leaves everyone without a leader for an election timeout."""
+    (old,) = leaders(group)
+    await old.hand_over()
+    others = [node for node in group if node is not old]
+    await wait_until(lambda: bool(leaders(others)))
+    await wait_until(lambda: old.conductor is None)
+    assert (await old.serve(REQUEST, timeout_s=5.0)).status == 200
+
+
+async def test_node_with_a_lost_disk_joins_again_as_another_member(group, tmp_path):
+    """Guards against a vote of a member whose disk was lost."""
+    (leader,) = leaders(group)
+    lost = next(node for node in group if node is not leader)
+    old_id = lost.member.member_id
+    await lost.stop()
+    group.remove(lost)
+    for node in group:
+        # The end of a process would end its connections.
+        node.directory.client(lost.settings.host).close()
+    fresh = build(
+        lost.settings.host, port=lost.settings.peer_port, folder=tmp_path / "new", is_first_start=False
+    )
+    await fresh.start()
+    group.append(fresh)
+    await wait_until(lambda: fresh.member.is_voter)
+    assert fresh.member.member_id != old_id
+    assert old_id not in leader.member.configuration.members
+    assert monotonic_s() - leader.member.confirmed_at() < 1.0
