--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -40,6 +40,7 @@
         limits: Bounds that the platform sets.
         links: VMs by identity.
         dispatcher: Places tasks.
+        emptying: VMs whose work ends or moves.
         waves: Carries out maintenance waves.
         scale: How far declared durations are off.
         mover: Moves machines between pools.
@@ -50,6 +51,7 @@
     __slots__ = (
         "calls",
         "dispatcher",
+        "emptying",
         "leadership",
         "limits",
         "links",
@@ -76,13 +78,13 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.scale = WorkScale()
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
-        emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
+        self.emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
         machine_list = MachineList(leadership=leadership, calls=machines, turn_s=limits.turn_s)
         self.mover = PoolMover(
             leadership=leadership,
             calls=machines,
             machines=machine_list,
-            emptying=emptying,
+            emptying=self.emptying,
             scale=self.scale,
             move_s=limits.move_s,
         )
@@ -90,7 +92,7 @@
             leadership=leadership,
             calls=machines,
             machines=machine_list,
-            emptying=emptying,
+            emptying=self.emptying,
             maintenance_s=limits.maintenance_s,
         )
 
@@ -105,6 +107,7 @@
                     if name not in running or running[name].done():
                         running[name] = asyncio.create_task(_until_lost(name, work()))
                 self._follow_vms()
+                self._empty_draining()
                 await self._forget_silent()
                 self._report_load()
                 await asyncio.sleep(WATCH_S)
@@ -160,6 +163,13 @@
             del self.links[vm_id]
             self.tasks.pop(vm_id).cancel()
 
+    def _empty_draining(self) -> None:
+        for vm_id, vm in self.leadership.state.tables.vms.items():
+            if vm.draining:
+                self.emptying.close(vm_id, reason="it drains")
+        if self.leadership.may_order():
+            self.emptying.step()
+
     def _report_load(self) -> None:
         now = self.leadership.clock()
         if now - self.reported_at < REPORT_S:
--- a/src/hyssopway/dispatch/waves.py
+++ b/src/hyssopway/dispatch/waves.py
@@ -110,6 +110,10 @@
         }
         return unconfirmed | known_down
 
+    def _count_emptying(self, wave: WaveRecord) -> int:
+        machines = (self.machines.machines.get(machine_id) for machine_id in wave.machines)
+        return sum(machine is not None and machine.vm_id in self.emptying.since for machine in machines)
+
     def _is_in_maintenance(self, machine_id: str) -> bool:
         machine = self.machines.machines.get(machine_id)
         return machine is not None and machine.state is MachineState.MAINTENANCE
@@ -163,13 +167,12 @@
             candidates=candidates,
             pool_sizes=Counter(vm.pool for vm in tables.vms.values()),
             closed_by_pool=closed,
-            room=wave.max_down - len(down) - len(self.emptying.since),
+            room=wave.max_down - len(down) - self._count_emptying(wave),
             left_s=(wave.deadline_ms - wall_ms()) / 1000,
             max_down=wave.max_down,
         )
         for one in chosen:
             self.emptying.close(one.vm_id, reason=f"wave {wave.number}")
-        self.emptying.step()
 
     async def _order(self, wave: WaveRecord, *, machine: Machine) -> None:
         command = BeginMaintenance(wave=wave.number, machine=machine.machine_id, at_ms=wall_ms())
