Test the adapter against its interface

Change: calls of clients, worker VMs and operators against the agreed state without a network; orders to VMs against an HTTP stand-in, with refusals, unreadable answers and silence.

--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,90 @@
+"""A leader behind the platform's interface, without a network."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from expression import Ok
+
+from dispatch.conftest import FakeLeadership
+from hyssopway.relay import RelayedRequest
+from hyssopway_platform.control_api import ControlApi
+from hyssopway_platform.service import CALLERS, CONTROL, PlatformService
+
+MANIFEST = {
+    "version": 1,
+    "routes": [
+        {"name": "plans", "host": "a.example", "path_prefix": "/p/", "timeout_ms": 3000, "service": "vans"},
+        {
+            "name": "open",
+            "host": "a.example",
+            "path_prefix": "/p/open/",
+            "timeout_ms": 3000,
+            "service": "vans",
+            "public": True,
+        },
+    ],
+    "services": [{"name": "vans"}],
+    "limits": {"max_body_bytes": 400},
+    "tenants": [{"name": "one", "api_keys": ["key-1"]}, {"name": "two", "api_keys": ["key-2"]}],
+}
+
+
+class FakeMember:
+    """A member that a quorum confirms."""
+
+    async def read_index(self, *, timeout_s):
+        return Ok(1)
+
+
+class FakeConductor:
+    """Takes announcements straight into the agreed state."""
+
+    def __init__(self):
+        self.leadership = FakeLeadership()
+        self.leadership.member = FakeMember()
+        self.announced = []
+
+    async def take_announcement(self, command):
+        self.announced.append(command)
+        await self.leadership.propose(command)
+
+    async def take_departure(self, *, vm):
+        self.announced.append(vm)
+
+
+class Client:
+    """Sends requests to the service."""
+
+    def __init__(self):
+        self.conductor = FakeConductor()
+        control = ControlApi(own_address="10.0.0.9:80", zones=frozenset({"nashua"}))
+        self.service = PlatformService(control=control)
+
+    async def call(self, method, path, body=None, *, key="key-1", entry=CALLERS):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode() if body is not None else b""
+        request = RelayedRequest(
+            entry=entry,
+            method=method,
+            path=path,
+            host="a.example:80",
+            credential=f"Bearer {key}" if key else "",
+            body=data,
+        )
+        reply = await self.service.answer(request=request, conductor=self.conductor)
+        return reply.status, json.loads(reply.body)
+
+    async def control(self, method, path, body=None):
+        return await self.call(method, f"/hyssopway/{path}", body, entry=CONTROL)
+
+
+@pytest.fixture
+def bare():
+    return Client()
+
+
+@pytest.fixture
+async def client(bare):
+    assert (await bare.control("PUT", "config", MANIFEST))[0] == 200
+    return bare
--- /dev/null
+++ b/tests/adapter/test_worker_client.py
@@ -0,0 +1,172 @@
+"""Orders to worker VMs over HTTP, against a stand-in that answers as told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from hyssopway.dispatch import OtherBootError, Refusal, WorkerUnreachableError
+from hyssopway.workflow import RunOutcome, VmRecord
+from hyssopway_platform.worker_client import WorkerClient
+from workflow.conftest import make_vm
+
+
+class Vm:
+    """Answers every call with a status and a body, and keeps what it was sent."""
+
+    def __init__(self):
+        self.status = 200
+        self.body = {"clock_ms": 5, "born": 1, "running": [], "finished": []}
+        self.calls = []
+        self.wait_s = 0.0
+
+    async def answer(self, request):
+        self.calls.append((request.path, await request.json(), request.headers))
+        await asyncio.sleep(self.wait_s)
+        raw = self.body if isinstance(self.body, bytes) else json.dumps(self.body).encode()
+        return web.Response(status=self.status, body=raw)
+
+
+@pytest.fixture
+def answers():
+    return Vm()
+
+
+@pytest.fixture
+async def record(answers):
+    app = web.Application()
+    app.router.add_post("/hyssopway/{call}", answers.answer)
+    async with TestServer(app, host="127.0.0.1") as server:
+        vm = make_vm("vm-1")
+        yield VmRecord(
+            vm_id="vm-1",
+            boot=1,
+            address=f"127.0.0.1:{server.port}",
+            pool=vm.pool,
+            zone=vm.zone,
+            labels=vm.labels,
+            capacity=vm.capacity,
+        )
+
+
+@pytest.fixture
+async def workers():
+    client = WorkerClient()
+    await client.open()
+    yield client
+    await client.close()
+
+
+async def start(workers, record):
+    return await workers.start(
+        vm=record,
+        task="w.0.0.1",
+        run=2,
+        specification="text",
+        checkpoint="half",
+        lease_until_ms=99,
+        fencing_token=7,
+    )
+
+
+async def hold(workers, record):
+    return await workers.hold(vm=record, fencing_token=7, last_end=3, lease_until_ms=None, wait_ms=0)
+
+
+async def test_start_says_everything_once(workers, record, answers):
+    """Guards against a start without its lease, its token or the boot that it is meant for."""
+    assert (await start(workers, record)).refusal is None
+    ((path, body, headers),) = answers.calls
+    assert path == "/hyssopway/run-start"
+    assert body == {
+        "task": "w.0.0.1",
+        "run": 2,
+        "specification": "text",
+        "deadline_ms": 99,
+        "fencing_token": 7,
+        "checkpoint": "half",
+    }
+    assert headers["X-Hyssopway-Expected-Instance"] == "vm-1"
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        (409, {"reason": "fence"}, Refusal.FENCED),
+        (409, {"reason": "old"}, Refusal.OLD_RUN),
+        (409, {"reason": "late"}, Refusal.LATE),
+        (409, {"reason": "room"}, Refusal.NO_ROOM),
+        (409, {"reason": "ticket"}, Refusal.NO_TICKET),
+        (421, {}, Refusal.OTHER_BOOT),
+        (400, {}, Refusal.INVALID),
+        (429, {}, Refusal.UNHEALTHY),
+        (503, {}, Refusal.UNHEALTHY),
+    ],
+)
+async def test_refusals_are_told_apart(workers, record, answers, case):
+    """Guards against a refusal that is taken for an order without an answer."""
+    answers.status, answers.body, refusal = case
+    assert (await start(workers, record)).refusal is refusal
+
+
+@pytest.mark.parametrize(
+    ("status", "body"), [(500, {}), (409, {"reason": "mood"}), (200, b"{cut"), (302, {})]
+)
+async def test_answer_that_says_nothing_counts_as_none(workers, record, answers, status, body):
+    """Guards against a run that is settled by an answer that nobody can read."""
+    answers.status, answers.body = status, body
+    with pytest.raises(WorkerUnreachableError):
+        await start(workers, record)
+
+
+async def test_silent_vm_is_given_up(workers, record, answers):
+    """Guards against an order that waits for ever."""
+    answers.wait_s = 5.0
+    with pytest.raises(WorkerUnreachableError):
+        await start(workers, record)
+
+
+async def test_listing_is_decoded(workers, record, answers):
+    """Guards against columns that are mixed up."""
+    answers.body = {
+        "clock_ms": 50,
+        "born": 9,
+        "running": [["w.0.0.1", 2, "half", 41, 800], ["w.0.0.2", 1, "", 7]],
+        "finished": [[4, "w.0.0.0", 1, "broken", ""]],
+    }
+    reply = await hold(workers, record)
+    assert (reply.clock_ms, reply.boot, reply.is_whole) == (50, 9, True)
+    assert [tuple(row) for row in reply.running] == [
+        ("w.0.0.1", 2, "half", 41, 800),
+        ("w.0.0.2", 1, "", 7, 0),
+    ]
+    assert (reply.ends[0].number, reply.ends[0].end.outcome) == (4, RunOutcome.BROKEN)
+    ((_, body, _),) = answers.calls
+    assert body == {"fencing_token": 7, "last_seen": 3, "wait_ms": 0}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"clock_ms": 5},
+        {"clock_ms": "x", "running": [], "finished": []},
+        {"clock_ms": 5, "running": [["w"]], "finished": []},
+        {"clock_ms": 5, "running": [], "finished": [[1, "w.0.0.0", 1, "vanished", ""]]},
+    ],
+)
+async def test_listing_that_cannot_be_read_counts_as_none(workers, record, answers, body):
+    """Guards against runs that are taken as gone because their listing was broken."""
+    answers.body = body
+    with pytest.raises(WorkerUnreachableError):
+        await hold(workers, record)
+
+
+async def test_other_vm_at_the_address_is_noticed(workers, record, answers):
+    """Guards against orders to a VM that took over an address."""
+    answers.status = 421
+    with pytest.raises(OtherBootError):
+        await hold(workers, record)
