Restore the log after the tests of its sink

The fixture of tests/event/test_line_sink.py left its sink on a closed pipe, so a later test of the same worker process that logged met it; which test that is depends on how tests are spread over workers.

Ruled out: load (none), the state machine (the line before the error is the log line of the test).

Change: the fixture sets the log up again. That the sink raises when its reader is gone is listed as not proved.

--- a/tests/event/test_line_sink.py
+++ b/tests/event/test_line_sink.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from hyssopway.event import Event, log_event, set_up_line_logging
+from hyssopway.event import Event, log_event, set_up_line_logging, set_up_logging
 from hyssopway.event.line_sink import MAX_LINES_A_SECOND
 
 
@@ -18,6 +18,8 @@
         os.set_blocking(source.fileno(), False)
         set_up_line_logging(level="INFO", stream=stream)
         yield source
+        # Later tests of this process must not write to the closed pipe.
+        set_up_logging(level="DEBUG", json_output=False)
 
 
 def read_lines(source):
