Let a VM that drains count its own requests, so a dead entry does not hold it up

Cause: a drain waits for a silent entry until the longest deadline of any document plus 4.1 s has passed (64 s), since nobody else knew what that entry had sent. The test gives the rest of its wave 90 s. Ruled out: a fault of the platform stand-in or of the new leader; the rest of the wave goes on at once when the wait is over. Change: the reply to a sync orders the endpoints of a VM that drains to leave, and the sync reports the requests left on them. The count stands for silent entries 7.1 s after the first report (leases of endpoint and credits, age of a sync). Entries that answer are still asked.

--- a/src/hyssopway/fleet/vm_requests.py
+++ b/src/hyssopway/fleet/vm_requests.py
@@ -10,6 +10,7 @@
 
 from hyssopway.control.record import VmState
 from hyssopway.document import parse_document
+from hyssopway.endpoint import ENDPOINT_LEASE_S
 from hyssopway.peer import PeerUnreachableError
 from hyssopway.routing import CREDIT_LEASE_S, HOME_MARGIN_S, SUMMARY_VALID_S
 
@@ -25,6 +26,11 @@
 # After its last contact an entry may still renew credits until others miss its summaries, and then use them
 # until their lease ends.
 LAST_START_S = SUMMARY_VALID_S + CREDIT_LEASE_S + HOME_MARGIN_S
+# Oldest count of a VM that a sync brings: a worker gives a sync up after 2.5 s.
+REPORT_AGE_S = 3.0
+# An endpoint that left gets its last request when its lease at a home that it could not tell and the credits
+# of that home have ended; the count must be younger.
+LEFT_S = ENDPOINT_LEASE_S + CREDIT_LEASE_S + HOME_MARGIN_S + REPORT_AGE_S
 
 
 class VmRequests:
@@ -39,9 +45,10 @@
             that was never heard counts from the start of this process, which may have known it before.
         stopped_at: Local time at which an entry said that it had finished all requests and would stop.
         limits: Longest deadline in each document, by digest.
+        left_at: Local time at which a VM first said that its endpoints had left.
     """
 
-    __slots__ = ("heard_at", "ledger", "limits", "peers", "replica", "router", "stopped_at")
+    __slots__ = ("heard_at", "ledger", "left_at", "limits", "peers", "replica", "router", "stopped_at")
 
     def __init__(
         self, *, ledger: CreditLedger, router: Router, peers: PeerDirectory, replica: Replica
@@ -53,13 +60,20 @@
         self.heard_at: dict[str, float] = dict.fromkeys(router.homes.others, ledger.clock())
         self.stopped_at: dict[str, float] = {}
         self.limits: dict[str, float] = {}
+        self.left_at: dict[str, float] = {}
 
-    async def count(self, vm: str) -> int | None:
+    async def count(self, vm: str, reported: int | None = None) -> int | None:
         """Returns the number of requests in progress; None while an entry may have some and does not say.
 
-        A silent entry cannot renew its credits. What it sent has reached its deadline after the longest
-        deadline that a document allows; without this bound one dead entry would block all drains.
+        A silent entry cannot renew its credits. What it sent is over once the VM counts no request after its
+        endpoints left, and otherwise after the longest deadline that a document allows; without this bound
+        one dead entry would block all drains.
+
+        Args:
+            vm: The VM.
+            reported: Requests that the VM counts on its endpoints since these left; None before.
         """
+        counted = self._take_report(vm, reported=reported)
         asked_at = self.ledger.clock()
         names = list(self.heard_at)
         answers = await asyncio.gather(*(self._ask(name, vm=vm) for name in names))
@@ -75,6 +89,8 @@
         # An entry whose replica is behind still hands out credits for the VM.
         if not all(answer["stopping"] for answer in known):
             return None
+        if counted is not None:
+            return counted
         silent = [name for name, answer in zip(names, answers, strict=True) if answer is None]
         wait_s = self.longest_deadline_s() + LAST_START_S
         if any(self._may_have_requests(name, wait_s=wait_s) for name in silent):
@@ -121,6 +137,14 @@
         self.stopped_at[name] = self.ledger.clock()
         return True
 
+    def _take_report(self, vm: str, *, reported: int | None) -> int | None:
+        """Returns the requests that a VM counts; None while its endpoints may still get new ones."""
+        if reported is None:
+            self.left_at.pop(vm, None)
+            return None
+        now = self.ledger.clock()
+        return reported if now - self.left_at.setdefault(vm, now) > LEFT_S else None
+
     def _may_have_requests(self, name: str, *, wait_s: float) -> bool:
         heard_at = self.heard_at[name]
         if heard_at <= self.stopped_at.get(name, float("-inf")):
--- a/src/hyssopway/worker/messages.py
+++ b/src/hyssopway/worker/messages.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Annotated
+
+from pydantic import Field
 
 from hyssopway.control.record import RunOutcome
 from hyssopway.document import Resources
@@ -59,6 +62,8 @@
         number: Counts the syncs of this process; a home drops a request that a later one overtook.
         wait_s: How long the home may hold the request while it has nothing to order; 0 answers at once.
         seen_index: Largest `state_index` of the replies; a home behind it knows too little to order.
+        requests: Requests in progress on the endpoints of its VM, once these have left on the order of
+            `leave`; None before, and from a VM that does not count them.
     """
 
     zone: str
@@ -71,6 +76,7 @@
     number: int = 0
     seen_index: int = 0
     wait_s: float = 0.0
+    requests: Annotated[int, Field(ge=0)] | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,6 +115,7 @@
         checkpoint: Jobs whose task is to be checkpointed and ended.
         throttle: Jobs whose task is to be slowed down.
         acknowledged: Jobs whose ended run is recorded.
+        leave: Whether the endpoints of its VM are to leave; otherwise they announce themselves.
         state_index: Index of the agreed state that the orders come from.
     """
 
@@ -118,6 +125,7 @@
     checkpoint: list[str] = field(default_factory=list)
     throttle: list[str] = field(default_factory=list)
     acknowledged: list[str] = field(default_factory=list)
+    leave: bool = False
     state_index: int = 0
 
 
--- a/src/hyssopway/worker/sessions.py
+++ b/src/hyssopway/worker/sessions.py
@@ -31,7 +31,7 @@
     from .messages import SyncRequest
     from .run_reports import RunKey
 
-CountRequests = Callable[[str], Awaitable[int | None]]
+CountRequests = Callable[[str, int | None], Awaitable[int | None]]
 
 WORKER_LEASE_S = 4.0
 SUBMIT_TIMEOUT_S = 2.0
@@ -58,7 +58,8 @@
         sessions: Sessions by VM.
         reports: Ends of runs on their way to the agreed state.
         first_seen: Local time at which a run was first found not started on its worker.
-        count_requests: Counts the requests in progress on a VM's endpoints; None when some are unknown.
+        count_requests: Counts the requests in progress on a VM's endpoints, given what the VM counts itself;
+            None when some are unknown.
     """
 
     __slots__ = (
@@ -179,6 +180,7 @@
                 request, reclaimed=self._reclaimed(request, action=ReclaimAction.THROTTLE)
             ),
             acknowledged=acknowledged,
+            leave=record.state in (VmState.DRAINING, VmState.DRAINED),
             state_index=self.replica.applied_index,
         )
 
@@ -256,7 +258,7 @@
             return
         if request.running or request.ended or self.replica.state.indexes.running.get(vm):
             return
-        if not permit.stop_work and await self.count_requests(vm) != 0:
+        if not permit.stop_work and await self.count_requests(vm, request.requests) != 0:
             return
         command = ChangeVm(
             vm=vm, state=VmState.DRAINED, expected_epoch=known.epoch, reason="no task and no request left"
@@ -374,7 +376,7 @@
     return job.run is not None and job.run.epoch == epoch
 
 
-async def _count_none(vm: str) -> int | None:
+async def _count_none(vm: str, reported: int | None) -> int | None:
     return 0
 
 
--- a/src/hyssopway_standins/endpoint.py
+++ b/src/hyssopway_standins/endpoint.py
@@ -37,6 +37,8 @@
         most_in_progress: Most requests in progress at once.
         cut: Requests whose connection broke before their answer.
         received_at: Local time of the last request received.
+        left: Whether it left on the order of its VM.
+        leaving: Tells the entries that it left.
     """
 
     name: str
@@ -58,6 +60,8 @@
     address: str = ""
     runner: web.AppRunner | None = None
     task: asyncio.Task[None] | None = None
+    left: bool = False
+    leaving: asyncio.Task[None] | None = None
 
     async def start(self, *, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listens and begins to announce itself."""
@@ -72,8 +76,9 @@
 
     async def stop(self, *, leave: bool = True) -> None:
         """Stops; with `leave` it says so and finishes what it serves."""
-        if self.task is not None:
-            self.task.cancel()
+        for task in (self.task, self.leaving):
+            if task is not None:
+                task.cancel()
         if leave:
             await self.leave()
             while self.in_progress:  # noqa: ASYNC110  ends with the last request
@@ -90,6 +95,16 @@
             for entry in self.entries:
                 await self._leave(session, entry)
 
+    def follow(self, *, leave: bool) -> None:
+        """Leaves or comes back on the order of its VM; a stopped endpoint does neither."""
+        if leave == self.left or self.runner is None:
+            return
+        self.left = leave
+        if leave:
+            self.leaving = asyncio.create_task(self.leave())
+        else:
+            self.task = asyncio.create_task(self.announce_until_cancelled())
+
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answers with the request's body and the endpoint's name."""
         self.received += 1
--- a/src/hyssopway_standins/outside.py
+++ b/src/hyssopway_standins/outside.py
@@ -55,6 +55,7 @@
                         slots=service.slots,
                         connections=service.connections,
                     )
+                    outside.workers[place.name].endpoints.append(outside.endpoints[name])
         return outside
 
     async def start(self) -> None:
--- a/src/hyssopway_standins/worker.py
+++ b/src/hyssopway_standins/worker.py
@@ -17,6 +17,8 @@
 from hyssopway.document import Resources
 from hyssopway.worker import EndedRun, RunningTask, StartOrder, SyncReply, SyncRequest
 
+from .endpoint import EndpointStandIn
+
 SYNC_S = 0.5
 WAIT_S = 1.0
 
@@ -45,6 +47,7 @@
         changed: Set when a task ended.
         time_scale: Factor on declared run times.
         choose_outcome: Decides how a run ends.
+        endpoints: Endpoints on its VM.
         starts: Every start with its local time.
         ends: Every end of a task with its local time.
         tasks: Running tasks by job.
@@ -63,6 +66,7 @@
     wait_s: float = WAIT_S
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     choose_outcome: Callable[[StartOrder], RunOutcome] = lambda _: RunOutcome.DONE
+    endpoints: list[EndpointStandIn] = field(default_factory=list)
     starts: list[tuple[float, str, int]] = field(default_factory=list)
     ends: list[tuple[float, str, int]] = field(default_factory=list)
     tasks: dict[str, RunningStandInTask] = field(default_factory=dict)
@@ -152,6 +156,8 @@
             self._end(job_id, outcome=RunOutcome.STOPPED, detail="stopped on request")
         for job_id in reply.checkpoint:
             self._end(job_id, outcome=RunOutcome.CHECKPOINTED, detail="checkpointed on request")
+        for endpoint in self.endpoints:
+            endpoint.follow(leave=reply.leave)
         for order in reply.start:
             if time.monotonic() < sent_at + order.start_within_s:
                 self._begin(order)
@@ -187,8 +193,14 @@
             number=self.number,
             seen_index=self.seen_index,
             wait_s=self.wait_s,
+            requests=self._count_requests(),
         )
 
+    def _count_requests(self) -> int | None:
+        if not all(endpoint.left for endpoint in self.endpoints):
+            return None
+        return sum(endpoint.in_progress for endpoint in self.endpoints)
+
     def _begin(self, order: StartOrder) -> None:
         if order.job_id in self.tasks or order.job_id in self.ended:
             return
--- a/tests/fleet/test_vm_requests.py
+++ b/tests/fleet/test_vm_requests.py
@@ -10,7 +10,7 @@
 
 from hyssopway.control.record import VmState
 from hyssopway.fleet import VmRequests
-from hyssopway.fleet.vm_requests import LAST_START_S
+from hyssopway.fleet.vm_requests import LAST_START_S, LEFT_S
 from hyssopway.peer import PeerUnreachableError
 from hyssopway_standins.fleet import EXAMPLES
 
@@ -108,3 +108,31 @@
     world.time.now += 10.0
     world.others["b"].heard_at = world.time.now
     assert await world.requests.count("vm") is None
+
+
+async def test_count_of_a_vm_ends_the_wait_for_a_dead_entry(world):
+    """Guards against a drain that waits a whole deadline for requests that the VM does not have."""
+    assert await world.requests.count("vm", 0) == 0
+    world.peers.answers["b"] = None
+    world.time.now += LEFT_S - 0.1
+    assert await world.requests.count("vm", 0) is None
+    world.time.now += 0.2
+    assert await world.requests.count("vm", 1) == 1
+    assert await world.requests.count("vm", 0) == 0
+
+
+async def test_count_of_a_vm_says_nothing_before_its_endpoints_left(world):
+    """Guards against a silent entry that sends a request to an endpoint which came back."""
+    world.peers.answers["b"] = None
+    assert await world.requests.count("vm", 0) is None
+    world.time.now += LEFT_S + 0.1
+    assert await world.requests.count("vm", None) is None
+    assert await world.requests.count("vm", 0) is None
+
+
+async def test_count_of_a_vm_does_not_replace_an_entry_that_answers(world):
+    """Guards against an entry with an old state whose credits the VM cannot see."""
+    world.peers.answers["b"] = FREE | {"stopping": False}
+    assert await world.requests.count("vm", 0) is None
+    world.time.now += LEFT_S + 0.1
+    assert await world.requests.count("vm", 0) is None
--- a/tests/worker/test_sessions.py
+++ b/tests/worker/test_sessions.py
@@ -106,6 +106,13 @@
     assert detail in home.job.detail
 
 
+async def test_endpoints_leave_while_their_vm_drains(home):
+    """Guards against a drain that waits for an entry which may still send requests to the VM."""
+    assert not (await home.reply()).leave
+    _drain(home)
+    assert (await home.reply()).leave
+
+
 async def test_run_not_started_for_long_is_given_up(home):
     """Guards against a task that starts on a decision of long ago."""
     assert [order.job_id for order in (await home.reply()).start] == ["job"]
