Split the orders of a VM from the contact with it

RunOrders takes the orders with their flights, run_ends builds the ends that a leader concludes itself.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -76,7 +76,7 @@
             link = self.links.get(vm)
             if link is not None:
                 task, _, run = key.rpartition("/")
-                link.ask_stop(task=task, run=int(run), reason="its task needs it no more")
+                link.orders.ask_stop(task=task, run=int(run), reason="its task needs it no more")
 
     async def _add_due_occurrences(self) -> None:
         state = self.leadership.state
@@ -103,7 +103,7 @@
             return
         for start in starts:
             # Known before it is agreed: a listing that arrives in between must not settle it.
-            self.links[start.vm].expect_start(task=start.task, run=start.run)
+            self.links[start.vm].orders.expect_start(task=start.task, run=start.run)
         await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
         log_event(
             Event.RUNS_ORDERED,
@@ -144,7 +144,7 @@
         if link is None:
             return  # the VM left
         if run is None:
-            link.drop_start(task=start.task, run=start.run)  # not allowed any more when it was applied
+            link.orders.drop_start(task=start.task, run=start.run)  # not allowed any more when it was applied
             return
         sending = asyncio.create_task(self._send(run, link=link))
         self.sending.add(sending)
@@ -166,7 +166,7 @@
         rooms: dict[str, list[VmRoom]] = {}
         for vm_id, record in tables.vms.items():
             link = self.links.get(vm_id)
-            if link is None or not link.in_contact(now) or now < link.paused_until:
+            if link is None or not link.in_contact(now) or now < link.orders.paused_until:
                 continue
             if record.draining or record.zone in tables.evacuated or vm_id in self.closed_vms:
                 continue
--- /dev/null
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -0,0 +1,136 @@
+"""Sends the orders of a leader to one VM."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hyssopway.event import Event, log_event
+from hyssopway.workflow import RunOutcome
+
+from .flight import Flight
+from .order_reply import Refusal
+from .run_ends import end_run
+from .worker_calls import WorkerUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hyssopway.workflow import ActiveRun, RunEnd, VmRecord
+
+    from .leadership import Leadership
+    from .lease import VmLease
+    from .worker_calls import WorkerCalls
+
+STOP_AGAIN_S = 0.5
+NO_ROOM_PAUSE_S = 0.3
+
+
+class RunOrders:
+    """Starts and stops of runs on one VM, and what became of them.
+
+    Attributes:
+        vm_id: The VM.
+        leadership: Term on whose behalf orders are sent.
+        calls: Client of worker VMs.
+        lease: Bound on the lease of the VM's runs.
+        flights: Orders by run key.
+        sending: Stops on their way.
+        paused_until: Local time before which nothing is placed on the VM.
+    """
+
+    __slots__ = ("calls", "flights", "leadership", "lease", "paused_until", "sending", "vm_id")
+
+    def __init__(self, *, vm_id: str, leadership: Leadership, calls: WorkerCalls, lease: VmLease) -> None:
+        self.vm_id = vm_id
+        self.leadership = leadership
+        self.calls = calls
+        self.lease = lease
+        self.flights: dict[str, Flight] = {}
+        self.sending: set[asyncio.Task[None]] = set()
+        self.paused_until = float("-inf")
+
+    @property
+    def record(self) -> VmRecord | None:
+        """The VM as agreed."""
+        return self.leadership.state.tables.vms.get(self.vm_id)
+
+    def expect_start(self, *, task: str, run: int) -> None:
+        """Notes that a start is about to be agreed and ordered."""
+        self.flights[f"{task}/{run}"] = Flight(is_sending=True)
+
+    def drop_start(self, *, task: str, run: int) -> None:
+        """Forgets a start that was not agreed."""
+        self.flights.pop(f"{task}/{run}", None)
+
+    async def start(self, run: ActiveRun, *, specification: str, checkpoint: str) -> RunEnd | None:
+        """Orders an agreed start; returns the end of a run that certainly does not start."""
+        record = self.record
+        flight = self.flights.setdefault(run.key, Flight(is_sending=True))
+        now = self.leadership.clock()
+        until_ms = self.lease.renew(now=now)
+        if record is None or record.boot != run.boot or until_ms is None or not self.leadership.may_order():
+            # Nothing was sent, so the run certainly never starts.
+            return end_run(run, RunOutcome.NOT_STARTED)
+        try:
+            reply = await self.calls.start(
+                vm=record,
+                task=run.task,
+                run=run.run,
+                specification=specification,
+                checkpoint=checkpoint,
+                lease_until_ms=until_ms,
+                fencing_token=self.leadership.term,
+            )
+        except WorkerUnreachableError as error:
+            log_event(Event.ORDER_UNANSWERED, order="start", run=run.key, vm=self.vm_id, reason=str(error))
+            return None
+        finally:
+            flight.is_sending = False
+        if reply.refusal is None:
+            flight.accepted_at = self.leadership.clock()
+            return None
+        log_event(Event.ORDER_REFUSED, order="start", run=run.key, vm=self.vm_id, reason=reply.refusal)
+        self.paused_until = self.leadership.clock() + NO_ROOM_PAUSE_S
+        return None if reply.refusal is Refusal.OTHER_BOOT else end_run(run, RunOutcome.NOT_STARTED)
+
+    def is_stop_asked(self, key: str) -> bool:
+        """Tells whether a stop of a run was sent."""
+        flight = self.flights.get(key)
+        return flight is not None and flight.stop_asked_at > float("-inf")
+
+    def ask_stop(self, *, task: str, run: int, reason: str) -> None:
+        """Sends a stop unless one was sent a moment ago."""
+        flight = self.flights.setdefault(f"{task}/{run}", Flight())
+        now = self.leadership.clock()
+        if now - flight.stop_asked_at < STOP_AGAIN_S or not self.leadership.may_order():
+            return
+        flight.stop_asked_at = now
+        log_event(Event.STOP_ORDERED, run=f"{task}/{run}", vm=self.vm_id, reason=reason)
+        sending = asyncio.create_task(self._stop(task=task, run=run, flight=flight))
+        self.sending.add(sending)
+        sending.add_done_callback(self.sending.discard)
+
+    def note_listed(self, keys: Iterable[str], *, now: float) -> None:
+        """Takes in the runs that the VM listed."""
+        for key in keys:
+            flight = self.flights.setdefault(key, Flight())
+            flight.accepted_at = min(flight.accepted_at, now)
+            flight.unlisted_since = float("inf")
+
+    async def _stop(self, *, task: str, run: int, flight: Flight) -> None:
+        record = self.record
+        if record is None:
+            return
+        try:
+            reply = await self.calls.stop(vm=record, task=task, run=run, fencing_token=self.leadership.term)
+        except WorkerUnreachableError as error:
+            log_event(
+                Event.ORDER_UNANSWERED, order="stop", run=f"{task}/{run}", vm=self.vm_id, reason=str(error)
+            )
+            return
+        if reply.refusal is None:
+            flight.stopped_at = min(flight.stopped_at, self.leadership.clock())
+
+
+__all__ = ["RunOrders"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -11,7 +11,8 @@
 
 from .flight import Flight
 from .lease import RUN_LEASE_S, VmLease, lease_end
-from .order_reply import Refusal
+from .run_ends import end_all_runs, end_run
+from .run_orders import RunOrders
 from .settling import Settlement, settle_unlisted
 from .stall_watch import StallWatch
 from .worker_calls import OtherBootError, WorkerUnreachableError
@@ -30,11 +31,9 @@
 
 HOLD_WAIT_MS = 500
 RETRY_S = 0.2
-STOP_AGAIN_S = 0.5
 STOP_SLACK_S = 0.2
 # A VM on which a run stands still gets nothing for this long.
 STALL_PAUSE_S = 2.0
-NO_ROOM_PAUSE_S = 0.3
 # A VM whose last answer is older gets no new starts; longer than a look that gets no answer.
 CONTACT_S = 1.3
 # A VM that neither answers nor announces itself for this long is forgotten.
@@ -52,6 +51,7 @@
         scale: Learns how far declared durations are off.
         on_change: Called when a decision may have become possible.
         lease: Bound on the lease of its runs.
+        orders: Orders of this term to it.
         is_fenced: Whether the VM answers, with the fencing token of this term.
         fenced_at: Local time at which it first answered that token after a silence.
         stop_s: Longest time that it takes to stop a run.
@@ -59,8 +59,6 @@
         heard_at: Local time of its last answer or announcement.
         stalls: Progress of its runs.
         rows: Runs that it listed last, by key.
-        flights: Orders to start by run key.
-        paused_until: Local time before which nothing is placed on it.
         failures: Runs that failed there in a row.
     """
 
@@ -70,18 +68,16 @@
         "calls",
         "failures",
         "fenced_at",
-        "flights",
         "heard_at",
         "is_fenced",
         "leadership",
         "lease",
         "on_change",
-        "paused_until",
+        "orders",
         "rows",
         "scale",
         "stalls",
         "stop_s",
-        "stops",
         "vm_id",
     )
 
@@ -105,15 +101,13 @@
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
+        self.orders = RunOrders(vm_id=vm_id, leadership=leadership, calls=calls, lease=self.lease)
         self.stop_s = limits.stop_s + STOP_SLACK_S
         self.is_fenced = False
         self.fenced_at = float("inf")
         self.answered_at = float("-inf")
         self.heard_at = leadership.clock()
         self.rows: dict[str, RunningRow] = {}
-        self.flights: dict[str, Flight] = {}
-        self.stops: set[asyncio.Task[None]] = set()
-        self.paused_until = float("-inf")
         self.failures = 0
 
     @property
@@ -149,77 +143,11 @@
             return False
         return True
 
-    def expect_start(self, *, task: str, run: int) -> None:
-        """Notes that a start is about to be agreed and ordered."""
-        self.flights[f"{task}/{run}"] = Flight(is_sending=True)
-
-    def drop_start(self, *, task: str, run: int) -> None:
-        """Forgets a start that was not agreed."""
-        self.flights.pop(f"{task}/{run}", None)
-
     async def start(self, run: ActiveRun, *, specification: str, checkpoint: str) -> None:
         """Orders an agreed start and settles it when the VM refuses it."""
-        record = self.record
-        flight = self.flights.setdefault(run.key, Flight(is_sending=True))
-        now = self.leadership.clock()
-        until_ms = self.lease.renew(now=now)
-        if record is None or record.boot != run.boot or until_ms is None or not self.leadership.may_order():
-            # Nothing was sent, so the run certainly never starts.
-            await self._end([_ended(run, RunOutcome.NOT_STARTED)])
-            return
-        try:
-            reply = await self.calls.start(
-                vm=record,
-                task=run.task,
-                run=run.run,
-                specification=specification,
-                checkpoint=checkpoint,
-                lease_until_ms=until_ms,
-                fencing_token=self.leadership.term,
-            )
-        except WorkerUnreachableError as error:
-            log_event(Event.ORDER_UNANSWERED, order="start", run=run.key, vm=self.vm_id, reason=str(error))
-            return
-        finally:
-            flight.is_sending = False
-        if reply.refusal is None:
-            flight.accepted_at = self.leadership.clock()
-            return
-        log_event(Event.ORDER_REFUSED, order="start", run=run.key, vm=self.vm_id, reason=reply.refusal)
-        self.paused_until = self.leadership.clock() + NO_ROOM_PAUSE_S
-        if reply.refusal is not Refusal.OTHER_BOOT:
-            await self._end([_ended(run, RunOutcome.NOT_STARTED)])
-
-    def is_stop_asked(self, key: str) -> bool:
-        """Tells whether a stop of a run was sent."""
-        flight = self.flights.get(key)
-        return flight is not None and flight.stop_asked_at > float("-inf")
-
-    def ask_stop(self, *, task: str, run: int, reason: str) -> None:
-        """Sends a stop unless one was sent a moment ago."""
-        flight = self.flights.setdefault(f"{task}/{run}", Flight())
-        now = self.leadership.clock()
-        if now - flight.stop_asked_at < STOP_AGAIN_S or not self.leadership.may_order():
-            return
-        flight.stop_asked_at = now
-        log_event(Event.STOP_ORDERED, run=f"{task}/{run}", vm=self.vm_id, reason=reason)
-        sending = asyncio.create_task(self._stop(task=task, run=run, flight=flight))
-        self.stops.add(sending)
-        sending.add_done_callback(self.stops.discard)
-
-    async def _stop(self, *, task: str, run: int, flight: Flight) -> None:
-        record = self.record
-        if record is None:
-            return
-        try:
-            reply = await self.calls.stop(vm=record, task=task, run=run, fencing_token=self.leadership.term)
-        except WorkerUnreachableError as error:
-            log_event(
-                Event.ORDER_UNANSWERED, order="stop", run=f"{task}/{run}", vm=self.vm_id, reason=str(error)
-            )
-            return
-        if reply.refusal is None:
-            flight.stopped_at = min(flight.stopped_at, self.leadership.clock())
+        end = await self.orders.start(run, specification=specification, checkpoint=checkpoint)
+        if end is not None:
+            await self._end([end])
 
     async def _hold(self, record: VmRecord) -> None:
         if record.boot != self.boot:
@@ -245,10 +173,7 @@
             self.fenced_at = now
             log_event(Event.VM_HELD, vm=self.vm_id, token=self.leadership.term, runs=len(reply.running))
         self.rows = {f"{row.task}/{row.run}": row for row in reply.running}
-        for key in self.rows:
-            flight = self.flights.setdefault(key, Flight())
-            flight.accepted_at = min(flight.accepted_at, now)
-            flight.unlisted_since = float("inf")
+        self.orders.note_listed(self.rows, now=now)
         self._stop_stalled(now)
         if reply.ends:
             await self._take_ends(record, reply=reply)
@@ -258,7 +183,7 @@
     async def _take_ends(self, record: VmRecord, *, reply: HoldReply) -> None:
         for listed in reply.ends:
             end = listed.end
-            flight = self.flights.pop(f"{end.task}/{end.run}", None)
+            flight = self.orders.flights.pop(f"{end.task}/{end.run}", None)
             if end.outcome is RunOutcome.DONE and flight is not None:
                 self._learn(end, accepted_at=flight.accepted_at)
             if end.outcome is RunOutcome.FAILED:
@@ -284,8 +209,8 @@
             if self.stalls.is_stalled(key, declared_ms=declared_ms, now=now):
                 row = self.rows[key]
                 log_event(Event.RUN_STALLED, run=key, vm=self.vm_id, percent=row.percent)
-                self.paused_until = now + STALL_PAUSE_S
-                self.ask_stop(task=row.task, run=row.run, reason="it stands still")
+                self.orders.paused_until = now + STALL_PAUSE_S
+                self.orders.ask_stop(task=row.task, run=row.run, reason="it stands still")
 
     def _learn(self, end: RunEnd, *, accepted_at: float) -> None:
         real_s = self.leadership.clock() - accepted_at
@@ -312,7 +237,7 @@
             )
             if run is None:
                 continue
-            flight = self.flights.setdefault(key, Flight())
+            flight = self.orders.flights.setdefault(key, Flight())
             flight.unlisted_since = min(flight.unlisted_since, sent_at)
             decision = settle_unlisted(
                 flight=flight,
@@ -324,11 +249,11 @@
             )
             match decision:
                 case Settlement.STOP:
-                    self.ask_stop(task=task, run=run.run, reason="its start was not answered")
+                    self.orders.ask_stop(task=task, run=run.run, reason="its start was not answered")
                 case Settlement.NEVER_RAN:
-                    settled.append(_ended(run, RunOutcome.NOT_STARTED))
+                    settled.append(end_run(run, RunOutcome.NOT_STARTED))
                 case Settlement.VANISHED:
-                    settled.append(_ended(run, RunOutcome.LOST))
+                    settled.append(end_run(run, RunOutcome.LOST))
                 case Settlement.WAIT:
                     pass
         if settled:
@@ -336,7 +261,7 @@
         for key, row in self.rows.items():
             if key not in record.runs:
                 # Its end was concluded while the VM was out of contact.
-                self.ask_stop(task=row.task, run=row.run, reason="its end was concluded before")
+                self.orders.ask_stop(task=row.task, run=row.run, reason="its end was concluded before")
 
     async def _end(self, ends: list[RunEnd], *, last_end: int = 0, boot: int | None = None) -> None:
         record = self.record
@@ -351,29 +276,21 @@
         )
         await self.leadership.propose(command)
         for end in ends:
-            self.flights.pop(f"{end.task}/{end.run}", None)
+            self.orders.flights.pop(f"{end.task}/{end.run}", None)
 
     async def _conclude_lapsed(self, record: VmRecord) -> None:
         if not record.runs or self.leadership.clock() <= self.lease.ends_at:
             return
         log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
-        ends = []
-        for key in sorted(record.runs):
-            task, _, number = key.rpartition("/")
-            ends.append(RunEnd(task=task, run=int(number), outcome=RunOutcome.LAPSED))
         self.rows = {}
-        await self._end(ends)
+        await self._end(end_all_runs(record, RunOutcome.LAPSED))
         self.on_change()
 
     async def _give_up_boot(self, record: VmRecord, *, reason: str) -> None:
         log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
         self._forget_boot()
-        ends = []
-        for key in sorted(record.runs):
-            task, _, number = key.rpartition("/")
-            ends.append(RunEnd(task=task, run=int(number), outcome=RunOutcome.LOST))
-        if ends:
-            await self._end(ends)
+        if record.runs:
+            await self._end(end_all_runs(record, RunOutcome.LOST))
             self.on_change()
 
     async def _take_new_boot(self, record: VmRecord, *, boot: int) -> None:
@@ -397,7 +314,7 @@
     def _forget_boot(self) -> None:
         self.is_fenced = False
         self.rows = {}
-        self.flights = {}
+        self.orders.flights.clear()
         self.lease.forget_clock()
 
     def _note_silence(self, record: VmRecord, *, reason: str) -> None:
--- a/tests/dispatch/test_holder_machine.py
+++ b/tests/dispatch/test_holder_machine.py
@@ -93,7 +93,7 @@
                 continue
             for index in sorted(progress.pending):
                 start = RunStart(task=f"w.0.{number}.{index}", run=progress.last_run[index] + 1, vm=first)
-                link.expect_start(task=start.task, run=start.run)
+                link.orders.expect_start(task=start.task, run=start.run)
                 self.run(self.leader.propose(StartRuns(fencing_token=self.leader.term, starts=(start,))))
                 for active in self.leader.state.tables.runs.get(start.task, ()):
                     assert start.task not in self.seen_done
@@ -126,7 +126,7 @@
     async def stop_runs(self, runs):
         for key, vm in sorted(runs.items()):
             task, _, run = key.rpartition("/")
-            self.links[vm].ask_stop(task=task, run=int(run), reason="test")
+            self.links[vm].orders.ask_stop(task=task, run=int(run), reason="test")
         for _ in range(4):
             await asyncio.sleep(0)
 
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -29,7 +29,7 @@
 
 
 async def start(link, task="w.0.0.0", run=1):
-    link.expect_start(task=task, run=run)
+    link.orders.expect_start(task=task, run=run)
     command = StartRuns(fencing_token=link.leadership.term, starts=(RunStart(task=task, run=run, vm="vm-1"),))
     await link.leadership.propose(command)
     (active,) = link.leadership.state.tables.runs[task]
