--- a/src/hyssopway/dispatch/stall_watch.py
+++ b/src/hyssopway/dispatch/stall_watch.py
@@ -8,9 +8,15 @@
 
 from typing import TYPE_CHECKING
 
+from hyssopway.workflow import TaskId
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from hyssopway.workflow import Workflow
+
+    from .running_row import RunningRow
+
 # Long enough for a busy VM to list progress twice.
 MIN_STALL_S = 1.2
 # A share of 1% may take this part of the declared duration longer than expected.
@@ -37,6 +43,24 @@
             fresh[key] = known if known is not None and known[0] == percent else (percent, now)
         self.seen = fresh
 
+    def find_stalled(
+        self, rows: Iterable[RunningRow], *, workflows: dict[str, Workflow], now: float
+    ) -> list[RunningRow]:
+        """Takes in a listing and returns the runs of short tasks that stand still."""
+        watched: list[tuple[RunningRow, int]] = []
+        for row in rows:
+            task = TaskId.parse(row.task)
+            workflow = workflows.get(task.workflow)
+            step = workflow.spec.steps[task.step] if workflow is not None else None
+            if step is not None and not step.long_running and not step.fills and not step.gang:
+                watched.append((row, step.estimate_ms))
+        self.take(((f"{row.task}/{row.run}", row.percent) for row, _ in watched), now=now)
+        return [
+            row
+            for row, declared_ms in watched
+            if self.is_stalled(f"{row.task}/{row.run}", declared_ms=declared_ms, now=now)
+        ]
+
     def is_stalled(self, key: str, *, declared_ms: float, now: float) -> bool:
         """Tells whether a run has made no progress for too long."""
         known = self.seen.get(key)
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -197,20 +197,11 @@
 
     def _stop_stalled(self, now: float) -> None:
         workflows = self.leadership.state.tables.workflows
-        short: dict[str, float] = {}
-        for key, row in self.rows.items():
-            task = TaskId.parse(row.task)
-            workflow = workflows.get(task.workflow)
-            step = workflow.spec.steps[task.step] if workflow is not None else None
-            if step is not None and not step.long_running and not step.fills and not step.gang:
-                short[key] = step.estimate_ms
-        self.stalls.take(((key, self.rows[key].percent) for key in short), now=now)
-        for key, declared_ms in short.items():
-            if self.stalls.is_stalled(key, declared_ms=declared_ms, now=now):
-                row = self.rows[key]
-                log_event(Event.RUN_STALLED, run=key, vm=self.vm_id, percent=row.percent)
-                self.orders.paused_until = now + STALL_PAUSE_S
-                self.orders.ask_stop(task=row.task, run=row.run, reason="it stands still")
+        for row in self.stalls.find_stalled(self.rows.values(), workflows=workflows, now=now):
+            key = f"{row.task}/{row.run}"
+            log_event(Event.RUN_STALLED, run=key, vm=self.vm_id, percent=row.percent)
+            self.orders.paused_until = now + STALL_PAUSE_S
+            self.orders.ask_stop(task=row.task, run=row.run, reason="it stands still")
 
     def _learn(self, end: RunEnd, *, accepted_at: float) -> None:
         real_s = self.leadership.clock() - accepted_at
@@ -226,15 +217,9 @@
         listed = set(self.rows) | {f"{one.end.task}/{one.end.run}" for one in reply.ends}
         settled: list[RunEnd] = []
         for key in sorted(record.runs - listed):
-            task, _, number = key.rpartition("/")
-            run = next(
-                (
-                    one
-                    for one in self.leadership.state.tables.runs.get(task, ())
-                    if one.run == int(number) and one.vm == self.vm_id
-                ),
-                None,
-            )
+            task = key.rpartition("/")[0]
+            active = self.leadership.state.tables.runs.get(task, ())
+            run = next((one for one in active if one.key == key and one.vm == self.vm_id), None)
             if run is None:
                 continue
             flight = self.orders.flights.setdefault(key, Flight())
