Refuse pre-votes while a candidate that has the vote may lead already

The voters of term 3 had not heard their leader yet and granted the pre-vote. Change: a member refuses pre-votes for the shortest election timeout after it granted a vote. Real votes are not changed.

--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -56,6 +56,7 @@
         commit_index: Last index known to be committed.
         applied_index: Last index applied.
         heard_at: Local time of the last message of a leader or of a granted vote.
+        granted_at: Local time of the last granted vote.
         configuration: Members of the group.
         progress: For a leader, replication by member id.
         progress_changed: Set when `progress` has other members than before.
@@ -88,6 +89,7 @@
         self.commit_index = 0
         self.applied_index = 0
         self.heard_at = clock()
+        self.granted_at = float("-inf")
         self.configuration = Configuration()
         self.progress: dict[str, Progress] = {}
         self.progress_changed = asyncio.Event()
--- a/src/hyssopway/agreement/voting.py
+++ b/src/hyssopway/agreement/voting.py
@@ -23,7 +23,9 @@
             # A member that was cut off must not disturb a group whose leader works.
             return VoteReply(term=member.term, granted=False)
         if request.pre_vote:
-            granted = request.term > member.term and _is_up_to_date(member, request)
+            # The candidate that has the vote may lead already, and its first message be on its way.
+            is_taken = member.clock() - member.granted_at < member.timers.election_min_s
+            granted = not is_taken and request.term > member.term and _is_up_to_date(member, request)
             return VoteReply(term=member.term, granted=granted)
         try:
             return await _answer_real_vote(member=member, request=request)
@@ -42,7 +44,7 @@
     )
     if granted:
         await member.run_write(member.store.write_vote, term=member.term, voted_for=request.candidate)
-        member.heard_at = member.clock()
+        member.heard_at = member.granted_at = member.clock()
     return VoteReply(term=member.term, granted=granted)
 
 
--- a/tests/agreement/test_group.py
+++ b/tests/agreement/test_group.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -32,6 +33,23 @@
     assert replaced.store.vote.voted_for == ""
 
 
+async def test_pre_vote_waits_for_a_candidate_that_has_the_vote(group: Group):
+    """Guards against a new leader that a second candidate deposes before its first message is there."""
+    await group.leader()
+    await group.stop("b", "c", "d", "e")
+    member = group.nodes["a"].member
+    await wait_until(lambda: not member.is_leader)
+    member.step_down(reason="test")
+    vote = VoteRequest(
+        term=member.term + 1, candidate="b/0", target="a/0", last_index=999, last_term=98, pre_vote=False
+    )
+    assert (await answer_vote(member=member, request=vote)).granted
+    rival = replace(vote, term=member.term + 1, candidate="c/0", pre_vote=True)
+    assert not (await answer_vote(member=member, request=rival)).granted
+    await asyncio.sleep(TIMERS.election_min_s)
+    assert (await answer_vote(member=member, request=rival)).granted
+
+
 async def test_parts_of_two_snapshots_do_not_mix(group: Group):
     """Guards against a state put together from the snapshots of two leaders."""
     await group.leader()
