Let a new leader move machines earlier that it sees up

Reason of the wait: two leaders must not order one machine within a turn (ONE), and wall clocks may differ by 5 s. A machine that is not up, also one whose order was on its way for long, waits the whole turn from the start of the term.

--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -79,7 +79,12 @@
         self.scale = WorkScale()
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
         self.emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
-        machine_list = MachineList(leadership=leadership, calls=machines, turn_s=limits.turn_s)
+        machine_list = MachineList(
+            leadership=leadership,
+            calls=machines,
+            turn_s=limits.turn_s,
+            shortest_order_s=min(limits.move_s, limits.maintenance_s),
+        )
         self.mover = PoolMover(
             leadership=leadership,
             calls=machines,
--- a/src/hyssopway/dispatch/machine_list.py
+++ b/src/hyssopway/dispatch/machine_list.py
@@ -30,7 +30,9 @@
             may not show it yet.
         tried_at: Local time of the last try.
         turn_s: Shortest time between orders of two leaders for one machine.
-        others_orders: Machines that a former leader may have ordered a moment ago.
+        shortest_order_s: Shortest time that an order keeps a machine from being up.
+        others_orders: Machines that a former leader may have ordered a moment ago, with the local time from
+            which this one may order them.
     """
 
     __slots__ = (
@@ -40,11 +42,14 @@
         "machines",
         "ordered",
         "others_orders",
+        "shortest_order_s",
         "tried_at",
         "turn_s",
     )
 
-    def __init__(self, *, leadership: Leadership, calls: MachineCalls, turn_s: float) -> None:
+    def __init__(
+        self, *, leadership: Leadership, calls: MachineCalls, turn_s: float, shortest_order_s: float
+    ) -> None:
         self.leadership = leadership
         self.calls = calls
         self.machines: dict[str, Machine] = {}
@@ -52,9 +57,14 @@
         self.tried_at = float("-inf")
         self.ordered: dict[str, float] = {}
         self.turn_s = turn_s
+        self.shortest_order_s = shortest_order_s
         recent_ms = wall_ms() - (turn_s + WALL_CLOCK_SLACK_S) * 1000
         orders = leadership.state.tables.machine_orders
-        self.others_orders = {machine_id for machine_id, at_ms in orders.items() if at_ms > recent_ms}
+        self.others_orders = {
+            machine_id: leadership.started_at + turn_s
+            for machine_id, at_ms in orders.items()
+            if at_ms > recent_ms
+        }
 
     async def refresh(self, *, max_age_s: float) -> None:
         """Reads the list again when it is older than asked for."""
@@ -69,6 +79,7 @@
             return
         self.listed_at = now
         self.machines = {machine.machine_id: machine for machine in machines}
+        self._shorten_turns()
         self.ordered = {
             machine_id: until
             for machine_id, until in self.ordered.items()
@@ -85,8 +96,20 @@
 
     def may_order(self, machine_id: str) -> bool:
         """Tells whether no former leader can have ordered a machine within a turn."""
-        term_s = self.leadership.clock() - self.leadership.started_at
-        return machine_id not in self.others_orders or term_s >= self.turn_s
+        return self.leadership.clock() >= self.others_orders.get(machine_id, float("-inf"))
+
+    def _shorten_turns(self) -> None:
+        """Counts the turn of a machine that is up from before the last order that it can have got.
+
+        A former leader orders nothing after the start of this term, and a machine that it had ordered since
+        would not be up yet. One that is not up any more got an order that was on its way for long.
+        """
+        last_order_at = self.leadership.clock() - self.shortest_order_s
+        for machine_id, free_at in self.others_orders.items():
+            if self._is_up(machine_id):
+                self.others_orders[machine_id] = min(free_at, last_order_at + self.turn_s)
+            else:
+                self.others_orders[machine_id] = max(free_at, self.leadership.started_at + self.turn_s)
 
     def _is_up(self, machine_id: str) -> bool:
         machine = self.machines.get(machine_id)
