Forget workflows that ended long ago

An open workflow, or one with a run, stays whoever proposes it. Event 7033 tells how many were forgotten.

--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -7,7 +7,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
-from hyssopway.workflow import RegisterVm, RemoveVm
+from hyssopway.workflow import ForgetWorkflows, RegisterVm, RemoveVm
 
 from .dispatcher import Dispatcher
 from .emptying import Emptying
@@ -15,6 +15,7 @@
 from .machine_list import MachineList
 from .pool_load import measure_pools
 from .pool_mover import PoolMover
+from .retention import Retention
 from .vm_link import FORGET_S, VmLink
 from .waves import Waves
 from .work_scale import WorkScale
@@ -44,6 +45,7 @@
         waves: Carries out maintenance waves.
         scale: How far declared durations are off.
         mover: Moves machines between pools.
+        retention: Workflows that ended, and since when.
         tasks: Running tasks by VM.
         reported_at: Local time of the last report of the load.
     """
@@ -57,6 +59,7 @@
         "links",
         "mover",
         "reported_at",
+        "retention",
         "scale",
         "tasks",
         "waves",
@@ -77,6 +80,7 @@
         self.reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.scale = WorkScale()
+        self.retention = Retention(keep_s=limits.status_s)
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
         self.emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
         machine_list = MachineList(
@@ -114,6 +118,7 @@
                 self._follow_vms()
                 self._empty_draining()
                 await self._forget_silent()
+                await self._forget_ended()
                 self._report_load()
                 await asyncio.sleep(WATCH_S)
         except LeadershipLostError as error:
@@ -194,6 +199,13 @@
                 waiting=load.waiting_millis // 1000,
             )
 
+    async def _forget_ended(self) -> None:
+        workflows = self.leadership.state.tables.workflows
+        expired = self.retention.find_expired(workflows, now=self.leadership.clock())
+        if expired:
+            await self.leadership.propose(ForgetWorkflows(workflow_ids=expired))
+            log_event(Event.WORKFLOWS_FORGOTTEN, count=len(expired), left=len(workflows))
+
     async def _forget_silent(self) -> None:
         now = self.leadership.clock()
         for vm_id, link in list(self.links.items()):
--- a/src/hyssopway/dispatch/platform_limits.py
+++ b/src/hyssopway/dispatch/platform_limits.py
@@ -15,6 +15,7 @@
         turn_s: Shortest time between orders of two leaders for one machine.
         maintenance_s: Duration of the maintenance of a machine.
         move_s: Duration of the move of a machine to another pool.
+        status_s: How long the state of an ended workflow can be asked for.
     """
 
     longest_lease_s: float
@@ -22,6 +23,7 @@
     turn_s: float
     maintenance_s: float
     move_s: float
+    status_s: float
 
 
 __all__ = ["PlatformLimits"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -206,7 +206,9 @@
     def _learn(self, end: RunEnd, *, accepted_at: float) -> None:
         real_s = self.leadership.clock() - accepted_at
         task = TaskId.parse(end.task)
-        workflow = self.leadership.state.tables.workflows[task.workflow]
+        workflow = self.leadership.state.tables.workflows.get(task.workflow)
+        if workflow is None:
+            return  # forgotten after its end
         step = workflow.spec.steps[task.step]
         if real_s > 0 and step.estimate_ms and not step.long_running:
             self.scale.add(workflow.queue, declared_ms=step.estimate_ms, real_ms=real_s * 1000)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -130,6 +130,7 @@
     MACHINE_MOVED = (7030, "INFO", "machine {machine} moves from pool {source} to pool {target}: {result}")
     RUN_STALLED = (7031, "WARNING", "run {run} on VM {vm} stands still at {percent}%")
     STOP_ORDERED = (7032, "INFO", "stop of run {run} ordered on VM {vm}: {reason}")
+    WORKFLOWS_FORGOTTEN = (7033, "INFO", "{count} workflows that ended long ago forgotten, {left} left")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -11,7 +11,15 @@
 from .workflow_status import WorkflowStatus
 
 if TYPE_CHECKING:
-    from .commands import AcceptWorkflow, AddOccurrence, CancelWorkflow, EndRuns, RunStart, StartRuns
+    from .commands import (
+        AcceptWorkflow,
+        AddOccurrence,
+        CancelWorkflow,
+        EndRuns,
+        ForgetWorkflows,
+        RunStart,
+        StartRuns,
+    )
     from .indexes import Indexes
     from .run_end import RunEnd
     from .tables import Tables
@@ -48,6 +56,15 @@
         end_workflow(tables, indexes, workflow, status=WorkflowStatus.CANCELLED, at_ms=command.at_ms)
 
 
+def forget_workflows(tables: Tables, command: ForgetWorkflows) -> None:
+    """Removes workflows that have ended and of which nothing runs any more."""
+    running = {TaskId.parse(task).workflow for task in tables.runs}
+    for workflow_id in command.workflow_ids:
+        workflow = tables.workflows.get(workflow_id)
+        if workflow is not None and workflow.status.is_final and workflow_id not in running:
+            del tables.workflows[workflow_id]
+
+
 def end_workflow(
     tables: Tables, indexes: Indexes, workflow: Workflow, *, status: WorkflowStatus, at_ms: int
 ) -> None:
@@ -166,5 +183,6 @@
     "cancel_workflow",
     "end_run",
     "end_runs",
+    "forget_workflows",
     "start_runs",
 ]
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -157,6 +157,14 @@
     kind: Literal["machine_orders"] = "machine_orders"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForgetWorkflows:
+    """Removes workflows that ended long ago; one that has not ended or still has a run stays."""
+
+    workflow_ids: tuple[str, ...]
+    kind: Literal["forget"] = "forget"
+
+
 Command = (
     PutDocument
     | SetZoneEvacuated
@@ -171,6 +179,7 @@
     | BeginMaintenance
     | ConfirmMaintenance
     | NoteMachineOrders
+    | ForgetWorkflows
 )
 
 __all__ = [
@@ -181,6 +190,7 @@
     "Command",
     "ConfirmMaintenance",
     "EndRuns",
+    "ForgetWorkflows",
     "NoteMachineOrders",
     "PutDocument",
     "RegisterVm",
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -18,6 +18,7 @@
     Command,
     ConfirmMaintenance,
     EndRuns,
+    ForgetWorkflows,
     NoteMachineOrders,
     PutDocument,
     RegisterVm,
@@ -98,6 +99,8 @@
                 apply_workflows.add_occurrence(tables, command)
             case CancelWorkflow():
                 apply_workflows.cancel_workflow(tables, indexes, command)
+            case ForgetWorkflows():
+                apply_workflows.forget_workflows(tables, command)
             case RegisterVm():
                 apply_fleet.register_vm(tables, indexes, command)
             case RemoveVm():
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -15,7 +15,9 @@
 from hyssopway.workflow import SetZoneEvacuated
 
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
-LIMITS = PlatformLimits(longest_lease_s=10.0, stop_s=0.4, turn_s=3.0, maintenance_s=2.0, move_s=1.5)
+LIMITS = PlatformLimits(
+    longest_lease_s=10.0, stop_s=0.4, turn_s=3.0, maintenance_s=2.0, move_s=1.5, status_s=120.0
+)
 REQUEST = RelayedRequest(entry="control", method="POST", path="/zone", host="", credential="", body=b"")
 
 
--- a/tests/workflow/test_state.py
+++ b/tests/workflow/test_state.py
@@ -8,6 +8,7 @@
     AddOccurrence,
     CancelWorkflow,
     EndRuns,
+    ForgetWorkflows,
     PutDocument,
     RemoveVm,
     RunEnd,
@@ -46,6 +47,22 @@
     assert not log.state.tables.runs
 
 
+def test_only_workflows_without_runs_are_forgotten(log):
+    """Guards against a run without its workflow, and against an open workflow that is lost."""
+    for name in ("done", "open", "running"):
+        log.apply(make_workflow(name))
+    for task in ("done.0.0.0", "done.0.0.1", "done.0.1.0"):
+        start(log, task)
+        end(log, task, RunOutcome.DONE)
+    start(log, "running.0.0.0")
+    log.apply(CancelWorkflow(workflow_id="running", at_ms=5))
+    log.apply(ForgetWorkflows(workflow_ids=("done", "open", "running", "unknown")))
+    assert set(log.state.tables.workflows) == {"open", "running"}
+    end(log, "running.0.0.0", RunOutcome.STOPPED)
+    log.apply(ForgetWorkflows(workflow_ids=("running",)))
+    assert set(log.state.tables.workflows) == {"open"}
+
+
 def test_second_acceptance_changes_nothing(log):
     """Guards against a resent hand-in that resets the progress of a workflow."""
     log.apply(make_workflow("w"))
