--- a/src/hyssopway/agreement/__init__.py
+++ b/src/hyssopway/agreement/__init__.py
@@ -6,6 +6,7 @@
 from .configuration import Configuration, daemon_of
 from .election import run_elections
 from .member import Member
+from .member_dump import dump_member
 from .membership import AddLearner, MemberChange, PromoteLearner, RemoveMember
 from .replication import answer_append, answer_snapshot, run_replication
 from .role import Role
@@ -33,6 +34,7 @@
     "answer_snapshot",
     "answer_vote",
     "daemon_of",
+    "dump_member",
     "run_elections",
     "run_replication",
     "run_to_completion",
--- /dev/null
+++ b/src/hyssopway/agreement/member_dump.py
@@ -0,0 +1,29 @@
+"""Dump of the state of one member."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from .member import Member
+
+
+def dump_member(member: Member) -> dict[str, Any]:
+    """Returns what a member knows of the group and of its own log."""
+    return {
+        "member_id": member.member_id,
+        "role": member.role,
+        "term": member.term,
+        "leader": member.leader_id,
+        "commit_index": member.commit_index,
+        "applied_index": member.applied_index,
+        "last_index": member.store.last_index,
+        "synced_index": member.store.synced_index,
+        "snapshot_index": member.store.snapshot.index,
+        "syncs": member.store.log_file.syncs,
+        "configuration": member.configuration,
+        "progress": {name: progress.match_index for name, progress in member.progress.items()},
+    }
+
+
+__all__ = ["dump_member"]
--- a/src/hyssopway/daemon/dump.py
+++ b/src/hyssopway/daemon/dump.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Any
 
-if TYPE_CHECKING:
-    from hyssopway.agreement import Member
+from hyssopway.agreement import dump_member
 
+if TYPE_CHECKING:
     from .daemon import Daemon
 
 
@@ -17,7 +17,7 @@
         "zone": daemon.settings.zone,
         "stopping": daemon.stopping,
         "tasks": {task.get_name(): not task.done() for task in daemon.tasks},
-        "agreement": _dump_member(daemon.member) if daemon.member else None,
+        "agreement": dump_member(daemon.member) if daemon.member else None,
         "freshness_age_s": daemon.freshness.age_s,
         "agreed_state": _dump_state(daemon),
         "endpoints": list(daemon.requests.registry.endpoints.values()),
@@ -29,23 +29,6 @@
     }
 
 
-def _dump_member(member: Member) -> dict[str, Any]:
-    return {
-        "member_id": member.member_id,
-        "role": member.role,
-        "term": member.term,
-        "leader": member.leader_id,
-        "commit_index": member.commit_index,
-        "applied_index": member.applied_index,
-        "last_index": member.store.last_index,
-        "synced_index": member.store.synced_index,
-        "snapshot_index": member.store.snapshot.index,
-        "syncs": member.store.log_file.syncs,
-        "configuration": member.configuration,
-        "progress": {name: progress.match_index for name, progress in member.progress.items()},
-    }
-
-
 def _dump_state(daemon: Daemon) -> dict[str, Any]:
     tables = daemon.replica.state.tables
     return {
--- /dev/null
+++ b/src/hyssopway/node/node_dump.py
@@ -0,0 +1,64 @@
+"""Dump of the state of one control node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from hyssopway.agreement import dump_member
+
+if TYPE_CHECKING:
+    from hyssopway.dispatch import Conductor
+    from hyssopway.workflow import Tables
+
+    from .control_node import ControlNode
+
+
+def dump_control_node(node: ControlNode) -> dict[str, Any]:
+    """Returns everything that one control node knows, without the keys of teams."""
+    return {
+        "gauges": node.read_gauges(),
+        "agreement": dump_member(node.member),
+        "agreed_state": _dump_tables(node.state.tables),
+        "leader": _dump_conductor(node.conductor) if node.conductor is not None else None,
+    }
+
+
+def _dump_tables(tables: Tables) -> dict[str, Any]:
+    document = tables.document
+    return {
+        "document": {"version": document.version, "queues": document.queues, "pools": document.pools}
+        if document is not None
+        else None,
+        "workflows": tables.workflows,
+        "vms": tables.vms,
+        "runs": tables.runs,
+        "evacuated": sorted(tables.evacuated),
+        "waves": tables.waves,
+        "machine_orders": tables.machine_orders,
+    }
+
+
+def _dump_conductor(conductor: Conductor) -> dict[str, Any]:
+    now = conductor.leadership.clock()
+    return {
+        "term": conductor.leadership.term,
+        "waiting_millis": conductor.dispatcher.waiting_millis,
+        "closed_vms": sorted(conductor.dispatcher.closed_vms),
+        "due_vms": sorted(conductor.dispatcher.due_vms),
+        "machines": conductor.mover.machines.machines,
+        "links": {
+            vm_id: {
+                "in_contact": link.in_contact(now),
+                "answer_age_s": now - link.answered_at,
+                "lease_left_s": link.lease.ends_at - now,
+                "listed": sorted(link.rows),
+                "orders": sorted(link.orders.flights),
+                "pause_left_s": max(0.0, link.orders.paused_until - now),
+                "failures": link.failures,
+            }
+            for vm_id, link in conductor.links.items()
+        },
+    }
+
+
+__all__ = ["dump_control_node"]
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -7,12 +7,14 @@
 
 import capnp
 import pytest
+from pydantic_core import from_json, to_json
 
 from hyssopway.clock import monotonic_s
 from hyssopway.dispatch import Conductor, PlatformLimits
-from hyssopway.node import ControlNode, NodeSettings
+from hyssopway.node import ControlNode, NodeSettings, dump_control_node
 from hyssopway.relay import RelayedReply, RelayedRequest
-from hyssopway.workflow import SetZoneEvacuated
+from hyssopway.workflow import PutDocument, SetZoneEvacuated
+from workflow.conftest import make_document, make_vm, make_workflow
 
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 LIMITS = PlatformLimits(
@@ -92,6 +94,22 @@
     await wait_until(lambda: all("nashua" in node.state.tables.evacuated for node in group))
 
 
+async def test_dump_tells_the_whole_state_without_keys(group):
+    """Guards against a dump that cannot be written, says little, or hands out the keys of teams."""
+    (leader,) = leaders(group)
+    await leader.conductor.leadership.propose(PutDocument(document=make_document()))
+    await leader.conductor.leadership.propose(make_vm("vm-1"))
+    await leader.conductor.leadership.propose(make_workflow("w"))
+    for node in group:
+        await wait_until(lambda node=node: "w" in node.state.tables.workflows)
+        dump = to_json(dump_control_node(node), inf_nan_mode="null")
+        assert b"key-1" not in dump
+        read = from_json(dump)
+        assert set(read["agreed_state"]["workflows"]) == {"w"}
+        assert (read["leader"] is not None) == (node is leader)
+        assert len(read["agreement"]["configuration"]["voters"]) == len(HOSTS)
+
+
 async def test_lead_is_handed_over_without_waiting_for_silence(group):
     """Guards against a planned stop that leaves everyone without a leader for an election timeout."""
     (old,) = leaders(group)
