--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 PYTHON ?= python3.11
 DEPLOYMENT ?= pantry
+SEEDS ?= 5
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test test-faults measure format
+.PHONY: setup demo test test-faults soak measure format
 
 setup: $(STAMP)
 
@@ -26,6 +27,9 @@
 test-faults: setup
 	$(BIN)/python -m pytest -n 2 -m faults tests
 
+soak: setup
+	PYTHONPATH=tests:platform $(BIN)/python -m soak --seeds $(SEEDS)
+
 measure: setup
 	$(BIN)/python -m hyssopway_standins.measure
 
