Count the wait for endpoints that left from the present drain

The time at which a VM first said that its endpoints had left was kept over drains: a sync that waits while the drain begins is answered without a count, so the next one could rest on the time of the drain before. Change: the time is kept with the epoch of the VM, which changes with each change of its state. The test failed first.

--- a/src/hyssopway/fleet/vm_requests.py
+++ b/src/hyssopway/fleet/vm_requests.py
@@ -45,7 +45,7 @@
             that was never heard counts from the start of this process, which may have known it before.
         stopped_at: Local time at which an entry said that it had finished all requests and would stop.
         limits: Longest deadline in each document, by digest.
-        left_at: Local time at which a VM first said that its endpoints had left.
+        left_at: Epoch of a VM and the local time at which it first said that its endpoints had left.
     """
 
     __slots__ = ("heard_at", "ledger", "left_at", "limits", "peers", "replica", "router", "stopped_at")
@@ -60,7 +60,7 @@
         self.heard_at: dict[str, float] = dict.fromkeys(router.homes.others, ledger.clock())
         self.stopped_at: dict[str, float] = {}
         self.limits: dict[str, float] = {}
-        self.left_at: dict[str, float] = {}
+        self.left_at: dict[str, tuple[int, float]] = {}
 
     async def count(self, vm: str, reported: int | None = None) -> int | None:
         """Returns the number of requests in progress; None while an entry may have some and does not say.
@@ -139,11 +139,16 @@
 
     def _take_report(self, vm: str, *, reported: int | None) -> int | None:
         """Returns the requests that a VM counts; None while its endpoints may still get new ones."""
-        if reported is None:
+        record = self.replica.state.tables.vms.get(vm)
+        if reported is None or record is None:
             self.left_at.pop(vm, None)
             return None
         now = self.ledger.clock()
-        return reported if now - self.left_at.setdefault(vm, now) > LEFT_S else None
+        epoch, left_at = self.left_at.get(vm, (0, now))
+        if epoch != record.epoch:  # it may have worked in between
+            left_at = now
+        self.left_at[vm] = (record.epoch, left_at)
+        return reported if now - left_at > LEFT_S else None
 
     def _may_have_requests(self, name: str, *, wait_s: float) -> bool:
         heard_at = self.heard_at[name]
--- a/tests/fleet/test_vm_requests.py
+++ b/tests/fleet/test_vm_requests.py
@@ -38,7 +38,7 @@
 def world():
     time = SimpleNamespace(now=1000.0)
     tables = SimpleNamespace(
-        vms={"vm": SimpleNamespace(state=VmState.DRAINING)},
+        vms={"vm": SimpleNamespace(state=VmState.DRAINING, epoch=1)},
         documents={"production": SimpleNamespace(digest="new", text=TEXT)},
         history=[],
     )
@@ -136,3 +136,13 @@
     assert await world.requests.count("vm", 0) is None
     world.time.now += LEFT_S + 0.1
     assert await world.requests.count("vm", 0) is None
+
+
+async def test_count_of_an_earlier_drain_says_nothing_of_the_present_one(world):
+    """Guards against a VM that worked in between: its endpoints left a moment ago, not at the first drain."""
+    world.peers.answers["b"] = None
+    assert await world.requests.count("vm", 0) is None
+    world.time.now += LEFT_S + 0.1
+    assert await world.requests.count("vm", 0) == 0
+    world.tables.vms["vm"].epoch += 2
+    assert await world.requests.count("vm", 0) is None
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Awaitable, Callable
+    from pathlib import Path
 
     from .nodes import Node
     from .proxy import Proxy
@@ -31,6 +32,7 @@
         workers: Worker VMs.
         rewrite: Writes the settings of a node whose disk was lost.
         log: What was done and when.
+        log_file: Keeps the same while the run lasts.
         busy: Nodes with a fault in progress.
         wiped_at: Local time of the last loss of a disk.
     """
@@ -44,6 +46,7 @@
         proxies: list[Proxy],
         workers: list[WorkerVm],
         rewrite: Callable[[Node], None],
+        log_file: Path,
     ) -> None:
         self.rng = rng
         self.controls = controls
@@ -52,6 +55,7 @@
         self.workers = workers
         self.rewrite = rewrite
         self.log: list[str] = []
+        self.log_file = log_file
         self.busy: set[str] = set()
         self.wiped_at = float("-inf")
         self.began_at = time.monotonic()
@@ -79,6 +83,12 @@
 
     def _note(self, text: str) -> None:
         self.log.append(f"{time.monotonic() - self.began_at:7.2f} {text}")
+        with self.log_file.open("a") as stream:
+            stream.write(f"{time.strftime('%H:%M:%S')} {self.log[-1]}\n")
+
+    def _start(self, node: Node) -> None:
+        self._note(f"start {node.name}")
+        node.start()
 
     def _choose(self, nodes: list[Node]) -> Node | None:
         free = [node for node in nodes if node.name not in self.busy]
@@ -91,7 +101,7 @@
             self._note(f"kill {node.name}")
             node.kill()
             await asyncio.sleep(self.rng.uniform(0.1, 3.0))
-            node.start()
+            self._start(node)
             self.busy.discard(node.name)
 
     async def _freeze(self) -> None:
@@ -113,7 +123,7 @@
             node.terminate()
             status = await asyncio.to_thread(node.wait)
             self._note(f"{node.name} ended with {status}")
-            node.start()
+            self._start(node)
             self.busy.discard(node.name)
 
     async def _wipe(self) -> None:
@@ -130,7 +140,7 @@
         node.wipe()
         self.rewrite(node)
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
-        node.start()
+        self._start(node)
         await asyncio.sleep(6.0)
         self.busy -= controls
 
@@ -143,7 +153,7 @@
             node.kill()
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         for node in self.controls:
-            node.start()
+            self._start(node)
         await asyncio.sleep(1.0)
         self.busy -= {node.name for node in self.controls}
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -63,23 +63,28 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         try:
-            if self.trouble is Trouble.RESET:
-                return
-            with contextlib.suppress(OSError):
-                behind_reader, behind_writer = await asyncio.open_connection(*self.target)
-                self.writers.add(behind_writer)
-                try:
-                    await asyncio.gather(
-                        self._copy(reader, behind_writer, held=Trouble.NO_REQUESTS),
-                        self._copy(behind_reader, writer, held=Trouble.NO_ANSWERS),
-                    )
-                finally:
-                    self.writers.discard(behind_writer)
-                    behind_writer.transport.abort()
+            await self._forward(reader, writer)
+        except asyncio.CancelledError:
+            pass  # the streams of this Python report a cancelled handler as an error
         finally:
             self.writers.discard(writer)
             writer.transport.abort()
 
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.trouble is Trouble.RESET:
+            return
+        with contextlib.suppress(OSError):
+            behind_reader, behind_writer = await asyncio.open_connection(*self.target)
+            self.writers.add(behind_writer)
+            try:
+                await asyncio.gather(
+                    self._copy(reader, behind_writer, held=Trouble.NO_REQUESTS),
+                    self._copy(behind_reader, writer, held=Trouble.NO_ANSWERS),
+                )
+            finally:
+                self.writers.discard(behind_writer)
+                behind_writer.transport.abort()
+
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, held: Trouble
     ) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -83,14 +83,13 @@
     """Processes, worker VMs and callers of one run.
 
     Attributes:
-        seed: Chooses everything but the timing of the machine.
+        seed: Chooses jobs, faults and what worker VMs do; the timing of the machine is not repeated.
         folder: Settings, data and output of all processes.
     """
 
     def __init__(self, *, seed: int, folder: Path) -> None:
         self.seed = seed
         self.folder = folder
-        self.rng = random.Random(seed)
         self.truth = Truth(max_attempts=MAX_ATTEMPTS)
         self.machines = Machines()
         # Loopback addresses of their own, so that runs side by side do not meet.
@@ -107,12 +106,13 @@
         try:
             await self._start()
             faults = Faults(
-                rng=self.rng,
+                rng=random.Random(f"{self.seed} faults"),
                 controls=self.controls,
                 entries=self.entries,
                 proxies=self.proxies,
                 workers=self.workers,
                 rewrite=lambda node: self._configure(node, bootstrap=False),
+                log_file=self.folder / "faults.log",
             )
             callers = self.callers
             if callers is None:
@@ -150,14 +150,18 @@
         await self._put_manifest()
         for number in range(WORKERS):
             worker = WorkerVm(
-                name=f"m{number}", truth=self.truth, rng=self.rng, control=[one.http for one in self.controls]
+                name=f"m{number}",
+                truth=self.truth,
+                rng=random.Random(f"{self.seed} worker {number}"),
+                control=[one.http for one in self.controls],
             )
             await worker.start()
             proxy = await self._front(worker.address)
             worker.announced_address = proxy.address
             self.workers.append(worker)
         entries = [(await self._front(entry.http)).address for entry in self.entries]
-        self.callers = Callers(truth=self.truth, rng=self.rng, entries=entries)
+        rng = random.Random(f"{self.seed} callers")
+        self.callers = Callers(truth=self.truth, rng=rng, entries=entries)
         await self.callers.open()
         await asyncio.sleep(1.0)
 
