--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from .proxy import Trouble
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable, Coroutine
     from pathlib import Path
 
     from .nodes import Node
@@ -64,7 +64,7 @@
     async def run(self, *, for_s: float) -> None:
         """Injects faults for some seconds and waits until the last has passed."""
         until = time.monotonic() + for_s
-        kinds: list[Callable[[], Awaitable[None]]] = [
+        kinds: list[Callable[[], Coroutine[Any, Any, None]]] = [
             self._kill,
             self._freeze,
             self._restart,
@@ -76,7 +76,7 @@
             self._worsen_workers,
         ]
         while time.monotonic() < until:
-            task = asyncio.create_task(self.rng.choice(kinds)())  # type: ignore[arg-type]
+            task = asyncio.create_task(self.rng.choice(kinds)())
             self.tasks.add(task)
             await asyncio.sleep(self.rng.expovariate(0.7))
         await asyncio.gather(*self.tasks)
--- a/tests/soak/truth.py
+++ b/tests/soak/truth.py
@@ -17,6 +17,7 @@
         accepted: Whether a hand-in was acknowledged.
         refused: Whether each answer so far said that it was not accepted.
         cancel_acked_at: Local time at which a cancel was acknowledged.
+        cancel_asked: Whether a cancel was sent.
         state: State that was shown last.
     """
 
@@ -37,7 +38,7 @@
         max_attempts: Failures after which a job fails.
         cancel_s: Time after a cancel within which starts may still come.
         jobs: Jobs by identity.
-        running: VMs by task and run that works now.
+        running: VM of each run that works now, by task and number of the run.
         done: Tasks that ended done.
         failures: Failures by task.
         highest: Highest run number by task.
--- a/tests/soak/worker_vm.py
+++ b/tests/soak/worker_vm.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Coroutine
 
     from .truth import Truth
 
@@ -119,7 +120,7 @@
         self.rejected, self.finished = {}, []
         self.changed.set()
 
-    def _spawn(self, work: Any) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
