Let every voter answer before the test of two member changes at once

Cause: the removals were asked 8 ms after the election. A new leader may commit its first entry with the answers of two of the four others; the removal of one of these two is then refused, because only the leader and one voter of the four that remain are known to answer. The refusal is true, says that nothing was done and when to come back; the next removal was accepted and the two after it were busy, as meant.

Ruled out: two overlapping changes. The log shows one configuration, and the refused change was checked before the accepted one was appended.

Change: the test waits until all four answered, its assertion is unchanged. A second test replays the trace: with two voters that have not answered, the removal of a third is refused with NO_QUORUM, not run, to be repeated in 1 s, and goes through once they have answered.

--- a/tests/agreement/test_membership.py
+++ b/tests/agreement/test_membership.py
@@ -52,6 +52,7 @@
 async def test_second_change_waits_for_the_first(group: Group):
     """Guards against two overlapping changes whose quorums need not intersect."""
     leader = await group.leader()
+    await wait_until(lambda: all(p.match_index for p in leader.member.progress.values()))
     changes = (RemoveMember(member_id=f"{n}/0") for n in NAMES if n != name_of(leader))
     results = await asyncio.gather(*(leader.member.change_members(c, timeout_s=2) for c in changes))
     failed = [result.error.code for result in results if result.is_error()]
@@ -59,6 +60,26 @@
     assert len(leader.member.configuration.voters) == 4
 
 
+async def test_removal_right_after_an_election_waits_for_the_rest_to_answer(group: Group):
+    """Guards against a removal that leaves voters without a quorum known to answer.
+
+    A new leader may commit its first entry with two of four answers; without one of the two that answered, only two
+    of the four voters that remain are known to be reachable.
+    """
+    leader = await group.leader()
+    others = list(leader.member.progress.values())
+    await wait_until(lambda: all(p.match_index for p in others))
+    for progress in others[2:]:
+        progress.acked_at = float("-inf")
+    refused = await leader.member.change_members(RemoveMember(member_id=others[0].member_id), timeout_s=2)
+    assert refused.error.code is ResultCode.NO_QUORUM
+    assert (refused.error.work, refused.error.retry_after_s) == ("not_run", 1.0)
+    await wait_until(lambda: all(p.acked_at > 0 for p in others))
+    assert (
+        await leader.member.change_members(RemoveMember(member_id=others[0].member_id), timeout_s=2)
+    ).is_ok()
+
+
 async def test_new_leader_changes_members_only_after_its_first_commit(group: Group):
     """Guards against a change on top of an uncommitted change of an earlier leader."""
     leader = await group.leader()
