Repeat unanswered orders and lost looks soon

A start without an answer waited 0.5 s, was then stopped, and was settled only when the VM had listed nothing for longer than a stop takes: 1.6 to 2.1 s before the task was ordered again. A look without an answer cost 0.85 s and a pause of 0.2 s, in which ends were not seen. A job of eight tasks meets this nearly always.

Change: an order is repeated after 0.12, 0.18 and 0.3 s. A VM that has the run takes a repeated start for the same one, and refuses a copy that arrives after its end, so nothing has to be settled. A refusal of a repeated start settles nothing, since an earlier copy may still be carried out. Looks at a VM that lost one are short for 5 s (look_timing.py), with margins that grow for a VM that is slow.

Tests, failing on one try and without short looks: repeated starts (3), repeated stop, short looks. The holder's state machine now also draws orders whose first copy is late while the repeated one arrives; also passed with fresh examples.

Also removed: an unused copy of end_run in vm_link.py.

--- a/src/hyssopway/dispatch/flight.py
+++ b/src/hyssopway/dispatch/flight.py
@@ -24,5 +24,10 @@
     stopped_at: float = float("inf")
     unlisted_since: float = float("inf")
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the VM accepted the run or was asked to stop it, so that its start is not repeated."""
+        return self.accepted_at != float("inf") or self.stop_asked_at != float("-inf")
+
 
 __all__ = ["Flight"]
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -20,8 +20,12 @@
 
     from .leadership import Leadership
     from .lease import VmLease
+    from .order_reply import OrderReply
     from .worker_calls import WorkerCalls
 
+# Longest wait for an answer at each try of an order. A VM that has the run already takes a repeated start for the
+# same one, and refuses one that arrives after the end of the run.
+ORDER_TIMEOUTS_S = (0.12, 0.18, 0.3, 0.5)
 STOP_AGAIN_S = 0.5
 NO_ROOM_PAUSE_S = 0.3
 
@@ -65,34 +69,48 @@
 
     async def start(self, run: ActiveRun, *, specification: str, checkpoint: str) -> RunEnd | None:
         """Orders an agreed start; returns the end of a run that certainly does not start."""
-        record = self.record
         flight = self.flights.setdefault(run.key, Flight(is_sending=True))
-        now = self.leadership.clock()
-        until_ms = self.lease.renew(now=now)
-        if record is None or record.boot != run.boot or until_ms is None or not self.leadership.may_order():
-            # Nothing was sent, so the run certainly never starts.
-            return end_run(run, RunOutcome.NOT_STARTED)
+        is_sent = False
         try:
-            reply = await self.calls.start(
-                vm=record,
-                task=run.task,
-                run=run.run,
-                specification=specification,
-                checkpoint=checkpoint,
-                lease_until_ms=until_ms,
-                fencing_token=self.leadership.term,
-            )
-        except WorkerUnreachableError as error:
-            log_event(Event.ORDER_UNANSWERED, order="start", run=run.key, vm=self.vm_id, reason=str(error))
-            return None
+            for timeout_s in ORDER_TIMEOUTS_S:
+                record = self.record
+                until_ms = self.lease.renew(now=self.leadership.clock())
+                if record is None or record.boot != run.boot or until_ms is None:
+                    break
+                if not self.leadership.may_order() or flight.is_known:
+                    break
+                try:
+                    reply = await self.calls.start(
+                        vm=record,
+                        task=run.task,
+                        run=run.run,
+                        specification=specification,
+                        checkpoint=checkpoint,
+                        lease_until_ms=until_ms,
+                        fencing_token=self.leadership.term,
+                        timeout_s=timeout_s,
+                    )
+                except WorkerUnreachableError as error:
+                    self._log_unanswered("start", key=run.key, error=error)
+                    is_sent = True
+                    continue
+                return self._take_start_reply(run, flight=flight, reply=reply, is_repeated=is_sent)
         finally:
             flight.is_sending = False
+        return None if is_sent else end_run(run, RunOutcome.NOT_STARTED)
+
+    def _take_start_reply(
+        self, run: ActiveRun, *, flight: Flight, reply: OrderReply, is_repeated: bool
+    ) -> RunEnd | None:
         if reply.refusal is None:
-            flight.accepted_at = self.leadership.clock()
+            flight.accepted_at = min(flight.accepted_at, self.leadership.clock())
             return None
         log_event(Event.ORDER_REFUSED, order="start", run=run.key, vm=self.vm_id, reason=reply.refusal)
         self.paused_until = self.leadership.clock() + NO_ROOM_PAUSE_S
-        return None if reply.refusal is Refusal.OTHER_BOOT else end_run(run, RunOutcome.NOT_STARTED)
+        # An earlier copy of a repeated order may still be carried out.
+        if is_repeated or reply.refusal is Refusal.OTHER_BOOT:
+            return None
+        return end_run(run, RunOutcome.NOT_STARTED)
 
     def is_stop_asked(self, key: str) -> bool:
         """Tells whether a stop of a run was sent."""
@@ -119,18 +137,23 @@
             flight.unlisted_since = float("inf")
 
     async def _stop(self, *, task: str, run: int, flight: Flight) -> None:
-        record = self.record
-        if record is None:
+        for timeout_s in ORDER_TIMEOUTS_S:
+            record = self.record
+            if record is None or not self.leadership.may_order():
+                return
+            try:
+                reply = await self.calls.stop(
+                    vm=record, task=task, run=run, fencing_token=self.leadership.term, timeout_s=timeout_s
+                )
+            except WorkerUnreachableError as error:
+                self._log_unanswered("stop", key=f"{task}/{run}", error=error)
+                continue
+            if reply.refusal is None:
+                flight.stopped_at = min(flight.stopped_at, self.leadership.clock())
             return
-        try:
-            reply = await self.calls.stop(vm=record, task=task, run=run, fencing_token=self.leadership.term)
-        except WorkerUnreachableError as error:
-            log_event(
-                Event.ORDER_UNANSWERED, order="stop", run=f"{task}/{run}", vm=self.vm_id, reason=str(error)
-            )
-            return
-        if reply.refusal is None:
-            flight.stopped_at = min(flight.stopped_at, self.leadership.clock())
+
+    def _log_unanswered(self, order: str, *, key: str, error: WorkerUnreachableError) -> None:
+        log_event(Event.ORDER_UNANSWERED, order=order, run=key, vm=self.vm_id, reason=str(error))
 
 
 __all__ = ["RunOrders"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -11,6 +11,7 @@
 
 from .flight import Flight
 from .lease import RUN_LEASE_S, VmLease, lease_end
+from .look_timing import LookTiming
 from .run_ends import end_all_runs, end_run
 from .run_orders import RunOrders
 from .settling import Settlement, settle_unlisted
@@ -29,7 +30,6 @@
     from .work_scale import WorkScale
     from .worker_calls import WorkerCalls
 
-HOLD_WAIT_MS = 500
 RETRY_S = 0.2
 STOP_SLACK_S = 0.2
 # A VM on which a run stands still gets nothing for this long.
@@ -50,6 +50,7 @@
         calls: Client of worker VMs.
         scale: Learns how far declared durations are off.
         on_change: Called when a decision may have become possible.
+        looks: Times of the looks at it.
         lease: Bound on the lease of its runs.
         orders: Orders of this term to it.
         is_fenced: Whether the VM answers, with the fencing token of this term.
@@ -72,6 +73,7 @@
         "is_fenced",
         "leadership",
         "lease",
+        "looks",
         "on_change",
         "orders",
         "rows",
@@ -98,6 +100,7 @@
         self.on_change = on_change
         self.scale = scale
         self.stalls = StallWatch()
+        self.looks = LookTiming()
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
@@ -124,7 +127,8 @@
         while self.record is not None:
             if not self.leadership.may_order():
                 await asyncio.sleep(RETRY_S / 4)
-            elif not await self.look():
+            elif not await self.look() and self.looks.lost != 1:
+                # The first look that is lost is repeated at once.
                 await asyncio.sleep(RETRY_S)
 
     async def look(self) -> bool:
@@ -135,9 +139,11 @@
         try:
             await self._hold(record)
         except OtherBootError as error:
+            self.looks.note_answered()
             await self._give_up_boot(record, reason=str(error))
             return False
         except WorkerUnreachableError as error:
+            self.looks.note_lost(now=self.leadership.clock())
             self._note_silence(record, reason=str(error))
             await self._conclude_lapsed(record)
             return False
@@ -154,14 +160,17 @@
             self._forget_boot()
             self.boot = record.boot
         sent_at = self.leadership.clock()
+        times = self.looks.choose(now=sent_at, is_fenced=self.is_fenced)
         reply = await self.calls.hold(
             vm=record,
             fencing_token=self.leadership.term,
             last_end=record.last_end,
             # A VM that is silent gets no new lease: an unanswered look may have extended it.
             lease_until_ms=self.lease.renew(now=sent_at) if self.is_fenced else None,
-            wait_ms=HOLD_WAIT_MS if self.is_fenced else 0,
+            wait_ms=times.wait_ms,
+            timeout_s=times.timeout_s,
         )
+        self.looks.note_answered()
         if reply.boot != record.boot:
             await self._take_new_boot(record, boot=reply.boot)
             return
@@ -311,8 +320,4 @@
             self.on_change()
 
 
-def _ended(run: ActiveRun, outcome: RunOutcome) -> RunEnd:
-    return RunEnd(task=run.task, run=run.run, outcome=outcome)
-
-
 __all__ = ["FORGET_S", "VmLink"]
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -22,8 +22,8 @@
 class WorkerCalls(Protocol):
     """Client of worker VMs.
 
-    Every call raises `WorkerUnreachableError` when there is no usable answer in time. Times of leases are on the
-    steady clock of the VM.
+    Every call raises `WorkerUnreachableError` when there is no usable answer within `timeout_s`. Times of leases
+    are on the steady clock of the VM.
     """
 
     async def hold(
@@ -34,6 +34,7 @@
         last_end: int,
         lease_until_ms: int | None,
         wait_ms: int,
+        timeout_s: float,
     ) -> HoldReply:
         """Renews the lease of all runs of a VM and lists them.
 
@@ -52,16 +53,19 @@
         checkpoint: str,
         lease_until_ms: int,
         fencing_token: int,
+        timeout_s: float,
     ) -> OrderReply:
         """Starts a run."""
         ...
 
-    async def stop(self, *, vm: VmRecord, task: str, run: int, fencing_token: int) -> OrderReply:
+    async def stop(
+        self, *, vm: VmRecord, task: str, run: int, fencing_token: int, timeout_s: float
+    ) -> OrderReply:
         """Stops a run; a run that has not arrived yet is refused from then on."""
         ...
 
     async def pace(
-        self, *, vm: VmRecord, task: str, run: int, percent: int, fencing_token: int
+        self, *, vm: VmRecord, task: str, run: int, percent: int, fencing_token: int, timeout_s: float
     ) -> OrderReply:
         """Limits the share of its work that a run may do."""
         ...
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -70,11 +70,14 @@
         checkpoint="half",
         lease_until_ms=99,
         fencing_token=7,
+        timeout_s=0.5,
     )
 
 
 async def hold(workers, record):
-    return await workers.hold(vm=record, fencing_token=7, last_end=3, lease_until_ms=None, wait_ms=0)
+    return await workers.hold(
+        vm=record, fencing_token=7, last_end=3, lease_until_ms=None, wait_ms=0, timeout_s=0.35
+    )
 
 
 async def test_start_says_everything_once(workers, record, answers):
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -35,24 +35,33 @@
 
 
 class FakeVms:
-    """VMs that run what they are told; each may be silent."""
+    """VMs that run what they are told; each may be silent, or lose the next calls.
+
+    Attributes:
+        lose: Number of calls that get no answer from now on.
+        timeouts: Seconds that each call waited for an answer at most.
+    """
 
     def __init__(self, leadership):
         self.leadership = leadership
         self.silent = False
+        self.lose = 0
+        self.timeouts = []
         self.boot = 1
         self.running = {}
         self.ends = []
         self.leases = []
         self.orders = []
 
-    def _answer(self):
-        if self.silent:
+    def _answer(self, timeout_s):
+        self.timeouts.append(timeout_s)
+        self.lose -= 1
+        if self.silent or self.lose >= 0:
             raise WorkerUnreachableError("silent")
 
-    async def hold(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms):
+    async def hold(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, timeout_s):
         self.leases.append(lease_until_ms)
-        self._answer()
+        self._answer(timeout_s)
         rows = tuple(
             RunningRow(task, run, "", 100, 0)
             for (task, run), name in self.running.items()
@@ -66,15 +75,15 @@
             is_whole=True,
         )
 
-    async def start(self, *, vm, task, run, **_):
+    async def start(self, *, vm, task, run, timeout_s, **_):
         self.orders.append(("start", task, run))
-        self._answer()
+        self._answer(timeout_s)
         self.running[task, run] = vm.vm_id
         return OrderReply()
 
-    async def stop(self, *, vm, task, run, fencing_token):
+    async def stop(self, *, vm, task, run, fencing_token, timeout_s):
         self.orders.append(("stop", task, run))
-        self._answer()
+        self._answer(timeout_s)
         return OrderReply()
 
 
--- a/tests/dispatch/model_worker.py
+++ b/tests/dispatch/model_worker.py
@@ -109,7 +109,8 @@
 
     Attributes:
         workers: VMs by identity.
-        fate: `deliver`, `lose` (not carried out), `mute` (carried out, no answer) or `delay` (carried out later).
+        fate: `deliver`, `lose` (not carried out), `mute` (carried out, no answer), `delay` (carried out later) or
+            `delay_first` (the next order is carried out later, those after it are delivered).
         delayed: Orders that are still on their way.
     """
 
@@ -119,7 +120,7 @@
         self.fate = "deliver"
         self.delayed = []
 
-    async def hold(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms):
+    async def hold(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, timeout_s):
         worker = self.workers[vm.vm_id]
         return self._send(
             lambda: worker.take_hold(
@@ -127,7 +128,9 @@
             )
         )
 
-    async def start(self, *, vm, task, run, specification, checkpoint, lease_until_ms, fencing_token):
+    async def start(
+        self, *, vm, task, run, specification, checkpoint, lease_until_ms, fencing_token, timeout_s
+    ):
         worker, boot = self.workers[vm.vm_id], vm.boot
         refusal = self._send(
             lambda: worker.take_start(
@@ -136,7 +139,7 @@
         )
         return OrderReply(refusal=refusal)
 
-    async def stop(self, *, vm, task, run, fencing_token):
+    async def stop(self, *, vm, task, run, fencing_token, timeout_s):
         worker, boot = self.workers[vm.vm_id], vm.boot
         refusal = self._send(
             lambda: worker.take_stop(
@@ -154,11 +157,14 @@
         self.delayed = []
 
     def _send(self, order):
-        if self.fate == "delay":
+        fate = self.fate
+        if fate == "delay_first":
+            self.fate, fate = "deliver", "delay"
+        if fate == "delay":
             self.delayed.append(order)
-        if self.fate in ("delay", "lose"):
-            raise WorkerUnreachableError(self.fate)
+        if fate in ("delay", "lose"):
+            raise WorkerUnreachableError(fate)
         answer = order()
-        if self.fate == "mute":
-            raise WorkerUnreachableError(self.fate)
+        if fate == "mute":
+            raise WorkerUnreachableError(fate)
         return answer
--- a/tests/dispatch/test_holder_machine.py
+++ b/tests/dispatch/test_holder_machine.py
@@ -30,7 +30,7 @@
 
 VMS = ("vm-1", "vm-2")
 MAX_ATTEMPTS = 2
-FATES = st.sampled_from(["deliver", "deliver", "deliver", "deliver", "lose", "mute", "delay"])
+FATES = st.sampled_from(["deliver", "deliver", "deliver", "deliver", "lose", "mute", "delay", "delay_first"])
 SOME_VMS = st.sampled_from([VMS, VMS, ("vm-1",), ("vm-2",)])
 
 
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -7,8 +7,10 @@
 import pytest
 
 from dispatch.conftest import LIMITS
+from hyssopway.dispatch import OrderReply, Refusal, WorkerUnreachableError
 from hyssopway.dispatch.lease import RUN_LEASE_S
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.look_timing import UNSURE_S
 from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns
@@ -97,6 +99,80 @@
     assert link.leadership.state.tables.runs == {}
 
 
+@pytest.mark.parametrize("lost", [1, 2, 3])
+async def test_unanswered_start_is_repeated(link, vms, lost):
+    """Guards against tasks that wait for a stop and its end each time that a VM leaves an order unanswered."""
+    await look(link)
+    vms.lose, vms.timeouts = lost, []
+    await start(link)
+    assert vms.orders == [("start", "w.0.0.0", 1)] * (lost + 1)
+    assert vms.running == {("w.0.0.0", 1): "vm-1"}
+    assert sum(vms.timeouts[:-1]) <= 0.6, (
+        "a task whose objective is 0.6 s is late before the order is repeated"
+    )
+
+
+async def test_refusal_of_a_repeated_start_settles_nothing(link, vms, monkeypatch):
+    """Guards against a second run while an earlier copy of the order may still be carried out."""
+
+    async def refuse(**_):
+        return OrderReply(refusal=Refusal.NO_ROOM)
+
+    async def lose_first(**_):
+        monkeypatch.setattr(vms, "start", refuse)
+        raise WorkerUnreachableError("lost")
+
+    await look(link)
+    monkeypatch.setattr(vms, "start", lose_first)
+    await start(link)
+    assert "w.0.0.0" in link.leadership.state.tables.runs
+
+
+async def test_start_is_not_repeated_once_the_vm_lists_the_run(link, vms, monkeypatch):
+    """Guards against orders for runs that are known to have started."""
+    await look(link)
+
+    async def carry_out_unanswered(*, vm, task, run, **_):
+        vms.orders.append(("start", task, run))
+        vms.running[task, run] = vm.vm_id
+        await look(link)
+        raise WorkerUnreachableError("answer lost")
+
+    monkeypatch.setattr(vms, "start", carry_out_unanswered)
+    await start(link)
+    assert vms.orders == [("start", "w.0.0.0", 1)]
+
+
+async def test_unanswered_stop_is_repeated(link, vms):
+    """Guards against cancelled work that goes on for half a second for each lost stop."""
+    await look(link)
+    await start(link)
+    vms.lose = 2
+    link.orders.ask_stop(task="w.0.0.0", run=1, reason="cancelled")
+    await asyncio.gather(*link.orders.sending)
+    assert vms.orders.count(("stop", "w.0.0.0", 1)) == 3
+    assert link.orders.flights["w.0.0.0/1"].stopped_at == link.leadership.now
+
+
+async def test_vm_that_leaves_looks_unanswered_is_looked_at_more_often(link, vms):
+    """Guards against ends that are seen a second late when a VM leaves a share of all calls unanswered."""
+    await look(link, times=2)
+    calm_s = vms.timeouts[-1]
+    vms.lose = 1
+    await look(link, times=3)
+    assert vms.timeouts[-1] <= calm_s / 2
+    await look(link, times=2, step_s=UNSURE_S)
+    assert vms.timeouts[-1] == calm_s
+
+
+async def test_slow_vm_is_given_time_to_answer(link, vms):
+    """Guards against a slow VM that is taken for silent because each short look ends before its answer."""
+    await look(link, times=2)
+    vms.lose = 3
+    await look(link, times=4)
+    assert vms.timeouts[-1] >= 0.5
+
+
 async def test_unconfirmed_leader_orders_nothing(link, vms):
     """Guards against orders of a leader that may have a successor."""
     await look(link)
