Replace VMs that are being emptied in their pool

A maintenance wave was emptying one of the two VMs of its pool; the emptied VM gets no starts and keeps its other long-running tasks until their allowance lets them go, and the other VM has no room within the limit on tasks a VM. The pool mover still counted the emptied VM, so the pool had "two VMs" and got no third until its next turn of demand.

Ruled out: missing room (16 of 128 cores in use), labels (the same VMs took the other tasks of the step).

Change: a VM that is emptied is not counted for its pool. The pool mover has a test of its own now (it failed first).

--- a/src/hyssopway/dispatch/pool_mover.py
+++ b/src/hyssopway/dispatch/pool_mover.py
@@ -96,19 +96,21 @@
                 tables=self.leadership.state.tables,
                 waiting_millis=self.emptying.dispatcher.waiting_millis,
             )
-            self._sample(loads)
+            self.sample(loads)
             if standby and self.leadership.may_order():
                 await self.machines.refresh(max_age_s=LIST_S)
-                await self._step(standby, loads=loads)
+                await self.step(standby, loads=loads)
 
-    def _sample(self, loads: dict[str, PoolLoad]) -> None:
+    def sample(self, loads: dict[str, PoolLoad]) -> None:
+        """Takes in the load of all pools."""
         now = self.leadership.clock()
         for pool in {*self.trends, *loads}:
             load = loads.get(pool)
             demand = load.short_millis + load.waiting_millis if load is not None else 0
             self.trends.setdefault(pool, DemandTrend()).add(now=now, demand=demand)
 
-    async def _step(self, standby: str, *, loads: dict[str, PoolLoad]) -> None:
+    async def step(self, standby: str, *, loads: dict[str, PoolLoad]) -> None:
+        """Orders the moves that the demand of all pools asks for now."""
         now = self.leadership.clock()
         self.arrivals = {key: value for key, value in self.arrivals.items() if now < value[1]}
         sizes = [vm.capacity.cpu_millis for vm in self.leadership.state.tables.vms.values()]
@@ -141,11 +143,13 @@
         tables = self.leadership.state.tables
         now = self.leadership.clock()
         evacuated = tables.evacuated
+        in_contact = self._in_contact(now)
         usable = sum(
             vm.pool == pool
             and not vm.draining
             and vm.zone not in evacuated
-            and vm_id in self._in_contact(now)
+            and vm_id not in self.emptying.since
+            and vm_id in in_contact
             for vm_id, vm in tables.vms.items()
         )
         announced = {
--- a/src/hyssopway/dispatch/pool_plan.py
+++ b/src/hyssopway/dispatch/pool_plan.py
@@ -23,7 +23,7 @@
 
     Attributes:
         pool: Name of the pool.
-        vms: VMs that take work, and machines on their way to the pool.
+        vms: VMs that take work and are not being emptied, and machines on their way to the pool.
         steady_millis: Processor of long-running tasks.
         short_millis: Processor that other tasks use or wait for; a recent peak.
         rise_millis_per_s: How fast that grows.
--- /dev/null
+++ b/tests/dispatch/test_pool_mover.py
@@ -0,0 +1,92 @@
+"""Machines that follow the demand of the pools."""
+
+from __future__ import annotations
+
+import pytest
+
+from dispatch.conftest import LIMITS
+from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.emptying import Emptying
+from hyssopway.dispatch.machine_list import MachineList
+from hyssopway.dispatch.pool_load import measure_pools
+from hyssopway.dispatch.pool_mover import PoolMover
+from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.dispatch.work_scale import WorkScale
+from workflow.conftest import make_vm
+
+VMS = ("vm-1", "vm-2")
+SPARE = ("m3", "m4")
+
+
+class FakePlatform:
+    """Lists two machines of a pool and two that wait in the standby pool."""
+
+    def __init__(self):
+        self.moves = []
+
+    async def list_machines(self):
+        busy = [
+            Machine(machine_id=f"m{n}", pool="vans", state=MachineState.UP, zone="nashua", vm_id=f"vm-{n}")
+            for n in (1, 2)
+        ]
+        spare = [
+            Machine(machine_id=name, pool="spare", state=MachineState.UP, zone="nashua", vm_id="")
+            for name in SPARE
+        ]
+        return busy + spare
+
+    async def order_move(self, *, machine_id, pool, fencing_token):
+        self.moves.append((machine_id, pool))
+        return MachineOrderResult.DONE
+
+
+@pytest.fixture
+def platform():
+    return FakePlatform()
+
+
+@pytest.fixture
+async def mover(fleet, vms, platform):
+    await fleet.propose(make_vm("vm-2"))
+    links = {}
+    for name in VMS:
+        links[name] = VmLink(
+            vm_id=name, leadership=fleet, calls=vms, limits=LIMITS, scale=WorkScale(), on_change=lambda: None
+        )
+        await links[name].look()
+    emptying = Emptying(leadership=fleet, links=links, dispatcher=Dispatcher(leadership=fleet, links=links))
+    machines = MachineList(
+        leadership=fleet, calls=platform, turn_s=LIMITS.turn_s, shortest_order_s=LIMITS.move_s
+    )
+    await machines.refresh(max_age_s=1.0)
+    return PoolMover(
+        leadership=fleet,
+        calls=platform,
+        machines=machines,
+        emptying=emptying,
+        scale=WorkScale(),
+        move_s=LIMITS.move_s,
+    )
+
+
+async def step(mover):
+    loads = measure_pools(tables=mover.leadership.state.tables, waiting_millis={})
+    mover.sample(loads)
+    await mover.step("spare", loads=loads)
+
+
+async def test_pool_keeps_two_vms(mover, platform):
+    """Guards against machines ordered for a pool that has what it needs."""
+    await step(mover)
+    assert platform.moves == []
+
+
+async def test_vm_that_is_emptied_is_replaced(mover, platform):
+    """Guards against tasks that find no VM while a maintenance wave empties one of two.
+
+    An emptied VM gets no starts and may have to keep long-running tasks until others are at work elsewhere.
+    """
+    mover.emptying.close("vm-1", reason="wave 1")
+    await step(mover)
+    assert platform.moves == [("m3", "vans")]
