Start more tasks a second at the peak of a turn

Every round was full (100 starts) and rounds followed each other 10 to 13 times a second, 1,000 to 1,400 starts a second. Machines arrived at 20 to 40 a second, ordered one after the other; the platform accepts 64. In the profile, looks took 24% of the leader's time, orders 15%, the log file 12%, rounds 8%.

Ruled out: a faster event loop (uvloop in a trial of the HTTP client: 315 and 347 us a call against 310 and 386).

--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -9,9 +9,11 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import ForgetWorkflows, RegisterVm, RemoveVm
 
+from .answer_times import AnswerTimes
 from .dispatcher import Dispatcher
 from .emptying import Emptying
 from .leadership import LeadershipLostError
+from .look_pacer import LookPacer
 from .machine_list import MachineList
 from .pool_load import measure_pools
 from .pool_mover import PoolMover
@@ -45,6 +47,8 @@
         waves: Carries out maintenance waves.
         scale: How far declared durations are off.
         mover: Moves machines between pools.
+        pacer: Rate of the looks at all VMs.
+        times: Times that answers to orders take.
         retention: Workflows that ended, and since when.
         tasks: Running tasks by VM.
         reported_at: Local time of the last report of the load.
@@ -58,10 +62,12 @@
         "limits",
         "links",
         "mover",
+        "pacer",
         "reported_at",
         "retention",
         "scale",
         "tasks",
+        "times",
         "waves",
     )
 
@@ -80,6 +86,8 @@
         self.reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.scale = WorkScale()
+        self.pacer = LookPacer()
+        self.times = AnswerTimes()
         self.retention = Retention(keep_s=limits.status_s)
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
         self.emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
@@ -96,6 +104,7 @@
             emptying=self.emptying,
             scale=self.scale,
             move_s=limits.move_s,
+            orders_per_s=limits.machine_orders_per_s,
         )
         self.waves = Waves(
             leadership=leadership,
@@ -166,6 +175,8 @@
                     calls=self.calls,
                     limits=self.limits,
                     scale=self.scale,
+                    pacer=self.pacer,
+                    times=self.times,
                     on_change=self.dispatcher.changed.set,
                 )
             self.tasks[vm_id] = asyncio.create_task(_until_lost(f"VM {vm_id}", link.run()))
--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
@@ -24,8 +25,11 @@
 ROUND_PAUSE_S = 0.004
 # Longest time between two rounds: leases end and pauses are over without an event.
 IDLE_ROUND_S = 0.25
-MAX_STARTS_A_ROUND = 100
+# Bounds the size of one agreed change.
+MAX_STARTS_A_ROUND = 400
 MAX_SUSPICION = 5
+# Readers of logs cut lines that are much longer than 8 KB.
+RUNS_A_LINE = 50
 
 
 class Dispatcher:
@@ -61,7 +65,7 @@
                 continue
             self._stop_unwanted()
             await self._add_due_occurrences()
-            await self._start_waiting()
+            await self.start_waiting()
 
     async def _wait_for_change(self) -> None:
         try:
@@ -84,7 +88,8 @@
         for workflow_id, occurrence in due:
             await self.leadership.propose(AddOccurrence(workflow_id=workflow_id, occurrence=occurrence))
 
-    async def _start_waiting(self) -> None:
+    async def start_waiting(self) -> None:
+        """Runs one round: places waiting tasks, agrees on their starts and orders them."""
         state = self.leadership.state
         ready = find_ready_steps(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
         self.waiting_millis = {}
@@ -105,28 +110,33 @@
             # Known before it is agreed: a listing that arrives in between must not settle it.
             self.links[start.vm].orders.expect_start(task=start.task, run=start.run)
         await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
-        log_event(
-            Event.RUNS_ORDERED,
-            count=len(starts),
-            runs={f"{start.task}/{start.run}": start.vm for start in starts},
-            answer_age_ms=self._answer_ages_ms(starts),
-        )
+        self._log_starts(starts)
         for start in starts:
             self._order_start(start)
 
+    def _log_starts(self, starts: list[RunStart]) -> None:
+        for first in range(0, len(starts), RUNS_A_LINE):
+            part = starts[first : first + RUNS_A_LINE]
+            log_event(
+                Event.RUNS_ORDERED,
+                count=len(part),
+                runs={f"{start.task}/{start.run}": start.vm for start in part},
+                answer_age_ms=self._answer_ages_ms(part),
+            )
+
     def _answer_ages_ms(self, starts: list[RunStart]) -> dict[str, int]:
         now = self.leadership.clock()
         links = {start.vm: self.links[start.vm] for start in starts if start.vm in self.links}
         return {vm: round((now - link.answered_at) * 1000) for vm, link in links.items()}
 
     def _count_waiting(self, ready: list[ReadyStep], *, starts: list[RunStart]) -> None:
-        started = {start.task for start in starts}
+        started = Counter(start.task.rpartition(".")[0] for start in starts)
         for one in ready:
             pool = self.leadership.state.tables.queue_pools.get(one.workflow.queue, "")
-            waiting = sum(
-                TaskId(one.workflow.workflow_id, one.occurrence, one.number, index).name not in started
-                for index in one.indexes
-            )
+            step_name = TaskId(one.workflow.workflow_id, one.occurrence, one.number, 0).name.rpartition(".")[
+                0
+            ]
+            waiting = len(one.indexes) - started[step_name]
             total = self.waiting_millis.get(pool, 0) + waiting * one.step.cpu_millis
             if total:
                 self.waiting_millis[pool] = total
--- a/src/hyssopway/dispatch/platform_limits.py
+++ b/src/hyssopway/dispatch/platform_limits.py
@@ -15,6 +15,7 @@
         turn_s: Shortest time between orders of two leaders for one machine.
         maintenance_s: Duration of the maintenance of a machine.
         move_s: Duration of the move of a machine to another pool.
+        machine_orders_per_s: Orders for machines that the platform accepts from all nodes together.
         status_s: How long the state of an ended workflow can be asked for.
     """
 
@@ -23,6 +24,7 @@
     turn_s: float
     maintenance_s: float
     move_s: float
+    machine_orders_per_s: float
     status_s: float
 
 
--- a/src/hyssopway/dispatch/pool_mover.py
+++ b/src/hyssopway/dispatch/pool_mover.py
@@ -12,6 +12,7 @@
 from .demand_trend import DemandTrend
 from .machine_calls import MachineCallError, MachineOrderResult
 from .offered_load import measure_offered
+from .order_budget import OrderBudget
 from .pool_load import measure_pools
 from .pool_plan import PoolDemand, plan_moves
 from .step_sizes import StepSizes
@@ -43,6 +44,7 @@
         emptying: VMs that get no starts.
         scale: How far declared durations are off.
         move_s: Duration of a move.
+        budget: Rate of the orders.
         trends: Demand by pool.
         idle_since: Local time since which each VM has been idle; a machine that moves gets another VM.
         step_sizes: How wide the steps of each pool are.
@@ -52,6 +54,7 @@
 
     __slots__ = (
         "arrivals",
+        "budget",
         "calls",
         "emptying",
         "idle_since",
@@ -73,6 +76,7 @@
         emptying: Emptying,
         scale: WorkScale,
         move_s: float,
+        orders_per_s: float,
     ) -> None:
         self.leadership = leadership
         self.calls = calls
@@ -80,6 +84,7 @@
         self.emptying = emptying
         self.scale = scale
         self.move_s = move_s
+        self.budget = OrderBudget(accepted_per_s=orders_per_s, now=leadership.clock())
         self.trends: dict[str, DemandTrend] = {}
         self.idle_since: dict[str, float] = {}
         self.arrivals: dict[str, tuple[str, float]] = {}
@@ -132,12 +137,12 @@
             vm_millis=sorted(sizes)[len(sizes) // 2],
         )
         moves = [move for move in moves if (move.source, move.target) not in self.refused]
+        moves = moves[: self.budget.take(len(moves), now=now)]
         if not moves:
             return
         machine_ids = tuple(move.machine_id for move in moves)
         await self.leadership.propose(NoteMachineOrders(machines=machine_ids, at_ms=wall_ms()))
-        for move in moves:
-            await self._move(move)
+        await asyncio.gather(*(self._move(move) for move in moves))
 
     def _describe(self, pool: str, *, load: PoolLoad, offered: float) -> PoolDemand:
         tables = self.leadership.state.tables
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -18,14 +18,12 @@
 
     from hyssopway.workflow import ActiveRun, RunEnd, VmRecord
 
+    from .answer_times import AnswerTimes
     from .leadership import Leadership
     from .lease import VmLease
     from .order_reply import OrderReply
     from .worker_calls import WorkerCalls
 
-# Longest wait for an answer at each try of an order. A VM that has the run already takes a repeated start for the
-# same one, and refuses one that arrives after the end of the run.
-ORDER_TIMEOUTS_S = (0.12, 0.18, 0.3, 0.5)
 STOP_AGAIN_S = 0.5
 NO_ROOM_PAUSE_S = 0.3
 
@@ -38,18 +36,38 @@
         leadership: Term on whose behalf orders are sent.
         calls: Client of worker VMs.
         lease: Bound on the lease of the VM's runs.
+        times: Times that answers to orders take. A VM that has the run already takes a repeated start for the same
+            one, and refuses one that arrives after the end of the run, so orders may be repeated.
         flights: Orders by run key.
         sending: Stops on their way.
         paused_until: Local time before which nothing is placed on the VM.
     """
 
-    __slots__ = ("calls", "flights", "leadership", "lease", "paused_until", "sending", "vm_id")
-
-    def __init__(self, *, vm_id: str, leadership: Leadership, calls: WorkerCalls, lease: VmLease) -> None:
+    __slots__ = (
+        "calls",
+        "flights",
+        "leadership",
+        "lease",
+        "paused_until",
+        "sending",
+        "times",
+        "vm_id",
+    )
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        leadership: Leadership,
+        calls: WorkerCalls,
+        lease: VmLease,
+        times: AnswerTimes,
+    ) -> None:
         self.vm_id = vm_id
         self.leadership = leadership
         self.calls = calls
         self.lease = lease
+        self.times = times
         self.flights: dict[str, Flight] = {}
         self.sending: set[asyncio.Task[None]] = set()
         self.paused_until = float("-inf")
@@ -72,13 +90,14 @@
         flight = self.flights.setdefault(run.key, Flight(is_sending=True))
         is_sent = False
         try:
-            for timeout_s in ORDER_TIMEOUTS_S:
+            for timeout_s in self.times.choose_timeouts():
                 record = self.record
                 until_ms = self.lease.renew(now=self.leadership.clock())
                 if record is None or record.boot != run.boot or until_ms is None:
                     break
                 if not self.leadership.may_order() or flight.is_known:
                     break
+                sent_at = self.leadership.clock()
                 try:
                     reply = await self.calls.start(
                         vm=record,
@@ -94,6 +113,7 @@
                     self._log_unanswered("start", key=run.key, error=error)
                     is_sent = True
                     continue
+                self.times.note_answer(took_s=self.leadership.clock() - sent_at)
                 return self._take_start_reply(run, flight=flight, reply=reply, is_repeated=is_sent)
         finally:
             flight.is_sending = False
@@ -137,7 +157,7 @@
             flight.unlisted_since = float("inf")
 
     async def _stop(self, *, task: str, run: int, flight: Flight) -> None:
-        for timeout_s in ORDER_TIMEOUTS_S:
+        for timeout_s in self.times.choose_timeouts():
             record = self.record
             if record is None or not self.leadership.may_order():
                 return
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -23,8 +23,10 @@
 
     from hyssopway.workflow import ActiveRun, VmRecord
 
+    from .answer_times import AnswerTimes
     from .hold_reply import HoldReply
     from .leadership import Leadership
+    from .look_pacer import LookPacer
     from .platform_limits import PlatformLimits
     from .running_row import RunningRow
     from .work_scale import WorkScale
@@ -51,6 +53,7 @@
         scale: Learns how far declared durations are off.
         on_change: Called when a decision may have become possible.
         looks: Times of the looks at it.
+        pacer: Rate of the looks at all VMs.
         lease: Bound on the lease of its runs.
         orders: Orders of this term to it.
         is_fenced: Whether the VM answers, with the fencing token of this term.
@@ -76,6 +79,7 @@
         "looks",
         "on_change",
         "orders",
+        "pacer",
         "rows",
         "scale",
         "stalls",
@@ -91,6 +95,8 @@
         calls: WorkerCalls,
         limits: PlatformLimits,
         scale: WorkScale,
+        pacer: LookPacer,
+        times: AnswerTimes,
         on_change: Callable[[], None],
     ) -> None:
         self.vm_id = vm_id
@@ -99,12 +105,15 @@
         self.calls = calls
         self.on_change = on_change
         self.scale = scale
+        self.pacer = pacer
         self.stalls = StallWatch()
         self.looks = LookTiming()
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
-        self.orders = RunOrders(vm_id=vm_id, leadership=leadership, calls=calls, lease=self.lease)
+        self.orders = RunOrders(
+            vm_id=vm_id, leadership=leadership, calls=calls, lease=self.lease, times=times
+        )
         self.stop_s = limits.stop_s + STOP_SLACK_S
         self.is_fenced = False
         self.fenced_at = float("inf")
@@ -188,6 +197,9 @@
             await self._take_ends(record, reply=reply)
         await self._settle(record, reply=reply, sent_at=sent_at)
         self.on_change()
+        self.pacer.note_look(now=now)
+        if reply.ends and (pause_s := self.pacer.read_pause_s()):
+            await asyncio.sleep(pause_s)
 
     async def _take_ends(self, record: VmRecord, *, reply: HoldReply) -> None:
         for listed in reply.ends:
--- a/tests/dispatch/test_emptying.py
+++ b/tests/dispatch/test_emptying.py
@@ -7,8 +7,10 @@
 import pytest
 
 from dispatch.conftest import LIMITS
+from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.emptying import Emptying
+from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import RunStart, StartRuns, Step
@@ -22,7 +24,14 @@
     await fleet.propose(make_workflow("steady", steps=(step,)))
     links = {
         name: VmLink(
-            vm_id=name, leadership=fleet, calls=vms, limits=LIMITS, scale=WorkScale(), on_change=lambda: None
+            vm_id=name,
+            leadership=fleet,
+            calls=vms,
+            limits=LIMITS,
+            scale=WorkScale(),
+            pacer=LookPacer(),
+            times=AnswerTimes(),
+            on_change=lambda: None,
         )
         for name in ("vm-1", "vm-2")
     }
--- a/tests/dispatch/test_holder_machine.py
+++ b/tests/dispatch/test_holder_machine.py
@@ -14,6 +14,8 @@
 
 from dispatch.conftest import LIMITS, FakeLeadership
 from dispatch.model_worker import ModelNetwork, ModelWorker
+from hyssopway.dispatch.answer_times import AnswerTimes
+from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import (
@@ -66,6 +68,8 @@
                 calls=self.network,
                 limits=LIMITS,
                 scale=WorkScale(),
+                pacer=LookPacer(),
+                times=AnswerTimes(),
                 on_change=lambda: None,
             )
             for name in VMS
--- a/tests/dispatch/test_maintenance.py
+++ b/tests/dispatch/test_maintenance.py
@@ -7,8 +7,10 @@
 from dispatch.conftest import LIMITS
 from hyssopway.clock import wall_ms
 from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
+from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.emptying import Emptying
+from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.machine_list import MachineList
 from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.waves import MAX_EMPTYING_S, Waves
@@ -39,7 +41,14 @@
 @pytest.fixture
 async def waves(fleet, vms, platform):
     link = VmLink(
-        vm_id="vm-1", leadership=fleet, calls=vms, limits=LIMITS, scale=WorkScale(), on_change=lambda: None
+        vm_id="vm-1",
+        leadership=fleet,
+        calls=vms,
+        limits=LIMITS,
+        scale=WorkScale(),
+        pacer=LookPacer(),
+        times=AnswerTimes(),
+        on_change=lambda: None,
     )
     links = {"vm-1": link}
     emptying = Emptying(leadership=fleet, links=links, dispatcher=Dispatcher(leadership=fleet, links=links))
--- a/tests/dispatch/test_pool_mover.py
+++ b/tests/dispatch/test_pool_mover.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from dispatch.conftest import LIMITS
 from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
+from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.emptying import Emptying
+from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.machine_list import MachineList
+from hyssopway.dispatch.order_budget import KEEP_S, RATE_SHARE
 from hyssopway.dispatch.pool_load import measure_pools
 from hyssopway.dispatch.pool_mover import PoolMover
 from hyssopway.dispatch.vm_link import VmLink
@@ -16,14 +21,22 @@
 from workflow.conftest import make_vm
 
 VMS = ("vm-1", "vm-2")
-SPARE = ("m3", "m4")
+SPARE = tuple(f"m{number}" for number in range(3, 12))
+ORDER_S = 0.02
 
 
 class FakePlatform:
-    """Lists two machines of a pool and two that wait in the standby pool."""
+    """Lists two machines of a pool and some that wait in the standby pool.
+
+    Attributes:
+        moves: Orders in the order of their arrival.
+        at_once: Most orders that were in progress at the same time.
+    """
 
     def __init__(self):
         self.moves = []
+        self.in_progress = 0
+        self.at_once = 0
 
     async def list_machines(self):
         busy = [
@@ -38,6 +51,10 @@
 
     async def order_move(self, *, machine_id, pool, fencing_token):
         self.moves.append((machine_id, pool))
+        self.in_progress += 1
+        self.at_once = max(self.at_once, self.in_progress)
+        await asyncio.sleep(ORDER_S)
+        self.in_progress -= 1
         return MachineOrderResult.DONE
 
 
@@ -52,7 +69,14 @@
     links = {}
     for name in VMS:
         links[name] = VmLink(
-            vm_id=name, leadership=fleet, calls=vms, limits=LIMITS, scale=WorkScale(), on_change=lambda: None
+            vm_id=name,
+            leadership=fleet,
+            calls=vms,
+            limits=LIMITS,
+            scale=WorkScale(),
+            pacer=LookPacer(),
+            times=AnswerTimes(),
+            on_change=lambda: None,
         )
         await links[name].look()
     emptying = Emptying(leadership=fleet, links=links, dispatcher=Dispatcher(leadership=fleet, links=links))
@@ -67,11 +91,15 @@
         emptying=emptying,
         scale=WorkScale(),
         move_s=LIMITS.move_s,
+        orders_per_s=LIMITS.machine_orders_per_s,
     )
 
 
-async def step(mover):
-    loads = measure_pools(tables=mover.leadership.state.tables, waiting_millis={})
+async def step(mover, *, waiting_millis=0):
+    loads = measure_pools(
+        tables=mover.leadership.state.tables,
+        waiting_millis={"vans": waiting_millis} if waiting_millis else {},
+    )
     mover.sample(loads)
     await mover.step("spare", loads=loads)
 
@@ -89,4 +117,10 @@
     """
     mover.emptying.close("vm-1", reason="wave 1")
     await step(mover)
-    assert platform.moves == [("m3", "vans")]
+    assert [pool for _, pool in platform.moves] == ["vans"]
+
+
+async def test_machines_of_a_turn_are_ordered_together(mover, platform):
+    """Guards against a pool that waits for its machines while orders follow each other one by one."""
+    await step(mover, waiting_millis=8 * 8000)
+    assert platform.at_once == len(platform.moves) == int(LIMITS.machine_orders_per_s * RATE_SHARE * KEEP_S)
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -8,8 +8,10 @@
 
 from dispatch.conftest import LIMITS
 from hyssopway.dispatch import OrderReply, Refusal, WorkerUnreachableError
+from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.lease import RUN_LEASE_S
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.look_timing import UNSURE_S
 from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.work_scale import WorkScale
@@ -19,7 +21,14 @@
 @pytest.fixture
 def link(fleet, vms):
     return VmLink(
-        vm_id="vm-1", leadership=fleet, calls=vms, limits=LIMITS, scale=WorkScale(), on_change=lambda: None
+        vm_id="vm-1",
+        leadership=fleet,
+        calls=vms,
+        limits=LIMITS,
+        scale=WorkScale(),
+        pacer=LookPacer(),
+        times=AnswerTimes(),
+        on_change=lambda: None,
     )
 
 
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -18,7 +18,13 @@
 
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 LIMITS = PlatformLimits(
-    longest_lease_s=10.0, stop_s=0.4, turn_s=3.0, maintenance_s=2.0, move_s=1.5, status_s=120.0
+    longest_lease_s=10.0,
+    stop_s=0.4,
+    turn_s=3.0,
+    maintenance_s=2.0,
+    move_s=1.5,
+    machine_orders_per_s=16.0,
+    status_s=120.0,
 )
 REQUEST = RelayedRequest(entry="control", method="POST", path="/zone", host="", credential="", body=b"")
 
