Keep the areas that were measured before in the report

Cause: write_report wrote only the measurements of its own call.

Change: areas measured before are kept when commit, machine and seed are the same; otherwise they are dropped and named on standard error, so that a page never shows figures of two programs as those of one. A file that cannot be read is replaced, with a line that says so.

Ruled out: two folders (both used the default).

--- a/src/hyssopway_standins/measure/report.py
+++ b/src/hyssopway_standins/measure/report.py
@@ -4,23 +4,50 @@
 
 import platform
 import subprocess
-from typing import TYPE_CHECKING
+import sys
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
 
+from pydantic import TypeAdapter, ValidationError
 from pydantic_core import to_json
 
+from .measurement import Measurement, Series
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
     from pathlib import Path
 
-    from .measurement import Measurement, Series
+RESULTS_FILE = "results.json"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Results:
+    """Content of `results.json`.
+
+    Attributes:
+        origin: Commit, machine and seed.
+        measurements: One for each area.
+    """
+
+    origin: dict[str, Any]
+    measurements: list[Measurement]
+
+
+_RESULTS = TypeAdapter(Results)
 
 
 def write_report(*, folder: Path, measurements: Sequence[Measurement], seed: int) -> None:
-    """Writes `results.json`, `report.md` and one plot for each pair of labels."""
+    """Writes `results.json`, `report.md` and one plot for each pair of labels.
+
+    Other areas that were measured before with the same code, machine and seed are kept.
+    """
     folder.mkdir(parents=True, exist_ok=True)
     origin = {"commit": _commit(), "machine": f"{platform.machine()} {platform.processor()}", "seed": seed}
-    document = {"origin": origin, "measurements": measurements}
-    (folder / "results.json").write_bytes(to_json(document, indent=2))
+    measured = {measurement.area for measurement in measurements}
+    earlier = _read_earlier(folder / RESULTS_FILE, origin=origin)
+    measurements = [*(one for one in earlier if one.area not in measured), *measurements]
+    document = Results(origin=origin, measurements=measurements)
+    (folder / RESULTS_FILE).write_bytes(to_json(document, indent=2))
     lines = ["# Measurements", "", *(f"- {name}: {value}" for name, value in origin.items())]
     for measurement in measurements:
         lines += ["", f"## {measurement.area}", "", "| figure | value |", "|---|---|"]
@@ -29,6 +56,21 @@
     (folder / "report.md").write_text("\n".join(lines) + "\n")
 
 
+def _read_earlier(path: Path, *, origin: dict[str, Any]) -> list[Measurement]:
+    if not path.exists():
+        return []
+    try:
+        results = _RESULTS.validate_json(path.read_bytes())
+    except ValidationError as error:
+        print(f"{path} cannot be read and is replaced: {error.error_count()} errors", file=sys.stderr)
+        return []
+    if results.origin != origin:
+        areas = ", ".join(one.area for one in results.measurements)
+        print(f"dropping {areas} of {results.origin}, this is {origin}", file=sys.stderr)
+        return []
+    return results.measurements
+
+
 def _plot(*, folder: Path, measurement: Measurement) -> list[str]:
     import matplotlib as mpl  # noqa: PLC0415  only needed here, and slow to import
 
