--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -5,6 +5,10 @@
 import pytest
 
 from hyssopway.dispatch import HoldReply, OrderReply, PlatformLimits, RunningRow, WorkerUnreachableError
+from hyssopway.dispatch.answer_times import AnswerTimes
+from hyssopway.dispatch.look_pacer import LookPacer
+from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import PutDocument, WorkflowState, encode_command
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -93,6 +97,19 @@
         return OrderReply()
 
 
+def make_link(vm_id, *, leadership, calls):
+    return VmLink(
+        vm_id=vm_id,
+        leadership=leadership,
+        calls=calls,
+        limits=LIMITS,
+        scale=WorkScale(),
+        pacer=LookPacer(),
+        times=AnswerTimes(),
+        on_change=lambda: None,
+    )
+
+
 @pytest.fixture
 def leadership():
     return FakeLeadership()
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -7,12 +7,8 @@
 import pytest
 from loguru import logger
 
-from dispatch.conftest import LIMITS
-from hyssopway.dispatch.answer_times import AnswerTimes
+from dispatch.conftest import make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
-from hyssopway.dispatch.look_pacer import LookPacer
-from hyssopway.dispatch.vm_link import VmLink
-from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.event import Event
 from hyssopway.workflow import CancelWorkflow, Capacity, RegisterVm, Step
 from workflow.conftest import make_workflow
@@ -48,16 +44,7 @@
                 at_ms=0,
             )
         )
-        links[vm_id] = VmLink(
-            vm_id=vm_id,
-            leadership=fleet,
-            calls=vms,
-            limits=LIMITS,
-            scale=WorkScale(),
-            pacer=LookPacer(),
-            times=AnswerTimes(),
-            on_change=lambda: None,
-        )
+        links[vm_id] = make_link(vm_id, leadership=fleet, calls=vms)
         await links[vm_id].look()
     return Dispatcher(leadership=fleet, links=links)
 
--- a/tests/dispatch/test_emptying.py
+++ b/tests/dispatch/test_emptying.py
@@ -6,13 +6,9 @@
 
 import pytest
 
-from dispatch.conftest import LIMITS
-from hyssopway.dispatch.answer_times import AnswerTimes
+from dispatch.conftest import make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.emptying import Emptying
-from hyssopway.dispatch.look_pacer import LookPacer
-from hyssopway.dispatch.vm_link import VmLink
-from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import RunStart, StartRuns, Step
 from workflow.conftest import make_vm, make_workflow
 
@@ -22,19 +18,7 @@
     await fleet.propose(make_vm("vm-2"))
     step = Step(count=2, long_running=True, disruption_allowance=1)
     await fleet.propose(make_workflow("steady", steps=(step,)))
-    links = {
-        name: VmLink(
-            vm_id=name,
-            leadership=fleet,
-            calls=vms,
-            limits=LIMITS,
-            scale=WorkScale(),
-            pacer=LookPacer(),
-            times=AnswerTimes(),
-            on_change=lambda: None,
-        )
-        for name in ("vm-1", "vm-2")
-    }
+    links = {name: make_link(name, leadership=fleet, calls=vms) for name in ("vm-1", "vm-2")}
     starts = tuple(RunStart(task=f"steady.0.0.{n}", run=1, vm=f"vm-{n + 1}") for n in range(2))
     await fleet.propose(StartRuns(fencing_token=fleet.term, starts=starts))
     vms.running = {(start.task, 1): start.vm for start in starts}
--- a/tests/dispatch/test_holder_machine.py
+++ b/tests/dispatch/test_holder_machine.py
@@ -12,12 +12,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from dispatch.conftest import LIMITS, FakeLeadership
+from dispatch.conftest import LIMITS, FakeLeadership, make_link
 from dispatch.model_worker import ModelNetwork, ModelWorker
-from hyssopway.dispatch.answer_times import AnswerTimes
-from hyssopway.dispatch.look_pacer import LookPacer
-from hyssopway.dispatch.vm_link import VmLink
-from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import (
     CancelWorkflow,
     PutDocument,
@@ -61,19 +57,7 @@
         return self.loop.run_until_complete(work)
 
     def lead(self):
-        self.links = {
-            name: VmLink(
-                vm_id=name,
-                leadership=self.leader,
-                calls=self.network,
-                limits=LIMITS,
-                scale=WorkScale(),
-                pacer=LookPacer(),
-                times=AnswerTimes(),
-                on_change=lambda: None,
-            )
-            for name in VMS
-        }
+        self.links = {name: make_link(name, leadership=self.leader, calls=self.network) for name in VMS}
 
     def settle_tasks(self):
         for _ in range(4):
--- a/tests/dispatch/test_maintenance.py
+++ b/tests/dispatch/test_maintenance.py
@@ -4,17 +4,13 @@
 
 import pytest
 
-from dispatch.conftest import LIMITS
+from dispatch.conftest import LIMITS, make_link
 from hyssopway.clock import wall_ms
 from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
-from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.emptying import Emptying
-from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.machine_list import MachineList
-from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.waves import MAX_EMPTYING_S, Waves
-from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import RunStart, StartRuns, StartWave, Step
 from workflow.conftest import make_workflow
 
@@ -40,16 +36,7 @@
 
 @pytest.fixture
 async def waves(fleet, vms, platform):
-    link = VmLink(
-        vm_id="vm-1",
-        leadership=fleet,
-        calls=vms,
-        limits=LIMITS,
-        scale=WorkScale(),
-        pacer=LookPacer(),
-        times=AnswerTimes(),
-        on_change=lambda: None,
-    )
+    link = make_link("vm-1", leadership=fleet, calls=vms)
     links = {"vm-1": link}
     emptying = Emptying(leadership=fleet, links=links, dispatcher=Dispatcher(leadership=fleet, links=links))
     machines = MachineList(
--- a/tests/dispatch/test_pool_mover.py
+++ b/tests/dispatch/test_pool_mover.py
@@ -6,17 +6,14 @@
 
 import pytest
 
-from dispatch.conftest import LIMITS
+from dispatch.conftest import LIMITS, make_link
 from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
-from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.emptying import Emptying
-from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.machine_list import MachineList
 from hyssopway.dispatch.order_budget import KEEP_S, RATE_SHARE
 from hyssopway.dispatch.pool_load import measure_pools
 from hyssopway.dispatch.pool_mover import PoolMover
-from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.work_scale import WorkScale
 from workflow.conftest import make_vm
 
@@ -68,16 +65,7 @@
     await fleet.propose(make_vm("vm-2"))
     links = {}
     for name in VMS:
-        links[name] = VmLink(
-            vm_id=name,
-            leadership=fleet,
-            calls=vms,
-            limits=LIMITS,
-            scale=WorkScale(),
-            pacer=LookPacer(),
-            times=AnswerTimes(),
-            on_change=lambda: None,
-        )
+        links[name] = make_link(name, leadership=fleet, calls=vms)
         await links[name].look()
     emptying = Emptying(leadership=fleet, links=links, dispatcher=Dispatcher(leadership=fleet, links=links))
     machines = MachineList(
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -6,30 +6,17 @@
 
 import pytest
 
-from dispatch.conftest import LIMITS
+from dispatch.conftest import make_link
 from hyssopway.dispatch import OrderReply, Refusal, WorkerUnreachableError
-from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.lease import RUN_LEASE_S
 from hyssopway.dispatch.listed_end import ListedEnd
-from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.look_timing import UNSURE_S
-from hyssopway.dispatch.vm_link import VmLink
-from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns
 
 
 @pytest.fixture
 def link(fleet, vms):
-    return VmLink(
-        vm_id="vm-1",
-        leadership=fleet,
-        calls=vms,
-        limits=LIMITS,
-        scale=WorkScale(),
-        pacer=LookPacer(),
-        times=AnswerTimes(),
-        on_change=lambda: None,
-    )
+    return make_link("vm-1", leadership=fleet, calls=vms)
 
 
 async def look(link, *, times=1, step_s=0.0):
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -9,23 +9,15 @@
 import pytest
 from pydantic_core import from_json, to_json
 
+from dispatch.conftest import LIMITS
 from hyssopway.clock import monotonic_s
-from hyssopway.dispatch import Conductor, PlatformLimits
+from hyssopway.dispatch import Conductor
 from hyssopway.node import ControlNode, NodeSettings, dump_control_node
 from hyssopway.relay import RelayedReply, RelayedRequest
 from hyssopway.workflow import PutDocument, SetZoneEvacuated
 from workflow.conftest import make_document, make_vm, make_workflow
 
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
-LIMITS = PlatformLimits(
-    longest_lease_s=10.0,
-    stop_s=0.4,
-    turn_s=3.0,
-    maintenance_s=2.0,
-    move_s=1.5,
-    machine_orders_per_s=16.0,
-    status_s=120.0,
-)
 REQUEST = RelayedRequest(entry="control", method="POST", path="/zone", host="", credential="", body=b"")
 
 
