Grant no longer lease with a repeated start

When a VM is gone, its runs are waited for until the last lease ends, so repeated starts to it put that off by up to 1.1 s.

Change: the tries of one order carry the lease of the first.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -88,11 +88,12 @@
     async def start(self, run: ActiveRun, *, specification: str, checkpoint: str) -> RunEnd | None:
         """Orders an agreed start; returns the end of a run that certainly does not start."""
         flight = self.flights.setdefault(run.key, Flight(is_sending=True))
+        # Repeated orders carry the same lease: a VM that is gone must not be waited for any longer.
+        until_ms = self.lease.renew(now=self.leadership.clock())
         is_sent = False
         try:
             for timeout_s in self.times.choose_timeouts():
                 record = self.record
-                until_ms = self.lease.renew(now=self.leadership.clock())
                 if record is None or record.boot != run.boot or until_ms is None:
                     break
                 if not self.leadership.may_order() or flight.is_known:
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -8,7 +8,7 @@
 
 from dispatch.conftest import make_link
 from hyssopway.dispatch import OrderReply, Refusal, WorkerUnreachableError
-from hyssopway.dispatch.lease import RUN_LEASE_S
+from hyssopway.dispatch.lease import RUN_LEASE_S, lease_end
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.look_timing import UNSURE_S
 from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns
@@ -124,6 +124,21 @@
     assert "w.0.0.0" in link.leadership.state.tables.runs
 
 
+async def test_repeated_start_grants_no_longer_lease(link, vms, monkeypatch):
+    """Guards against the runs of a VM that is gone being waited for a second longer for each order on its way."""
+    await look(link)
+    first_at = link.leadership.now
+
+    async def lose(*, timeout_s, **_):
+        link.leadership.now += timeout_s
+        raise WorkerUnreachableError("lost")
+
+    monkeypatch.setattr(vms, "start", lose)
+    await start(link)
+    assert link.leadership.now > first_at
+    assert link.lease.ends_at == lease_end(granted_at=first_at, length_s=link.lease.length_s)
+
+
 async def test_start_is_not_repeated_once_the_vm_lists_the_run(link, vms, monkeypatch):
     """Guards against orders for runs that are known to have started."""
     await look(link)
