Keep the member's lock until a write has ended

A task that was cancelled while it awaited `run_write` released the lock although the writing thread went on, so `rewrite` closed the old descriptor of the log beside `close`.

Ruled out: two writes at once (one writing thread) and the calls of peers, which run to completion.

--- a/src/hyssopway/agreement/completion.py
+++ b/src/hyssopway/agreement/completion.py
@@ -20,4 +20,21 @@
     return await asyncio.shield(asyncio.ensure_future(work))
 
 
-__all__ = ["run_to_completion"]
+async def outlast_cancellation(work: asyncio.Future[T]) -> T:
+    """Waits for work that cannot be stopped; a cancellation takes effect when the work has ended.
+
+    Raises:
+        CancelledError: The caller was cancelled meanwhile.
+    """
+    is_cancelled = False
+    while not work.done():
+        try:
+            await asyncio.wait({work})
+        except asyncio.CancelledError:
+            is_cancelled = True
+    if is_cancelled:
+        raise asyncio.CancelledError
+    return work.result()
+
+
+__all__ = ["outlast_cancellation", "run_to_completion"]
--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -18,6 +18,7 @@
 from hyssopway.event import Event, log_event
 from hyssopway.result import Failure, ResultCode, WorkState
 
+from .completion import outlast_cancellation, run_to_completion
 from .configuration import Configuration, daemon_of
 from .crash_points import crash_point
 from .entry import Entry, EntryKind
@@ -229,10 +230,11 @@
     async def run_write(self, call: Callable[..., T], **arguments: Any) -> T:
         """Runs a blocking call of the store in the member's one writing thread.
 
-        One thread keeps a write that a cancelled task left behind from meeting the next one.
+        The caller holds the lock. A caller that is cancelled leaves only when the call has ended: until then
+        the lock must keep others from the files and from the state that the call reads.
         """
         loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self.writer, partial(call, **arguments))
+        return await outlast_cancellation(loop.run_in_executor(self.writer, partial(call, **arguments)))
 
     def check_running(self) -> None:
         """Refuses calls of others once the member has stopped; the caller holds the lock.
@@ -260,8 +262,8 @@
         if term <= self.term or self.role is Role.STOPPED:
             return
         self.step_down(reason=f"term {term} was seen")
-        await self.run_write(self.store.write_vote, term=term, voted_for="")
         self.leader_id = ""
+        await self.run_write(self.store.write_vote, term=term, voted_for="")
 
     def step_down(self, *, reason: str) -> None:
         """Stops leading or running for election."""
@@ -389,9 +391,13 @@
             self.step_down(reason="this member was removed")
 
     async def _compact(self) -> None:
-        if self.applied_index - self.store.snapshot.index < self.snapshot_entries:
-            return
+        if self.applied_index - self.store.snapshot.index >= self.snapshot_entries:
+            await run_to_completion(self._write_snapshot())
+
+    async def _write_snapshot(self) -> None:
         async with self.lock:
+            if self.role is Role.STOPPED:
+                return
             index = self.applied_index
             snapshot = Snapshot(
                 index=index,
