Pace tasks that fill, ask advisors for tickets, and size pools by a forecast

Cause: nothing called `pace`, so a serving task stayed over its target for as long as what fills beside it worked. `PaceMemory` keeps shares by pair of images for the next VM. Placement keeps both kinds apart when it can.

Cause: no start on a queue with an advisor carried a ticket. `AdviceDesk` asks for one step after another, ahead when the step before is nearly done, with as many VMs as the tasks need at the learned share of approvals; `TicketBook` keeps answers by step and boot; a refused ticket is asked for again and never counts against the VM.

Cause: arrivals of 1.5 s were taken for the steady state, so a pool had 25 VMs of 32 cores for 362 cores in use at the peak of a turn. `DemandForecast` works the demand at the arrival of a machine out from the steps that are open and from arrivals; it replaces the trend and the offered load.

--- a/src/hyssopway/dispatch/__init__.py
+++ b/src/hyssopway/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .advice_calls import AdviceCalls, AdviceError
 from .conductor import Conductor
 from .hold_reply import HoldReply
 from .leadership import Leadership, LeadershipLostError
@@ -19,6 +20,8 @@
 from .worker_calls import OtherBootError, WorkerCalls, WorkerUnreachableError
 
 __all__ = [
+    "AdviceCalls",
+    "AdviceError",
     "Conductor",
     "HoldReply",
     "Leadership",
--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -9,12 +9,14 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import ForgetWorkflows, RegisterVm, RemoveVm
 
+from .advice_desk import AdviceDesk
 from .answer_times import AnswerTimes
 from .dispatcher import Dispatcher
 from .emptying import Emptying
 from .leadership import LeadershipLostError
 from .look_pacer import LookPacer
 from .machine_list import MachineList
+from .pace_memory import PaceMemory
 from .pool_load import measure_pools
 from .pool_mover import PoolMover
 from .retention import Retention
@@ -25,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
+    from .advice_calls import AdviceCalls
     from .leadership import Leadership
     from .machine_calls import MachineCalls
     from .platform_limits import PlatformLimits
@@ -43,11 +46,13 @@
         limits: Bounds that the platform sets.
         links: VMs by identity.
         dispatcher: Places tasks.
+        advice: Asks for the tickets of advised steps.
         emptying: VMs whose work ends or moves.
         waves: Carries out maintenance waves.
         scale: How far declared durations are off.
         mover: Moves machines between pools.
         pacer: Rate of the looks at all VMs.
+        pace_memory: How much tasks that fill disturb those that serve.
         times: Times that answers to orders take.
         retention: Workflows that ended, and since when.
         tasks: Running tasks by VM.
@@ -55,6 +60,7 @@
     """
 
     __slots__ = (
+        "advice",
         "calls",
         "dispatcher",
         "emptying",
@@ -62,6 +68,7 @@
         "limits",
         "links",
         "mover",
+        "pace_memory",
         "pacer",
         "reported_at",
         "retention",
@@ -77,6 +84,7 @@
         leadership: Leadership,
         calls: WorkerCalls,
         machines: MachineCalls,
+        advisor: AdviceCalls,
         limits: PlatformLimits,
     ) -> None:
         self.leadership = leadership
@@ -87,9 +95,19 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.scale = WorkScale()
         self.pacer = LookPacer()
+        self.pace_memory = PaceMemory()
         self.times = AnswerTimes()
         self.retention = Retention(keep_s=limits.status_s)
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
+        self.advice = AdviceDesk(
+            state=leadership.state,
+            calls=advisor,
+            book=self.dispatcher.book,
+            clock=leadership.clock,
+            wall_ms=wall_ms,
+            list_rooms=self.dispatcher.list_rooms,
+            on_tickets=self.dispatcher.changed.set,
+        )
         self.emptying = Emptying(leadership=leadership, links=self.links, dispatcher=self.dispatcher)
         machine_list = MachineList(
             leadership=leadership,
@@ -117,7 +135,12 @@
     async def run(self) -> None:
         """Leads until the term ends."""
         self.leadership.state.on_change = self.dispatcher.changed.set
-        works = {"dispatcher": self.dispatcher.run, "waves": self.waves.run, "pools": self.mover.run}
+        works = {
+            "dispatcher": self.dispatcher.run,
+            "waves": self.waves.run,
+            "pools": self.mover.run,
+            "advice": self.advice.run,
+        }
         running: dict[str, asyncio.Task[None]] = {}
         try:
             while self.leadership.holds:
@@ -177,6 +200,8 @@
                     scale=self.scale,
                     pacer=self.pacer,
                     times=self.times,
+                    pace_memory=self.pace_memory,
+                    book=self.dispatcher.book,
                     on_change=self.dispatcher.changed.set,
                 )
             self.tasks[vm_id] = asyncio.create_task(_until_lost(f"VM {vm_id}", link.run()))
--- /dev/null
+++ b/src/hyssopway/dispatch/demand_forecast.py
@@ -0,0 +1,85 @@
+"""Forecasts the processor that the work of each pool needs when a machine ordered now arrives.
+
+Answers the load pattern of a queue whose turn begins or ends: the processor in use shows a rise too late and a fall
+too late, while the steps of the workflows that are open, and of those that arrive, show both before.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .ordering import remaining_steps
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from hyssopway.workflow import Indexes, Tables, Workflow
+
+    from .ordering import StepSpan
+
+# Arrivals of this span stand for those of the next moments.
+WINDOW_S = 1.5
+# Declared durations are rough, so the demand of one moment is the mean over this span around it.
+SMOOTH_S = 1.0
+
+
+class DemandForecast:
+    """Demand of each pool at one moment ahead.
+
+    Attributes:
+        ahead_ms: How far ahead the moment lies.
+        scale: Factor from declared to real durations by queue.
+        demand: Thousandths of a core by pool.
+    """
+
+    __slots__ = ("ahead_ms", "demand", "scale")
+
+    def __init__(self, *, ahead_s: float, scale: Callable[[str], float]) -> None:
+        self.ahead_ms = ahead_s * 1000
+        self.scale = scale
+        self.demand: dict[str, float] = {}
+
+    def measure(self, *, tables: Tables, indexes: Indexes, now_ms: float) -> None:
+        """Works the demand out from all open workflows and the latest arrivals."""
+        self.demand = {}
+        since_ms = now_ms - WINDOW_S * 1000
+        for workflow_id in indexes.open_workflows:
+            workflow = tables.workflows[workflow_id]
+            pool = tables.queue_pools.get(workflow.queue, "")
+            needed = self._need_of_open(workflow)
+            if workflow.accepted_ms >= since_ms and not workflow.spec.repeat_count:
+                needed += self._need_of_arrivals_like(workflow)
+            if needed:
+                self.demand[pool] = self.demand.get(pool, 0.0) + needed
+
+    def read(self, pool: str) -> float:
+        """Returns the demand of a pool in thousandths of a core."""
+        return self.demand.get(pool, 0.0)
+
+    def _need_of_open(self, workflow: Workflow) -> float:
+        start_ms, end_ms = self.ahead_ms - SMOOTH_S * 500, self.ahead_ms + SMOOTH_S * 500
+        scale = self.scale(workflow.queue)
+        return sum(
+            _work_between(
+                remaining_steps(spec=workflow.spec, progress=progress, scale=scale), start_ms, end_ms
+            )
+            for progress in workflow.progress.values()
+        ) / (end_ms - start_ms)
+
+    def _need_of_arrivals_like(self, workflow: Workflow) -> float:
+        """Returns what workflows like this one, that arrive until the moment, need at the moment.
+
+        One that arrives at a random time before the moment is then at a random age up to `ahead_ms`.
+        """
+        spans = remaining_steps(spec=workflow.spec, progress=None, scale=self.scale(workflow.queue))
+        return _work_between(spans, 0.0, self.ahead_ms) / (WINDOW_S * 1000)
+
+
+def _work_between(spans: Iterable[StepSpan], start_ms: float, end_ms: float) -> float:
+    """Returns the processor in use between two moments, times milliseconds."""
+    return sum(
+        span.cpu_millis * max(0.0, min(span.end_ms, end_ms) - max(span.start_ms, start_ms)) for span in spans
+    )
+
+
+__all__ = ["SMOOTH_S", "WINDOW_S", "DemandForecast"]
--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 
 from .placement import place_steps
 from .ready_steps import find_due_occurrences, find_ready_steps
+from .ticket_book import TicketBook
 from .vm_room import VmRoom
 
 if TYPE_CHECKING:
@@ -41,11 +42,21 @@
         closed_vms: VMs that get no starts because they are being emptied.
         due_vms: VMs whose machine waits for its maintenance.
         waiting_millis: Processor by pool that waited after the last round.
+        book: Tickets of steps whose queue has an advisor.
         changed: Set when a round may find something to do.
         sending: Orders in progress.
     """
 
-    __slots__ = ("changed", "closed_vms", "due_vms", "leadership", "links", "sending", "waiting_millis")
+    __slots__ = (
+        "book",
+        "changed",
+        "closed_vms",
+        "due_vms",
+        "leadership",
+        "links",
+        "sending",
+        "waiting_millis",
+    )
 
     def __init__(self, *, leadership: Leadership, links: dict[str, VmLink]) -> None:
         self.leadership = leadership
@@ -53,6 +64,7 @@
         self.closed_vms: set[str] = set()
         self.due_vms: set[str] = set()
         self.waiting_millis: dict[str, int] = {}
+        self.book = TicketBook(clock=leadership.clock)
         self.changed = asyncio.Event()
         self.sending: set[asyncio.Task[None]] = set()
 
@@ -95,10 +107,11 @@
         self.waiting_millis = {}
         if not ready:
             return
+        self._approve_advised(ready)
         limits = _TeamLimits(self.leadership)
         starts = place_steps(
             steps=ready,
-            rooms=self._list_rooms(),
+            rooms=self.list_rooms(),
             pool_of=lambda one: state.tables.queue_pools.get(one.workflow.queue, ""),
             takes_limit=limits.take,
             max_starts=MAX_STARTS_A_ROUND,
@@ -133,9 +146,7 @@
         started = Counter(start.task.rpartition(".")[0] for start in starts)
         for one in ready:
             pool = self.leadership.state.tables.queue_pools.get(one.workflow.queue, "")
-            step_name = TaskId(one.workflow.workflow_id, one.occurrence, one.number, 0).name.rpartition(".")[
-                0
-            ]
+            step_name = TaskId(one.workflow.workflow_id, one.occurrence, one.number, 0).step_name
             waiting = len(one.indexes) - started[step_name]
             total = self.waiting_millis.get(pool, 0) + waiting * one.step.cpu_millis
             if total:
@@ -168,9 +179,29 @@
         checkpoint = saved.get(task.number, "")
         if workflow.spec.steps[task.step].gang:
             checkpoint = next(iter(saved.values()), "")
-        await link.start(run, specification=workflow.spec.specification, checkpoint=checkpoint)
+        queue = self.leadership.state.indexes.queues.get(workflow.queue)
+        await link.start(
+            run,
+            specification=workflow.spec.specification,
+            checkpoint=checkpoint,
+            needs_ticket=queue is not None and queue.advisor is not None,
+        )
+
+    def _approve_advised(self, ready: list[ReadyStep]) -> None:
+        tables, queues = self.leadership.state.tables, self.leadership.state.indexes.queues
+        for one in ready:
+            queue = queues.get(one.workflow.queue)
+            if queue is None or queue.advisor is None:
+                continue
+            name = TaskId(one.workflow.workflow_id, one.occurrence, one.number, 0).step_name
+            one.approved_vms = frozenset(
+                vm_id
+                for vm_id, vm in tables.vms.items()
+                if vm.pool == queue.pool and self.book.read(name, vm=vm_id, boot=vm.boot)
+            )
 
-    def _list_rooms(self) -> dict[str, list[VmRoom]]:
+    def list_rooms(self) -> dict[str, list[VmRoom]]:
+        """Returns the free capacity of VMs that take starts, by pool."""
         tables = self.leadership.state.tables
         now = self.leadership.clock()
         rooms: dict[str, list[VmRoom]] = {}
@@ -232,6 +263,8 @@
         cpu_millis=capacity.cpu_millis - (use.cpu_millis if use else 0),
         memory_mb=capacity.memory_mb - (use.memory_mb if use else 0),
         accelerators=capacity.accelerators - (use.accelerators if use else 0),
+        serving=use.serving if use else 0,
+        filling=use.filling if use else 0,
         suspicion=min(failures, MAX_SUSPICION),
         is_due=is_due,
     )
--- a/src/hyssopway/dispatch/ordering.py
+++ b/src/hyssopway/dispatch/ordering.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -21,6 +22,21 @@
 OVERDUE_TIER = 3.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StepSpan:
+    """When the open tasks of a step run if nothing holds them up.
+
+    Attributes:
+        start_ms: Begin, from now on.
+        end_ms: End, from now on.
+        cpu_millis: Processor of these tasks together.
+    """
+
+    start_ms: float
+    end_ms: float
+    cpu_millis: int
+
+
 def objective_ms(*, spec: WorkflowSpec, queue: Queue | None) -> float:
     """Returns the time from hand-in to end within which a workflow should end."""
     if queue is None:
@@ -38,6 +54,28 @@
     return max(ends, default=0.0)
 
 
+def remaining_steps(
+    *, spec: WorkflowSpec, progress: list[StepProgress] | None, scale: float
+) -> list[StepSpan]:
+    """Returns when the short steps that are left run; without `progress`, those of a fresh workflow.
+
+    A step of which tasks run is taken to be half done.
+    """
+    ends: list[float] = []
+    spans: list[StepSpan] = []
+    for number, step in enumerate(spec.steps):
+        start_ms = max((ends[earlier] for earlier in step.after), default=0.0)
+        state = progress[number] if progress is not None else None
+        open_count = step.count if state is None else state.open_count
+        is_running = state is not None and len(state.pending) < open_count
+        duration_ms = step.estimate_ms * scale * (0.5 if is_running else 1.0)
+        ends.append(start_ms + duration_ms if open_count else start_ms)
+        if open_count and not step.long_running and not step.fills:
+            cpu_millis = open_count * step.cpu_millis
+            spans.append(StepSpan(start_ms=start_ms, end_ms=ends[number], cpu_millis=cpu_millis))
+    return spans
+
+
 def remaining_core_s(*, spec: WorkflowSpec, progress: list[StepProgress]) -> float:
     """Returns the estimated work that is left, in core-seconds."""
     return sum(
@@ -66,4 +104,11 @@
     return (tier, priority, remaining_core_s(spec=spec, progress=progress), begun_ms)
 
 
-__all__ = ["chain_ms", "objective_ms", "order_occurrence", "remaining_core_s"]
+__all__ = [
+    "StepSpan",
+    "chain_ms",
+    "objective_ms",
+    "order_occurrence",
+    "remaining_core_s",
+    "remaining_steps",
+]
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -93,6 +93,7 @@
             cpu, memory, accelerators = free[room.vm_id]
             spread_ok = not step.spread_limit or placed.get(room.vm_id, 0) < step.spread_limit
             label_ok = not step.label or step.label in room.labels
+            label_ok = label_ok and ready.is_approved(room.vm_id)
             fits = cpu >= step.cpu_millis and memory >= step.memory_mb and accelerators >= step.accelerators
             if fits and spread_ok and label_ok:
                 free[room.vm_id] = [
@@ -125,7 +126,7 @@
     best: VmRoom | None = None
     best_cost: tuple[float, ...] = ()
     for room in rooms:
-        if not room.fits(step):
+        if not room.fits(step) or not ready.is_approved(room.vm_id):
             continue
         if step.spread_limit and ready.placed.get(room.vm_id, 0) >= step.spread_limit:
             continue
@@ -137,11 +138,14 @@
 
 def _cost(ready: ReadyStep, *, step: Step, room: VmRoom) -> tuple[float, ...]:
     is_far = bool(step.data_rack) and step.data_rack not in room.labels
+    if step.fills:
+        return (room.suspicion, is_far, room.serving, room.filling, room.cpu_millis)
+    is_disturbed = bool(step.target_ms) and room.filling > 0
     if step.long_running:
         # Long-running tasks share few VMs, so that the others can leave the pool, but no VM holds most of a step.
         is_most = ready.placed.get(room.vm_id, 0) >= -(-step.count // 2)
-        return (room.suspicion, is_far, room.is_due, is_most, room.cpu_millis)
-    return (room.suspicion, is_far, room.cpu_millis)
+        return (room.suspicion, is_far, is_disturbed, room.is_due, is_most, room.cpu_millis)
+    return (room.suspicion, is_far, is_disturbed, room.cpu_millis)
 
 
 __all__ = ["place_steps"]
--- a/src/hyssopway/dispatch/platform_limits.py
+++ b/src/hyssopway/dispatch/platform_limits.py
@@ -16,6 +16,7 @@
         maintenance_s: Duration of the maintenance of a machine.
         move_s: Duration of the move of a machine to another pool.
         machine_orders_per_s: Orders for machines that the platform accepts from all nodes together.
+        pacing_s: Time until a change of pace takes effect.
         status_s: How long the state of an ended workflow can be asked for.
     """
 
@@ -25,6 +26,7 @@
     maintenance_s: float
     move_s: float
     machine_orders_per_s: float
+    pacing_s: float
     status_s: float
 
 
--- a/src/hyssopway/dispatch/pool_mover.py
+++ b/src/hyssopway/dispatch/pool_mover.py
@@ -9,9 +9,8 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import NoteMachineOrders, RemoveVm
 
-from .demand_trend import DemandTrend
+from .demand_forecast import DemandForecast
 from .machine_calls import MachineCallError, MachineOrderResult
-from .offered_load import measure_offered
 from .order_budget import OrderBudget
 from .pool_load import measure_pools
 from .pool_plan import PoolDemand, plan_moves
@@ -32,6 +31,8 @@
 IDLE_KEEP_S = 2.0
 # A moved machine is counted for its new pool for this long beyond the move, until its VM announces itself.
 ARRIVAL_S = 1.5
+# From the end of a move until the VM has announced itself and was looked at.
+JOIN_S = 0.4
 
 
 class PoolMover:
@@ -42,10 +43,9 @@
         calls: Client of the platform.
         machines: Machines as listed last.
         emptying: VMs that get no starts.
-        scale: How far declared durations are off.
         move_s: Duration of a move.
         budget: Rate of the orders.
-        trends: Demand by pool.
+        forecast: Demand by pool when a machine ordered now arrives.
         idle_since: Local time since which each VM has been idle; a machine that moves gets another VM.
         step_sizes: How wide the steps of each pool are.
         arrivals: Machines on their way, with their next pool and the local time until which they count there.
@@ -57,14 +57,13 @@
         "budget",
         "calls",
         "emptying",
+        "forecast",
         "idle_since",
         "leadership",
         "machines",
         "move_s",
         "refused",
-        "scale",
         "step_sizes",
-        "trends",
     )
 
     def __init__(
@@ -82,10 +81,9 @@
         self.calls = calls
         self.machines = machines
         self.emptying = emptying
-        self.scale = scale
         self.move_s = move_s
         self.budget = OrderBudget(accepted_per_s=orders_per_s, now=leadership.clock())
-        self.trends: dict[str, DemandTrend] = {}
+        self.forecast = DemandForecast(ahead_s=move_s + JOIN_S, scale=scale.read)
         self.idle_since: dict[str, float] = {}
         self.arrivals: dict[str, tuple[str, float]] = {}
         self.step_sizes = StepSizes()
@@ -101,19 +99,10 @@
                 tables=self.leadership.state.tables,
                 waiting_millis=self.emptying.dispatcher.waiting_millis,
             )
-            self.sample(loads)
             if standby and self.leadership.may_order():
                 await self.machines.refresh(max_age_s=LIST_S)
                 await self.step(standby, loads=loads)
 
-    def sample(self, loads: dict[str, PoolLoad]) -> None:
-        """Takes in the load of all pools."""
-        now = self.leadership.clock()
-        for pool in {*self.trends, *loads}:
-            load = loads.get(pool)
-            demand = load.short_millis + load.waiting_millis if load is not None else 0
-            self.trends.setdefault(pool, DemandTrend()).add(now=now, demand=demand)
-
     async def step(self, standby: str, *, loads: dict[str, PoolLoad]) -> None:
         """Orders the moves that the demand of all pools asks for now."""
         now = self.leadership.clock()
@@ -122,16 +111,10 @@
         if not sizes or not self.machines.machines:
             return
         state = self.leadership.state
-        offered = measure_offered(
-            tables=state.tables, indexes=state.indexes, scale=self.scale.read, now_ms=wall_ms()
-        )
+        self.forecast.measure(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
         self.step_sizes.follow(tables=state.tables, indexes=state.indexes)
         moves = plan_moves(
-            demands=[
-                self._describe(pool, load=load, offered=offered.get(pool, 0.0))
-                for pool, load in loads.items()
-                if pool != standby
-            ],
+            demands=[self._describe(pool, load=load) for pool, load in loads.items() if pool != standby],
             standby=standby,
             standby_machines=self._list_standby(standby),
             vm_millis=sorted(sizes)[len(sizes) // 2],
@@ -144,7 +127,7 @@
         await self.leadership.propose(NoteMachineOrders(machines=machine_ids, at_ms=wall_ms()))
         await asyncio.gather(*(self._move(move) for move in moves))
 
-    def _describe(self, pool: str, *, load: PoolLoad, offered: float) -> PoolDemand:
+    def _describe(self, pool: str, *, load: PoolLoad) -> PoolDemand:
         tables = self.leadership.state.tables
         now = self.leadership.clock()
         evacuated = tables.evacuated
@@ -164,15 +147,13 @@
             target == pool and machine_id not in announced
             for machine_id, (target, _) in self.arrivals.items()
         )
-        trend = self.trends[pool]
         idle = self._list_idle(pool)
         return PoolDemand(
             pool=pool,
             vms=usable + coming,
             steady_millis=load.steady_millis,
-            short_millis=round(trend.peak),
-            rise_millis_per_s=trend.rise_per_s(),
-            offered_millis=offered,
+            short_millis=load.short_millis + load.waiting_millis,
+            forecast_millis=self.forecast.read(pool),
             spread_vms=self._spread_vms(pool),
             idle_machines=idle,
             long_idle=sum(self._idle_s(machine_id) >= IDLE_KEEP_S for machine_id in idle),
--- a/src/hyssopway/dispatch/pool_plan.py
+++ b/src/hyssopway/dispatch/pool_plan.py
@@ -12,8 +12,6 @@
 # A pool keeps room beyond its demand for this many steps of the usual width, and for one VM at least: work that
 # arrives while a machine is on its way waits for about 2 s otherwise.
 RESERVE_STEPS = 1.0
-# A rise is carried on for part of the time of a move; it is measured over few arrivals.
-RISE_LEAD_S = 0.8
 MIN_VMS = 2
 
 
@@ -25,9 +23,8 @@
         pool: Name of the pool.
         vms: VMs that take work and are not being emptied, and machines on their way to the pool.
         steady_millis: Processor of long-running tasks.
-        short_millis: Processor that other tasks use or wait for; a recent peak.
-        rise_millis_per_s: How fast that grows.
-        offered_millis: Processor that recent arrivals need.
+        short_millis: Processor that other tasks use or wait for now.
+        forecast_millis: Processor that other tasks need when a machine ordered now arrives.
         step_millis: Processor of one step of the usual width.
         spread_vms: VMs that the widest step with a limit on tasks a VM needs.
         idle_machines: Machines of the pool on which nothing runs, the longest idle first.
@@ -38,8 +35,7 @@
     vms: int
     steady_millis: int
     short_millis: int
-    rise_millis_per_s: float
-    offered_millis: float
+    forecast_millis: float
     step_millis: float
     spread_vms: int
     idle_machines: tuple[str, ...]
@@ -63,8 +59,7 @@
 
 def wanted_vms(demand: PoolDemand, *, vm_millis: int) -> int:
     """Returns the number of VMs that serve a pool's demand when a machine ordered now arrives."""
-    grown = demand.short_millis + max(0.0, demand.rise_millis_per_s) * RISE_LEAD_S
-    expected = max(grown, demand.offered_millis)
+    expected = max(demand.short_millis, demand.forecast_millis)
     reserve = max(float(vm_millis), RESERVE_STEPS * demand.step_millis)
     by_load = -(-int(demand.steady_millis + expected + reserve) // vm_millis)
     return max(MIN_VMS, demand.spread_vms, by_load)
--- a/src/hyssopway/dispatch/ready_step.py
+++ b/src/hyssopway/dispatch/ready_step.py
@@ -19,6 +19,7 @@
         indexes: Tasks to start.
         order: Sort key; the lowest comes first.
         placed: Runs of the step in progress by VM.
+        approved_vms: VMs with a valid ticket for the step; None when it needs none.
     """
 
     workflow: Workflow
@@ -28,6 +29,11 @@
     indexes: list[int]
     order: tuple[float, ...]
     placed: dict[str, int]
+    approved_vms: frozenset[str] | None = None
+
+    def is_approved(self, vm_id: str) -> bool:
+        """Tells whether the step may start on a VM as far as its queue's advisor is concerned."""
+        return self.approved_vms is None or vm_id in self.approved_vms
 
 
 __all__ = ["ReadyStep"]
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
-from hyssopway.workflow import RunOutcome
+from hyssopway.workflow import RunOutcome, TaskId
 
 from .flight import Flight
 from .order_reply import Refusal
@@ -14,7 +14,7 @@
 from .worker_calls import WorkerUnreachableError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Coroutine, Iterable
 
     from hyssopway.workflow import ActiveRun, RunEnd, VmRecord
 
@@ -22,6 +22,7 @@
     from .leadership import Leadership
     from .lease import VmLease
     from .order_reply import OrderReply
+    from .ticket_book import TicketBook
     from .worker_calls import WorkerCalls
 
 STOP_AGAIN_S = 0.5
@@ -36,18 +37,24 @@
         leadership: Term on whose behalf orders are sent.
         calls: Client of worker VMs.
         lease: Bound on the lease of the VM's runs.
+        book: Tickets of steps whose queue has an advisor.
         times: Times that answers to orders take. A VM that has the run already takes a repeated start for the same
             one, and refuses one that arrives after the end of the run, so orders may be repeated.
         flights: Orders by run key.
-        sending: Stops on their way.
+        sending: Stops and changes of pace on their way.
+        paces: Pace in percent that the VM confirmed, by run key.
+        pacing: Keys of runs whose change of pace is on its way.
         paused_until: Local time before which nothing is placed on the VM.
     """
 
     __slots__ = (
+        "book",
         "calls",
         "flights",
         "leadership",
         "lease",
+        "paces",
+        "pacing",
         "paused_until",
         "sending",
         "times",
@@ -62,14 +69,18 @@
         calls: WorkerCalls,
         lease: VmLease,
         times: AnswerTimes,
+        book: TicketBook,
     ) -> None:
         self.vm_id = vm_id
         self.leadership = leadership
         self.calls = calls
         self.lease = lease
         self.times = times
+        self.book = book
         self.flights: dict[str, Flight] = {}
         self.sending: set[asyncio.Task[None]] = set()
+        self.paces: dict[str, int] = {}
+        self.pacing: set[str] = set()
         self.paused_until = float("-inf")
 
     @property
@@ -85,8 +96,11 @@
         """Forgets a start that was not agreed."""
         self.flights.pop(f"{task}/{run}", None)
 
-    async def start(self, run: ActiveRun, *, specification: str, checkpoint: str) -> RunEnd | None:
+    async def start(
+        self, run: ActiveRun, *, specification: str, checkpoint: str, needs_ticket: bool = False
+    ) -> RunEnd | None:
         """Orders an agreed start; returns the end of a run that certainly does not start."""
+        step_name = TaskId.parse(run.task).step_name
         flight = self.flights.setdefault(run.key, Flight(is_sending=True))
         # Repeated orders carry the same lease: a VM that is gone must not be waited for any longer.
         until_ms = self.lease.renew(now=self.leadership.clock())
@@ -98,6 +112,9 @@
                     break
                 if not self.leadership.may_order() or flight.is_known:
                     break
+                ticket = self.book.read(step_name, vm=self.vm_id, boot=run.boot) if needs_ticket else ""
+                if needs_ticket and not ticket:
+                    break
                 sent_at = self.leadership.clock()
                 try:
                     reply = await self.calls.start(
@@ -106,6 +123,7 @@
                         run=run.run,
                         specification=specification,
                         checkpoint=checkpoint,
+                        ticket=ticket,
                         lease_until_ms=until_ms,
                         fencing_token=self.leadership.term,
                         timeout_s=timeout_s,
@@ -127,7 +145,11 @@
             flight.accepted_at = min(flight.accepted_at, self.leadership.clock())
             return None
         log_event(Event.ORDER_REFUSED, order="start", run=run.key, vm=self.vm_id, reason=reply.refusal)
-        self.paused_until = self.leadership.clock() + NO_ROOM_PAUSE_S
+        if reply.refusal is Refusal.NO_TICKET:
+            # The ticket ran out or is of another boot; it says nothing of the VM.
+            self.book.drop(TaskId.parse(run.task).step_name, vm=self.vm_id)
+        else:
+            self.paused_until = self.leadership.clock() + NO_ROOM_PAUSE_S
         # An earlier copy of a repeated order may still be carried out.
         if is_repeated or reply.refusal is Refusal.OTHER_BOOT:
             return None
@@ -146,9 +168,26 @@
             return
         flight.stop_asked_at = now
         log_event(Event.STOP_ORDERED, run=f"{task}/{run}", vm=self.vm_id, reason=reason)
-        sending = asyncio.create_task(self._stop(task=task, run=run, flight=flight))
-        self.sending.add(sending)
-        sending.add_done_callback(self.sending.discard)
+        self._send(self._stop(task=task, run=run, flight=flight))
+
+    def ask_pace(self, *, task: str, run: int, percent: int) -> None:
+        """Sends a change of pace unless one is on its way."""
+        key = f"{task}/{run}"
+        if key in self.pacing or not self.leadership.may_order():
+            return
+        self.pacing.add(key)
+        log_event(Event.PACE_ORDERED, run=key, vm=self.vm_id, percent=percent)
+        self._send(self._pace(task=task, run=run, percent=percent))
+
+    def forget_boot(self) -> None:
+        """Forgets the runs of a boot that has ended."""
+        self.flights.clear()
+        self.paces.clear()
+
+    def forget_run(self, key: str) -> Flight | None:
+        """Forgets a run that has ended and returns what was known of its start."""
+        self.paces.pop(key, None)
+        return self.flights.pop(key, None)
 
     def note_listed(self, keys: Iterable[str], *, now: float) -> None:
         """Takes in the runs that the VM listed."""
@@ -157,6 +196,36 @@
             flight.accepted_at = min(flight.accepted_at, now)
             flight.unlisted_since = float("inf")
 
+    def _send(self, order: Coroutine[None, None, None]) -> None:
+        sending = asyncio.create_task(order)
+        self.sending.add(sending)
+        sending.add_done_callback(self.sending.discard)
+
+    async def _pace(self, *, task: str, run: int, percent: int) -> None:
+        key = f"{task}/{run}"
+        try:
+            for timeout_s in self.times.choose_timeouts():
+                record = self.record
+                if record is None or not self.leadership.may_order():
+                    return
+                try:
+                    await self.calls.pace(
+                        vm=record,
+                        task=task,
+                        run=run,
+                        percent=percent,
+                        fencing_token=self.leadership.term,
+                        timeout_s=timeout_s,
+                    )
+                except WorkerUnreachableError as error:
+                    self._log_unanswered("pace", key=key, error=error)
+                    continue
+                # A refused change is not repeated: the run has ended or another leader orders it.
+                self.paces[key] = percent
+                return
+        finally:
+            self.pacing.discard(key)
+
     async def _stop(self, *, task: str, run: int, flight: Flight) -> None:
         for timeout_s in self.times.choose_timeouts():
             record = self.record
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -16,6 +16,7 @@
 from .run_orders import RunOrders
 from .settling import Settlement, settle_unlisted
 from .stall_watch import StallWatch
+from .vm_pace import VmPace
 from .worker_calls import OtherBootError, WorkerUnreachableError
 
 if TYPE_CHECKING:
@@ -27,8 +28,10 @@
     from .hold_reply import HoldReply
     from .leadership import Leadership
     from .look_pacer import LookPacer
+    from .pace_memory import PaceMemory
     from .platform_limits import PlatformLimits
     from .running_row import RunningRow
+    from .ticket_book import TicketBook
     from .work_scale import WorkScale
     from .worker_calls import WorkerCalls
 
@@ -56,6 +59,7 @@
         pacer: Rate of the looks at all VMs.
         lease: Bound on the lease of its runs.
         orders: Orders of this term to it.
+        pace: Pace of its tasks that fill.
         is_fenced: Whether the VM answers, with the fencing token of this term.
         fenced_at: Local time at which it first answered that token after a silence.
         stop_s: Longest time that it takes to stop a run.
@@ -79,6 +83,7 @@
         "looks",
         "on_change",
         "orders",
+        "pace",
         "pacer",
         "rows",
         "scale",
@@ -97,6 +102,8 @@
         scale: WorkScale,
         pacer: LookPacer,
         times: AnswerTimes,
+        pace_memory: PaceMemory,
+        book: TicketBook,
         on_change: Callable[[], None],
     ) -> None:
         self.vm_id = vm_id
@@ -112,7 +119,10 @@
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
         self.orders = RunOrders(
-            vm_id=vm_id, leadership=leadership, calls=calls, lease=self.lease, times=times
+            vm_id=vm_id, leadership=leadership, calls=calls, lease=self.lease, times=times, book=book
+        )
+        self.pace = VmPace(
+            leadership=leadership, orders=self.orders, memory=pace_memory, pacing_s=limits.pacing_s
         )
         self.stop_s = limits.stop_s + STOP_SLACK_S
         self.is_fenced = False
@@ -158,9 +168,13 @@
             return False
         return True
 
-    async def start(self, run: ActiveRun, *, specification: str, checkpoint: str) -> None:
+    async def start(
+        self, run: ActiveRun, *, specification: str, checkpoint: str, needs_ticket: bool = False
+    ) -> None:
         """Orders an agreed start and settles it when the VM refuses it."""
-        end = await self.orders.start(run, specification=specification, checkpoint=checkpoint)
+        end = await self.orders.start(
+            run, specification=specification, checkpoint=checkpoint, needs_ticket=needs_ticket
+        )
         if end is not None:
             await self._end([end])
 
@@ -193,6 +207,7 @@
         self.rows = {f"{row.task}/{row.run}": row for row in reply.running}
         self.orders.note_listed(self.rows, now=now)
         self._stop_stalled(now)
+        self.pace.follow(self.rows, now=now)
         if reply.ends:
             await self._take_ends(record, reply=reply)
         await self._settle(record, reply=reply, sent_at=sent_at)
@@ -204,7 +219,7 @@
     async def _take_ends(self, record: VmRecord, *, reply: HoldReply) -> None:
         for listed in reply.ends:
             end = listed.end
-            flight = self.orders.flights.pop(f"{end.task}/{end.run}", None)
+            flight = self.orders.forget_run(f"{end.task}/{end.run}")
             if end.outcome is RunOutcome.DONE and flight is not None:
                 self._learn(end, accepted_at=flight.accepted_at)
             if end.outcome is RunOutcome.FAILED:
@@ -284,7 +299,7 @@
         )
         await self.leadership.propose(command)
         for end in ends:
-            self.orders.flights.pop(f"{end.task}/{end.run}", None)
+            self.orders.forget_run(f"{end.task}/{end.run}")
 
     async def _conclude_lapsed(self, record: VmRecord) -> None:
         if not record.runs or self.leadership.clock() <= self.lease.ends_at:
@@ -322,7 +337,7 @@
     def _forget_boot(self) -> None:
         self.is_fenced = False
         self.rows = {}
-        self.orders.flights.clear()
+        self.orders.forget_boot()
         self.lease.forget_clock()
 
     def _note_silence(self, record: VmRecord, *, reason: str) -> None:
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -51,11 +51,12 @@
         run: int,
         specification: str,
         checkpoint: str,
+        ticket: str,
         lease_until_ms: int,
         fencing_token: int,
         timeout_s: float,
     ) -> OrderReply:
-        """Starts a run."""
+        """Starts a run; `ticket` is empty unless the queue has an advisor."""
         ...
 
     async def stop(
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -131,6 +131,9 @@
     RUN_STALLED = (7031, "WARNING", "run {run} on VM {vm} stands still at {percent}%")
     STOP_ORDERED = (7032, "INFO", "stop of run {run} ordered on VM {vm}: {reason}")
     WORKFLOWS_FORGOTTEN = (7033, "INFO", "{count} workflows that ended long ago forgotten, {left} left")
+    PACE_ORDERED = (7034, "INFO", "pace of run {run} on VM {vm} ordered to {percent}%")
+    ADVICE_TAKEN = (7035, "INFO", "step {step} may run on {good} of {vms} VMs")
+    ADVICE_FAILED = (7036, "WARNING", "advice on step {step} and {vms} VMs failed: {reason}")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .active_run import ActiveRun
+from .advisor_policy import AdvisorPolicy
 from .capacity import Capacity
 from .commands import (
     AcceptWorkflow,
@@ -44,6 +45,7 @@
     "AcceptWorkflow",
     "ActiveRun",
     "AddOccurrence",
+    "AdvisorPolicy",
     "BeginMaintenance",
     "CancelWorkflow",
     "Capacity",
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -23,20 +23,28 @@
         cpu_millis: Thousandths of a core.
         memory_mb: Memory.
         accelerators: Accelerators.
+        serving: Runs that must keep a target of their response times.
+        filling: Runs that use only the processor that others leave.
     """
 
-    __slots__ = ("accelerators", "cpu_millis", "memory_mb")
+    __slots__ = ("accelerators", "cpu_millis", "filling", "memory_mb", "serving")
 
     def __init__(self) -> None:
         self.cpu_millis = 0
         self.memory_mb = 0
         self.accelerators = 0
+        self.serving = 0
+        self.filling = 0
 
     def add(self, step: Step, *, sign: int) -> None:
         """Counts a run of a step, or takes it out with a negative sign."""
         self.cpu_millis += sign * step.cpu_millis
         self.memory_mb += sign * step.memory_mb
         self.accelerators += sign * step.accelerators
+        if step.fills:
+            self.filling += sign
+        elif step.target_ms:
+            self.serving += sign
 
 
 class Indexes:
--- a/src/hyssopway/workflow/queue.py
+++ b/src/hyssopway/workflow/queue.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from .advisor_policy import AdvisorPolicy
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Queue:
@@ -20,6 +22,7 @@
         timeout_ms: Longest wait for an answer.
         target_latency_ms: Time beside the work itself within which a workflow should end.
         stretch: Factor on the longest chain of work within which a workflow should end.
+        advisor: How tasks get leave to start on a VM; None when they need none.
     """
 
     name: str
@@ -32,6 +35,7 @@
     timeout_ms: int = 3000
     target_latency_ms: int = 0
     stretch: float = 1.0
+    advisor: AdvisorPolicy | None = None
 
 
 __all__ = ["Queue"]
--- a/src/hyssopway/workflow/task_id.py
+++ b/src/hyssopway/workflow/task_id.py
@@ -25,6 +25,11 @@
         """Text form, ``workflow.occurrence.step.index``."""
         return f"{self.workflow}.{self.occurrence}.{self.step}.{self.number}"
 
+    @property
+    def step_name(self) -> str:
+        """Text form of its step, ``workflow.occurrence.step``."""
+        return f"{self.workflow}.{self.occurrence}.{self.step}"
+
     @staticmethod
     def parse(name: str) -> TaskId:
         """Reads the text form.
--- /dev/null
+++ b/tests/adapter/test_advisor_client.py
@@ -0,0 +1,84 @@
+"""Questions to the advisor over HTTP, and answers that say nothing."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from hyssopway.dispatch import AdviceError
+from hyssopway_platform.advisor_client import AdvisorClient
+
+
+class Advisor:
+    """Answers as told and keeps what it was asked."""
+
+    def __init__(self):
+        self.status = 200
+        self.body = b'{"good":[["vm-1","t-1"]]}'
+        self.asked = []
+
+    async def answer(self, request):
+        self.asked.append((request.path, await request.json()))
+        return web.Response(status=self.status, body=self.body, content_type="application/json")
+
+
+@pytest.fixture
+def advisor():
+    return Advisor()
+
+
+@pytest.fixture
+async def client(advisor):
+    app = web.Application()
+    app.router.add_post("/hyssopway/advise", advisor.answer)
+    async with TestServer(app) as server:
+        built = AdvisorClient(address=f"{server.host}:{server.port}")
+        await built.open()
+        yield built
+        await built.close()
+
+
+async def ask(client):
+    return await client.advise(step="w.0.1", vms=("vm-1", "vm-2"), timeout_s=0.5)
+
+
+async def test_question_names_step_and_vms(client, advisor):
+    """Guards against a question that the platform does not understand."""
+    assert await ask(client) == {"vm-1": "t-1"}
+    assert advisor.asked == [("/hyssopway/advise", {"step": "w.0.1", "workers": ["vm-1", "vm-2"]})]
+
+
+async def test_vm_that_was_not_asked_about_gets_no_ticket(client, advisor):
+    """Guards against an answer to another question."""
+    advisor.body = json.dumps({"good": [["vm-9", "t-9"], ["vm-2", ""]]}).encode()
+    assert await ask(client) == {}
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        pytest.param(429, b"", id="busy"),
+        pytest.param(200, b"{cut", id="cut short"),
+        pytest.param(200, b"[]", id="no object"),
+        pytest.param(200, b'{"good":[["vm-1"]]}', id="row without a ticket"),
+        pytest.param(200, b'{"good":7}', id="no rows"),
+        pytest.param(200, b"[" * 100_000, id="nested too deeply"),
+    ],
+)
+async def test_answer_that_says_nothing_is_an_error(client, advisor, status, body):
+    """Guards against a desk that ends, or takes silence for a refusal of all VMs."""
+    advisor.status, advisor.body = status, body
+    with pytest.raises(AdviceError):
+        await ask(client)
+
+
+async def test_deployment_without_advisor_is_an_error():
+    """Guards against a call to an empty address."""
+    client = AdvisorClient(address="")
+    await client.open()
+    with pytest.raises(AdviceError):
+        await ask(client)
+    await client.close()
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -7,6 +7,8 @@
 from hyssopway.dispatch import HoldReply, OrderReply, PlatformLimits, RunningRow, WorkerUnreachableError
 from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.look_pacer import LookPacer
+from hyssopway.dispatch.pace_memory import PaceMemory
+from hyssopway.dispatch.ticket_book import TicketBook
 from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import PutDocument, WorkflowState, encode_command
@@ -19,6 +21,7 @@
     maintenance_s=2.0,
     move_s=1.5,
     machine_orders_per_s=16.0,
+    pacing_s=0.1,
     status_s=120.0,
 )
 
@@ -106,6 +109,8 @@
         scale=WorkScale(),
         pacer=LookPacer(),
         times=AnswerTimes(),
+        pace_memory=PaceMemory(),
+        book=TicketBook(clock=leadership.clock),
         on_change=lambda: None,
     )
 
