--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test test-faults soak measure format
+.PHONY: setup demo test test-faults fuzz soak measure format
 
 setup: $(STAMP)
 
@@ -27,6 +27,9 @@
 test-faults: setup
 	$(BIN)/python -m pytest -n 2 -m faults tests
 
+fuzz: setup
+	FUZZ_FRESH=1 $(BIN)/python -m pytest -n 4 --timeout 900 tests/adapter/test_fuzzed_input.py
+
 soak: setup
 	PYTHONPATH=tests:platform $(BIN)/python -m soak --seeds $(SEEDS)
 
--- a/src/hyssopway/dispatch/ready_steps.py
+++ b/src/hyssopway/dispatch/ready_steps.py
@@ -13,6 +13,10 @@
     from hyssopway.workflow import Indexes, Tables, Workflow
 
 
+# A schedule whose begin lies far back must not hold up everything else.
+MAX_DUE_A_ROUND = 50
+
+
 def find_ready_steps(*, tables: Tables, indexes: Indexes, now_ms: float) -> list[ReadyStep]:
     """Returns all steps with waiting tasks, in the order in which they are served."""
     found: list[ReadyStep] = []
@@ -52,6 +56,8 @@
                 next_ms = min(next_ms, at_ms)
                 break
             due.append((workflow_id, occurrence))
+            if len(due) >= MAX_DUE_A_ROUND:
+                return due, now_ms
     return due, next_ms
 
 
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -134,6 +134,7 @@
     PACE_ORDERED = (7034, "INFO", "pace of run {run} on VM {vm} ordered to {percent}%")
     ADVICE_TAKEN = (7035, "INFO", "step {step} may run on {good} of {vms} VMs")
     ADVICE_FAILED = (7036, "WARNING", "advice on step {step} and {vms} VMs failed: {reason}")
+    COMMAND_FAILED = (7037, "ERROR", "entry {index} of the log, a {kind}, cannot be applied: {error}")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- a/src/hyssopway/relay/leader_finder.py
+++ b/src/hyssopway/relay/leader_finder.py
@@ -86,14 +86,19 @@
             data = await self.directory.client(host).exchange(topic=LEADER, data=b"", timeout_s=ASK_TIMEOUT_S)
         except PeerUnreachableError:
             return  # the next round asks again; `_ask_all` logs when no node answers
-        answer = json.loads(data)
-        for known in answer["members"]:
+        try:
+            answer = json.loads(data)
+            members, leads, leader = list(answer["members"]), answer["leads"], answer["leader"]
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
+            log_event(Event.INPUT_REFUSED, method=LEADER, path=host, reason=repr(error))
+            return
+        for known in members:
             self.known_hosts.setdefault(known)
-        if answer["leads"]:
+        if leads:
             self.note_leader(host)
             self.confirmed_at = max(self.confirmed_at, asked_at)
-        elif answer["leader"] != host:
-            self.known_hosts.setdefault(answer["leader"] or host)
+        elif leader != host:
+            self.known_hosts.setdefault(leader or host)
 
 
 __all__ = ["LeaderFinder"]
--- a/src/hyssopway/relay/relayed_request.py
+++ b/src/hyssopway/relay/relayed_request.py
@@ -33,9 +33,16 @@
 
     @staticmethod
     def decode(data: bytes) -> RelayedRequest:
-        """Decodes a request."""
+        """Decodes a request.
+
+        Raises:
+            ValueError: The data are no request.
+        """
         head, _, body = data.partition(b"\n")
-        entry, method, path, host, credential = json.loads(head)
+        fields = json.loads(head)
+        if not isinstance(fields, list) or not all(isinstance(field, str) for field in fields):
+            raise ValueError("the head of a request is a list of texts")
+        entry, method, path, host, credential = fields
         return RelayedRequest(
             entry=entry, method=method, path=path, host=host, credential=credential, body=body
         )
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -70,7 +70,7 @@
                 # A newer release wrote it; all members of this release skip it alike.
                 log_event(Event.COMMAND_UNKNOWN, index=index, error=str(error).splitlines()[0])
                 return Outcome(index=index)
-            self._apply_command(command)
+            self._apply_whole(command, index=index)
         if self.on_change is not None:
             self.on_change()
         return Outcome(index=index)
@@ -86,6 +86,14 @@
         if self.on_change is not None:
             self.on_change()
 
+    def _apply_whole(self, command: Command, *, index: int) -> None:
+        try:
+            self._apply_command(command)
+        except Exception as error:
+            # The same on every member. Without this an entry that cannot be applied holds up all that follow, also
+            # after a restart.
+            log_event(Event.COMMAND_FAILED, index=index, kind=command.kind, error=repr(error))
+
     def _apply_command(self, command: Command) -> None:
         tables, indexes = self.tables, self.indexes
         match command:
--- a/tests/workflow/test_state.py
+++ b/tests/workflow/test_state.py
@@ -36,6 +36,19 @@
     return log.state.tables.workflows[name].status
 
 
+def test_entry_that_cannot_be_applied_holds_up_nothing(log, monkeypatch):
+    """Guards against one entry of the log that stops every member, again after each restart."""
+
+    def fail(*_):
+        raise KeyError("w")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("hyssopway.workflow.apply_workflows.start_runs", fail)
+        start(log, "w.0.0.0")
+    log.apply(make_workflow("w"))
+    assert status(log) is WorkflowStatus.QUEUED
+
+
 def test_workflow_completes_when_all_steps_are_done(log):
     """Guards against a workflow shown as completed too early or never."""
     log.apply(make_workflow("w"))
