--- a/src/hyssopway/dispatch/leadership.py
+++ b/src/hyssopway/dispatch/leadership.py
@@ -16,6 +16,7 @@
 PROPOSE_TIMEOUT_S = 3.0
 # Below the shortest election timeout: an order that leaves in time is sent before any other leader is elected.
 CONFIRMED_WITHIN_S = 0.3
+CONFIRM_TIMEOUT_S = 0.5
 
 
 class LeadershipLostError(Exception):
@@ -51,6 +52,25 @@
         """Tells whether no other leader can have been elected yet."""
         return self.holds and self.clock() - self.member.confirmed_at() <= CONFIRMED_WITHIN_S
 
+    async def confirm(self) -> None:
+        """Makes sure that no other leader had been elected when this was called.
+
+        A process that was paused goes on with requests that arrived meanwhile; its state may miss what another leader
+        has agreed on since, such as a key that was withdrawn.
+
+        Raises:
+            LeadershipLostError: No quorum confirms this leader.
+        """
+        if self.may_order():
+            return
+        match await self.member.read_index(timeout_s=CONFIRM_TIMEOUT_S):
+            case Result(tag="ok") if self.holds:
+                return
+            case Result(tag="ok"):
+                raise LeadershipLostError(f"term {self.term} is over")
+            case Result(error=failure):
+                raise LeadershipLostError(failure.message)
+
     async def propose(self, command: Command) -> None:
         """Agrees on a command and applies it.
 
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -181,6 +181,7 @@
         if conductor is None:
             return RelayedReply(status=0, leader=self.member.leader_daemon)
         try:
+            await conductor.leadership.confirm()
             return await self.service.answer(request=request, conductor=conductor)
         except LeadershipLostError as error:
             log_event(Event.DECISIONS_STOPPED, term=conductor.leadership.term, reason=str(error))
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -7,6 +7,7 @@
 
 import capnp
 import pytest
+from expression import Error
 from pydantic_core import from_json, to_json
 
 from dispatch.conftest import LIMITS
@@ -14,6 +15,7 @@
 from hyssopway.dispatch import Conductor
 from hyssopway.node import ControlNode, NodeSettings, dump_control_node
 from hyssopway.relay import RelayedReply, RelayedRequest
+from hyssopway.result import Failure, ResultCode
 from hyssopway.workflow import PutDocument, SetZoneEvacuated
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -29,6 +31,13 @@
         return RelayedReply(status=200)
 
 
+class StateService:
+    """Answers from the state alone."""
+
+    async def answer(self, *, request, conductor):
+        return RelayedReply(status=200)
+
+
 class NoMachines:
     """A platform without machines."""
 
@@ -92,6 +101,20 @@
     await wait_until(lambda: all("nashua" in node.state.tables.evacuated for node in group))
 
 
+async def test_leader_that_nobody_confirms_answers_nothing_from_its_state(group, monkeypatch):
+    """Guards against a leader that was paused and answers by keys and jobs of before the pause."""
+    (old,) = leaders(group)
+    old.service = StateService()
+    assert (await old.answer(REQUEST)).status == 200
+    monkeypatch.setattr(old.member, "confirmed_at", lambda: float("-inf"))
+
+    async def confirm_nothing(*, timeout_s):
+        return Error(Failure(code=ResultCode.NO_QUORUM, message="no quorum confirms the leader"))
+
+    monkeypatch.setattr(old.member, "read_index", confirm_nothing)
+    assert (await old.answer(REQUEST)).status == 0
+
+
 async def test_dump_tells_the_whole_state_without_keys(group):
     """Guards against a dump that cannot be written, says little, or hands out the keys of teams."""
     (leader,) = leaders(group)
