Measure what a leader's decisions cost against the size of the fleet

Change: `python -m hyssopway_standins.measure dispatch`: the real dispatcher, links and pool measures over agreed state in memory, processor time at 30 to 4,000 VMs.

--- a/src/hyssopway_standins/measure/__main__.py
+++ b/src/hyssopway_standins/measure/__main__.py
@@ -15,7 +15,7 @@
     from .measurement import Measurement
 
 # Each area is a module of this package with `measure(*, seed: int, quick: bool) -> Measurement`.
-AREAS: tuple[str, ...] = ("agreement", "requests", "jobs", "fleet", "nodes")
+AREAS: tuple[str, ...] = ("agreement", "requests", "jobs", "fleet", "nodes", "dispatch")
 
 
 def main() -> int:
--- /dev/null
+++ b/src/hyssopway_standins/measure/dispatch.py
@@ -0,0 +1,267 @@
+"""What the decisions of a leader cost against the size of the fleet.
+
+Runs the real dispatcher, pool sizes and links of the platform's programs over agreed state in memory, with VMs that
+accept everything. Times are processor time of this process, so other work on the machine hardly changes them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import numpy as np
+
+from hyssopway.dispatch import HoldReply, OrderReply, PlatformLimits, RunningRow
+from hyssopway.dispatch.answer_times import AnswerTimes
+from hyssopway.dispatch.demand_forecast import DemandForecast
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.look_pacer import LookPacer
+from hyssopway.dispatch.pace_memory import PaceMemory
+from hyssopway.dispatch.pool_load import measure_pools
+from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.dispatch.work_scale import WorkScale
+from hyssopway.workflow import (
+    AcceptWorkflow,
+    Capacity,
+    FleetDocument,
+    PoolPolicy,
+    PutDocument,
+    Queue,
+    RegisterVm,
+    Step,
+    WorkflowSpec,
+    WorkflowState,
+    encode_command,
+)
+
+from .measurement import Measurement, Series
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hyssopway.workflow import Command, VmRecord
+
+SIZES = (30, 100, 300, 1000, 4000)
+QUICK_SIZES = (30, 100)
+POOLS = 4
+CORES_A_VM = 64
+TASKS_A_WORKFLOW = 8
+CORES_A_TASK = 8
+# Share of the fleet's cores that runs before a round is measured.
+HALF_FULL = 0.5
+# Starts of the round that is measured.
+ROUND_STARTS = 200
+REPEATS = 5
+
+
+class MemoryTerm:
+    """A term whose commands apply at once."""
+
+    def __init__(self) -> None:
+        self.state = WorkflowState()
+        self.term = 1
+        self.started_at = 0.0
+        self.holds = True
+        self.now = 0.0
+
+    def clock(self) -> float:
+        """Returns the time of the measurement."""
+        return self.now
+
+    def may_order(self) -> bool:
+        """Allows every order."""
+        return True
+
+    async def propose(self, command: Command) -> None:
+        """Applies a command, encoded as in the log."""
+        self.state.apply(index=self.state.applied_index + 1, data=encode_command(command))
+
+
+class AcceptingVms:
+    """VMs that accept every order and list what runs."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, list[RunningRow]] = {}
+
+    async def hold(self, *, vm: VmRecord, **_: Any) -> HoldReply:
+        """Lists the runs of a VM."""
+        running = tuple(self.rows.get(vm.vm_id, ()))
+        return HoldReply(clock_ms=0, boot=vm.boot, running=running, ends=(), is_whole=True)
+
+    async def start(self, *, vm: VmRecord, task: str, run: int, **_: Any) -> OrderReply:
+        """Starts a run."""
+        self.rows.setdefault(vm.vm_id, []).append(RunningRow(task, run, "", 50, 0))
+        return OrderReply()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Cost:
+    """Processor time of one size, in milliseconds.
+
+    Attributes:
+        vms: Number of VMs.
+        start_ms: A start, from the placement to the answer of the VM.
+        empty_round_ms: A round with nothing to do.
+        look_ms: A look at a VM with nothing new.
+        pools_ms: One measurement of all pools and their demand.
+    """
+
+    vms: int
+    start_ms: float
+    empty_round_ms: float
+    look_ms: float
+    pools_ms: float
+
+
+def measure(*, seed: int, quick: bool) -> Measurement:
+    """Measures the costs at several sizes; nothing in it is random, so the seed changes nothing."""
+    costs = [asyncio.run(_measure_size(vms)) for vms in (QUICK_SIZES if quick else SIZES)]
+    figures: dict[str, float] = {}
+    series: list[Series] = []
+    for name in ("start_ms", "empty_round_ms", "look_ms", "pools_ms"):
+        points = [(float(cost.vms), float(getattr(cost, name))) for cost in costs]
+        label = name.removesuffix("_ms").replace("_", " ")
+        figures |= {f"{label} at {vms:.0f} VMs ms": value for vms, value in points}
+        figures[f"{label}, exponent over the fleet"] = growth_exponent(points)
+        series.append(Series(name=label, x_label="VMs", y_label="processor time in ms", points=points))
+    return Measurement(area="dispatch", figures=figures, series=series)
+
+
+def growth_exponent(points: list[tuple[float, float]]) -> float:
+    """Returns the slope of the line through the logarithms; 1 is a cost that grows with the fleet."""
+    x, y = np.log(np.array(points, dtype=float)).T
+    return float(np.polyfit(x, y, 1)[0])
+
+
+async def _measure_size(vms: int) -> Cost:
+    term, calls = MemoryTerm(), AcceptingVms()
+    await _register(term, vms=vms)
+    links: dict[str, VmLink] = {}
+    dispatcher = Dispatcher(leadership=term, links=links)  # type: ignore[arg-type]
+    for vm_id in term.state.tables.vms:
+        links[vm_id] = _link(vm_id, term=term, calls=calls, dispatcher=dispatcher)
+        await links[vm_id].look()
+    running = round(vms * CORES_A_VM * HALF_FULL / CORES_A_TASK)
+    await _submit(term, tasks=running, name="run")
+    await _round(dispatcher)
+    while sum(dispatcher.waiting_millis.values()):
+        await _round(dispatcher)
+    for link in links.values():
+        await link.look()
+    empty_round_ms = await _time(lambda: _round(dispatcher))
+    first = next(iter(links.values()))
+    look_ms = await _time(first.look)
+    forecast = DemandForecast(ahead_s=2.0, scale=lambda _: 1.0)
+
+    async def measure_all() -> None:
+        tables, indexes = term.state.tables, term.state.indexes
+        measure_pools(tables=tables, waiting_millis={})
+        forecast.measure(tables=tables, indexes=indexes, now_ms=0)
+
+    pools_ms = await _time(measure_all)
+    await _submit(term, tasks=ROUND_STARTS, name="new")
+    running = len(term.state.tables.runs)
+    before = time.process_time()
+    await _round(dispatcher)
+    # A small fleet has no room for all of them.
+    start_ms = (time.process_time() - before) * 1000 / (len(term.state.tables.runs) - running)
+    return Cost(
+        vms=vms,
+        start_ms=start_ms,
+        empty_round_ms=empty_round_ms,
+        look_ms=look_ms,
+        pools_ms=pools_ms,
+    )
+
+
+async def _time(work: Callable[[], Any]) -> float:
+    """Returns the least processor time of some repeats, in milliseconds."""
+    times = []
+    for _ in range(REPEATS):
+        before = time.process_time()
+        await work()
+        times.append((time.process_time() - before) * 1000)
+    return min(times)
+
+
+async def _round(dispatcher: Dispatcher) -> None:
+    await dispatcher.start_waiting()
+    while dispatcher.sending:
+        await asyncio.gather(*dispatcher.sending)
+        await asyncio.sleep(0)
+
+
+async def _register(term: MemoryTerm, *, vms: int) -> None:
+    pools = [f"pool-{number}" for number in range(POOLS)]
+    queues = tuple(
+        Queue(name=f"queue-{pool}", host="a.example", path_prefix=f"/{pool}/", pool=pool) for pool in pools
+    )
+    document = FleetDocument(
+        version=1,
+        queues=queues,
+        pools=tuple(PoolPolicy(name=pool) for pool in pools),
+        teams=(),
+        max_body_bytes=1,
+        source="",
+    )
+    await term.propose(PutDocument(document=document))
+    capacity = Capacity(cpu_millis=CORES_A_VM * 1000, memory_mb=128_000)
+    for number in range(vms):
+        await term.propose(
+            RegisterVm(
+                vm=f"vm-{number}",
+                boot=1,
+                address="10.0.0.1:80",
+                pool=pools[number % POOLS],
+                zone=f"zone-{number % 3}",
+                labels=("a", f"r{number // 20}"),
+                capacity=capacity,
+                draining=False,
+                at_ms=0,
+            )
+        )
+
+
+async def _submit(term: MemoryTerm, *, tasks: int, name: str) -> None:
+    step = Step(count=TASKS_A_WORKFLOW, cpu_millis=CORES_A_TASK * 1000, memory_mb=500, estimate_ms=1000)
+    spec = WorkflowSpec(specification="", steps=(step,))
+    for number in range(tasks // TASKS_A_WORKFLOW):
+        await term.propose(
+            AcceptWorkflow(
+                workflow_id=f"{name}{number}",
+                queue=f"queue-pool-{number % POOLS}",
+                team="",
+                spec=spec,
+                at_ms=0,
+            )
+        )
+
+
+def _link(vm_id: str, *, term: MemoryTerm, calls: AcceptingVms, dispatcher: Dispatcher) -> VmLink:
+    limits = PlatformLimits(
+        longest_lease_s=10.0,
+        stop_s=0.4,
+        turn_s=3.0,
+        maintenance_s=2.0,
+        move_s=1.5,
+        machine_orders_per_s=64.0,
+        pacing_s=0.1,
+        status_s=120.0,
+    )
+    return VmLink(
+        vm_id=vm_id,
+        leadership=term,  # type: ignore[arg-type]
+        calls=calls,  # type: ignore[arg-type]
+        limits=limits,
+        scale=WorkScale(),
+        pacer=LookPacer(),
+        times=AnswerTimes(),
+        pace_memory=PaceMemory(),
+        book=dispatcher.book,
+        on_change=lambda: None,
+    )
+
+
+__all__ = ["growth_exponent", "measure"]
