Split the conclusions about unlisted runs from the contact with a VM

No decision is changed. Ruled out: moving the boot handling too, which shares its state with the look.

Shown by: 147 tests of tests/dispatch pass, the state machine of holders among them.

--- /dev/null
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -0,0 +1,78 @@
+"""Finds out what became of agreed runs that their VM does not list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hyssopway.workflow import RunOutcome
+
+from .flight import Flight
+from .run_ends import end_run
+from .settling import Settlement, settle_unlisted
+
+if TYPE_CHECKING:
+    from hyssopway.workflow import ActiveRun, RunEnd, VmRecord
+
+    from .leadership import Leadership
+    from .run_orders import RunOrders
+
+
+class UnlistedRuns:
+    """Runs of one VM that are agreed and not listed.
+
+    Attributes:
+        leadership: The term.
+        orders: Orders of this term to the VM.
+        stop_s: Longest time that the VM takes to stop a run.
+    """
+
+    __slots__ = ("leadership", "orders", "stop_s")
+
+    def __init__(self, *, leadership: Leadership, orders: RunOrders, stop_s: float) -> None:
+        self.leadership = leadership
+        self.orders = orders
+        self.stop_s = stop_s
+
+    def conclude(
+        self, record: VmRecord, *, listed: set[str], sent_at: float, fenced_at: float
+    ) -> list[RunEnd]:
+        """Returns the ends that are certain; asks for a stop of runs whose start was not answered.
+
+        Args:
+            record: The VM as agreed.
+            listed: Keys of the runs and ends that it listed.
+            sent_at: Local time at which the listing was asked for.
+            fenced_at: Local time at which the VM first answered the token of this term.
+        """
+        ends: list[RunEnd] = []
+        for key in sorted(record.runs - listed):
+            run = self._find(key)
+            if run is None:
+                continue
+            flight = self.orders.flights.setdefault(key, Flight())
+            flight.unlisted_since = min(flight.unlisted_since, sent_at)
+            decision = settle_unlisted(
+                flight=flight,
+                run_token=run.fencing_token,
+                own_token=self.leadership.term,
+                fenced_at=fenced_at,
+                listing_sent_at=sent_at,
+                stop_s=self.stop_s,
+            )
+            match decision:
+                case Settlement.STOP:
+                    self.orders.ask_stop(task=run.task, run=run.run, reason="its start was not answered")
+                case Settlement.NEVER_RAN:
+                    ends.append(end_run(run, RunOutcome.NOT_STARTED))
+                case Settlement.VANISHED:
+                    ends.append(end_run(run, RunOutcome.LOST))
+                case Settlement.WAIT:
+                    pass
+        return ends
+
+    def _find(self, key: str) -> ActiveRun | None:
+        runs = self.leadership.state.tables.runs.get(key.rpartition("/")[0], ())
+        return next((run for run in runs if run.key == key and run.vm == self.orders.vm_id), None)
+
+
+__all__ = ["UnlistedRuns"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -9,13 +9,12 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
-from .flight import Flight
 from .lease import RUN_LEASE_S, VmLease, lease_end
 from .look_timing import LookTiming
-from .run_ends import end_all_runs, end_run
+from .run_ends import end_all_runs
 from .run_orders import RunOrders
-from .settling import Settlement, settle_unlisted
 from .stall_watch import StallWatch
+from .unlisted_runs import UnlistedRuns
 from .vm_pace import VmPace
 from .worker_calls import OtherBootError, WorkerUnreachableError
 
@@ -62,7 +61,7 @@
         pace: Pace of its tasks that fill.
         is_fenced: Whether the VM answers, with the fencing token of this term.
         fenced_at: Local time at which it first answered that token after a silence.
-        stop_s: Longest time that it takes to stop a run.
+        unlisted: Runs that it does not list.
         answered_at: Local time of its last answer.
         heard_at: Local time of its last answer or announcement.
         stalls: Progress of its runs.
@@ -88,7 +87,7 @@
         "rows",
         "scale",
         "stalls",
-        "stop_s",
+        "unlisted",
         "vm_id",
     )
 
@@ -124,7 +123,9 @@
         self.pace = VmPace(
             leadership=leadership, orders=self.orders, memory=pace_memory, pacing_s=limits.pacing_s
         )
-        self.stop_s = limits.stop_s + STOP_SLACK_S
+        self.unlisted = UnlistedRuns(
+            leadership=leadership, orders=self.orders, stop_s=limits.stop_s + STOP_SLACK_S
+        )
         self.is_fenced = False
         self.fenced_at = float("inf")
         self.answered_at = float("-inf")
@@ -253,32 +254,7 @@
         if not reply.is_whole:
             return
         listed = set(self.rows) | {f"{one.end.task}/{one.end.run}" for one in reply.ends}
-        settled: list[RunEnd] = []
-        for key in sorted(record.runs - listed):
-            task = key.rpartition("/")[0]
-            active = self.leadership.state.tables.runs.get(task, ())
-            run = next((one for one in active if one.key == key and one.vm == self.vm_id), None)
-            if run is None:
-                continue
-            flight = self.orders.flights.setdefault(key, Flight())
-            flight.unlisted_since = min(flight.unlisted_since, sent_at)
-            decision = settle_unlisted(
-                flight=flight,
-                run_token=run.fencing_token,
-                own_token=self.leadership.term,
-                fenced_at=self.fenced_at,
-                listing_sent_at=sent_at,
-                stop_s=self.stop_s,
-            )
-            match decision:
-                case Settlement.STOP:
-                    self.orders.ask_stop(task=task, run=run.run, reason="its start was not answered")
-                case Settlement.NEVER_RAN:
-                    settled.append(end_run(run, RunOutcome.NOT_STARTED))
-                case Settlement.VANISHED:
-                    settled.append(end_run(run, RunOutcome.LOST))
-                case Settlement.WAIT:
-                    pass
+        settled = self.unlisted.conclude(record, listed=listed, sent_at=sent_at, fenced_at=self.fenced_at)
         if settled:
             await self._end(settled)
         for key, row in self.rows.items():
