Name the tickets and questions of advisors by the usual terms

Cause: TicketBook and AdviceDesk were names of our own; the house style asks for the usual terms of the field. Change: TicketCache, AdviceFetcher, and the attributes that held them; no decision is changed. Ruled out: a common base for the three clients of the platform, which differ in their errors. Shown by: 242 tests of dispatch, measure, docs and the advisor's client pass.

--- a/src/hyssopway/dispatch/advice_desk.py
+++ b/src/hyssopway/dispatch/advice_fetcher.py
@@ -20,7 +20,7 @@
 
     from .advice_calls import AdviceCalls
     from .advice_plan import Question
-    from .ticket_book import TicketBook
+    from .ticket_cache import TicketCache
     from .vm_room import VmRoom
 
 STEP_S = 0.05
@@ -32,13 +32,13 @@
 PRIOR_VMS = 10.0
 
 
-class AdviceDesk:
+class AdviceFetcher:
     """One question after another: an advisor takes those of one node in turn anyway.
 
     Attributes:
         state: Agreed state.
         calls: Client of the advisor.
-        book: Tickets.
+        tickets: Tickets.
         clock: Monotonic seconds.
         wall_ms: Wall clock, for the order of service.
         list_rooms: Returns the free capacity by pool.
@@ -49,13 +49,13 @@
 
     __slots__ = (
         "asked_vms",
-        "book",
         "calls",
         "clock",
         "good_vms",
         "list_rooms",
         "on_tickets",
         "state",
+        "tickets",
         "wall_ms",
     )
 
@@ -64,7 +64,7 @@
         *,
         state: WorkflowState,
         calls: AdviceCalls,
-        book: TicketBook,
+        tickets: TicketCache,
         clock: Clock,
         wall_ms: Callable[[], int],
         list_rooms: Callable[[], dict[str, list[VmRoom]]],
@@ -72,7 +72,7 @@
     ) -> None:
         self.state = state
         self.calls = calls
-        self.book = book
+        self.tickets = tickets
         self.clock = clock
         self.wall_ms = wall_ms
         self.list_rooms = list_rooms
@@ -95,7 +95,7 @@
             steps=steps,
             rooms=self.list_rooms(),
             boots={vm_id: vm.boot for vm_id, vm in self.state.tables.vms.items()},
-            book=self.book,
+            tickets=self.tickets,
             good_share=self.good_share(),
         )
         if question is None:
@@ -117,7 +117,7 @@
             workflow = self.state.tables.workflows[workflow_id]
             if workflow.queue in queues:
                 found += self._list_of(workflow)
-        self.book.keep_steps(one.name for _, one in found)
+        self.tickets.keep_steps(one.name for _, one in found)
         found.sort(key=lambda pair: pair[0])
         return [one for _, one in found]
 
@@ -158,7 +158,7 @@
         self.asked_vms += len(question.vms)
         self.good_vms += len(good)
         log_event(Event.ADVICE_TAKEN, step=step, vms=len(question.vms), good=len(good))
-        self.book.note_answer(
+        self.tickets.note_answer(
             step,
             asked=question.vms,
             good=good,
@@ -168,4 +168,4 @@
         self.on_tickets()
 
 
-__all__ = ["AdviceDesk"]
+__all__ = ["AdviceFetcher"]
--- a/src/hyssopway/dispatch/advice_plan.py
+++ b/src/hyssopway/dispatch/advice_plan.py
@@ -18,7 +18,7 @@
 
     from hyssopway.workflow import Workflow
 
-    from .ticket_book import TicketBook
+    from .ticket_cache import TicketCache
     from .vm_room import VmRoom
 
 MAX_VMS_A_QUESTION = 100
@@ -68,7 +68,7 @@
     steps: Iterable[AdvisedStep],
     rooms: dict[str, list[VmRoom]],
     boots: dict[str, int],
-    book: TicketBook,
+    tickets: TicketCache,
     good_share: float,
 ) -> Question | None:
     """Returns the next question, or None when all steps have what they need.
@@ -77,7 +77,7 @@
         steps: Steps that need tickets, the most urgent first.
         rooms: Free capacity by pool.
         boots: Boots of VMs.
-        book: What is known.
+        tickets: What is known.
         good_share: Share of the VMs that an advisor approves of.
     """
     for one in steps:
@@ -85,9 +85,9 @@
         unknown: list[VmRoom] = []
         for room in rooms.get(one.pool, ()):
             boot = boots[room.vm_id]
-            if book.read(one.name, vm=room.vm_id, boot=boot):
+            if tickets.read(one.name, vm=room.vm_id, boot=boot):
                 placeable += room.count_tasks(one.step)
-            elif not book.is_refused(one.name, vm=room.vm_id, boot=boot):
+            elif not tickets.is_refused(one.name, vm=room.vm_id, boot=boot):
                 unknown.append(room)
         lacking = one.waiting - placeable
         if lacking <= 0 or not unknown:
--- a/src/hyssopway/dispatch/conductor.py
+++ b/src/hyssopway/dispatch/conductor.py
@@ -9,7 +9,7 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import ForgetWorkflows, RegisterVm, RemoveVm
 
-from .advice_desk import AdviceDesk
+from .advice_fetcher import AdviceFetcher
 from .answer_times import AnswerTimes
 from .dispatcher import Dispatcher
 from .emptying import Emptying
@@ -99,10 +99,10 @@
         self.times = AnswerTimes()
         self.retention = Retention(keep_s=limits.status_s)
         self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
-        self.advice = AdviceDesk(
+        self.advice = AdviceFetcher(
             state=leadership.state,
             calls=advisor,
-            book=self.dispatcher.book,
+            tickets=self.dispatcher.tickets,
             clock=leadership.clock,
             wall_ms=wall_ms,
             list_rooms=self.dispatcher.list_rooms,
@@ -201,7 +201,7 @@
                     pacer=self.pacer,
                     times=self.times,
                     pace_memory=self.pace_memory,
-                    book=self.dispatcher.book,
+                    tickets=self.dispatcher.tickets,
                     on_change=self.dispatcher.changed.set,
                 )
             self.tasks[vm_id] = asyncio.create_task(_until_lost(f"VM {vm_id}", link.run()))
--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -12,7 +12,7 @@
 
 from .placement import place_steps
 from .ready_steps import find_due_occurrences, find_ready_steps
-from .ticket_book import TicketBook
+from .ticket_cache import TicketCache
 from .vm_room import VmRoom
 
 if TYPE_CHECKING:
@@ -42,19 +42,19 @@
         closed_vms: VMs that get no starts because they are being emptied.
         due_vms: VMs whose machine waits for its maintenance.
         waiting_millis: Processor by pool that waited after the last round.
-        book: Tickets of steps whose queue has an advisor.
+        tickets: Tickets of steps whose queue has an advisor.
         changed: Set when a round may find something to do.
         sending: Orders in progress.
     """
 
     __slots__ = (
-        "book",
         "changed",
         "closed_vms",
         "due_vms",
         "leadership",
         "links",
         "sending",
+        "tickets",
         "waiting_millis",
     )
 
@@ -64,7 +64,7 @@
         self.closed_vms: set[str] = set()
         self.due_vms: set[str] = set()
         self.waiting_millis: dict[str, int] = {}
-        self.book = TicketBook(clock=leadership.clock)
+        self.tickets = TicketCache(clock=leadership.clock)
         self.changed = asyncio.Event()
         self.sending: set[asyncio.Task[None]] = set()
 
@@ -197,7 +197,7 @@
             one.approved_vms = frozenset(
                 vm_id
                 for vm_id, vm in tables.vms.items()
-                if vm.pool == queue.pool and self.book.read(name, vm=vm_id, boot=vm.boot)
+                if vm.pool == queue.pool and self.tickets.read(name, vm=vm_id, boot=vm.boot)
             )
 
     def list_rooms(self) -> dict[str, list[VmRoom]]:
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -22,7 +22,7 @@
     from .leadership import Leadership
     from .lease import VmLease
     from .order_reply import OrderReply
-    from .ticket_book import TicketBook
+    from .ticket_cache import TicketCache
     from .worker_calls import WorkerCalls
 
 STOP_AGAIN_S = 0.5
@@ -37,7 +37,7 @@
         leadership: Term on whose behalf orders are sent.
         calls: Client of worker VMs.
         lease: Bound on the lease of the VM's runs.
-        book: Tickets of steps whose queue has an advisor.
+        tickets: Tickets of steps whose queue has an advisor.
         times: Times that answers to orders take. A VM that has the run already takes a repeated start for the same
             one, and refuses one that arrives after the end of the run, so orders may be repeated.
         flights: Orders by run key.
@@ -48,7 +48,6 @@
     """
 
     __slots__ = (
-        "book",
         "calls",
         "flights",
         "leadership",
@@ -57,6 +56,7 @@
         "pacing",
         "paused_until",
         "sending",
+        "tickets",
         "times",
         "vm_id",
     )
@@ -69,14 +69,14 @@
         calls: WorkerCalls,
         lease: VmLease,
         times: AnswerTimes,
-        book: TicketBook,
+        tickets: TicketCache,
     ) -> None:
         self.vm_id = vm_id
         self.leadership = leadership
         self.calls = calls
         self.lease = lease
         self.times = times
-        self.book = book
+        self.tickets = tickets
         self.flights: dict[str, Flight] = {}
         self.sending: set[asyncio.Task[None]] = set()
         self.paces: dict[str, int] = {}
@@ -112,7 +112,7 @@
                     break
                 if not self.leadership.may_order() or flight.is_known:
                     break
-                ticket = self.book.read(step_name, vm=self.vm_id, boot=run.boot) if needs_ticket else ""
+                ticket = self.tickets.read(step_name, vm=self.vm_id, boot=run.boot) if needs_ticket else ""
                 if needs_ticket and not ticket:
                     break
                 sent_at = self.leadership.clock()
@@ -147,7 +147,7 @@
         log_event(Event.ORDER_REFUSED, order="start", run=run.key, vm=self.vm_id, reason=reply.refusal)
         if reply.refusal is Refusal.NO_TICKET:
             # The ticket ran out or is of another boot; it says nothing of the VM.
-            self.book.drop(TaskId.parse(run.task).step_name, vm=self.vm_id)
+            self.tickets.drop(TaskId.parse(run.task).step_name, vm=self.vm_id)
         else:
             self.paused_until = self.leadership.clock() + NO_ROOM_PAUSE_S
         # An earlier copy of a repeated order may still be carried out.
--- a/src/hyssopway/dispatch/ticket_book.py
+++ b/src/hyssopway/dispatch/ticket_cache.py
@@ -29,7 +29,7 @@
     expires_at: float
 
 
-class TicketBook:
+class TicketCache:
     """What is known of the VMs of each advised step.
 
     Attributes:
@@ -81,4 +81,4 @@
         self.tickets = {step: known for step, known in self.tickets.items() if step in kept}
 
 
-__all__ = ["Ticket", "TicketBook"]
+__all__ = ["Ticket", "TicketCache"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -30,7 +30,7 @@
     from .pace_memory import PaceMemory
     from .platform_limits import PlatformLimits
     from .running_row import RunningRow
-    from .ticket_book import TicketBook
+    from .ticket_cache import TicketCache
     from .work_scale import WorkScale
     from .worker_calls import WorkerCalls
 
@@ -102,7 +102,7 @@
         pacer: LookPacer,
         times: AnswerTimes,
         pace_memory: PaceMemory,
-        book: TicketBook,
+        tickets: TicketCache,
         on_change: Callable[[], None],
     ) -> None:
         self.vm_id = vm_id
@@ -118,7 +118,7 @@
         granted_by_others = lease_end(granted_at=leadership.started_at, length_s=length_s)
         self.lease = VmLease(length_s=length_s, ends_at=granted_by_others)
         self.orders = RunOrders(
-            vm_id=vm_id, leadership=leadership, calls=calls, lease=self.lease, times=times, book=book
+            vm_id=vm_id, leadership=leadership, calls=calls, lease=self.lease, times=times, tickets=tickets
         )
         self.pace = VmPace(
             leadership=leadership, orders=self.orders, memory=pace_memory, pacing_s=limits.pacing_s
--- a/src/hyssopway_standins/measure/dispatch.py
+++ b/src/hyssopway_standins/measure/dispatch.py
@@ -259,7 +259,7 @@
         pacer=LookPacer(),
         times=AnswerTimes(),
         pace_memory=PaceMemory(),
-        book=dispatcher.book,
+        tickets=dispatcher.tickets,
         on_change=lambda: None,
     )
 
--- a/tests/adapter/test_advisor_client.py
+++ b/tests/adapter/test_advisor_client.py
@@ -69,7 +69,7 @@
     ],
 )
 async def test_answer_that_says_nothing_is_an_error(client, advisor, status, body):
-    """Guards against a desk that ends, or takes silence for a refusal of all VMs."""
+    """Guards against questions that end, or takes silence for a refusal of all VMs."""
     advisor.status, advisor.body = status, body
     with pytest.raises(AdviceError):
         await ask(client)
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -8,7 +8,7 @@
 from hyssopway.dispatch.answer_times import AnswerTimes
 from hyssopway.dispatch.look_pacer import LookPacer
 from hyssopway.dispatch.pace_memory import PaceMemory
-from hyssopway.dispatch.ticket_book import TicketBook
+from hyssopway.dispatch.ticket_cache import TicketCache
 from hyssopway.dispatch.vm_link import VmLink
 from hyssopway.dispatch.work_scale import WorkScale
 from hyssopway.workflow import PutDocument, WorkflowState, encode_command
@@ -110,7 +110,7 @@
         pacer=LookPacer(),
         times=AnswerTimes(),
         pace_memory=PaceMemory(),
-        book=TicketBook(clock=leadership.clock),
+        tickets=TicketCache(clock=leadership.clock),
         on_change=lambda: None,
     )
 
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -9,10 +9,10 @@
 
 from dispatch.conftest import FakeLeadership, FakeVms, make_link
 from hyssopway.dispatch import AdviceError, OrderReply, Refusal
-from hyssopway.dispatch.advice_desk import AdviceDesk
+from hyssopway.dispatch.advice_fetcher import AdviceFetcher
 from hyssopway.dispatch.advice_plan import MAX_VMS_A_QUESTION
 from hyssopway.dispatch.dispatcher import Dispatcher
-from hyssopway.dispatch.ticket_book import MARGIN_S
+from hyssopway.dispatch.ticket_cache import MARGIN_S
 from hyssopway.workflow import AdvisorPolicy, PutDocument, RunEnd, RunOutcome, Step
 from hyssopway.workflow.commands import EndRuns
 from workflow.conftest import make_document, make_vm, make_workflow
@@ -67,7 +67,7 @@
 
 
 class AdvisedFleet:
-    """A dispatcher and a desk over three VMs and one advised queue."""
+    """A dispatcher and a fetcher over three VMs and one advised queue."""
 
     def __init__(self):
         self.leadership = FakeLeadership()
@@ -75,10 +75,10 @@
         self.advisor = FakeAdvisor(self.leadership)
         self.links = {}
         self.dispatcher = Dispatcher(leadership=self.leadership, links=self.links)
-        self.desk = AdviceDesk(
+        self.fetcher = AdviceFetcher(
             state=self.leadership.state,
             calls=self.advisor,
-            book=self.dispatcher.book,
+            tickets=self.dispatcher.tickets,
             clock=self.leadership.clock,
             wall_ms=lambda: 10,
             list_rooms=self.dispatcher.list_rooms,
@@ -92,7 +92,7 @@
         for name in ("vm-1", *GOOD):
             await self.leadership.propose(make_vm(name))
             link = self.links[name] = make_link(name, leadership=self.leadership, calls=self.vms)
-            link.orders.book = self.dispatcher.book
+            link.orders.tickets = self.dispatcher.tickets
             await link.look()
 
     async def round(self):
@@ -117,7 +117,7 @@
     await advised.leadership.propose(make_workflow("w", steps=CHAIN))
     await advised.round()
     assert advised.vms.tickets == []
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     await advised.round()
     assert len(advised.started()) == 8
@@ -127,14 +127,14 @@
 async def test_answers_are_kept_until_they_run_out(advised):
     """Guards against questions for what is known, and against tickets used too late."""
     await advised.leadership.propose(make_workflow("w", steps=(Step(count=30, cpu_millis=1000),)))
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     asked = len(advised.advisor.asked)
-    assert not await advised.desk.ask_next()
+    assert not await advised.fetcher.ask_next()
     advised.leadership.now += POLICY.validity_ms / 1000 - MARGIN_S
     await advised.links["vm-2"].look()
     await advised.links["vm-1"].look()
-    assert await advised.desk.ask_next()
+    assert await advised.fetcher.ask_next()
     step, vms = advised.advisor.asked[asked]
     assert step == "w.0.0"
     assert "vm-1" not in vms, "a VM that must not run a step does not change its mind"
@@ -143,7 +143,7 @@
 async def test_next_step_is_asked_about_when_the_step_before_is_nearly_done(advised):
     """Guards against a step that waits for the advisor's time after all before it is done."""
     await advised.leadership.propose(make_workflow("w", steps=CHAIN))
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     assert {step for step, _ in advised.advisor.asked} == {"w.0.0"}
     await advised.round()
@@ -156,17 +156,17 @@
     for end in ends[:6]:
         vm = advised.started()[end.task]
         await advised.leadership.propose(EndRuns(vm=vm, boot=1, ends=(end,), at_ms=20))
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     assert "w.0.1" in {step for step, _ in advised.advisor.asked}
 
 
 async def test_busy_or_silent_advisor_is_asked_again(advised, monkeypatch):
     """Guards against a step that never starts because one question was lost."""
-    monkeypatch.setattr("hyssopway.dispatch.advice_desk.RETRY_S", 0.0)
+    monkeypatch.setattr("hyssopway.dispatch.advice_fetcher.RETRY_S", 0.0)
     advised.advisor.failures = 3
     await advised.leadership.propose(make_workflow("w", steps=(Step(count=1, cpu_millis=1000),)))
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     await advised.round()
     assert len(advised.started()) == 1
@@ -175,7 +175,7 @@
 async def test_refused_ticket_is_asked_for_again_and_does_not_count_against_the_vm(advised):
     """Guards against a VM that gets nothing more because a ticket had run out on its way."""
     await advised.leadership.propose(make_workflow("w", steps=(Step(count=1, cpu_millis=1000),)))
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     advised.vms.refuse = True
     await advised.round()
@@ -184,7 +184,7 @@
     assert advised.links[vm].failures == 0
     assert advised.links[vm].orders.paused_until <= advised.leadership.now
     asked = len(advised.advisor.asked)
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     assert len(advised.advisor.asked) > asked
     await advised.round()
@@ -194,7 +194,7 @@
 async def test_tickets_of_an_earlier_boot_are_not_used(advised):
     """Guards against a start with the ticket of a life that has ended."""
     await advised.leadership.propose(make_workflow("w", steps=(Step(count=1, cpu_millis=1000),)))
-    while await advised.desk.ask_next():
+    while await advised.fetcher.ask_next():
         pass
     for name in GOOD:
         await advised.leadership.propose(make_vm(name, boot=2))
@@ -210,11 +210,11 @@
         link = advised.links[name] = make_link(name, leadership=advised.leadership, calls=advised.vms)
         await link.look()
     await advised.leadership.propose(make_workflow("one", steps=(Step(count=1, cpu_millis=1000),)))
-    assert await advised.desk.ask_next()
+    assert await advised.fetcher.ask_next()
     assert len(advised.advisor.asked[0][1]) == 2
     await advised.leadership.propose(make_workflow("wide", steps=(Step(count=900, cpu_millis=8000),)))
     for _ in range(3):
-        await advised.desk.ask_next()
+        await advised.fetcher.ask_next()
     assert max(len(vms) for _, vms in advised.advisor.asked) == MAX_VMS_A_QUESTION
 
 
@@ -223,7 +223,7 @@
     fleet = AdvisedFleet()
     await fleet.open(advisor=None)
     await fleet.leadership.propose(make_workflow("w", steps=CHAIN))
-    assert not await fleet.desk.ask_next()
+    assert not await fleet.fetcher.ask_next()
     await fleet.round()
     assert fleet.advisor.asked == []
     assert len(fleet.vms.tickets) == 8
