--- a/tests/adapter/test_fuzzed_input.py
+++ b/tests/adapter/test_fuzzed_input.py
@@ -212,3 +212,9 @@
     job = {"specification": "", "steps": [{"count": 1, field: -4000}]}
     with pytest.raises(BadInputError):
         decode_job(json.dumps(job).encode())
+
+
+def test_wave_without_an_end_is_refused():
+    """Guards against a duration that is no finite number of milliseconds; found by fresh fuzzing."""
+    with pytest.raises(BadInputError):
+        decode_wave(json.dumps(WAVE | {"duration_s": 1.797693134862316e305}).encode())
