--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
@@ -56,12 +57,14 @@
         rtt_estimator: Estimates how long a VM takes to answer an order.
         retention: Finds ended workflows whose records may be deleted.
         tasks: Asyncio tasks that run the links, by VM ID.
+        counters: Numbers of scheduling decisions of this term, by name; exposed as metrics.
         load_reported_at: Local time of the last load report.
     """
 
     __slots__ = (
         "advice",
         "calls",
+        "counters",
         "dispatcher",
         "drainer",
         "leadership",
@@ -93,6 +96,7 @@
         self.links: dict[str, VmLink] = {}
         self.load_reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.counters: Counter[str] = Counter()
         self.scale = DurationScale()
         self.poll_limiter = PollRateLimiter()
         self.pace_history = PaceHistory()
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -176,6 +176,7 @@
             "runs": sum(len(runs) for runs in tables.runs.values()),
             "waiting_cores": sum(controller.dispatcher.waiting_millis.values()) / 1000 if controller else 0.0,
             "document_version": tables.document.version if tables.document is not None else 0,
+            **(controller.counters if controller is not None else {}),
         }
 
     async def answer(self, request: RelayedRequest) -> RelayedReply:
