Keep orders from ending long-running tasks beyond their allowance

Cause: an order could end a long-running task, or one whose absence was not counted, in these cases. - An allowance of 0 was taken for a step without an allowance, which may miss one task. - A maintenance order without a confirmation was repeated without a look at the VM. A new leader had not cordoned the VM and had placed tasks on it. - The move of an idle machine whose answer was lost uncordoned the VM at once, so the move could be carried out when tasks had been placed there. After a successful move the VM was uncordoned before its record was removed. - A start that was being committed was not seen by the check that a VM is empty, neither for moves nor for waves. - A move took over a VM that a wave had cordoned since the move was planned, and uncordoned it when it was refused. - A machine whose listed VM is not registered counted as empty in a list of any age. - A new leader took tasks for working that the former leader had ordered to stop a moment ago, and placed tasks on VMs whose machine the former leader had just ordered. - The start of a long-running task that got no answer was stopped as soon as one list lacked it, and the stop could end a run that its VM had started late. It is now repeated for up to 5 s first.

Found on the way: a maintenance order that is not due any more removed the record of the VM, whose runs then started elsewhere while they still worked. A start whose commit was not confirmed in time stayed unresolved until the end of the term. A move that may not be ordered left its VM cordoned.

Ruled out: lists up to 1.3 s old by themselves, since this leader knows its own stops and other losses count only after notice_ms; the end of a lease, since the task counts as away as soon as its VM is silent.

An allowance of 0 keeps a wave open until the job ends. Nothing else keeps a wave from completing: repeated orders wait for the drain, and holds end after the machine lease.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 from hyssopway.workflow import AddOccurrence, StartRuns, TaskId
 
 from .free_capacity import FreeCapacity
+from .leadership import LeadershipLostError
 from .placement import place_steps
 from .ready_steps import find_due_occurrences, find_ready_steps
 from .ticket_cache import TicketCache
@@ -125,7 +126,14 @@
             # Registered before the command is applied, so that a list of the VM's runs that arrives in between
             # does not count the run as ended because it lacks it.
             self.links[start.vm].orders.expect_start(task=start.task, run=start.run)
-        await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
+        try:
+            await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
+        except LeadershipLostError:
+            # The command may still be committed in this term. Nothing is sent for it, so its runs are to be resolved.
+            for start in starts:
+                if start.vm in self.links:
+                    self.links[start.vm].orders.mark_unsent(task=start.task, run=start.run)
+            raise
         self._log_starts(starts)
         for start in starts:
             self._order_start(start)
--- a/src/hyssopway/dispatch/interruption.py
+++ b/src/hyssopway/dispatch/interruption.py
@@ -14,7 +14,7 @@
 
     from hyssopway.workflow import Tables
 
-# Steps without an allowance may have one task at a time interrupted.
+# Steps that set no allowance may have one task at a time interrupted; an allowance of 0 forbids all interruptions.
 DEFAULT_ALLOWANCE = 1
 
 
@@ -28,7 +28,9 @@
     """
     workflow = tables.workflows[task.workflow]
     step = workflow.spec.steps[task.step]
-    allowance = step.disruption_allowance or DEFAULT_ALLOWANCE
+    allowance = step.disruption_allowance
+    if allowance is None:
+        allowance = DEFAULT_ALLOWANCE
     unavailable = 0
     for number in range(step.count):
         other = TaskId(task.workflow, task.occurrence, task.step, number)
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -36,6 +36,8 @@
 
 SUPERVISION_INTERVAL_S = 0.1
 LOAD_REPORT_INTERVAL_S = 1.0
+# A hold is renewed in each supervision interval for as long as its reason lasts.
+UNCERTAIN_HOLD_S = 3 * SUPERVISION_INTERVAL_S
 
 
 class LeaderController:
@@ -217,6 +219,8 @@
         for vm_id, vm in self.leadership.state.tables.vms.items():
             if vm.draining:
                 self.drainer.cordon(vm_id, reason="it is draining")
+        for vm_id in self.waves.machines.list_uncertain_vms():
+            self.drainer.hold(vm_id, seconds=UNCERTAIN_HOLD_S)
         if self.leadership.may_order():
             self.drainer.evict_runs()
 
--- a/src/hyssopway/dispatch/machine_inventory.py
+++ b/src/hyssopway/dispatch/machine_inventory.py
@@ -93,6 +93,10 @@
             if not self.is_gone(machine_id) and (now < until or not self._is_up(machine_id))
         }
 
+    def is_list_current(self) -> bool:
+        """Returns whether the list is so recent that no machine in it can have got another VM since."""
+        return self.leadership.clock() - self.listed_at < self.min_down_s
+
     def is_gone(self, machine_id: str) -> bool:
         """Returns whether a machine has been missing from lists for so long that it counts as gone."""
         if machine_id in self.machines:
@@ -112,6 +116,22 @@
         """Returns whether no former leader can have ordered a machine within `machine_lease_s`."""
         return self.leadership.clock() >= self.orderable_at.get(machine_id, float("-inf"))
 
+    def list_uncertain_vms(self) -> list[str]:
+        """Returns the IDs of VMs for whose machine an order of a former leader may still take effect.
+
+        A VM that has started since the order is the one that the order led to.
+        """
+        tables = self.leadership.state.tables
+        uncertain = []
+        for machine_id in self.orderable_at:
+            machine = self.machines.get(machine_id)
+            record = tables.vms.get(machine.vm_id) if machine is not None else None
+            if record is None or self.may_order(machine_id):
+                continue
+            if record.boot <= tables.machine_orders.get(machine_id, 0):
+                uncertain.append(record.vm_id)
+        return uncertain
+
     def _update_orderable_at(self) -> None:
         """Counts the machine lease of a machine that is up from the latest time at which it can have got an order.
 
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -215,16 +215,23 @@
         return most_vms
 
     async def _move(self, move: MachineMove) -> None:
-        machine = self.machines.machines[move.machine_id]
+        machine = self.machines.machines.get(move.machine_id)
+        if machine is None or not self.machines.is_available(move.machine_id):
+            return
+        if machine.vm_id in self.drainer.cordoned_at:
+            return  # a wave has begun to drain the VM since the move was planned
+        if machine.vm_id not in self.leadership.state.tables.vms and not self.machines.is_list_current():
+            return  # another VM with runs may have taken the place of the listed one
         record = self.leadership.state.tables.vms.get(machine.vm_id)
         if record is not None:
-            # The VM is cordoned before the check, so that no start is placed after it. A start that was replicated in
-            # between keeps the machine in its pool.
+            # The VM is cordoned before the check, so that no start is placed after it. A start that is being
+            # replicated, or was in between, keeps the machine in its pool.
             self.drainer.cordon(record.vm_id, reason=f"moves to pool {move.target}")
-            if record.runs:
+            if not self.drainer.is_empty(record.vm_id):
                 self.drainer.uncordon(record.vm_id)
                 return
         if not self.leadership.may_order():
+            self.drainer.uncordon(machine.vm_id)
             return
         self.machines.record_order(move.machine_id, duration_s=self.move_s)
         try:
@@ -236,7 +243,10 @@
             )
         except MachineCallError as error:
             log_event(Event.PLATFORM_FAILED, call="order_move", error=str(error))
-            # The move may have been carried out; the list then shows the machine when it is up again.
+            # The move may have been carried out, and the list then shows the machine when it is up again. It may also
+            # still be carried out, and would end the runs that the VM gets until then.
+            if machine.vm_id:
+                self.drainer.hold(machine.vm_id, seconds=self.machines.machine_lease_s)
             self.drainer.uncordon(machine.vm_id)
             return
         log_event(
@@ -246,15 +256,15 @@
             target=move.target,
             result=str(result),
         )
-        self.drainer.uncordon(machine.vm_id)
         if result is MachineOrderResult.GONE:
             self.impossible_moves.add((move.source, move.target))
-        if result is not MachineOrderResult.DONE:
-            return
-        until = self.leadership.clock() + self.move_s + JOIN_TIMEOUT_S
-        self.incoming[move.machine_id] = (move.target, until)
-        if record is not None:
-            await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
+        if result is MachineOrderResult.DONE:
+            until = self.leadership.clock() + self.move_s + JOIN_TIMEOUT_S
+            self.incoming[move.machine_id] = (move.target, until)
+            if record is not None:
+                await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
+        # Uncordoned after its record is removed, so that it gets no runs in between.
+        self.drainer.uncordon(machine.vm_id)
 
 
 __all__ = ["PoolRebalancer"]
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import RunOutcome, TaskId
@@ -29,6 +29,13 @@
 REFUSAL_PAUSE_S = 0.3
 
 
+class _UnansweredStart(NamedTuple):
+    run: ActiveRun
+    specification: str
+    checkpoint: str
+    needs_ticket: bool
+
+
 class RunOrders:
     """Sends orders for the runs of one VM and tracks their state.
 
@@ -41,9 +48,10 @@
         calls: Client of worker VMs.
         lease: Lease of the VM's runs.
         tickets: Tickets of steps whose queue has an advisor.
+        unanswered_starts: Starts that got no answer, by run key.
         rtt_estimator: Estimates how long a VM takes to answer an order.
         order_states: States of the orders, by run key.
-        sending: Asyncio tasks that send stops and changes of pace.
+        sending: Asyncio tasks that send stops, changes of pace and repeated starts.
         paces: Pace in percent that the VM confirmed, by run key.
         pace_requests: Keys of the runs whose change of pace is in flight.
         paused_until: Local time before which no task is placed on the VM.
@@ -60,6 +68,7 @@
         "rtt_estimator",
         "sending",
         "tickets",
+        "unanswered_starts",
         "vm_id",
     )
 
@@ -84,6 +93,7 @@
         self.paces: dict[str, int] = {}
         self.pace_requests: set[str] = set()
         self.paused_until = float("-inf")
+        self.unanswered_starts: dict[str, _UnansweredStart] = {}
 
     @property
     def record(self) -> VmRecord | None:
@@ -98,15 +108,40 @@
         """Discards a start that was not committed."""
         self.order_states.pop(f"{task}/{run}", None)
 
+    def mark_unsent(self, *, task: str, run: int) -> None:
+        """Records that a start was not sent although it may be committed later; it is then resolved as unlisted."""
+        order_state = self.order_states.get(f"{task}/{run}")
+        if order_state is not None:
+            order_state.is_sending = False
+
+    def list_starts_in_flight(self) -> list[str]:
+        """Returns the keys of runs whose start is being committed or sent."""
+        return [key for key, order_state in self.order_states.items() if order_state.is_sending]
+
     async def start(
-        self, run: ActiveRun, *, specification: str, checkpoint: str, needs_ticket: bool = False
+        self,
+        run: ActiveRun,
+        *,
+        specification: str,
+        checkpoint: str,
+        needs_ticket: bool = False,
+        is_repeated: bool = False,
     ) -> RunEnd | None:
-        """Orders a committed start; returns an end if the run certainly doesn't start, else None."""
+        """Orders a committed start; returns an end if the run certainly doesn't start, else None.
+
+        Args:
+            run: The committed run.
+            specification: Text that is passed to the task.
+            checkpoint: Checkpoint from which the run continues; empty if there is none.
+            needs_ticket: Whether the order needs a ticket of the queue's advisor.
+            is_repeated: Whether an earlier order for the run got no answer and may still be carried out.
+        """
         step_name = TaskId.parse(run.task).step_name
         order_state = self.order_states.setdefault(run.key, OrderState(is_sending=True))
         # Repeated orders carry the same lease: a later end would prolong the wait for a VM that is gone.
         until_ms = self.lease.renew(now=self.leadership.clock())
-        is_sent = False
+        is_sent = is_repeated
+        self.unanswered_starts.pop(run.key, None)
         try:
             for timeout_s in self.rtt_estimator.choose_timeouts():
                 record = self.record
@@ -140,7 +175,29 @@
                 )
         finally:
             order_state.is_sending = False
-        return None if is_sent else make_run_end(run, RunOutcome.NOT_STARTED)
+        if not is_sent:
+            return make_run_end(run, RunOutcome.NOT_STARTED)
+        self.unanswered_starts[run.key] = _UnansweredStart(run, specification, checkpoint, needs_ticket)
+        return None
+
+    def repeat_start(self, key: str) -> bool:
+        """Sends a start that got no answer again; returns False if there is none, or the run was to be stopped."""
+        order_state = self.order_states.get(key)
+        if key not in self.unanswered_starts or order_state is None or order_state.is_start_resolved:
+            return False
+        order_state.is_sending = True
+        self._send_in_background(self._repeat_start(self.unanswered_starts[key]))
+        return True
+
+    async def _repeat_start(self, unanswered: _UnansweredStart) -> None:
+        # Its outcome is never certain without an answer, so there is no end to commit.
+        await self.start(
+            unanswered.run,
+            specification=unanswered.specification,
+            checkpoint=unanswered.checkpoint,
+            needs_ticket=unanswered.needs_ticket,
+            is_repeated=True,
+        )
 
     def _process_start_reply(
         self, run: ActiveRun, *, order_state: OrderState, reply: OrderReply, is_repeated: bool
@@ -187,10 +244,12 @@
         """Discards the state of all runs of a boot that has ended."""
         self.order_states.clear()
         self.paces.clear()
+        self.unanswered_starts.clear()
 
     def discard_run(self, key: str) -> OrderState | None:
         """Discards a run that has ended and returns the state of its order, if there was one."""
         self.paces.pop(key, None)
+        self.unanswered_starts.pop(key, None)
         return self.order_states.pop(key, None)
 
     def record_listed(self, keys: Iterable[str], *, now: float) -> None:
--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from hyssopway.workflow import RunOutcome
+from hyssopway.workflow import RunOutcome, TaskId
 
 from .order_state import OrderState
 from .resolution import Resolution, resolve_unlisted
@@ -16,6 +16,10 @@
     from .leadership import Leadership
     from .run_orders import RunOrders
 
+# A VM that answers polls and leaves the starts of a long-running task unanswered for longer is told to stop the run, so
+# that the task can start elsewhere. One round of repeats takes about a second, so this allows four or five.
+MAX_REPEAT_S = 5.0
+
 
 class UnlistedRuns:
     """Resolves runs of one VM that are in the replicated state but not listed by the VM.
@@ -60,6 +64,8 @@
                 stop_s=self.stop_s,
             )
             match decision:
+                case Resolution.STOP if self._may_repeat_start(run, order_state, sent_at=sent_at):
+                    pass
                 case Resolution.STOP:
                     self.orders.request_stop(task=run.task, run=run.run, reason="its start got no answer")
                 case Resolution.NEVER_RAN:
@@ -70,6 +76,19 @@
                     pass
         return ends
 
+    def _may_repeat_start(self, run: ActiveRun, order_state: OrderState, *, sent_at: float) -> bool:
+        """Sends the start of a long-running task again and returns whether it did.
+
+        A stop could end a run that the VM starts late, without regard to the disruption allowance of its step.
+        """
+        task = TaskId.parse(run.task)
+        workflow = self.leadership.state.tables.workflows[task.workflow]
+        if not workflow.spec.steps[task.step].long_running or workflow.status.is_final:
+            return False
+        if sent_at - order_state.unlisted_since > MAX_REPEAT_S:
+            return False
+        return self.orders.repeat_start(run.key)
+
     def _find_run(self, key: str) -> ActiveRun | None:
         runs = self.leadership.state.tables.runs.get(key.rpartition("/")[0], ())
         return next((run for run in runs if run.key == key and run.vm == self.orders.vm_id), None)
--- a/src/hyssopway/dispatch/vm_drainer.py
+++ b/src/hyssopway/dispatch/vm_drainer.py
@@ -16,8 +16,6 @@
 
 # Time for short tasks to end by themselves; then those that save checkpoints are stopped.
 FINISH_TIME_S = 2.5
-# Listed percent of a long-running run that has started up and whose pace is not limited.
-UNTHROTTLED_PERCENT = 100
 
 
 class VmDrainer:
@@ -28,15 +26,17 @@
         links: Links to VMs by VM ID.
         dispatcher: Places no tasks on cordoned VMs.
         cordoned_at: Local time since which each VM has been cordoned, by VM ID.
+        held_until: Local time until which each held VM gets no new runs, by VM ID.
     """
 
-    __slots__ = ("cordoned_at", "dispatcher", "leadership", "links")
+    __slots__ = ("cordoned_at", "dispatcher", "held_until", "leadership", "links")
 
     def __init__(self, *, leadership: Leadership, links: dict[str, VmLink], dispatcher: Dispatcher) -> None:
         self.leadership = leadership
         self.links = links
         self.dispatcher = dispatcher
         self.cordoned_at: dict[str, float] = {}
+        self.held_until: dict[str, float] = {}
 
     def cordon(self, vm_id: str, *, reason: str) -> None:
         """Keeps new runs off a VM and starts to drain it; `reason` is logged."""
@@ -48,26 +48,47 @@
     def uncordon(self, vm_id: str) -> None:
         """Allows new runs on a VM again."""
         self.cordoned_at.pop(vm_id, None)
-        self.dispatcher.cordoned_vms.discard(vm_id)
+        if vm_id not in self.held_until:
+            self.dispatcher.cordoned_vms.discard(vm_id)
         self.dispatcher.changed.set()
 
+    def hold(self, vm_id: str, *, seconds: float) -> None:
+        """Keeps new runs off a VM for some time without draining it.
+
+        An order for its machine may still take effect, and would end the runs.
+        """
+        until = self.leadership.clock() + seconds
+        self.held_until[vm_id] = max(until, self.held_until.get(vm_id, until))
+        self.dispatcher.cordoned_vms.add(vm_id)
+
+    def release(self, vm_id: str) -> None:
+        """Ends the time for which a VM is held, because the order for its machine was answered."""
+        self.held_until.pop(vm_id, None)
+        if vm_id not in self.cordoned_at:
+            self.uncordon(vm_id)
+
     def is_empty(self, vm_id: str) -> bool:
-        """Returns whether a VM has no runs according to the replicated state."""
+        """Returns whether a VM has no runs, and none whose start is being committed."""
         record = self.leadership.state.tables.vms.get(vm_id)
-        return record is None or not record.runs
+        return (record is None or not record.runs) and not self._list_starts_in_flight(vm_id)
 
     def has_long_running(self, vm_id: str) -> bool:
         """Returns whether a VM has runs of long-running tasks; they are stopped only within their allowance."""
         tables = self.leadership.state.tables
         record = tables.vms.get(vm_id)
-        for key in record.runs if record is not None else ():
+        for key in (*(record.runs if record is not None else ()), *self._list_starts_in_flight(vm_id)):
             task = TaskId.parse(key.rpartition("/")[0])
-            if tables.workflows[task.workflow].spec.steps[task.step].long_running:
+            workflow = tables.workflows.get(task.workflow)
+            if workflow is not None and workflow.spec.steps[task.step].long_running:
                 return True
         return False
 
     def evict_runs(self) -> None:
-        """Requests the stops of runs on cordoned VMs that are allowed now, and uncordons VMs that are gone."""
+        """Requests the stops of runs on cordoned VMs that are allowed now, and releases VMs.
+
+        VMs that are gone are uncordoned, and VMs whose time of being held is over get new runs again.
+        """
+        self._release_held()
         for vm_id in list(self.cordoned_at):
             link = self.links.get(vm_id)
             record = self.leadership.state.tables.vms.get(vm_id)
@@ -88,6 +109,15 @@
         elif step.checkpointing and self.leadership.clock() - self.cordoned_at[vm_id] > FINISH_TIME_S:
             self._request_stop(task, run=int(run), link=link)
 
+    def _release_held(self) -> None:
+        now = self.leadership.clock()
+        for vm_id in [vm_id for vm_id, until in self.held_until.items() if now >= until]:
+            self.release(vm_id)
+
+    def _list_starts_in_flight(self, vm_id: str) -> list[str]:
+        link = self.links.get(vm_id)
+        return link.orders.list_starts_in_flight() if link is not None else []
+
     def _request_stop(self, task: TaskId, *, run: int, link: VmLink) -> None:
         link.orders.request_stop(task=task.name, run=run, reason="its VM is being drained")
 
@@ -95,13 +125,8 @@
         task = key.rpartition("/")[0]
         for run in self.leadership.state.tables.runs.get(task, ()):
             link = self.links.get(run.vm)
-            if link is None or run.key != key or link.orders.is_stop_requested(key):
-                continue  # the last list of the VM's runs may be older than the stop
-            if not link.in_contact(self.leadership.clock()):
-                continue
-            listed_run = link.listed_runs.get(key)
-            if listed_run is not None:
-                return listed_run.percent == UNTHROTTLED_PERCENT
+            if link is not None and run.key == key:
+                return link.is_at_work(run)
         return False
 
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -40,6 +40,8 @@
 STALL_PAUSE_S = 2.0
 # A VM whose last answer is older gets no new tasks; longer than the timeout of one unanswered poll.
 CONTACT_TIMEOUT_S = 1.3
+# Listed percent of a long-running run that has started up and whose pace is not limited.
+UNTHROTTLED_PERCENT = 100
 # A VM that neither answers nor announces itself for this long is removed.
 REMOVE_AFTER_S = 20.0
 
@@ -63,6 +65,7 @@
         term_acked_at: Local time at which it first acknowledged that token, or did so again after it was silent.
         unlisted: Resolves runs that the VM does not list.
         answered_at: Local time of the last answer.
+        listing_sent_at: Local time at which the poll for `listed_runs` was sent.
         heard_at: Local time of the last answer or announcement.
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
@@ -79,6 +82,7 @@
         "leadership",
         "lease",
         "listed_runs",
+        "listing_sent_at",
         "on_change",
         "orders",
         "pace",
@@ -134,6 +138,7 @@
         self.has_acked_term = False
         self.term_acked_at = float("inf")
         self.answered_at = float("-inf")
+        self.listing_sent_at = float("-inf")
         self.heard_at = leadership.clock()
         self.listed_runs: dict[str, ListedRun] = {}
         self.failures = 0
@@ -147,6 +152,24 @@
         """Returns whether the VM answered recently, so that orders are likely to arrive."""
         return self.has_acked_term and now - self.answered_at <= CONTACT_TIMEOUT_S
 
+    def is_at_work(self, run: ActiveRun) -> bool:
+        """Returns whether a run certainly works at full rate, as far as orders of leaders are concerned.
+
+        A stop that this leader sent may have been carried out after the last listing. So may a stop of an earlier
+        leader, which this one does not know: the VM refuses it once it has acknowledged the token of this term, but a
+        run that was being stopped by then may end later.
+        """
+        now = self.leadership.clock()
+        if not self.in_contact(now) or self.orders.is_stop_requested(run.key):
+            return False
+        if (
+            run.fencing_token != self.leadership.term
+            and self.listing_sent_at < self.term_acked_at + self.unlisted.stop_s
+        ):
+            return False
+        listed_run = self.listed_runs.get(run.key)
+        return listed_run is not None and listed_run.percent == UNTHROTTLED_PERCENT
+
     async def run(self) -> None:
         """Polls the VM and renews its lease for as long as the VM is registered."""
         while self.record is not None:
@@ -211,6 +234,7 @@
             self.term_acked_at = now
             log_event(Event.VM_HELD, vm=self.vm_id, token=self.leadership.term, runs=len(reply.running))
         self.listed_runs = {f"{row.task}/{row.run}": row for row in reply.running}
+        self.listing_sent_at = sent_at
         self.orders.record_listed(self.listed_runs, now=now)
         self._stop_stalled_runs(now)
         self.pace.update(self.listed_runs, now=now)
--- a/src/hyssopway/dispatch/wave_executor.py
+++ b/src/hyssopway/dispatch/wave_executor.py
@@ -91,7 +91,9 @@
 
     def _is_drained(self, machine: Machine) -> bool:
         if machine.vm_id not in self.leadership.state.tables.vms:
-            return True  # the machine is off, or its VM has not registered and so has no runs
+            # The machine is off, or its VM has not registered and so has no runs. In an older list, another VM with
+            # runs may have taken the place of the listed one.
+            return self.machines.is_list_current()
         cordoned_at = self.drainer.cordoned_at.get(machine.vm_id)
         if cordoned_at is None:
             return False
@@ -129,9 +131,18 @@
     async def _repeat_unconfirmed_orders(self, wave: WaveRecord) -> None:
         for machine_id in sorted(set(wave.begun) - wave.confirmed):
             machine = self.machines.machines.get(machine_id)
-            if machine is not None and self.machines.may_order(machine_id):
+            if machine is None:
+                continue
+            if machine.state is MachineState.UP and machine.vm_id in self.leadership.state.tables.vms:
+                # The order may not have been carried out. Its VM gets runs again after a change of leader.
+                self.drainer.cordon(machine.vm_id, reason=f"wave {wave.number}")
+            if self.machines.may_order(machine_id) and self._may_end_runs(machine):
                 await self._send_order(wave, machine=machine)
 
+    def _may_end_runs(self, machine: Machine) -> bool:
+        """Returns whether an order for a machine ends no run that must not end with it."""
+        return machine.state is not MachineState.UP or self._is_drained(machine)
+
     def _cordon_more(self, wave: WaveRecord) -> None:
         tables = self.leadership.state.tables
         use = self.leadership.state.indexes.vm_usage
@@ -177,11 +188,16 @@
     async def _begin_maintenance(self, wave: WaveRecord, *, machine: Machine) -> None:
         command = BeginMaintenance(wave=wave.number, machine=machine.machine_id, at_ms=wall_ms())
         await self.leadership.propose(command)
-        await self._send_order(wave, machine=machine)
+        # A start may have been committed while the command was; the order is then repeated when the VM is drained.
+        if self._is_drained(machine):
+            await self._send_order(wave, machine=machine)
 
     async def _send_order(self, wave: WaveRecord, *, machine: Machine) -> None:
         if not self.leadership.may_order():
             return
+        if machine.vm_id:
+            # A VM that registers or is uncordoned meanwhile gets no runs, which the order would end.
+            self.drainer.hold(machine.vm_id, seconds=self.machines.machine_lease_s)
         try:
             result = await self.calls.order_maintenance(
                 machine_id=machine.machine_id,
@@ -197,13 +213,20 @@
             case MachineOrderResult.DONE:
                 self.machines.record_order(machine.machine_id, duration_s=self.maintenance_s)
                 await self._confirm(wave, machine=machine)
+                await self._remove_vm(machine)
+                self.drainer.release(machine.vm_id)
             case MachineOrderResult.GONE | MachineOrderResult.NOT_DUE:
+                # The order changed nothing. After a lost answer the machine may be up again, with a VM that has runs.
                 await self._confirm(wave, machine=machine)
+                self.drainer.uncordon(machine.vm_id)
+                self.drainer.release(machine.vm_id)
             case MachineOrderResult.BUSY | MachineOrderResult.FENCED:
                 pass  # ordered again in the next iteration
 
     async def _confirm(self, wave: WaveRecord, *, machine: Machine) -> None:
         await self.leadership.propose(ConfirmMaintenance(wave=wave.number, machine=machine.machine_id))
+
+    async def _remove_vm(self, machine: Machine) -> None:
         record = self.leadership.state.tables.vms.get(machine.vm_id)
         if record is not None:
             await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -9,6 +10,7 @@
 
 from dispatch.conftest import make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.leadership import LeadershipLostError
 from hyssopway.event import Event
 from hyssopway.workflow import CancelWorkflow, Capacity, RegisterVm, Step
 from workflow.conftest import make_workflow
@@ -83,3 +85,30 @@
     await dispatcher.run_round()
     assert len(fleet.state.tables.runs) == VM_COUNT
     assert dispatcher.waiting_millis == {"vans": 3 * 40_000}
+
+
+async def test_start_whose_commit_was_not_confirmed_is_resolved(dispatcher, fleet, vms):
+    """Guards against a task that stays without a run until the next term.
+
+    The commit of a start took longer than the leader waited for it, and nothing was sent to the VM. The run must be
+    stopped and ended, so that the task can start again.
+    """
+    await fleet.propose(make_workflow("late", steps=(Step(count=1, cpu_millis=1000),)))
+    propose = fleet.propose
+
+    async def commit_late(command):
+        await propose(command)
+        raise LeadershipLostError("no quorum within 3 s")
+
+    fleet.propose = commit_late
+    with pytest.raises(LeadershipLostError):
+        await dispatcher.run_round()
+    fleet.propose = propose
+    (run,) = fleet.state.tables.runs["late.0.0.0"]
+    link = dispatcher.links[run.vm]
+    for _ in range(4):
+        fleet.now += 1.0
+        await link.poll()
+        await asyncio.gather(*link.orders.sending)
+    assert vms.orders == [("stop", "late.0.0.0", 1)]
+    assert "late.0.0.0" not in fleet.state.tables.runs
--- a/tests/dispatch/test_interruption.py
+++ b/tests/dispatch/test_interruption.py
@@ -19,11 +19,16 @@
 
 
 @pytest.fixture
-def tables():
+def allowance():
+    return 2
+
+
+@pytest.fixture
+def tables(allowance):
     log = Log(WorkflowState())
     log.apply(PutDocument(document=make_document()))
     log.apply(make_vm("vm-1"))
-    step = Step(count=4, long_running=True, disruption_allowance=2)
+    step = Step(count=4, long_running=True, disruption_allowance=allowance)
     spec = WorkflowSpec(specification="", steps=(step,))
     log.apply(AcceptWorkflow(workflow_id="w", queue="plans", team="pantry", spec=spec, at_ms=0))
     starts = tuple(RunStart(task=f"w.0.0.{number}", run=1, vm="vm-1") for number in range(4))
@@ -39,3 +44,9 @@
     """Guards against interrupting a task while other tasks of its step are still down."""
     task = TaskId("w", 0, 0, 0)
     assert may_interrupt(tables=tables, task=task, is_working=lambda key: key not in away) is allowed
+
+
+@pytest.mark.parametrize(("allowance", "allowed"), [(0, False), (1, True), (None, True)])
+def test_allowance_of_zero_forbids_interruptions(tables, allowed):
+    """Guards against an allowance of 0 that is taken for a step without an allowance, which may miss one task."""
+    assert may_interrupt(tables=tables, task=TaskId("w", 0, 0, 0), is_working=lambda _: True) is allowed
--- a/tests/dispatch/test_machine_inventory.py
+++ b/tests/dispatch/test_machine_inventory.py
@@ -9,6 +9,7 @@
 from hyssopway.dispatch import Machine, MachineState
 from hyssopway.dispatch.machine_inventory import MachineInventory
 from hyssopway.workflow import RecordMachineOrders
+from workflow.conftest import make_vm
 
 
 class FakePlatform:
@@ -92,3 +93,18 @@
     leadership.now += 2.5
     await machines.refresh(max_age_s=0.0)
     assert machines.is_available("m2")
+
+
+async def test_vm_whose_machine_a_former_leader_ordered_is_uncertain(machines, leadership):
+    """Guards against runs on a VM that an order of a former leader is about to end.
+
+    A VM that has started since the order is the result of the order.
+    """
+    for name in ("vm-m1", "vm-m2"):
+        await leadership.propose(make_vm(name))
+    assert machines.list_uncertain_vms() == ["vm-m1"]
+    leadership.now += LIMITS.machine_lease_s
+    assert machines.list_uncertain_vms() == []
+    leadership.now -= LIMITS.machine_lease_s
+    await leadership.propose(make_vm("vm-m1", boot=wall_ms()))
+    assert machines.list_uncertain_vms() == []
--- a/tests/dispatch/test_pool_rebalancer.py
+++ b/tests/dispatch/test_pool_rebalancer.py
@@ -7,12 +7,13 @@
 import pytest
 
 from dispatch.conftest import LIMITS, make_link
-from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
+from hyssopway.dispatch import Machine, MachineCallError, MachineOrderResult, MachineState
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.duration_scale import DurationScale
 from hyssopway.dispatch.machine_inventory import MachineInventory
 from hyssopway.dispatch.order_rate_limiter import BURST_S, RATE_SHARE
 from hyssopway.dispatch.pool_load import measure_pools
+from hyssopway.dispatch.pool_plan import MachineMove
 from hyssopway.dispatch.pool_rebalancer import PoolRebalancer
 from hyssopway.dispatch.vm_drainer import VmDrainer
 from workflow.conftest import make_vm
@@ -35,6 +36,7 @@
         self.moves = []
         self.in_progress = 0
         self.max_concurrent = 0
+        self.loses_answers = False
 
     async def list_machines(self):
         busy = [
@@ -53,6 +55,8 @@
         self.max_concurrent = max(self.max_concurrent, self.in_progress)
         await asyncio.sleep(ORDER_S)
         self.in_progress -= 1
+        if self.loses_answers:
+            raise MachineCallError("no answer")
         return MachineOrderResult.DONE
 
 
@@ -116,3 +120,61 @@
         == len(platform.moves)
         == int(LIMITS.machine_orders_per_s * RATE_SHARE * BURST_S)
     )
+
+
+MOVE = MachineMove(machine_id="m1", source="vans", target="spare")
+
+
+def list_usable_vms(rebalancer):
+    free_by_pool = rebalancer.drainer.dispatcher.list_free_capacity()
+    return {vm.vm_id for vms in free_by_pool.values() for vm in vms}
+
+
+async def test_vm_gets_no_runs_while_a_move_without_an_answer_may_be_carried_out(rebalancer, platform, fleet):
+    """Guards against a move that ends a long-running task which was placed after the answer was lost."""
+    platform.loses_answers = True
+    await rebalancer._move(MOVE)
+    assert list_usable_vms(rebalancer) == {"vm-2"}
+    fleet.now += LIMITS.machine_lease_s
+    rebalancer.drainer.evict_runs()
+    for link in rebalancer.drainer.links.values():
+        await link.poll()
+    assert list_usable_vms(rebalancer) == set(VM_IDS)
+
+
+async def test_moved_vm_gets_no_runs_before_its_record_is_removed(rebalancer, fleet):
+    """Guards against runs on a VM that the platform has just ended."""
+    propose = fleet.propose
+    usable = []
+
+    async def observe(command):
+        usable.append(list_usable_vms(rebalancer))
+        await propose(command)
+
+    fleet.propose = observe
+    await rebalancer._move(MOVE)
+    assert usable == [{"vm-2"}]
+
+
+async def test_vm_with_a_start_in_progress_is_not_moved(rebalancer, platform):
+    """Guards against a move of a machine whose VM gets a run at the same moment."""
+    rebalancer.drainer.links["vm-1"].orders.expect_start(task="w.0.0.0", run=1)
+    await rebalancer._move(MOVE)
+    assert platform.moves == []
+    assert "vm-1" not in rebalancer.drainer.dispatcher.cordoned_vms
+
+
+async def test_vm_that_a_wave_drains_is_left_to_the_wave(rebalancer, platform):
+    """Guards against a VM that gets runs again while its maintenance is being ordered."""
+    rebalancer.drainer.cordon("vm-1", reason="wave 1")
+    await rebalancer._move(MOVE)
+    assert platform.moves == []
+    assert "vm-1" in rebalancer.drainer.dispatcher.cordoned_vms
+
+
+async def test_vm_gets_runs_again_when_its_move_may_not_be_ordered(rebalancer, platform, fleet):
+    """Guards against a VM that stays cordoned although its machine was not ordered to move."""
+    fleet.is_confirmed = False
+    await rebalancer._move(MOVE)
+    assert platform.moves == []
+    assert "vm-1" not in rebalancer.drainer.dispatcher.cordoned_vms
--- a/tests/dispatch/test_vm_drainer.py
+++ b/tests/dispatch/test_vm_drainer.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from dispatch.conftest import make_link
+from dispatch.conftest import LIMITS, make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.vm_drainer import VmDrainer
+from hyssopway.dispatch.vm_link import STOP_SLACK_S
 from hyssopway.workflow import RunStart, StartRuns, Step
 from workflow.conftest import make_vm, make_workflow
 
@@ -46,3 +47,54 @@
     assert drainer.dispatcher.cordoned_vms == {"vm-1"}
     drainer.uncordon("vm-1")
     assert not drainer.dispatcher.cordoned_vms
+
+
+async def poll_and_evict(drainer, vms):
+    for link in drainer.links.values():
+        await link.poll()
+    drainer.evict_runs()
+    await asyncio.sleep(0)
+    return {task for order, task, _ in vms.orders if order == "stop"}
+
+
+async def test_new_leader_allows_for_stops_of_the_former_one(drainer, fleet, vms):
+    """Guards against a second interruption by a new leader that does not know a stop ordered a moment ago.
+
+    A VM may list a run as working until it carries the stop out. The new leader waits for the longest duration of a
+    stop after the VM has acknowledged its token, and the drain goes on afterwards.
+    """
+    fleet.term += 1
+    links = {name: make_link(name, leadership=fleet, calls=vms) for name in drainer.links}
+    new_drainer = VmDrainer(
+        leadership=fleet, links=links, dispatcher=Dispatcher(leadership=fleet, links=links)
+    )
+    new_drainer.cordon("vm-1", reason="test")
+    assert await poll_and_evict(new_drainer, vms) == set()
+    fleet.now += LIMITS.stop_s
+    assert await poll_and_evict(new_drainer, vms) == set()
+    fleet.now += STOP_SLACK_S + 0.01
+    assert await poll_and_evict(new_drainer, vms) == {"steady.0.0.0"}
+
+
+async def test_held_vm_gets_no_runs_until_its_time_is_over(drainer, fleet):
+    """Guards against runs on a VM that an order without an answer may still end, and against a hold that never ends."""
+    drainer.hold("vm-1", seconds=3.0)
+    drainer.cordon("vm-1", reason="test")
+    drainer.uncordon("vm-1")
+    drainer.evict_runs()
+    assert drainer.dispatcher.cordoned_vms == {"vm-1"}
+    fleet.now += 3.0
+    drainer.evict_runs()
+    assert not drainer.dispatcher.cordoned_vms
+
+
+async def test_vm_is_not_empty_while_a_start_is_being_committed(drainer, fleet, vms):
+    """Guards against an order for a machine whose VM gets a run at the same moment."""
+    await fleet.propose(make_vm("vm-3"))
+    link = drainer.links["vm-3"] = make_link("vm-3", leadership=fleet, calls=vms)
+    assert drainer.is_empty("vm-3")
+    link.orders.expect_start(task="steady.0.0.1", run=2)
+    assert not drainer.is_empty("vm-3")
+    assert drainer.has_long_running("vm-3")
+    link.orders.drop_start(task="steady.0.0.1", run=2)
+    assert drainer.is_empty("vm-3")
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -11,7 +11,8 @@
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.poll_timing import UNSTABLE_S
-from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns
+from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns, Step
+from workflow.conftest import make_workflow
 
 
 @pytest.fixture
@@ -189,3 +190,44 @@
     await start(link)
     assert vms.orders == []
     assert link.leadership.state.tables.runs == {}
+
+
+async def test_unanswered_start_of_a_long_running_task_is_repeated_before_it_is_stopped(link, vms):
+    """Guards against a stop that ends a long-running task which its VM started late, beyond its allowance.
+
+    A VM that answers no start at all is told to stop the run in the end, so that the task can start elsewhere.
+    """
+    step = Step(count=3, long_running=True, disruption_allowance=1)
+    await link.leadership.propose(make_workflow("steady", steps=(step,)))
+    await poll(link)
+
+    async def lose_order(**_):
+        vms.orders.append(("start", "steady.0.0.0", 1))
+        raise WorkerUnreachableError("no answer")
+
+    vms.start = lose_order
+    await start(link, task="steady.0.0.0")
+    sent = len(vms.orders)
+    for _ in range(3):
+        await poll(link, step_s=1.0)
+        await asyncio.gather(*link.orders.sending)
+    assert len(vms.orders) > sent
+    assert {order for order, _, _ in vms.orders} == {"start"}
+    for _ in range(4):
+        await poll(link, step_s=1.0)
+        await asyncio.gather(*link.orders.sending)
+    assert vms.orders[-1] == ("stop", "steady.0.0.0", 1)
+
+
+async def test_repeated_start_of_a_long_running_task_brings_it_to_work(link, vms):
+    """Guards against a task that stays without a run because the first orders for it were lost."""
+    step = Step(count=3, long_running=True, disruption_allowance=1)
+    await link.leadership.propose(make_workflow("steady", steps=(step,)))
+    await poll(link)
+    vms.lose = len(link.orders.rtt_estimator.choose_timeouts())
+    await start(link, task="steady.0.0.0")
+    await poll(link, step_s=1.0)
+    await asyncio.gather(*link.orders.sending)
+    await poll(link, step_s=1.0)
+    assert list(link.listed_runs) == ["steady.0.0.0/1"]
+    assert {order for order, _, _ in vms.orders} == {"start"}
--- a/tests/dispatch/test_wave_executor.py
+++ b/tests/dispatch/test_wave_executor.py
@@ -6,12 +6,12 @@
 
 from dispatch.conftest import LIMITS, make_link
 from hyssopway.clock import wall_ms
-from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
+from hyssopway.dispatch import Machine, MachineCallError, MachineOrderResult, MachineState
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.machine_inventory import GONE_AFTER_S, MachineInventory
 from hyssopway.dispatch.vm_drainer import VmDrainer
 from hyssopway.dispatch.wave_executor import MAX_DRAIN_S, WaveExecutor
-from hyssopway.workflow import RunStart, StartRuns, StartWave, Step
+from hyssopway.workflow import BeginMaintenance, RunStart, StartRuns, StartWave, Step
 from workflow.conftest import make_workflow
 
 
@@ -22,6 +22,8 @@
         self.orders = []
         self.missing = False
         self.joined = {}
+        self.result = MachineOrderResult.DONE
+        self.loses_answers = False
 
     async def list_machines(self):
         names = {"m1": "vm-1", "m9": "", **self.joined}
@@ -34,7 +36,9 @@
 
     async def order_maintenance(self, *, machine_id, wave, fencing_token, may_send):
         self.orders.append(machine_id)
-        return MachineOrderResult.DONE
+        if self.loses_answers:
+            raise MachineCallError("no answer")
+        return self.result
 
 
 @pytest.fixture
@@ -140,3 +144,67 @@
     wave = await advance(waves, seconds=GONE_AFTER_S + 3)
     assert wave.is_complete
     assert platform.orders == []
+
+
+async def test_new_leader_repeats_an_order_only_when_the_vm_is_drained(waves, platform, fleet):
+    """Guards against a repeated order that ends a long-running task without regard to its allowance.
+
+    A former leader recorded the order and died before it was carried out. Its successor does not know that the VM was
+    cordoned, and has placed a task on it.
+    """
+    await fleet.propose(BeginMaintenance(wave=1, machine="m1", at_ms=0))
+    await start_task(fleet, Step(count=3, long_running=True, disruption_allowance=1))
+    await advance(waves, seconds=MAX_DRAIN_S * 3)
+    assert platform.orders == []
+    assert "vm-1" in waves.drainer.dispatcher.cordoned_vms
+
+
+async def test_order_without_an_answer_is_repeated(waves, platform, fleet):
+    """Guards against a wave that never completes because the answer to one order was lost."""
+    platform.loses_answers = True
+    await advance(waves, seconds=2)
+    platform.loses_answers = False
+    wave = await advance(waves, seconds=2)
+    assert len(platform.orders) >= 2
+    assert wave.is_complete
+
+
+async def test_vm_of_a_maintained_machine_keeps_its_runs(waves, platform, fleet):
+    """Guards against runs that are taken for lost although they work, so that their tasks run twice.
+
+    The answer to the order was lost. When it is repeated the machine is up again, with a new VM, and the platform
+    answers that its maintenance is not due any more.
+    """
+    await fleet.propose(BeginMaintenance(wave=1, machine="m1", at_ms=0))
+    await start_task(fleet, Step(count=1))
+    platform.result = MachineOrderResult.NOT_DUE
+    wave = await advance(waves, seconds=MAX_DRAIN_S + 2)
+    assert wave.is_complete
+    assert fleet.state.tables.vms["vm-1"].runs == {"busy.0.0.0/1"}
+    assert not waves.drainer.dispatcher.cordoned_vms
+
+
+async def test_start_that_is_committed_during_the_order_delays_it(waves, platform, fleet):
+    """Guards against maintenance that ends a long-running task whose start is committed at the same moment."""
+    propose = fleet.propose
+
+    async def propose_after_start(command):
+        fleet.propose = propose
+        await start_task(fleet, Step(count=1, long_running=True))
+        await propose(command)
+
+    fleet.propose = propose_after_start
+    await advance(waves, seconds=MAX_DRAIN_S * 2)
+    assert platform.orders == []
+
+
+async def test_old_list_does_not_show_that_a_machine_has_no_vm(waves, platform, fleet):
+    """Guards against maintenance of a machine whose VM was replaced since the list was read."""
+    await fleet.propose(StartWave(number=2, machines=("m9",), deadline_ms=wall_ms() + 60_000, max_down=1))
+    wave = waves.leadership.state.tables.waves[2]
+    waves.leadership.now += LIMITS.move_s
+    await waves.advance(wave)
+    assert platform.orders == []
+    await waves.machines.refresh(max_age_s=1.0)
+    await waves.advance(wave)
+    assert platform.orders == ["m9"]
