Report a change as possibly run when its commit was not confirmed

Cause: a leader whose proposal was not confirmed in time answered like a node that does not lead.

Ruled out: a request that the leader refused before it proposed anything is still reported as not run.

--- a/src/hyssopway/dispatch/leadership.py
+++ b/src/hyssopway/dispatch/leadership.py
@@ -6,6 +6,7 @@
 
 from expression import Result
 
+from hyssopway.result import WorkState
 from hyssopway.workflow import encode_command
 
 if TYPE_CHECKING:
@@ -20,7 +21,15 @@
 
 
 class LeadershipLostError(Exception):
-    """This process no longer leads the term, or can't confirm that it does."""
+    """This process no longer leads the term, or can't confirm that it does.
+
+    Attributes:
+        may_take_effect: Whether a proposed command may still be committed.
+    """
+
+    def __init__(self, message: str, *, may_take_effect: bool = False) -> None:
+        super().__init__(message)
+        self.may_take_effect = may_take_effect
 
 
 class Leadership:
@@ -83,7 +92,9 @@
             case Result(tag="ok"):
                 return
             case Result(error=failure):
-                raise LeadershipLostError(failure.message)
+                raise LeadershipLostError(
+                    failure.message, may_take_effect=failure.work is not WorkState.NOT_RUN
+                )
 
 
 __all__ = ["Leadership", "LeadershipLostError"]
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -183,13 +183,13 @@
         """Handles a request if this node leads; otherwise returns status 0 and the leader, if known."""
         controller = self.controller
         if controller is None:
-            return RelayedReply(status=0, leader=self.member.leader_daemon)
+            return RelayedReply.redirect(leader=self.member.leader_daemon)
         try:
             await controller.leadership.confirm()
             return await self.service.answer(request=request, controller=controller)
         except LeadershipLostError as error:
             log_event(Event.DECISIONS_STOPPED, term=controller.leadership.term, reason=str(error))
-            return RelayedReply(status=0, leader=self.member.leader_daemon)
+            return RelayedReply.redirect(leader=self.member.leader_daemon, may_have_run=error.may_take_effect)
         except Exception as error:
             log_event(Event.HTTP_HANDLER_FAILED, method=request.method, path=request.path, error=repr(error))
             return RelayedReply(status=500)
@@ -200,11 +200,13 @@
         Raises:
             UnansweredError: No leader answered in time.
         """
+        may_have_run = False
         if self.controller is not None:
             reply = await self.answer(request)
             if reply.status:
                 return reply
-        return await self.relay.send(request, timeout_s=timeout_s)
+            may_have_run = reply.may_have_run
+        return await self.relay.send(request, timeout_s=timeout_s, may_have_run=may_have_run)
 
     async def _run_leadership(self) -> None:
         member = self.member
--- a/src/hyssopway/relay/leader_finder.py
+++ b/src/hyssopway/relay/leader_finder.py
@@ -91,8 +91,7 @@
         except PeerUnreachableError:
             return  # retried in the next round; `_query_all` logs if no leader responds
         try:
-            answer = json.loads(data)
-            members, leads, leader = list(answer["members"]), answer["leads"], answer["leader"]
+            members, leads, leader = _decode_answer(data)
         except (ValueError, KeyError, TypeError, RecursionError) as error:
             log_event(Event.INPUT_REFUSED, method=LEADER, path=host, reason=repr(error))
             return
@@ -105,4 +104,12 @@
             self.known_hosts.setdefault(leader or host)
 
 
+def _decode_answer(data: bytes) -> tuple[list[str], bool, str]:
+    answer = json.loads(data)
+    members, leads, leader = list(answer["members"]), bool(answer["leads"]), answer["leader"]
+    if not all(isinstance(name, str) for name in (*members, leader)):
+        raise TypeError("the names of nodes must be strings")
+    return members, leads, leader
+
+
 __all__ = ["LeaderFinder"]
--- a/src/hyssopway/relay/relay.py
+++ b/src/hyssopway/relay/relay.py
@@ -43,16 +43,22 @@
     def __init__(self, *, finder: LeaderFinder) -> None:
         self.finder = finder
 
-    async def send(self, request: RelayedRequest, *, timeout_s: float) -> RelayedReply:
+    async def send(
+        self, request: RelayedRequest, *, timeout_s: float, may_have_run: bool = False
+    ) -> RelayedReply:
         """Returns the leader's reply.
 
+        Args:
+            request: The request.
+            timeout_s: Time in seconds within which a leader must respond.
+            may_have_run: Whether the request may already take effect, because this node led until a moment ago.
+
         Raises:
             UnansweredError: No leader responded within `timeout_s` seconds.
         """
         clock = self.finder.clock
         started_at = clock()
         data = request.encode()
-        may_have_run = False
         reason = "no leader is known"
         while (left_s := timeout_s - (clock() - started_at)) > 0:
             leader = await self._wait_for_leader(left_s)
@@ -61,13 +67,18 @@
             left_s = timeout_s - (clock() - started_at)
             try:
                 reply = await self._attempt(leader, data=data, timeout_s=min(ATTEMPT_TIMEOUT_S, left_s))
-            except PeerUnreachableError as error:
+            except (
+                PeerUnreachableError,
+                ValueError,
+                RecursionError,
+            ) as error:  # no reply, or a malformed one
                 may_have_run = True
                 reason = str(error)
                 self.finder.clear_leader(leader, reason=reason)
                 continue
             if reply.status:
                 return reply
+            may_have_run = may_have_run or reply.may_have_run
             reason = f"{leader} is not the leader"
             if reply.leader != leader:
                 self.finder.clear_leader(leader, reason=reason)
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -14,8 +14,8 @@
 from hyssopway.clock import monotonic_s
 from hyssopway.dispatch import LeaderController
 from hyssopway.node import ControlNode, NodeSettings, dump_control_node
-from hyssopway.relay import RelayedReply, RelayedRequest
-from hyssopway.result import Failure, ResultCode
+from hyssopway.relay import RelayedReply, RelayedRequest, UnansweredError
+from hyssopway.result import Failure, ResultCode, WorkState
 from hyssopway.workflow import PutDocument, SetZoneEvacuated
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -115,6 +115,24 @@
     assert (await old.answer(REQUEST)).status == 0
 
 
+async def test_change_without_a_confirmed_commit_may_have_run(group, monkeypatch):
+    """Guards against "not run" for a change that this leader proposed and that may still be committed."""
+    (old,) = leaders(group)
+
+    async def commit_unconfirmed(*, data, timeout_s):
+        failure = Failure(
+            code=ResultCode.OUTCOME_UNKNOWN, message="not confirmed", work=WorkState.MAY_HAVE_RUN
+        )
+        return Error(failure)
+
+    monkeypatch.setattr(old.member, "propose", commit_unconfirmed)
+    reply = await old.answer(REQUEST)
+    assert (reply.status, reply.may_have_run) == (0, True)
+    with pytest.raises(UnansweredError) as caught:
+        await old.serve(REQUEST, timeout_s=0.1)
+    assert caught.value.may_have_run
+
+
 async def test_dump_holds_the_whole_state_without_keys(group):
     """Guards against a dump that cannot be encoded, is incomplete, or discloses the keys of teams."""
     (leader,) = leaders(group)
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -71,3 +71,44 @@
     with pytest.raises(UnansweredError) as caught:
         await Relay(finder=finder).send(REQUEST, timeout_s=0.1)
     assert caught.value.may_have_run
+
+
+async def test_request_that_a_former_leader_proposed_may_have_run(nodes, finder):
+    """Guards against "not run" for a change that may still be committed after its leader lost the leadership."""
+    nodes.replies["a"] = RelayedReply.redirect(leader="", may_have_run=True)
+    finder.set_leader("a")
+    with pytest.raises(UnansweredError) as caught:
+        await Relay(finder=finder).send(REQUEST, timeout_s=0.1)
+    assert caught.value.may_have_run
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"[1, 2]\n", b"[" * 100_000, b'["200", {}, ""]\n'])
+async def test_malformed_reply_counts_as_none(finder, data):
+    """Guards against a malformed reply that ends the request with an unexpected error."""
+
+    class Client:
+        async def exchange(self, *, topic, data, timeout_s):
+            return reply
+
+    reply = data
+    finder.directory.client = lambda _: Client()
+    finder.set_leader("a")
+    with pytest.raises(UnansweredError) as caught:
+        await Relay(finder=finder).send(REQUEST, timeout_s=0.1)
+    assert caught.value.may_have_run
+
+
+@pytest.mark.parametrize(
+    "answer", [b"{}", b'{"members": [["x"]], "leads": true, "leader": ""}', b'{"members": [], "leader": 3}']
+)
+async def test_malformed_answer_names_no_node(finder, answer):
+    """Guards against a malformed answer of one node that stops the search for the leader, or adds a node."""
+
+    class Client:
+        async def exchange(self, *, topic, data, timeout_s):
+            return answer
+
+    finder.directory.client = lambda _: Client()
+    await finder._query("a")
+    assert list(finder.known_hosts) == ["a", "b"]
+    assert finder.leader == ""
