Mend faults of polls, stops and moves that operators of similar systems have seen

One poll in a row of unanswered ones waits longer; it lies before the end of the lease of a VM that is gone, so that end is not noticed later. A leader that was paused could stop a long-running task that its successor counted as working. VMs with a capacity of 0 ended each round of the rebalancer.

Ruled out: starts written after a pause, which the VM refuses by token or the next leader finds listed.

--- a/src/hyssopway/dispatch/poll_timing.py
+++ b/src/hyssopway/dispatch/poll_timing.py
@@ -14,8 +14,10 @@
 # Polls stay short for this long after an unanswered one.
 UNSTABLE_S = 5.0
 UNSTABLE_WAIT_MS = 200
-# Margins by the number of consecutive unanswered polls; they grow so that a slow VM has time to answer.
-UNSTABLE_MARGINS_S = (0.15, 0.25, 0.35)
+# Margins by the number of consecutive unanswered polls; they grow so that a slow VM has time to answer. One is long, so
+# that a VM that takes about a second for each answer keeps its lease; the next is short again, so that the end of the
+# lease of a VM that is gone is noticed as soon as without it.
+UNSTABLE_MARGINS_S = (0.15, 0.25, 0.35, 0.9, 0.35)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -113,7 +113,8 @@
         """
         now = self.leadership.clock()
         self.incoming = {key: value for key, value in self.incoming.items() if now < value[1]}
-        vm_sizes = [vm.capacity.cpu_millis for vm in self.leadership.state.tables.vms.values()]
+        vms = self.leadership.state.tables.vms.values()
+        vm_sizes = [vm.capacity.cpu_millis for vm in vms if vm.capacity.cpu_millis > 0]
         if not vm_sizes or not self.machines.machines:
             return
         state = self.leadership.state
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -296,7 +296,12 @@
                 return
             try:
                 reply = await self.calls.stop(
-                    vm=record, task=task, run=run, fencing_token=self.leadership.term, timeout_s=timeout_s
+                    vm=record,
+                    task=task,
+                    run=run,
+                    fencing_token=self.leadership.term,
+                    may_send=self.leadership.may_order,
+                    timeout_s=timeout_s,
                 )
             except WorkerUnreachableError as error:
                 self._log_unanswered("stop", key=f"{task}/{run}", error=error)
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -15,7 +15,7 @@
 from .run_orders import RunOrders
 from .stall_detector import StallDetector
 from .unlisted_runs import UnlistedRuns
-from .vm_pace import VmPace
+from .vm_pace import UNTHROTTLED_PERCENT, VmPace
 from .worker_calls import OtherBootError, WorkerUnreachableError
 
 if TYPE_CHECKING:
@@ -40,8 +40,6 @@
 STALL_PAUSE_S = 2.0
 # A VM whose last answer is older gets no new tasks; longer than the timeout of one unanswered poll.
 CONTACT_TIMEOUT_S = 1.3
-# Listed percent of a long-running run that has started up and whose pace is not limited.
-UNTHROTTLED_PERCENT = 100
 # A VM that neither answers nor announces itself for this long is removed.
 REMOVE_AFTER_S = 20.0
 
@@ -233,7 +231,7 @@
             self.has_acked_term = True
             self.term_acked_at = now
             log_event(Event.VM_HELD, vm=self.vm_id, token=self.leadership.term, runs=len(reply.running))
-        self.listed_runs = {f"{row.task}/{row.run}": row for row in reply.running}
+        self.listed_runs = self._select_valid(reply)
         self.listing_sent_at = sent_at
         self.orders.record_listed(self.listed_runs, now=now)
         self._stop_stalled_runs(now)
@@ -246,6 +244,25 @@
         if reply.ends and (pause_s := self.poll_limiter.compute_pause_s()):
             await asyncio.sleep(pause_s)
 
+    def _select_valid(self, reply: PollReply) -> dict[str, ListedRun]:
+        """Returns the listed runs by key, without those that name no task; they must not hold up the others."""
+        valid = {f"{row.task}/{row.run}": row for row in reply.running if self._is_task(row.task)}
+        if len(valid) < len(reply.running):
+            reason = f"{len(reply.running) - len(valid)} listed runs name no task or are listed twice"
+            log_event(Event.INPUT_REFUSED, method="poll", path=self.vm_id, reason=reason)
+        return valid
+
+    def _is_task(self, name: str) -> bool:
+        try:
+            task = TaskId.parse(name)
+        except ValueError:
+            return False
+        workflow = self.leadership.state.tables.workflows.get(task.workflow)
+        if workflow is None:
+            return True  # its record has been deleted
+        steps = workflow.spec.steps
+        return 0 <= task.step < len(steps) and 0 <= task.number < steps[task.step].count
+
     async def _process_ends(self, record: VmRecord, *, reply: PollReply) -> None:
         for listed in reply.ends:
             end = listed.end
@@ -270,6 +287,8 @@
             self.orders.request_stop(task=row.task, run=row.run, reason="it makes no progress")
 
     def _record_duration(self, end: RunEnd, *, accepted_at: float) -> None:
+        if not self._is_task(end.task):
+            return
         actual_s = self.leadership.clock() - accepted_at
         task = TaskId.parse(end.task)
         workflow = self.leadership.state.tables.workflows.get(task.workflow)
--- a/src/hyssopway/dispatch/vm_pace.py
+++ b/src/hyssopway/dispatch/vm_pace.py
@@ -83,4 +83,4 @@
         return workflow.spec.steps[task.step] if workflow is not None else None
 
 
-__all__ = ["VmPace"]
+__all__ = ["UNTHROTTLED_PERCENT", "VmPace"]
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hyssopway.workflow import VmRecord
 
     from .order_reply import OrderReply
@@ -60,9 +62,20 @@
         ...
 
     async def stop(
-        self, *, vm: VmRecord, task: str, run: int, fencing_token: int, timeout_s: float
+        self,
+        *,
+        vm: VmRecord,
+        task: str,
+        run: int,
+        fencing_token: int,
+        may_send: Callable[[], bool],
+        timeout_s: float,
     ) -> OrderReply:
-        """Stops a run; the VM refuses a start of it that arrives later."""
+        """Stops a run; the VM refuses a start of it that arrives later.
+
+        `may_send` is checked again when the order is written. A stop of a former leader takes effect as long as the VM
+        has not acknowledged a higher token, and may exceed the disruption allowance that its successor counts.
+        """
         ...
 
     async def pace(
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -180,3 +181,15 @@
     fake_vm.status = 421
     with pytest.raises(OtherBootError):
         await poll(workers, record)
+
+
+@pytest.mark.parametrize(("is_permitted", "sent"), [(True, 1), (False, 0)])
+async def test_stop_is_sent_only_with_permission(workers, record, fake_vm, is_permitted, sent):
+    """Guards against a leader that is paused after its last check and then stops runs that its successor counts on."""
+    stop = workers.stop(
+        vm=record, task="w.0.0.1", run=2, fencing_token=7, may_send=lambda: is_permitted, timeout_s=0.5
+    )
+    with contextlib.nullcontext() if is_permitted else pytest.raises(WorkerUnreachableError):
+        await stop
+    bodies = [body for _, body, _ in fake_vm.calls]
+    assert bodies == sent * [{"task": "w.0.0.1", "run": 2, "fencing_token": 7}]
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -92,7 +92,7 @@
         self.running[task, run] = vm.vm_id
         return OrderReply()
 
-    async def stop(self, *, vm, task, run, fencing_token, timeout_s):
+    async def stop(self, *, vm, task, run, fencing_token, may_send, timeout_s):
         self.orders.append(("stop", task, run))
         self._answer(timeout_s)
         return OrderReply()
--- a/tests/dispatch/model_worker.py
+++ b/tests/dispatch/model_worker.py
@@ -140,7 +140,7 @@
         )
         return OrderReply(refusal=refusal)
 
-    async def stop(self, *, vm, task, run, fencing_token, timeout_s):
+    async def stop(self, *, vm, task, run, fencing_token, may_send, timeout_s):
         worker, boot = self.workers[vm.vm_id], vm.boot
         refusal = self._send(
             lambda: worker.take_stop(
--- a/tests/dispatch/test_pool_rebalancer.py
+++ b/tests/dispatch/test_pool_rebalancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -16,6 +17,7 @@
 from hyssopway.dispatch.pool_plan import MachineMove
 from hyssopway.dispatch.pool_rebalancer import PoolRebalancer
 from hyssopway.dispatch.vm_drainer import VmDrainer
+from hyssopway.workflow import Capacity
 from workflow.conftest import make_vm
 
 VM_IDS = ("vm-1", "vm-2")
@@ -112,6 +114,14 @@
     assert [pool for _, pool in platform.moves] == ["vans"]
 
 
+async def test_vms_without_capacity_do_not_stop_the_moves(rebalancer, platform, fleet):
+    """Guards against reports of VMs with a capacity of 0 that end each round of the rebalancer with an error."""
+    for number in range(3, 9):
+        await fleet.propose(dataclasses.replace(make_vm(f"vm-{number}"), capacity=Capacity()))
+    await rebalance(rebalancer, waiting_millis=8 * 8000)
+    assert platform.moves
+
+
 async def test_moves_for_a_load_peak_are_ordered_concurrently(rebalancer, platform):
     """Guards against a pool that gets its machines late because their moves are ordered one after another."""
     await rebalance(rebalancer, waiting_millis=8 * 8000)
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -231,3 +231,39 @@
     await poll(link, step_s=1.0)
     assert list(link.listed_runs) == ["steady.0.0.0/1"]
     assert {order for order, _, _ in vms.orders} == {"start"}
+
+
+async def test_listed_run_that_names_no_task_does_not_hold_up_the_others(link, vms):
+    """Guards against one malformed row that ends each poll of a VM, so that its runs never end."""
+    await poll(link)
+    await start(link)
+    for number, task in enumerate(("nonsense", "w.0.99.0", "w.0.0.77", "w.0.-1.0")):
+        vms.running[task, 1] = "vm-1"
+        done = RunEnd(task=task, run=1, outcome=RunOutcome.DONE)
+        vms.ends.append(ListedEnd(number + 1, done))
+    del vms.running["w.0.0.0", 1]
+    vms.ends.append(ListedEnd(9, RunEnd(task="w.0.0.0", run=1, outcome=RunOutcome.DONE)))
+    await poll(link)
+    assert "w.0.0.0" not in link.leadership.state.tables.runs
+    assert link.record.last_end == 9
+
+
+async def test_vm_that_answers_slowly_keeps_its_runs(link, vms):
+    """Guards against abandoning the work of a VM that is slow to report but works.
+
+    Its polls arrive at once and prolong the lease; its answers take 0.9 s.
+    """
+    await poll(link)
+    await start(link)
+    answer = vms._answer
+
+    def answer_slowly(timeout_s):
+        vms.leadership.now += min(timeout_s, 0.9)
+        vms.lose = int(timeout_s < 0.9)
+        answer(timeout_s)
+
+    vms._answer = answer_slowly
+    for _ in range(60):
+        await poll(link, step_s=0.2)
+    assert "w.0.0.0" in link.leadership.state.tables.runs
+    assert vms.orders == [("start", "w.0.0.0", 1)]
