Start copies of runs on silent VMs for steps that allow duplicates

Cause: a task on a VM of a dark rack waited until the lease of the VM had expired, up to 4 s, although its step allowed a second run, and its workflow waited with it. StartRuns allowed such a run, but no leader ever proposed one.

Ruled out: shorter leases, because each late poll would end healthy runs of all steps; ending the silent run early, because the state would not know of its run; silence measured by time alone, because it also passes while the leader is paused or has just begun to lead.

Change: the leader adds tasks whose runs are all on silent VMs to their steps, outside the racks of their runs. When a copy is applied, it needs an attempt to spare for each run in progress, since that may have failed unreported; it never is a third run or a second run on one VM. A failure of a run whose task another run has done no longer counts; it could fail the workflow.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -8,11 +8,12 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
+from hyssopway.scheduling.copies import StepKey, find_copies_of_silent_runs
 from hyssopway.workflow import AddOccurrence, StartRuns, TaskId
 
 from .free_capacity import FreeCapacity
 from .placement import place_steps
-from .ready_steps import find_due_occurrences, find_ready_steps
+from .ready_steps import add_copies, find_due_occurrences, find_ready_steps
 from .ticket_cache import TicketCache
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
     Attributes:
         leadership: Term on whose behalf runs are started.
         links: Links to VMs by VM ID.
+        counters: Numbers of scheduling decisions of this term, by name.
         cordoned_vms: IDs of VMs that get no starts because they are being drained.
         awaiting_maintenance: IDs of VMs whose machine still waits for the maintenance of an open wave.
         waiting_millis: CPU demand of tasks left waiting by the last round, in millicores by pool.
@@ -51,6 +53,7 @@
         "awaiting_maintenance",
         "changed",
         "cordoned_vms",
+        "counters",
         "leadership",
         "links",
         "sending",
@@ -58,8 +61,11 @@
         "waiting_millis",
     )
 
-    def __init__(self, *, leadership: Leadership, links: dict[str, VmLink]) -> None:
+    def __init__(
+        self, *, leadership: Leadership, links: dict[str, VmLink], counters: Counter[str] | None = None
+    ) -> None:
         self.leadership = leadership
+        self.counters: Counter[str] = Counter() if counters is None else counters
         self.links = links
         self.cordoned_vms: set[str] = set()
         self.awaiting_maintenance: set[str] = set()
@@ -106,6 +112,11 @@
         """Runs one round: places waiting tasks, replicates their starts and sends them to the VMs."""
         state = self.leadership.state
         ready = find_ready_steps(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
+        copies = self._find_copies()
+        if copies:
+            ready = add_copies(
+                ready, copies=copies, tables=state.tables, indexes=state.indexes, now_ms=wall_ms()
+            )
         self.waiting_millis = {}
         if not ready:
             return
@@ -127,9 +138,32 @@
             self.links[start.vm].orders.expect_start(task=start.task, run=start.run)
         await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
         self._log_starts(starts)
+        if copies:
+            self._log_copies(starts, copies=copies)
         for start in starts:
             self._order_start(start)
 
+    def _find_copies(self) -> dict[StepKey, dict[int, frozenset[str]]]:
+        now = self.leadership.clock()
+        silent_vms = {vm_id for vm_id, link in self.links.items() if link.is_silent(now)}
+        if not silent_vms:
+            return {}
+        state = self.leadership.state
+        return find_copies_of_silent_runs(tables=state.tables, indexes=state.indexes, silent_vms=silent_vms)
+
+    def _log_copies(
+        self, starts: list[RunStart], *, copies: dict[StepKey, dict[int, frozenset[str]]]
+    ) -> None:
+        copied: dict[str, str] = {}
+        for start in starts:
+            task = TaskId.parse(start.task)
+            if task.number in copies.get(StepKey(task.workflow, task.occurrence, task.step), ()):
+                copied[f"{start.task}/{start.run}"] = start.vm
+        self.counters["copies_of_silent_runs"] += len(copied)
+        if copied:
+            runs = dict(list(copied.items())[:MAX_RUNS_PER_LOG_LINE])
+            log_event(Event.COPIES_ORDERED, count=len(copied), reason="silent VMs", runs=runs)
+
     def _log_starts(self, starts: list[RunStart]) -> None:
         for offset in range(0, len(starts), MAX_RUNS_PER_LOG_LINE):
             batch = starts[offset : offset + MAX_RUNS_PER_LOG_LINE]
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -19,6 +19,8 @@
     from .free_capacity import FreeCapacity
     from .ready_step import ReadyStep
 
+NO_VMS: frozenset[str] = frozenset()
+
 
 def place_steps(
     *,
@@ -65,8 +67,16 @@
     max_starts: int,
 ) -> list[RunStart]:
     starts: list[RunStart] = []
+    unplaceable: set[frozenset[str]] = set()
     for index in ready.indexes[: max(0, max_starts)]:
-        vm = _choose_vm(ready, vms=vms)
+        excluded = ready.excluded_vms.get(index, NO_VMS)
+        if excluded in unplaceable:
+            continue
+        vm = _choose_vm(ready, vms=vms, excluded=excluded)
+        if vm is None and excluded:
+            # The other tasks of the step may fit on VMs that are excluded for this one.
+            unplaceable.add(excluded)
+            continue
         if vm is None or not reserve_for_team(ready):
             break
         starts.append(_assign(ready, vm=vm, index=index))
@@ -131,12 +141,12 @@
     return RunStart(task=task.name, run=progress.last_run[index] + 1 if run is None else run, vm=vm.vm_id)
 
 
-def _choose_vm(ready: ReadyStep, *, vms: list[FreeCapacity]) -> FreeCapacity | None:
+def _choose_vm(ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str]) -> FreeCapacity | None:
     step = ready.step
     best: FreeCapacity | None = None
     best_cost: tuple[float, ...] = ()
     for vm in vms:
-        if not vm.fits(step) or not ready.is_approved(vm.vm_id):
+        if not vm.fits(step) or not ready.is_approved(vm.vm_id) or vm.vm_id in excluded:
             continue
         if step.spread_limit and ready.placed.get(vm.vm_id, 0) >= step.spread_limit:
             continue
--- a/src/hyssopway/dispatch/ready_step.py
+++ b/src/hyssopway/dispatch/ready_step.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hyssopway.workflow import Step, Workflow
 
@@ -19,6 +19,7 @@
         indexes: Indexes of the tasks to start.
         order: Sort key of the service order; the lowest is served first.
         placed: Number of active runs of the step by VM ID.
+        excluded_vms: IDs of VMs on which a task is not placed, by the index of the task; only for some tasks.
         approved_vms: IDs of VMs with a valid ticket for the step; None when the step needs no ticket.
     """
 
@@ -29,6 +30,7 @@
     indexes: list[int]
     order: tuple[float, ...]
     placed: dict[str, int]
+    excluded_vms: dict[int, frozenset[str]] = field(default_factory=dict)
     approved_vms: frozenset[str] | None = None
 
     def is_approved(self, vm_id: str) -> bool:
--- a/src/hyssopway/dispatch/ready_steps.py
+++ b/src/hyssopway/dispatch/ready_steps.py
@@ -10,6 +10,9 @@
 from .ready_step import ReadyStep
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from hyssopway.scheduling.copies import StepKey
     from hyssopway.workflow import Indexes, Tables, Workflow
 
 
@@ -46,6 +49,42 @@
     return found
 
 
+def add_copies(
+    ready: list[ReadyStep],
+    *,
+    copies: Mapping[StepKey, Mapping[int, frozenset[str]]],
+    tables: Tables,
+    indexes: Indexes,
+    now_ms: float,
+) -> list[ReadyStep]:
+    """Adds tasks that get a copy to the ready steps, in the order of their steps.
+
+    Args:
+        ready: Ready steps in the order of service; steps that are in the list get the copies as further tasks.
+        copies: Tasks to copy by step, with the IDs of the VMs that may not get the copy.
+        tables: Replicated data.
+        indexes: Indexes over the data.
+        now_ms: Wall-clock time in milliseconds.
+    """
+    by_key = {(step.workflow.workflow_id, step.occurrence, step.number): step for step in ready}
+    for key, excluded_vms in copies.items():
+        step = by_key.get(key)
+        if step is None:
+            workflow = tables.workflows[key.workflow]
+            queue = indexes.queues.get(workflow.queue)
+            order = service_order_key(
+                workflow=workflow, occurrence=key.occurrence, queue=queue, now_ms=now_ms
+            )
+            step = _make_ready_step(
+                tables, workflow=workflow, occurrence=key.occurrence, number=key.step, order=order
+            )
+            ready.append(step)
+        step.indexes += sorted(excluded_vms)
+        step.excluded_vms.update(excluded_vms)
+    ready.sort(key=lambda ready_step: ready_step.order)
+    return ready
+
+
 def find_due_occurrences(
     *, tables: Tables, indexes: Indexes, now_ms: float
 ) -> tuple[list[tuple[str, int]], float]:
@@ -94,4 +133,4 @@
     )
 
 
-__all__ = ["find_due_occurrences", "find_ready_steps"]
+__all__ = ["add_copies", "find_due_occurrences", "find_ready_steps"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -40,6 +40,8 @@
 STALL_PAUSE_S = 2.0
 # A VM whose last answer is older gets no new tasks; longer than the timeout of one unanswered poll.
 CONTACT_TIMEOUT_S = 1.3
+# Consecutive unanswered polls after which a VM may count as silent.
+MIN_SILENT_POLLS = 2
 # A VM that neither answers nor announces itself for this long is removed.
 REMOVE_AFTER_S = 20.0
 
@@ -147,6 +149,16 @@
         """Returns whether the VM answered recently, so that orders are likely to arrive."""
         return self.has_acked_term and now - self.answered_at <= CONTACT_TIMEOUT_S
 
+    def is_silent(self, now: float) -> bool:
+        """Returns whether the VM has left repeated polls of this term unanswered, so that its runs have probably ended.
+
+        Time alone is no sign: it also passes while this process is paused or has just begun to lead.
+        """
+        return (
+            self.poll_timing.consecutive_losses >= MIN_SILENT_POLLS
+            and now - max(self.answered_at, self.leadership.started_at) > CONTACT_TIMEOUT_S
+        )
+
     async def run(self) -> None:
         """Polls the VM and renews its lease for as long as the VM is registered."""
         while self.record is not None:
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -33,6 +33,7 @@
 from .step import Step
 from .step_progress import StepProgress
 from .tables import Tables
+from .task_copies import may_start_copy
 from .task_id import TaskId
 from .team_policy import TeamPolicy
 from .vm_record import VmRecord
@@ -80,4 +81,5 @@
     "WorkflowState",
     "WorkflowStatus",
     "encode_command",
+    "may_start_copy",
 ]
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -6,6 +6,7 @@
 
 from .active_run import ActiveRun
 from .run_outcome import RunOutcome
+from .task_copies import may_start_copy
 from .task_id import TaskId
 from .workflow import Workflow
 from .workflow_status import WorkflowStatus
@@ -123,8 +124,11 @@
     progress = workflow.progress[task.occurrence][task.step]
     if progress.done[task.number] or start.run <= progress.last_run[task.number]:
         return
-    if start.task in tables.runs and not step.duplicates:
+    runs = tables.runs.get(start.task, ())
+    if runs and not may_start_copy(tables, indexes, workflow=workflow, task=task):
         return
+    if any(other.vm == start.vm for other in runs):
+        return  # a VM identifies a run by its task
     if not indexes.fits_limit(workflow=workflow, step=step):
         return
     progress.last_run[task.number] = start.run
@@ -146,13 +150,14 @@
     if end.outcome is RunOutcome.DONE and not step.long_running:
         _finish_task(tables, indexes, workflow=workflow, task=task, at_ms=at_ms)
         return
+    if progress.done[task.number]:
+        return  # a failure of a run that lost to another run of its task does not count
     if end.outcome is RunOutcome.FAILED and not step.long_running:
         progress.failures[task.number] += 1
-        queue = indexes.queues.get(workflow.queue)
-        max_attempts = queue.max_attempts if queue is not None else 1
+        max_attempts = indexes.max_attempts(workflow)
         if progress.failures[task.number] >= max_attempts and not workflow.status.is_final:
             end_workflow(tables, indexes, workflow, status=WorkflowStatus.FAILED, at_ms=at_ms)
-    if is_last and not progress.done[task.number]:
+    if is_last:
         progress.pending.add(task.number)
 
 
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -126,6 +126,11 @@
             and (not limit.accelerators or usage.accelerators + step.accelerators <= limit.accelerators)
         )
 
+    def max_attempts(self, workflow: Workflow) -> int:
+        """Returns the number of failed runs of one task after which a workflow fails."""
+        queue = self.queues.get(workflow.queue)
+        return queue.max_attempts if queue is not None else 1
+
     def find_queue(self, *, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest path prefix that matches, or None."""
         for queue in self.queues_by_host.get(host, ()):
--- /dev/null
+++ b/tests/dispatch/test_copies_of_runs.py
@@ -0,0 +1,247 @@
+"""Copies of runs on silent VMs, from the polls of the VMs to the orders."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dispatch.conftest import FakeVms, make_link
+from hyssopway.dispatch import WorkerUnreachableError
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
+from hyssopway.workflow import Capacity, PutDocument, RegisterVm, RunEnd, RunOutcome, Step
+from workflow.conftest import make_document, make_workflow
+
+VMS_PER_RACK = 4
+RACKS = 3
+CORES = 16
+# Fills the VMs of two of the three racks.
+TASKS = 2 * VMS_PER_RACK * CORES
+
+
+class RackVms(FakeVms):
+    """Fake VMs of which some are silent.
+
+    Attributes:
+        silent_vms: IDs of the VMs that answer nothing.
+    """
+
+    def __init__(self, leadership):
+        super().__init__(leadership)
+        self.silent_vms = set()
+
+    def check(self, vm):
+        if vm.vm_id in self.silent_vms:
+            raise WorkerUnreachableError("silent")
+
+    async def poll(self, *, vm, **arguments):
+        self.check(vm)
+        return await super().poll(vm=vm, **arguments)
+
+    async def start(self, *, vm, **arguments):
+        self.check(vm)
+        return await super().start(vm=vm, **arguments)
+
+    async def stop(self, *, vm, **arguments):
+        self.check(vm)
+        return await super().stop(vm=vm, **arguments)
+
+
+class Fleet:
+    """A leader with VMs in three racks.
+
+    Attributes:
+        leadership: Term of the leader.
+        vms: Fake VMs.
+        links: Links to the VMs.
+        dispatcher: Dispatcher of the leader.
+    """
+
+    def __init__(self, leadership):
+        self.leadership = leadership
+        self.vms = RackVms(leadership)
+        self.links = {}
+        self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
+
+    async def set_up(self, *, max_attempts=2):
+        await self.leadership.propose(PutDocument(document=make_document(max_attempts=max_attempts)))
+        for number in range(RACKS * VMS_PER_RACK):
+            rack = f"r{number // VMS_PER_RACK}"
+            command = RegisterVm(
+                vm=f"{rack}-{number}",
+                boot=1,
+                address="10.0.1.1:80",
+                pool="vans",
+                zone="nashua",
+                labels=("a", rack),
+                capacity=Capacity(cpu_millis=CORES * 1000, memory_mb=32_000),
+                draining=False,
+                at_ms=0,
+            )
+            await self.leadership.propose(command)
+        self.connect()
+        await self.poll()
+
+    def connect(self):
+        for vm_id in self.leadership.state.tables.vms:
+            self.links[vm_id] = make_link(vm_id, leadership=self.leadership, calls=self.vms)
+
+    async def poll(self):
+        for link in self.links.values():
+            await link.poll()
+
+    async def run_round(self):
+        await self.dispatcher.run_round()
+        await asyncio.gather(*self.dispatcher.sending)
+
+    async def submit(self, *, name="w", count=TASKS, **step):
+        command = make_workflow(name, steps=(Step(count=count, cpu_millis=1000, estimate_ms=600, **step),))
+        await self.leadership.propose(command)
+        await self.run_round()
+
+    async def darken(self, rack):
+        """Silences a rack for as long as it takes until its VMs count as silent, but their leases have not expired."""
+        self.vms.silent_vms = {vm_id for vm_id in self.links if vm_id.startswith(rack)}
+        await self.poll()
+        self.leadership.now += CONTACT_TIMEOUT_S + 0.1
+        await self.poll()
+
+    def runs(self):
+        return {task: [run.vm for run in runs] for task, runs in self.leadership.state.tables.runs.items()}
+
+
+@pytest.fixture
+async def rack_fleet(leadership):
+    result = Fleet(leadership)
+    await result.set_up()
+    return result
+
+
+async def test_dark_rack_at_full_load(rack_fleet):
+    """Guards against tasks that wait for the leases of a dark rack while other racks have room."""
+    await rack_fleet.submit(duplicates=True)
+    await rack_fleet.darken("r0")
+    on_dark = {task for task, vms in rack_fleet.runs().items() if vms[0].startswith("r0")}
+    assert len(on_dark) == VMS_PER_RACK * CORES
+    await rack_fleet.run_round()
+    for task, vms in rack_fleet.runs().items():
+        assert len(vms) == (2 if task in on_dark else 1), task
+        assert not vms[-1].startswith("r0")
+    assert rack_fleet.dispatcher.counters["copies_of_silent_runs"] == len(on_dark)
+    assert rack_fleet.dispatcher.waiting_millis == {}
+    before = rack_fleet.runs()
+    await rack_fleet.run_round()
+    assert rack_fleet.runs() == before
+
+
+async def test_copies_wait_like_tasks(rack_fleet):
+    """Guards against a pool that gets no machine for the copies that find no room."""
+    await rack_fleet.submit(duplicates=True, count=RACKS * VMS_PER_RACK * CORES)
+    await rack_fleet.darken("r0")
+    await rack_fleet.run_round()
+    assert all(len(vms) == 1 for vms in rack_fleet.runs().values())
+    assert rack_fleet.dispatcher.waiting_millis == {"vans": VMS_PER_RACK * CORES * 1000}
+
+
+async def test_step_without_duplicates_waits_for_the_leases(rack_fleet):
+    """Guards against two runs of a task that may run only once at a time."""
+    await rack_fleet.submit()
+    await rack_fleet.darken("r0")
+    await rack_fleet.run_round()
+    assert all(len(vms) == 1 for vms in rack_fleet.runs().values())
+
+
+async def test_first_end_of_two_runs_completes_the_workflow(rack_fleet):
+    """Guards against a task that waits again, or a workflow that fails, when its other run ends later."""
+    await rack_fleet.submit(duplicates=True, count=1)
+    task, (vm,) = next(iter(rack_fleet.runs().items()))
+    await rack_fleet.darken(vm[:2])
+    await rack_fleet.run_round()
+    copy_vm = rack_fleet.runs()[task][1]
+    link = rack_fleet.links[copy_vm]
+    rack_fleet.vms.running.pop((task, 2))
+    await link._propose_ends([RunEnd(task=task, run=2, outcome=RunOutcome.DONE)])
+    assert rack_fleet.leadership.state.indexes.runs_to_stop == {f"{task}/1": vm}
+    # The silent VM is back and reports that its run has failed.
+    rack_fleet.vms.silent_vms = set()
+    rack_fleet.vms.running.clear()
+    rack_fleet.vms.ends = [ListedEnd(1, RunEnd(task=task, run=1, outcome=RunOutcome.FAILED))]
+    await rack_fleet.links[vm].poll()
+    assert rack_fleet.leadership.state.tables.workflows["w"].status == "completed"
+    assert rack_fleet.runs() == {}
+
+
+async def test_lapsed_run_leaves_its_copy_alone(rack_fleet):
+    """Guards against a third run of a task whose copy is in progress when the lease of its first run expires."""
+    await rack_fleet.submit(duplicates=True, count=4)
+    vm = next(iter(rack_fleet.runs().values()))[0]
+    await rack_fleet.darken(vm[:2])
+    await rack_fleet.run_round()
+    copies = {task: vms[1] for task, vms in rack_fleet.runs().items()}
+    rack_fleet.leadership.now = rack_fleet.links[vm].lease.expires_at + 0.1
+    await rack_fleet.poll()
+    await rack_fleet.run_round()
+    assert rack_fleet.runs() == {task: [copy_vm] for task, copy_vm in copies.items()}
+
+
+async def test_paused_leader_starts_no_copies(rack_fleet):
+    """Guards against copies of all runs by a leader that was paused and takes its own silence for that of the VMs."""
+    await rack_fleet.submit(duplicates=True)
+    rack_fleet.leadership.now += 2.0
+    await rack_fleet.links["r2-8"].poll()
+    await rack_fleet.run_round()
+    assert all(len(vms) == 1 for vms in rack_fleet.runs().values())
+
+
+async def test_new_leader_gives_vms_time_to_answer(rack_fleet):
+    """Guards against copies by a new leader of runs on VMs whose first polls were lost."""
+    await rack_fleet.submit(duplicates=True)
+    rack_fleet.leadership.started_at = rack_fleet.leadership.now
+    rack_fleet.connect()
+    rack_fleet.vms.silent_vms = {vm_id for vm_id in rack_fleet.links if vm_id.startswith("r0")}
+    for _ in range(3):
+        await rack_fleet.poll()
+    await rack_fleet.run_round()
+    assert all(len(vms) == 1 for vms in rack_fleet.runs().values())
+
+
+async def test_leader_killed_between_agreement_and_order_of_a_copy(rack_fleet, monkeypatch):
+    """Guards against a second copy by a new leader, and against a copy that was never ordered and is never resolved."""
+    await rack_fleet.submit(duplicates=True, count=1)
+    task, (vm,) = next(iter(rack_fleet.runs().items()))
+    await rack_fleet.darken(vm[:2])
+    with monkeypatch.context() as patch:
+        patch.setattr(Dispatcher, "_order_start", lambda *_: None)
+        await rack_fleet.run_round()
+    copy_vm = rack_fleet.runs()[task][1]
+    # A new leader takes over; the rack stays dark, so its leases have not expired for the new leader.
+    leadership = rack_fleet.leadership
+    leadership.term += 1
+    leadership.started_at = leadership.now
+    rack_fleet.connect()
+    rack_fleet.dispatcher = Dispatcher(leadership=leadership, links=rack_fleet.links)
+    await rack_fleet.poll()
+    await rack_fleet.run_round()
+    assert rack_fleet.runs()[task] == [vm, copy_vm]
+    # The VM of the copy has acknowledged the new term and does not list the copy: it never ran.
+    for _ in range(2):
+        leadership.now += 0.7
+        await rack_fleet.poll()
+    assert rack_fleet.runs()[task] == [vm]
+    await rack_fleet.run_round()
+    assert len(rack_fleet.runs()[task]) == 2
+
+
+async def test_lost_answer_to_the_order_of_a_copy(rack_fleet):
+    """Guards against a further run of a task when a VM carries out the order of a copy but does not answer."""
+    await rack_fleet.submit(duplicates=True, count=1)
+    task, (vm,) = next(iter(rack_fleet.runs().items()))
+    await rack_fleet.darken(vm[:2])
+    rack_fleet.vms.lose = 100
+    await rack_fleet.run_round()
+    rack_fleet.vms.lose = 0
+    for _ in range(3):
+        await rack_fleet.run_round()
+    assert len(rack_fleet.runs()[task]) == 2
--- a/tests/workflow/conftest.py
+++ b/tests/workflow/conftest.py
@@ -46,14 +46,14 @@
     )
 
 
-def make_vm(name, *, boot=1, draining=False, zone="nashua"):
+def make_vm(name, *, boot=1, draining=False, zone="nashua", rack="r1", labels=None):
     return RegisterVm(
         vm=name,
         boot=boot,
         address=f"10.0.0.{name[-1]}:80",
         pool="vans",
         zone=zone,
-        labels=("a", "r1"),
+        labels=labels or ("a", rack),
         capacity=Capacity(cpu_millis=8000, memory_mb=1000),
         draining=draining,
         at_ms=0,
--- a/tests/workflow/test_state.py
+++ b/tests/workflow/test_state.py
@@ -228,6 +228,52 @@
     assert log.state.tables.workflows["w"].occurrences_done == 1
 
 
+@pytest.mark.parametrize("first", [1, 2])
+def test_failure_of_the_run_that_lost_does_not_fail_the_workflow(log, first):
+    """Guards against a completed task whose second run fails its workflow."""
+    log.apply(PutDocument(document=make_document(version=2, max_attempts=3)))
+    log.apply(make_workflow("w", steps=(Step(count=1, duplicates=True), Step(count=1, after=(0,)))))
+    start(log, "w.0.0.0", run=1)
+    start(log, "w.0.0.0", run=2, vm="vm-2")
+    vms = {1: "vm-1", 2: "vm-2"}
+    end(log, "w.0.0.0", RunOutcome.DONE, run=first, vm=vms[first])
+    log.apply(PutDocument(document=make_document(version=3, max_attempts=1)))
+    end(log, "w.0.0.0", RunOutcome.FAILED, run=3 - first, vm=vms[3 - first])
+    assert status(log) is WorkflowStatus.RUNNING
+    assert not log.state.tables.workflows["w"].progress[0][0].pending
+
+
+@pytest.mark.parametrize(
+    ("max_attempts", "vms", "expected"),
+    [
+        pytest.param(2, ("vm-1", "vm-2"), 2, id="copy"),
+        pytest.param(1, ("vm-1", "vm-2"), 1, id="attempts may be used up"),
+        pytest.param(9, ("vm-1", "vm-2", "vm-3"), 2, id="second copy"),
+        pytest.param(9, ("vm-1", "vm-1"), 1, id="same VM"),
+    ],
+)
+def test_copy_is_limited_when_it_is_applied(log, max_attempts, vms, expected):
+    """Guards against a copy that another leader proposed and that exceeds the attempts or the number of runs."""
+    log.apply(PutDocument(document=make_document(version=2, max_attempts=max_attempts)))
+    log.apply(make_vm("vm-3"))
+    log.apply(make_workflow("w", steps=(Step(count=1, duplicates=True),)))
+    for run, vm in enumerate(vms, start=1):
+        start(log, "w.0.0.0", run=run, vm=vm)
+    assert len(log.state.tables.runs["w.0.0.0"]) == expected
+
+
+def test_task_waits_again_after_its_last_run_ended(log):
+    """Guards against a task that waits while a run of it is in progress, or never again."""
+    log.apply(make_workflow("w", steps=(Step(count=1, duplicates=True),)))
+    start(log, "w.0.0.0", run=1)
+    start(log, "w.0.0.0", run=2, vm="vm-2")
+    progress = log.state.tables.workflows["w"].progress[0][0]
+    end(log, "w.0.0.0", RunOutcome.FAILED, run=2, vm="vm-2")
+    assert not progress.pending
+    end(log, "w.0.0.0", RunOutcome.LAPSED, run=1)
+    assert progress.pending == {0}
+
+
 def test_checkpoint_of_a_stopped_run_is_kept(log):
     """Guards against progress that is lost when a run is stopped."""
     log.apply(make_workflow("w"))
