Serve teams by their shares while a pool is requested beyond its capacity

Cause: the weight of a team was stored and unused, so a team at seven times its usual load took most of a pool.

Change: within tier and queue priority, steps of teams that hold at most 1.5 times their weighted dominant share of the pool come first, in the order of remaining work; then those of teams beyond it, least excess first. Starts of the same round count. Past deficits raise a share up to twice its size and halve every 2 s. Usage by pool and team is an index of the replicated state. The max-min division moves from job to scheduling; both paths use it. Event 7040, gauge share_rounds.

Ruled out: an order computed once a round, because one round starts up to 400 tasks; averaging usage over time, because it would hold use of capacity that nobody else asked for against a team; shares over the whole fleet.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -13,6 +13,7 @@
 from .free_capacity import FreeCapacity
 from .placement import place_steps
 from .ready_steps import find_due_occurrences, find_ready_steps
+from .team_shares import TeamShares
 from .ticket_cache import TicketCache
 
 if TYPE_CHECKING:
@@ -42,6 +43,7 @@
         cordoned_vms: IDs of VMs that get no starts because they are being drained.
         awaiting_maintenance: IDs of VMs whose machine still waits for the maintenance of an open wave.
         waiting_millis: CPU demand of tasks left waiting by the last round, in millicores by pool.
+        shares: Order of service by the shares of teams.
         tickets: Tickets of steps whose queue has an advisor.
         changed: Set when a new round may find something to do.
         sending: Start orders in progress.
@@ -54,16 +56,22 @@
         "leadership",
         "links",
         "sending",
+        "shares",
         "tickets",
         "waiting_millis",
     )
 
-    def __init__(self, *, leadership: Leadership, links: dict[str, VmLink]) -> None:
+    def __init__(
+        self, *, leadership: Leadership, links: dict[str, VmLink], counters: Counter[str] | None = None
+    ) -> None:
         self.leadership = leadership
         self.links = links
         self.cordoned_vms: set[str] = set()
         self.awaiting_maintenance: set[str] = set()
         self.waiting_millis: dict[str, int] = {}
+        self.shares = TeamShares(
+            state=leadership.state, counters=counters if counters is not None else Counter()
+        )
         self.tickets = TicketCache(clock=leadership.clock)
         self.changed = asyncio.Event()
         self.sending: set[asyncio.Task[None]] = set()
@@ -110,10 +118,12 @@
         if not ready:
             return
         self._set_approved_vms(ready)
-        team_usage = _TeamUsage(self.leadership)
+        free_by_pool = self.list_free_capacity()
+        self.shares.begin_round(ready, free_by_pool=free_by_pool, now=self.leadership.clock())
+        team_usage = _TeamUsage(self.leadership, shares=self.shares)
         starts = place_steps(
-            steps=ready,
-            free_by_pool=self.list_free_capacity(),
+            steps=self.shares.iterate(ready),
+            free_by_pool=free_by_pool,
             pool_of=lambda ready_step: state.tables.queue_pools.get(ready_step.workflow.queue, ""),
             reserve_for_team=team_usage.reserve,
             max_starts=MAX_STARTS_PER_ROUND,
@@ -236,17 +246,25 @@
 
     Attributes:
         leadership: Term whose replicated state has the limits and the usage.
+        shares: Shares of teams, which count each start, too.
         reserved: Millicores, megabytes of memory and accelerators of the starts of this round, by team.
     """
 
-    __slots__ = ("leadership", "reserved")
+    __slots__ = ("leadership", "reserved", "shares")
 
-    def __init__(self, leadership: Leadership) -> None:
+    def __init__(self, leadership: Leadership, *, shares: TeamShares) -> None:
         self.leadership = leadership
+        self.shares = shares
         self.reserved: dict[str, list[int]] = {}
 
     def reserve(self, ready: ReadyStep) -> bool:
         """Counts one more task of a step; returns False when its team would exceed its upper limit."""
+        if not self._fits_limit(ready):
+            return False
+        self.shares.add_start(ready)
+        return True
+
+    def _fits_limit(self, ready: ReadyStep) -> bool:
         indexes = self.leadership.state.indexes
         team = indexes.teams.get(ready.workflow.team)
         if team is None:
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -102,7 +102,7 @@
         self.pace_history = PaceHistory()
         self.rtt_estimator = RttEstimator()
         self.retention = Retention(retention_s=limits.status_s)
-        self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
+        self.dispatcher = Dispatcher(leadership=leadership, links=self.links, counters=self.counters)
         self.advice = AdviceFetcher(
             state=leadership.state,
             calls=advisor,
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -42,9 +42,17 @@
         Starts with the next run number of each task.
     """
     starts: list[RunStart] = []
+    # Requirements that no VM of a pool meets. Free capacity only shrinks during a round, and in a full pool most
+    # waiting steps have the same requirements.
+    unmet: set[tuple[object, ...]] = set()
     for ready in steps:
-        vms = free_by_pool.get(pool_of(ready))
-        if not vms:
+        pool, step = pool_of(ready), ready.step
+        vms = free_by_pool.get(pool)
+        needs = (pool, step.cpu_millis, step.memory_mb, step.accelerators, step.label, step.fills)
+        if not vms or needs in unmet:
+            continue
+        if not any(vm.fits(step) for vm in vms):
+            unmet.add(needs)
             continue
         if ready.step.gang:
             starts += _place_gang(ready, vms=vms, reserve_for_team=reserve_for_team)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -167,6 +167,11 @@
     ADVICE_TAKEN = (7035, "INFO", "advisor allows step {step} on {good} of {vms} VMs")
     ADVICE_FAILED = (7036, "WARNING", "advice request for step {step} and {vms} VMs failed: {reason}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
+    SHARES_APPLIED = (
+        7040,
+        "INFO",
+        "pool {pool}: tasks of {teams} teams wait; beyond their share and served last: {beyond}",
+    )
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- a/src/hyssopway/job/reclaim.py
+++ b/src/hyssopway/job/reclaim.py
@@ -8,10 +8,10 @@
 
 from hyssopway.control.command import ReclaimRun
 from hyssopway.control.record import ReclaimAction
+from hyssopway.scheduling.fair_shares import fair_shares
 
 from .pending_queues import GroupKey
 from .planner import Planner
-from .shares import fair_shares
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/hyssopway/job/shares.py
+++ b/src/hyssopway/scheduling/fair_shares.py
@@ -1,4 +1,4 @@
-"""Weighted fair shares of teams."""
+"""Weighted max-min division of capacity among teams, for loads in which one team demands more than the others."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def fair_shares(*, weights: Mapping[str, float], demands: Mapping[str, float]) -> dict[str, float]:
-    """Divides the fleet by weighted max-min fairness on the dominant resource.
+    """Divides capacity by weighted max-min fairness on the dominant resource.
 
     The dominant share of a team is the largest fraction of any one resource that it holds (Ghodsi et al.,
     "Dominant Resource Fairness", NSDI 2011). Capacity that a team does not demand is divided among the others.
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -51,6 +51,8 @@
     if old is not None and command.boot > old.boot:
         _mark_runs_lost(tables, indexes, vm=old, at_ms=command.at_ms)
         old = None
+    if old is not None and command.pool != old.pool:
+        indexes.move_to_pool(command.pool, tables=tables, vm=old)
     # A VM that started to drain never stops draining within the same boot. An announcement that was sent before
     # the drain may arrive late and must not clear the flag.
     draining = command.draining or (old is not None and old.draining)
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -13,6 +13,7 @@
     from .step import Step
     from .tables import Tables
     from .team_policy import TeamPolicy
+    from .vm_record import VmRecord
     from .workflow import Workflow
 
 
@@ -25,9 +26,10 @@
         accelerators: Number of accelerators.
         latency_bound: Number of runs that have a response-time target.
         best_effort: Number of runs that use only spare CPU.
+        runs: Number of runs.
     """
 
-    __slots__ = ("accelerators", "best_effort", "cpu_millis", "latency_bound", "memory_mb")
+    __slots__ = ("accelerators", "best_effort", "cpu_millis", "latency_bound", "memory_mb", "runs")
 
     def __init__(self) -> None:
         self.cpu_millis = 0
@@ -35,9 +37,11 @@
         self.accelerators = 0
         self.latency_bound = 0
         self.best_effort = 0
+        self.runs = 0
 
     def add(self, step: Step, *, sign: int) -> None:
         """Adds a run of a step, or removes it if the sign is -1."""
+        self.runs += sign
         self.cpu_millis += sign * step.cpu_millis
         self.memory_mb += sign * step.memory_mb
         self.accelerators += sign * step.accelerators
@@ -53,6 +57,7 @@
     Attributes:
         open_workflows: IDs of workflows that have not ended, in order of acceptance.
         team_usage: Resources in use by each team.
+        pool_usage: Resources in use by pool and team, without the CPU of best-effort tasks.
         vm_usage: Resources in use on each VM, without the CPU of best-effort tasks.
         runs_to_stop: VM by the key of each run in progress that is to be stopped.
         queues: Queues by name.
@@ -63,6 +68,7 @@
 
     __slots__ = (
         "open_workflows",
+        "pool_usage",
         "queues",
         "queues_by_host",
         "runs_to_stop",
@@ -77,6 +83,7 @@
             key: None for key, workflow in tables.workflows.items() if not workflow.status.is_final
         }
         self.team_usage: dict[str, Usage] = {}
+        self.pool_usage: dict[str, dict[str, Usage]] = {}
         self.vm_usage: dict[str, Usage] = {}
         self.runs_to_stop: dict[str, str] = {}
         self.queues: dict[str, Queue] = {}
@@ -110,6 +117,28 @@
         vm_usage.add(step, sign=sign)
         if step.fills:
             vm_usage.cpu_millis -= sign * step.cpu_millis
+        vm = tables.vms.get(run.vm)
+        if vm is not None:
+            self.count_in_pool(vm.pool, team=workflow.team, step=step, sign=sign)
+
+    def count_in_pool(self, pool: str, *, team: str, step: Step, sign: int) -> None:
+        """Adds a run to the usage of its team in a pool, or removes it if the sign is -1."""
+        teams = self.pool_usage.setdefault(pool, {})
+        usage = teams.setdefault(team, Usage())
+        usage.add(step, sign=sign)
+        if step.fills:
+            usage.cpu_millis -= sign * step.cpu_millis
+        if not usage.runs:
+            del teams[team]
+
+    def move_to_pool(self, pool: str, *, tables: Tables, vm: VmRecord) -> None:
+        """Moves the usage of a VM's runs to the pool that the VM is about to belong to."""
+        for key in vm.runs:
+            task = TaskId.parse(key.rpartition("/")[0])
+            workflow = tables.workflows[task.workflow]
+            step = workflow.spec.steps[task.step]
+            self.count_in_pool(vm.pool, team=workflow.team, step=step, sign=-1)
+            self.count_in_pool(pool, team=workflow.team, step=step, sign=1)
 
     def fits_limit(self, *, workflow: Workflow, step: Step) -> bool:
         """Returns whether one more run of a step stays within the upper limit of its team."""
--- a/src/hyssopway_standins/measure/dispatch.py
+++ b/src/hyssopway_standins/measure/dispatch.py
@@ -31,6 +31,7 @@
     Queue,
     RegisterVm,
     Step,
+    TeamPolicy,
     WorkflowSpec,
     WorkflowState,
     encode_command,
@@ -54,6 +55,9 @@
 # Tasks submitted for the measured round.
 ROUND_STARTS = 200
 REPEATS = 5
+TEAMS = 20
+# Tasks that wait in a full fleet.
+WAITING_TASKS = 2000
 
 
 class InMemoryLeadership:
@@ -106,6 +110,7 @@
         empty_round_ms: One scheduling round with no work.
         look_ms: One poll of a VM without changes. The field name is a key of the results.
         pools_ms: One measurement of all pools and their demand.
+        full_round_ms: One scheduling round with a full fleet and `WAITING_TASKS` waiting tasks of all teams.
     """
 
     vms: int
@@ -113,6 +118,7 @@
     empty_round_ms: float
     look_ms: float
     pools_ms: float
+    full_round_ms: float
 
 
 def measure(*, seed: int, quick: bool) -> Measurement:
@@ -120,7 +126,7 @@
     costs = [asyncio.run(_measure_size(vms)) for vms in (QUICK_SIZES if quick else SIZES)]
     figures: dict[str, float] = {}
     series: list[Series] = []
-    for name in ("start_ms", "empty_round_ms", "look_ms", "pools_ms"):
+    for name in ("start_ms", "empty_round_ms", "look_ms", "pools_ms", "full_round_ms"):
         points = [(float(cost.vms), float(getattr(cost, name))) for cost in costs]
         label = name.removesuffix("_ms").replace("_", " ")
         figures |= {f"{label} at {vms:.0f} VMs ms": value for vms, value in points}
@@ -167,12 +173,21 @@
     await _run_round(dispatcher)
     # A small fleet does not have capacity for all submitted tasks, so only the actual starts are counted.
     start_ms = (time.process_time() - before) * 1000 / (len(leadership.state.tables.runs) - running)
+    free = round(vms * CORES_A_VM / CORES_A_TASK) - len(leadership.state.tables.runs)
+    await _submit_workflows(leadership, tasks=max(0, free) + WAITING_TASKS, name="wait")
+    waiting: dict[str, int] = {}
+    await _run_round(dispatcher)
+    while waiting != dispatcher.waiting_millis:
+        waiting = dispatcher.waiting_millis
+        await _run_round(dispatcher)
+    full_round_ms = await _time(lambda: _run_round(dispatcher))
     return Cost(
         vms=vms,
         start_ms=start_ms,
         empty_round_ms=empty_round_ms,
         look_ms=look_ms,
         pools_ms=pools_ms,
+        full_round_ms=full_round_ms,
     )
 
 
@@ -202,7 +217,7 @@
         version=1,
         queues=queues,
         pools=tuple(PoolPolicy(name=pool) for pool in pools),
-        teams=(),
+        teams=tuple(TeamPolicy(name=f"team-{number}", keys=()) for number in range(TEAMS)),
         max_body_bytes=1,
         source="",
     )
@@ -232,7 +247,7 @@
             AcceptWorkflow(
                 workflow_id=f"{name}{number}",
                 queue=f"queue-pool-{number % POOLS}",
-                team="",
+                team=f"team-{number % TEAMS}",
                 spec=spec,
                 at_ms=0,
             )
--- a/src/hyssopway_standins/measure/jobs.py
+++ b/src/hyssopway_standins/measure/jobs.py
@@ -22,7 +22,7 @@
 from hyssopway.control.command import CancelJob, CancelJobs, StartRun
 from hyssopway.control.record import RunOutcome, VmState
 from hyssopway.document import Resources
-from hyssopway.job.shares import fair_shares
+from hyssopway.scheduling.fair_shares import fair_shares
 from hyssopway_standins.fleet import EXAMPLES
 from hyssopway_standins.fleet_stand_in import FleetStandIn
 from hyssopway_standins.operator_client import OperatorClient
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 
 import pytest
 from loguru import logger
@@ -10,8 +11,8 @@
 from dispatch.conftest import make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.event import Event
-from hyssopway.workflow import CancelWorkflow, Capacity, RegisterVm, Step
-from workflow.conftest import make_workflow
+from hyssopway.workflow import CancelWorkflow, Capacity, PutDocument, RegisterVm, Step
+from workflow.conftest import make_document, make_workflow
 
 VM_COUNT = 50
 CORES_PER_VM = 64
@@ -83,3 +84,23 @@
     await dispatcher.run_round()
     assert len(fleet.state.tables.runs) == VM_COUNT
     assert dispatcher.waiting_millis == {"vans": 3 * 40_000}
+
+
+async def test_team_beyond_its_share_is_served_after_the_others(dispatcher, fleet):
+    """Guards against one team that takes a whole pool because its workflows are shorter than those of others."""
+    document = make_document(version=2)
+    names = ("large", *"abcdefg")
+    teams = tuple(replace(document.teams[0], name=name, keys=(name,)) for name in names)
+    await fleet.propose(PutDocument(document=replace(document, teams=teams)))
+    # The pool has room for ten steps; seven small teams have one each, so the fair share of the large one is three.
+    for number in range(30):
+        team = names[number] if number < len(names) else "large"
+        step = Step(count=10, cpu_millis=32_000, estimate_ms=600 if team == "large" else 700)
+        await fleet.propose(replace(make_workflow(f"w{number}", steps=(step,)), team=team))
+    await dispatcher.run_round()
+    usage = {team: use.runs for team, use in fleet.state.indexes.pool_usage["vans"].items()}
+    assert usage["large"] == 50
+    assert sum(usage.values()) == 100
+    assert dispatcher.shares.counters["share_rounds"] == 0
+    await dispatcher.run_round()
+    assert dispatcher.shares.counters["share_rounds"] == 1
--- a/tests/job/test_scheduler.py
+++ b/tests/job/test_scheduler.py
@@ -14,28 +14,11 @@
 from hyssopway.job import TaskUsage, explain_pending
 from hyssopway.job.capacity_tree import UNAVAILABLE, CapacityTree
 from hyssopway.job.estimates import MAX_KINDS, Estimates
-from hyssopway.job.shares import fair_shares
 from states import CAPACITY, DOCUMENT
 
 HALF = Resources(cores=8, memory_gb=32)
 
 
-@pytest.mark.parametrize(
-    ("weights", "demands", "expected"),
-    [
-        ({"a": 1, "b": 3}, {"a": 1, "b": 1}, {"a": 0.25, "b": 0.75}),
-        ({"a": 1, "b": 3}, {"a": 1, "b": 0.1}, {"a": 0.9, "b": 0.1}),
-        ({"a": 1, "b": 1, "c": 2}, {"a": 0.1, "b": 1, "c": 1}, {"a": 0.1, "b": 0.3, "c": 0.6}),
-        ({"a": 1}, {"a": 0.4}, {"a": 0.4}),
-        ({}, {}, {}),
-    ],
-    ids=["full", "borrowed", "three", "fleet not full", "no team"],
-)
-def test_fair_shares(weights, demands, expected):
-    """Guards against a share that a team gets at the expense of a team with unmet demand for its own."""
-    assert fair_shares(weights=weights, demands=demands) == pytest.approx(expected)
-
-
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(size=st.integers(1, 40), seed=st.integers(0, 1000))
 def test_tree_finds_a_vm_if_and_only_if_one_fits(size, seed):
--- a/tests/workflow/test_state.py
+++ b/tests/workflow/test_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from hyssopway.workflow import (
@@ -267,3 +269,35 @@
     """Guards against a member that stops at an entry written by a newer release."""
     log.state.apply(index=99, data=b'{"kind":"of a newer release"}')
     assert log.state.applied_index == 99
+
+
+def test_usage_by_pool_equals_that_of_a_restored_snapshot(log):
+    """Guards against shares computed from usage that a reboot, a lost VM or a change of pool has shifted."""
+
+    def usage(state):
+        return {
+            pool: {team: (use.runs, use.cpu_millis, use.memory_mb) for team, use in teams.items()}
+            for pool, teams in state.indexes.pool_usage.items()
+            if teams
+        }
+
+    log.apply(make_workflow("w", steps=(Step(count=9, cpu_millis=100, memory_mb=5, fills=True),)))
+    log.apply(make_workflow("v", steps=(Step(count=9, cpu_millis=1000),)))
+    changes = [lambda n=n: start(log, f"{'wv'[n % 2]}.0.0.{n}", vm=f"vm-{1 + n // 4}") for n in range(8)]
+    changes += [
+        lambda: end(log, "w.0.0.0", RunOutcome.DONE),
+        lambda: log.apply(replace(make_vm("vm-1"), pool="trucks")),
+        lambda: end(log, "v.0.0.1", RunOutcome.FAILED),
+        lambda: log.apply(make_vm("vm-2", boot=2)),
+        lambda: start(log, "v.0.0.8", vm="vm-2"),
+        lambda: log.apply(RemoveVm(vm="vm-1", boot=1, at_ms=1)),
+    ]
+    seen = []
+    for change in changes:
+        change()
+        restored = WorkflowState()
+        restored.restore_snapshot(log.state.encode_snapshot())
+        assert usage(log.state) == usage(restored)
+        seen.append(usage(log.state))
+    assert seen[9] == {"trucks": {"pantry": (3, 2000, 5)}, "vans": {"pantry": (4, 2000, 10)}}
+    assert seen[-1] == {"vans": {"pantry": (1, 1000, 0)}}
