--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -168,6 +168,11 @@
     ADVICE_FAILED = (7036, "WARNING", "advice request for step {step} and {vms} VMs failed: {reason}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     COPIES_ORDERED = (7050, "INFO", "{count} copies of runs ordered: {reason}")
+    SHARES_APPLIED = (
+        7040,
+        "INFO",
+        "pool {pool}: tasks of {teams} teams wait; beyond their share and served last: {beyond}",
+    )
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
