Learn which images disturb each other, and keep them on different VMs

Cause: placement avoided any best-effort neighbour of a task with a latency target, whether it disturbs or not, and knew nothing of the pairs of images that pace control had slowed.

Change: `scheduling/interference.py` estimates, for each pair of latency-bound and best-effort image, the factor by which the tail rises, with a ridge regression on the paces of the neighbours that decays within seconds. Placement ranks VMs by known pairs in both directions, and known pairs choose the pace to begin with. `PaceHistory` is folded into the estimates. Pairs below the confidence count as before, and no task waits. Event 7055, the state dump and counters show pairs and the time over target with and without neighbours. `LeaderController(uses_interference=False)` turns the use off.

Ruled out: comparing means with and without the neighbour (takes own load that rises with an arrival for interference), differences around a change of pace (biased, since the pace changes when the tail is extreme), and learning only from paces confirmed 0.6 s ago (pace control has then already paused a neighbour that disturbs strongly, so such pairs were never learned).

Tests: the assertion on `PaceHistory.interferes` became one on the pace to begin with, which is what the method decided.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from .ticket_cache import TicketCache
 
 if TYPE_CHECKING:
+    from hyssopway.scheduling.interference import InterferenceModel
     from hyssopway.workflow import ActiveRun, Capacity, RunStart, Usage, VmRecord
 
     from .leadership import Leadership
@@ -39,6 +40,7 @@
     Attributes:
         leadership: Term on whose behalf runs are started.
         links: Links to VMs by VM ID.
+        interference: Pairs of images that are known to disturb each other, or not to; None places without them.
         cordoned_vms: IDs of VMs that get no starts because they are being drained.
         awaiting_maintenance: IDs of VMs whose machine still waits for the maintenance of an open wave.
         waiting_millis: CPU demand of tasks left waiting by the last round, in millicores by pool.
@@ -51,6 +53,7 @@
         "awaiting_maintenance",
         "changed",
         "cordoned_vms",
+        "interference",
         "leadership",
         "links",
         "sending",
@@ -58,9 +61,16 @@
         "waiting_millis",
     )
 
-    def __init__(self, *, leadership: Leadership, links: dict[str, VmLink]) -> None:
+    def __init__(
+        self,
+        *,
+        leadership: Leadership,
+        links: dict[str, VmLink],
+        interference: InterferenceModel | None = None,
+    ) -> None:
         self.leadership = leadership
         self.links = links
+        self.interference = interference
         self.cordoned_vms: set[str] = set()
         self.awaiting_maintenance: set[str] = set()
         self.waiting_millis: dict[str, int] = {}
@@ -212,6 +222,7 @@
         """Returns the free capacity of the VMs that may get starts, by pool."""
         tables = self.leadership.state.tables
         now = self.leadership.clock()
+        known_pairs = self.interference.find_known_pairs(now) if self.interference is not None else {}
         free_by_pool: dict[str, list[FreeCapacity]] = {}
         for vm_id, record in tables.vms.items():
             link = self.links.get(vm_id)
@@ -226,6 +237,7 @@
                     use=use,
                     failures=link.failures,
                     awaits_maintenance=vm_id in self.awaiting_maintenance,
+                    known_pairs=known_pairs,
                 )
             )
         return free_by_pool
@@ -274,7 +286,12 @@
 
 
 def _compute_free_capacity(
-    record: VmRecord, *, use: Usage | None, failures: int, awaits_maintenance: bool
+    record: VmRecord,
+    *,
+    use: Usage | None,
+    failures: int,
+    awaits_maintenance: bool,
+    known_pairs: dict[tuple[str, str], bool],
 ) -> FreeCapacity:
     capacity = record.capacity
     return FreeCapacity(
@@ -286,6 +303,9 @@
         accelerators=capacity.accelerators - (use.accelerators if use else 0),
         serving=use.latency_bound if use else 0,
         best_effort=use.best_effort if use else 0,
+        latency_bound_images=tuple(use.latency_bound_images.elements()) if use and known_pairs else (),
+        best_effort_images=tuple(use.best_effort_images.elements()) if use and known_pairs else (),
+        known_pairs=known_pairs,
         recent_failures=min(failures, MAX_COUNTED_FAILURES),
         awaits_maintenance=awaits_maintenance,
     )
--- a/src/hyssopway/dispatch/free_capacity.py
+++ b/src/hyssopway/dispatch/free_capacity.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
-if TYPE_CHECKING:
-    from hyssopway.workflow import Step
+from hyssopway.scheduling.neighbours import rank_for_best_effort, rank_for_serving
+from hyssopway.workflow import Step
 
 
 @dataclass(slots=True, kw_only=True)
@@ -22,6 +22,10 @@
         accelerators: Free accelerators.
         serving: Latency-bound runs on the VM.
         best_effort: Best-effort runs on the VM; they use only CPU time that other runs leave.
+        latency_bound_images: Images of the latency-bound runs; needed only when pairs are known.
+        best_effort_images: Images of the best-effort runs; needed only when pairs are known.
+        known_pairs: Whether each known pair of latency-bound and best-effort image disturbs.
+        added: Steps with a latency target and best-effort steps of the tasks that were placed in this round.
         recent_failures: Consecutive runs that failed on the VM; VMs with fewer failures are preferred.
         awaits_maintenance: Whether the machine awaits maintenance, which soon interrupts what runs on it.
     """
@@ -34,6 +38,10 @@
     accelerators: int
     serving: int = 0
     best_effort: int = 0
+    latency_bound_images: tuple[str, ...] = ()
+    best_effort_images: tuple[str, ...] = ()
+    known_pairs: Mapping[tuple[str, str], bool] = field(default_factory=dict)
+    added: list[Step] = field(default_factory=list)
     recent_failures: int = 0
     awaits_maintenance: bool = False
 
@@ -67,6 +75,30 @@
             self.cpu_millis -= step.cpu_millis
         self.memory_mb -= step.memory_mb
         self.accelerators -= step.accelerators
+        if step.fills or step.target_ms:
+            self.added.append(step)
+
+    def rank_for_serving(self, step: Step) -> int:
+        """Returns how far a task with a latency target should avoid the VM because of best-effort neighbours."""
+        if not self.known_pairs:
+            return int(self.best_effort > 0)
+        return rank_for_serving(
+            step.image,
+            best_effort=self.best_effort_images,
+            added=[added.image for added in self.added if added.fills],
+            known_pairs=self.known_pairs,
+        )
+
+    def rank_for_best_effort(self, step: Step) -> tuple[int, int]:
+        """Returns how far a best-effort task should avoid the VM because of latency-bound neighbours."""
+        if not self.known_pairs:
+            return 0, self.serving
+        return rank_for_best_effort(
+            step.image,
+            latency_bound=self.latency_bound_images,
+            added=[added.image for added in self.added if not added.fills],
+            known_pairs=self.known_pairs,
+        )
 
 
 __all__ = ["FreeCapacity"]
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from collections import Counter
+from math import exp
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
+from hyssopway.scheduling.interference import InterferenceModel
 from hyssopway.workflow import DeleteWorkflows, RegisterVm, RemoveVm
 
 from .advice_fetcher import AdviceFetcher
@@ -15,7 +17,6 @@
 from .duration_scale import DurationScale
 from .leadership import LeadershipLostError
 from .machine_inventory import MachineInventory
-from .pace_history import PaceHistory
 from .poll_rate_limiter import PollRateLimiter
 from .pool_load import measure_pools
 from .pool_rebalancer import PoolRebalancer
@@ -53,7 +54,7 @@
         scale: Ratio of actual to declared run durations.
         rebalancer: Moves machines between pools.
         poll_limiter: Limits the rate of polls over all VMs.
-        pace_history: Paces of best-effort tasks at which latency-bound ones met their target.
+        interference: Learns which pairs of images disturb each other.
         rtt_estimator: Estimates how long a VM takes to answer an order.
         retention: Finds ended workflows whose records may be deleted.
         tasks: Asyncio tasks that run the links, by VM ID.
@@ -67,11 +68,11 @@
         "counters",
         "dispatcher",
         "drainer",
+        "interference",
         "leadership",
         "limits",
         "links",
         "load_reported_at",
-        "pace_history",
         "poll_limiter",
         "rebalancer",
         "retention",
@@ -89,6 +90,7 @@
         machines: MachineCalls,
         advisor: AdviceCalls,
         limits: PlatformLimits,
+        uses_interference: bool = True,
     ) -> None:
         self.leadership = leadership
         self.calls = calls
@@ -99,10 +101,10 @@
         self.counters: Counter[str] = Counter()
         self.scale = DurationScale()
         self.poll_limiter = PollRateLimiter()
-        self.pace_history = PaceHistory()
+        self.interference = InterferenceModel(is_enabled=uses_interference, counters=self.counters)
         self.rtt_estimator = RttEstimator()
         self.retention = Retention(retention_s=limits.status_s)
-        self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
+        self.dispatcher = Dispatcher(leadership=leadership, links=self.links, interference=self.interference)
         self.advice = AdviceFetcher(
             state=leadership.state,
             calls=advisor,
@@ -156,6 +158,7 @@
                 await self._remove_silent_vms()
                 await self._delete_expired_workflows()
                 self._report_load()
+                self._report_interference()
                 await asyncio.sleep(SUPERVISION_INTERVAL_S)
         except LeadershipLostError as error:
             log_event(Event.DECISIONS_STOPPED, term=self.leadership.term, reason=str(error))
@@ -204,7 +207,7 @@
                     scale=self.scale,
                     poll_limiter=self.poll_limiter,
                     rtt_estimator=self.rtt_estimator,
-                    pace_history=self.pace_history,
+                    interference=self.interference,
                     tickets=self.dispatcher.tickets,
                     on_change=self.dispatcher.changed.set,
                 )
@@ -239,6 +242,19 @@
                 waiting=load.waiting_millis // 1000,
             )
 
+    def _report_interference(self) -> None:
+        for serving, best_effort, pair in self.interference.take_new_findings(self.leadership.clock()):
+            log_event(
+                Event.INTERFERENCE_FOUND,
+                serving=serving,
+                best_effort=best_effort,
+                factor=round(exp(pair.rise), 2),
+                confidence=round(pair.confidence, 1),
+                readings=round(pair.readings, 1),
+                percent=pair.percent,
+                used=self.interference.is_enabled,
+            )
+
     async def _delete_expired_workflows(self) -> None:
         workflows = self.leadership.state.tables.workflows
         expired = self.retention.find_expired(workflows, now=self.leadership.clock())
--- a/src/hyssopway/dispatch/pace_control.py
+++ b/src/hyssopway/dispatch/pace_control.py
@@ -10,18 +10,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hyssopway.scheduling.interference import FULL_PERCENT
+from hyssopway.scheduling.pair_estimate import DECREASE_RATIO, INCREASE_RATIO
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from .pace_history import PaceHistory
+    from hyssopway.scheduling.interference import InterferenceModel
+    from hyssopway.scheduling.latency_sample import LatencySample
 
-FULL_PERCENT = 100
-# Ratios of tail latency to its target above which the pace is decreased, and below which it is increased.
-DECREASE_RATIO = 0.85
-INCREASE_RATIO = 0.65
 # Latency ratio from which a decrease pauses best-effort tasks at once.
 PAUSE_RATIO = 1.5
 DECREASE_FACTOR = 0.5
@@ -37,26 +36,11 @@
 OWN_LOAD_RECHECK_S = 2.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LatencySample:
-    """Tail latency of a latency-bound task.
-
-    Attributes:
-        image: Image that the task runs.
-        target_ms: Target of the tail latency in milliseconds.
-        tail_ms: Tail latency over the last half second, in milliseconds.
-    """
-
-    image: str
-    target_ms: int
-    tail_ms: int
-
-
 class PaceControl:
     """Controls the pace of the best-effort tasks on one VM, which all run at the same pace.
 
     Attributes:
-        history: Paces that the controls of all VMs have reached.
+        interference: Paces that the controls of all VMs have reached, and estimates by pair of images.
         settle_s: Time in seconds from an order until a sample shows only latency under the new pace.
         percent: Present pace in percent of full speed.
         changed_at: Local time of the last change of the pace.
@@ -67,16 +51,16 @@
 
     __slots__ = (
         "changed_at",
-        "history",
         "images",
         "increase_interval_s",
+        "interference",
         "own_load_until",
         "percent",
         "settle_s",
     )
 
-    def __init__(self, *, history: PaceHistory, pacing_s: float) -> None:
-        self.history = history
+    def __init__(self, *, interference: InterferenceModel, pacing_s: float) -> None:
+        self.interference = interference
         self.settle_s = pacing_s + SAMPLE_WINDOW_S
         self.percent = FULL_PERCENT
         self.changed_at = float("-inf")
@@ -100,7 +84,9 @@
             self.percent = FULL_PERCENT
             return self.percent
         if not images <= self.images:
-            self._set_percent(min(self.percent, self.history.initial_percent(images)), now=now)
+            targets_ms = {one.image: one.target_ms for one in latency_bound}
+            initial = self.interference.initial_percent(images, targets_ms=targets_ms, now=now)
+            self._set_percent(min(self.percent, initial), now=now)
         self.images = images
         latency_ratio = max(one.tail_ms / one.target_ms for one in latency_bound)
         if now - self.changed_at >= self.settle_s:
@@ -121,9 +107,9 @@
             )
             self._set_percent(decreased if is_gradual else 0, now=now)
             self.increase_interval_s = min(MAX_INCREASE_INTERVAL_S, 2 * self.increase_interval_s)
-            self.history.record(self.images, percent=self.percent)
+            self.interference.record_pace(self.images, percent=self.percent, now=now)
         elif latency_ratio < INCREASE_RATIO and now - self.changed_at >= self.increase_interval_s:
-            self.history.record(self.images, percent=self.percent)
+            self.interference.record_pace(self.images, percent=self.percent, now=now)
             if self.percent:
                 self.increase_interval_s = max(MIN_INCREASE_INTERVAL_S, self.increase_interval_s / 2)
             self._set_percent(min(FULL_PERCENT, self.percent + INCREASE_PERCENT), now=now)
@@ -137,4 +123,4 @@
             self.changed_at = now
 
 
-__all__ = ["FULL_PERCENT", "LatencySample", "PaceControl"]
+__all__ = ["FULL_PERCENT", "PaceControl"]
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -150,8 +150,8 @@
     """Returns the sort key of a VM for one task of a step; the lowest is preferred."""
     is_remote = bool(step.data_rack) and step.data_rack not in vm.labels
     if step.fills:
-        return (vm.recent_failures, is_remote, vm.serving, vm.best_effort, vm.cpu_millis)
-    has_interference = bool(step.target_ms) and vm.best_effort > 0
+        return (vm.recent_failures, is_remote, *vm.rank_for_best_effort(step), vm.best_effort, vm.cpu_millis)
+    interference = vm.rank_for_serving(step) if step.target_ms else 0
     if step.long_running:
         # Long-running tasks share few VMs, so that the others can leave the pool, but no VM gets more than half of
         # the tasks of a step while another VM has room.
@@ -159,12 +159,12 @@
         return (
             vm.recent_failures,
             is_remote,
-            has_interference,
+            interference,
             vm.awaits_maintenance,
             has_half,
             vm.cpu_millis,
         )
-    return (vm.recent_failures, is_remote, has_interference, vm.cpu_millis)
+    return (vm.recent_failures, is_remote, interference, vm.cpu_millis)
 
 
 __all__ = ["place_steps"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -21,12 +21,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hyssopway.scheduling.interference import InterferenceModel
     from hyssopway.workflow import ActiveRun, VmRecord
 
     from .duration_scale import DurationScale
     from .leadership import Leadership
     from .listed_run import ListedRun
-    from .pace_history import PaceHistory
     from .platform_limits import PlatformLimits
     from .poll_rate_limiter import PollRateLimiter
     from .poll_reply import PollReply
@@ -101,7 +101,7 @@
         scale: DurationScale,
         poll_limiter: PollRateLimiter,
         rtt_estimator: RttEstimator,
-        pace_history: PaceHistory,
+        interference: InterferenceModel,
         tickets: TicketCache,
         on_change: Callable[[], None],
     ) -> None:
@@ -126,7 +126,7 @@
             tickets=tickets,
         )
         self.pace = VmPace(
-            leadership=leadership, orders=self.orders, history=pace_history, pacing_s=limits.pacing_s
+            leadership=leadership, orders=self.orders, interference=interference, pacing_s=limits.pacing_s
         )
         self.unlisted = UnlistedRuns(
             leadership=leadership, orders=self.orders, stop_s=limits.stop_s + STOP_SLACK_S
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -166,6 +166,11 @@
     PACE_ORDERED = (7034, "INFO", "pace of run {run} on VM {vm} ordered to {percent}%")
     ADVICE_TAKEN = (7035, "INFO", "advisor allows step {step} on {good} of {vms} VMs")
     ADVICE_FAILED = (7036, "WARNING", "advice request for step {step} and {vms} VMs failed: {reason}")
+    INTERFERENCE_FOUND = (
+        7055,
+        "INFO",
+        "best-effort image {best_effort} raises the tail latency of image {serving} to {factor} times",
+    )
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
--- a/src/hyssopway/node/node_dump.py
+++ b/src/hyssopway/node/node_dump.py
@@ -46,6 +46,7 @@
         "closed_vms": sorted(controller.dispatcher.cordoned_vms),
         "due_vms": sorted(controller.dispatcher.awaiting_maintenance),
         "machines": controller.rebalancer.machines.machines,
+        "interference": controller.interference.dump(),
         "links": {
             vm_id: {
                 "in_contact": link.in_contact(now),
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from .task_id import TaskId
@@ -23,18 +24,28 @@
         cpu_millis: Thousandths of a core.
         memory_mb: Memory in megabytes.
         accelerators: Number of accelerators.
-        latency_bound: Number of runs that have a response-time target.
-        best_effort: Number of runs that use only spare CPU.
+        latency_bound_images: Number of runs that have a response-time target, by image.
+        best_effort_images: Number of runs that use only spare CPU, by image.
     """
 
-    __slots__ = ("accelerators", "best_effort", "cpu_millis", "latency_bound", "memory_mb")
+    __slots__ = ("accelerators", "best_effort_images", "cpu_millis", "latency_bound_images", "memory_mb")
 
     def __init__(self) -> None:
         self.cpu_millis = 0
         self.memory_mb = 0
         self.accelerators = 0
-        self.latency_bound = 0
-        self.best_effort = 0
+        self.latency_bound_images: Counter[str] = Counter()
+        self.best_effort_images: Counter[str] = Counter()
+
+    @property
+    def latency_bound(self) -> int:
+        """Number of runs that have a response-time target."""
+        return self.latency_bound_images.total()
+
+    @property
+    def best_effort(self) -> int:
+        """Number of runs that use only spare CPU."""
+        return self.best_effort_images.total()
 
     def add(self, step: Step, *, sign: int) -> None:
         """Adds a run of a step, or removes it if the sign is -1."""
@@ -42,9 +53,15 @@
         self.memory_mb += sign * step.memory_mb
         self.accelerators += sign * step.accelerators
         if step.fills:
-            self.best_effort += sign
+            _add_image(self.best_effort_images, step.image, sign=sign)
         elif step.target_ms:
-            self.latency_bound += sign
+            _add_image(self.latency_bound_images, step.image, sign=sign)
+
+
+def _add_image(images: Counter[str], image: str, *, sign: int) -> None:
+    images[image] += sign
+    if not images[image]:
+        del images[image]
 
 
 class Indexes:
--- a/src/hyssopway_standins/measure/dispatch.py
+++ b/src/hyssopway_standins/measure/dispatch.py
@@ -17,11 +17,11 @@
 from hyssopway.dispatch.demand_forecast import DemandForecast
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.duration_scale import DurationScale
-from hyssopway.dispatch.pace_history import PaceHistory
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
 from hyssopway.dispatch.pool_load import measure_pools
 from hyssopway.dispatch.rtt_estimator import RttEstimator
 from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.scheduling.interference import InterferenceModel
 from hyssopway.workflow import (
     AcceptWorkflow,
     Capacity,
@@ -260,7 +260,7 @@
         scale=DurationScale(),
         poll_limiter=PollRateLimiter(),
         rtt_estimator=RttEstimator(),
-        pace_history=PaceHistory(),
+        interference=InterferenceModel(),
         tickets=dispatcher.tickets,
         on_change=lambda: None,
     )
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -6,11 +6,11 @@
 
 from hyssopway.dispatch import ListedRun, OrderReply, PlatformLimits, PollReply, WorkerUnreachableError
 from hyssopway.dispatch.duration_scale import DurationScale
-from hyssopway.dispatch.pace_history import PaceHistory
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
 from hyssopway.dispatch.rtt_estimator import RttEstimator
 from hyssopway.dispatch.ticket_cache import TicketCache
 from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.scheduling.interference import InterferenceModel
 from hyssopway.workflow import PutDocument, WorkflowState, encode_command
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -107,7 +107,7 @@
         scale=DurationScale(),
         poll_limiter=PollRateLimiter(),
         rtt_estimator=RttEstimator(),
-        pace_history=PaceHistory(),
+        interference=InterferenceModel(),
         tickets=TicketCache(clock=leadership.clock),
         on_change=lambda: None,
     )
--- a/tests/dispatch/test_pace_control.py
+++ b/tests/dispatch/test_pace_control.py
@@ -8,8 +8,10 @@
 
 from dispatch.conftest import make_link
 from hyssopway.dispatch import ListedRun, OrderReply
-from hyssopway.dispatch.pace_control import OWN_LOAD_RECHECK_S, LatencySample, PaceControl
-from hyssopway.dispatch.pace_history import FIRST_PERCENT, PaceHistory
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.pace_control import OWN_LOAD_RECHECK_S, PaceControl
+from hyssopway.scheduling.interference import FIRST_PERCENT, InterferenceModel
+from hyssopway.scheduling.latency_sample import LatencySample
 from hyssopway.workflow import StartRuns, Step
 from hyssopway.workflow.commands import RunStart
 from workflow.conftest import make_workflow
@@ -53,7 +55,7 @@
 
 @pytest.fixture
 def control():
-    return PaceControl(history=PaceHistory(), pacing_s=PACING_S)
+    return PaceControl(interference=InterferenceModel(), pacing_s=PACING_S)
 
 
 @pytest.mark.parametrize("added_ms", [45, 80, 300, 3000])
@@ -109,15 +111,15 @@
 
 def test_control_of_another_vm_starts_with_the_recorded_pace():
     """Guards against each VM detecting anew that an image interferes."""
-    history = PaceHistory()
+    interference = InterferenceModel()
     LatencyBoundTask(
-        base_ms=60, interference_ms=3000, control=PaceControl(history=history, pacing_s=PACING_S)
+        base_ms=60, interference_ms=3000, control=PaceControl(interference=interference, pacing_s=PACING_S)
     ).simulate(start=0.0, seconds=5)
-    fresh = PaceControl(history=history, pacing_s=PACING_S)
+    fresh = PaceControl(interference=interference, pacing_s=PACING_S)
     calm = LatencySample(image="desk", target_ms=TARGET_MS, tail_ms=70)
     assert fresh.choose_percent(latency_bound=[calm], best_effort=["batch"], now=100.0) < FIRST_PERCENT
-    assert history.interferes(("desk", "batch"))
-    assert not history.interferes(("desk", "other"))
+    assert interference.initial_percent([("desk", "batch")], targets_ms={}, now=100.0) < FIRST_PERCENT
+    assert interference.initial_percent([("desk", "other")], targets_ms={}, now=100.0) == FIRST_PERCENT
 
 
 STEPS = (
@@ -196,3 +198,22 @@
     link.pace.update(only_best_effort, now=fleet.now)
     await _settle(link)
     assert set(paced.paces.values()) == {100}
+
+
+async def test_known_pair_reaches_placement_and_readings_are_counted(shared_vm):
+    """Guards against estimates that no placement uses, and against a switch that does not turn them off."""
+    fleet, _, link = shared_vm
+    model = link.pace.interference
+    link.has_acked_term, link.answered_at = True, fleet.now
+    dispatcher = Dispatcher(leadership=fleet, links={"vm-1": link}, interference=model)
+    for now in (fleet.now, fleet.now + 0.5):
+        link.pace.update(rows(TARGET_MS + 1), now=now)
+    await _settle(link)
+    assert model.counters["serving_over_target_beside_best_effort_ms"] == 500
+    model.record_pace([("desk", "batch")], percent=50, now=fleet.now)
+    pair = model.images["desk"].pairs["batch"]
+    pair.rise, pair.is_known = 1.0, True
+    for is_enabled, expected in ((True, (2, (1, 0))), (False, (1, (0, 1)))):
+        model.is_enabled = is_enabled
+        (vm,) = dispatcher.list_free_capacity()["vans"]
+        assert (vm.rank_for_serving(STEPS[0]), vm.rank_for_best_effort(STEPS[1])) == expected
