Let the soak submit jobs of two teams with unequal weights

The order of service by team shares has no load in the soak while all jobs belong to one team. Jobs are divided by their ID, so seeds keep their order of random numbers. Ruled out: a caller with a random key for each call, since a job is visible only to its team.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,7 +18,7 @@
 TIMEOUT_S = 3.0
 VISIBILITY_TIMEOUT_S = 3.0
 SEND_ATTEMPTS = 4
-HEADERS = {"Host": "a.example", "Authorization": "Bearer key-1", "X-Hyssopway-Deadline": "3000"}
+HEADERS = {"Host": "a.example", "X-Hyssopway-Deadline": "3000"}
 
 
 class Callers:
@@ -145,8 +145,9 @@
         if self.session is None:
             raise RuntimeError("open() must be called before sending requests")
         url = f"http://{self.rng.choice(self.entries)}/p/{job_id}"
+        headers = HEADERS | {"Authorization": f"Bearer {_key_of(job_id)}"}
         try:
-            async with self.session.request(method, url, json=body, headers=HEADERS) as response:
+            async with self.session.request(method, url, json=body, headers=headers) as response:
                 response_body = await response.json()
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
@@ -155,4 +156,9 @@
         return status, response_body
 
 
+def _key_of(job_id: str) -> str:
+    """Returns the API key of the team of a job; half of the jobs belong to each of two teams with unequal weights."""
+    return "key-1" if int(job_id, 16) % 2 else "key-2"
+
+
 __all__ = ["Callers"]
