Keep a voter's suspicion of a dead leader while it writes the last entries

Cause of test_lost_connections_to_the_leader_start_an_election (3.07 s): a voter recorded that it heard its leader when a message had been written, not when it arrived. If the leader's process ended meanwhile, the suspicion of it was dropped, and the voter refused its vote to others for the full election timeout. Two such voters of five delay the election by it. A message that arrived before a suspicion began does not end it any more; one that arrives later does.

test_deposed_leader_sends_no_snapshot_in_a_later_term: the test was wrong. It sets the index of a member back once, and an acknowledgement in flight set it forward again. It still fails when a chunk is sent in a later term.

--- a/src/hyssopway/agreement/replication.py
+++ b/src/hyssopway/agreement/replication.py
@@ -66,13 +66,14 @@
         # A heartbeat does not wait for a write in progress, so its reply says nothing about the log.
         member.heard_at = member.clock()
         return _reply(member, success=True, match_index=0)
+    arrived_at = member.clock()
     async with member.lock:
         member.check_running()
         if request.term < member.term:
             return _reply(member, success=False, match_index=member.store.last_index)
         try:
-            await _follow_leader(member, term=request.term, leader=request.leader)
-            return await _append_entries(member=member, request=request)
+            await _follow_leader(member, term=request.term, leader=request.leader, arrived_at=arrived_at)
+            return await _append_entries(member=member, request=request, arrived_at=arrived_at)
         except StorageError as error:
             member.handle_storage_error(error)
             return _reply(member, success=False, match_index=member.store.synced_index)
@@ -86,12 +87,13 @@
     *, member: Member, assembler: SnapshotAssembler, chunk: SnapshotChunk
 ) -> AppendReply:
     """Handles a snapshot chunk; installs the snapshot after its last chunk."""
+    arrived_at = member.clock()
     async with member.lock:
         member.check_running()
         if chunk.term < member.term:
             return _reply(member, success=False, match_index=0)
         try:
-            await _follow_leader(member, term=chunk.term, leader=chunk.leader)
+            await _follow_leader(member, term=chunk.term, leader=chunk.leader, arrived_at=arrived_at)
             if not assembler.add(chunk):
                 return _reply(member, success=False, match_index=0)
             if chunk.last and chunk.index > member.commit_index:
@@ -241,16 +243,25 @@
     )
 
 
-async def _follow_leader(member: Member, *, term: int, leader: str) -> None:
+async def _follow_leader(member: Member, *, term: int, leader: str, arrived_at: float) -> None:
     await member.adopt_term(term)
     if member.role is not Role.FOLLOWER:
         member.step_down(reason=f"{leader} leads term {term}")
     member.drop_unsynced()
     member.leader_id = leader
-    member.heard_at = member.clock()
+    _record_heard(member, arrived_at=arrived_at)
 
 
-async def _append_entries(*, member: Member, request: AppendRequest) -> AppendReply:
+def _record_heard(member: Member, *, arrived_at: float) -> None:
+    """Records that the leader was heard when a message arrived, or now unless it is suspected since then.
+
+    A message waits for the lock and for its write. It says nothing about a leader whose process ended meanwhile.
+    """
+    is_suspected = member.leader_suspicion.is_active(heard_at=arrived_at)
+    member.heard_at = max(member.heard_at, arrived_at if is_suspected else member.clock())
+
+
+async def _append_entries(*, member: Member, request: AppendRequest, arrived_at: float) -> AppendReply:
     store = member.store
     covered_count = store.snapshot.index - request.previous_index
     if covered_count > 0:
@@ -281,7 +292,7 @@
             del store.entries[start - store.snapshot.index - 1 :]
             raise
         member.adopt_configuration()
-        member.heard_at = member.clock()
+        _record_heard(member, arrived_at=arrived_at)
     matched = request.previous_index + len(request.entries)
     if min(request.commit_index, matched) > member.commit_index:
         member.commit_index = min(request.commit_index, matched)
--- a/tests/agreement/test_early_elections.py
+++ b/tests/agreement/test_early_elections.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
 
-from hyssopway.agreement import Timers, answer_vote, election
-from hyssopway.agreement.messages import VoteReply, VoteRequest
+from hyssopway.agreement import Timers, answer_append, answer_vote, election
+from hyssopway.agreement.entry import Entry
+from hyssopway.agreement.messages import AppendRequest, VoteReply, VoteRequest
 
-from .group import NAMES, Group, name_of
+from .group import NAMES, FaultyStore, Group, name_of
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -116,6 +118,50 @@
     assert time.monotonic() - started < EARLY_ELECTION_S
 
 
+async def test_write_that_outlasts_the_leader_does_not_end_the_suspicion(lone_member: Member):
+    """Guards against a voter that counts its dead leader as alive because it wrote the last entries after its death.
+
+    Two such voters of five refuse all others their vote for the full election timeout.
+    """
+    store = lone_member.store
+    assert isinstance(store, FaultyStore)
+    store.write_delay_s = 0.2
+    request = AppendRequest(
+        term=1,
+        leader="b/0",
+        target=lone_member.member_id,
+        previous_index=lone_member.store.last_index,
+        previous_term=lone_member.store.term_at(lone_member.store.last_index) or 0,
+        commit_index=0,
+        entries=(Entry(term=1, data=b"last"),),
+    )
+    writing = asyncio.create_task(answer_append(member=lone_member, request=request))
+    await asyncio.sleep(0.05)
+    lone_member.leader_suspicion.start()
+    assert (await writing).success
+    assert lone_member.leader_suspicion.is_active(heard_at=lone_member.heard_at)
+    assert (await answer_append(member=lone_member, request=replace(request, entries=()))).success
+    assert not lone_member.leader_suspicion.is_active(heard_at=lone_member.heard_at)
+
+
+async def test_election_starts_early_while_voters_write_the_last_entries(slow_timeout_group: Group):
+    """Guards against waiting for the full election timeout when the leader dies while two voters write."""
+    slow_timeout_group.start(*NAMES)
+    leader = await slow_timeout_group.wait_for_leader()
+    others = tuple(name for name in NAMES if name != name_of(leader))
+    for name in others[:2]:
+        slow_timeout_group.nodes[name].store.write_delay_s = 0.2
+    await slow_timeout_group.write(b"x")
+    await slow_timeout_group.stop(name_of(leader))
+    started = time.monotonic()
+    for name in others:
+        slow_timeout_group.nodes[name].member.leader_suspicion.start()
+    for name in others:
+        slow_timeout_group.nodes[name].store.write_delay_s = 0.0
+    await slow_timeout_group.wait_for_leader(among=others)
+    assert time.monotonic() - started < EARLY_ELECTION_S
+
+
 async def test_live_leader_survives_suspicions(slow_timeout_group: Group):
     """Guards against a live leader that is deposed because its connections were reset."""
     slow_timeout_group.start(*NAMES)
--- a/tests/agreement/test_group.py
+++ b/tests/agreement/test_group.py
@@ -163,8 +163,14 @@
 
     group.before_chunk = depose
     progress = next(iter(member.progress.values()))
-    progress.next_index, progress.match_index = 1, 0
-    progress.wake.set()
-    await wait_until(lambda: chunks)
+
+    def request_snapshot() -> bool:
+        # An acknowledgement in flight sets the index forward again, so it is set until a chunk is sent. The sender is
+        # not woken, since it would send entries at once and the next acknowledgement would again be in flight.
+        if not chunks:
+            progress.next_index, progress.match_index = 1, 0
+        return bool(chunks)
+
+    await wait_until(request_snapshot)
     await asyncio.sleep(0.3)
     assert [chunk.term for chunk in chunks if chunk.leader == member.member_id and chunk.term > term] == []
