Let the programs listen before they load what only a leader uses

Cause: after the imports of the first job path were cut, a control node still took 2.0 to 2.5 times a bare import of aiohttp.web until it listened. Profile: 0.33 s pydantic and the adapters of all commands, 0.3 s the client half of aiohttp.

Ruled out: pycache_prefix (hides the bytecode of the standard library and of the libraries); loading the client and the codecs only when a node leads (delays the first decisions of a leader by that time); pydantic for the vote and the configuration (a member reads them before it can answer its peers).

Change: - LazyAdapter builds a pydantic adapter on first use.

--- a/src/hyssopway/agreement/configuration.py
+++ b/src/hyssopway/agreement/configuration.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from pydantic import TypeAdapter
+from .json_fields import decode_fields, encode_fields, read_names
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,12 +34,17 @@
 
     def encode(self) -> bytes:
         """Encodes the configuration as the data of a log entry."""
-        return _ADAPTER.dump_json(self)
+        return encode_fields({"voters": self.voters, "learners": self.learners})
 
     @staticmethod
     def decode(data: bytes) -> Configuration:
-        """Decodes the data of a configuration entry."""
-        return _ADAPTER.validate_json(data)
+        """Decodes the data of a configuration entry.
+
+        Raises:
+            ValueError: The data is not an encoded configuration.
+        """
+        fields = decode_fields(data)
+        return Configuration(voters=read_names(fields, "voters"), learners=read_names(fields, "learners"))
 
 
 def daemon_of(member_id: str) -> str:
@@ -47,6 +52,4 @@
     return member_id.partition("/")[0]
 
 
-_ADAPTER = TypeAdapter(Configuration)
-
 __all__ = ["Configuration", "daemon_of"]
--- a/src/hyssopway/agreement/vote.py
+++ b/src/hyssopway/agreement/vote.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from pydantic import TypeAdapter
+from .json_fields import decode_fields, encode_fields, read_field
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -25,14 +25,29 @@
 
     def encode(self) -> bytes:
         """Encodes the vote for the vote file."""
-        return _ADAPTER.dump_json(self)
+        return encode_fields(
+            {
+                "member_id": self.member_id,
+                "term": self.term,
+                "voted_for": self.voted_for,
+                "initial": self.initial.decode(),
+            }
+        )
 
     @staticmethod
     def decode(data: bytes) -> Vote:
-        """Decodes the contents of a vote file."""
-        return _ADAPTER.validate_json(data)
+        """Decodes the contents of a vote file.
+
+        Raises:
+            ValueError: The data is not an encoded vote.
+        """
+        fields = decode_fields(data)
+        return Vote(
+            member_id=read_field(fields, "member_id", kind=str),
+            term=read_field(fields, "term", kind=int, default=0),
+            voted_for=read_field(fields, "voted_for", kind=str, default=""),
+            initial=read_field(fields, "initial", kind=str, default="").encode(),
+        )
 
 
-_ADAPTER = TypeAdapter(Vote)
-
 __all__ = ["Vote"]
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -29,7 +29,7 @@
 from .queue import Queue
 from .run_end import RunEnd
 from .run_outcome import RunOutcome
-from .state import WorkflowState, encode_command
+from .state import WorkflowState, build_codecs, encode_command
 from .step import Step
 from .step_progress import StepProgress
 from .tables import Tables
@@ -79,5 +79,6 @@
     "WorkflowSpec",
     "WorkflowState",
     "WorkflowStatus",
+    "build_codecs",
     "encode_command",
 ]
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Annotated
-
-from pydantic import Field, TypeAdapter
+from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
+from hyssopway.lazy_adapter import LazyAdapter
 from hyssopway.result import Outcome
 
 from . import apply_fleet, apply_workflows
@@ -33,13 +32,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_COMMAND_ADAPTER: TypeAdapter[Command] = TypeAdapter(Annotated[Command, Field(discriminator="kind")])
-_TABLES_ADAPTER = TypeAdapter(Tables)
+_COMMAND_ADAPTER: LazyAdapter[Command] = LazyAdapter(Command, discriminator="kind")
+_TABLES_ADAPTER: LazyAdapter[Tables] = LazyAdapter(Tables)
+
+
+def build_codecs() -> None:
+    """Builds the codecs of commands and snapshots, which the first use otherwise waits for."""
+    _COMMAND_ADAPTER.get()
+    _TABLES_ADAPTER.get()
 
 
 def encode_command(command: Command) -> bytes:
     """Encodes a command as an entry of the replicated log."""
-    return _COMMAND_ADAPTER.dump_json(command, exclude_defaults=False)
+    return _COMMAND_ADAPTER.get().dump_json(command, exclude_defaults=False)
 
 
 class WorkflowState:
@@ -66,7 +71,7 @@
         self.applied_index = index
         if data:
             try:
-                command = _COMMAND_ADAPTER.validate_json(data)
+                command = _COMMAND_ADAPTER.get().validate_json(data)
             except ValueError as error:
                 # A newer release wrote the entry; every member of this release skips it.
                 log_event(Event.COMMAND_UNKNOWN, index=index, error=str(error).splitlines()[0])
@@ -78,11 +83,11 @@
 
     def encode_snapshot(self) -> bytes:
         """Encodes the tables as a snapshot."""
-        return _TABLES_ADAPTER.dump_json(self.tables)
+        return _TABLES_ADAPTER.get().dump_json(self.tables)
 
     def restore_snapshot(self, data: bytes) -> None:
         """Replaces the tables by those of a snapshot and rebuilds the indexes."""
-        self.tables = _TABLES_ADAPTER.validate_json(data)
+        self.tables = _TABLES_ADAPTER.get().validate_json(data)
         self.indexes = Indexes(self.tables)
         if self.on_change is not None:
             self.on_change()
@@ -128,4 +133,4 @@
                 apply_fleet.record_machine_orders(tables, command)
 
 
-__all__ = ["WorkflowState", "encode_command"]
+__all__ = ["WorkflowState", "build_codecs", "encode_command"]
--- a/src/hyssopway_standins/program_start.py
+++ b/src/hyssopway_standins/program_start.py
@@ -15,10 +15,10 @@
     from collections.abc import Iterator
 
 REPOSITORY = Path(__file__).resolve().parents[2]
-# An address of their own, because the metrics port of the programs is fixed.
-HOST = "127.94.0.1"
+# An address for each measuring process, because the metrics port of the programs is fixed.
+HOST = f"127.94.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}"
 # Nothing listens here, so a program finds no leader.
-ABSENT_SEED = "127.94.0.2:1"
+ABSENT_SEED = "127.95.0.1:1"
 START_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.002
 # Time after the first connection until memory is read.
@@ -41,9 +41,17 @@
     rss_mb: float
 
 
-def measure_start(role: str, *, folder: Path, repository: Path = REPOSITORY) -> ProgramStart:
+def measure_start(
+    role: str, *, folder: Path, repository: Path = REPOSITORY, settle_s: float = SETTLE_S
+) -> ProgramStart:
     """Starts `run.py ROLE` without any other node and measures it until it has settled.
 
+    Args:
+        role: `entry` or `control`.
+        folder: Folder for settings and data.
+        repository: Checkout whose program is started.
+        settle_s: Time after the first connection until memory is read.
+
     Raises:
         TimeoutError: The program did not accept a connection in time, or ended.
     """
@@ -62,7 +70,7 @@
     try:
         _wait_until_it_accepts(process, port=port)
         wall_s, cpu_s = time.monotonic() - started_at, _read_cpu_s(process.pid)
-        time.sleep(SETTLE_S)
+        time.sleep(settle_s)
         return ProgramStart(cpu_s=cpu_s, wall_s=wall_s, rss_mb=_read_rss_mb(process.pid))
     finally:
         process.kill()
--- a/tests/adapter/test_advisor_client.py
+++ b/tests/adapter/test_advisor_client.py
@@ -36,7 +36,7 @@
     app.router.add_post("/hyssopway/advise", advisor.answer)
     async with TestServer(app) as server:
         created = AdvisorClient(address=f"{server.host}:{server.port}")
-        await created.open()
+        created.open()
         yield created
         await created.close()
 
@@ -78,7 +78,7 @@
 async def test_deployment_without_advisor_is_an_error():
     """Guards against a request to an empty address."""
     client = AdvisorClient(address="")
-    await client.open()
+    client.open()
     with pytest.raises(AdviceError):
         await ask(client)
     await client.close()
--- a/tests/adapter/test_guarded_payload.py
+++ b/tests/adapter/test_guarded_payload.py
@@ -41,7 +41,7 @@
 @pytest.fixture
 async def client(platform):
     created = MachineClient(address=await platform.open(), holder="node-1")
-    await created.open()
+    created.open()
     yield created
     await created.close()
 
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -56,7 +56,7 @@
 @pytest.fixture
 async def workers():
     client = WorkerClient()
-    await client.open()
+    client.open()
     yield client
     await client.close()
 
