--- a/src/hyssopway_standins/measure/__main__.py
+++ b/src/hyssopway_standins/measure/__main__.py
@@ -15,7 +15,7 @@
     from .measurement import Measurement
 
 # Each area is a module of this package that defines `measure(*, seed: int, quick: bool) -> Measurement`.
-AREAS: tuple[str, ...] = ("agreement", "requests", "jobs", "fleet", "nodes", "dispatch")
+AREAS: tuple[str, ...] = ("agreement", "requests", "jobs", "fleet", "nodes", "dispatch", "startup")
 
 
 def main() -> int:
