Refuse jobs that cannot end within three times their objective

Cause: every job was accepted.

Beyond 1.2 times the limit the leader answers 429 with Retry-After and stores nothing; a task or gang above its team's upper limit gets 400. Active in queues with stretch and target_latency_ms above 0. Long-running, best-effort and scheduled jobs, other queues' backlog for priority 0, proposed IDs and uncertain estimates are never a reason to refuse. Events 7041 and 7042 and counters show refusals with their inputs and the error of estimates. The key of the service order computes the critical path of the rest only when it decides.

Refusing an ID whose acceptance was proposed and not confirmed is ruled out because it may still be committed; a test covers it.

Known limit: accepted jobs may still be overdue when smaller ones arrive later.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -10,6 +10,7 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import DeleteWorkflows, RegisterVm, RemoveVm
 
+from .admission_control import AdmissionControl
 from .advice_fetcher import AdviceFetcher
 from .dispatcher import Dispatcher
 from .duration_scale import DurationScale
@@ -47,6 +48,7 @@
         limits: Limits that the platform sets.
         links: Links to VMs, by VM ID.
         dispatcher: Places tasks.
+        admission: Refuses jobs that cannot end in time.
         advice: Requests the tickets of steps whose queue has an advisor.
         drainer: Drains VMs.
         waves: Carries out maintenance waves.
@@ -62,6 +64,7 @@
     """
 
     __slots__ = (
+        "admission",
         "advice",
         "calls",
         "counters",
@@ -128,6 +131,13 @@
             move_s=limits.move_s,
             orders_per_s=limits.machine_orders_per_s,
         )
+        self.admission = AdmissionControl(
+            leadership=leadership,
+            links=self.links,
+            scale=self.scale,
+            list_arriving=self.rebalancer.list_arrivals_ms,
+            counters=self.counters,
+        )
         self.waves = WaveExecutor(
             leadership=leadership,
             calls=machines,
@@ -156,6 +166,7 @@
                 await self._remove_silent_vms()
                 await self._delete_expired_workflows()
                 self._report_load()
+                self.admission.report_accuracy()
                 await asyncio.sleep(SUPERVISION_INTERVAL_S)
         except LeadershipLostError as error:
             log_event(Event.DECISIONS_STOPPED, term=self.leadership.term, reason=str(error))
--- a/src/hyssopway/dispatch/ordering.py
+++ b/src/hyssopway/dispatch/ordering.py
@@ -38,18 +38,23 @@
     cpu_millis: int
 
 
-def objective_ms(*, spec: WorkflowSpec, queue: Queue | None) -> float:
-    """Returns the latency objective of a workflow, from acceptance to end, in milliseconds; 0 without a queue."""
-    if queue is None:
-        return 0.0
-    return queue.stretch * critical_path_ms(spec=spec, progress=None) + queue.target_latency_ms
+def objective_ms(*, path_ms: float, queue: Queue | None) -> float:
+    """Returns the latency objective of a workflow, from acceptance to end, in milliseconds; 0 without a queue.
+
+    Args:
+        path_ms: Length of the critical path of the whole workflow.
+        queue: Queue of the workflow.
+    """
+    return queue.stretch * path_ms + queue.target_latency_ms if queue is not None else 0.0
 
 
 def critical_path_ms(*, spec: WorkflowSpec, progress: list[StepProgress] | None) -> float:
     """Returns the length of the critical path in milliseconds: the longest chain of estimates of steps not yet done."""
     ends: list[float] = []
     for number, step in enumerate(spec.steps):
-        start = max((ends[earlier] for earlier in step.after), default=0.0)
+        start = 0.0
+        for earlier in step.after:
+            start = max(start, ends[earlier])
         is_done = progress is not None and progress[number].open_count == 0
         ends.append(start if is_done else start + step.estimate_ms)
     return max(ends, default=0.0)
@@ -100,16 +105,24 @@
     started_ms = spec.due_ms(occurrence) or workflow.accepted_ms
     if any(step.long_running for step in spec.steps):
         return (LONG_RUNNING_TIER, priority, started_ms)
-    objective = objective_ms(spec=spec, queue=queue)
-    expected_latency_ms = now_ms - started_ms + critical_path_ms(spec=spec, progress=progress)
-    tier = IN_TIME_TIER
-    if expected_latency_ms > OVERDUE_FACTOR * objective:
-        tier = OVERDUE_TIER
-    elif expected_latency_ms > objective:
-        tier = LATE_TIER
+    tier = _latency_tier(spec=spec, progress=progress, queue=queue, age_ms=now_ms - started_ms)
     return (tier, priority, remaining_core_s(spec=spec, progress=progress), started_ms)
 
 
+def _latency_tier(
+    *, spec: WorkflowSpec, progress: list[StepProgress], queue: Queue | None, age_ms: float
+) -> float:
+    path_ms = critical_path_ms(spec=spec, progress=None)
+    objective = objective_ms(path_ms=path_ms, queue=queue)
+    # The remaining path is at most the whole one; most waiting workflows are in time by that alone.
+    if age_ms + path_ms <= objective:
+        return IN_TIME_TIER
+    expected_latency_ms = age_ms + critical_path_ms(spec=spec, progress=progress)
+    if expected_latency_ms > OVERDUE_FACTOR * objective:
+        return OVERDUE_TIER
+    return LATE_TIER if expected_latency_ms > objective else IN_TIME_TIER
+
+
 __all__ = [
     "StepSpan",
     "critical_path_ms",
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -135,6 +135,33 @@
         await self.leadership.propose(RecordMachineOrders(machines=machine_ids, at_ms=wall_ms()))
         await asyncio.gather(*(self._move(move) for move in moves))
 
+    def list_arrivals_ms(self, pool: str) -> list[float] | None:
+        """Returns the earliest wall-clock times at which further VMs may join a pool, in order.
+
+        Counts the machines that are moving to it, and all machines that could be moved: those of the standby pool and
+        those of other pools on which nothing runs. None while there is a standby pool but no list of machines.
+        """
+        tables = self.leadership.state.tables
+        if not self.machines.machines and tables.document is not None:
+            return None if any(item.standby for item in tables.document.pools) else []
+        now, now_ms = self.leadership.clock(), wall_ms()
+        joining = {machine.machine_id for machine in self.machines.machines.values() if machine.pool == pool}
+        joining |= {machine_id for machine_id, (target, _) in self.incoming.items() if target == pool}
+        times = []
+        orders = 0
+        for machine_id, machine in self.machines.machines.items():
+            record = tables.vms.get(machine.vm_id)
+            if record is not None and record.pool == pool:
+                continue
+            if machine_id in joining:
+                until = self.incoming[machine_id][1] if machine_id in self.incoming else now
+                times.append(now_ms + 1000 * max(0.0, until - JOIN_TIMEOUT_S - now))
+            elif record is None or not record.runs:
+                orders += 1
+                delay_s = self.move_s + orders / self.rate_limiter.rate_per_s
+                times.append(now_ms + 1000 * delay_s)
+        return sorted(times)
+
     def _compute_demand(self, pool: str, *, load: PoolLoad) -> PoolDemand:
         tables = self.leadership.state.tables
         now = self.leadership.clock()
--- a/src/hyssopway/dispatch/team_shares.py
+++ b/src/hyssopway/dispatch/team_shares.py
@@ -69,6 +69,8 @@
 
     def iterate(self, ready: list[ReadyStep]) -> Iterator[ReadyStep]:
         """Yields the steps in the order of service; `add_start` is called for each start in between."""
+        if not self.pools:
+            return iter(ready)
         return serve_by_share(
             ready,
             level_of=lambda item: item.order[:2],
@@ -97,15 +99,10 @@
         for vm in self.state.tables.vms.values():
             capacity = capacities.get(vm.pool)
             if capacity is not None:
-                capacity.cpu_millis += vm.capacity.cpu_millis
-                capacity.memory_mb += vm.capacity.memory_mb
-                capacity.accelerators += vm.capacity.accelerators
+                capacity.increase(ResourceAmounts.of(vm.capacity))
         for pool, waiting in contended.items():
             usage = {
-                team: ResourceAmounts(
-                    cpu_millis=used.cpu_millis, memory_mb=used.memory_mb, accelerators=used.accelerators
-                )
-                for team, used in indexes.pool_usage.get(pool, {}).items()
+                team: ResourceAmounts.of(used) for team, used in indexes.pool_usage.get(pool, {}).items()
             }
             shares = PoolShares(capacity=capacities[pool], usage=usage, waiting=waiting, weights=weights)
             for team in waiting:
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -172,6 +172,16 @@
         "INFO",
         "pool {pool}: tasks of {teams} teams wait; beyond their share and served last: {beyond}",
     )
+    WORKFLOW_REFUSED_FOR_LOAD = (
+        7041,
+        "INFO",
+        "workflow {workflow} of {team} refused in {queue}: end in {end_ms} ms, limit {limit_ms} ms, retry in {retry_after_s} s",
+    )
+    ADMISSION_MEASURED = (
+        7042,
+        "INFO",
+        "{count} estimated workflows ended, median {median_ms} ms later than estimated; {overdue} overdue",
+    )
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- a/src/hyssopway/scheduling/pool_shares.py
+++ b/src/hyssopway/scheduling/pool_shares.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from hyssopway.workflow import Step
+    from hyssopway.workflow import Capacity, Step, Usage
 
 # Random demand of teams that send equally much on average moves their usage by about this factor. Below it, the
 # service order without shares serves more workflows in time.
@@ -37,13 +37,28 @@
     memory_mb: float = 0.0
     accelerators: float = 0.0
 
-    def add(self, step: Step, *, count: int) -> None:
+    @staticmethod
+    def of(amounts: Capacity | Usage) -> ResourceAmounts:
+        """Returns the amounts of a capacity or a usage."""
+        return ResourceAmounts(
+            cpu_millis=amounts.cpu_millis,
+            memory_mb=amounts.memory_mb,
+            accelerators=amounts.accelerators,
+        )
+
+    def add(self, step: Step, *, count: float) -> None:
         """Adds tasks of a step; best-effort tasks count without CPU because they use what others leave."""
         if not step.fills:
             self.cpu_millis += count * step.cpu_millis
         self.memory_mb += count * step.memory_mb
         self.accelerators += count * step.accelerators
 
+    def increase(self, other: ResourceAmounts, *, factor: float = 1.0) -> None:
+        """Adds other amounts times a factor."""
+        self.cpu_millis += factor * other.cpu_millis
+        self.memory_mb += factor * other.memory_mb
+        self.accelerators += factor * other.accelerators
+
     def plus(self, other: ResourceAmounts) -> ResourceAmounts:
         """Returns the sum."""
         return ResourceAmounts(
--- a/src/hyssopway_standins/measure/dispatch.py
+++ b/src/hyssopway_standins/measure/dispatch.py
@@ -8,12 +8,15 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, fields
 from typing import TYPE_CHECKING, Any
 
 import numpy as np
 
+from hyssopway.clock import wall_ms
 from hyssopway.dispatch import ListedRun, OrderReply, PlatformLimits, PollReply
+from hyssopway.dispatch.admission_control import WARM_UP_S, AdmissionControl
 from hyssopway.dispatch.demand_forecast import DemandForecast
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.duration_scale import DurationScale
@@ -110,6 +113,8 @@
         empty_round_ms: One scheduling round with no work.
         look_ms: One poll of a VM without changes. The field name is a key of the results.
         pools_ms: One measurement of all pools and their demand.
+        admission_ms: One decision on a submitted job beside these tasks, with a new collection of the backlog.
+        known_backlog_ms: One such decision with the backlog known.
         full_round_ms: One scheduling round with a full fleet and `WAITING_TASKS` waiting tasks of all teams.
     """
 
@@ -119,6 +124,8 @@
     look_ms: float
     pools_ms: float
     full_round_ms: float
+    admission_ms: float
+    known_backlog_ms: float
 
 
 def measure(*, seed: int, quick: bool) -> Measurement:
@@ -126,7 +133,7 @@
     costs = [asyncio.run(_measure_size(vms)) for vms in (QUICK_SIZES if quick else SIZES)]
     figures: dict[str, float] = {}
     series: list[Series] = []
-    for name in ("start_ms", "empty_round_ms", "look_ms", "pools_ms", "full_round_ms"):
+    for name in (field.name for field in fields(Cost) if field.name != "vms"):
         points = [(float(cost.vms), float(getattr(cost, name))) for cost in costs]
         label = name.removesuffix("_ms").replace("_", " ")
         figures |= {f"{label} at {vms:.0f} VMs ms": value for vms, value in points}
@@ -181,6 +188,7 @@
         waiting = dispatcher.waiting_millis
         await _run_round(dispatcher)
     full_round_ms = await _time(lambda: _run_round(dispatcher))
+    admission_ms, known_backlog_ms = await _time_admission(leadership, links=links)
     return Cost(
         vms=vms,
         start_ms=start_ms,
@@ -188,9 +196,34 @@
         look_ms=look_ms,
         pools_ms=pools_ms,
         full_round_ms=full_round_ms,
+        admission_ms=admission_ms,
+        known_backlog_ms=known_backlog_ms,
     )
 
 
+async def _time_admission(leadership: InMemoryLeadership, *, links: dict[str, VmLink]) -> tuple[float, float]:
+    leadership.now = WARM_UP_S
+    admission = AdmissionControl(
+        leadership=leadership,  # type: ignore[arg-type]
+        links=links,
+        scale=DurationScale(),
+        list_arriving=lambda _: [],
+        counters=Counter(),
+    )
+    queue = next(iter(leadership.state.indexes.queues.values()))
+    spec = _create_spec()
+
+    async def decide() -> None:
+        admission.check(workflow_id="job", spec=spec, queue=queue, team="team-0")
+        admission.proposed.clear()
+
+    async def collect_and_decide() -> None:
+        admission.collected_at = float("-inf")
+        await decide()
+
+    return await _time(collect_and_decide), await _time(decide)
+
+
 async def _time(work: Callable[[], Any]) -> float:
     """Returns the shortest CPU time of several repeats, in milliseconds."""
     times = []
@@ -211,7 +244,15 @@
 async def _register_vms(leadership: InMemoryLeadership, *, vms: int) -> None:
     pools = [f"pool-{number}" for number in range(POOLS)]
     queues = tuple(
-        Queue(name=f"queue-{pool}", host="a.example", path_prefix=f"/{pool}/", pool=pool) for pool in pools
+        Queue(
+            name=f"queue-{pool}",
+            host="a.example",
+            path_prefix=f"/{pool}/",
+            pool=pool,
+            priority=1,
+            target_latency_ms=60_000,
+        )
+        for pool in pools
     )
     document = FleetDocument(
         version=1,
@@ -240,8 +281,7 @@
 
 
 async def _submit_workflows(leadership: InMemoryLeadership, *, tasks: int, name: str) -> None:
-    step = Step(count=TASKS_A_WORKFLOW, cpu_millis=CORES_A_TASK * 1000, memory_mb=500, estimate_ms=1000)
-    spec = WorkflowSpec(specification="", steps=(step,))
+    spec = _create_spec()
     for number in range(tasks // TASKS_A_WORKFLOW):
         await leadership.propose(
             AcceptWorkflow(
@@ -249,11 +289,16 @@
                 queue=f"queue-pool-{number % POOLS}",
                 team=f"team-{number % TEAMS}",
                 spec=spec,
-                at_ms=0,
+                at_ms=wall_ms(),
             )
         )
 
 
+def _create_spec() -> WorkflowSpec:
+    step = Step(count=TASKS_A_WORKFLOW, cpu_millis=CORES_A_TASK * 1000, memory_mb=500, estimate_ms=1000)
+    return WorkflowSpec(specification="", steps=(step,))
+
+
 def _create_link(
     vm_id: str, *, leadership: InMemoryLeadership, calls: AcceptingVms, dispatcher: Dispatcher
 ) -> VmLink:
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 
 import pytest
 from expression import Ok
 
 from dispatch.conftest import FakeLeadership
+from hyssopway.dispatch.admission_control import AdmissionControl
+from hyssopway.dispatch.duration_scale import DurationScale
 from hyssopway.relay import RelayedRequest
 from hyssopway_platform.control_api import ControlApi
 from hyssopway_platform.service import CALLERS, CONTROL, PlatformService
@@ -45,6 +48,20 @@
         self.leadership = FakeLeadership()
         self.leadership.member = FakeMember()
         self.announcements = []
+        self.links = {}
+        self.counters = Counter()
+        self.begin_term()
+
+    def begin_term(self):
+        """Starts with the soft state of a new leader on the same replicated state."""
+        self.leadership.started_at = self.leadership.now
+        self.admission = AdmissionControl(
+            leadership=self.leadership,
+            links=self.links,
+            scale=DurationScale(),
+            list_arriving=lambda _: [],
+            counters=self.counters,
+        )
 
     async def handle_announcement(self, command):
         self.announcements.append(command)
@@ -61,6 +78,7 @@
         self.controller = FakeLeaderController()
         control = ControlApi(own_address="10.0.0.9:80", zones=frozenset({"nashua"}))
         self.service = PlatformService(control=control)
+        self.headers = {}
 
     async def call(self, method, path, body=None, *, key="key-1", entry=CALLERS):
         data = body if isinstance(body, bytes) else json.dumps(body).encode() if body is not None else b""
@@ -73,6 +91,7 @@
             body=data,
         )
         reply = await self.service.answer(request=request, controller=self.controller)
+        self.headers = reply.headers
         return reply.status, json.loads(reply.body)
 
     async def control(self, method, path, body=None):
--- a/tests/dispatch/test_pool_rebalancer.py
+++ b/tests/dispatch/test_pool_rebalancer.py
@@ -7,14 +7,16 @@
 import pytest
 
 from dispatch.conftest import LIMITS, make_link
+from hyssopway.clock import wall_ms
 from hyssopway.dispatch import Machine, MachineOrderResult, MachineState
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.duration_scale import DurationScale
 from hyssopway.dispatch.machine_inventory import MachineInventory
 from hyssopway.dispatch.order_rate_limiter import BURST_S, RATE_SHARE
 from hyssopway.dispatch.pool_load import measure_pools
-from hyssopway.dispatch.pool_rebalancer import PoolRebalancer
+from hyssopway.dispatch.pool_rebalancer import JOIN_TIMEOUT_S, PoolRebalancer
 from hyssopway.dispatch.vm_drainer import VmDrainer
+from hyssopway.workflow import RunStart, StartRuns
 from workflow.conftest import make_vm
 
 VM_IDS = ("vm-1", "vm-2")
@@ -116,3 +118,19 @@
         == len(platform.moves)
         == int(LIMITS.machine_orders_per_s * RATE_SHARE * BURST_S)
     )
+
+
+async def test_machines_that_may_join_a_pool_are_listed(rebalancer, fleet, platform):
+    """Guards against refusals of jobs for which idle machines could be moved, or against counting busy ones."""
+    now_ms = wall_ms()
+    times = rebalancer.list_arrivals_ms("vans")
+    assert len(times) == len(STANDBY_MACHINES)
+    assert min(times) >= now_ms + LIMITS.move_s * 1000
+    # Orders are sent at a limited rate.
+    assert max(times) - min(times) >= 1000 * (len(times) - 1) / LIMITS.machine_orders_per_s
+    rebalancer.incoming["m3"] = ("vans", fleet.now + JOIN_TIMEOUT_S + 0.2)
+    assert min(rebalancer.list_arrivals_ms("vans")) <= wall_ms() + 200
+    assert len(rebalancer.list_arrivals_ms("trucks")) == len(STANDBY_MACHINES) + len(VM_IDS)
+    start = RunStart(task="w.0.0.0", run=1, vm="vm-1")
+    await fleet.propose(StartRuns(fencing_token=3, starts=(start,)))
+    assert len(rebalancer.list_arrivals_ms("trucks")) == len(STANDBY_MACHINES) + 1
