Rate VMs by the ends of their runs, and retry failed tasks on other VMs

Cause: a VM was judged by consecutive failures only. One that fails half of its runs, is five times slower, flaps or leaves orders unanswered looked like any other, and a task could spend both attempts on it.

Ruled out: a plain share of failures, because 1% to 3% of the workflows fail everywhere and would lower the ratings of good VMs; declared durations as the measure of slowness, because they are off by up to 0.9; ratings in the replicated state, because they are learned again within a second or two; zones judged as a unit, because a zone is more than a quarter of a pool.

Avoided VMs get single probes of tasks with an attempt to spare. A task is not placed on a VM on which it failed, nor for its last attempt on a VM with failures that count, while another has room.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -9,6 +9,9 @@
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.copies import StepKey, find_copies_of_silent_runs
+from hyssopway.scheduling.racks import RackMap
+from hyssopway.scheduling.retries import can_run, excluded_vms
+from hyssopway.scheduling.vm_rating import Rating, VmPlace, VmRatings
 from hyssopway.workflow import AddOccurrence, StartRuns, TaskId
 
 from .free_capacity import FreeCapacity
@@ -40,6 +43,7 @@
     Attributes:
         leadership: Term on whose behalf runs are started.
         links: Links to VMs by VM ID.
+        ratings: Ratings of VMs by the ends of their runs.
         counters: Numbers of scheduling decisions of this term, by name.
         cordoned_vms: IDs of VMs that get no starts because they are being drained.
         awaiting_maintenance: IDs of VMs whose machine still waits for the maintenance of an open wave.
@@ -56,16 +60,23 @@
         "counters",
         "leadership",
         "links",
+        "ratings",
         "sending",
         "tickets",
         "waiting_millis",
     )
 
     def __init__(
-        self, *, leadership: Leadership, links: dict[str, VmLink], counters: Counter[str] | None = None
+        self,
+        *,
+        leadership: Leadership,
+        links: dict[str, VmLink],
+        counters: Counter[str] | None = None,
+        ratings: VmRatings | None = None,
     ) -> None:
         self.leadership = leadership
         self.counters: Counter[str] = Counter() if counters is None else counters
+        self.ratings = VmRatings() if ratings is None else ratings
         self.links = links
         self.cordoned_vms: set[str] = set()
         self.awaiting_maintenance: set[str] = set()
@@ -111,6 +122,7 @@
     async def run_round(self) -> None:
         """Runs one round: places waiting tasks, replicates their starts and sends them to the VMs."""
         state = self.leadership.state
+        self._assess_vms()
         ready = find_ready_steps(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
         copies = self._find_copies()
         if copies:
@@ -122,9 +134,11 @@
             return
         self._set_approved_vms(ready)
         team_usage = _TeamUsage(self.leadership)
+        free_by_pool = self.list_free_capacity()
+        self._apply_ratings(ready, free_by_pool=free_by_pool)
         starts = place_steps(
             steps=ready,
-            free_by_pool=self.list_free_capacity(),
+            free_by_pool=free_by_pool,
             pool_of=lambda ready_step: state.tables.queue_pools.get(ready_step.workflow.queue, ""),
             reserve_for_team=team_usage.reserve,
             max_starts=MAX_STARTS_PER_ROUND,
@@ -136,6 +150,9 @@
             # Registered before the command is applied, so that a list of the VM's runs that arrives in between
             # does not count the run as ended because it lacks it.
             self.links[start.vm].orders.expect_start(task=start.task, run=start.run)
+            if self.ratings.rating(start.vm) is Rating.PROBED:
+                self.ratings.start_probe(start.vm, run_key=f"{start.task}/{start.run}")
+                self.counters["probe_runs"] += 1
         await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
         self._log_starts(starts)
         if copies:
@@ -143,6 +160,56 @@
         for start in starts:
             self._order_start(start)
 
+    def _assess_vms(self) -> None:
+        if self.ratings.is_settled:
+            return
+        vms = self.leadership.state.tables.vms
+        racks = RackMap(vms)
+        places = {vm_id: VmPlace(vm.pool, racks.rack_of(vm_id)) for vm_id, vm in vms.items()}
+        for change in self.ratings.assess(places, now=self.leadership.clock()):
+            self.counters[f"vms_rated_{change.rating}"] += 1
+            log_event(Event.VM_RATED, vm=change.vm, rating=change.rating, reason=change.reason)
+
+    def _apply_ratings(self, ready: list[ReadyStep], *, free_by_pool: dict[str, list[FreeCapacity]]) -> None:
+        """Excludes VMs for tasks that failed before, and names the tasks that may run on a VM that is probed."""
+        tables, indexes = self.leadership.state.tables, self.leadership.state.indexes
+        probed_pools = {pool for pool, vms in free_by_pool.items() if any(vm.is_probed for vm in vms)}
+        unreliable: frozenset[str] | None = None
+        for ready_step in ready:
+            workflow, step = ready_step.workflow, ready_step.step
+            pool = tables.queue_pools.get(workflow.queue, "")
+            failures = workflow.progress[ready_step.occurrence][ready_step.number].failures
+            max_attempts = indexes.max_attempts(workflow)
+            if pool in probed_pools and not (step.long_running or step.fills or step.gang):
+                ready_step.probe_indexes = frozenset(
+                    index
+                    for index in ready_step.indexes
+                    if index not in ready_step.excluded_vms and failures[index] + 1 < max_attempts
+                )
+            failed = [index for index in ready_step.indexes if failures[index]]
+            if not failed or step.gang:
+                continue
+            if unreliable is None:
+                unreliable = self.ratings.unreliable_vms()
+            free = [vm for vm in free_by_pool.get(pool, ()) if not vm.is_probed]
+            with_room = {vm.vm_id for vm in free if vm.fits(step)}
+            if not with_room:
+                continue
+            able = frozenset(
+                vm.vm_id for vm in free if vm.vm_id in with_room or can_run(step, vm=tables.vms[vm.vm_id])
+            )
+            for index in failed:
+                task = TaskId(workflow.workflow_id, ready_step.occurrence, ready_step.number, index)
+                excluded = excluded_vms(
+                    failed_on=self.ratings.failed_on(task),
+                    unreliable=unreliable if failures[index] + 1 >= max_attempts else frozenset(),
+                    able=able,
+                    with_room=with_room,
+                )
+                if excluded:
+                    known = ready_step.excluded_vms.get(index, frozenset())
+                    ready_step.excluded_vms[index] = known | excluded
+
     def _find_copies(self) -> dict[StepKey, dict[int, frozenset[str]]]:
         now = self.leadership.clock()
         silent_vms = {vm_id for vm_id, link in self.links.items() if link.is_silent(now)}
@@ -253,12 +320,16 @@
                 continue
             if record.draining or record.zone in tables.evacuated or vm_id in self.cordoned_vms:
                 continue
+            rating = self.ratings.rating(vm_id)
+            if rating is not Rating.PREFERRED and not self.ratings.may_probe(vm_id, runs=record.runs):
+                continue
             use = self.leadership.state.indexes.vm_usage.get(vm_id)
             free_by_pool.setdefault(record.pool, []).append(
                 _compute_free_capacity(
                     record,
                     use=use,
                     failures=link.failures,
+                    is_probed=rating is Rating.PROBED,
                     awaits_maintenance=vm_id in self.awaiting_maintenance,
                 )
             )
@@ -308,7 +379,7 @@
 
 
 def _compute_free_capacity(
-    record: VmRecord, *, use: Usage | None, failures: int, awaits_maintenance: bool
+    record: VmRecord, *, use: Usage | None, failures: int, is_probed: bool, awaits_maintenance: bool
 ) -> FreeCapacity:
     capacity = record.capacity
     return FreeCapacity(
@@ -321,6 +392,7 @@
         serving=use.latency_bound if use else 0,
         best_effort=use.best_effort if use else 0,
         recent_failures=min(failures, MAX_COUNTED_FAILURES),
+        is_probed=is_probed,
         awaits_maintenance=awaits_maintenance,
     )
 
--- a/src/hyssopway/dispatch/free_capacity.py
+++ b/src/hyssopway/dispatch/free_capacity.py
@@ -23,6 +23,7 @@
         serving: Latency-bound runs on the VM.
         best_effort: Best-effort runs on the VM; they use only CPU time that other runs leave.
         recent_failures: Consecutive runs that failed on the VM; VMs with fewer failures are preferred.
+        is_probed: Whether the VM gets only one run, to see whether it has recovered.
         awaits_maintenance: Whether the machine awaits maintenance, which soon interrupts what runs on it.
     """
 
@@ -35,6 +36,7 @@
     serving: int = 0
     best_effort: int = 0
     recent_failures: int = 0
+    is_probed: bool = False
     awaits_maintenance: bool = False
 
     def fits(self, step: Step) -> bool:
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -8,6 +8,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
+from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import DeleteWorkflows, RegisterVm, RemoveVm
 
 from .advice_fetcher import AdviceFetcher
@@ -52,6 +53,7 @@
         waves: Carries out maintenance waves.
         scale: Ratio of actual to declared run durations.
         rebalancer: Moves machines between pools.
+        ratings: Ratings of VMs by the ends of their runs.
         poll_limiter: Limits the rate of polls over all VMs.
         pace_history: Paces of best-effort tasks at which latency-bound ones met their target.
         rtt_estimator: Estimates how long a VM takes to answer an order.
@@ -73,6 +75,7 @@
         "load_reported_at",
         "pace_history",
         "poll_limiter",
+        "ratings",
         "rebalancer",
         "retention",
         "rtt_estimator",
@@ -97,12 +100,15 @@
         self.load_reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.counters: Counter[str] = Counter()
+        self.ratings = VmRatings()
         self.scale = DurationScale()
         self.poll_limiter = PollRateLimiter()
         self.pace_history = PaceHistory()
         self.rtt_estimator = RttEstimator()
         self.retention = Retention(retention_s=limits.status_s)
-        self.dispatcher = Dispatcher(leadership=leadership, links=self.links, counters=self.counters)
+        self.dispatcher = Dispatcher(
+            leadership=leadership, links=self.links, counters=self.counters, ratings=self.ratings
+        )
         self.advice = AdviceFetcher(
             state=leadership.state,
             calls=advisor,
@@ -207,6 +213,7 @@
                     pace_history=self.pace_history,
                     tickets=self.dispatcher.tickets,
                     on_change=self.dispatcher.changed.set,
+                    ratings=self.ratings,
                 )
             self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
         for vm_id in set(self.links) - set(self.leadership.state.tables.vms):
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -44,10 +44,20 @@
         Starts with the next run number of each task.
     """
     starts: list[RunStart] = []
+    # Free capacity only decreases during a round, so what fits on no VM does not fit later either.
+    unfit: set[tuple[object, ...]] = set()
     for ready in steps:
-        vms = free_by_pool.get(pool_of(ready))
+        pool = pool_of(ready)
+        vms = free_by_pool.get(pool)
         if not vms:
             continue
+        step = ready.step
+        shape = (pool, step.cpu_millis, step.memory_mb, step.accelerators, step.label, step.fills)
+        if shape in unfit:
+            continue
+        if not any(vm.fits(step) for vm in vms):
+            unfit.add(shape)
+            continue
         if ready.step.gang:
             starts += _place_gang(ready, vms=vms, reserve_for_team=reserve_for_team)
         else:
@@ -72,7 +82,7 @@
         excluded = ready.excluded_vms.get(index, NO_VMS)
         if excluded in unplaceable:
             continue
-        vm = _choose_vm(ready, vms=vms, excluded=excluded)
+        vm = _choose_vm(ready, vms=vms, excluded=excluded, may_probe=index in ready.probe_indexes)
         if vm is None and excluded:
             # The other tasks of the step may fit on VMs that are excluded for this one.
             unplaceable.add(excluded)
@@ -80,6 +90,8 @@
         if vm is None or not reserve_for_team(ready):
             break
         starts.append(_assign(ready, vm=vm, index=index))
+        if vm.is_probed:
+            vms.remove(vm)
     return starts
 
 
@@ -103,6 +115,7 @@
 
 def _find_gang_vms(ready: ReadyStep, *, vms: list[FreeCapacity]) -> list[FreeCapacity] | None:
     """Returns a VM for each member of a gang, or None when the VMs do not fit all of them."""
+    vms = [vm for vm in vms if not vm.is_probed]
     free = {vm.vm_id: [vm.cpu_millis, vm.memory_mb, vm.accelerators] for vm in vms}
     placed = dict(ready.placed)
     step = ready.step
@@ -141,7 +154,9 @@
     return RunStart(task=task.name, run=progress.last_run[index] + 1 if run is None else run, vm=vm.vm_id)
 
 
-def _choose_vm(ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str]) -> FreeCapacity | None:
+def _choose_vm(
+    ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str], may_probe: bool
+) -> FreeCapacity | None:
     step = ready.step
     best: FreeCapacity | None = None
     best_cost: tuple[float, ...] = ()
@@ -150,6 +165,10 @@
             continue
         if step.spread_limit and ready.placed.get(vm.vm_id, 0) >= step.spread_limit:
             continue
+        if vm.is_probed:
+            if may_probe:
+                return vm  # a VM that waits for its probe leaves its capacity unused
+            continue
         cost = _placement_cost(ready, step=step, vm=vm)
         if best is None or cost < best_cost:
             best, best_cost = vm, cost
--- a/src/hyssopway/dispatch/ready_step.py
+++ b/src/hyssopway/dispatch/ready_step.py
@@ -20,6 +20,7 @@
         order: Sort key of the service order; the lowest is served first.
         placed: Number of active runs of the step by VM ID.
         excluded_vms: IDs of VMs on which a task is not placed, by the index of the task; only for some tasks.
+        probe_indexes: Indexes of the tasks that may run on a VM that is probed.
         approved_vms: IDs of VMs with a valid ticket for the step; None when the step needs no ticket.
     """
 
@@ -31,6 +32,7 @@
     order: tuple[float, ...]
     placed: dict[str, int]
     excluded_vms: dict[int, frozenset[str]] = field(default_factory=dict)
+    probe_indexes: frozenset[int] = frozenset()
     approved_vms: frozenset[str] | None = None
 
     def is_approved(self, vm_id: str) -> bool:
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Iterable
 
+    from hyssopway.scheduling.vm_rating import VmRatings
     from hyssopway.workflow import ActiveRun, RunEnd, VmRecord
 
     from .leadership import Leadership
@@ -41,6 +42,7 @@
         calls: Client of worker VMs.
         lease: Lease of the VM's runs.
         tickets: Tickets of steps whose queue has an advisor.
+        ratings: Ratings of VMs, which learn whether starts are answered.
         rtt_estimator: Estimates how long a VM takes to answer an order.
         order_states: States of the orders, by run key.
         sending: Asyncio tasks that send stops and changes of pace.
@@ -57,6 +59,7 @@
         "pace_requests",
         "paces",
         "paused_until",
+        "ratings",
         "rtt_estimator",
         "sending",
         "tickets",
@@ -72,6 +75,7 @@
         lease: VmLease,
         rtt_estimator: RttEstimator,
         tickets: TicketCache,
+        ratings: VmRatings,
     ) -> None:
         self.vm_id = vm_id
         self.leadership = leadership
@@ -79,6 +83,7 @@
         self.lease = lease
         self.rtt_estimator = rtt_estimator
         self.tickets = tickets
+        self.ratings = ratings
         self.order_states: dict[str, OrderState] = {}
         self.sending: set[asyncio.Task[None]] = set()
         self.paces: dict[str, int] = {}
@@ -132,9 +137,11 @@
                     )
                 except WorkerUnreachableError as error:
                     self._log_unanswered("start", key=run.key, error=error)
+                    self.ratings.record_order(self.vm_id, is_answered=False)
                     is_sent = True
                     continue
                 self.rtt_estimator.record_rtt(rtt_s=self.leadership.clock() - sent_at)
+                self.ratings.record_order(self.vm_id, is_answered=True)
                 return self._process_start_reply(
                     run, order_state=order_state, reply=reply, is_repeated=is_sent
                 )
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -7,6 +7,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
+from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
@@ -55,6 +56,7 @@
         leadership: Term in which orders are sent.
         calls: Client of worker VMs.
         scale: Learns the ratio of actual to declared run durations.
+        ratings: Ratings of all VMs.
         on_change: Called when a change may allow the leader to start tasks.
         poll_timing: Chooses the wait and the timeout of each poll.
         poll_limiter: Limits the rate of polls over all VMs.
@@ -86,6 +88,7 @@
         "pace",
         "poll_limiter",
         "poll_timing",
+        "ratings",
         "scale",
         "stall_detector",
         "term_acked_at",
@@ -106,6 +109,7 @@
         pace_history: PaceHistory,
         tickets: TicketCache,
         on_change: Callable[[], None],
+        ratings: VmRatings | None = None,
     ) -> None:
         self.vm_id = vm_id
         self.boot = 0
@@ -113,6 +117,7 @@
         self.calls = calls
         self.on_change = on_change
         self.scale = scale
+        self.ratings = VmRatings() if ratings is None else ratings
         self.poll_limiter = poll_limiter
         self.stall_detector = StallDetector()
         self.poll_timing = PollTiming()
@@ -126,6 +131,7 @@
             lease=self.lease,
             rtt_estimator=rtt_estimator,
             tickets=tickets,
+            ratings=self.ratings,
         )
         self.pace = VmPace(
             leadership=leadership, orders=self.orders, history=pace_history, pacing_s=limits.pacing_s
@@ -240,6 +246,7 @@
             order_state = self.orders.discard_run(f"{end.task}/{end.run}")
             if end.outcome is RunOutcome.DONE and order_state is not None:
                 self._record_duration(end, accepted_at=order_state.accepted_at)
+            self._rate(end, accepted_at=order_state.accepted_at if order_state is not None else None)
             if end.outcome is RunOutcome.FAILED:
                 self.failures += 1
             elif end.outcome is RunOutcome.DONE:
@@ -257,6 +264,33 @@
             self.orders.paused_until = now + STALL_PAUSE_S
             self.orders.request_stop(task=row.task, run=row.run, reason="it makes no progress")
 
+    def _rate(self, end: RunEnd, *, accepted_at: float | None) -> None:
+        if end.outcome not in (RunOutcome.DONE, RunOutcome.FAILED):
+            return
+        tables = self.leadership.state.tables
+        task = TaskId.parse(end.task)
+        workflow = tables.workflows.get(task.workflow)
+        step = workflow.spec.steps[task.step] if workflow is not None else None
+        if step is None or step.long_running or step.fills or step.gang:
+            return
+        key = f"{end.task}/{end.run}"
+        # The start of a run that another leader ordered is not known.
+        is_own = any(
+            run.key == key and run.fencing_token == self.leadership.term
+            for run in tables.runs.get(end.task, ())
+        )
+        now = self.leadership.clock()
+        self.ratings.record_end(
+            vm=self.vm_id,
+            task=task,
+            run_key=key,
+            is_done=end.outcome is RunOutcome.DONE,
+            duration_s=now - accepted_at
+            if is_own and accepted_at is not None and accepted_at <= now
+            else None,
+            now=now,
+        )
+
     def _record_duration(self, end: RunEnd, *, accepted_at: float) -> None:
         actual_s = self.leadership.clock() - accepted_at
         task = TaskId.parse(end.task)
@@ -332,6 +366,7 @@
     def _discard_boot(self) -> None:
         self.has_acked_term = False
         self.listed_runs = {}
+        self.ratings.reset(self.vm_id)
         self.orders.discard_boot()
         self.lease.clear_clock()
 
@@ -339,6 +374,7 @@
         if self.leadership.clock() - self.answered_at > CONTACT_TIMEOUT_S and self.has_acked_term:
             log_event(Event.VM_SILENT, vm=self.vm_id, address=record.address, reason=reason)
             self.has_acked_term = False
+            self.ratings.record_silence(self.vm_id, now=self.leadership.clock())
             self.on_change()
 
 
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -167,6 +167,7 @@
     ADVICE_TAKEN = (7035, "INFO", "advisor allows step {step} on {good} of {vms} VMs")
     ADVICE_FAILED = (7036, "WARNING", "advice request for step {step} and {vms} VMs failed: {reason}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
+    VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
     COPIES_ORDERED = (7050, "INFO", "{count} copies of runs ordered: {reason}")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
--- a/src/hyssopway/node/node_dump.py
+++ b/src/hyssopway/node/node_dump.py
@@ -55,6 +55,8 @@
                 "orders": sorted(link.orders.order_states),
                 "pause_left_s": max(0.0, link.orders.paused_until - now),
                 "failures": link.failures,
+                "rating": controller.ratings.rating(vm_id),
+                "evidence": controller.ratings.vms.get(vm_id),
             }
             for vm_id, link in controller.links.items()
         },
--- a/src/hyssopway/scheduling/racks.py
+++ b/src/hyssopway/scheduling/racks.py
@@ -23,13 +23,15 @@
     Attributes:
         vms: Records of the VMs by ID.
         vms_by_label: IDs of the VMs with each label.
+        found: VMs in the racks that were asked for, by the ID of one of them.
     """
 
-    __slots__ = ("vms", "vms_by_label")
+    __slots__ = ("found", "vms", "vms_by_label")
 
     def __init__(self, vms: Mapping[str, VmRecord]) -> None:
         self.vms = vms
         self.vms_by_label: dict[str, set[str]] = {}
+        self.found: dict[str, frozenset[str]] = {}
         for vm_id, vm in vms.items():
             for label in vm.labels:
                 self.vms_by_label.setdefault(label, set()).add(vm_id)
@@ -46,7 +48,9 @@
 
     def vms_in_rack_of(self, vm_id: str) -> frozenset[str]:
         """Returns the IDs of the VMs in the rack of a VM, including the VM itself."""
-        return frozenset(self.vms_by_label.get(self.rack_of(vm_id), ())) | {vm_id}
+        if vm_id not in self.found:
+            self.found[vm_id] = frozenset(self.vms_by_label.get(self.rack_of(vm_id), ())) | {vm_id}
+        return self.found[vm_id]
 
 
 __all__ = ["RackMap"]
