Learn quantiles of run durations, and start copies of slow runs

Cause: a step waits for its slowest task, and a run on a VM that is five times slower held it up until it ended. The mean ratio of actual to declared durations does not say when a run has lasted unusually long.

Ruled out: a multiple of the declared duration, because that is off by up to 0.9; copies in pools with waiting tasks, because they fill gaps that a task soon needs; judging runs of an earlier leader, because their start is not known.

A run beyond the 0.95 quantile that by its progress still needs longer than the median run gets a copy, as do runs on avoided VMs; such copies come after all waiting tasks and use at most 5% of the pool's CPU. The projected duration counts as evidence against the VM, because the run is stopped when its copy is done and would otherwise never be compared.

Tests: pytest tests/scheduling tests/dispatch tests/workflow tests/adapter tests/docs tests/node tests/event: 689 passed.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -8,12 +8,14 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
-from hyssopway.scheduling.copies import StepKey, find_copies_of_silent_runs
+from hyssopway.scheduling.copies import Copies, StepKey, find_copies_of_silent_runs
+from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.racks import RackMap
 from hyssopway.scheduling.retries import can_run, excluded_vms
 from hyssopway.scheduling.vm_rating import Rating, VmPlace, VmRatings
 from hyssopway.workflow import AddOccurrence, StartRuns, TaskId
 
+from .copyable_runs import CopyableRuns
 from .free_capacity import FreeCapacity
 from .placement import place_steps
 from .ready_steps import add_copies, find_due_occurrences, find_ready_steps
@@ -44,6 +46,8 @@
         leadership: Term on whose behalf runs are started.
         links: Links to VMs by VM ID.
         ratings: Ratings of VMs by the ends of their runs.
+        durations: Distribution of the ratio of actual to declared run durations.
+        copyable_runs: Runs in progress whose steps allow duplicates.
         counters: Numbers of scheduling decisions of this term, by name.
         cordoned_vms: IDs of VMs that get no starts because they are being drained.
         awaiting_maintenance: IDs of VMs whose machine still waits for the maintenance of an open wave.
@@ -56,8 +60,10 @@
     __slots__ = (
         "awaiting_maintenance",
         "changed",
+        "copyable_runs",
         "cordoned_vms",
         "counters",
+        "durations",
         "leadership",
         "links",
         "ratings",
@@ -73,10 +79,13 @@
         links: dict[str, VmLink],
         counters: Counter[str] | None = None,
         ratings: VmRatings | None = None,
+        durations: DurationQuantiles | None = None,
     ) -> None:
         self.leadership = leadership
         self.counters: Counter[str] = Counter() if counters is None else counters
         self.ratings = VmRatings() if ratings is None else ratings
+        self.durations = DurationQuantiles() if durations is None else durations
+        self.copyable_runs = CopyableRuns()
         self.links = links
         self.cordoned_vms: set[str] = set()
         self.awaiting_maintenance: set[str] = set()
@@ -122,30 +131,39 @@
     async def run_round(self) -> None:
         """Runs one round: places waiting tasks, replicates their starts and sends them to the VMs."""
         state = self.leadership.state
+        now = self.leadership.clock()
         self._assess_vms()
         ready = find_ready_steps(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
-        copies = self._find_copies()
-        if copies:
-            ready = add_copies(
-                ready, copies=copies, tables=state.tables, indexes=state.indexes, now_ms=wall_ms()
-            )
-        self.waiting_millis = {}
-        if not ready:
-            return
-        self._set_approved_vms(ready)
+        silent_vms = {vm_id for vm_id, link in self.links.items() if link.is_silent(now)}
+        copies = find_copies_of_silent_runs(tables=state.tables, indexes=state.indexes, silent_vms=silent_vms)
+        ready = self._add_copies(ready, copies=copies)
+        free_by_pool = self.list_free_capacity() if ready else {}
         team_usage = _TeamUsage(self.leadership)
-        free_by_pool = self.list_free_capacity()
-        self._apply_ratings(ready, free_by_pool=free_by_pool)
-        starts = place_steps(
-            steps=ready,
-            free_by_pool=free_by_pool,
-            pool_of=lambda ready_step: state.tables.queue_pools.get(ready_step.workflow.queue, ""),
-            reserve_for_team=team_usage.reserve,
-            max_starts=MAX_STARTS_PER_ROUND,
+        starts = self._place(
+            ready, free_by_pool=free_by_pool, team_usage=team_usage, max_starts=MAX_STARTS_PER_ROUND
         )
+        self.waiting_millis = {}
         self._update_waiting_millis(ready, starts=starts)
-        if not starts:
-            return
+        slow = self.copyable_runs.find_copies(
+            state=state,
+            links=self.links,
+            durations=self.durations,
+            ratings=self.ratings,
+            busy_pools=self.waiting_millis,
+            silent_vms=silent_vms,
+            now=now,
+        )
+        if slow:
+            starts += self._place(
+                self._add_copies([], copies=slow),
+                free_by_pool=free_by_pool or self.list_free_capacity(),
+                team_usage=team_usage,
+                max_starts=MAX_STARTS_PER_ROUND - len(starts),
+            )
+        if starts:
+            await self._start(starts, copies=copies, slow=slow)
+
+    async def _start(self, starts: list[RunStart], *, copies: Copies, slow: Copies) -> None:
         for start in starts:
             # Registered before the command is applied, so that a list of the VM's runs that arrives in between
             # does not count the run as ended because it lacks it.
@@ -155,10 +173,38 @@
                 self.counters["probe_runs"] += 1
         await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
         self._log_starts(starts)
-        if copies:
-            self._log_copies(starts, copies=copies)
+        self._log_copies(starts, copies=copies, reason="silent VMs", counter="copies_of_silent_runs")
+        self._log_copies(starts, copies=slow, reason="slow runs", counter="copies_of_slow_runs")
         for start in starts:
             self._order_start(start)
+            self.copyable_runs.add(start, state=self.leadership.state)
+
+    def _add_copies(self, ready: list[ReadyStep], *, copies: Copies) -> list[ReadyStep]:
+        if not copies:
+            return ready
+        state = self.leadership.state
+        return add_copies(ready, copies=copies, tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
+
+    def _place(
+        self,
+        ready: list[ReadyStep],
+        *,
+        free_by_pool: dict[str, list[FreeCapacity]],
+        team_usage: _TeamUsage,
+        max_starts: int,
+    ) -> list[RunStart]:
+        if not ready or max_starts <= 0:
+            return []
+        self._set_approved_vms(ready)
+        self._apply_ratings(ready, free_by_pool=free_by_pool)
+        queue_pools = self.leadership.state.tables.queue_pools
+        return place_steps(
+            steps=ready,
+            free_by_pool=free_by_pool,
+            pool_of=lambda ready_step: queue_pools.get(ready_step.workflow.queue, ""),
+            reserve_for_team=team_usage.reserve,
+            max_starts=max_starts,
+        )
 
     def _assess_vms(self) -> None:
         if self.ratings.is_settled:
@@ -210,26 +256,19 @@
                     known = ready_step.excluded_vms.get(index, frozenset())
                     ready_step.excluded_vms[index] = known | excluded
 
-    def _find_copies(self) -> dict[StepKey, dict[int, frozenset[str]]]:
-        now = self.leadership.clock()
-        silent_vms = {vm_id for vm_id, link in self.links.items() if link.is_silent(now)}
-        if not silent_vms:
-            return {}
-        state = self.leadership.state
-        return find_copies_of_silent_runs(tables=state.tables, indexes=state.indexes, silent_vms=silent_vms)
-
-    def _log_copies(
-        self, starts: list[RunStart], *, copies: dict[StepKey, dict[int, frozenset[str]]]
-    ) -> None:
-        copied: dict[str, str] = {}
+    def _log_copies(self, starts: list[RunStart], *, copies: Copies, reason: str, counter: str) -> None:
+        if not copies:
+            return
+        copied: dict[str, dict[str, str]] = {}
         for start in starts:
             task = TaskId.parse(start.task)
             if task.number in copies.get(StepKey(task.workflow, task.occurrence, task.step), ()):
-                copied[f"{start.task}/{start.run}"] = start.vm
-        self.counters["copies_of_silent_runs"] += len(copied)
+                why = self.copyable_runs.reasons.get(task, "")
+                copied[f"{start.task}/{start.run}"] = {"vm": start.vm, "why": why}
+        self.counters[counter] += len(copied)
         if copied:
             runs = dict(list(copied.items())[:MAX_RUNS_PER_LOG_LINE])
-            log_event(Event.COPIES_ORDERED, count=len(copied), reason="silent VMs", runs=runs)
+            log_event(Event.COPIES_ORDERED, count=len(copied), reason=reason, runs=runs)
 
     def _log_starts(self, starts: list[RunStart]) -> None:
         for offset in range(0, len(starts), MAX_RUNS_PER_LOG_LINE):
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -8,6 +8,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
+from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import DeleteWorkflows, RegisterVm, RemoveVm
 
@@ -53,6 +54,7 @@
         waves: Carries out maintenance waves.
         scale: Ratio of actual to declared run durations.
         rebalancer: Moves machines between pools.
+        durations: Distribution of the ratio of actual to declared run durations.
         ratings: Ratings of VMs by the ends of their runs.
         poll_limiter: Limits the rate of polls over all VMs.
         pace_history: Paces of best-effort tasks at which latency-bound ones met their target.
@@ -69,6 +71,7 @@
         "counters",
         "dispatcher",
         "drainer",
+        "durations",
         "leadership",
         "limits",
         "links",
@@ -101,13 +104,18 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.counters: Counter[str] = Counter()
         self.ratings = VmRatings()
+        self.durations = DurationQuantiles()
         self.scale = DurationScale()
         self.poll_limiter = PollRateLimiter()
         self.pace_history = PaceHistory()
         self.rtt_estimator = RttEstimator()
         self.retention = Retention(retention_s=limits.status_s)
         self.dispatcher = Dispatcher(
-            leadership=leadership, links=self.links, counters=self.counters, ratings=self.ratings
+            leadership=leadership,
+            links=self.links,
+            counters=self.counters,
+            ratings=self.ratings,
+            durations=self.durations,
         )
         self.advice = AdviceFetcher(
             state=leadership.state,
@@ -214,6 +222,7 @@
                     tickets=self.dispatcher.tickets,
                     on_change=self.dispatcher.changed.set,
                     ratings=self.ratings,
+                    durations=self.durations,
                 )
             self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
         for vm_id in set(self.links) - set(self.leadership.state.tables.vms):
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -7,7 +7,8 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
-from hyssopway.scheduling.vm_rating import VmRatings
+from hyssopway.scheduling.durations import DurationQuantiles
+from hyssopway.scheduling.vm_rating import Rating, VmRatings
 from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
@@ -57,6 +58,7 @@
         calls: Client of worker VMs.
         scale: Learns the ratio of actual to declared run durations.
         ratings: Ratings of all VMs.
+        durations: Learns the distribution of the ratio of actual to declared run durations.
         on_change: Called when a change may allow the leader to start tasks.
         poll_timing: Chooses the wait and the timeout of each poll.
         poll_limiter: Limits the rate of polls over all VMs.
@@ -77,6 +79,7 @@
         "answered_at",
         "boot",
         "calls",
+        "durations",
         "failures",
         "has_acked_term",
         "heard_at",
@@ -110,6 +113,7 @@
         tickets: TicketCache,
         on_change: Callable[[], None],
         ratings: VmRatings | None = None,
+        durations: DurationQuantiles | None = None,
     ) -> None:
         self.vm_id = vm_id
         self.boot = 0
@@ -118,6 +122,7 @@
         self.on_change = on_change
         self.scale = scale
         self.ratings = VmRatings() if ratings is None else ratings
+        self.durations = DurationQuantiles() if durations is None else durations
         self.poll_limiter = poll_limiter
         self.stall_detector = StallDetector()
         self.poll_timing = PollTiming()
@@ -300,6 +305,8 @@
         step = workflow.spec.steps[task.step]
         if actual_s > 0 and step.estimate_ms and not step.long_running:
             self.scale.add(workflow.queue, declared_ms=step.estimate_ms, actual_ms=actual_s * 1000)
+            if self.ratings.rating(self.vm_id) is Rating.PREFERRED and not step.fills:
+                self.durations.add(workflow.queue, declared_ms=step.estimate_ms, actual_ms=actual_s * 1000)
 
     async def _resolve_unlisted(self, record: VmRecord, *, reply: PollReply, sent_at: float) -> None:
         if not reply.is_complete:
--- a/src/hyssopway/scheduling/vm_rating.py
+++ b/src/hyssopway/scheduling/vm_rating.py
@@ -215,6 +215,18 @@
             evidence.probes.discard(run_key)
             self._record_probe(evidence, is_good=is_done and (pace is None or pace < SLOW_FACTOR), now=now)
 
+    def record_projected_duration(self, *, vm: str, task: TaskId, duration_s: float) -> None:
+        """Records how long a run will probably take that is to be stopped when its copy is done."""
+        pace = self._step(task.step_name).compare(duration_s, vm=vm)
+        if pace is not None:
+            self.vms.setdefault(vm, VmEvidence()).paces.append((task.workflow, pace))
+            self.changed.add(vm)
+
+    def is_probe(self, vm: str, *, run_key: str) -> bool:
+        """Returns whether a run is a probe of its VM."""
+        evidence = self.vms.get(vm)
+        return evidence is not None and run_key in evidence.probes
+
     def record_order(self, vm: str, *, is_answered: bool) -> None:
         """Records whether a VM answered an order."""
         evidence = self.vms.setdefault(vm, VmEvidence())
--- a/tests/dispatch/test_copies_of_runs.py
+++ b/tests/dispatch/test_copies_of_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -11,7 +12,9 @@
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
-from hyssopway.workflow import Capacity, PutDocument, RegisterVm, RunEnd, RunOutcome, Step
+from hyssopway.scheduling.durations import MIN_RUNS
+from hyssopway.scheduling.vm_rating import Rating, VmEvidence
+from hyssopway.workflow import Capacity, PutDocument, RegisterVm, RunEnd, RunOutcome, Step, TaskId
 from workflow.conftest import make_document, make_workflow
 
 VMS_PER_RACK = 4
@@ -26,11 +29,13 @@
 
     Attributes:
         silent_vms: IDs of the VMs that answer nothing.
+        percents: Percentage done that is listed for the runs of a VM, by VM ID.
     """
 
     def __init__(self, leadership):
         super().__init__(leadership)
         self.silent_vms = set()
+        self.percents = {}
 
     def check(self, vm):
         if vm.vm_id in self.silent_vms:
@@ -38,7 +43,9 @@
 
     async def poll(self, *, vm, **arguments):
         self.check(vm)
-        return await super().poll(vm=vm, **arguments)
+        reply = await super().poll(vm=vm, **arguments)
+        percent = self.percents.get(vm.vm_id, 90)
+        return replace(reply, running=tuple(row._replace(percent=percent) for row in reply.running))
 
     async def start(self, *, vm, **arguments):
         self.check(vm)
@@ -245,3 +252,108 @@
     for _ in range(3):
         await rack_fleet.run_round()
     assert len(rack_fleet.runs()[task]) == 2
+
+
+SLOW_VM = "r0-0"
+# A twentieth of the CPU of all VMs; each copy takes one core.
+BUDGET_CORES = RACKS * VMS_PER_RACK * CORES // 20
+
+
+async def slow_down(fleet, *, seconds=0.8, percent=20):
+    """Lets one VM work at a fifth of the usual rate for a while."""
+    for _ in range(MIN_RUNS):
+        fleet.dispatcher.durations.add("plans", declared_ms=600, actual_ms=600)
+    fleet.vms.percents = {SLOW_VM: percent}
+    await fleet.poll()
+    fleet.leadership.now += seconds
+    await fleet.poll()
+
+
+async def test_slow_run_gets_a_copy_and_is_stopped_when_it_has_lost(rack_fleet):
+    """Guards against a step that waits for one task on a VM that is five times slower."""
+    await rack_fleet.submit(duplicates=True, count=4)
+    await slow_down(rack_fleet)
+    await rack_fleet.run_round()
+    copies = {task: vms[1] for task, vms in rack_fleet.runs().items()}
+    assert len(copies) == 4
+    assert not any(vm.startswith("r0") for vm in copies.values())
+    assert rack_fleet.dispatcher.counters["copies_of_slow_runs"] == 4
+    for task, vm in copies.items():
+        await rack_fleet.links[vm]._propose_ends([RunEnd(task=task, run=2, outcome=RunOutcome.DONE)])
+    rack_fleet.dispatcher._stop_unneeded_runs()
+    await asyncio.gather(*rack_fleet.links[SLOW_VM].orders.sending)
+    stops = {task for kind, task, run in rack_fleet.vms.orders if (kind, run) == ("stop", 1)}
+    assert stops == set(copies)
+
+
+@pytest.mark.parametrize(
+    ("step", "slow"),
+    [
+        pytest.param({"duplicates": True}, {"percent": 99}, id="almost done"),
+        pytest.param({"duplicates": True}, {"seconds": 0.3, "percent": 10}, id="not late yet"),
+        pytest.param({}, {}, id="no duplicates"),
+        pytest.param({"duplicates": True, "fills": True}, {}, id="slowed by design"),
+    ],
+)
+async def test_run_that_needs_no_copy_gets_none(rack_fleet, step, slow):
+    """Guards against copies that end later than the run, and against runs that the step does not allow."""
+    await rack_fleet.submit(count=4, **step)
+    await slow_down(rack_fleet, **slow)
+    await rack_fleet.run_round()
+    assert all(len(vms) == 1 for vms in rack_fleet.runs().values())
+
+
+async def test_copies_of_slow_runs_stay_within_their_budget(rack_fleet):
+    """Guards against copies that double the load of a pool when all of its VMs are slow."""
+    await rack_fleet.submit(duplicates=True, count=CORES)
+    await slow_down(rack_fleet)
+    for _ in range(3):
+        await rack_fleet.run_round()
+        rack_fleet.leadership.now += 0.2
+        await rack_fleet.poll()
+    assert sum(len(vms) - 1 for vms in rack_fleet.runs().values()) == BUDGET_CORES
+
+
+async def test_waiting_tasks_come_before_copies_of_slow_runs(rack_fleet):
+    """Guards against copies that take the capacity of tasks that have not run at all."""
+    await rack_fleet.submit(duplicates=True, count=4)
+    await slow_down(rack_fleet)
+    await rack_fleet.submit(name="wide", count=RACKS * VMS_PER_RACK * CORES)
+    assert all(len(vms) == 1 for vms in rack_fleet.runs().values())
+    assert rack_fleet.dispatcher.waiting_millis
+
+
+async def test_runs_on_an_avoided_vm_get_copies(rack_fleet):
+    """Guards against tasks that are left on a VM that fails or is slow after it was found."""
+    await rack_fleet.submit(duplicates=True, count=4)
+    rack_fleet.dispatcher.ratings.vms[SLOW_VM] = VmEvidence(rating=Rating.AVOIDED, probe_due_at=1e9)
+    rack_fleet.leadership.now += 0.2
+    await rack_fleet.poll()
+    await rack_fleet.run_round()
+    assert [len(vms) for vms in rack_fleet.runs().values()] == [2] * 4
+
+
+async def test_new_leader_does_not_judge_runs_whose_start_it_does_not_know(rack_fleet):
+    """Guards against copies by a new leader that takes its first list for the start of all runs."""
+    await rack_fleet.submit(duplicates=True, count=4)
+    rack_fleet.leadership.term += 1
+    rack_fleet.connect()
+    rack_fleet.dispatcher = Dispatcher(leadership=rack_fleet.leadership, links=rack_fleet.links)
+    await rack_fleet.poll()
+    await slow_down(rack_fleet)
+    await rack_fleet.run_round()
+    assert all(len(vms) == 1 for vms in rack_fleet.runs().values())
+
+
+async def test_pace_of_a_run_that_is_copied_lowers_the_rating(rack_fleet):
+    """Guards against a slow VM that is never found because its runs are stopped before they end."""
+    ratings = rack_fleet.dispatcher.ratings
+    for name in ("w1", "w2", "w3"):
+        await rack_fleet.submit(name=name, duplicates=True, count=2)
+        for index in (0, 1):
+            task = TaskId(name, 0, 0, index + 10)
+            ratings.record_end(vm="r2-8", task=task, run_key="", is_done=True, duration_s=0.6, now=0.0)
+    await slow_down(rack_fleet)
+    await rack_fleet.run_round()
+    await rack_fleet.run_round()
+    assert ratings.rating(SLOW_VM) is Rating.AVOIDED
--- a/tests/dispatch/test_copy_protocol.py
+++ b/tests/dispatch/test_copy_protocol.py
@@ -17,6 +17,7 @@
 from dispatch.model_worker import ModelNetwork, ModelWorker
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
+from hyssopway.scheduling.durations import MIN_RUNS
 from hyssopway.workflow import (
     CancelWorkflow,
     PutDocument,
@@ -31,6 +32,7 @@
 VMS = ("vm-1", "vm-2", "vm-3")
 FAULTS = st.sampled_from(["deliver", "deliver", "deliver", "deliver", "lose", "mute", "delay", "delay_first"])
 DUPLICATES_STEP = 0
+TASK_MS = 600
 
 
 class RecordingLeadership(FakeLeadership):
@@ -72,7 +74,10 @@
         self.run(self.leader.propose(PutDocument(document=make_document(max_attempts=max_attempts))))
         for name in VMS:
             self.run(self.leader.propose(make_vm(name, rack=f"rack of {name}")))
-        steps = (Step(count=3, cpu_millis=500, duplicates=True), Step(count=3, cpu_millis=500))
+        steps = (
+            Step(count=3, cpu_millis=500, estimate_ms=TASK_MS, duplicates=True),
+            Step(count=3, cpu_millis=500),
+        )
         self.run(self.leader.propose(make_workflow("w", steps=steps)))
         self.lead()
         self.poll("deliver")
@@ -84,6 +89,9 @@
     def lead(self):
         self.links = {name: make_link(name, leadership=self.leader, calls=self.network) for name in VMS}
         self.dispatcher = Dispatcher(leadership=self.leader, links=self.links)
+        # The model lists each run at 50%, so runs that are listed for long are slow and get copies.
+        for _ in range(MIN_RUNS):
+            self.dispatcher.durations.add("plans", declared_ms=TASK_MS, actual_ms=TASK_MS)
 
     @property
     def workflow(self):
--- a/tests/scheduling/test_copies.py
+++ b/tests/scheduling/test_copies.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from hyssopway.scheduling.copies import StepKey, find_copies_of_silent_runs
+from hyssopway.scheduling.copies import (
+    CopyBudget,
+    RunPace,
+    StepKey,
+    find_copies_of_silent_runs,
+    is_slow,
+)
 from hyssopway.scheduling.racks import RackMap
 from hyssopway.workflow import (
     CancelWorkflow,
@@ -116,3 +122,34 @@
     for number in range(3):
         log.apply(make_vm(f"vm-{number}"))
     assert RackMap(log.state.tables.vms).vms_in_rack_of("vm-0") == {"vm-0"}
+
+
+@pytest.mark.parametrize(
+    ("elapsed_s", "listed_s", "percent", "expected"),
+    [
+        pytest.param(0.9, 0.8, 20, True, id="five times slower"),
+        pytest.param(0.9, 0.8, 0, True, id="no progress"),
+        pytest.param(0.7, 0.7, 20, False, id="within the usual spread"),
+        pytest.param(0.9, 0.8, 80, False, id="almost done"),
+        pytest.param(0.9, 0.1, 0, False, id="listed once, just after its start"),
+    ],
+)
+def test_slow_run_is_one_that_a_copy_would_overtake(elapsed_s, listed_s, percent, expected):
+    """Guards against copies that end later than the run, and against a judgement before there is progress to see."""
+    pace = RunPace(elapsed_s=elapsed_s, listed_s=listed_s, percent=percent)
+    assert is_slow(pace, usual_s=0.6, slow_s=0.75) is expected
+
+
+def test_budget_counts_copies_in_progress_but_not_those_of_silent_vms():
+    """Guards against a dark rack whose copies use up the budget, and against copies beyond it."""
+    log = make_log(Step(count=1, cpu_millis=1500, duplicates=True))
+    start(log, "vm-1")
+    start(log, "vm-3", run=2)
+    tables = log.state.tables
+    # A twentieth of four VMs of eight cores is 1.6 cores.
+    assert not CopyBudget(tables=tables, silent_vms=()).has("vans", 1500)
+    budget = CopyBudget(tables=tables, silent_vms={"vm-1"})
+    assert budget.has("vans", 1500)
+    budget.reserve("vans", 1500)
+    assert not budget.has("vans", 1500)
+    assert not budget.has("unknown", 1500)
