--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -8,9 +8,14 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
-from hyssopway.scheduling.copies import StepKey, find_copies_of_silent_runs
+from hyssopway.scheduling.copies import Copies, StepKey, find_copies_of_silent_runs
+from hyssopway.scheduling.durations import DurationQuantiles
+from hyssopway.scheduling.racks import RackMap
+from hyssopway.scheduling.retries import can_run, excluded_vms
+from hyssopway.scheduling.vm_rating import Rating, VmPlace, VmRatings
 from hyssopway.workflow import AddOccurrence, StartRuns, TaskId
 
+from .copyable_runs import CopyableRuns
 from .free_capacity import FreeCapacity
 from .leadership import LeadershipLostError
 from .placement import place_steps
@@ -43,6 +48,9 @@
     Attributes:
         leadership: Term on whose behalf runs are started.
         links: Links to VMs by VM ID.
+        ratings: Ratings of VMs by the ends of their runs.
+        durations: Distribution of the ratio of actual to declared run durations.
+        copyable_runs: Runs in progress whose steps allow duplicates.
         counters: Numbers of scheduling decisions of this term, by name.
         interference: Pairs of images that are known to disturb each other, or not to; None places without them.
         cordoned_vms: IDs of VMs that get no starts because they are being drained.
@@ -57,11 +65,14 @@
     __slots__ = (
         "awaiting_maintenance",
         "changed",
+        "copyable_runs",
         "cordoned_vms",
         "counters",
+        "durations",
         "interference",
         "leadership",
         "links",
+        "ratings",
         "sending",
         "shares",
         "tickets",
@@ -75,9 +86,14 @@
         links: dict[str, VmLink],
         counters: Counter[str] | None = None,
         interference: InterferenceModel | None = None,
+        ratings: VmRatings | None = None,
+        durations: DurationQuantiles | None = None,
     ) -> None:
         self.leadership = leadership
         self.counters: Counter[str] = Counter() if counters is None else counters
+        self.ratings = VmRatings() if ratings is None else ratings
+        self.durations = DurationQuantiles() if durations is None else durations
+        self.copyable_runs = CopyableRuns()
         self.links = links
         self.interference = interference
         self.cordoned_vms: set[str] = set()
@@ -125,33 +141,47 @@
     async def run_round(self) -> None:
         """Runs one round: places waiting tasks, replicates their starts and sends them to the VMs."""
         state = self.leadership.state
+        now = self.leadership.clock()
+        self._assess_vms()
         ready = find_ready_steps(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
-        copies = self._find_copies()
-        if copies:
-            ready = add_copies(
-                ready, copies=copies, tables=state.tables, indexes=state.indexes, now_ms=wall_ms()
-            )
-        self.waiting_millis = {}
-        if not ready:
-            return
-        self._set_approved_vms(ready)
-        free_by_pool = self.list_free_capacity()
-        self.shares.begin_round(ready, free_by_pool=free_by_pool, now=self.leadership.clock())
+        silent_vms = {vm_id for vm_id, link in self.links.items() if link.is_silent(now)}
+        copies = find_copies_of_silent_runs(tables=state.tables, indexes=state.indexes, silent_vms=silent_vms)
+        ready = self._add_copies(ready, copies=copies)
+        free_by_pool = self.list_free_capacity() if ready else {}
+        self.shares.begin_round(ready, free_by_pool=free_by_pool, now=now)
         team_usage = _TeamUsage(self.leadership, shares=self.shares)
-        starts = place_steps(
-            steps=self.shares.iterate(ready),
-            free_by_pool=free_by_pool,
-            pool_of=lambda ready_step: state.tables.queue_pools.get(ready_step.workflow.queue, ""),
-            reserve_for_team=team_usage.reserve,
-            max_starts=MAX_STARTS_PER_ROUND,
+        starts = self._place(
+            ready, free_by_pool=free_by_pool, team_usage=team_usage, max_starts=MAX_STARTS_PER_ROUND
         )
+        self.waiting_millis = {}
         self._update_waiting_millis(ready, starts=starts)
-        if not starts:
-            return
+        slow = self.copyable_runs.find_copies(
+            state=state,
+            links=self.links,
+            durations=self.durations,
+            ratings=self.ratings,
+            busy_pools=self.waiting_millis,
+            silent_vms=silent_vms,
+            now=now,
+        )
+        if slow:
+            starts += self._place(
+                self._add_copies([], copies=slow),
+                free_by_pool=free_by_pool or self.list_free_capacity(),
+                team_usage=team_usage,
+                max_starts=MAX_STARTS_PER_ROUND - len(starts),
+            )
+        if starts:
+            await self._start(starts, copies=copies, slow=slow)
+
+    async def _start(self, starts: list[RunStart], *, copies: Copies, slow: Copies) -> None:
         for start in starts:
             # Registered before the command is applied, so that a list of the VM's runs that arrives in between
             # does not count the run as ended because it lacks it.
             self.links[start.vm].orders.expect_start(task=start.task, run=start.run)
+            if self.ratings.rating(start.vm) is Rating.PROBED:
+                self.ratings.start_probe(start.vm, run_key=f"{start.task}/{start.run}")
+                self.counters["probe_runs"] += 1
         try:
             await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
         except LeadershipLostError:
@@ -161,31 +191,102 @@
                     self.links[start.vm].orders.mark_unsent(task=start.task, run=start.run)
             raise
         self._log_starts(starts)
-        if copies:
-            self._log_copies(starts, copies=copies)
+        self._log_copies(starts, copies=copies, reason="silent VMs", counter="copies_of_silent_runs")
+        self._log_copies(starts, copies=slow, reason="slow runs", counter="copies_of_slow_runs")
         for start in starts:
             self._order_start(start)
+            self.copyable_runs.add(start, state=self.leadership.state)
 
-    def _find_copies(self) -> dict[StepKey, dict[int, frozenset[str]]]:
-        now = self.leadership.clock()
-        silent_vms = {vm_id for vm_id, link in self.links.items() if link.is_silent(now)}
-        if not silent_vms:
-            return {}
+    def _add_copies(self, ready: list[ReadyStep], *, copies: Copies) -> list[ReadyStep]:
+        if not copies:
+            return ready
         state = self.leadership.state
-        return find_copies_of_silent_runs(tables=state.tables, indexes=state.indexes, silent_vms=silent_vms)
+        return add_copies(ready, copies=copies, tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
 
-    def _log_copies(
-        self, starts: list[RunStart], *, copies: dict[StepKey, dict[int, frozenset[str]]]
-    ) -> None:
-        copied: dict[str, str] = {}
+    def _place(
+        self,
+        ready: list[ReadyStep],
+        *,
+        free_by_pool: dict[str, list[FreeCapacity]],
+        team_usage: _TeamUsage,
+        max_starts: int,
+    ) -> list[RunStart]:
+        if not ready or max_starts <= 0:
+            return []
+        self._set_approved_vms(ready)
+        self._apply_ratings(ready, free_by_pool=free_by_pool)
+        queue_pools = self.leadership.state.tables.queue_pools
+        return place_steps(
+            steps=self.shares.iterate(ready),
+            free_by_pool=free_by_pool,
+            pool_of=lambda ready_step: queue_pools.get(ready_step.workflow.queue, ""),
+            reserve_for_team=team_usage.reserve,
+            max_starts=max_starts,
+        )
+
+    def _assess_vms(self) -> None:
+        if self.ratings.is_settled:
+            return
+        vms = self.leadership.state.tables.vms
+        racks = RackMap(vms)
+        places = {vm_id: VmPlace(vm.pool, racks.rack_of(vm_id)) for vm_id, vm in vms.items()}
+        for change in self.ratings.assess(places, now=self.leadership.clock()):
+            self.counters[f"vms_rated_{change.rating}"] += 1
+            log_event(Event.VM_RATED, vm=change.vm, rating=change.rating, reason=change.reason)
+
+    def _apply_ratings(self, ready: list[ReadyStep], *, free_by_pool: dict[str, list[FreeCapacity]]) -> None:
+        """Excludes VMs for tasks that failed before, and names the tasks that may run on a VM that is probed."""
+        tables, indexes = self.leadership.state.tables, self.leadership.state.indexes
+        probed_pools = {pool for pool, vms in free_by_pool.items() if any(vm.is_probed for vm in vms)}
+        unreliable: frozenset[str] | None = None
+        for ready_step in ready:
+            workflow, step = ready_step.workflow, ready_step.step
+            pool = tables.queue_pools.get(workflow.queue, "")
+            failures = workflow.progress[ready_step.occurrence][ready_step.number].failures
+            max_attempts = indexes.max_attempts(workflow)
+            if pool in probed_pools and not (step.long_running or step.fills or step.gang):
+                ready_step.probe_indexes = frozenset(
+                    index
+                    for index in ready_step.indexes
+                    if index not in ready_step.excluded_vms and failures[index] + 1 < max_attempts
+                )
+            failed = [index for index in ready_step.indexes if failures[index]]
+            if not failed or step.gang:
+                continue
+            if unreliable is None:
+                unreliable = self.ratings.unreliable_vms()
+            free = [vm for vm in free_by_pool.get(pool, ()) if not vm.is_probed]
+            with_room = {vm.vm_id for vm in free if vm.fits(step)}
+            if not with_room:
+                continue
+            able = frozenset(
+                vm.vm_id for vm in free if vm.vm_id in with_room or can_run(step, vm=tables.vms[vm.vm_id])
+            )
+            for index in failed:
+                task = TaskId(workflow.workflow_id, ready_step.occurrence, ready_step.number, index)
+                excluded = excluded_vms(
+                    failed_on=self.ratings.failed_on(task),
+                    unreliable=unreliable if failures[index] + 1 >= max_attempts else frozenset(),
+                    able=able,
+                    with_room=with_room,
+                )
+                if excluded:
+                    known = ready_step.excluded_vms.get(index, frozenset())
+                    ready_step.excluded_vms[index] = known | excluded
+
+    def _log_copies(self, starts: list[RunStart], *, copies: Copies, reason: str, counter: str) -> None:
+        if not copies:
+            return
+        copied: dict[str, dict[str, str]] = {}
         for start in starts:
             task = TaskId.parse(start.task)
             if task.number in copies.get(StepKey(task.workflow, task.occurrence, task.step), ()):
-                copied[f"{start.task}/{start.run}"] = start.vm
-        self.counters["copies_of_silent_runs"] += len(copied)
+                why = self.copyable_runs.reasons.get(task, "")
+                copied[f"{start.task}/{start.run}"] = {"vm": start.vm, "why": why}
+        self.counters[counter] += len(copied)
         if copied:
             runs = dict(list(copied.items())[:MAX_RUNS_PER_LOG_LINE])
-            log_event(Event.COPIES_ORDERED, count=len(copied), reason="silent VMs", runs=runs)
+            log_event(Event.COPIES_ORDERED, count=len(copied), reason=reason, runs=runs)
 
     def _log_starts(self, starts: list[RunStart]) -> None:
         for offset in range(0, len(starts), MAX_RUNS_PER_LOG_LINE):
@@ -277,12 +378,16 @@
                 continue
             if record.draining or record.zone in tables.evacuated or vm_id in self.cordoned_vms:
                 continue
+            rating = self.ratings.rating(vm_id)
+            if rating is not Rating.PREFERRED and not self.ratings.may_probe(vm_id, runs=record.runs):
+                continue
             use = self.leadership.state.indexes.vm_usage.get(vm_id)
             free_by_pool.setdefault(record.pool, []).append(
                 _compute_free_capacity(
                     record,
                     use=use,
                     failures=link.failures,
+                    is_probed=rating is Rating.PROBED,
                     awaits_maintenance=vm_id in self.awaiting_maintenance,
                     known_pairs=known_pairs,
                 )
@@ -345,6 +450,7 @@
     *,
     use: Usage | None,
     failures: int,
+    is_probed: bool,
     awaits_maintenance: bool,
     known_pairs: dict[tuple[str, str], bool],
 ) -> FreeCapacity:
@@ -362,6 +468,7 @@
         best_effort_images=tuple(use.best_effort_images.elements()) if use and known_pairs else (),
         known_pairs=known_pairs,
         recent_failures=min(failures, MAX_COUNTED_FAILURES),
+        is_probed=is_probed,
         awaits_maintenance=awaits_maintenance,
     )
 
--- a/src/hyssopway/dispatch/free_capacity.py
+++ b/src/hyssopway/dispatch/free_capacity.py
@@ -27,6 +27,7 @@
         known_pairs: Whether each known pair of latency-bound and best-effort image disturbs.
         added: Steps with a latency target and best-effort steps of the tasks that were placed in this round.
         recent_failures: Consecutive runs that failed on the VM; VMs with fewer failures are preferred.
+        is_probed: Whether the VM gets only one run, to see whether it has recovered.
         awaits_maintenance: Whether the machine awaits maintenance, which soon interrupts what runs on it.
     """
 
@@ -43,6 +44,7 @@
     known_pairs: Mapping[tuple[str, str], bool] = field(default_factory=dict)
     added: list[Step] = field(default_factory=list)
     recent_failures: int = 0
+    is_probed: bool = False
     awaits_maintenance: bool = False
 
     def fits(self, step: Step) -> bool:
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -9,7 +9,9 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
+from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.interference import InterferenceModel
+from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import DeleteWorkflows, RegisterVm, RemoveVm
 
 from .admission_control import AdmissionControl
@@ -57,6 +59,8 @@
         waves: Carries out maintenance waves.
         scale: Ratio of actual to declared run durations.
         rebalancer: Moves machines between pools.
+        durations: Distribution of the ratio of actual to declared run durations.
+        ratings: Ratings of VMs by the ends of their runs.
         poll_limiter: Limits the rate of polls over all VMs.
         interference: Learns which pairs of images disturb each other.
         rtt_estimator: Estimates how long a VM takes to answer an order.
@@ -73,12 +77,14 @@
         "counters",
         "dispatcher",
         "drainer",
+        "durations",
         "interference",
         "leadership",
         "limits",
         "links",
         "load_reported_at",
         "poll_limiter",
+        "ratings",
         "rebalancer",
         "retention",
         "rtt_estimator",
@@ -104,13 +110,20 @@
         self.load_reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.counters: Counter[str] = Counter()
+        self.ratings = VmRatings()
+        self.durations = DurationQuantiles()
         self.scale = DurationScale()
         self.poll_limiter = PollRateLimiter()
         self.interference = InterferenceModel(is_enabled=uses_interference, counters=self.counters)
         self.rtt_estimator = RttEstimator()
         self.retention = Retention(retention_s=limits.status_s)
         self.dispatcher = Dispatcher(
-            leadership=leadership, links=self.links, counters=self.counters, interference=self.interference
+            leadership=leadership,
+            links=self.links,
+            counters=self.counters,
+            ratings=self.ratings,
+            durations=self.durations,
+            interference=self.interference,
         )
         self.advice = AdviceFetcher(
             state=leadership.state,
@@ -225,6 +238,8 @@
                     interference=self.interference,
                     tickets=self.dispatcher.tickets,
                     on_change=self.dispatcher.changed.set,
+                    ratings=self.ratings,
+                    durations=self.durations,
                 )
             self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
         for vm_id in set(self.links) - set(self.leadership.state.tables.vms):
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -172,6 +172,7 @@
         "best-effort image {best_effort} raises the tail latency of image {serving} to {factor} times",
     )
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
+    VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
     COPIES_ORDERED = (7050, "INFO", "{count} copies of runs ordered: {reason}")
     SHARES_APPLIED = (
         7040,
