Divide scarce machines by relative deficit, and report machine time beside work

Cause: the pool with the largest deficit took all standby machines while the demand of others rose, and nothing showed the cost of machines in pools beside the work done.

Change: with fewer machines than deficits, `scheduling/machine_sharing.py` gives each machine to the pool that lacks the largest share of its demand, then of its requirement with the reserve. With enough machines the plan is the same, in the same order. Event 7060 shows machine-seconds, moves and core-seconds once a second, 7061 what pools lack.

Ruled out: shares of the requirement alone.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -10,6 +10,7 @@
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.interference import InterferenceModel
+from hyssopway.scheduling.machine_use import MachineUse
 from hyssopway.workflow import DeleteWorkflows, RegisterVm, RemoveVm
 
 from .advice_fetcher import AdviceFetcher
@@ -33,6 +34,7 @@
     from .leadership import Leadership
     from .machine_calls import MachineCalls
     from .platform_limits import PlatformLimits
+    from .pool_load import PoolLoad
     from .worker_calls import WorkerCalls
 
 SUPERVISION_INTERVAL_S = 0.1
@@ -58,6 +60,7 @@
         rtt_estimator: Estimates how long a VM takes to answer an order.
         retention: Finds ended workflows whose records may be deleted.
         tasks: Asyncio tasks that run the links, by VM ID.
+        machine_use: Machine time in pools and work of this term.
         counters: Numbers of scheduling decisions of this term, by name; exposed as metrics.
         load_reported_at: Local time of the last load report.
     """
@@ -73,6 +76,7 @@
         "limits",
         "links",
         "load_reported_at",
+        "machine_use",
         "poll_limiter",
         "rebalancer",
         "retention",
@@ -99,6 +103,7 @@
         self.load_reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.counters: Counter[str] = Counter()
+        self.machine_use = MachineUse()
         self.scale = DurationScale()
         self.poll_limiter = PollRateLimiter()
         self.interference = InterferenceModel(is_enabled=uses_interference, counters=self.counters)
@@ -129,6 +134,7 @@
             scale=self.scale,
             move_s=limits.move_s,
             orders_per_s=limits.machine_orders_per_s,
+            counters=self.counters,
         )
         self.waves = WaveExecutor(
             leadership=leadership,
@@ -241,6 +247,33 @@
                 short=load.short_millis // 1000,
                 waiting=load.waiting_millis // 1000,
             )
+        self._report_machine_use(loads, now=now)
+
+    def _report_machine_use(self, loads: dict[str, PoolLoad], *, now: float) -> None:
+        document = self.leadership.state.tables.document
+        paid_pools = (
+            {pool.name for pool in document.pools if not pool.standby} if document is not None else set()
+        )
+        machines = Counter(
+            machine.pool
+            for machine in self.rebalancer.machines.machines.values()
+            if machine.pool in paid_pools
+        )
+        if not machines:
+            return  # no standby pool, so that the machines are not listed
+        busy_millis = sum(load.long_running_millis + load.short_millis for load in loads.values())
+        use = self.machine_use
+        use.add(machines=machines.total(), cores=busy_millis / 1000, now=now)
+        self.counters["machine_seconds_in_pools"] = round(use.machine_s)
+        self.counters["work_core_seconds"] = round(use.core_s)
+        log_event(
+            Event.MACHINE_USE,
+            machines=machines.total(),
+            machine_seconds=round(use.machine_s),
+            moves=self.counters["machine_moves"],
+            core_seconds=round(use.core_s),
+            by_pool=dict(sorted(machines.items())),
+        )
 
     def _report_interference(self) -> None:
         for serving, best_effort, pair in self.interference.take_new_findings(self.leadership.clock()):
--- a/src/hyssopway/dispatch/pool_plan.py
+++ b/src/hyssopway/dispatch/pool_plan.py
@@ -2,13 +2,16 @@
 
 The demand of each queue comes in bursts: it rises to several times the capacity of its pool and then falls to nearly
 nothing. Idle machines move to the standby pool, where they cost nothing. A pool with rising demand gets machines from
-the standby pool first and then from pools with a surplus, before its queue grows long.
+the standby pool first and then from pools with a surplus, before its queue grows long. When fewer machines are left than
+the pools lack, they are divided by max-min over relative deficits.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from hyssopway.scheduling.machine_sharing import MachineDeficit, divide_machines
+
 # Spare capacity of a pool beyond its demand, as a multiple of the mean CPU demand of a step; it is at least one VM.
 # Without it, tasks that arrive while a machine is moving wait for about 2 s.
 RESERVE_STEPS = 1.0
@@ -64,12 +67,15 @@
         demand: Demand of the pool.
         vm_millis: CPU of one VM in millicores.
     """
-    expected = max(demand.short_millis, demand.forecast_millis)
     reserve = max(float(vm_millis), RESERVE_STEPS * demand.mean_step_millis)
-    by_load = -(-int(demand.long_running_millis + expected + reserve) // vm_millis)
+    by_load = -(-int(_expected_millis(demand) + reserve) // vm_millis)
     return max(MIN_VMS, demand.min_spread_vms, by_load)
 
 
+def _expected_millis(demand: PoolDemand) -> float:
+    return demand.long_running_millis + max(demand.short_millis, demand.forecast_millis)
+
+
 def plan_moves(
     *,
     demands: list[PoolDemand],
@@ -79,6 +85,9 @@
 ) -> list[MachineMove]:
     """Returns the moves to order now; moves to the pool with the largest deficit come first.
 
+    When there are fewer machines than deficits, moves to the pool with the largest relative deficit come first, and each
+    move counts before the next is planned.
+
     Args:
         demands: Demand of all pools except the standby pool.
         standby: Name of the standby pool; empty when there is none.
@@ -96,17 +105,26 @@
             (machine, demand.pool) for machine in demand.idle_machines[: max(0, surplus[demand.pool])]
         ]
     long_idle = {machine for demand in demands for machine in demand.idle_machines[: demand.long_idle_count]}
-    moves: list[MachineMove] = []
-    for demand in by_deficit:
-        for _ in range(max(0, required[demand.pool] - demand.vms)):
-            if not available:
-                return moves
-            machine, source = available.pop(0)
-            moves.append(MachineMove(machine_id=machine, source=source, target=demand.pool))
+    deficits = [
+        MachineDeficit(
+            pool=demand.pool,
+            vms=demand.vms,
+            required=required[demand.pool],
+            demanded=max(MIN_VMS, demand.min_spread_vms, _expected_millis(demand) / vm_millis),
+        )
+        for demand in by_deficit
+    ]
+    targets = [deficit.pool for deficit in deficits for _ in range(deficit.missing)]
+    if len(targets) > len(available):
+        targets = divide_machines(deficits, machines=len(available))
+    moves = [
+        MachineMove(machine_id=machine, source=source, target=target)
+        for (machine, source), target in zip(available, targets, strict=False)
+    ]
     if standby:
         moves += [
             MachineMove(machine_id=machine, source=source, target=standby)
-            for machine, source in available
+            for machine, source in available[len(targets) :]
             if source != standby and machine in long_idle
         ]
     return moves
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
@@ -13,7 +14,7 @@
 from .machine_calls import MachineCallError, MachineOrderResult
 from .order_rate_limiter import OrderRateLimiter
 from .pool_load import measure_pools
-from .pool_plan import PoolDemand, plan_moves
+from .pool_plan import PoolDemand, plan_moves, required_vms
 from .step_sizes import StepSizes
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
 JOIN_TIMEOUT_S = 1.5
 # Time from the end of a move until the VM has registered and answered a poll.
 JOIN_DELAY_S = 0.4
+SCARCITY_LOG_INTERVAL_S = 1.0
 
 
 class PoolRebalancer:
@@ -50,11 +52,14 @@
         idle_since: Local time since which each VM has been idle, by VM ID; a machine that moves gets a new VM.
         step_sizes: Mean CPU demand of the steps of each pool.
         incoming: Machines that are moving: their target pool and the local time until which they count towards it.
+        counters: Counts moves that were carried out and plans with fewer machines than deficits.
+        scarcity_logged_at: Local time of the last log line about scarce machines.
         impossible_moves: Pairs of source and target pool for which the platform rejected a move; not ordered again.
     """
 
     __slots__ = (
         "calls",
+        "counters",
         "drainer",
         "forecast",
         "idle_since",
@@ -64,6 +69,7 @@
         "machines",
         "move_s",
         "rate_limiter",
+        "scarcity_logged_at",
         "step_sizes",
     )
 
@@ -77,7 +83,10 @@
         scale: DurationScale,
         move_s: float,
         orders_per_s: float,
+        counters: Counter[str] | None = None,
     ) -> None:
+        self.counters: Counter[str] = Counter() if counters is None else counters
+        self.scarcity_logged_at = float("-inf")
         self.leadership = leadership
         self.calls = calls
         self.machines = machines
@@ -119,14 +128,15 @@
         state = self.leadership.state
         self.forecast.update(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
         self.step_sizes.update(tables=state.tables, indexes=state.indexes)
+        vm_millis = sorted(vm_sizes)[len(vm_sizes) // 2]
+        demands = [self._compute_demand(pool, load=load) for pool, load in loads.items() if pool != standby]
         moves = plan_moves(
-            demands=[
-                self._compute_demand(pool, load=load) for pool, load in loads.items() if pool != standby
-            ],
+            demands=demands,
             standby=standby,
             standby_machines=self._list_standby_machines(standby),
-            vm_millis=sorted(vm_sizes)[len(vm_sizes) // 2],
+            vm_millis=vm_millis,
         )
+        self._report_scarcity(moves, demands=demands, vm_millis=vm_millis)
         moves = [move for move in moves if (move.source, move.target) not in self.impossible_moves]
         moves = moves[: self.rate_limiter.acquire(len(moves), now=now)]
         if not moves:
@@ -135,6 +145,30 @@
         await self.leadership.propose(RecordMachineOrders(machines=machine_ids, at_ms=wall_ms()))
         await asyncio.gather(*(self._move(move) for move in moves))
 
+    def _report_scarcity(
+        self, moves: list[MachineMove], *, demands: list[PoolDemand], vm_millis: int
+    ) -> None:
+        """Counts a plan that leaves a pool short of machines, and logs one such plan a second."""
+        required = {demand.pool: required_vms(demand, vm_millis=vm_millis) for demand in demands}
+        missing = {
+            demand.pool: required[demand.pool] - demand.vms
+            for demand in demands
+            if required[demand.pool] > demand.vms
+        }
+        planned = Counter(move.target for move in moves if move.target in missing)
+        if planned.total() >= sum(missing.values()):
+            return
+        self.counters["scarce_machine_plans"] += 1
+        now = self.leadership.clock()
+        if now - self.scarcity_logged_at >= SCARCITY_LOG_INTERVAL_S:
+            self.scarcity_logged_at = now
+            log_event(
+                Event.MACHINES_SCARCE,
+                missing=missing,
+                required={pool: required[pool] for pool in missing},
+                planned=dict(planned),
+            )
+
     def _compute_demand(self, pool: str, *, load: PoolLoad) -> PoolDemand:
         tables = self.leadership.state.tables
         now = self.leadership.clock()
@@ -251,6 +285,7 @@
             self.impossible_moves.add((move.source, move.target))
         if result is not MachineOrderResult.DONE:
             return
+        self.counters["machine_moves"] += 1
         until = self.leadership.clock() + self.move_s + JOIN_TIMEOUT_S
         self.incoming[move.machine_id] = (move.target, until)
         if record is not None:
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -171,6 +171,12 @@
         "INFO",
         "best-effort image {best_effort} raises the tail latency of image {serving} to {factor} times",
     )
+    MACHINE_USE = (
+        7060,
+        "INFO",
+        "{machines} machines in pools; in this term: {machine_seconds} machine-seconds, {moves} moves, {core_seconds} core-seconds of work",
+    )
+    MACHINES_SCARCE = (7061, "INFO", "pools lack {missing} machines, moves are planned for {planned}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
--- a/tests/dispatch/test_departures.py
+++ b/tests/dispatch/test_departures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from dispatch.conftest import LIMITS
-from hyssopway.dispatch import LeaderController
+from hyssopway.dispatch import LeaderController, Machine, MachineState
 from hyssopway.dispatch.vm_link import REMOVE_AFTER_S
 from workflow.conftest import make_vm
 
@@ -56,3 +56,17 @@
     await controller.handle_announcement(make_vm("vm-1", draining=False))
     assert fleet.state.tables.vms["vm-1"].draining
     assert controller.dispatcher.list_free_capacity() == {}
+
+
+async def test_machine_use_of_the_term_is_summed(controller, fleet):
+    """Guards against machines that cost without a line that shows it beside the work done."""
+    controller.rebalancer.machines.machines = {
+        f"m{number}": Machine(
+            machine_id=f"m{number}", pool=pool, state=MachineState.UP, zone="nashua", vm_id=""
+        )
+        for number, pool in enumerate(("vans", "vans", "spare"))
+    }
+    for _ in range(3):
+        controller._report_load()
+        fleet.now += 1.0
+    assert controller.counters["machine_seconds_in_pools"] == 4
