Compute the rank of a VM by its neighbours once for each image and round

Cause: each task of a step asked every VM for the effects of its neighbours anew.

Change: the ranks are kept until a task that may change them is placed on the VM, and VMs without known pairs are not asked.

--- a/src/hyssopway/dispatch/free_capacity.py
+++ b/src/hyssopway/dispatch/free_capacity.py
@@ -26,6 +26,8 @@
         best_effort_images: Images of the best-effort runs; needed only when pairs are known.
         known_pairs: Whether each known pair of latency-bound and best-effort image disturbs.
         added: Steps with a latency target and best-effort steps of the tasks that were placed in this round.
+        serving_ranks: Results of `rank_for_serving` by image, since each task of a step asks every VM.
+        best_effort_ranks: Results of `rank_for_best_effort` by image.
         has_long_running: Whether long-running tasks keep the VM in its pool, if machines can leave it.
         recent_failures: Consecutive runs that failed on the VM; VMs with fewer failures are preferred.
         awaits_maintenance: Whether the machine awaits maintenance, which soon interrupts what runs on it.
@@ -43,6 +45,8 @@
     best_effort_images: tuple[str, ...] = ()
     known_pairs: Mapping[tuple[str, str], bool] = field(default_factory=dict)
     added: list[Step] = field(default_factory=list)
+    serving_ranks: dict[str, int] = field(default_factory=dict)
+    best_effort_ranks: dict[str, tuple[int, int]] = field(default_factory=dict)
     has_long_running: bool = False
     recent_failures: int = 0
     awaits_maintenance: bool = False
@@ -77,30 +81,34 @@
             self.cpu_millis -= step.cpu_millis
         self.memory_mb -= step.memory_mb
         self.accelerators -= step.accelerators
-        if step.fills or step.target_ms:
+        if self.known_pairs and (step.fills or step.target_ms):
             self.added.append(step)
+            self.serving_ranks.clear()
+            self.best_effort_ranks.clear()
 
     def rank_for_serving(self, step: Step) -> int:
-        """Returns how far a task with a latency target should avoid the VM because of best-effort neighbours."""
-        if not self.known_pairs:
-            return int(self.best_effort > 0)
-        return rank_for_serving(
-            step.image,
-            best_effort=self.best_effort_images,
-            added=[added.image for added in self.added if added.fills],
-            known_pairs=self.known_pairs,
-        )
+        """Returns how far a task with a latency target should avoid the VM, given known pairs."""
+        rank = self.serving_ranks.get(step.image)
+        if rank is None:
+            rank = self.serving_ranks[step.image] = rank_for_serving(
+                step.image,
+                best_effort=self.best_effort_images,
+                added=[added.image for added in self.added if added.fills],
+                known_pairs=self.known_pairs,
+            )
+        return rank
 
     def rank_for_best_effort(self, step: Step) -> tuple[int, int]:
-        """Returns how far a best-effort task should avoid the VM because of latency-bound neighbours."""
-        if not self.known_pairs:
-            return 0, self.serving
-        return rank_for_best_effort(
-            step.image,
-            latency_bound=self.latency_bound_images,
-            added=[added.image for added in self.added if not added.fills],
-            known_pairs=self.known_pairs,
-        )
+        """Returns how far a best-effort task should avoid the VM, given known pairs."""
+        rank = self.best_effort_ranks.get(step.image)
+        if rank is None:
+            rank = self.best_effort_ranks[step.image] = rank_for_best_effort(
+                step.image,
+                latency_bound=self.latency_bound_images,
+                added=[added.image for added in self.added if not added.fills],
+                known_pairs=self.known_pairs,
+            )
+        return rank
 
 
 __all__ = ["FreeCapacity"]
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -150,8 +150,11 @@
     """Returns the sort key of a VM for one task of a step; the lowest is preferred."""
     is_remote = bool(step.data_rack) and step.data_rack not in vm.labels
     if step.fills:
-        return (vm.recent_failures, is_remote, *vm.rank_for_best_effort(step), vm.best_effort, vm.cpu_millis)
-    interference = vm.rank_for_serving(step) if step.target_ms else 0
+        disturbed, unknown = vm.rank_for_best_effort(step) if vm.known_pairs else (0, vm.serving)
+        return (vm.recent_failures, is_remote, disturbed, unknown, vm.best_effort, vm.cpu_millis)
+    interference = 0
+    if step.target_ms:
+        interference = vm.rank_for_serving(step) if vm.known_pairs else int(vm.best_effort > 0)
     if step.long_running:
         # Long-running tasks share few VMs, so that the others can leave the pool, but no VM gets more than half of
         # the tasks of a step while another VM has room. In replays of bursts with long-running steps of 8 to 24 tasks,
