Rate no VM by the end of a run that names no task

Ruled out: dropping such ends from the reply, since their numbers acknowledge the others. After: tests/dispatch/test_vm_link.py passes; before, 1 of 954 tests of dispatch, scheduling, workflow, adapter, docs, node, relay, job, event and measure failed.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -311,7 +311,7 @@
             self.orders.request_stop(task=row.task, run=row.run, reason="it makes no progress")
 
     def _rate(self, end: RunEnd, *, accepted_at: float | None) -> None:
-        if end.outcome not in (RunOutcome.DONE, RunOutcome.FAILED):
+        if end.outcome not in (RunOutcome.DONE, RunOutcome.FAILED) or not self._is_task(end.task):
             return
         tables = self.leadership.state.tables
         task = TaskId.parse(end.task)
