Judge the age of the list of machines from its receipt

The check that no other VM can have taken the place of an unregistered one counted from the request of the list. With a machine API that takes longer than a move for all pages, no such machine would ever have been maintained. A move needs the check only for a machine whose VM was idle when the move was planned; machines of the standby pool are moved as before.

--- a/src/hyssopway/dispatch/machine_inventory.py
+++ b/src/hyssopway/dispatch/machine_inventory.py
@@ -28,6 +28,7 @@
         calls: Client of the platform.
         machines: Machines of the last list by machine ID.
         listed_at: Local time at which the last list was requested.
+        received_at: Local time at which the last list was received.
         missing_since: Local time since which each machine has been missing from lists, by machine ID.
         ordered: Machines that were ordered to move or into maintenance, with the local time until which a list
             may not show it yet.
@@ -48,6 +49,7 @@
         "missing_since",
         "orderable_at",
         "ordered",
+        "received_at",
         "tried_at",
     )
 
@@ -58,6 +60,7 @@
         self.calls = calls
         self.machines: dict[str, Machine] = {}
         self.listed_at = float("-inf")
+        self.received_at = float("-inf")
         self.missing_since: dict[str, float] = {}
         self.tried_at = float("-inf")
         self.ordered: dict[str, float] = {}
@@ -83,6 +86,7 @@
             log_event(Event.PLATFORM_FAILED, call="list_machines", error=str(error))
             return
         self.listed_at = now
+        self.received_at = self.leadership.clock()
         self.machines = {machine.machine_id: machine for machine in machines}
         for machine_id in self.machines:
             self.missing_since.pop(machine_id, None)
@@ -95,7 +99,7 @@
 
     def is_list_current(self) -> bool:
         """Returns whether the list is so recent that no machine in it can have got another VM since."""
-        return self.leadership.clock() - self.listed_at < self.min_down_s
+        return self.leadership.clock() - self.received_at < self.min_down_s
 
     def is_gone(self, machine_id: str) -> bool:
         """Returns whether a machine has been missing from lists for so long that it counts as gone."""
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -221,9 +221,9 @@
             return
         if machine.vm_id in self.drainer.cordoned_at:
             return  # a wave has begun to drain the VM since the move was planned
-        if machine.vm_id not in self.leadership.state.tables.vms and not self.machines.is_list_current():
-            return  # another VM with runs may have taken the place of the listed one
         record = self.leadership.state.tables.vms.get(machine.vm_id)
+        if record is None and machine.vm_id in self.idle_since:
+            return  # the VM has left since the move was planned, and another one with runs may have taken its place
         if record is not None:
             # The VM is cordoned before the check, so that no start is placed after it. A start that is being
             # replicated, or was in between, keeps the machine in its pool.
--- a/tests/dispatch/test_pool_rebalancer.py
+++ b/tests/dispatch/test_pool_rebalancer.py
@@ -17,7 +17,7 @@
 from hyssopway.dispatch.pool_plan import MachineMove
 from hyssopway.dispatch.pool_rebalancer import PoolRebalancer
 from hyssopway.dispatch.vm_drainer import VmDrainer
-from hyssopway.workflow import Capacity
+from hyssopway.workflow import Capacity, RemoveVm
 from workflow.conftest import make_vm
 
 VM_IDS = ("vm-1", "vm-2")
@@ -174,6 +174,14 @@
     assert "vm-1" not in rebalancer.drainer.dispatcher.cordoned_vms
 
 
+async def test_machine_whose_vm_has_left_is_not_moved(rebalancer, platform, fleet):
+    """Guards against a move that ends the runs of a VM that has taken the place of the listed one."""
+    await rebalance(rebalancer)
+    await fleet.propose(RemoveVm(vm="vm-1", boot=1, at_ms=0))
+    await rebalancer._move(MOVE)
+    assert platform.moves == []
+
+
 async def test_vm_that_a_wave_drains_is_left_to_the_wave(rebalancer, platform):
     """Guards against a VM that gets runs again while its maintenance is being ordered."""
     rebalancer.drainer.cordon("vm-1", reason="wave 1")
