Test that a task whose lease ends on a cordoned VM counts as away

The task counts from the silence of its VM until its next run works, through the end of the lease and the start of that run.

--- a/tests/dispatch/test_vm_drainer.py
+++ b/tests/dispatch/test_vm_drainer.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from dispatch.conftest import LIMITS, make_link
+from dispatch.conftest import LIMITS, FakeVms, make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.lease import RUN_LEASE_S
 from hyssopway.dispatch.vm_drainer import VmDrainer
-from hyssopway.dispatch.vm_link import STOP_SLACK_S
+from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S, STOP_SLACK_S
 from hyssopway.workflow import RunStart, StartRuns, Step
 from workflow.conftest import make_vm, make_workflow
 
@@ -98,3 +99,26 @@
     assert drainer.has_long_running("vm-3")
     link.orders.drop_start(task="steady.0.0.1", run=2)
     assert drainer.is_empty("vm-3")
+
+
+async def test_task_whose_lease_ends_counts_as_away_until_its_next_run_works(drainer, fleet, vms):
+    """Guards against a stop while another task of the step has lost its cordoned VM and has not come to work again."""
+    drainer.cordon("vm-1", reason="test")
+    drainer.cordon("vm-2", reason="test")
+    drainer.links["vm-1"].calls = silent = FakeVms(fleet)
+    silent.silent = True
+    fleet.now += CONTACT_TIMEOUT_S + 0.1
+    assert "steady.0.0.1" not in await poll_and_evict(drainer, vms)
+    fleet.now += 2 * RUN_LEASE_S
+    assert "steady.0.0.1" not in await poll_and_evict(drainer, vms)
+    assert "steady.0.0.0" not in fleet.state.tables.runs
+    await fleet.propose(make_vm("vm-3"))
+    drainer.links["vm-3"] = make_link("vm-3", leadership=fleet, calls=vms)
+    await drainer.links["vm-3"].poll()
+    drainer.links["vm-3"].orders.expect_start(task="steady.0.0.0", run=2)
+    start = RunStart(task="steady.0.0.0", run=2, vm="vm-3")
+    await fleet.propose(StartRuns(fencing_token=fleet.term, starts=(start,)))
+    vms.running.pop(("steady.0.0.0", 1))
+    assert "steady.0.0.1" not in await poll_and_evict(drainer, vms)
+    vms.running["steady.0.0.0", 2] = "vm-3"
+    assert "steady.0.0.1" in await poll_and_evict(drainer, vms)
