Show the error of estimates with each refusal, and submit soak jobs for two teams

Event 7041 carries the median error of the last report (7042), so that a reader of one line sees how far estimates were off. An order rate of 0 no longer divides by zero when the times of arriving machines are listed. The soak's callers belong to two teams with different weights; its draws are unchanged.

--- a/src/hyssopway/dispatch/admission_control.py
+++ b/src/hyssopway/dispatch/admission_control.py
@@ -78,6 +78,7 @@
         retry_times: Times at which refused callers were asked to return.
         proposed: IDs of accepted jobs whose command may not be applied yet; they are never refused.
         estimates: Estimates of accepted jobs by workflow ID.
+        error_ms: Median difference between ends and their estimates in the last report, in milliseconds.
         reported_at: Local time of the last report on the accuracy of estimates.
     """
 
@@ -86,6 +87,7 @@
         "collected_at",
         "collected_ms",
         "counters",
+        "error_ms",
         "estimates",
         "leadership",
         "links",
@@ -116,6 +118,7 @@
         self.retry_times = RetryTimes(longest_s=LONGEST_RETRY_S)
         self.proposed: set[str] = set()
         self.estimates: dict[str, CheckedEstimate] = {}
+        self.error_ms = 0
         self.reported_at = float("-inf")
 
     def check(
@@ -166,13 +169,15 @@
         if not errors and not overdue:
             return
         errors.sort()
+        if errors:
+            self.error_ms = errors[len(errors) // 2]
         self.counters["admission_estimates_checked"] += len(errors)
         self.counters["admission_accepted_overdue"] += overdue
         self.counters["admission_error_ms"] += sum(errors)
         log_event(
             Event.ADMISSION_MEASURED,
             count=len(errors),
-            median_ms=errors[len(errors) // 2] if errors else 0,
+            median_ms=self.error_ms if errors else 0,
             lowest_ms=errors[0] if errors else 0,
             highest_ms=errors[-1] if errors else 0,
             overdue=overdue,
@@ -283,6 +288,7 @@
             cores_arriving=round(most_cores - cores),
             scale=round(self.scale.read(queue.name), 2),
             backlog_age_ms=round(now_ms - self.collected_ms),
+            error_ms=self.error_ms,
         )
         reason = (
             f"the job was not run: queue {queue.name!r} would end it in {estimate.end_ms - now_ms:.0f} ms, "
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -34,6 +34,8 @@
 JOIN_TIMEOUT_S = 1.5
 # Time from the end of a move until the VM has registered and answered a poll.
 JOIN_DELAY_S = 0.4
+# Order rate that is assumed in estimates when the platform accepts no orders at all.
+MIN_ORDER_RATE_PER_S = 0.01
 
 
 class PoolRebalancer:
@@ -158,7 +160,7 @@
                 times.append(now_ms + 1000 * max(0.0, until - JOIN_TIMEOUT_S - now))
             elif record is None or not record.runs:
                 orders += 1
-                delay_s = self.move_s + orders / self.rate_limiter.rate_per_s
+                delay_s = self.move_s + orders / max(MIN_ORDER_RATE_PER_S, self.rate_limiter.rate_per_s)
                 times.append(now_ms + 1000 * delay_s)
         return sorted(times)
 
--- a/tests/dispatch/test_admission_control.py
+++ b/tests/dispatch/test_admission_control.py
@@ -135,6 +135,7 @@
     assert [extra["event"] for extra in measured] == [Event.ADMISSION_MEASURED.number]
     # The job ended at once although two jobs of 1 s were ahead of it or its own.
     assert -2100 < measured[0]["median_ms"] < -1500
+    assert control.error_ms == measured[0]["median_ms"]
     assert control.counters["admission_estimates_checked"] == 1
     assert control.counters["admission_accepted_overdue"] == 0
     assert not control.estimates
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,7 +18,7 @@
 TIMEOUT_S = 3.0
 VISIBILITY_TIMEOUT_S = 3.0
 SEND_ATTEMPTS = 4
-HEADERS = {"Host": "a.example", "Authorization": "Bearer key-1", "X-Hyssopway-Deadline": "3000"}
+HEADERS = {"Host": "a.example", "X-Hyssopway-Deadline": "3000"}
 
 
 class Callers:
@@ -144,9 +144,11 @@
         """Returns the HTTP status and body; status 0 without a complete JSON response."""
         if self.session is None:
             raise RuntimeError("open() must be called before sending requests")
+        # Two teams, so that shares apply while the VMs are full.
+        headers = HEADERS | {"Authorization": f"Bearer key-{int(job_id, 16) % 2}"}
         url = f"http://{self.rng.choice(self.entries)}/p/{job_id}"
         try:
-            async with self.session.request(method, url, json=body, headers=HEADERS) as response:
+            async with self.session.request(method, url, json=body, headers=headers) as response:
                 response_body = await response.json()
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -44,7 +44,10 @@
         }
     ],
     "services": [{"name": "vans"}],
-    "tenants": [{"name": "one", "api_keys": ["key-1"]}],
+    "tenants": [
+        {"name": "one", "api_keys": ["key-0"], "weight": 2.0},
+        {"name": "two", "api_keys": ["key-1"]},
+    ],
 }
 
 
