Measure the service of other teams by their dominant resource in the admission estimate

Cause, found by reading: the estimate divided each resource among teams by weight. A team that is limited by its memory gets less CPU than that, so a job of another team could be estimated too late and refused wrongly. Now each other team is served in proportion to its weight by its dominant resource, as in the service order. With one resource nothing changes.

--- a/src/hyssopway/scheduling/admission.py
+++ b/src/hyssopway/scheduling/admission.py
@@ -96,26 +96,18 @@
         amounts = first if item.priority < job.priority else by_team.setdefault(item.team, ResourceAmounts())
         amounts.increase(item.work)
     own = by_team.get(job.team, ResourceAmounts())
+    others = {team: amounts for team, amounts in by_team.items() if team != job.team}
+    pool = capacity[-1].capacity if capacity else ResourceAmounts()
+    before = _work_served_with(own, team=job.team, others=others, weights=weights, pool=pool).plus(first)
+    own_with_job = own.plus(job.work)
+    total = _work_served_with(own_with_job, team=job.team, others=others, weights=weights, pool=pool).plus(
+        first
+    )
     start_ms, served_ms = now_ms, now_ms
-    before = ResourceAmounts()
     for name in RESOURCES:
-        weight = weights.get(job.team, 1.0)
-        levels = {
-            team: (getattr(amounts, name), weights.get(team, 1.0) / weight)
-            for team, amounts in by_team.items()
-            if team != job.team
-        }
-        own_before, ahead = getattr(own, name), getattr(first, name)
-        needed = getattr(job.work, name)
-        if not needed:
-            continue
-        # By the time the team's own work is served, each other team was served at most in proportion to its weight.
-        amount = ahead + own_before + sum(min(work, own_before * ratio) for work, ratio in levels.values())
-        own_after = own_before + needed
-        total = ahead + own_after + sum(min(work, own_after * ratio) for work, ratio in levels.values())
-        setattr(before, name, amount)
-        start_ms = max(start_ms, _time_served(amount, capacity=capacity, name=name))
-        served_ms = max(served_ms, _time_served(total, capacity=capacity, name=name))
+        if getattr(job.work, name):
+            start_ms = max(start_ms, _time_served(getattr(before, name), capacity=capacity, name=name))
+            served_ms = max(served_ms, _time_served(getattr(total, name), capacity=capacity, name=name))
     return Estimate(start_ms=start_ms, end_ms=max(start_ms + path_ms, served_ms), work_before=before)
 
 
@@ -156,6 +148,28 @@
         return max(1, ceil(wait_s))
 
 
+def _work_served_with(
+    own: ResourceAmounts,
+    *,
+    team: str,
+    others: Mapping[str, ResourceAmounts],
+    weights: Mapping[str, float],
+    pool: ResourceAmounts,
+) -> ResourceAmounts:
+    """Returns the work that a pool serves until some work of a team is done.
+
+    Each other team is served until then in proportion to its weight, measured by its dominant resource.
+    """
+    level = own.dominant_share(pool) / weights.get(team, 1.0)
+    served = ResourceAmounts()
+    served.increase(own)
+    for other, work in others.items():
+        demand = work.dominant_share(pool)
+        if demand > 0:
+            served.increase(work, factor=min(1.0, level * weights.get(other, 1.0) / demand))
+    return served
+
+
 def _precedes(item: OpenWork, job: OpenWork) -> bool:
     """Returns whether work is served before a job of its team and due earlier.
 
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hyssopway.scheduling.admission import MARGIN, RetryTimes
+from hyssopway.scheduling.admission import MARGIN, CapacityStep, OpenWork, RetryTimes, estimate_end
+from hyssopway.scheduling.pool_shares import ResourceAmounts
 from scheduling.fluid_pool import TICK_MS, FluidJob, FluidPool
 
 # A short workflow: 1.6 steps of 8 tasks of 0.6 s on 1.5 cores; limit is three times 1.6 x 0.96 s + 0.6 s.
@@ -179,6 +180,27 @@
     assert not pool.refuses(late)
 
 
+def test_other_teams_are_served_by_their_dominant_resource():
+    """Guards against counting CPU of a team whose share is limited by its memory: the estimate would be too late."""
+
+    def work(team, *, cpu, memory):
+        amounts = ResourceAmounts(cpu_millis=cpu, memory_mb=memory)
+        return OpenWork(team=team, queue="q", priority=1, deadline_ms=100, remaining_core_s=1, work=amounts)
+
+    estimate = estimate_end(
+        work("a", cpu=10_000, memory=1000),
+        now_ms=0.0,
+        path_ms=0.0,
+        open_work=[work("a", cpu=10_000, memory=1000), work("b", cpu=10_000, memory=40_000)],
+        capacity=[CapacityStep(at_ms=0.0, capacity=ResourceAmounts(cpu_millis=1000, memory_mb=1000))],
+        weights={},
+    )
+    # While a is served 10 of its dominant resource, CPU, b is served 10 of its own, memory, and so 2.5 of CPU.
+    assert estimate.work_before.cpu_millis == pytest.approx(12_500)
+    assert estimate.start_ms == pytest.approx(12.5)
+    assert estimate.end_ms == pytest.approx(25.0)
+
+
 @pytest.mark.parametrize("excess_ms", [0.0, 1.0, 4200.0, 10**9, float("inf")])
 def test_retry_time_is_a_positive_bounded_whole_number(excess_ms):
     """Guards against a header that callers cannot parse, or that sends them back at once or never."""
