Accept a job that nothing precedes, and name a return time after which a refused job is accepted

Cause, found by reading: a job whose own work exceeds what an empty pool serves within the limit was refused with a time after which it would have been refused again. It is now accepted when no work comes before it, and Retry-After of such a job is the time until then.

Tests: scheduling, admission, refusals, docs: 133 passed; ruff and mypy clean.

--- a/src/hyssopway/dispatch/admission_control.py
+++ b/src/hyssopway/dispatch/admission_control.py
@@ -9,7 +9,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
-from hyssopway.scheduling.admission import RetryTimes, estimate_end, is_refused
+from hyssopway.scheduling.admission import RetryTimes, estimate_end, excess_ms, is_refused
 from hyssopway.scheduling.pool_shares import ResourceAmounts
 from hyssopway.workflow import WorkflowStatus
 
@@ -267,7 +267,7 @@
         cores, most_cores = steps[0].capacity.cpu_millis / 1000, steps[-1].capacity.cpu_millis / 1000
         retry_after_s = self.retry_times.next_s(
             queue.pool,
-            excess_ms=estimate.end_ms - now_ms - limit_ms,
+            excess_ms=excess_ms(estimate, now_ms=now_ms, limit_ms=limit_ms),
             job_ms=job.work.dominant_share(steps[-1].capacity),
             now_ms=now_ms,
         )
--- a/src/hyssopway/scheduling/admission.py
+++ b/src/hyssopway/scheduling/admission.py
@@ -112,8 +112,16 @@
 
 
 def is_refused(estimate: Estimate, *, now_ms: float, limit_ms: float) -> bool:
-    """Returns whether a job that has to end within `limit_ms` is refused."""
-    return estimate.end_ms - now_ms > MARGIN * limit_ms
+    """Returns whether a job that has to end within `limit_ms` is refused.
+
+    A job that is too large for an empty pool is accepted by one: coming back later would not help it.
+    """
+    return estimate.start_ms > now_ms and estimate.end_ms - now_ms > MARGIN * limit_ms
+
+
+def excess_ms(estimate: Estimate, *, now_ms: float, limit_ms: float) -> float:
+    """Returns how long it takes until a refused job would be accepted, if nothing else arrives."""
+    return min(estimate.end_ms - now_ms - limit_ms, estimate.start_ms - now_ms)
 
 
 class RetryTimes:
@@ -201,4 +209,13 @@
     return inf if left > 0 else 0.0
 
 
-__all__ = ["MARGIN", "CapacityStep", "Estimate", "OpenWork", "RetryTimes", "estimate_end", "is_refused"]
+__all__ = [
+    "MARGIN",
+    "CapacityStep",
+    "Estimate",
+    "OpenWork",
+    "RetryTimes",
+    "estimate_end",
+    "excess_ms",
+    "is_refused",
+]
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hyssopway.scheduling.admission import MARGIN, CapacityStep, OpenWork, RetryTimes, estimate_end
+from hyssopway.scheduling.admission import MARGIN, CapacityStep, OpenWork, RetryTimes, estimate_end, excess_ms
 from hyssopway.scheduling.pool_shares import ResourceAmounts
 from scheduling.fluid_pool import TICK_MS, FluidJob, FluidPool
 
@@ -81,9 +81,9 @@
             if len(outcome.refused) % 10 == 1:
                 outcome.wrong += pool.end_if_accepted(job) - pool.now <= job.limit_ms
             if retry is not None and job.refusals < retry_longest:
-                excess_ms = pool.estimate(job).end_ms - pool.now - job.limit_ms
+                late_ms = excess_ms(pool.estimate(job), now_ms=pool.now, limit_ms=job.limit_ms)
                 after_s = retry.next_s(
-                    "pool", excess_ms=excess_ms, job_ms=job.work / pool.rate(), now_ms=pool.now
+                    "pool", excess_ms=late_ms, job_ms=job.work / pool.rate(), now_ms=pool.now
                 )
                 job.refusals += 1
                 job.at_ms = pool.now + after_s * 1000
@@ -201,10 +201,26 @@
     assert estimate.end_ms == pytest.approx(25.0)
 
 
-@pytest.mark.parametrize("excess_ms", [0.0, 1.0, 4200.0, 10**9, float("inf")])
-def test_retry_time_is_a_positive_bounded_whole_number(excess_ms):
+def test_job_too_large_for_an_empty_pool_is_accepted_by_one():
+    """Guards against a refusal with a time after which the job would be refused again."""
+    pool = FluidPool(rate_for(20))
+    large = make_jobs(1, seed=1, size=1000.0)[0]
+    assert not pool.refuses(large)
+    for job in make_jobs(100, seed=2, team=large.team):
+        job.at_ms = 0.0
+        pool.add(job)
+    large.at_ms = 0.0
+    assert pool.refuses(large)
+    late_ms = excess_ms(pool.estimate(large), now_ms=0.0, limit_ms=large.limit_ms)
+    while pool.now < late_ms:
+        pool.tick()
+    assert not pool.refuses(large)
+
+
+@pytest.mark.parametrize("late_ms", [0.0, 1.0, 4200.0, 10**9, float("inf")])
+def test_retry_time_is_a_positive_bounded_whole_number(late_ms):
     """Guards against a header that callers cannot parse, or that sends them back at once or never."""
     retry = RetryTimes(longest_s=30)
-    times = [retry.next_s("pool", excess_ms=excess_ms, job_ms=100.0, now_ms=0.0) for _ in range(1000)]
+    times = [retry.next_s("pool", excess_ms=late_ms, job_ms=100.0, now_ms=0.0) for _ in range(1000)]
     assert all(isinstance(time, int) and 1 <= time <= 30 for time in times)
     assert times == sorted(times)
