--- a/src/hyssopway/scheduling/admission.py
+++ b/src/hyssopway/scheduling/admission.py
@@ -96,32 +96,32 @@
         amounts = first if item.priority < job.priority else by_team.setdefault(item.team, ResourceAmounts())
         amounts.increase(item.work)
     own = by_team.get(job.team, ResourceAmounts())
+    others = {team: amounts for team, amounts in by_team.items() if team != job.team}
+    pool = capacity[-1].capacity if capacity else ResourceAmounts()
+    before = _work_served_with(own, team=job.team, others=others, weights=weights, pool=pool).plus(first)
+    own_with_job = own.plus(job.work)
+    total = _work_served_with(own_with_job, team=job.team, others=others, weights=weights, pool=pool).plus(
+        first
+    )
     start_ms, served_ms = now_ms, now_ms
-    before = ResourceAmounts()
     for name in RESOURCES:
-        weight = weights.get(job.team, 1.0)
-        levels = {
-            team: (getattr(amounts, name), weights.get(team, 1.0) / weight)
-            for team, amounts in by_team.items()
-            if team != job.team
-        }
-        own_before, ahead = getattr(own, name), getattr(first, name)
-        needed = getattr(job.work, name)
-        if not needed:
-            continue
-        # By the time the team's own work is served, each other team was served at most in proportion to its weight.
-        amount = ahead + own_before + sum(min(work, own_before * ratio) for work, ratio in levels.values())
-        own_after = own_before + needed
-        total = ahead + own_after + sum(min(work, own_after * ratio) for work, ratio in levels.values())
-        setattr(before, name, amount)
-        start_ms = max(start_ms, _time_served(amount, capacity=capacity, name=name))
-        served_ms = max(served_ms, _time_served(total, capacity=capacity, name=name))
+        if getattr(job.work, name):
+            start_ms = max(start_ms, _time_served(getattr(before, name), capacity=capacity, name=name))
+            served_ms = max(served_ms, _time_served(getattr(total, name), capacity=capacity, name=name))
     return Estimate(start_ms=start_ms, end_ms=max(start_ms + path_ms, served_ms), work_before=before)
 
 
 def is_refused(estimate: Estimate, *, now_ms: float, limit_ms: float) -> bool:
-    """Returns whether a job that has to end within `limit_ms` is refused."""
-    return estimate.end_ms - now_ms > MARGIN * limit_ms
+    """Returns whether a job that has to end within `limit_ms` is refused.
+
+    A job that is too large for an empty pool is accepted by one: coming back later would not help it.
+    """
+    return estimate.start_ms > now_ms and estimate.end_ms - now_ms > MARGIN * limit_ms
+
+
+def excess_ms(estimate: Estimate, *, now_ms: float, limit_ms: float) -> float:
+    """Returns how long it takes until a refused job would be accepted, if nothing else arrives."""
+    return min(estimate.end_ms - now_ms - limit_ms, estimate.start_ms - now_ms)
 
 
 class RetryTimes:
@@ -156,6 +156,28 @@
         return max(1, ceil(wait_s))
 
 
+def _work_served_with(
+    own: ResourceAmounts,
+    *,
+    team: str,
+    others: Mapping[str, ResourceAmounts],
+    weights: Mapping[str, float],
+    pool: ResourceAmounts,
+) -> ResourceAmounts:
+    """Returns the work that a pool serves until some work of a team is done.
+
+    Each other team is served until then in proportion to its weight, measured by its dominant resource.
+    """
+    level = own.dominant_share(pool) / weights.get(team, 1.0)
+    served = ResourceAmounts()
+    served.increase(own)
+    for other, work in others.items():
+        demand = work.dominant_share(pool)
+        if demand > 0:
+            served.increase(work, factor=min(1.0, level * weights.get(other, 1.0) / demand))
+    return served
+
+
 def _precedes(item: OpenWork, job: OpenWork) -> bool:
     """Returns whether work is served before a job of its team and due earlier.
 
@@ -187,4 +209,13 @@
     return inf if left > 0 else 0.0
 
 
-__all__ = ["MARGIN", "CapacityStep", "Estimate", "OpenWork", "RetryTimes", "estimate_end", "is_refused"]
+__all__ = [
+    "MARGIN",
+    "CapacityStep",
+    "Estimate",
+    "OpenWork",
+    "RetryTimes",
+    "estimate_end",
+    "excess_ms",
+    "is_refused",
+]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -144,8 +144,9 @@
         """Returns the HTTP status and body; status 0 without a complete JSON response."""
         if self.session is None:
             raise RuntimeError("open() must be called before sending requests")
+        # Two teams, so that shares apply while the VMs are full.
+        headers = HEADERS | {"Authorization": f"Bearer key-{int(job_id, 16) % 2}"}
         url = f"http://{self.rng.choice(self.entries)}/p/{job_id}"
-        headers = HEADERS | {"Authorization": f"Bearer {_key_of(job_id)}"}
         try:
             async with self.session.request(method, url, json=body, headers=headers) as response:
                 response_body = await response.json()
@@ -156,9 +157,4 @@
         return status, response_body
 
 
-def _key_of(job_id: str) -> str:
-    """Returns the API key of the team of a job; half of the jobs belong to each of two teams with unequal weights."""
-    return "key-1" if int(job_id, 16) % 2 else "key-2"
-
-
 __all__ = ["Callers"]
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -45,8 +45,8 @@
     ],
     "services": [{"name": "vans"}],
     "tenants": [
-        {"name": "one", "api_keys": ["key-1"], "weight": 3},
-        {"name": "two", "api_keys": ["key-2"], "weight": 1},
+        {"name": "one", "api_keys": ["key-0"], "weight": 2.0},
+        {"name": "two", "api_keys": ["key-1"]},
     ],
 }
 
