Run latency-bound and best-effort steps in the soak

Change: by their ID, a quarter of the jobs each has a latency target or is best-effort, spread over the VMs; the VMs report a tail latency that rises with their runs.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,11 @@
 TIMEOUT_S = 3.0
 VISIBILITY_TIMEOUT_S = 3.0
 SEND_ATTEMPTS = 4
+# Additional fields of the steps of some jobs. Their tasks are spread over the VMs, so that both kinds meet there.
+JOB_KINDS: dict[int, dict[str, Any]] = {
+    0: {"image": "desk", "target_ms": 100, "anti_affinity": 1},
+    1: {"image": "batch", "fills": True, "anti_affinity": 1},
+}
 HEADERS = {"Host": "a.example", "Authorization": "Bearer key-1", "X-Hyssopway-Deadline": "3000"}
 
 
@@ -90,8 +95,11 @@
         job = Job(steps=steps, duplicates=self.rng.random() < 0.2)
         self.checker.jobs[job_id] = job
         duration_s = self.rng.choice((0.1, 0.3, 0.8))
+        # Chosen by the ID, so that the other jobs of a seed stay the same.
+        kind = JOB_KINDS.get(int(job_id, 16) % 4, {})
+        cpu_millis = self.rng.choice((250, 500, 1000))
         body = {
-            "specification": f"{self.rng.choice((250, 500, 1000))} {duration_s}",
+            "specification": f"{0 if 'fills' in kind else cpu_millis} {duration_s}",
             "steps": [
                 {
                     "count": count,
@@ -100,6 +108,7 @@
                     "estimated_ms": round(duration_s * 1000),
                     **({"after": [number - 1]} if number else {}),
                     **({"allow_duplicates": True} if job.duplicates else {}),
+                    **kind,
                 }
                 for number, count in enumerate(steps)
             ],
--- a/tests/soak/worker_vm.py
+++ b/tests/soak/worker_vm.py
@@ -184,7 +184,9 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(body["wait_ms"] / 1000):
                     await self.change_event.wait()
-        listed_runs = [[task, run, "", 50, 0] for task, run in self.running]
+        # A tail latency that rises with the number of runs, so that pace and interference have something to decide.
+        tail_ms = 30 * len(self.running)
+        listed_runs = [[task, run, "", 100, tail_ms] for task, run in self.running]
         response = {"running": listed_runs, "finished": self.finished[:500], "born": self.boot_time_ms}
         return web.json_response(response | {"clock_ms": self.clock_ms})
 
