Check a document against the fleet and the active document

Cause: hyssopway check reports only what makes a document invalid. A zone or pool that no VM has, a budget that forbids all maintenance and a limit below one task were found after the promotion.

Status 64 for problems, 0 for differences alone. Without the option nothing changes.

Ruled out: reporting pools without a service (jobs run in them), budgets whose limit per rack or zone exceeds the total (harmless), and lines in the output of check without the option (scripts read it). Services shadow each other only by an equal name and a share of 0 is invalid; both are errors already. Documents have no labels.

--- a/src/hyssopway/cli/document_commands.py
+++ b/src/hyssopway/cli/document_commands.py
@@ -2,6 +2,7 @@
 
 import difflib
 import hashlib
+import json
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -9,6 +10,7 @@
 
 from .access import operator_client
 from .command_error import CommandError
+from .document_review import review_document
 from .exit_status import ExitStatus
 from .file_validation import validate_file
 from .options import Json, RequestId, Wait, WaitTimeout
@@ -33,13 +35,22 @@
 
 
 def check(
+    context: typer.Context,
     files: Annotated[list[Path], typer.Argument(metavar="FILE...", help="Documents or daemon settings.")],
     kind: Annotated[
         str, typer.Option("--kind", help="document or settings; detected from the content by default.")
     ] = "",
+    against_active: Annotated[
+        bool,
+        typer.Option(
+            "--against-active",
+            help="Also check one document against the fleet, and compare it with the active one.",
+        ),
+    ] = False,
+    environment: Environment = "production",
     as_json: Json = False,
 ) -> None:
-    """Validate documents and settings files locally, without a server.
+    """Validate documents and settings files locally; with --against-active also against the deployment.
 
     Example: hyssopway check document.yaml settings/nashua-1.yaml
     """
@@ -47,6 +58,9 @@
         raise CommandError(
             status=ExitStatus.USAGE, message=f"--kind is {kind!r}; allowed: document, settings"
         )
+    if against_active:
+        _check_against_active(context, files=files, kind=kind, environment=environment, as_json=as_json)
+        return
     problems = [problem for file in files for problem in validate_file(file, kind=kind)]
     if as_json:
         write_json({"problems": problems})
@@ -59,6 +73,30 @@
         write_line(f"{len(files)} file{'s' if len(files) > 1 else ''} checked, no problems")
 
 
+def _check_against_active(
+    context: typer.Context, *, files: list[Path], kind: str, environment: str, as_json: bool
+) -> None:
+    if len(files) != 1 or kind == "settings":
+        raise CommandError(status=ExitStatus.USAGE, message="--against-active takes exactly one document")
+    review = review_document(operator_client(context), file=files[0], environment=environment)
+    problems, differences = review["problems"], review["differences"]
+    if as_json:
+        write_json(review)
+    for problem in problems if not as_json else []:
+        path = problem["path"] or "(top)"
+        write_diagnostic(
+            "{file}:{line}: {path}: found {found}; allowed: {allowed}".format_map(problem | {"path": path})
+        )
+    for one in differences if not as_json else []:
+        write_line(f"{one['path']}: {json.dumps(one['old'])} -> {json.dumps(one['new'])}")
+    if problems:
+        message = f"{len(problems)} problem{'s' if len(problems) > 1 else ''} found"
+        raise CommandError(status=ExitStatus.BAD_FILE, message=message)
+    if not as_json:
+        count = f"{len(differences)} difference{'s' if len(differences) != 1 else ''}"
+        write_line(f"no problems, {count} from {environment} generation {review['active']['generation']}")
+
+
 def trial(
     context: typer.Context,
     file: Annotated[Path, typer.Argument(metavar="FILE", help="The document.")],
