Count unanswered orders of a VM only while it answers polls

Cause: in a soak run a VM was avoided with 11 of 11 orders unanswered just before it counted as silent, so the VMs of a dark rack would stay avoided after its return. When the network loses calls to most VMs, a quarter of each pool would be avoided.

Change: unanswered orders count once the VM has answered a poll without having turned silent. Silence and unanswered orders do not count while most VMs of a pool lose calls.

Tests: pytest tests/scheduling tests/dispatch tests/workflow tests/adapter tests/docs tests/node tests/event: 693 passed.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -229,6 +229,7 @@
         now = self.leadership.clock()
         self.lease.record_clock(clock_ms=reply.clock_ms, now=now)
         self.answered_at = self.heard_at = now
+        self.ratings.record_contact(self.vm_id)
         if not self.has_acked_term:
             self.has_acked_term = True
             self.term_acked_at = now
--- a/src/hyssopway/scheduling/vm_rating.py
+++ b/src/hyssopway/scheduling/vm_rating.py
@@ -37,6 +37,8 @@
 ORDER_WINDOW = 16
 MIN_ORDERS = 10
 UNANSWERED_SHARE = 0.6
+# A VM that leaves this share of its latest orders unanswered counts as one that loses calls.
+LOSSY_SHARE = 0.25
 # A VM that turns silent this often within this time alternates between down and up; a dark rack turns silent once.
 FLAPS = 2
 FLAP_WINDOW_S = 20.0
@@ -121,6 +123,8 @@
         runs: Latest runs that completed or failed, and whether they completed.
         paces: Latest ratios of run durations to those of the same step on other VMs, with the workflows.
         orders: Whether the latest orders were answered.
+        unconfirmed_losses: Unanswered orders since the last answered poll; they count only if the VM is in contact.
+        is_silent: Whether the VM is silent.
         silences: Times at which the VM turned silent.
         rating: Current rating.
         reason: What determined the rating.
@@ -133,6 +137,8 @@
     runs: deque[tuple[TaskId, bool]] = field(default_factory=lambda: deque(maxlen=RUN_WINDOW))
     paces: deque[tuple[str, float]] = field(default_factory=lambda: deque(maxlen=PACE_WINDOW))
     orders: deque[bool] = field(default_factory=lambda: deque(maxlen=ORDER_WINDOW))
+    unconfirmed_losses: int = 0
+    is_silent: bool = False
     silences: deque[float] = field(default_factory=lambda: deque(maxlen=FLAPS))
     rating: Rating = Rating.PREFERRED
     reason: str = ""
@@ -230,15 +236,27 @@
     def record_order(self, vm: str, *, is_answered: bool) -> None:
         """Records whether a VM answered an order."""
         evidence = self.vms.setdefault(vm, VmEvidence())
-        evidence.orders.append(is_answered)
-        if not is_answered:
+        if is_answered:
+            evidence.orders.append(True)
+        else:
+            evidence.unconfirmed_losses += 1
+
+    def record_contact(self, vm: str) -> None:
+        """Records that a VM answered a poll."""
+        evidence = self.vms.get(vm)
+        if evidence is None or not (evidence.unconfirmed_losses or evidence.is_silent):
+            return
+        if not evidence.is_silent:
+            evidence.orders.extend([False] * evidence.unconfirmed_losses)
             self.changed.add(vm)
+        # The orders of a silent VM were lost with the VM.
+        evidence.unconfirmed_losses, evidence.is_silent = 0, False
 
     def record_silence(self, vm: str, *, now: float) -> None:
         """Records that a VM turned silent."""
         evidence = self.vms.setdefault(vm, VmEvidence())
         evidence.silences.append(now)
-        evidence.orders.clear()  # the orders of a silent VM were lost with the VM
+        evidence.is_silent = True
         self.changed.add(vm)
 
     def start_probe(self, vm: str, *, run_key: str) -> None:
@@ -293,17 +311,21 @@
     def _avoid(self, places: Mapping[str, VmPlace], *, now: float) -> Iterable[RatingChange]:
         if not self.changed:
             return
-        found = {
-            vm: reason
-            for vm in sorted(self.changed)
-            if vm in self.vms
-            and self.vms[vm].rating is Rating.PREFERRED
-            and (reason := self._judge(vm, self.vms[vm]))
-        }
+        sizes = Counter(place.pool for place in places.values())
+        lossy_pools = self._find_lossy_pools(places, sizes=sizes, now=now)
+        found: dict[str, str] = {}
+        for vm in sorted(self.changed):
+            evidence = self.vms.get(vm)
+            if evidence is None or evidence.rating is not Rating.PREFERRED:
+                continue
+            reason = self._judge_runs(vm, evidence)
+            if not reason and places[vm].pool not in lossy_pools:
+                reason = _judge_contact(evidence)
+            if reason:
+                found[vm] = reason
         if not found:
             return
         found.update(self._find_bad_racks(places, found=found))
-        sizes = Counter(place.pool for place in places.values())
         avoided = Counter(
             places[vm].pool for vm, evidence in self.vms.items() if evidence.rating is not Rating.PREFERRED
         )
@@ -313,6 +335,7 @@
                 continue
             avoided[pool] += 1
             evidence = self.vms.setdefault(vm, VmEvidence())
+            evidence.good_probes = 0
             evidence.rating, evidence.reason = Rating.AVOIDED, reason
             evidence.probe_due_at = now + evidence.probe_wait_s
             yield RatingChange(vm=vm, rating=Rating.AVOIDED, reason=reason)
@@ -331,8 +354,20 @@
                 bad.update((vm, reason) for vm in sorted(set(vms) - set(known)))
         return bad
 
-    def _judge(self, vm: str, evidence: VmEvidence) -> str:
-        """Returns why a VM is to be avoided; empty if it is not."""
+    def _find_lossy_pools(
+        self, places: Mapping[str, VmPlace], *, sizes: Mapping[str, int], now: float
+    ) -> set[str]:
+        """Returns the pools most of whose VMs lose calls, so that the network and not a VM is the cause."""
+        lossy = Counter(
+            places[vm].pool
+            for vm, evidence in self.vms.items()
+            if (evidence.silences and now - evidence.silences[-1] <= FLAP_WINDOW_S)
+            or evidence.orders.count(False) >= LOSSY_SHARE * ORDER_WINDOW
+        )
+        return {pool for pool, count in lossy.items() if 2 * count > sizes[pool]}
+
+    def _judge_runs(self, vm: str, evidence: VmEvidence) -> str:
+        """Returns why a VM is to be avoided by the ends of its runs; empty if it is not."""
         failures = list(self._failures(vm, evidence))
         workflows = {task.workflow for task in failures}
         if (
@@ -345,13 +380,6 @@
         workflows = {workflow for workflow, _ in evidence.paces}
         if len(paces) >= MIN_PACES and len(workflows) >= MIN_WORKFLOWS and median(paces) >= SLOW_FACTOR:
             return f"runs take {median(paces):.1f} times as long as on other VMs"
-        unanswered = evidence.orders.count(False)
-        if len(evidence.orders) >= MIN_ORDERS and unanswered >= UNANSWERED_SHARE * len(evidence.orders):
-            return f"{unanswered} of {len(evidence.orders)} orders got no answer"
-        if len(evidence.silences) == FLAPS:
-            span_s = evidence.silences[-1] - evidence.silences[0]
-            if span_s <= FLAP_WINDOW_S:
-                return f"silent {FLAPS} times within {span_s:.0f} s"
         return ""
 
     def _failures(self, vm: str, evidence: VmEvidence) -> Iterable[TaskId]:
@@ -384,4 +412,16 @@
         return step
 
 
+def _judge_contact(evidence: VmEvidence) -> str:
+    """Returns why a VM is to be avoided by its answers; empty if it is not."""
+    unanswered = evidence.orders.count(False)
+    if len(evidence.orders) >= MIN_ORDERS and unanswered >= UNANSWERED_SHARE * len(evidence.orders):
+        return f"{unanswered} of {len(evidence.orders)} orders got no answer"
+    if len(evidence.silences) == FLAPS:
+        span_s = evidence.silences[-1] - evidence.silences[0]
+        if span_s <= FLAP_WINDOW_S:
+            return f"silent {FLAPS} times within {span_s:.0f} s"
+    return ""
+
+
 __all__ = ["Rating", "RatingChange", "VmPlace", "VmRatings"]
--- a/tests/dispatch/test_rated_placement.py
+++ b/tests/dispatch/test_rated_placement.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from dispatch.test_copies_of_runs import Fleet
+from dispatch.test_copies_of_runs import CORES, Fleet
+from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.scheduling.vm_rating import MIN_PROBE_WAIT_S, Rating
 from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, Step, TaskId
@@ -139,3 +140,34 @@
     await rated_fleet.leadership.propose(make_workflow("w", steps=(step,)))
     await rated_fleet.run_round()
     assert "r0-0" not in rated_fleet.vms.running.values()
+
+
+async def test_vm_that_flaps_is_avoided_until_it_restarts(rated_fleet):
+    """Guards against tasks that start again and again on a VM that alternates between down and up."""
+    ratings = rated_fleet.dispatcher.ratings
+    for _ in range(2):
+        await rated_fleet.darken("r0-0")
+        rated_fleet.vms.silent_vms = set()
+        await rated_fleet.poll()
+    await rated_fleet.run_round()
+    assert ratings.rating("r0-0") is Rating.AVOIDED
+    rated_fleet.vms.boot = 2
+    await rated_fleet.links["r0-0"].poll()
+    await rated_fleet.run_round()
+    assert ratings.rating("r0-0") is Rating.PREFERRED
+
+
+async def test_lost_answers_of_one_vm_are_counted(rated_fleet):
+    """Guards against tasks for a VM that leaves its orders unanswered while it answers polls."""
+    start = rated_fleet.vms.start
+
+    async def lose_starts(*, vm, **arguments):
+        if vm.vm_id == "r0-0":
+            raise WorkerUnreachableError("lost")
+        return await start(vm=vm, **arguments)
+
+    rated_fleet.vms.start = lose_starts
+    await rated_fleet.submit(count=CORES)
+    await rated_fleet.poll()
+    await rated_fleet.run_round()
+    assert rated_fleet.dispatcher.ratings.rating("r0-0") is Rating.AVOIDED
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -16,7 +16,7 @@
 from hyssopway.node import ControlNode, NodeSettings, dump_control_node
 from hyssopway.relay import RelayedReply, RelayedRequest
 from hyssopway.result import Failure, ResultCode
-from hyssopway.workflow import PutDocument, SetZoneEvacuated
+from hyssopway.workflow import PutDocument, SetZoneEvacuated, TaskId
 from workflow.conftest import make_document, make_vm, make_workflow
 
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
@@ -121,6 +121,11 @@
     await leader.controller.leadership.propose(PutDocument(document=make_document()))
     await leader.controller.leadership.propose(make_vm("vm-1"))
     await leader.controller.leadership.propose(make_workflow("w"))
+    await wait_until(lambda: "vm-1" in leader.controller.links)
+    task = TaskId("w", 0, 0, 0)
+    leader.controller.ratings.record_end(
+        vm="vm-1", task=task, run_key="w.0.0.0/1", is_done=False, duration_s=None, now=0.0
+    )
     for node in group:
         await wait_until(lambda node=node: "w" in node.state.tables.workflows)
         dump = to_json(dump_control_node(node), inf_nan_mode="null")
@@ -128,6 +133,9 @@
         read = from_json(dump)
         assert set(read["agreed_state"]["workflows"]) == {"w"}
         assert (read["leader"] is not None) == (node is leader)
+        if node is leader:
+            link = read["leader"]["links"]["vm-1"]
+            assert (link["rating"], link["evidence"]["runs"]) == ("preferred", [[list(task), False]])
         assert len(read["agreement"]["configuration"]["voters"]) == len(HOSTS)
 
 
