Add a test that fails: a failure reported after the lease expired is not counted

Cause: while checking copies of runs against the limit of attempts, a run that fails on a silent VM, whose lease then expires and whose failure is reported later, was found to be ignored. With two attempts a third run starts after two failed ones.

Not fixed here: counting it changes what a command does to the replicated state, so members of two releases would differ during an upgrade, and an end that two commands carry must not be counted twice.

--- a/tests/workflow/test_state.py
+++ b/tests/workflow/test_state.py
@@ -262,6 +262,18 @@
     assert len(log.state.tables.runs["w.0.0.0"]) == expected
 
 
+def test_failure_reported_after_the_lease_expired_counts(log):
+    """Guards against a start after the attempts were used up by a run that failed while its VM was silent."""
+    log.apply(make_workflow("w", steps=(Step(count=1),)))
+    start(log, "w.0.0.0", run=1)
+    end(log, "w.0.0.0", RunOutcome.LAPSED, run=1)
+    start(log, "w.0.0.0", run=2, vm="vm-2")
+    end(log, "w.0.0.0", RunOutcome.FAILED, run=1, number=1)
+    end(log, "w.0.0.0", RunOutcome.FAILED, run=2, vm="vm-2", number=1)
+    start(log, "w.0.0.0", run=3, vm="vm-2")
+    assert log.state.tables.runs == {}
+
+
 def test_task_waits_again_after_its_last_run_ended(log):
     """Guards against a task that waits while a run of it is in progress, or never again."""
     log.apply(make_workflow("w", steps=(Step(count=1, duplicates=True),)))
