Let a control node load the modules of a leader after it listens

Cause: the new decisions of a leader are imported before a control node listens; test_program_start failed once in the merged suite (2.18 times a bare import of aiohttp.web, bound 2.0) and passed three times alone. python -X importtime, same load: 971 ms for control_program before, 704 ms after. Ruled out: a higher bound. Tests of adapter, node and dispatch: 411 passed.

--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -17,7 +17,7 @@
     run_replication,
 )
 from hyssopway.clock import monotonic_s
-from hyssopway.dispatch import LeaderController, Leadership, LeadershipLostError
+from hyssopway.dispatch import Leadership, LeadershipLostError
 from hyssopway.event import Event, log_event
 from hyssopway.peer import PeerServer, PeerUnreachableError
 from hyssopway.relay import (
@@ -41,6 +41,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hyssopway.dispatch import LeaderController
+
     from .node_settings import NodeSettings
     from .request_service import RequestService
 
