Expect bursts that recur in turn, and order machines before they begin

Cause: a burst of a queue lasts about 4 s, and machines that are ordered at its rise arrive about 2 s later.

Ruled out: a longer extrapolation of the arrival rate, since nothing arrives before a burst; judging bursts by their work instead of the number of arrivals, since a single large workflow would be a burst.

Change: scheduling/burst_sequence.py finds the bursts of the last two minutes in the replicated workflows, and expects the burst that followed the latest one before, if a succession has recurred with the same lag. The forecast takes the larger of this and the expectation from recent arrivals. Event 7062; counters bursts_expected and bursts_missed.

--- a/src/hyssopway/dispatch/demand_forecast.py
+++ b/src/hyssopway/dispatch/demand_forecast.py
@@ -1,20 +1,23 @@
 """Forecast of the CPU demand of each pool at the time when a machine ordered now arrives.
 
 When a burst of a queue begins or ends, the CPU in use shows the change too late. The remaining steps of open workflows
-and the rate of arriving workflows show it in advance.
+and the rate of arriving workflows show it in advance. Where the bursts of the pools recur in turn, the next one is expected.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from hyssopway.scheduling.burst_sequence import BurstSequence
+
 from .arrival_trend import WINDOW_S, expected_rate_per_s
 from .ordering import remaining_steps
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from hyssopway.workflow import Indexes, Tables, Workflow
+    from hyssopway.scheduling.burst_sequence import ExpectedBurst
+    from hyssopway.workflow import Indexes, Tables, Workflow, WorkflowSpec
 
     from .ordering import StepSpan
 
@@ -54,14 +57,24 @@
         ahead_ms: Forecast horizon in milliseconds.
         scale: Returns the factor from declared to actual durations of a queue.
         demand: Forecast demand in millicores by pool.
+        bursts: Bursts of the pools, as far as they follow each other.
+        last_workflow: ID of the last workflow whose arrival was added to them; empty before the first.
+        new_bursts: Bursts that the last update expected first.
+        missed_bursts: Expected bursts that the last update dropped, because they had not begun.
     """
 
-    __slots__ = ("ahead_ms", "demand", "scale")
+    __slots__ = ("ahead_ms", "bursts", "demand", "last_workflow", "missed_bursts", "new_bursts", "scale")
 
     def __init__(self, *, ahead_s: float, scale: Callable[[str], float]) -> None:
         self.ahead_ms = ahead_s * 1000
         self.scale = scale
         self.demand: dict[str, float] = {}
+        self.bursts: BurstSequence[Workflow] = BurstSequence(
+            ahead_ms=self.ahead_ms, work_of=self._arriving_work
+        )
+        self.last_workflow = ""
+        self.new_bursts: list[ExpectedBurst] = []
+        self.missed_bursts: list[ExpectedBurst] = []
 
     def update(self, *, tables: Tables, indexes: Indexes, now_ms: float) -> None:
         """Computes the demand of all pools from open workflows and recent arrivals.
@@ -84,14 +97,43 @@
                 self._add_arrival(
                     workflow, recent=recent_by_pool.setdefault(pool, RecentArrivals()), age_s=age_s
                 )
-        for pool, arrivals in recent_by_pool.items():
-            arriving_millis = arrivals.expected_demand(ahead_ms=self.ahead_ms)
-            self.demand[pool] = self.demand.get(pool, 0.0) + arriving_millis
+        self._add_new_workflows(tables, now_ms=now_ms)
+        self.new_bursts, self.missed_bursts = self.bursts.update(now_ms)
+        arriving_millis = {
+            pool: arrivals.expected_demand(ahead_ms=self.ahead_ms)
+            for pool, arrivals in recent_by_pool.items()
+        }
+        # Both are forecasts of the same arrivals, so the larger one counts.
+        for pool, burst in self.bursts.expected.items():
+            arriving_millis[pool] = max(arriving_millis.get(pool, 0.0), burst.demand_millis)
+        for pool, millis in arriving_millis.items():
+            self.demand[pool] = self.demand.get(pool, 0.0) + millis
 
     def read(self, pool: str) -> float:
         """Returns the forecast demand of a pool in millicores."""
         return self.demand.get(pool, 0.0)
 
+    def _add_new_workflows(self, tables: Tables, *, now_ms: float) -> None:
+        """Adds the arrivals of the workflows that were accepted since the last update.
+
+        New workflows are appended to the table. All are read again if the last one that was read has been deleted.
+        """
+        if self.last_workflow not in tables.workflows or self.bursts.is_ahead_of(now_ms):
+            self.bursts.clear(now_ms)
+            self.last_workflow = ""
+        self.bursts.advance(now_ms)
+        new = []
+        for workflow_id, workflow in reversed(tables.workflows.items()):
+            if workflow_id == self.last_workflow:
+                break
+            new.append(workflow)
+        for workflow in reversed(new):
+            if _is_short(workflow.spec):
+                pool = tables.queue_pools.get(workflow.queue, "")
+                self.bursts.add(pool, at_ms=workflow.accepted_ms, item=workflow)
+        if new:
+            self.last_workflow = new[0].workflow_id
+
     def _open_workflow_millis(self, workflow: Workflow) -> float:
         start_ms, end_ms = self.ahead_ms - SMOOTHING_WINDOW_S * 500, self.ahead_ms + SMOOTHING_WINDOW_S * 500
         scale = self.scale(workflow.queue)
@@ -107,8 +149,22 @@
             recent.earlier += 1
         else:
             recent.later += 1
+        recent.need += self._arriving_work(workflow)
+
+    def _arriving_work(self, workflow: Workflow) -> float:
+        """Returns the work of a workflow from its start until the forecast horizon, in millicore-milliseconds."""
         spans = remaining_steps(spec=workflow.spec, progress=None, scale=self.scale(workflow.queue))
-        recent.need += _work_between(spans, 0.0, self.ahead_ms)
+        return _work_between(spans, 0.0, self.ahead_ms)
+
+
+def _is_short(spec: WorkflowSpec) -> bool:
+    """Returns whether a workflow runs once and has steps that are neither long-running nor best-effort."""
+    if spec.repeat_count:
+        return False
+    for step in spec.steps:  # noqa: SIM110 - a new leader checks thousands of workflows at once
+        if not (step.long_running or step.fills):
+            return True
+    return False
 
 
 def _work_between(spans: Iterable[StepSpan], start_ms: float, end_ms: float) -> float:
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -52,7 +52,7 @@
         idle_since: Local time since which each VM has been idle, by VM ID; a machine that moves gets a new VM.
         step_sizes: Mean CPU demand of the steps of each pool.
         incoming: Machines that are moving: their target pool and the local time until which they count towards it.
-        counters: Counts moves that were carried out and plans with fewer machines than deficits.
+        counters: Counts moves that were carried out, plans with fewer machines than deficits, and expected bursts.
         scarcity_logged_at: Local time of the last log line about scarce machines.
         impossible_moves: Pairs of source and target pool for which the platform rejected a move; not ordered again.
     """
@@ -128,6 +128,7 @@
             return
         state = self.leadership.state
         self.forecast.update(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
+        self._report_bursts()
         self.step_sizes.update(tables=state.tables, indexes=state.indexes)
         vm_millis = sorted(vm_sizes)[len(vm_sizes) // 2]
         demands = [self._compute_demand(pool, load=load) for pool, load in loads.items() if pool != standby]
@@ -173,6 +174,19 @@
                 times.append(now_ms + 1000 * delay_s)
         return sorted(times)
 
+    def _report_bursts(self) -> None:
+        """Counts the bursts that are newly expected, which are also logged, and those that have not begun."""
+        self.counters["bursts_missed"] += len(self.forecast.missed_bursts)
+        for burst in self.forecast.new_bursts:
+            self.counters["bursts_expected"] += 1
+            log_event(
+                Event.BURST_EXPECTED,
+                pool=burst.pool,
+                follows=burst.follows,
+                in_ms=round(burst.start_ms - wall_ms()),
+                millicores=round(burst.demand_millis),
+            )
+
     def _report_scarcity(
         self, moves: list[MachineMove], *, demands: list[PoolDemand], vm_millis: int
     ) -> None:
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -177,6 +177,11 @@
         "{machines} machines in pools; in this term: {machine_seconds} machine-seconds, {moves} moves, {core_seconds} core-seconds of work",
     )
     MACHINES_SCARCE = (7061, "INFO", "pools lack {missing} machines, moves are planned for {planned}")
+    BURST_EXPECTED = (
+        7062,
+        "INFO",
+        "burst of pool {pool} expected in {in_ms} ms after that of pool {follows}: {millicores} millicores",
+    )
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
     COPIES_ORDERED = (7050, "INFO", "{count} copies of runs ordered: {reason}")
