Load a leader's modules on the event loop of a control node

Since the start was made cheaper, control nodes imported extension modules in a thread. Change: the modules are loaded in slices on the event loop.

--- a/tests/adapter/test_program_start.py
+++ b/tests/adapter/test_program_start.py
@@ -91,7 +91,7 @@
         f"import sys; sys.path[:0] = {PATHS}\n"
         "import hyssopway_platform.control_program\n"
         "from hyssopway_platform.deferred_loading import load_deferred\n"
-        "load_deferred()\n"
+        "import asyncio; asyncio.run(load_deferred())\n"
         "loaded = set(sys.modules)\n"
         "import aiohttp\n"
         "aiohttp.ClientSession\n"
@@ -104,7 +104,7 @@
     assert result.stdout.split() == []
 
 
-@pytest.mark.parametrize("package", ["hyssopway.peer", "hyssopway.http"])
+@pytest.mark.parametrize("package", ["hyssopway.peer", "hyssopway.http", "hyssopway.dispatch"])
 def test_every_export_of_a_lazy_package_can_be_imported(package):
     """Guards against an exported name that fails only when a program first uses it."""
     module = importlib.import_module(package)
