Count orders that are lost together once in the rating of a VM

Change: orders lost between two answered polls count as one, and VMs of a pool that loses a fifth of all orders are not judged by theirs.

--- a/src/hyssopway/scheduling/vm_rating.py
+++ b/src/hyssopway/scheduling/vm_rating.py
@@ -39,6 +39,10 @@
 UNANSWERED_SHARE = 0.6
 # A VM that leaves this share of its latest orders unanswered counts as one that loses calls.
 LOSSY_SHARE = 0.25
+# Share of all orders to a pool without an answer from which single VMs are not judged by theirs: windows of 16 orders
+# differ too much by chance then, and avoiding VMs takes capacity without any gain.
+LOSSY_POOL_SHARE = 0.2
+MIN_POOL_ORDERS = 64
 # A VM that turns silent this often within this time alternates between down and up; a dark rack turns silent once.
 FLAPS = 2
 FLAP_WINDOW_S = 20.0
@@ -122,7 +126,7 @@
     Attributes:
         runs: Latest runs that completed or failed, and whether they completed.
         paces: Latest ratios of run durations to those of the same step on other VMs, with the workflows.
-        orders: Whether the latest orders were answered.
+        orders: Whether the latest orders were answered; those lost between two answered polls count as one.
         unconfirmed_losses: Unanswered orders since the last answered poll; they count only if the VM is in contact.
         is_silent: Whether the VM is silent.
         silences: Times at which the VM turned silent.
@@ -251,7 +255,8 @@
         if evidence is None or not (evidence.unconfirmed_losses or evidence.is_silent):
             return
         if not evidence.is_silent:
-            evidence.orders.extend([False] * evidence.unconfirmed_losses)
+            # Orders of one round are lost together, for example while this process is busy, and say as much as one.
+            evidence.orders.append(False)
             self.changed.add(vm)
         # The orders of a silent VM were lost with the VM.
         evidence.unconfirmed_losses, evidence.is_silent = 0, False
@@ -361,14 +366,24 @@
     def _find_lossy_pools(
         self, places: Mapping[str, VmPlace], *, sizes: Mapping[str, int], now: float
     ) -> set[str]:
-        """Returns the pools most of whose VMs lose calls, so that the network and not a VM is the cause."""
+        """Returns the pools in which calls are lost on most VMs or evenly, so that not a single VM is the cause."""
+        orders: Counter[str] = Counter()
+        unanswered: Counter[str] = Counter()
+        for vm, evidence in self.vms.items():
+            orders[places[vm].pool] += len(evidence.orders)
+            unanswered[places[vm].pool] += evidence.orders.count(False)
         lossy = Counter(
             places[vm].pool
             for vm, evidence in self.vms.items()
             if (evidence.silences and now - evidence.silences[-1] <= FLAP_WINDOW_S)
             or evidence.orders.count(False) >= LOSSY_SHARE * ORDER_WINDOW
         )
-        return {pool for pool, count in lossy.items() if 2 * count > sizes[pool]}
+        return {
+            pool
+            for pool in sizes
+            if 2 * lossy[pool] > sizes[pool]
+            or (orders[pool] >= MIN_POOL_ORDERS and unanswered[pool] >= LOSSY_POOL_SHARE * orders[pool])
+        }
 
     def _judge_runs(self, vm: str, evidence: VmEvidence) -> str:
         """Returns why a VM is to be avoided by the ends of its runs; empty if it is not."""
--- a/tests/scheduling/test_vm_rating.py
+++ b/tests/scheduling/test_vm_rating.py
@@ -189,6 +189,15 @@
     assert [change.vm for change in ratings.assess(PLACES, now=0.0)] == ["vm-0"]
 
 
+def test_orders_lost_together_count_once():
+    """Guards against avoiding a VM whose 16 orders of one round timed out while the leader was busy."""
+    ratings = VmRatings()
+    for _ in range(16):
+        ratings.record_order("vm-0", is_answered=False)
+    ratings.record_contact("vm-0")
+    assert ratings.assess(PLACES, now=0.0) == []
+
+
 @pytest.mark.parametrize("later", [0, 5])
 def test_lost_orders_of_a_silent_vm_do_not_count(later):
     """Guards against avoiding the VMs of a dark rack, before they count as silent or after they have returned."""
@@ -215,6 +224,17 @@
     assert ratings.assess(PLACES, now=5.0) == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_orders_that_are_lost_evenly_lower_no_rating(seed):
+    """Guards against avoiding up to a quarter of a pool when all its VMs leave 0.4 of the orders unanswered."""
+    rng, ratings = random.Random(seed), VmRatings()
+    for number in range(100):
+        for vm in PLACES:
+            ratings.record_order(vm, is_answered=rng.random() >= 0.4)
+            ratings.record_contact(vm)
+        assert ratings.assess(PLACES, now=0.1 * number) == []
+
+
 def test_avoided_vm_is_probed_and_reinstated():
     """Guards against a VM that stays out for ever, or that returns without having done any work."""
     ratings = VmRatings()
