Divide shares among teams whose weights differ by many orders

Cause: the total of the weights was reduced by each weight in turn. With weights of 1 and 1e-17, which the configuration accepts, it became 0 before the last team, and the division by zero ended each scheduling round of a contended pool. Ruled out: weights of 0 and below, infinite or NaN, which the configuration refuses. Change: the remaining weights are summed from the last team on. Tests: the new test fails without the change (ZeroDivisionError); test_fair_shares.py, test_vm_rating.py and test_admission_control.py: 64 passed.

--- a/src/hyssopway/scheduling/fair_shares.py
+++ b/src/hyssopway/scheduling/fair_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import accumulate
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -23,11 +24,12 @@
     """
     shares: dict[str, float] = {}
     left = 1.0
-    weight = sum(weights[team] for team in demands)
-    for team in sorted(demands, key=lambda name: (demands[name] / weights[name], name)):
+    order = sorted(demands, key=lambda name: (demands[name] / weights[name], name))
+    # Sums from the end: subtracting each weight from the total can leave 0 for weights that differ by many orders.
+    remaining_weights = list(accumulate(weights[team] for team in reversed(order)))
+    for team, weight in zip(order, reversed(remaining_weights), strict=True):
         shares[team] = min(demands[team], left * weights[team] / weight)
         left = max(0.0, left - shares[team])
-        weight -= weights[team]
     return shares
 
 
--- a/tests/scheduling/test_fair_shares.py
+++ b/tests/scheduling/test_fair_shares.py
@@ -21,3 +21,9 @@
 def test_fair_shares(weights, demands, expected):
     """Guards against a share that a team gets at the expense of a team with unmet demand for its own."""
     assert fair_shares(weights=weights, demands=demands) == pytest.approx(expected)
+
+
+def test_weights_that_differ_by_many_orders():
+    """Guards against a division by zero, which would end each scheduling round."""
+    shares = fair_shares(weights={"a": 1.0, "b": 1e-17}, demands={"a": 0.5, "b": 1.0})
+    assert shares == pytest.approx({"a": 0.5, "b": 0.5})
