Reinstate VMs in contact without probes, and drop the evidence of removed VMs

Cause: only probe runs reinstate a VM, and long-running, best-effort and gang tasks are no probes. In a pool of such tasks a VM that was silent twice within 20 s was avoided until its next boot or the next leader. Second cause: evidence of removed VMs was dropped only by an assessment, which is skipped while no evidence is bad; a machine that moves gets a VM with another ID, so the entries grew for as long as nothing failed, and each round walks them. Ruled out: VMs judged by their runs, since their pool has short tasks; they still need two good probes. Change: a VM that is avoided for its silence or lost orders, or for those of its rack, is reinstated when it has been probed and not silent for 20 s. An assessment also takes place when there are more than 100 entries and twice as many as VMs.

--- a/src/hyssopway/scheduling/vm_rating.py
+++ b/src/hyssopway/scheduling/vm_rating.py
@@ -52,6 +52,9 @@
 MAX_PROBE_WAIT_S = 16.0
 GOOD_PROBES = 2
 
+# The evidence of removed VMs is dropped when there are more entries than this, or than twice the registered VMs. A machine
+# that moves gets a VM with another ID.
+MIN_PRUNED_VMS = 100
 # Bounds the evidence. At 1,000 runs a second in steps of eight tasks it covers half a minute.
 MAX_STEPS = 4_000
 
@@ -128,6 +131,7 @@
         silences: Times at which the VM turned silent.
         rating: Current rating.
         reason: What determined the rating.
+        is_judged_by_runs: Whether the ends of its own runs determined it.
         probe_due_at: Time of the next probe.
         probe_wait_s: Time between a failed probe and the next one.
         probes: Keys of the probe runs in progress.
@@ -142,6 +146,7 @@
     silences: deque[float] = field(default_factory=lambda: deque(maxlen=FLAPS))
     rating: Rating = Rating.PREFERRED
     reason: str = ""
+    is_judged_by_runs: bool = False
     probe_due_at: float = 0.0
     probe_wait_s: float = MIN_PROBE_WAIT_S
     probes: set[str] = field(default_factory=set)
@@ -155,14 +160,16 @@
         vms: Evidence by VM ID.
         steps: Evidence by step, oldest first.
         changed: IDs of the VMs whose evidence changed for the worse since the last assessment.
+        registered_count: Number of registered VMs at the last assessment.
     """
 
-    __slots__ = ("changed", "steps", "vms")
+    __slots__ = ("changed", "registered_count", "steps", "vms")
 
     def __init__(self) -> None:
         self.vms: dict[str, VmEvidence] = {}
         self.steps: dict[str, StepEvidence] = {}
         self.changed: set[str] = set()
+        self.registered_count = 0
 
     def rating(self, vm: str) -> Rating:
         """Returns the rating of a VM."""
@@ -287,6 +294,7 @@
             places: Pools and racks of the registered VMs.
             now: Local time.
         """
+        self.registered_count = len(places)
         for vm in [vm for vm in self.vms if vm not in places]:
             self.reset(vm)
         changes = [*self._advance(now), *self._avoid(places, now=now)]
@@ -295,7 +303,12 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether all VMs are preferred and no evidence has changed, so that an assessment changes nothing."""
+        """Whether all VMs are preferred and no evidence has changed, so that an assessment changes no rating.
+
+        False also while the evidence of many removed VMs is to be dropped.
+        """
+        if len(self.vms) > max(MIN_PRUNED_VMS, 2 * self.registered_count):
+            return False
         return not self.changed and all(evidence.rating is Rating.PREFERRED for evidence in self.vms.values())
 
     def _advance(self, now: float) -> Iterable[RatingChange]:
@@ -311,6 +324,11 @@
             elif evidence.rating is Rating.AVOIDED and now >= evidence.probe_due_at:
                 evidence.rating = Rating.PROBED
                 yield RatingChange(vm=vm, rating=Rating.PROBED, reason=evidence.reason)
+            elif _is_reachable_again(evidence, now=now):
+                self.vms[vm] = VmEvidence()
+                yield RatingChange(
+                    vm=vm, rating=Rating.PREFERRED, reason=f"not silent for {FLAP_WINDOW_S:.0f} s"
+                )
 
     def _avoid(self, places: Mapping[str, VmPlace], *, now: float) -> Iterable[RatingChange]:
         if not self.changed:
@@ -318,12 +336,15 @@
         sizes = Counter(place.pool for place in places.values())
         lossy_pools = self._find_lossy_pools(places, sizes=sizes, now=now)
         found: dict[str, str] = {}
+        judged_by_runs: set[str] = set()
         for vm in sorted(self.changed):
             evidence = self.vms.get(vm)
             if evidence is None or evidence.rating is not Rating.PREFERRED:
                 continue
             reason = self._judge_runs(vm, evidence)
-            if not reason and places[vm].pool not in lossy_pools:
+            if reason:
+                judged_by_runs.add(vm)
+            elif places[vm].pool not in lossy_pools:
                 reason = _judge_contact(evidence)
             if reason:
                 found[vm] = reason
@@ -341,6 +362,7 @@
             evidence = self.vms.setdefault(vm, VmEvidence())
             evidence.good_probes = 0
             evidence.rating, evidence.reason = Rating.AVOIDED, reason
+            evidence.is_judged_by_runs = vm in judged_by_runs
             evidence.probe_due_at = now + evidence.probe_wait_s
             yield RatingChange(vm=vm, rating=Rating.AVOIDED, reason=reason)
 
@@ -428,4 +450,15 @@
     return ""
 
 
+def _is_reachable_again(evidence: VmEvidence, *, now: float) -> bool:
+    """Returns whether a VM that was avoided for other reasons than its runs has been in contact for long enough.
+
+    A pool of long-running tasks has no probe runs, without which its VMs would be avoided for ever.
+    """
+    if evidence.is_judged_by_runs or evidence.is_silent or evidence.probes:
+        return False
+    since = max([evidence.probe_due_at, *evidence.silences])
+    return evidence.rating is Rating.PROBED and now - since > FLAP_WINDOW_S
+
+
 __all__ = ["Rating", "RatingChange", "VmPlace", "VmRatings"]
--- a/tests/scheduling/test_vm_rating.py
+++ b/tests/scheduling/test_vm_rating.py
@@ -286,3 +286,35 @@
     for number in range(MAX_STEPS + 50):
         end(ratings, "vm-0", TaskId(f"w{number}", 0, 0, 0))
     assert len(ratings.steps) == MAX_STEPS
+
+
+@pytest.mark.parametrize("cause", ["silences", "orders"])
+def test_vm_in_contact_is_reinstated_without_probes(cause):
+    """Guards against a VM of a pool without short tasks that is avoided for ever, because nothing can probe it."""
+    ratings = VmRatings()
+    for _ in range(20):
+        if cause == "silences":
+            ratings.record_silence("vm-1", now=1.0)
+        ratings.record_order("vm-1", is_answered=False)
+        ratings.record_contact("vm-1")
+    ratings.assess(PLACES, now=1.0)
+    assert ratings.rating("vm-1") is Rating.AVOIDED
+    ratings.assess(PLACES, now=1.0 + MIN_PROBE_WAIT_S)
+    ratings.assess(PLACES, now=FLAP_WINDOW_S)
+    assert ratings.rating("vm-1") is Rating.PROBED
+    ratings.record_silence("vm-1", now=FLAP_WINDOW_S)
+    ratings.assess(PLACES, now=3 * FLAP_WINDOW_S)
+    assert ratings.rating("vm-1") is Rating.PROBED
+    ratings.record_contact("vm-1")
+    changes = ratings.assess(PLACES, now=3 * FLAP_WINDOW_S)
+    assert [(change.vm, change.rating) for change in changes] == [("vm-1", Rating.PREFERRED)]
+
+
+def test_evidence_of_removed_vms_is_dropped_without_failures():
+    """Guards against evidence that grows with each machine that moves, since its VM gets another ID."""
+    ratings = VmRatings()
+    for number in range(2000):
+        ratings.record_order(f"moved-{number}", is_answered=True)
+        if not ratings.is_settled:
+            ratings.assess(PLACES, now=float(number))
+    assert len(ratings.vms) <= 2 * VM_COUNT
