Refuse no job whose earlier request may still take effect

Cause: the check for a job that can never run came before the check for an accepted ID whose command is not applied yet. After a configuration with a lower limit, a repeated request was refused with 400 although the first one might still be accepted. Ruled out: refusals for load, which are checked after the ID. Change: the ID is checked first. Tests: the new test fails without the change; test_fair_shares.py, test_vm_rating.py and test_admission_control.py: 64 passed.

--- a/src/hyssopway/dispatch/admission_control.py
+++ b/src/hyssopway/dispatch/admission_control.py
@@ -128,12 +128,12 @@
 
         The caller has to have checked that the ID is not that of an accepted job.
         """
-        reason = self._explain_impossible(spec, team=team)
-        if reason is not None:
-            return AdmissionRefusal(reason=reason)
         if workflow_id in self.proposed:
             # An earlier request with this ID may still take effect, so a refusal might not be true.
             return None
+        reason = self._explain_impossible(spec, team=team)
+        if reason is not None:
+            return AdmissionRefusal(reason=reason)
         workflows = self.leadership.state.tables.workflows
         self.proposed = {known for known in self.proposed if known not in workflows}
         refusal = None
--- a/tests/dispatch/test_admission_control.py
+++ b/tests/dispatch/test_admission_control.py
@@ -139,3 +139,16 @@
     assert control.counters["admission_estimates_checked"] == 1
     assert control.counters["admission_accepted_overdue"] == 0
     assert not control.estimates
+
+
+async def test_repeated_id_is_not_refused_after_a_change_of_limits(control, leadership):
+    """Guards against a refusal that says "not run" while an earlier request with the ID may still take effect."""
+    assert check(control, name="first") is None
+    document = leadership.state.tables.document
+    limit = replace(document.teams[0].upper_limit, cpu_millis=500)
+    teams = (replace(document.teams[0], upper_limit=limit),)
+    await leadership.propose(
+        PutDocument(document=replace(document, version=document.version + 1, teams=teams))
+    )
+    assert check(control, name="second") is not None
+    assert check(control, name="first") is None
