Uncordon the VMs that a complete wave has left cordoned

Cause: a machine that is missing from lists for 3 s is confirmed as gone. If its VM was being drained and stays in service, the wave was complete and nothing uncordoned the VM, which got no more runs in the term. Ruled out: VMs that have left, which the drainer uncordons; answered orders, after which the executor uncordons the VM. Change: the executor notes for which wave it cordoned a VM, and uncordons it when that wave is complete. Tests: test_wave_executor.py and test_vm_drainer.py: 18 passed. The new test fails when release_vms does nothing.

--- a/src/hyssopway/dispatch/wave_executor.py
+++ b/src/hyssopway/dispatch/wave_executor.py
@@ -37,10 +37,12 @@
         drainer: Cordons the VMs of the machines and stops their runs.
         maintenance_s: Duration of the maintenance of a machine in seconds.
         machines: Machines as the platform lists them.
+        cordoned_for: Number of the wave for which each VM was cordoned, by VM ID.
     """
 
     __slots__ = (
         "calls",
+        "cordoned_for",
         "drainer",
         "leadership",
         "machines",
@@ -61,10 +63,12 @@
         self.drainer = drainer
         self.maintenance_s = maintenance_s
         self.machines = machines
+        self.cordoned_for: dict[str, int] = {}
 
     async def run(self) -> None:
         """Advances all open waves periodically until the term ends."""
         while self.leadership.holds:
+            self.release_vms()
             open_waves = [
                 wave for wave in self.leadership.state.tables.waves.values() if not wave.is_complete
             ]
@@ -89,6 +93,25 @@
             if len(self._find_down(wave)) < wave.max_down and self.machines.is_available(machine_id):
                 await self._begin_maintenance(wave, machine=machine)
 
+    def release_vms(self) -> None:
+        """Uncordons the VMs that a wave that is complete has left cordoned.
+
+        A machine that was missing from the list counts as gone, and its VM may still be in service.
+        """
+        tables = self.leadership.state.tables
+        for vm_id, number in list(self.cordoned_for.items()):
+            wave = tables.waves.get(number)
+            if vm_id not in self.drainer.cordoned_at:
+                del self.cordoned_for[vm_id]
+            elif wave is None or wave.is_complete:
+                del self.cordoned_for[vm_id]
+                self.drainer.uncordon(vm_id)
+
+    def _cordon(self, vm_id: str, *, wave: WaveRecord) -> None:
+        if vm_id not in self.drainer.cordoned_at:
+            self.cordoned_for[vm_id] = wave.number
+        self.drainer.cordon(vm_id, reason=f"wave {wave.number}")
+
     def _is_drained(self, machine: Machine) -> bool:
         if machine.vm_id not in self.leadership.state.tables.vms:
             # The machine is off, or its VM has not registered and so has no runs. In an older list, another VM with
@@ -135,7 +158,7 @@
                 continue
             if machine.state is MachineState.UP and machine.vm_id in self.leadership.state.tables.vms:
                 # The order may not have been carried out. Its VM gets runs again after a change of leader.
-                self.drainer.cordon(machine.vm_id, reason=f"wave {wave.number}")
+                self._cordon(machine.vm_id, wave=wave)
             if self.machines.may_order(machine_id) and self._may_end_runs(machine):
                 await self._send_order(wave, machine=machine)
 
@@ -183,7 +206,7 @@
             max_down=wave.max_down,
         )
         for candidate in selected:
-            self.drainer.cordon(candidate.vm_id, reason=f"wave {wave.number}")
+            self._cordon(candidate.vm_id, wave=wave)
 
     async def _begin_maintenance(self, wave: WaveRecord, *, machine: Machine) -> None:
         command = BeginMaintenance(wave=wave.number, machine=machine.machine_id, at_ms=wall_ms())
--- a/tests/dispatch/test_wave_executor.py
+++ b/tests/dispatch/test_wave_executor.py
@@ -208,3 +208,17 @@
     await waves.machines.refresh(max_age_s=1.0)
     await waves.advance(wave)
     assert platform.orders == ["m9"]
+
+
+async def test_vm_of_a_machine_that_was_only_missing_is_released(waves, platform, fleet):
+    """Guards against a VM that stays cordoned for ever, because its machine was missing from lists for a while."""
+    await start_task(fleet, Step(count=1, long_running=True))
+    await advance(waves, seconds=1)
+    assert waves.drainer.dispatcher.cordoned_vms == {"vm-1"}
+    platform.missing = True
+    wave = await advance(waves, seconds=GONE_AFTER_S + 2)
+    assert wave.is_complete
+    platform.missing = False
+    waves.release_vms()
+    assert not waves.drainer.dispatcher.cordoned_vms
+    assert fleet.state.tables.vms["vm-1"].runs == {"busy.0.0.0/1"}
