--- a/tests/adapter/test_bytecode_cache.py
+++ b/tests/adapter/test_bytecode_cache.py
@@ -65,12 +65,29 @@
     assert run(checkout, code) == ["hyssopway.clock", "1"]
 
 
-@pytest.mark.parametrize("damage", ["missing", "cut", "empty"])
+@pytest.mark.parametrize("damage", ["missing", "cut", "empty", "zeros"])
 def test_program_starts_without_valid_bytecode(checkout, damage):
-    """Guards against a program that does not start because a file below `target/` is missing or damaged."""
+    """Guards against a program that does not start because a file below `target/` is missing or damaged.
+
+    A block of zeros, as a power loss may leave, can be valid for the decoder and is then executed.
+    """
     for path in (checkout / "target" / "bytecode").rglob("clock/*.pyc"):
+        data = path.read_bytes()
         if damage == "missing":
             path.unlink()
+        elif damage == "zeros":
+            # Code of the module: the first bytes object, which follows the header and five integers.
+            path.write_bytes(data[:42] + bytes(32) + data[74:])
         else:
-            path.write_bytes(path.read_bytes()[:30] if damage == "cut" else b"")
+            path.write_bytes(data[:30] if damage == "cut" else b"")
     assert run(checkout, "print(*compiled)") == ["hyssopway.clock"]
+
+
+def test_build_beside_another_leaves_complete_files(checkout):
+    """Guards against two builds at the same time that write the same unfinished file."""
+    command = [sys.executable, "platform/bytecode_cache.py"]
+    builds = [subprocess.Popen(command, cwd=checkout, stdout=subprocess.DEVNULL) for _ in range(2)]
+    assert [build.wait(timeout=60) for build in builds] == [0, 0]
+    assert run(checkout, "print(*compiled)") == []
+    files = [path for path in (checkout / "target" / "bytecode").rglob("*") if path.is_file()]
+    assert {path.suffix for path in files} == {".pyc"}
