Fix four faults that a review of the merged parts found

Causes, by reading: a copy of a slow run put the waiting tasks of its step into the round a second time; a run that was found to have ended while copies were chosen raised KeyError; idle times of VMs that had left were kept for the term; with two open waves, only the last one's machines were avoided by long-running tasks. Ruled out: wrong runs, since the second start of a task is skipped when it is applied. The new test of add_copies fails on the former code (indexes [0, 1, 2, 0]).

--- a/src/hyssopway/dispatch/copyable_runs.py
+++ b/src/hyssopway/dispatch/copyable_runs.py
@@ -116,7 +116,9 @@
         tables, found = state.tables, Copies()
         budget, racks = CopyBudget(tables=tables, silent_vms=silent_vms), RackMap(tables.vms)
         for key, reason in reasons.items():
-            run = self.runs[key]
+            run = self.runs.get(key)
+            if run is None:
+                continue  # found to have ended meanwhile
             workflow = tables.workflows[run.task.workflow]
             pool = tables.queue_pools.get(workflow.queue, "")
             cpu_millis = workflow.spec.steps[run.task.step].cpu_millis
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -124,6 +124,9 @@
         """
         now = self.leadership.clock()
         self.incoming = {key: value for key, value in self.incoming.items() if now < value[1]}
+        known = {machine.vm_id for machine in self.machines.machines.values()}
+        known.update(self.leadership.state.tables.vms)
+        self.idle_since = {vm_id: since for vm_id, since in self.idle_since.items() if vm_id in known}
         vms = self.leadership.state.tables.vms.values()
         vm_sizes = [vm.capacity.cpu_millis for vm in vms if vm.capacity.cpu_millis > 0]
         if not vm_sizes or not self.machines.machines:
@@ -248,7 +251,8 @@
 
     def _idle_time_s(self, machine_id: str) -> float:
         vm_id = self.machines.machines[machine_id].vm_id
-        return self.leadership.clock() - self.idle_since[vm_id]
+        now = self.leadership.clock()
+        return now - self.idle_since.get(vm_id, now)
 
     def _vms_in_contact(self, now: float) -> set[str]:
         return {vm_id for vm_id, link in self.drainer.links.items() if link.in_contact(now)}
--- a/src/hyssopway/dispatch/ready_steps.py
+++ b/src/hyssopway/dispatch/ready_steps.py
@@ -78,6 +78,8 @@
             step = _make_ready_step(
                 tables, workflow=workflow, occurrence=key.occurrence, number=key.step, order=order
             )
+            # Its waiting tasks are in the list of an earlier placement of this round, or were placed by it.
+            step.indexes = []
             ready.append(step)
         step.indexes += sorted(excluded_vms)
         step.excluded_vms.update(excluded_vms)
--- a/src/hyssopway/dispatch/wave_executor.py
+++ b/src/hyssopway/dispatch/wave_executor.py
@@ -37,10 +37,12 @@
         drainer: Cordons the VMs of the machines and stops their runs.
         maintenance_s: Duration of the maintenance of a machine in seconds.
         machines: Machines as the platform lists them.
+        awaiting: IDs of VMs whose machine still waits for its maintenance, of the open waves advanced so far.
         cordoned_for: Number of the wave for which each VM was cordoned, by VM ID.
     """
 
     __slots__ = (
+        "awaiting",
         "calls",
         "cordoned_for",
         "drainer",
@@ -64,6 +66,7 @@
         self.maintenance_s = maintenance_s
         self.machines = machines
         self.cordoned_for: dict[str, int] = {}
+        self.awaiting: set[str] = set()
 
     async def run(self) -> None:
         """Advances all open waves periodically until the term ends."""
@@ -73,12 +76,15 @@
                 wave for wave in self.leadership.state.tables.waves.values() if not wave.is_complete
             ]
             if not open_waves:
+                self.drainer.dispatcher.awaiting_maintenance = set()
                 await asyncio.sleep(IDLE_INTERVAL_S)
                 continue
             if self.leadership.may_order():
                 await self.machines.refresh(max_age_s=MAX_LIST_AGE_S)
+                self.awaiting = set()
                 for wave in open_waves:
                     await self.advance(wave)
+                self.drainer.dispatcher.awaiting_maintenance = self.awaiting
             await asyncio.sleep(INTERVAL_S)
 
     async def advance(self, wave: WaveRecord) -> None:
@@ -197,7 +203,7 @@
         for machine_id in down:
             if machine_id in self.machines.machines:
                 unavailable[self.machines.machines[machine_id].pool] += 1
-        self.drainer.dispatcher.awaiting_maintenance = {machine.vm_id for machine in pending}
+        self.awaiting |= {machine.vm_id for machine in pending}
         selected = select_machines(
             candidates=candidates,
             pool_sizes=Counter(vm.pool for vm in tables.vms.values()),
--- a/tests/dispatch/test_copies_of_runs.py
+++ b/tests/dispatch/test_copies_of_runs.py
@@ -11,7 +11,9 @@
 from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.ready_steps import add_copies
 from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
+from hyssopway.scheduling.copies import StepKey
 from hyssopway.scheduling.durations import MIN_RUNS
 from hyssopway.scheduling.vm_rating import Rating, VmEvidence
 from hyssopway.workflow import Capacity, PutDocument, RegisterVm, RunEnd, RunOutcome, Step, TaskId
@@ -361,3 +363,16 @@
     await rack_fleet.run_round()
     await rack_fleet.run_round()
     assert ratings.rating(SLOW_VM) is Rating.AVOIDED
+
+
+async def test_copy_of_a_slow_run_starts_no_waiting_task_of_its_step(fleet):
+    """Guards against starts of waiting tasks that the first placement of the same round has started already."""
+    await fleet.propose(make_workflow("slow", steps=(Step(count=3, cpu_millis=1000, duplicates=True),)))
+    (step,) = add_copies(
+        [],
+        copies={StepKey("slow", 0, 0): {0: frozenset()}},
+        tables=fleet.state.tables,
+        indexes=fleet.state.indexes,
+        now_ms=0,
+    )
+    assert step.indexes == [0]
