--- a/tests/cli/test_waiting.py
+++ b/tests/cli/test_waiting.py
@@ -37,6 +37,11 @@
     assert all(request["path"] == "/v1/status?index=7" for request in entry.received_requests[1:])
 
 
+# Only a wait that has to end by its timeout is short: on a busy machine a single read can take half a second.
+SHORT_WAIT_S = "0.5"
+LONG_WAIT_S = "30"
+
+
 def vms(state: str, running: list[str]):
     return 200, {"vms": [{"vm": {"name": "vm", "state": state, "epoch": 1}, "running": running}]}
 
@@ -44,19 +49,19 @@
 @pytest.mark.parametrize(
     "case",
     [
-        ([vms("draining", ["j"]), vms("drained", [])], 0, "VM vm is drained"),
-        ([vms("draining", ["j"])], 6, "VM vm is draining with 1 tasks"),
-        ([vms("draining", []), vms("down", [])], 6, "VM vm is down with 0 tasks"),
-        ([(200, {"vms": []})], 6, "VM vm is unknown"),
+        ([vms("draining", ["j"]), vms("drained", [])], 0, "VM vm is drained", LONG_WAIT_S),
+        ([vms("draining", ["j"])], 6, "VM vm is draining with 1 tasks", SHORT_WAIT_S),
+        ([vms("draining", []), vms("down", [])], 6, "VM vm is down with 0 tasks", LONG_WAIT_S),
+        ([(200, {"vms": []})], 6, "VM vm is unknown", LONG_WAIT_S),
     ],
     ids=["emptied", "work does not end", "lost meanwhile", "not listed"],
 )
 def test_drain_wait_succeeds_only_when_the_vm_is_drained(case, start_entry_vm, monkeypatch, capsys):
     """Guards against reporting a VM as drained while it still runs tasks."""
-    states, expected, text = case
+    states, expected, text, wait_s = case
     monkeypatch.setattr(waiting, "POLL_INTERVAL_S", 0.05)
     entry = start_entry_vm(vms("ready", []), CHANGED, *states)
     options = ["--entry", entry.url, "--token", "t" * 8, "vms", "drain", "vm"]
-    assert main([*options, "--wait", "--wait-timeout", "0.5"]) == expected
+    assert main([*options, "--wait", "--wait-timeout", wait_s]) == expected
     written = capsys.readouterr()
     assert text in written.out + written.err
--- a/tests/gateway/test_responses.py
+++ b/tests/gateway/test_responses.py
@@ -8,6 +8,8 @@
 import pytest
 
 NOT_RUN, MAY_HAVE_RUN = "not_run", "may_have_run"
+# Time until the first requests reach an endpoint; on a busy machine it exceeds 50 ms.
+START_TIMEOUT_S = 10.0
 FAULTS = [
     # behaviour, status, name, work
     ("refuses", 502, "ENDPOINT_FAILED", NOT_RUN),
@@ -102,6 +104,9 @@
     """Guards against a slot leak, and against a new request before the endpoint has ended the old one."""
     endpoint = await harness.add("slowly", slots=2)
     tasks = [asyncio.create_task(harness.call(data=b"x")) for _ in range(8)]
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while endpoint.in_progress < 2:
+            await asyncio.sleep(0.01)
     await asyncio.sleep(0.05)
     assert endpoint.in_progress == 2
     for task in tasks[:2]:
