Name the runs that are lost with a VM in the log

A VM that ended took its runs with it without a line that named them (7005 names the VM, 7006 a number), so neither the tasks under which VMs crash nor their companions could be read from the log, and the hypotheses "nothing counts the crashes" and "the count is lost with its leader" looked the same.

Event 7063 names the runs and how the end of the VM was noticed; the counters vms_lost_with_runs and runs_lost_with_vms are metrics of the leader. No decision is changed.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -20,6 +20,7 @@
 from .dispatcher import Dispatcher
 from .duration_scale import DurationScale
 from .leadership import LeadershipLostError
+from .lost_runs import report_lost_runs
 from .machine_inventory import MachineInventory
 from .poll_rate_limiter import PollRateLimiter
 from .pool_load import measure_pools
@@ -216,6 +217,9 @@
             address=command.address,
             draining=command.draining,
         )
+        if current is not None and command.boot > current.boot:
+            reason = f"boot {command.boot} follows {current.boot}"
+            report_lost_runs(current, reason=reason, counters=self.counters)
         await self.leadership.propose(command)
         self._sync_links()
 
@@ -224,6 +228,7 @@
         current = self.leadership.state.tables.vms.get(vm)
         if current is not None:
             log_event(Event.VM_GONE, vm=vm, reason="it announced its departure")
+            report_lost_runs(current, reason="it announced its departure", counters=self.counters)
             await self.leadership.propose(RemoveVm(vm=vm, boot=current.boot, at_ms=wall_ms()))
 
     def _sync_links(self) -> None:
@@ -246,6 +251,7 @@
                     on_change=self.dispatcher.changed.set,
                     ratings=self.ratings,
                     durations=self.durations,
+                    counters=self.counters,
                 )
             self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
         for vm_id in set(self.links) - set(self.leadership.state.tables.vms):
@@ -332,7 +338,9 @@
         for vm_id, link in list(self.links.items()):
             record = link.record
             if record is not None and now - link.heard_at > REMOVE_AFTER_S and now > link.lease.expires_at:
-                log_event(Event.VM_GONE, vm=vm_id, reason=f"no contact for {now - link.heard_at:.1f} s")
+                reason = f"no contact for {now - link.heard_at:.1f} s"
+                log_event(Event.VM_GONE, vm=vm_id, reason=reason)
+                report_lost_runs(record, reason=reason, counters=self.counters)
                 await self.leadership.propose(RemoveVm(vm=vm_id, boot=record.boot, at_ms=wall_ms()))
 
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
@@ -12,6 +13,7 @@
 from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
+from .lost_runs import report_lost_runs
 from .poll_timing import PollTiming
 from .run_ends import make_run_ends
 from .run_orders import RunOrders
@@ -59,6 +61,7 @@
         scale: Learns the ratio of actual to declared run durations.
         ratings: Ratings of all VMs.
         durations: Learns the distribution of the ratio of actual to declared run durations.
+        counters: Numbers of scheduling decisions of this term, by name.
         on_change: Called when a change may allow the leader to start tasks.
         poll_timing: Chooses the wait and the timeout of each poll.
         poll_limiter: Limits the rate of polls over all VMs.
@@ -80,6 +83,7 @@
         "answered_at",
         "boot",
         "calls",
+        "counters",
         "durations",
         "failures",
         "has_acked_term",
@@ -116,8 +120,10 @@
         on_change: Callable[[], None],
         ratings: VmRatings | None = None,
         durations: DurationQuantiles | None = None,
+        counters: Counter[str] | None = None,
     ) -> None:
         self.vm_id = vm_id
+        self.counters: Counter[str] = Counter() if counters is None else counters
         self.boot = 0
         self.leadership = leadership
         self.calls = calls
@@ -385,19 +391,23 @@
         if not record.runs or self.leadership.clock() <= self.lease.expires_at:
             return
         log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
+        report_lost_runs(record, reason="its lease ended without contact", counters=self.counters)
         self.listed_runs = {}
         await self._propose_ends(make_run_ends(record, RunOutcome.LAPSED))
         self.on_change()
 
     async def _abandon_boot(self, record: VmRecord, *, reason: str) -> None:
         log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
+        report_lost_runs(record, reason=reason, counters=self.counters)
         self._discard_boot()
         if record.runs:
             await self._propose_ends(make_run_ends(record, RunOutcome.LOST))
             self.on_change()
 
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
-        log_event(Event.VM_GONE, vm=self.vm_id, reason=f"boot {boot} follows {record.boot}")
+        reason = f"boot {boot} follows {record.boot}"
+        log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
+        report_lost_runs(record, reason=reason, counters=self.counters)
         self._discard_boot()
         await self.leadership.propose(
             RegisterVm(
