Count the VMs that end under a task, and give up a task that crashes its VMs

Cause: the end of a run that was lost with its VM counted towards nothing. Only `failed` ends count as attempts, so a task that takes its VM down with it had no bound. Class: a retry without a budget for failures that the failing party cannot report.

Change: the replicated state counts for each task the VM boots that ended under it, from a new boot, another VM at the address, or a VM that is gone for good; a lease that lapsed counts once the VM is known to have crashed, and never when it was only out of contact. A VM that announced its end counts nothing. A workflow fails after three such ends under one task if no suspect of another workflow was lost with the last, and after four in any case. After one end tasks are spread, after two they get a VM to which no other suspect is added. Copies count the VMs of runs in progress, too. A long-running task that worked for 10 s is no suspect any more.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.scheduling.copies import find_copies_of_silent_runs
+from hyssopway.scheduling.crash_isolation import NO_SUSPECTS, measure_suspect_load
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
 from hyssopway.workflow import AddOccurrence, StartRuns
@@ -20,6 +21,7 @@
 from .ready_steps import add_copies, find_due_occurrences, find_ready_steps
 from .start_log import log_copies, log_starts
 from .start_order import find_run, send_start
+from .suspect_steps import set_suspicion
 from .team_shares import TeamShares
 from .team_usage import TeamUsage
 from .ticket_cache import TicketCache
@@ -183,7 +185,9 @@
     async def _start(self, starts: list[RunStart], *, copies: Copies, slow: Copies) -> None:
         self._expect_starts(starts)
         try:
-            await self.leadership.propose(StartRuns(fencing_token=self.leadership.term, starts=tuple(starts)))
+            await self.leadership.propose(
+                StartRuns(fencing_token=self.leadership.term, starts=tuple(starts), at_ms=wall_ms())
+            )
         except LeadershipLostError:
             # The command may still be committed in this term. Nothing is sent for it, so its runs are to be resolved.
             for start in starts:
@@ -224,6 +228,7 @@
             return []
         state = self.leadership.state
         set_approved_vms(ready, state=state, tickets=self.tickets)
+        set_suspicion(ready, suspects=state.indexes.suspects)
         RatedSteps(state=state, ratings=self.ratings, free_by_pool=free_by_pool).apply(ready)
         queue_pools = state.tables.queue_pools
         return place_steps(
@@ -264,6 +269,9 @@
         known_pairs = self.interference.find_known_pairs(now) if self.interference is not None else {}
         document = tables.document
         machines_can_leave = document is not None and any(pool.standby for pool in document.pools)
+        suspect_load = measure_suspect_load(
+            tables=tables, suspects=self.leadership.state.indexes.suspects, now_ms=wall_ms()
+        )
         free_by_pool: dict[str, list[FreeCapacity]] = {}
         for vm_id, record in tables.vms.items():
             link = self.links.get(vm_id)
@@ -284,6 +292,7 @@
                     awaits_maintenance=vm_id in self.awaiting_maintenance,
                     known_pairs=known_pairs,
                     machines_can_leave=machines_can_leave,
+                    suspect_load=suspect_load.get(vm_id, NO_SUSPECTS),
                 )
             )
         return free_by_pool
--- a/src/hyssopway/dispatch/free_capacity.py
+++ b/src/hyssopway/dispatch/free_capacity.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from hyssopway.scheduling.crash_isolation import NO_SUSPECTS, SuspectLoad
 from hyssopway.scheduling.neighbours import rank_for_best_effort, rank_for_serving
 from hyssopway.workflow import Step
 
@@ -30,6 +31,8 @@
         best_effort_ranks: Results of `rank_for_best_effort` by image.
         has_long_running: Whether long-running tasks keep the VM in its pool, if machines can leave it.
         recent_failures: Consecutive runs that failed on the VM; VMs with fewer failures are preferred.
+        runs: Number of runs on the VM.
+        suspect_load: Runs on the VM whose tasks may crash it.
         is_probed: Whether the VM gets only one run, to see whether it has recovered.
         awaits_maintenance: Whether the machine awaits maintenance, which soon interrupts what runs on it.
     """
@@ -50,6 +53,8 @@
     best_effort_ranks: dict[str, tuple[int, int]] = field(default_factory=dict)
     has_long_running: bool = False
     recent_failures: int = 0
+    runs: int = 0
+    suspect_load: SuspectLoad = NO_SUSPECTS
     is_probed: bool = False
     awaits_maintenance: bool = False
 
@@ -79,6 +84,7 @@
 
     def reserve(self, step: Step) -> None:
         """Subtracts the resources of one task."""
+        self.runs += 1
         if not step.fills:
             self.cpu_millis -= step.cpu_millis
         self.memory_mb -= step.memory_mb
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -20,7 +20,7 @@
 from .dispatcher import Dispatcher
 from .duration_scale import DurationScale
 from .leadership import LeadershipLostError
-from .lost_runs import report_lost_runs
+from .lost_runs import LostRuns
 from .machine_inventory import MachineInventory
 from .poll_rate_limiter import PollRateLimiter
 from .pool_load import measure_pools
@@ -217,10 +217,12 @@
             address=command.address,
             draining=command.draining,
         )
-        if current is not None and command.boot > current.boot:
-            reason = f"boot {command.boot} follows {current.boot}"
-            report_lost_runs(current, reason=reason, counters=self.counters)
+        lost = LostRuns(current) if current is not None and command.boot > current.boot else None
+        if lost is not None and current is not None:
+            lost.report(reason=f"boot {command.boot} follows {current.boot}", counters=self.counters)
         await self.leadership.propose(command)
+        if lost is not None:
+            lost.report_suspects(self.leadership.state.tables, counters=self.counters)
         self._sync_links()
 
     async def handle_departure(self, *, vm: str) -> None:
@@ -228,7 +230,7 @@
         current = self.leadership.state.tables.vms.get(vm)
         if current is not None:
             log_event(Event.VM_GONE, vm=vm, reason="it announced its departure")
-            report_lost_runs(current, reason="it announced its departure", counters=self.counters)
+            LostRuns(current).report(reason="it announced its departure", counters=self.counters)
             await self.leadership.propose(RemoveVm(vm=vm, boot=current.boot, at_ms=wall_ms()))
 
     def _sync_links(self) -> None:
@@ -339,8 +341,7 @@
             record = link.record
             if record is not None and now - link.heard_at > REMOVE_AFTER_S and now > link.lease.expires_at:
                 reason = f"no contact for {now - link.heard_at:.1f} s"
-                log_event(Event.VM_GONE, vm=vm_id, reason=reason)
-                report_lost_runs(record, reason=reason, counters=self.counters)
+                await link.end_boot(reason=reason)
                 await self.leadership.propose(RemoveVm(vm=vm_id, boot=record.boot, at_ms=wall_ms()))
 
 
--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -1,35 +1,73 @@
-"""Reports the runs that were lost with their VM."""
+"""Reports the runs that were lost with their VM, and the tasks that probably crash their VMs."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
+from hyssopway.workflow import CONCLUSIVE_CRASHES, SUSPICIOUS_CRASHES, TaskId, WorkflowStatus
 
 from .start_log import MAX_RUNS_PER_LOG_LINE
 
 if TYPE_CHECKING:
     from collections import Counter
 
-    from hyssopway.workflow import VmRecord
+    from hyssopway.workflow import Tables, VmRecord
 
 
-def report_lost_runs(record: VmRecord, *, reason: str, counters: Counter[str]) -> None:
-    """Logs and counts the runs that end because their VM ended; does nothing for a VM without runs.
+class LostRuns:
+    """Runs that are about to end because the boot of their VM has ended.
 
-    Args:
-        record: Record of the VM before its runs are ended.
-        reason: How the end of the VM was noticed.
-        counters: Numbers of scheduling decisions of this term, by name.
+    Attributes:
+        vm_id: ID of the VM.
+        keys: Keys of the runs in progress, and of those whose lease had ended while the VM was out of contact.
     """
-    if not record.runs:
-        return
-    counters["vms_lost_with_runs"] += 1
-    counters["runs_lost_with_vms"] += len(record.runs)
-    runs = sorted(record.runs)
-    for offset in range(0, len(runs), MAX_RUNS_PER_LOG_LINE):
-        batch = runs[offset : offset + MAX_RUNS_PER_LOG_LINE]
-        log_event(Event.RUNS_LOST, vm=record.vm_id, count=len(runs), runs=batch, reason=reason)
 
+    __slots__ = ("keys", "vm_id")
 
-__all__ = ["report_lost_runs"]
+    def __init__(self, record: VmRecord) -> None:
+        self.vm_id = record.vm_id
+        self.keys = sorted(record.runs | record.lapsed)
+
+    def report(self, *, reason: str, counters: Counter[str]) -> None:
+        """Logs and counts the runs.
+
+        Args:
+            reason: How the end of the boot was noticed.
+            counters: Numbers of scheduling decisions of this term, by name.
+        """
+        if not self.keys:
+            return
+        counters["vms_lost_with_runs"] += 1
+        counters["runs_lost_with_vms"] += len(self.keys)
+        for offset in range(0, len(self.keys), MAX_RUNS_PER_LOG_LINE):
+            batch = self.keys[offset : offset + MAX_RUNS_PER_LOG_LINE]
+            log_event(Event.RUNS_LOST, vm=self.vm_id, count=len(self.keys), runs=batch, reason=reason)
+
+    def report_suspects(self, tables: Tables, *, counters: Counter[str]) -> None:
+        """Logs the tasks of the runs under which several VMs have ended, and counts those that were given up.
+
+        Args:
+            tables: Replicated data after the runs were ended.
+            counters: Numbers of scheduling decisions of this term, by name.
+        """
+        suspects: dict[str, int] = {}
+        given_up: list[str] = []
+        for key in self.keys:
+            name = key.rpartition("/")[0]
+            task = TaskId.parse(name)
+            workflow = tables.workflows.get(task.workflow)
+            if workflow is None:
+                continue
+            crashes = workflow.progress[task.occurrence][task.step].crashes.get(task.number, 0)
+            if crashes >= SUSPICIOUS_CRASHES:
+                suspects[name] = crashes
+                if crashes >= CONCLUSIVE_CRASHES and workflow.status is WorkflowStatus.FAILED:
+                    given_up.append(name)
+        if not suspects:
+            return
+        counters["tasks_given_up_for_crashes"] += len(given_up)
+        log_event(Event.TASKS_SUSPECTED, count=len(suspects), vms=suspects, given_up=given_up)
+
+
+__all__ = ["LostRuns"]
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from hyssopway.scheduling.crash_isolation import needs_isolation
 from hyssopway.workflow import RunStart, TaskId
 
 if TYPE_CHECKING:
@@ -80,7 +81,12 @@
         excluded = ready.excluded_vms.get(index, NO_VMS)
         if excluded in unplaceable:
             continue
-        vm = _choose_vm(ready, vms=vms, excluded=excluded, may_probe=index in ready.probe_indexes)
+        level = ready.suspicion.get(index, 0)
+        vm = _choose_vm(
+            ready, vms=vms, excluded=excluded, may_probe=index in ready.probe_indexes, level=level
+        )
+        if vm is None and level:
+            continue  # it waits for a VM that it may share
         if vm is None and excluded:
             # The other tasks of the step may fit on VMs that are excluded for this one.
             unplaceable.add(excluded)
@@ -114,12 +120,13 @@
 def _find_gang_vms(ready: ReadyStep, *, vms: list[FreeCapacity]) -> list[FreeCapacity] | None:
     """Returns a VM for each member of a gang, or None when the VMs do not fit all of them."""
     vms = [vm for vm in vms if not vm.is_probed]
+    is_suspect = bool(ready.suspicion)
     free = {vm.vm_id: [vm.cpu_millis, vm.memory_mb, vm.accelerators] for vm in vms}
     placed = dict(ready.placed)
     step = ready.step
     chosen: list[FreeCapacity] = []
     for _ in ready.indexes:
-        for vm in sorted(vms, key=lambda vm: -free[vm.vm_id][0]):
+        for vm in sorted(vms, key=lambda vm: _gang_cost(vm, free=free[vm.vm_id], is_suspect=is_suspect)):
             cpu, memory, accelerators = free[vm.vm_id]
             spread_ok = not step.spread_limit or placed.get(vm.vm_id, 0) < step.spread_limit
             is_allowed = not step.label or step.label in vm.labels
@@ -139,6 +146,12 @@
     return chosen
 
 
+def _gang_cost(vm: FreeCapacity, *, free: list[int], is_suspect: bool) -> tuple[int, ...]:
+    """Returns the sort key of a VM for one member of a gang; the lowest is preferred."""
+    shared_runs = vm.runs if is_suspect else 0
+    return (int(vm.suspect_load.is_isolated), shared_runs, -free[0])
+
+
 def _next_gang_run(ready: ReadyStep) -> int:
     """Returns the run number that all members of a gang share."""
     return max(ready.workflow.progress[ready.occurrence][ready.number].last_run) + 1
@@ -146,6 +159,8 @@
 
 def _assign(ready: ReadyStep, *, vm: FreeCapacity, index: int, run: int | None = None) -> RunStart:
     vm.reserve(ready.step)
+    if index in ready.suspicion:
+        vm.suspect_load = vm.suspect_load.plus(ready.suspicion[index])
     ready.placed[vm.vm_id] = ready.placed.get(vm.vm_id, 0) + 1
     progress = ready.workflow.progress[ready.occurrence][ready.number]
     task = TaskId(ready.workflow.workflow_id, ready.occurrence, ready.number, index)
@@ -153,7 +168,7 @@
 
 
 def _choose_vm(
-    ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str], may_probe: bool
+    ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str], may_probe: bool, level: int
 ) -> FreeCapacity | None:
     step = ready.step
     best: FreeCapacity | None = None
@@ -163,16 +178,26 @@
             continue
         if step.spread_limit and ready.placed.get(vm.vm_id, 0) >= step.spread_limit:
             continue
+        if level and vm.suspect_load.is_isolated:
+            continue  # a crash would not show which of the suspects caused it
         if vm.is_probed:
             if may_probe:
                 return vm  # a VM that waits for its probe leaves its capacity unused
             continue
-        cost = _placement_cost(ready, step=step, vm=vm)
+        cost = (*_crash_cost(vm, level=level), *_placement_cost(ready, step=step, vm=vm))
         if best is None or cost < best_cost:
             best, best_cost = vm, cost
     return best
 
 
+def _crash_cost(vm: FreeCapacity, *, level: int) -> tuple[int, ...]:
+    """Returns the leading part of the sort key of a VM for a task under which `level` VMs have ended."""
+    load = vm.suspect_load
+    if not level:
+        return (load.is_isolated, 0)
+    return (load.spread, vm.runs if needs_isolation(level) else 0)
+
+
 def _placement_cost(ready: ReadyStep, *, step: Step, vm: FreeCapacity) -> tuple[float, ...]:
     """Returns the sort key of a VM for one task of a step; the lowest is preferred."""
     is_remote = bool(step.data_rack) and step.data_rack not in vm.labels
--- a/src/hyssopway/dispatch/ready_step.py
+++ b/src/hyssopway/dispatch/ready_step.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from hyssopway.workflow import Step, Workflow
+from hyssopway.workflow import Step, TaskId, Workflow
 
 
 @dataclass(slots=True, kw_only=True)
@@ -21,6 +21,8 @@
         placed: Number of active runs of the step by VM ID.
         excluded_vms: IDs of VMs on which a task is not placed, by the index of the task; only for some tasks.
         probe_indexes: Indexes of the tasks that may run on a VM that is probed.
+        suspicion: Number of VMs that ended, or may have ended, under a task, by the index of the task; only for some
+            tasks.
         approved_vms: IDs of VMs with a valid ticket for the step; None when the step needs no ticket.
     """
 
@@ -33,8 +35,13 @@
     placed: dict[str, int]
     excluded_vms: dict[int, frozenset[str]] = field(default_factory=dict)
     probe_indexes: frozenset[int] = frozenset()
+    suspicion: dict[int, int] = field(default_factory=dict)
     approved_vms: frozenset[str] | None = None
 
+    def task_name(self, index: int) -> str:
+        """Returns the name of a task of the step."""
+        return TaskId(self.workflow.workflow_id, self.occurrence, self.number, index).name
+
     def is_approved(self, vm_id: str) -> bool:
         """Returns whether the step needs no ticket of its queue's advisor or has one for a VM."""
         return self.approved_vms is None or vm_id in self.approved_vms
--- a/src/hyssopway/dispatch/vm_capacity.py
+++ b/src/hyssopway/dispatch/vm_capacity.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from hyssopway.scheduling.crash_isolation import NO_SUSPECTS, SuspectLoad
+
 from .free_capacity import FreeCapacity
 
 if TYPE_CHECKING:
@@ -21,6 +23,7 @@
     awaits_maintenance: bool,
     known_pairs: dict[tuple[str, str], bool],
     machines_can_leave: bool,
+    suspect_load: SuspectLoad = NO_SUSPECTS,
 ) -> FreeCapacity:
     """Returns the capacity of a VM that its runs leave free.
 
@@ -32,6 +35,7 @@
         awaits_maintenance: Whether the machine awaits maintenance.
         known_pairs: Whether each known pair of latency-bound and best-effort image disturbs.
         machines_can_leave: Whether machines can leave their pool.
+        suspect_load: Runs on the VM whose tasks may crash it.
     """
     capacity = record.capacity
     return FreeCapacity(
@@ -48,6 +52,8 @@
         known_pairs=known_pairs,
         has_long_running=machines_can_leave and use is not None and use.long_running > 0,
         recent_failures=min(failures, MAX_COUNTED_FAILURES),
+        runs=use.runs if use else 0,
+        suspect_load=suspect_load,
         is_probed=is_probed,
         awaits_maintenance=awaits_maintenance,
     )
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -13,7 +13,7 @@
 from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
-from .lost_runs import report_lost_runs
+from .lost_runs import LostRuns
 from .poll_timing import PollTiming
 from .run_ends import make_run_ends
 from .run_orders import RunOrders
@@ -215,7 +215,7 @@
             await self._poll(record)
         except OtherBootError as error:
             self.poll_timing.record_answer()
-            await self._abandon_boot(record, reason=str(error))
+            await self.end_boot(reason=str(error))
             return False
         except WorkerUnreachableError as error:
             self.poll_timing.record_loss(now=self.leadership.clock())
@@ -367,12 +367,22 @@
         )
         if resolved:
             await self._propose_ends(resolved)
+        if self.record is not None and self.record.lapsed:
+            await self._propose_ends([], is_reported=True)
         for key, row in self.listed_runs.items():
             if key not in record.runs:
                 # The leader ended the run in the replicated state while the VM was out of contact.
                 self.orders.request_stop(task=row.task, run=row.run, reason="its end is already committed")
 
-    async def _propose_ends(self, ends: list[RunEnd], *, last_end: int = 0, boot: int | None = None) -> None:
+    async def _propose_ends(
+        self,
+        ends: list[RunEnd],
+        *,
+        last_end: int = 0,
+        boot: int | None = None,
+        boot_ended: bool = False,
+        is_reported: bool = False,
+    ) -> None:
         record = self.record
         if record is None:
             return
@@ -382,6 +392,8 @@
             ends=tuple(ends),
             at_ms=wall_ms(),
             last_end=last_end,
+            boot_ended=boot_ended,
+            is_reported=is_reported,
         )
         await self.leadership.propose(command)
         for end in ends:
@@ -391,23 +403,30 @@
         if not record.runs or self.leadership.clock() <= self.lease.expires_at:
             return
         log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
-        report_lost_runs(record, reason="its lease ended without contact", counters=self.counters)
+        LostRuns(record).report(reason="its lease ended without contact", counters=self.counters)
         self.listed_runs = {}
         await self._propose_ends(make_run_ends(record, RunOutcome.LAPSED))
         self.on_change()
 
-    async def _abandon_boot(self, record: VmRecord, *, reason: str) -> None:
+    async def end_boot(self, *, reason: str) -> None:
+        """Commits that the boot of the VM has ended, and with it all its runs."""
+        record = self.record
+        if record is None:
+            return
         log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
-        report_lost_runs(record, reason=reason, counters=self.counters)
         self._discard_boot()
-        if record.runs:
-            await self._propose_ends(make_run_ends(record, RunOutcome.LOST))
+        lost = LostRuns(record)
+        if lost.keys:
+            lost.report(reason=reason, counters=self.counters)
+            await self._propose_ends(make_run_ends(record, RunOutcome.LOST), boot_ended=True)
+            lost.report_suspects(self.leadership.state.tables, counters=self.counters)
             self.on_change()
 
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
         reason = f"boot {boot} follows {record.boot}"
         log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
-        report_lost_runs(record, reason=reason, counters=self.counters)
+        lost = LostRuns(record)
+        lost.report(reason=reason, counters=self.counters)
         self._discard_boot()
         await self.leadership.propose(
             RegisterVm(
@@ -422,6 +441,7 @@
                 at_ms=wall_ms(),
             )
         )
+        lost.report_suspects(self.leadership.state.tables, counters=self.counters)
         self.on_change()
 
     def _discard_boot(self) -> None:
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -183,6 +183,7 @@
         "burst of pool {pool} expected in {in_ms} ms after that of pool {follows}: {millicores} millicores",
     )
     RUNS_LOST = (7063, "WARNING", "{count} runs lost with VM {vm}: {reason}")
+    TASKS_SUSPECTED = (7064, "WARNING", "several VMs have ended under {count} tasks; given up: {given_up}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
     COPIES_ORDERED = (7050, "INFO", "{count} copies of runs ordered: {reason}")
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -4,6 +4,7 @@
 
 from .active_run import ActiveRun
 from .advisor_policy import AdvisorPolicy
+from .apply_crashes import CONCLUSIVE_CRASHES, PROBATION_MS, SUSPICIOUS_CRASHES
 from .capacity import Capacity
 from .commands import (
     AcceptWorkflow,
@@ -23,6 +24,7 @@
     StartRuns,
     StartWave,
 )
+from .crash_suspects import CrashSuspects
 from .fleet_document import FleetDocument
 from .indexes import Indexes, Usage
 from .pool_policy import PoolPolicy
@@ -43,6 +45,9 @@
 from .workflow_status import WorkflowStatus
 
 __all__ = [
+    "CONCLUSIVE_CRASHES",
+    "PROBATION_MS",
+    "SUSPICIOUS_CRASHES",
     "AcceptWorkflow",
     "ActiveRun",
     "AddOccurrence",
@@ -52,6 +57,7 @@
     "Capacity",
     "Command",
     "ConfirmMaintenance",
+    "CrashSuspects",
     "DeleteWorkflows",
     "EndRuns",
     "FleetDocument",
--- a/src/hyssopway/workflow/active_run.py
+++ b/src/hyssopway/workflow/active_run.py
@@ -15,6 +15,7 @@
         vm: VM that the run was placed on.
         boot: Boot number of that VM.
         fencing_token: Term of the leader that proposed the start.
+        started_ms: Wall-clock time at which the start was proposed; 0 if it is unknown.
     """
 
     task: str
@@ -22,6 +23,7 @@
     vm: str
     boot: int
     fencing_token: int
+    started_ms: int = 0
 
     @property
     def key(self) -> str:
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from .apply_workflows import end_run
+from .apply_crashes import clear_lapsed, count_crashes
+from .apply_workflows import end_run, list_start_times
 from .run_end import RunEnd
 from .run_outcome import RunOutcome
 from .vm_record import VmRecord
@@ -49,7 +50,9 @@
     if old is not None and command.boot < old.boot:
         return
     if old is not None and command.boot > old.boot:
+        started_ms = list_start_times(tables, vm=old)
         _mark_runs_lost(tables, indexes, vm=old, at_ms=command.at_ms)
+        count_crashes(tables, indexes, vm=old, started_ms=started_ms, at_ms=command.at_ms)
         old = None
     if old is not None and command.pool != old.pool:
         indexes.move_to_pool(command.pool, tables=tables, vm=old)
@@ -67,6 +70,7 @@
         draining=draining,
         last_end=old.last_end if old is not None else 0,
         runs=old.runs if old is not None else set(),
+        lapsed=old.lapsed if old is not None else set(),
     )
 
 
@@ -76,6 +80,7 @@
     if vm is None or vm.boot != command.boot:
         return
     _mark_runs_lost(tables, indexes, vm=vm, at_ms=command.at_ms)
+    clear_lapsed(indexes, vm=vm)
     del tables.vms[command.vm]
 
 
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 from .active_run import ActiveRun
+from .apply_crashes import clear_lapsed, count_crashes, record_lapsed
 from .run_outcome import RunOutcome
 from .task_copies import may_start_copy
 from .task_id import TaskId
 from .workflow import Workflow
+from .workflow_end import end_workflow, mark_runs_to_stop
 from .workflow_status import WorkflowStatus
 
 if TYPE_CHECKING:
@@ -24,6 +26,7 @@
     from .indexes import Indexes
     from .run_end import RunEnd
     from .tables import Tables
+    from .vm_record import VmRecord
 
 
 def accept_workflow(tables: Tables, indexes: Indexes, command: AcceptWorkflow) -> None:
@@ -66,33 +69,35 @@
             del tables.workflows[workflow_id]
 
 
-def end_workflow(
-    tables: Tables, indexes: Indexes, workflow: Workflow, *, status: WorkflowStatus, at_ms: int
-) -> None:
-    """Ends a workflow: no run of it starts any more, and its runs in progress are to be stopped."""
-    workflow.status = status
-    workflow.ended_ms = at_ms
-    indexes.open_workflows.pop(workflow.workflow_id, None)
-    for occurrence, steps in workflow.progress.items():
-        for step, progress in enumerate(steps):
-            for index in range(len(progress.done)):
-                task = TaskId(workflow.workflow_id, occurrence, step, index)
-                _mark_runs_to_stop(tables, indexes, task=task.name)
-
-
 def start_runs(tables: Tables, indexes: Indexes, command: StartRuns) -> None:
     """Starts the runs of a command that are still allowed and skips the others."""
     for start in command.starts:
-        _start_run(tables, indexes, start=start, fencing_token=command.fencing_token)
+        _start_run(
+            tables, indexes, start=start, fencing_token=command.fencing_token, started_ms=command.at_ms
+        )
 
 
 def end_runs(tables: Tables, indexes: Indexes, command: EndRuns) -> None:
     """Ends the runs of a command; an end that is already known changes nothing."""
     vm = tables.vms.get(command.vm)
-    if vm is not None and vm.boot == command.boot:
+    if vm is not None and vm.boot != command.boot:
+        vm = None
+    if vm is not None:
         vm.last_end = max(vm.last_end, command.last_end)
+        _update_lapsed(tables, indexes, vm=vm, command=command)
+    started_ms = list_start_times(tables, vm=vm) if vm is not None and command.boot_ended else {}
     for end in command.ends:
         end_run(tables, indexes, end=end, vm=command.vm, boot=command.boot, at_ms=command.at_ms)
+    if vm is not None and command.boot_ended:
+        count_crashes(tables, indexes, vm=vm, started_ms=started_ms, at_ms=command.at_ms)
+
+
+def list_start_times(tables: Tables, *, vm: VmRecord) -> dict[str, int]:
+    """Returns the wall-clock time of the start of each run in progress on a VM, by task."""
+    tasks = {key.rpartition("/")[0] for key in vm.runs}
+    return {
+        run.task: run.started_ms for task in tasks for run in tables.runs.get(task, ()) if run.key in vm.runs
+    }
 
 
 def end_run(tables: Tables, indexes: Indexes, *, end: RunEnd, vm: str, boot: int, at_ms: int) -> None:
@@ -112,7 +117,17 @@
     _apply_outcome(tables, indexes, end=end, is_last=not runs, at_ms=at_ms)
 
 
-def _start_run(tables: Tables, indexes: Indexes, *, start: RunStart, fencing_token: int) -> None:
+def _update_lapsed(tables: Tables, indexes: Indexes, *, vm: VmRecord, command: EndRuns) -> None:
+    if command.is_reported or command.last_end:
+        clear_lapsed(indexes, vm=vm)
+        return
+    lapsed = [f"{end.task}/{end.run}" for end in command.ends if end.outcome is RunOutcome.LAPSED]
+    record_lapsed(tables, indexes, vm=vm, keys=lapsed, at_ms=command.at_ms)
+
+
+def _start_run(
+    tables: Tables, indexes: Indexes, *, start: RunStart, fencing_token: int, started_ms: int
+) -> None:
     task = TaskId.parse(start.task)
     workflow = tables.workflows.get(task.workflow)
     vm = tables.vms.get(start.vm)
@@ -133,7 +148,14 @@
         return
     progress.last_run[task.number] = start.run
     progress.pending.discard(task.number)
-    run = ActiveRun(task=start.task, run=start.run, vm=start.vm, boot=vm.boot, fencing_token=fencing_token)
+    run = ActiveRun(
+        task=start.task,
+        run=start.run,
+        vm=start.vm,
+        boot=vm.boot,
+        fencing_token=fencing_token,
+        started_ms=started_ms,
+    )
     tables.runs.setdefault(start.task, []).append(run)
     vm.runs.add(run.key)
     indexes.count_run(tables=tables, run=run, sign=1)
@@ -169,7 +191,8 @@
     progress.pending.discard(task.number)
     progress.saved.pop(task.number, None)
     progress.open_count -= 1
-    _mark_runs_to_stop(tables, indexes, task=task.name)
+    indexes.suspects.discard_task(task.name)
+    mark_runs_to_stop(tables, indexes, task=task.name)
     if any(step.open_count for step in workflow.progress[task.occurrence]):
         return
     workflow.occurrences_done += 1
@@ -177,11 +200,6 @@
         end_workflow(tables, indexes, workflow, status=WorkflowStatus.COMPLETED, at_ms=at_ms)
 
 
-def _mark_runs_to_stop(tables: Tables, indexes: Indexes, *, task: str) -> None:
-    for run in tables.runs.get(task, ()):
-        indexes.runs_to_stop[run.key] = run.vm
-
-
 __all__ = [
     "accept_workflow",
     "add_occurrence",
@@ -189,5 +207,6 @@
     "delete_workflows",
     "end_run",
     "end_runs",
+    "list_start_times",
     "start_runs",
 ]
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -73,6 +73,7 @@
 
     fencing_token: int
     starts: tuple[RunStart, ...]
+    at_ms: int = 0
     kind: Literal["start"] = "start"
 
 
@@ -82,6 +83,8 @@
 
     Attributes:
         last_end: Number of the last end that the VM reported; 0 if the leader inferred the ends.
+        boot_ended: Whether this boot of the VM has ended without having announced it, and its runs were lost with it.
+        is_reported: Whether the VM was heard of, so that it has not crashed.
     """
 
     vm: str
@@ -89,6 +92,8 @@
     ends: tuple[RunEnd, ...]
     at_ms: int
     last_end: int = 0
+    boot_ended: bool = False
+    is_reported: bool = False
     kind: Literal["end"] = "end"
 
 
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from .crash_suspects import CrashSuspects
 from .task_id import TaskId
 
 if TYPE_CHECKING:
@@ -93,6 +94,7 @@
         queues_by_host: Queues by host name, longest path prefix first.
         teams: Teams by name.
         team_by_key: Team name by API key.
+        suspects: Open tasks that may have crashed the VMs that ran them.
     """
 
     __slots__ = (
@@ -101,6 +103,7 @@
         "queues",
         "queues_by_host",
         "runs_to_stop",
+        "suspects",
         "team_by_key",
         "team_usage",
         "teams",
@@ -119,6 +122,7 @@
         self.queues_by_host: dict[str, list[Queue]] = {}
         self.teams: dict[str, TeamPolicy] = {}
         self.team_by_key: dict[str, str] = {}
+        self.suspects = CrashSuspects(tables)
         if tables.document is not None:
             self.index_document(tables.document)
         for runs in tables.runs.values():
--- a/src/hyssopway/workflow/step_progress.py
+++ b/src/hyssopway/workflow/step_progress.py
@@ -16,6 +16,7 @@
         pending: Tasks that are not done and have no run in progress.
         saved: Last checkpoint by task number.
         open_count: Number of tasks that are not done.
+        crashes: Number of VM boots that ended while they ran the task, by task number.
     """
 
     last_run: list[int]
@@ -24,6 +25,7 @@
     pending: set[int]
     open_count: int
     saved: dict[int, str] = field(default_factory=dict)
+    crashes: dict[int, int] = field(default_factory=dict)
 
     @staticmethod
     def initial(count: int) -> StepProgress:
--- a/src/hyssopway/workflow/vm_record.py
+++ b/src/hyssopway/workflow/vm_record.py
@@ -22,6 +22,7 @@
         draining: Whether it announced that it is draining.
         last_end: Number of the last reported end of this boot that is committed.
         runs: Keys of runs in progress, ``task/run``.
+        lapsed: Keys of runs whose lease ended without contact, while the VM has not been heard since.
     """
 
     vm_id: str
@@ -34,6 +35,7 @@
     draining: bool = False
     last_end: int = 0
     runs: set[str] = field(default_factory=set)
+    lapsed: set[str] = field(default_factory=set)
 
 
 __all__ = ["VmRecord"]
--- /dev/null
+++ b/tests/workflow/test_crashes.py
@@ -0,0 +1,152 @@
+"""Counts of the VMs that ended under a task."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.workflow import (
+    PROBATION_MS,
+    EndRuns,
+    RemoveVm,
+    RunEnd,
+    RunOutcome,
+    RunStart,
+    StartRuns,
+    Step,
+    WorkflowState,
+    WorkflowStatus,
+)
+from workflow.conftest import make_vm, make_workflow
+
+TASK = "w.0.0.0"
+
+
+def start(log, *, run, vm="vm-1", at_ms=1):
+    log.apply(StartRuns(fencing_token=1, starts=(RunStart(task=TASK, run=run, vm=vm),), at_ms=at_ms))
+
+
+def end_boot(log, *, run, boot, at_ms=2):
+    ends = (RunEnd(task=TASK, run=run, outcome=RunOutcome.LOST),)
+    log.apply(EndRuns(vm="vm-1", boot=boot, ends=ends, at_ms=at_ms, boot_ended=True))
+
+
+def lapse(log, *, run, boot):
+    ends = (RunEnd(task=TASK, run=run, outcome=RunOutcome.LAPSED),)
+    log.apply(EndRuns(vm="vm-1", boot=boot, ends=ends, at_ms=2))
+
+
+def crashes(log):
+    return log.state.tables.workflows["w"].progress[0][0].crashes.get(0, 0)
+
+
+def level(log):
+    return log.state.indexes.suspects.level(TASK)
+
+
+@pytest.fixture
+def workflow_log(log):
+    log.apply(make_workflow("w", steps=(Step(count=1),)))
+    return log
+
+
+def test_workflow_fails_after_three_crashes_under_a_task(workflow_log):
+    """Guards against a task that is started for as often as its VMs crash."""
+    log = workflow_log
+    for boot in (1, 2, 3):
+        assert log.state.tables.workflows["w"].status is not WorkflowStatus.FAILED
+        start(log, run=boot)
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert log.state.tables.workflows["w"].status is WorkflowStatus.FAILED
+    start(log, run=4)
+    assert log.state.tables.runs == {}
+    assert level(log) == 0
+
+
+def test_sound_task_that_was_lost_beside_other_suspects_is_not_given_up(log):
+    """Guards against giving up a sound task because a deadly one was placed beside it again and again."""
+    for name in ("w", "v"):
+        log.apply(make_workflow(name, steps=(Step(count=1),)))
+    for boot in (1, 2, 3):
+        for task in ("w.0.0.0", "v.0.0.0"):
+            starts = (RunStart(task=task, run=boot, vm="vm-1"),)
+            log.apply(StartRuns(fencing_token=1, starts=starts, at_ms=1))
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert crashes(log) == 3
+    assert {one.status for one in log.state.tables.workflows.values()} == {WorkflowStatus.RUNNING}
+    starts = (RunStart(task="v.0.0.0", run=4, vm="vm-1"),)
+    log.apply(StartRuns(fencing_token=1, starts=starts, at_ms=1))
+    log.apply(make_vm("vm-1", boot=5))
+    statuses = {name: one.status for name, one in log.state.tables.workflows.items()}
+    assert statuses == {"w": WorkflowStatus.RUNNING, "v": WorkflowStatus.FAILED}
+
+
+def test_crash_is_counted_once_however_often_it_is_noticed(workflow_log):
+    """Guards against a sound task that is given up because one crash of its VM was noticed in several ways."""
+    log = workflow_log
+    start(log, run=1)
+    lapse(log, run=1, boot=1)
+    end_boot(log, run=1, boot=1)
+    end_boot(log, run=1, boot=1)
+    log.apply(make_vm("vm-1", boot=2))
+    assert (crashes(log), level(log)) == (1, 1)
+
+
+def test_silent_vm_counts_when_it_is_known_to_have_crashed(workflow_log):
+    """Guards against a task whose crashes are never counted because its lease ends before its VM is back."""
+    log = workflow_log
+    start(log, run=1)
+    lapse(log, run=1, boot=1)
+    assert (crashes(log), level(log)) == (0, 1)
+    log.apply(make_vm("vm-1", boot=2))
+    assert (crashes(log), level(log)) == (1, 1)
+
+
+def test_vm_that_was_only_cut_off_counts_as_no_crash(workflow_log):
+    """Guards against giving up a sound task whose VMs were out of contact and work on."""
+    log = workflow_log
+    for run in (1, 2, 3, 4):
+        start(log, run=run)
+        lapse(log, run=run, boot=1)
+        log.apply(EndRuns(vm="vm-1", boot=1, ends=(), at_ms=3, is_reported=True))
+    assert (crashes(log), level(log)) == (0, 0)
+    assert log.state.tables.workflows["w"].status is WorkflowStatus.RUNNING
+
+
+@pytest.mark.parametrize("announced", ["draining", "removed"])
+def test_announced_end_of_a_vm_is_no_crash(workflow_log, announced):
+    """Guards against giving up a sound task because its VMs were drained or moved."""
+    log = workflow_log
+    start(log, run=1)
+    if announced == "draining":
+        log.apply(make_vm("vm-1", draining=True))
+        log.apply(make_vm("vm-1", boot=2))
+    else:
+        log.apply(RemoveVm(vm="vm-1", boot=1, at_ms=2))
+    assert (crashes(log), level(log)) == (0, 0)
+
+
+def test_long_running_task_that_has_worked_is_no_suspect(log):
+    """Guards against giving up a long-running task after some crashes of its VMs over days."""
+    log.apply(make_workflow("w", steps=(Step(count=1, long_running=True),)))
+    for boot in (1, 2, 3, 4):
+        at_ms = boot * 10 * PROBATION_MS
+        start(log, run=boot, at_ms=at_ms)
+        end_boot(log, run=boot, boot=boot, at_ms=at_ms + PROBATION_MS + 1)
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert (crashes(log), level(log)) == (0, 0)
+    start(log, run=5, at_ms=1_000_000)
+    end_boot(log, run=5, boot=5, at_ms=1_000_000 + PROBATION_MS)
+    assert crashes(log) == 1
+
+
+def test_suspects_survive_a_snapshot(workflow_log):
+    """Guards against a member that forgets crashes when it restores a snapshot."""
+    log = workflow_log
+    start(log, run=1)
+    log.apply(make_vm("vm-1", boot=2))
+    start(log, run=2)
+    lapse(log, run=2, boot=2)
+    restored = WorkflowState()
+    restored.restore_snapshot(log.state.encode_snapshot())
+    assert restored.indexes.suspects.level(TASK) == level(log) == 2
+    assert restored.tables == log.state.tables
