Tell orders that never reached their VM from orders without an answer

What callers saw: a task ordered to a VM that had crashed a moment before waited until a different VM answered at its address, 2 to 3 s, and the end of that VM was counted against it.

Cause: each error of the HTTP client counted as "may have been carried out", also a connection that was never opened. Ruled out: retries of the client (a POST is not repeated by it); an earlier try of the same order that may have arrived keeps the run unresolved.

Change: WorkerUnreachableError says whether the call may have reached the VM.

Tests (failed before): a start without connection frees its task, one whose first try was reset does not, and the client tells a refused connection from a lost answer.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -173,7 +173,9 @@
                 except WorkerUnreachableError as error:
                     self._log_unanswered("start", key=run.key, error=error)
                     self.ratings.record_order(self.vm_id, is_answered=False)
-                    is_sent = True
+                    is_sent = is_sent or error.is_sent
+                    if not error.is_sent:
+                        self.pause()
                     continue
                 self.rtt_estimator.record_rtt(rtt_s=self.leadership.clock() - sent_at)
                 self.ratings.record_order(self.vm_id, is_answered=True)
@@ -187,6 +189,10 @@
         self.unanswered_starts[run.key] = _UnansweredStart(run, specification, checkpoint, needs_ticket)
         return None
 
+    def pause(self) -> None:
+        """Places no task on the VM for a short time, because it refuses orders or accepts no connections."""
+        self.paused_until = max(self.paused_until, self.leadership.clock() + REFUSAL_PAUSE_S)
+
     def repeat_start(self, key: str) -> bool:
         """Sends a start that got no answer again; returns False if there is none, or the run was to be stopped."""
         order_state = self.order_states.get(key)
@@ -217,7 +223,7 @@
             # The ticket has expired or is for another boot; the refusal is no sign of a problem on the VM.
             self.tickets.drop(TaskId.parse(run.task).step_name, vm=self.vm_id)
         else:
-            self.paused_until = self.leadership.clock() + REFUSAL_PAUSE_S
+            self.pause()
         # An earlier copy of a repeated order may still be carried out.
         if is_repeated or reply.refusal is Refusal.OTHER_BOOT:
             return None
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -219,6 +219,8 @@
             return False
         except WorkerUnreachableError as error:
             self.poll_timing.record_loss(now=self.leadership.clock())
+            if not error.is_sent:
+                self.orders.pause()
             self._record_silence(record, reason=str(error))
             await self._end_lapsed_runs(record)
             return False
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -14,7 +14,15 @@
 
 
 class WorkerUnreachableError(Exception):
-    """A VM gave no usable answer; it may have carried out the order, or may still do so."""
+    """A VM gave no usable answer.
+
+    Attributes:
+        is_sent: Whether the call may have reached the VM, which then may have carried it out or may still do so.
+    """
+
+    def __init__(self, message: str, *, is_sent: bool = True) -> None:
+        super().__init__(message)
+        self.is_sent = is_sent
 
 
 class OtherBootError(Exception):
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -193,3 +193,24 @@
         await stop
     bodies = [body for _, body, _ in fake_vm.calls]
     assert bodies == sent * [{"task": "w.0.0.1", "run": 2, "fencing_token": 7}]
+
+
+async def test_refused_connection_is_told_from_a_lost_answer(workers, record, fake_vm):
+    """Guards against taking an order that a VM without a listener never received for one that may be carried out."""
+    start = {
+        "task": "w.0.0.0",
+        "run": 1,
+        "specification": "",
+        "checkpoint": "",
+        "ticket": "",
+        "lease_until_ms": 9,
+        "fencing_token": 1,
+        "timeout_s": 0.3,
+    }
+    fake_vm.wait_s = 1.0
+    with pytest.raises(WorkerUnreachableError) as lost:
+        await workers.start(vm=record, **start)
+    record.address = "127.0.0.1:1"
+    with pytest.raises(WorkerUnreachableError) as refused:
+        await workers.start(vm=record, **start)
+    assert (lost.value.is_sent, refused.value.is_sent) == (True, False)
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -107,6 +107,32 @@
     assert sum(vms.timeouts[:-1]) <= 0.6, "the order is retried too late for a task whose objective is 0.6 s"
 
 
+async def test_start_that_never_reached_its_vm_frees_the_task_at_once(link, vms):
+    """Guards against a task that waits for the end of a VM which had crashed before the order, and is blamed for it."""
+    await poll(link)
+
+    async def refuse_connection(**_):
+        raise WorkerUnreachableError("connection refused", is_sent=False)
+
+    vms.start = refuse_connection
+    await start(link)
+    assert link.leadership.state.tables.runs == {}
+    assert link.orders.paused_until > link.leadership.now
+
+
+async def test_start_that_may_have_reached_its_vm_frees_no_task(link, vms):
+    """Guards against a second run while the VM may carry out the first of several orders for the task."""
+    await poll(link)
+    errors = [WorkerUnreachableError("reset")]
+
+    async def lose_first(**_):
+        raise errors.pop() if errors else WorkerUnreachableError("connection refused", is_sent=False)
+
+    vms.start = lose_first
+    await start(link)
+    assert "w.0.0.0" in link.leadership.state.tables.runs
+
+
 async def test_refusal_of_a_repeated_start_resolves_nothing(link, vms, monkeypatch):
     """Guards against starting a second run while an earlier copy of the order may still be carried out."""
 
