Blame a task whose VMs end right after they start it, and clear the others

Cause: each end of a VM counted alike for all tasks on it, although a VM that has listed a run survived its start. Ruled out: the last end at which two suspects met (the other tasks of that VM were new and no suspects).

Change: the leader says which runs the VM had not listed yet. Two VMs that ended right after they started one task show that it is the cause, unless tasks of another workflow were just started on both. Three ends of any kind show it only if no other suspect and no just started task was lost with the last. An end whose cause is known counts for no other task.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -21,7 +21,7 @@
 from .ready_steps import add_copies, find_due_occurrences, find_ready_steps
 from .start_log import log_copies, log_starts
 from .start_order import find_run, send_start
-from .suspect_steps import set_suspicion
+from .suspect_steps import set_suspects
 from .team_shares import TeamShares
 from .team_usage import TeamUsage
 from .ticket_cache import TicketCache
@@ -228,7 +228,7 @@
             return []
         state = self.leadership.state
         set_approved_vms(ready, state=state, tickets=self.tickets)
-        set_suspicion(ready, suspects=state.indexes.suspects)
+        set_suspects(ready, suspects=state.indexes.suspects)
         RatedSteps(state=state, ratings=self.ratings, free_by_pool=free_by_pool).apply(ready)
         queue_pools = state.tables.queue_pools
         return place_steps(
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -217,12 +217,9 @@
             address=command.address,
             draining=command.draining,
         )
-        lost = LostRuns(current) if current is not None and command.boot > current.boot else None
-        if lost is not None and current is not None:
-            lost.report(reason=f"boot {command.boot} follows {current.boot}", counters=self.counters)
+        if link is not None and current is not None and command.boot > current.boot:
+            await link.end_boot(reason=f"boot {command.boot} follows {current.boot}")
         await self.leadership.propose(command)
-        if lost is not None:
-            lost.report_suspects(self.leadership.state.tables, counters=self.counters)
         self._sync_links()
 
     async def handle_departure(self, *, vm: str) -> None:
--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -5,12 +5,13 @@
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
-from hyssopway.workflow import CONCLUSIVE_CRASHES, SUSPICIOUS_CRASHES, TaskId, WorkflowStatus
+from hyssopway.workflow import NO_CRASHES, SUSPICIOUS_CRASHES, TaskId, WorkflowStatus
 
 from .start_log import MAX_RUNS_PER_LOG_LINE
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Collection
 
     from hyssopway.workflow import Tables, VmRecord
 
@@ -21,13 +22,15 @@
     Attributes:
         vm_id: ID of the VM.
         keys: Keys of the runs in progress, and of those whose lease had ended while the VM was out of contact.
+        just_started: Keys of the runs that the VM had not listed yet.
     """
 
-    __slots__ = ("keys", "vm_id")
+    __slots__ = ("just_started", "keys", "vm_id")
 
-    def __init__(self, record: VmRecord) -> None:
+    def __init__(self, record: VmRecord, *, just_started: Collection[str] = ()) -> None:
         self.vm_id = record.vm_id
         self.keys = sorted(record.runs | record.lapsed)
+        self.just_started = frozenset(just_started)
 
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
@@ -42,7 +45,14 @@
         counters["runs_lost_with_vms"] += len(self.keys)
         for offset in range(0, len(self.keys), MAX_RUNS_PER_LOG_LINE):
             batch = self.keys[offset : offset + MAX_RUNS_PER_LOG_LINE]
-            log_event(Event.RUNS_LOST, vm=self.vm_id, count=len(self.keys), runs=batch, reason=reason)
+            log_event(
+                Event.RUNS_LOST,
+                vm=self.vm_id,
+                count=len(self.keys),
+                runs=batch,
+                just_started=[key for key in batch if key in self.just_started],
+                reason=reason,
+            )
 
     def report_suspects(self, tables: Tables, *, counters: Counter[str]) -> None:
         """Logs the tasks of the runs under which several VMs have ended, and counts those that were given up.
@@ -59,10 +69,10 @@
             workflow = tables.workflows.get(task.workflow)
             if workflow is None:
                 continue
-            crashes = workflow.progress[task.occurrence][task.step].crashes.get(task.number, 0)
-            if crashes >= SUSPICIOUS_CRASHES:
-                suspects[name] = crashes
-                if crashes >= CONCLUSIVE_CRASHES and workflow.status is WorkflowStatus.FAILED:
+            count = workflow.progress[task.occurrence][task.step].crashes.get(task.number, NO_CRASHES)
+            if count.total >= SUSPICIOUS_CRASHES:
+                suspects[name] = count.total
+                if workflow.status is WorkflowStatus.FAILED:
                     given_up.append(name)
         if not suspects:
             return
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -9,7 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-from hyssopway.scheduling.crash_isolation import needs_isolation
 from hyssopway.workflow import RunStart, TaskId
 
 if TYPE_CHECKING:
@@ -81,11 +80,9 @@
         excluded = ready.excluded_vms.get(index, NO_VMS)
         if excluded in unplaceable:
             continue
-        level = ready.suspicion.get(index, 0)
-        vm = _choose_vm(
-            ready, vms=vms, excluded=excluded, may_probe=index in ready.probe_indexes, level=level
-        )
-        if vm is None and level:
+        is_suspect = index in ready.suspects
+        vm = _choose_vm(ready, vms=vms, excluded=excluded, index=index)
+        if vm is None and is_suspect:
             continue  # it waits for a VM that it may share
         if vm is None and excluded:
             # The other tasks of the step may fit on VMs that are excluded for this one.
@@ -120,7 +117,7 @@
 def _find_gang_vms(ready: ReadyStep, *, vms: list[FreeCapacity]) -> list[FreeCapacity] | None:
     """Returns a VM for each member of a gang, or None when the VMs do not fit all of them."""
     vms = [vm for vm in vms if not vm.is_probed]
-    is_suspect = bool(ready.suspicion)
+    is_suspect = bool(ready.suspects)
     free = {vm.vm_id: [vm.cpu_millis, vm.memory_mb, vm.accelerators] for vm in vms}
     placed = dict(ready.placed)
     step = ready.step
@@ -159,8 +156,8 @@
 
 def _assign(ready: ReadyStep, *, vm: FreeCapacity, index: int, run: int | None = None) -> RunStart:
     vm.reserve(ready.step)
-    if index in ready.suspicion:
-        vm.suspect_load = vm.suspect_load.plus(ready.suspicion[index])
+    if index in ready.suspects:
+        vm.suspect_load = vm.suspect_load.plus(is_isolated=ready.suspects[index])
     ready.placed[vm.vm_id] = ready.placed.get(vm.vm_id, 0) + 1
     progress = ready.workflow.progress[ready.occurrence][ready.number]
     task = TaskId(ready.workflow.workflow_id, ready.occurrence, ready.number, index)
@@ -168,9 +165,9 @@
 
 
 def _choose_vm(
-    ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str], may_probe: bool, level: int
+    ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str], index: int
 ) -> FreeCapacity | None:
-    step = ready.step
+    step, may_probe = ready.step, index in ready.probe_indexes
     best: FreeCapacity | None = None
     best_cost: tuple[float, ...] = ()
     for vm in vms:
@@ -178,24 +175,24 @@
             continue
         if step.spread_limit and ready.placed.get(vm.vm_id, 0) >= step.spread_limit:
             continue
-        if level and vm.suspect_load.is_isolated:
+        if index in ready.suspects and vm.suspect_load.is_isolated:
             continue  # a crash would not show which of the suspects caused it
         if vm.is_probed:
             if may_probe:
                 return vm  # a VM that waits for its probe leaves its capacity unused
             continue
-        cost = (*_crash_cost(vm, level=level), *_placement_cost(ready, step=step, vm=vm))
+        cost = (*_crash_cost(ready, vm=vm, index=index), *_placement_cost(ready, step=step, vm=vm))
         if best is None or cost < best_cost:
             best, best_cost = vm, cost
     return best
 
 
-def _crash_cost(vm: FreeCapacity, *, level: int) -> tuple[int, ...]:
-    """Returns the leading part of the sort key of a VM for a task under which `level` VMs have ended."""
+def _crash_cost(ready: ReadyStep, *, vm: FreeCapacity, index: int) -> tuple[int, ...]:
+    """Returns the leading part of the sort key of a VM: suspects are spread, others avoid isolated suspects."""
     load = vm.suspect_load
-    if not level:
+    if index not in ready.suspects:
         return (load.is_isolated, 0)
-    return (load.spread, vm.runs if needs_isolation(level) else 0)
+    return (load.spread, vm.runs if ready.suspects[index] else 0)
 
 
 def _placement_cost(ready: ReadyStep, *, step: Step, vm: FreeCapacity) -> tuple[float, ...]:
--- a/src/hyssopway/dispatch/ready_step.py
+++ b/src/hyssopway/dispatch/ready_step.py
@@ -21,8 +21,7 @@
         placed: Number of active runs of the step by VM ID.
         excluded_vms: IDs of VMs on which a task is not placed, by the index of the task; only for some tasks.
         probe_indexes: Indexes of the tasks that may run on a VM that is probed.
-        suspicion: Number of VMs that ended, or may have ended, under a task, by the index of the task; only for some
-            tasks.
+        suspects: Indexes of the tasks that may crash their VMs, and whether each is isolated.
         approved_vms: IDs of VMs with a valid ticket for the step; None when the step needs no ticket.
     """
 
@@ -35,7 +34,7 @@
     placed: dict[str, int]
     excluded_vms: dict[int, frozenset[str]] = field(default_factory=dict)
     probe_indexes: frozenset[int] = frozenset()
-    suspicion: dict[int, int] = field(default_factory=dict)
+    suspects: dict[int, bool] = field(default_factory=dict)
     approved_vms: frozenset[str] | None = None
 
     def task_name(self, index: int) -> str:
--- a/src/hyssopway/dispatch/suspect_steps.py
+++ b/src/hyssopway/dispatch/suspect_steps.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from hyssopway.scheduling.copies import StepKey
-from hyssopway.scheduling.crash_isolation import find_waiting, list_levels
+from hyssopway.scheduling.crash_isolation import find_waiting, list_suspects
 
 if TYPE_CHECKING:
     from hyssopway.workflow import CrashSuspects
@@ -13,21 +13,21 @@
     from .ready_step import ReadyStep
 
 
-def set_suspicion(ready: list[ReadyStep], *, suspects: CrashSuspects) -> None:
-    """Sets `suspicion` of each step and removes the tasks that must wait.
+def set_suspects(ready: list[ReadyStep], *, suspects: CrashSuspects) -> None:
+    """Sets `suspects` of each step and removes the tasks that must wait.
 
     Args:
         ready: Ready steps with their waiting tasks.
         suspects: Tasks that may crash their VMs.
     """
-    levels = list_levels(suspects)
-    if not levels:
+    by_step = list_suspects(suspects)
+    if not by_step:
         return
     waiting = find_waiting(suspects)
     for step in ready:
-        step.suspicion = levels.get(StepKey(step.workflow.workflow_id, step.occurrence, step.number), {})
-        if waiting and step.suspicion:
+        step.suspects = by_step.get(StepKey(step.workflow.workflow_id, step.occurrence, step.number), {})
+        if waiting and step.suspects:
             step.indexes = [index for index in step.indexes if step.task_name(index) not in waiting]
 
 
-__all__ = ["set_suspicion"]
+__all__ = ["set_suspects"]
--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -50,7 +50,7 @@
         """
         ends: list[RunEnd] = []
         for key in sorted(record.runs - listed):
-            run = self._find_run(key)
+            run = self.find_run(key)
             if run is None:
                 continue
             order_state = self.orders.order_states.setdefault(key, OrderState())
@@ -89,7 +89,8 @@
             return False
         return self.orders.repeat_start(run.key)
 
-    def _find_run(self, key: str) -> ActiveRun | None:
+    def find_run(self, key: str) -> ActiveRun | None:
+        """Returns a run in progress on the VM by its key; None if there is none."""
         runs = self.leadership.state.tables.runs.get(key.rpartition("/")[0], ())
         return next((run for run in runs if run.key == key and run.vm == self.orders.vm_id), None)
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -382,7 +382,6 @@
         *,
         last_end: int = 0,
         boot: int | None = None,
-        boot_ended: bool = False,
         is_reported: bool = False,
     ) -> None:
         record = self.record
@@ -394,7 +393,6 @@
             ends=tuple(ends),
             at_ms=wall_ms(),
             last_end=last_end,
-            boot_ended=boot_ended,
             is_reported=is_reported,
         )
         await self.leadership.propose(command)
@@ -416,20 +414,36 @@
         if record is None:
             return
         log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
+        lost = LostRuns(record, just_started=self._list_just_started(record))
         self._discard_boot()
-        lost = LostRuns(record)
-        if lost.keys:
-            lost.report(reason=reason, counters=self.counters)
-            await self._propose_ends(make_run_ends(record, RunOutcome.LOST), boot_ended=True)
-            lost.report_suspects(self.leadership.state.tables, counters=self.counters)
-            self.on_change()
+        if not lost.keys:
+            return
+        lost.report(reason=reason, counters=self.counters)
+        await self.leadership.propose(
+            EndRuns(
+                vm=self.vm_id,
+                boot=record.boot,
+                ends=tuple(make_run_ends(record, RunOutcome.LOST)),
+                at_ms=wall_ms(),
+                boot_ended=True,
+                just_started=tuple(sorted(lost.just_started)),
+            )
+        )
+        lost.report_suspects(self.leadership.state.tables, counters=self.counters)
+        self.on_change()
+
+    def _list_just_started(self, record: VmRecord) -> set[str]:
+        """Returns the keys of the runs of this term that the VM had not listed when it last answered."""
+        if self.boot != record.boot or self.listing_sent_at == float("-inf"):
+            return set()  # this leader has not heard of the boot
+        return {
+            key
+            for key in record.runs - set(self.listed_runs)
+            if (run := self.unlisted.find_run(key)) is not None and run.fencing_token == self.leadership.term
+        }
 
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
-        reason = f"boot {boot} follows {record.boot}"
-        log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
-        lost = LostRuns(record)
-        lost.report(reason=reason, counters=self.counters)
-        self._discard_boot()
+        await self.end_boot(reason=f"boot {boot} follows {record.boot}")
         await self.leadership.propose(
             RegisterVm(
                 vm=record.vm_id,
@@ -443,12 +457,12 @@
                 at_ms=wall_ms(),
             )
         )
-        lost.report_suspects(self.leadership.state.tables, counters=self.counters)
         self.on_change()
 
     def _discard_boot(self) -> None:
         self.has_acked_term = False
         self.listed_runs = {}
+        self.listing_sent_at = float("-inf")
         self.ratings.reset(self.vm_id)
         self.orders.discard_boot()
         self.lease.clear_clock()
--- a/src/hyssopway/scheduling/crash_isolation.py
+++ b/src/hyssopway/scheduling/crash_isolation.py
@@ -1,16 +1,17 @@
 """Limits how tasks under which VMs have ended share VMs, so that the one that crashes its VMs is found.
 
 Addresses a task that crashes each VM that starts it: all runs of the VM are lost, wait together, and would be placed on
-one VM together again, so that sound tasks are lost with the deadly one each time. After one VM the tasks are spread.
-After two VMs a task gets a VM to which no other suspect is added, with the fewest other tasks, so that the third crash
-shows which task causes them. A task waits while it is not known whether it has crashed three VMs.
+one VM together again, so that sound tasks are lost with the deadly one each time. Suspects are spread over the VMs. One
+whose VM ended right after its start, or under which two VMs have ended, is isolated: its VM has the fewest other tasks,
+and no other suspect joins it, so that the next end of a VM shows which task caused it. A task waits while it is not
+known whether it has crashed three VMs.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from hyssopway.workflow import CONCLUSIVE_CRASHES, PROBATION_MS, SUSPICIOUS_CRASHES, TaskId
+from hyssopway.workflow import CONCLUSIVE_CRASHES, NO_CRASHES, PROBATION_MS, SUSPICIOUS_CRASHES, TaskId
 
 from .copies import StepKey
 
@@ -29,27 +30,28 @@
     spread: int = 0
     is_isolated: bool = False
 
-    def plus(self, level: int) -> SuspectLoad:
-        """Returns the load with one more run of a task under which `level` VMs have ended."""
-        return SuspectLoad(self.spread + 1, self.is_isolated or needs_isolation(level))
+    def plus(self, *, is_isolated: bool) -> SuspectLoad:
+        """Returns the load with one more such run."""
+        return SuspectLoad(self.spread + 1, self.is_isolated or is_isolated)
 
 
 NO_SUSPECTS = SuspectLoad()
 
 
-def needs_isolation(level: int) -> bool:
-    """Returns whether a task is isolated under which `level` VMs have ended, or may have."""
-    return level >= SUSPICIOUS_CRASHES
+def needs_isolation(suspects: CrashSuspects, *, task: str) -> bool:
+    """Returns whether a suspect is isolated."""
+    at_start = suspects.crashes.get(task, NO_CRASHES).at_start
+    return at_start > 0 or suspects.level(task) >= SUSPICIOUS_CRASHES
 
 
-def list_levels(suspects: CrashSuspects) -> dict[StepKey, dict[int, int]]:
-    """Returns for each step the numbers of its suspect tasks, with the number of VMs that ended under each."""
-    levels: dict[StepKey, dict[int, int]] = {}
+def list_suspects(suspects: CrashSuspects) -> dict[StepKey, dict[int, bool]]:
+    """Returns for each step the numbers of its suspect tasks, and whether each is isolated."""
+    found: dict[StepKey, dict[int, bool]] = {}
     for name in suspects.list_tasks():
         task = TaskId.parse(name)
         key = StepKey(task.workflow, task.occurrence, task.step)
-        levels.setdefault(key, {})[task.number] = suspects.level(name)
-    return levels
+        found.setdefault(key, {})[task.number] = needs_isolation(suspects, task=name)
+    return found
 
 
 def find_waiting(suspects: CrashSuspects) -> set[str]:
@@ -67,9 +69,10 @@
     """
     load: dict[str, SuspectLoad] = {}
     for name in suspects.list_tasks():
+        is_isolated = needs_isolation(suspects, task=name)
         for run in tables.runs.get(name, ()):
             if now_ms - run.started_ms <= PROBATION_MS:
-                load[run.vm] = load.get(run.vm, NO_SUSPECTS).plus(suspects.level(name))
+                load[run.vm] = load.get(run.vm, NO_SUSPECTS).plus(is_isolated=is_isolated)
     return load
 
 
@@ -77,7 +80,7 @@
     "NO_SUSPECTS",
     "SuspectLoad",
     "find_waiting",
-    "list_levels",
+    "list_suspects",
     "measure_suspect_load",
     "needs_isolation",
 ]
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -4,7 +4,7 @@
 
 from .active_run import ActiveRun
 from .advisor_policy import AdvisorPolicy
-from .apply_crashes import CONCLUSIVE_CRASHES, PROBATION_MS, SUSPICIOUS_CRASHES
+from .apply_crashes import PROBATION_MS
 from .capacity import Capacity
 from .commands import (
     AcceptWorkflow,
@@ -24,6 +24,8 @@
     StartRuns,
     StartWave,
 )
+from .crash_blame import CONCLUSIVE_CRASHES, SUSPICIOUS_CRASHES
+from .crash_count import NO_CRASHES, CrashCount
 from .crash_suspects import CrashSuspects
 from .fleet_document import FleetDocument
 from .indexes import Indexes, Usage
@@ -46,6 +48,7 @@
 
 __all__ = [
     "CONCLUSIVE_CRASHES",
+    "NO_CRASHES",
     "PROBATION_MS",
     "SUSPICIOUS_CRASHES",
     "AcceptWorkflow",
@@ -57,6 +60,7 @@
     "Capacity",
     "Command",
     "ConfirmMaintenance",
+    "CrashCount",
     "CrashSuspects",
     "DeleteWorkflows",
     "EndRuns",
--- a/src/hyssopway/workflow/apply_crashes.py
+++ b/src/hyssopway/workflow/apply_crashes.py
@@ -1,9 +1,11 @@
-"""Counts the VMs that ended under a task, and fails workflows with a task that probably crashes its VMs."""
+"""Counts the VMs that ended under a task, and fails workflows with a task that crashes its VMs."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from .crash_blame import find_causes
+from .crash_count import NO_CRASHES, CrashCount
 from .task_id import TaskId
 from .workflow_end import end_workflow
 from .workflow_status import WorkflowStatus
@@ -12,22 +14,23 @@
     from collections.abc import Collection
 
     from .indexes import Indexes
+    from .step_progress import StepProgress
     from .tables import Tables
     from .vm_record import VmRecord
 
-# A workflow fails when this many VM boots have ended under one of its tasks and no other suspect was lost with the last.
-CONCLUSIVE_CRASHES = 3
-# A workflow fails when this many VM boots have ended under one of its tasks.
-MAX_CRASHES = 4
-# A task under which this many VM boots have ended is suspected of having caused the next one.
-SUSPICIOUS_CRASHES = 2
 # A run of a long-running task that has lasted longer did not crash its VM. Longer than the time until the end of a VM
 # is noticed.
 PROBATION_MS = 10_000
 
 
 def count_crashes(
-    tables: Tables, indexes: Indexes, *, vm: VmRecord, started_ms: dict[str, int], at_ms: int
+    tables: Tables,
+    indexes: Indexes,
+    *,
+    vm: VmRecord,
+    started_ms: dict[str, int],
+    just_started: Collection[str] = (),
+    at_ms: int,
 ) -> None:
     """Counts the end of a VM's boot for each task that it ran, and fails the workflows of tasks that caused it.
 
@@ -38,27 +41,43 @@
         indexes: Indexes over the data.
         vm: VM whose boot has ended.
         started_ms: Wall-clock time of the start of each run that was lost with the VM, by task; 0 if it is unknown.
+        just_started: Keys of the runs that the VM had not listed yet.
         at_ms: Wall-clock time at which the end was noticed.
     """
-    lapsed = {key.rpartition("/")[0] for key in vm.lapsed}
+    lapsed = {_task_of(key) for key in vm.lapsed}
     clear_lapsed(indexes, vm=vm)
     if vm.draining:
         return  # it announced its end
-    crashes: dict[str, int] = {}
+    tasks_at_start = {_task_of(key) for key in just_started}
+    counts: dict[str, CrashCount] = {}
     for task in sorted({*started_ms, *lapsed}):
-        crashes[task] = _count_crash(
-            tables, indexes, task=task, started_ms=started_ms.get(task, 0), at_ms=at_ms
-        )
-    for task in crashes:
-        if _is_conclusive(task, crashes=crashes):
-            _fail_workflow(tables, indexes, task=task, at_ms=at_ms)
+        progress = _find_open_progress(tables, task=task)
+        if progress is None:
+            continue
+        number = TaskId.parse(task).number
+        if _has_lasted(tables, task=task, started_ms=started_ms.get(task, 0), at_ms=at_ms):
+            progress.crashes.pop(number, None)
+            indexes.suspects.discard_task(task)
+            continue
+        count = progress.crashes.get(number, NO_CRASHES)
+        counts[task] = count.plus(is_at_start=task in tasks_at_start)
+    causes = find_causes(counts, just_started=tasks_at_start)
+    # Once the cause of an end is known, it counts for no other task.
+    for task in causes or counts:
+        _store_count(tables, indexes, task=task, count=counts[task])
+    for task in causes:
+        _fail_workflow(tables, indexes, task=task, at_ms=at_ms)
 
 
 def record_lapsed(
     tables: Tables, indexes: Indexes, *, vm: VmRecord, keys: Collection[str], at_ms: int
 ) -> None:
     """Remembers runs whose lease ended without contact, until it is known whether their VM crashed."""
-    new = {key for key in keys if key in vm.runs and not _has_lasted(tables, key=key, at_ms=at_ms)}
+    new = {key for key in keys if key in vm.runs}
+    for task in sorted(_task_of(key) for key in new):
+        started_ms = next(run.started_ms for run in tables.runs[task] if run.vm == vm.vm_id)
+        if _has_lasted(tables, task=task, started_ms=started_ms, at_ms=at_ms):
+            new = {key for key in new if _task_of(key) != task}
     vm.lapsed |= new
     indexes.suspects.add_lapsed(new)
 
@@ -69,38 +88,21 @@
     vm.lapsed = set()
 
 
-def _count_crash(tables: Tables, indexes: Indexes, *, task: str, started_ms: int, at_ms: int) -> int:
-    """Returns how many VM boots have ended under a task; 0 if the task is not suspect."""
+def _find_open_progress(tables: Tables, *, task: str) -> StepProgress | None:
+    """Returns the progress of the step of a task; None if the task needs no run any more."""
     task_id = TaskId.parse(task)
     workflow = tables.workflows.get(task_id.workflow)
     if workflow is None or workflow.status.is_final:
-        return 0
+        return None
     progress = workflow.progress[task_id.occurrence][task_id.step]
-    if progress.done[task_id.number]:
-        return 0
-    step = workflow.spec.steps[task_id.step]
-    if step.long_running and started_ms and at_ms - started_ms > PROBATION_MS:
-        progress.crashes.pop(task_id.number, None)
-        indexes.suspects.discard_task(task)
-        return 0
-    crashes = progress.crashes.get(task_id.number, 0) + 1
-    progress.crashes[task_id.number] = crashes
-    indexes.suspects.crashes[task] = crashes
-    return crashes
-
-
-def _is_conclusive(task: str, *, crashes: dict[str, int]) -> bool:
-    """Returns whether a task causes the ends of its VMs, given the counts of all tasks that were lost with the last."""
-    if crashes[task] >= MAX_CRASHES:
-        return True
-    if crashes[task] < CONCLUSIVE_CRASHES:
-        return False
-    workflow = TaskId.parse(task).workflow
-    return all(
-        count < SUSPICIOUS_CRASHES
-        for other, count in crashes.items()
-        if TaskId.parse(other).workflow != workflow
-    )
+    return None if progress.done[task_id.number] else progress
+
+
+def _store_count(tables: Tables, indexes: Indexes, *, task: str, count: CrashCount) -> None:
+    progress = _find_open_progress(tables, task=task)
+    if progress is not None:
+        progress.crashes[TaskId.parse(task).number] = count
+        indexes.suspects.crashes[task] = count
 
 
 def _fail_workflow(tables: Tables, indexes: Indexes, *, task: str, at_ms: int) -> None:
@@ -109,19 +111,15 @@
         end_workflow(tables, indexes, workflow, status=WorkflowStatus.FAILED, at_ms=at_ms)
 
 
-def _has_lasted(tables: Tables, *, key: str, at_ms: int) -> bool:
-    task = TaskId.parse(key.rpartition("/")[0])
-    step = tables.workflows[task.workflow].spec.steps[task.step]
-    run = next(run for run in tables.runs[task.name] if run.key == key)
-    return step.long_running and run.started_ms > 0 and at_ms - run.started_ms > PROBATION_MS
+def _has_lasted(tables: Tables, *, task: str, started_ms: int, at_ms: int) -> bool:
+    """Returns whether a run of a long-running task has worked for longer than its probation."""
+    task_id = TaskId.parse(task)
+    step = tables.workflows[task_id.workflow].spec.steps[task_id.step]
+    return step.long_running and started_ms > 0 and at_ms - started_ms > PROBATION_MS
+
+
+def _task_of(key: str) -> str:
+    return key.rpartition("/")[0]
 
 
-__all__ = [
-    "CONCLUSIVE_CRASHES",
-    "MAX_CRASHES",
-    "PROBATION_MS",
-    "SUSPICIOUS_CRASHES",
-    "clear_lapsed",
-    "count_crashes",
-    "record_lapsed",
-]
+__all__ = ["PROBATION_MS", "clear_lapsed", "count_crashes", "record_lapsed"]
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -89,7 +89,14 @@
     for end in command.ends:
         end_run(tables, indexes, end=end, vm=command.vm, boot=command.boot, at_ms=command.at_ms)
     if vm is not None and command.boot_ended:
-        count_crashes(tables, indexes, vm=vm, started_ms=started_ms, at_ms=command.at_ms)
+        count_crashes(
+            tables,
+            indexes,
+            vm=vm,
+            started_ms=started_ms,
+            just_started=command.just_started,
+            at_ms=command.at_ms,
+        )
 
 
 def list_start_times(tables: Tables, *, vm: VmRecord) -> dict[str, int]:
--- /dev/null
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -0,0 +1,59 @@
+"""Decides which tasks caused the end of their VM."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .task_id import TaskId
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from .crash_count import CrashCount
+
+# Two VMs do not end right after they started one task by chance.
+CONCLUSIVE_CRASHES_AT_START = 2
+# Three VMs that ended under one task show that it caused the last, unless another suspect was lost with it.
+CONCLUSIVE_CRASHES = 3
+# A task under which this many VMs have ended is a suspect whenever another ends under it.
+SUSPICIOUS_CRASHES = 2
+# A task under which this many VMs have ended is not started again.
+MAX_CRASHES = 4
+
+
+def find_causes(counts: Mapping[str, CrashCount], *, just_started: Collection[str]) -> list[str]:
+    """Returns the tasks that caused the end of a VM; empty while it may have been one of several, or none.
+
+    Sound tasks are lost beside a task that crashes its VMs, and would be blamed as well.
+
+    Args:
+        counts: Numbers of ends under each task that was lost with the VM, including this end.
+        just_started: Tasks that the VM had just started.
+    """
+    at_start = {
+        task
+        for task in just_started
+        if task in counts and counts[task].at_start >= CONCLUSIVE_CRASHES_AT_START
+    }
+    suspects = {
+        task for task, count in counts.items() if count.total >= SUSPICIOUS_CRASHES or task in just_started
+    }
+    causes = {task for task in counts if counts[task].total >= MAX_CRASHES}
+    if _are_of_one_workflow(at_start):
+        causes |= at_start
+    if _are_of_one_workflow(suspects):
+        causes |= {task for task in suspects if counts[task].total >= CONCLUSIVE_CRASHES}
+    return sorted(causes)
+
+
+def _are_of_one_workflow(tasks: Collection[str]) -> bool:
+    return len({TaskId.parse(task).workflow for task in tasks}) == 1
+
+
+__all__ = [
+    "CONCLUSIVE_CRASHES",
+    "CONCLUSIVE_CRASHES_AT_START",
+    "MAX_CRASHES",
+    "SUSPICIOUS_CRASHES",
+    "find_causes",
+]
--- /dev/null
+++ b/src/hyssopway/workflow/crash_count.py
@@ -0,0 +1,27 @@
+"""Number of VM boots that ended under a task."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashCount:
+    """Number of VM boots that ended while they ran a task.
+
+    Attributes:
+        total: All of them.
+        at_start: Those that ended right after they had started the task, before they listed its run.
+    """
+
+    total: int = 0
+    at_start: int = 0
+
+    def plus(self, *, is_at_start: bool) -> CrashCount:
+        """Returns the count with one more end of a boot."""
+        return CrashCount(total=self.total + 1, at_start=self.at_start + is_at_start)
+
+
+NO_CRASHES = CrashCount()
+
+__all__ = ["NO_CRASHES", "CrashCount"]
--- a/src/hyssopway/workflow/crash_suspects.py
+++ b/src/hyssopway/workflow/crash_suspects.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from .crash_count import NO_CRASHES, CrashCount
 from .task_id import TaskId
 
 if TYPE_CHECKING:
@@ -23,17 +24,17 @@
     __slots__ = ("crashes", "lapsed")
 
     def __init__(self, tables: Tables) -> None:
-        self.crashes: dict[str, int] = {}
+        self.crashes: dict[str, CrashCount] = {}
         self.lapsed: Counter[str] = Counter()
         for workflow in tables.workflows.values():
             if workflow.status.is_final:
                 continue
             for occurrence, steps in workflow.progress.items():
                 for step, progress in enumerate(steps):
-                    for number, crashes in progress.crashes.items():
+                    for number, count in progress.crashes.items():
                         if not progress.done[number]:
                             name = TaskId(workflow.workflow_id, occurrence, step, number).name
-                            self.crashes[name] = crashes
+                            self.crashes[name] = count
         for vm in tables.vms.values():
             self.add_lapsed(vm.lapsed)
 
@@ -55,7 +56,7 @@
 
     def level(self, task: str) -> int:
         """Returns how many VMs have ended under a task, counting those that may have."""
-        return self.crashes.get(task, 0) + self.lapsed[task]
+        return self.crashes.get(task, NO_CRASHES).total + self.lapsed[task]
 
 
 __all__ = ["CrashSuspects"]
--- a/src/hyssopway/workflow/step_progress.py
+++ b/src/hyssopway/workflow/step_progress.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from .crash_count import CrashCount
+
 
 @dataclass(slots=True, kw_only=True)
 class StepProgress:
@@ -16,7 +18,7 @@
         pending: Tasks that are not done and have no run in progress.
         saved: Last checkpoint by task number.
         open_count: Number of tasks that are not done.
-        crashes: Number of VM boots that ended while they ran the task, by task number.
+        crashes: Number of VM boots that ended under the task, by task number; only for some tasks.
     """
 
     last_run: list[int]
@@ -25,7 +27,7 @@
     pending: set[int]
     open_count: int
     saved: dict[int, str] = field(default_factory=dict)
-    crashes: dict[int, int] = field(default_factory=dict)
+    crashes: dict[int, CrashCount] = field(default_factory=dict)
 
     @staticmethod
     def initial(count: int) -> StepProgress:
--- a/tests/workflow/test_crashes.py
+++ b/tests/workflow/test_crashes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hyssopway.workflow import (
+    NO_CRASHES,
     PROBATION_MS,
     EndRuns,
     RemoveVm,
@@ -25,9 +26,12 @@
     log.apply(StartRuns(fencing_token=1, starts=(RunStart(task=TASK, run=run, vm=vm),), at_ms=at_ms))
 
 
-def end_boot(log, *, run, boot, at_ms=2):
-    ends = (RunEnd(task=TASK, run=run, outcome=RunOutcome.LOST),)
-    log.apply(EndRuns(vm="vm-1", boot=boot, ends=ends, at_ms=at_ms, boot_ended=True))
+def end_boot(log, *, run, boot, at_ms=2, tasks=(TASK,), just_started=()):
+    ends = tuple(RunEnd(task=task, run=run, outcome=RunOutcome.LOST) for task in tasks)
+    command = EndRuns(
+        vm="vm-1", boot=boot, ends=ends, at_ms=at_ms, boot_ended=True, just_started=just_started
+    )
+    log.apply(command)
 
 
 def lapse(log, *, run, boot):
@@ -36,7 +40,7 @@
 
 
 def crashes(log):
-    return log.state.tables.workflows["w"].progress[0][0].crashes.get(0, 0)
+    return log.state.tables.workflows["w"].progress[0][0].crashes.get(0, NO_CRASHES).total
 
 
 def level(log):
@@ -80,6 +84,65 @@
     assert statuses == {"w": WorkflowStatus.RUNNING, "v": WorkflowStatus.FAILED}
 
 
+def test_task_whose_vms_end_right_after_its_start_is_given_up_after_two(workflow_log):
+    """Guards against a third VM that crashes although two have ended right after they started one task."""
+    log = workflow_log
+    for boot in (1, 2):
+        assert log.state.tables.workflows["w"].status is not WorkflowStatus.FAILED
+        start(log, run=boot)
+        end_boot(log, run=boot, boot=boot, just_started=(f"{TASK}/{boot}",))
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert log.state.tables.workflows["w"].status is WorkflowStatus.FAILED
+
+
+def test_tasks_that_were_started_together_on_both_vms_are_not_given_up(log):
+    """Guards against giving up a sound task that was started beside a deadly one on two VMs."""
+    for name in ("w", "v"):
+        log.apply(make_workflow(name, steps=(Step(count=1),)))
+    tasks = (TASK, "v.0.0.0")
+    for boot in (1, 2):
+        starts = tuple(RunStart(task=task, run=boot, vm="vm-1") for task in tasks)
+        log.apply(StartRuns(fencing_token=1, starts=starts, at_ms=1))
+        keys = tuple(f"{task}/{boot}" for task in tasks)
+        end_boot(log, run=boot, boot=boot, tasks=tasks, just_started=keys)
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert {one.status for one in log.state.tables.workflows.values()} == {WorkflowStatus.RUNNING}
+
+
+def test_task_that_had_worked_is_not_blamed_beside_one_that_just_started(log):
+    """Guards against giving up a sound task that was lost with its VM three times, each time beside another cause."""
+    log.apply(make_workflow("w", steps=(Step(count=1),)))
+    for boot in (1, 2, 3):
+        log.apply(make_workflow(f"v{boot}", steps=(Step(count=1),)))
+        tasks = (TASK, f"v{boot}.0.0.0")
+        log.apply(
+            StartRuns(
+                fencing_token=1,
+                starts=tuple(RunStart(task=task, run=boot, vm="vm-1") for task in tasks),
+                at_ms=1,
+            )
+        )
+        end_boot(log, run=boot, boot=boot, tasks=tasks, just_started=(f"{tasks[1]}/{boot}",))
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert crashes(log) == 3
+    assert log.state.tables.workflows["w"].status is WorkflowStatus.RUNNING
+
+
+def test_end_of_a_vm_whose_cause_is_known_counts_for_no_other_task(log):
+    """Guards against suspecting the sound tasks that were lost with a task that is given up."""
+    for name in ("w", "v"):
+        log.apply(make_workflow(name, steps=(Step(count=1),)))
+    start(log, run=1)
+    end_boot(log, run=1, boot=1, just_started=(f"{TASK}/1",))
+    log.apply(make_vm("vm-1", boot=2))
+    tasks = (TASK, "v.0.0.0")
+    starts = tuple(RunStart(task=task, run=2, vm="vm-1") for task in tasks)
+    log.apply(StartRuns(fencing_token=1, starts=starts, at_ms=1))
+    end_boot(log, run=2, boot=2, tasks=tasks, just_started=(f"{TASK}/2", "v.0.0.0/2"))
+    assert log.state.tables.workflows["w"].status is WorkflowStatus.FAILED
+    assert log.state.indexes.suspects.level("v.0.0.0") == 0
+
+
 def test_crash_is_counted_once_however_often_it_is_noticed(workflow_log):
     """Guards against a sound task that is given up because one crash of its VM was noticed in several ways."""
     log = workflow_log
