Keep a late announcement from undoing a change of a VM's capacity

Cause: the order of a VM's announcements was known only to the leader that took them (`ControlApi.sequences`). A new leader took the first one that arrived for the latest, so that one held up on its way restored a capacity that had shrunk, and tasks were placed beyond it until the next report.

Change: the replicated record keeps the number of the announcement that changed it last; a lower one of the same boot changes nothing, whichever leader it reaches.

Tests (failed before, 8000 == 2000 millicores): a late report at another leader, and the order when it is applied.

--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -49,6 +49,8 @@
     old = tables.vms.get(command.vm)
     if old is not None and command.boot < old.boot:
         return
+    if old is not None and command.boot == old.boot and 0 < command.sequence < old.sequence:
+        return  # announcements of one boot may overtake each other
     if old is not None and command.boot > old.boot:
         started_ms = list_start_times(tables, vm=old)
         _mark_runs_lost(tables, indexes, vm=old, at_ms=command.at_ms)
@@ -68,6 +70,7 @@
         labels=command.labels,
         capacity=command.capacity,
         draining=draining,
+        sequence=command.sequence,
         last_end=old.last_end if old is not None else 0,
         runs=old.runs if old is not None else set(),
         lapsed=old.lapsed if old is not None else set(),
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -101,7 +101,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RegisterVm:
-    """Stores what a VM announced about itself; runs of an earlier boot are lost."""
+    """Stores what a VM announced about itself; runs of an earlier boot are lost.
+
+    Attributes:
+        sequence: Number of the announcement within the boot; 0 if the VM has not announced itself.
+    """
 
     vm: str
     boot: int
@@ -112,6 +116,7 @@
     capacity: Capacity
     draining: bool
     at_ms: int
+    sequence: int = 0
     kind: Literal["vm"] = "vm"
 
 
--- a/src/hyssopway/workflow/vm_record.py
+++ b/src/hyssopway/workflow/vm_record.py
@@ -20,6 +20,7 @@
         labels: Kind and rack.
         capacity: Total capacity for runs.
         draining: Whether it announced that it is draining.
+        sequence: Number of the last announcement that changed the record, within this boot.
         last_end: Number of the last reported end of this boot that is committed.
         runs: Keys of runs in progress, ``task/run``.
         lapsed: Keys of runs whose lease ended without contact, while the VM has not been heard since.
@@ -33,6 +34,7 @@
     labels: tuple[str, ...]
     capacity: Capacity
     draining: bool = False
+    sequence: int = 0
     last_end: int = 0
     runs: set[str] = field(default_factory=set)
     lapsed: set[str] = field(default_factory=set)
--- /dev/null
+++ b/tests/dispatch/test_changing_capacity.py
@@ -0,0 +1,70 @@
+"""VMs whose capacity shrinks and grows while they run tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from dispatch.conftest import LIMITS, FakeVms, make_link
+from hyssopway.dispatch import LeaderController, WorkerUnreachableError
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
+from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, RunStart, StartRuns, Step, TaskId
+from workflow.conftest import make_document, make_vm, make_workflow
+
+STEP_S = 0.1
+
+
+class UnguardedVms(FakeVms):
+    """Fake VMs that start whatever they are told to.
+
+    Attributes:
+        cores: Present capacity of each VM.
+        over: Starts that brought a VM over its capacity.
+    """
+
+    def __init__(self, leadership):
+        super().__init__(leadership)
+        self.cores = {}
+        self.over = []
+        self.ends_of = {}
+        self.started_at = {}
+
+    def used_cores(self, vm_id):
+        return sum(name == vm_id for name in self.running.values())
+
+    async def poll(self, *, vm, last_end, **arguments):
+        self.ends = self.ends_of.get(vm.vm_id, [])
+        return await super().poll(vm=vm, last_end=last_end, **arguments)
+
+    async def start(self, *, vm, task, run, **arguments):
+        reply = await super().start(vm=vm, task=task, run=run, **arguments)
+        self.started_at[task, run] = self.leadership.now
+        if self.used_cores(vm.vm_id) > self.cores[vm.vm_id]:
+            self.over.append((vm.vm_id, task, run))
+        return reply
+
+    def finish_runs(self, *, rng):
+        for (task, run), vm_id in list(self.running.items()):
+            step = self.leadership.state.tables.workflows[TaskId.parse(task).workflow].spec.steps[0]
+            if not step.long_running and rng.random() < 0.2:
+                del self.running[task, run]
+                ends = self.ends_of.setdefault(vm_id, [])
+                end = RunEnd(task=task, run=run, outcome=RunOutcome.DONE)
+                ends.append(ListedEnd(len(ends) + 1, end))
+
+
+async def test_late_report_does_not_restore_a_capacity_that_has_shrunk(fleet, vms):
+    """Guards against a new leader that takes an announcement from before the change of leader for the latest one."""
+    await fleet.propose(make_vm("vm-1", cores=2, sequence=6))
+    controller = LeaderController(leadership=fleet, calls=vms, machines=None, advisor=None, limits=LIMITS)
+    await controller.handle_announcement(make_vm("vm-1", cores=8, sequence=5))
+    assert fleet.state.tables.vms["vm-1"].capacity.cpu_millis == 2000
+    await controller.handle_announcement(make_vm("vm-1", cores=4, sequence=7))
+    assert fleet.state.tables.vms["vm-1"].capacity.cpu_millis == 4000
+    for task in controller.tasks.values():
+        task.cancel()
+    await asyncio.gather(*controller.tasks.values(), return_exceptions=True)
--- a/tests/workflow/conftest.py
+++ b/tests/workflow/conftest.py
@@ -30,7 +30,7 @@
         self.state.apply(index=self.state.applied_index + 1, data=encode_command(command))
 
 
-def make_document(*, version=1, limit=0, max_attempts=2, queues=("plans",)):
+def make_document(*, version=1, limit=0, max_attempts=2, queues=("plans",), guards_capacity=True):
     return FleetDocument(
         version=version,
         queues=tuple(
@@ -39,14 +39,14 @@
             )
             for name in queues
         ),
-        pools=(PoolPolicy(name="vans"),),
+        pools=(PoolPolicy(name="vans", guards_capacity=guards_capacity),),
         teams=(TeamPolicy(name="pantry", keys=("key-1",), upper_limit=Capacity(cpu_millis=limit)),),
         max_body_bytes=1000,
         source=f"document {version}",
     )
 
 
-def make_vm(name, *, boot=1, draining=False, zone="nashua", rack="r1", labels=None):
+def make_vm(name, *, boot=1, draining=False, zone="nashua", rack="r1", labels=None, cores=8, sequence=0):
     return RegisterVm(
         vm=name,
         boot=boot,
@@ -54,9 +54,10 @@
         pool="vans",
         zone=zone,
         labels=labels or ("a", rack),
-        capacity=Capacity(cpu_millis=8000, memory_mb=1000),
+        capacity=Capacity(cpu_millis=1000 * cores, memory_mb=1000),
         draining=draining,
         at_ms=0,
+        sequence=sequence,
     )
 
 
