Check the capacity of VMs that reject nothing when a start is applied

Cause: room was checked in the placement only. An announcement of less that is committed between a placement and its starts was not seen, and docs/platform.md said that room is counted when a start is applied.

Change: in pools whose VMs do not guard their capacity a start that does not fit is skipped when it is applied. Pools that guard it, which are all of today's deployments, are served as before.

--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -151,7 +151,7 @@
         return
     if any(other.vm == start.vm for other in runs):
         return  # a VM identifies a run by its task
-    if not indexes.fits_limit(workflow=workflow, step=step):
+    if not indexes.fits_limit(workflow=workflow, step=step) or not indexes.fits_vm(vm=vm, step=step):
         return
     progress.last_run[task.number] = start.run
     progress.pending.discard(task.number)
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from .active_run import ActiveRun
+    from .capacity import Capacity
     from .fleet_document import FleetDocument
     from .queue import Queue
     from .step import Step
@@ -61,6 +62,14 @@
         """Number of runs that use only spare CPU."""
         return self.best_effort_images.total()
 
+    def fits(self, capacity: Capacity) -> bool:
+        """Returns whether the resources are within a capacity."""
+        return (
+            self.cpu_millis <= capacity.cpu_millis
+            and self.memory_mb <= capacity.memory_mb
+            and self.accelerators <= capacity.accelerators
+        )
+
     def add(self, step: Step, *, sign: int) -> None:
         """Adds a run of a step, or removes it if the sign is -1."""
         self.runs += sign
@@ -95,6 +104,7 @@
         teams: Teams by name.
         team_by_key: Team name by API key.
         suspects: Open tasks that may have crashed the VMs that ran them.
+        unguarded_pools: Pools whose VMs do not reject tasks that exceed their free capacity.
     """
 
     __slots__ = (
@@ -107,6 +117,7 @@
         "team_by_key",
         "team_usage",
         "teams",
+        "unguarded_pools",
         "vm_usage",
     )
 
@@ -121,6 +132,7 @@
         self.queues: dict[str, Queue] = {}
         self.queues_by_host: dict[str, list[Queue]] = {}
         self.teams: dict[str, TeamPolicy] = {}
+        self.unguarded_pools: set[str] = set()
         self.team_by_key: dict[str, str] = {}
         self.suspects = CrashSuspects(tables)
         if tables.document is not None:
@@ -138,6 +150,7 @@
         for queue in sorted(document.queues, key=lambda queue: -len(queue.path_prefix)):
             self.queues_by_host.setdefault(queue.host, []).append(queue)
         self.teams = {team.name: team for team in document.teams}
+        self.unguarded_pools = {pool.name for pool in document.pools if not pool.guards_capacity}
         self.team_by_key = {key: team.name for team in document.teams for key in team.keys}
 
     def count_run(self, *, tables: Tables, run: ActiveRun, sign: int) -> None:
@@ -188,6 +201,18 @@
             and (not limit.accelerators or usage.accelerators + step.accelerators <= limit.accelerators)
         )
 
+    def fits_vm(self, *, vm: VmRecord, step: Step) -> bool:
+        """Returns whether one more run of a step fits the capacity of a VM that does not check this itself."""
+        if vm.pool not in self.unguarded_pools:
+            return True
+        usage = self.vm_usage.get(vm.vm_id, Usage())
+        cpu_millis = 0 if step.fills else step.cpu_millis
+        return (
+            usage.cpu_millis + cpu_millis <= vm.capacity.cpu_millis
+            and usage.memory_mb + step.memory_mb <= vm.capacity.memory_mb
+            and usage.accelerators + step.accelerators <= vm.capacity.accelerators
+        )
+
     def max_attempts(self, workflow: Workflow) -> int:
         """Returns the number of failed runs of one task after which a workflow fails."""
         queue = self.queues.get(workflow.queue)
--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -57,6 +57,38 @@
                 ends.append(ListedEnd(len(ends) + 1, end))
 
 
+@pytest.mark.parametrize("seed", range(3))
+async def test_no_start_exceeds_the_announced_capacity(leadership, monkeypatch, seed):
+    """Guards against starts that exceed the capacity of a VM that has shrunk and does not reject them."""
+    monkeypatch.setattr(PollRateLimiter, "compute_pause_s", lambda _: 0.0)
+    rng = random.Random(seed)
+    vms = UnguardedVms(leadership)
+    await leadership.propose(PutDocument(document=make_document(guards_capacity=False)))
+    names = [f"vm-{number}" for number in range(4)]
+    links = {}
+    for name in names:
+        vms.cores[name] = 8
+        await leadership.propose(make_vm(name))
+        links[name] = make_link(name, leadership=leadership, calls=vms)
+    dispatcher = Dispatcher(leadership=leadership, links=links)
+    for tick in range(200):
+        leadership.now += STEP_S
+        if tick % 3 == 0:
+            steps = (Step(count=rng.randint(1, 5), cpu_millis=1000, long_running=rng.random() < 0.03),)
+            await leadership.propose(make_workflow(f"w{tick}", steps=steps))
+        if rng.random() < 0.2:
+            name = rng.choice(names)
+            vms.cores[name] = rng.randint(0, 8)
+            await leadership.propose(make_vm(name, cores=vms.cores[name], sequence=tick + 1))
+        vms.finish_runs(rng=rng)
+        for link in links.values():
+            await link.poll()
+        await dispatcher.run_round()
+        await asyncio.gather(*dispatcher.sending)
+    assert len(vms.started_at) > 60
+    assert vms.over == []
+
+
 async def test_late_report_does_not_restore_a_capacity_that_has_shrunk(fleet, vms):
     """Guards against a new leader that takes an announcement from before the change of leader for the latest one."""
     await fleet.propose(make_vm("vm-1", cores=2, sequence=6))
