Do not repeat a start on a VM that has shrunk below its runs

Cause: the start of a long-running task that got no answer is repeated for 5 s without regard to the room. On a VM that shrank meanwhile and rejects nothing, a repeat brings it over its capacity.

Change: such a start is not repeated; the run is stopped, and the task waits again once that is certain.

--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -85,10 +85,17 @@
         workflow = self.leadership.state.tables.workflows[task.workflow]
         if not workflow.spec.steps[task.step].long_running or workflow.status.is_final:
             return False
+        if self._is_over_capacity():
+            return False  # the VM has shrunk since the run was placed
         if sent_at - order_state.unlisted_since > MAX_REPEAT_S:
             return False
         return self.orders.repeat_start(run.key)
 
+    def _is_over_capacity(self) -> bool:
+        record = self.orders.record
+        usage = self.leadership.state.indexes.vm_usage.get(self.orders.vm_id)
+        return record is not None and usage is not None and not usage.fits(record.capacity)
+
     def find_run(self, key: str) -> ActiveRun | None:
         """Returns a run in progress on the VM by its key; None if there is none."""
         runs = self.leadership.state.tables.runs.get(key.rpartition("/")[0], ())
--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -100,3 +100,30 @@
     for task in controller.tasks.values():
         task.cancel()
     await asyncio.gather(*controller.tasks.values(), return_exceptions=True)
+
+
+async def test_unanswered_start_is_not_repeated_on_a_vm_that_has_shrunk(fleet, vms):
+    """Guards against a repeated start of a long-running task that exceeds a capacity which has shrunk meanwhile."""
+    step = Step(count=1, cpu_millis=4000, long_running=True)
+    await fleet.propose(make_workflow("steady", steps=(step,)))
+    link = make_link("vm-1", leadership=fleet, calls=vms)
+    await link.poll()
+
+    async def lose_order(**_):
+        vms.orders.append("start")
+        raise WorkerUnreachableError("no answer")
+
+    vms.start = lose_order
+    link.orders.expect_start(task="steady.0.0.0", run=1)
+    await fleet.propose(
+        StartRuns(fencing_token=3, starts=(RunStart(task="steady.0.0.0", run=1, vm="vm-1"),), at_ms=1)
+    )
+    (run,) = fleet.state.tables.runs["steady.0.0.0"]
+    await link.start(run, specification="", checkpoint="")
+    await fleet.propose(make_vm("vm-1", cores=2, sequence=1))
+    sent = vms.orders.count("start")
+    fleet.now += 1.0
+    await link.poll()
+    await asyncio.gather(*link.orders.sending)
+    assert vms.orders.count("start") == sent
+    assert ("stop", "steady.0.0.0", 1) in vms.orders
