Place nothing on a new boot before it announces its capacity

Cause: a poll that met a new boot registered it with the capacity of the boot before, although a new boot may be of another kind.

Change: it is registered without capacity; its announcement, which it sends when it starts, brings it.

Test (failed before: two starts): test_new_boot_gets_no_task_before_it_announces_its_capacity.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -10,7 +10,7 @@
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
-from hyssopway.workflow import EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
+from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
 from .lost_runs import LostRuns
@@ -452,7 +452,7 @@
                 pool=record.pool,
                 zone=record.zone,
                 labels=record.labels,
-                capacity=record.capacity,
+                capacity=Capacity(),  # it may be of another kind; its announcement says so
                 draining=False,
                 at_ms=wall_ms(),
             )
--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -102,6 +102,23 @@
     await asyncio.gather(*controller.tasks.values(), return_exceptions=True)
 
 
+async def test_new_boot_gets_no_task_before_it_announces_its_capacity(fleet, vms):
+    """Guards against starts that assume the capacity of the earlier boot, which may have been of another kind."""
+    link = make_link("vm-1", leadership=fleet, calls=vms)
+    dispatcher = Dispatcher(leadership=fleet, links={"vm-1": link})
+    await link.poll()
+    vms.boot = 2
+    await link.poll()
+    await link.poll()
+    await dispatcher.run_round()
+    await asyncio.gather(*dispatcher.sending)
+    assert vms.orders == []
+    await fleet.propose(make_vm("vm-1", boot=2, sequence=1))
+    await dispatcher.run_round()
+    await asyncio.gather(*dispatcher.sending)
+    assert [order for order, _, _ in vms.orders] == ["start", "start"]
+
+
 async def test_unanswered_start_is_not_repeated_on_a_vm_that_has_shrunk(fleet, vms):
     """Guards against a repeated start of a long-running task that exceeds a capacity which has shrunk meanwhile."""
     step = Step(count=1, cpu_millis=4000, long_running=True)
