Count runs that a VM still stops after their ends are committed

Cause: a run that a VM lists although its end is committed (a start that was carried out late) is told to stop, but used no capacity in the leader's view, so that its place was given away while it still worked.

Change: such runs count until their end is listed, or until they have been missing for the longest time of a stop.

Test (failed before: a start beside the run): test_run_whose_end_is_committed_counts_until_the_vm_has_stopped_it.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -283,18 +283,19 @@
             if rating is not Rating.PREFERRED and not self.ratings.may_probe(vm_id, runs=record.runs):
                 continue
             use = self.leadership.state.indexes.vm_usage.get(vm_id)
-            free_by_pool.setdefault(record.pool, []).append(
-                compute_free_capacity(
-                    record,
-                    use=use,
-                    failures=link.failures,
-                    is_probed=rating is Rating.PROBED,
-                    awaits_maintenance=vm_id in self.awaiting_maintenance,
-                    known_pairs=known_pairs,
-                    machines_can_leave=machines_can_leave,
-                    suspect_load=suspect_load.get(vm_id, NO_SUSPECTS),
-                )
+            free = compute_free_capacity(
+                record,
+                use=use,
+                failures=link.failures,
+                is_probed=rating is Rating.PROBED,
+                awaits_maintenance=vm_id in self.awaiting_maintenance,
+                known_pairs=known_pairs,
+                machines_can_leave=machines_can_leave,
+                suspect_load=suspect_load.get(vm_id, NO_SUSPECTS),
             )
+            if link.stopping.missing_since:
+                free.reserve_usage(link.stopping.measure_usage(tables))
+            free_by_pool.setdefault(record.pool, []).append(free)
         return free_by_pool
 
 
--- a/src/hyssopway/dispatch/free_capacity.py
+++ b/src/hyssopway/dispatch/free_capacity.py
@@ -7,7 +7,7 @@
 
 from hyssopway.scheduling.crash_isolation import NO_SUSPECTS, SuspectLoad
 from hyssopway.scheduling.neighbours import rank_for_best_effort, rank_for_serving
-from hyssopway.workflow import Step
+from hyssopway.workflow import Step, Usage
 
 
 @dataclass(slots=True, kw_only=True)
@@ -94,6 +94,12 @@
             self.serving_ranks.clear()
             self.best_effort_ranks.clear()
 
+    def reserve_usage(self, usage: Usage) -> None:
+        """Subtracts resources that runs use which the replicated state does not know."""
+        self.cpu_millis -= usage.cpu_millis
+        self.memory_mb -= usage.memory_mb
+        self.accelerators -= usage.accelerators
+
     def rank_for_serving(self, step: Step) -> int:
         """Returns how far a task with a latency target should avoid the VM, given known pairs."""
         rank = self.serving_ranks.get(step.image)
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -18,6 +18,7 @@
 from .run_ends import make_run_ends
 from .run_orders import RunOrders
 from .stall_detector import StallDetector
+from .stopping_runs import StoppingRuns
 from .unlisted_runs import UnlistedRuns
 from .vm_pace import UNTHROTTLED_PERCENT, VmPace
 from .worker_calls import OtherBootError, WorkerUnreachableError
@@ -74,6 +75,7 @@
         answered_at: Local time of the last answer.
         listing_sent_at: Local time at which the poll for `listed_runs` was sent.
         heard_at: Local time of the last answer or announcement.
+        stopping: Runs that the VM is still stopping although their ends are committed.
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
         failures: Number of runs that failed on the VM since the last success.
@@ -100,6 +102,7 @@
         "ratings",
         "scale",
         "stall_detector",
+        "stopping",
         "term_acked_at",
         "unlisted",
         "vm_id",
@@ -152,6 +155,7 @@
         self.unlisted = UnlistedRuns(
             leadership=leadership, orders=self.orders, stop_s=limits.stop_s + STOP_SLACK_S
         )
+        self.stopping = StoppingRuns(stop_s=limits.stop_s + STOP_SLACK_S)
         self.has_acked_term = False
         self.term_acked_at = float("inf")
         self.answered_at = float("-inf")
@@ -371,6 +375,12 @@
             await self._propose_ends(resolved)
         if self.record is not None and self.record.lapsed:
             await self._propose_ends([], is_reported=True)
+        self._stop_ended_runs(record, reply=reply, sent_at=sent_at)
+
+    def _stop_ended_runs(self, record: VmRecord, *, reply: PollReply, sent_at: float) -> None:
+        ended_runs = [key for key in self.listed_runs if key not in record.runs]
+        ends = [f"{one.end.task}/{one.end.run}" for one in reply.ends]
+        self.stopping.update(listed=ended_runs, ended=ends, sent_at=sent_at)
         for key, row in self.listed_runs.items():
             if key not in record.runs:
                 # The leader ended the run in the replicated state while the VM was out of contact.
@@ -465,6 +475,7 @@
         self.listing_sent_at = float("-inf")
         self.ratings.reset(self.vm_id)
         self.orders.discard_boot()
+        self.stopping.clear()
         self.lease.clear_clock()
 
     def _record_silence(self, record: VmRecord, *, reason: str) -> None:
--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -144,3 +144,26 @@
     await asyncio.gather(*link.orders.sending)
     assert vms.orders.count("start") == sent
     assert ("stop", "steady.0.0.0", 1) in vms.orders
+
+
+async def test_run_whose_end_is_committed_counts_until_the_vm_has_stopped_it(fleet, vms):
+    """Guards against a start in the place of a run that the VM is still stopping."""
+    await fleet.propose(make_vm("vm-1", cores=1, sequence=1))
+    link = make_link("vm-1", leadership=fleet, calls=vms)
+    dispatcher = Dispatcher(leadership=fleet, links={"vm-1": link})
+    vms.running["w.0.0.1", 1] = "vm-1"  # the leader has ended this run while the VM was out of contact
+    await link.poll()
+    await asyncio.gather(*link.orders.sending)
+    assert ("stop", "w.0.0.1", 1) in vms.orders
+    vms.running.clear()
+    fleet.now += LIMITS.stop_s / 2
+    await link.poll()
+    await dispatcher.run_round()
+    await asyncio.gather(*dispatcher.sending)
+    assert [order for order in vms.orders if order[0] == "start"] == []
+    for _ in range(3):
+        fleet.now += 1.0
+        await link.poll()
+    await dispatcher.run_round()
+    await asyncio.gather(*dispatcher.sending)
+    assert [order[0] for order in vms.orders].count("start") == 1
