Send a request to no third endpoint after two failed while they ran it

What callers saw: an idempotent request whose endpoint resets the connection was retried at the next endpoint for as long as the retry budget of the gateway lasted.

Ruled out: non-idempotent requests, which are sent once; attempts that certainly did not run, which stay retried as before.

Change: after two attempts that may have run and ended because their endpoint failed, the caller gets the failure.

--- a/src/hyssopway/gateway/call.py
+++ b/src/hyssopway/gateway/call.py
@@ -29,6 +29,7 @@
         earlier: Failure of the first attempt that may have run.
         answering: Whether a response is being streamed to the caller.
         tried: Endpoints that failed an earlier attempt.
+        failed_while_running: Number of attempts that may have run and ended because their endpoint failed.
         caller_gone: Whether the caller disconnected or stopped reading during the response.
     """
 
@@ -45,6 +46,7 @@
     answering: bool = False
     caller_gone: bool = False
     tried: frozenset[str] = frozenset()
+    failed_while_running: int = 0
 
     def final_failure(self, failure: Failure) -> Failure:
         """Returns the failure to report to the caller after the last attempt.
--- a/src/hyssopway/gateway/gateway.py
+++ b/src/hyssopway/gateway/gateway.py
@@ -37,6 +37,8 @@
 
 # Bodies up to this size are buffered for retries; the rest of a larger body is streamed.
 BUFFERED_BODY_BYTES = 64 * 1024
+# A request under which this many endpoints have failed may be the cause, and is sent to no other.
+MAX_FAILED_WHILE_RUNNING = 2
 MAX_IDEMPOTENCY_KEY = 256
 IDLE_POLL_S = 0.05
 _FAILURE_PREFIX = "failed with "
@@ -292,6 +294,8 @@
             call.tried |= {credit.credit.endpoint}
             if call.earlier is None and error.failure.work is not WorkState.NOT_RUN:
                 call.earlier = error.failure
+            if error.endpoint_failed and error.failure.work is not WorkState.NOT_RUN:
+                call.failed_while_running += 1
             if error.endpoint_failed:
                 self.router.health.record_failure(credit.credit.endpoint, service=service)
             return Error(error)
@@ -315,6 +319,7 @@
             and (known_not_run or call.service.idempotent)
             and not call.answering
             and not call.body.consumed
+            and call.failed_while_running < MAX_FAILED_WHILE_RUNNING
             and call.deadline > self.clock()
             and self.retry_budget.acquire()
         )
--- a/tests/gateway/test_responses.py
+++ b/tests/gateway/test_responses.py
@@ -49,6 +49,15 @@
         assert await harness.call(data=b"body") == (200, b"body")
 
 
+async def test_request_that_breaks_its_endpoints_reaches_two_at_most(harness):
+    """Guards against one request that crashes endpoint after endpoint because each failure is retried elsewhere."""
+    endpoints = [await harness.add("resets after reading", slots=1) for _ in range(5)]
+    harness.gateway.retry_budget.balance = 10.0
+    status, body = await harness.call(data=b"body")
+    assert (status, body["work"]) == (502, MAY_HAVE_RUN)
+    assert sum(sum(endpoint.ran.values()) for endpoint in endpoints) == 2
+
+
 async def test_retries_are_limited_by_budget(harness):
     """Guards against retries that multiply the load when all endpoints fail."""
     endpoint = await harness.add("resets after reading")
