Give up a job that ends worker after worker in the first job path, too

Change: a job keeps the worker process of each run that was lost within 150 s of its start. When three of these processes are known to have ended (the VM has another one, or is gone), the job fails. A worker that was only silent does not count, and a run that worked for longer clears the list, so restarts of workers under a long job do not add up.

Tests: a job whose workers restart (failed before: pending after four losses), one whose worker was only silent, one that works for long.

--- a/src/hyssopway/control/apply/runs.py
+++ b/src/hyssopway/control/apply/runs.py
@@ -7,7 +7,7 @@
 from expression import Ok, Result
 
 from hyssopway.control.change import Change
-from hyssopway.control.record import JobStatus, Run, RunOutcome, VmState, ZoneStatus
+from hyssopway.control.record import JobStatus, LostRun, Run, RunOutcome, VmState, ZoneStatus
 from hyssopway.control.run_end import RunEnd
 from hyssopway.control.team_usage import TeamUsage
 from hyssopway.document import JobPolicy
@@ -23,6 +23,10 @@
     from hyssopway.result import Failure
 
 MAX_BACKOFF_DOUBLINGS = 8
+# A job fails when this many worker processes have ended while they ran it.
+MAX_CRASHES = 3
+# A run that was lost after a longer time did not end its worker. Longer than the time until a lost home is noticed.
+PROBATION_MS = 150_000
 
 
 def start_run(state: ControlState, command: StartRun) -> Result[Change, Failure]:
@@ -137,6 +141,8 @@
 
 def _apply_run_outcome(state: ControlState, *, job: Job, command: EndRun) -> None:
     probe = job.run is not None and job.run.probe
+    if command.outcome is RunOutcome.LOST and job.run is not None:
+        _record_lost_run(state, job=job, run=job.run)
     job.run = None
     if command.outcome is RunOutcome.DONE:
         finish_job(state, job=job, status=JobStatus.DONE, detail=command.detail)
@@ -144,10 +150,26 @@
         finish_job(state, job=job, status=JobStatus.CANCELLED, detail=command.detail or "stopped")
     elif command.outcome is RunOutcome.FAILED and not probe:
         _count_failure(state, job=job, detail=command.detail)
+    elif (crashes := _count_crashes(state, job=job)) >= MAX_CRASHES:
+        detail = f"{crashes} worker processes ended while they ran the job"
+        finish_job(state, job=job, status=JobStatus.FAILED, detail=detail)
     else:
         _requeue(state, job=job, detail=command.detail)
 
 
+def _record_lost_run(state: ControlState, *, job: Job, run: Run) -> None:
+    if state.tables.now_ms - run.started_ms > PROBATION_MS:
+        job.lost_runs.clear()
+    elif run.boot_id:
+        job.lost_runs.append(LostRun(vm=run.vm, boot_id=run.boot_id))
+
+
+def _count_crashes(state: ControlState, *, job: Job) -> int:
+    """Returns how many worker processes are known to have ended under a job; one that was only silent is not."""
+    vms = state.tables.vms
+    return sum(lost.vm not in vms or vms[lost.vm].boot_id != lost.boot_id for lost in job.lost_runs)
+
+
 def _count_failure(state: ControlState, *, job: Job, detail: str) -> None:
     document = state.document()
     policy = document.jobs if document else JobPolicy()
--- a/src/hyssopway/control/record/__init__.py
+++ b/src/hyssopway/control/record/__init__.py
@@ -8,6 +8,7 @@
 from .job_spec import JobSpec
 from .job_status import JobStatus
 from .key import Key
+from .lost_run import LostRun
 from .permit import Permit
 from .permit_purpose import PermitPurpose
 from .reclaim_action import ReclaimAction
@@ -30,6 +31,7 @@
     "JobSpec",
     "JobStatus",
     "Key",
+    "LostRun",
     "Permit",
     "PermitPurpose",
     "ReclaimAction",
--- a/src/hyssopway/control/record/job.py
+++ b/src/hyssopway/control/record/job.py
@@ -6,6 +6,7 @@
 
 from .job_spec import JobSpec
 from .job_status import JobStatus
+from .lost_run import LostRun
 from .run import Run
 
 # Bounds the size of a job that is reclaimed repeatedly; every replica holds it.
@@ -26,6 +27,7 @@
         run: Run in progress; None if there is none.
         runs: Number of runs started so far.
         failures: Number of failed runs.
+        lost_runs: Runs that were lost soon after their start.
         not_before_ms: Cluster time before which no further run starts (retry backoff).
         cancelling: Whether its run is being stopped because the job was cancelled.
         checkpoint: Checkpoint from which the next run continues; empty if there is none.
@@ -43,6 +45,7 @@
     run: Run | None = None
     runs: int = 0
     failures: int = 0
+    lost_runs: list[LostRun] = field(default_factory=list)
     not_before_ms: int = 0
     cancelling: bool = False
     checkpoint: str = ""
--- a/tests/control/test_jobs.py
+++ b/tests/control/test_jobs.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hyssopway.control import ControlState
+from hyssopway.control.apply.runs import PROBATION_MS
 from hyssopway.control.command import CancelJob, CancelJobs, EndRun, ReclaimRun
 from hyssopway.control.record import JobStatus, ReclaimAction, RunOutcome
 from hyssopway.control.record.job import MAX_HISTORY
@@ -59,6 +60,43 @@
     assert submitter.accept("big", resources=big).failure is None
 
 
+def lose_run(submitter, *, epoch, boot_id):
+    """Starts a run, ends it as lost, and lets the worker come back as another process."""
+    assert submitter.start("j", "vm", epoch=epoch).failure is None
+    submitter.apply_or_fail(EndRun(job_id="j", epoch=epoch, outcome=RunOutcome.LOST))
+    submitter.register("vm", boot_id=boot_id)
+
+
+def test_job_that_ends_its_workers_is_given_up(submitter):
+    """Guards against one job that ends worker after worker because lost runs were not counted."""
+    submitter.accept("j")
+    job = submitter.state.tables.jobs["j"]
+    for epoch in range(1, 5):
+        assert job.status is JobStatus.PENDING
+        lose_run(submitter, epoch=epoch, boot_id=f"boot-{epoch}")
+    # The end of the last worker is known when it is back, so the fourth loss shows three ends.
+    assert job.status is JobStatus.FAILED
+
+
+def test_job_whose_worker_was_only_silent_is_not_given_up(submitter):
+    """Guards against giving up a sound job whose zone is cut off again and again."""
+    submitter.accept("j")
+    for epoch in range(1, 9):
+        lose_run(submitter, epoch=epoch, boot_id="b1")
+    assert submitter.state.tables.jobs["j"].status is JobStatus.PENDING
+
+
+def test_job_that_works_for_long_is_not_given_up(submitter):
+    """Guards against giving up a long job after some restarts of its workers."""
+    submitter.accept("j")
+    for epoch in range(1, 9):
+        assert submitter.start("j", "vm", epoch=epoch).failure is None
+        submitter.state.tables.now_ms += PROBATION_MS + 1
+        submitter.register("vm", boot_id=f"boot-{epoch}")
+        submitter.apply_or_fail(EndRun(job_id="j", epoch=epoch, outcome=RunOutcome.LOST))
+    assert submitter.state.tables.jobs["j"].status is JobStatus.PENDING
+
+
 def test_history_is_bounded(submitter):
     """Guards against unbounded growth, in every replica, of a job that is reclaimed repeatedly."""
     submitter.accept("j0")
