Ignore the late departure of an earlier boot while the VM works

Listed as open in docs/proofs.md (faults of similar systems, 5): a departure carries no boot number, so one that was held up on its way removed a VM that had started again under its ID; its runs were taken for lost and started again elsewhere while they worked.

Change: a VM that answers polls and has not announced that it drains is kept; a boot announces its drain before it departs, and one that ended without an acknowledgement is found by the next polls.

Test (failed before: the VM was removed): test_late_departure_of_an_earlier_boot_keeps_the_vm_that_works.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -223,8 +223,19 @@
         self._sync_links()
 
     async def handle_departure(self, *, vm: str) -> None:
-        """Handles the departure of a VM and removes its record."""
+        """Handles the departure of a VM and removes its record.
+
+        A departure carries no boot number. One of an earlier boot may arrive when the VM works again under its ID; a boot
+        announces that it is draining before it departs.
+        """
         current = self.leadership.state.tables.vms.get(vm)
+        link = self.links.get(vm)
+        is_working = link is not None and link.in_contact(self.leadership.clock())
+        if current is not None and is_working and not current.draining:
+            log_event(
+                Event.INPUT_REFUSED, method="departure", path=vm, reason="the VM answers and is not draining"
+            )
+            return
         if current is not None:
             log_event(Event.VM_GONE, vm=vm, reason="it announced its departure")
             LostRuns(current).report(reason="it announced its departure", counters=self.counters)
--- a/tests/dispatch/test_departures.py
+++ b/tests/dispatch/test_departures.py
@@ -70,3 +70,15 @@
         controller._report_load()
         fleet.now += 1.0
     assert controller.counters["machine_seconds_in_pools"] == 4
+
+
+async def test_late_departure_of_an_earlier_boot_keeps_the_vm_that_works(controller, fleet, vms):
+    """Guards against losing the runs of a VM that has started again under its ID when its old departure arrives."""
+    vms.silent, vms.boot = False, 2
+    await controller.handle_announcement(make_vm("vm-1", boot=2))
+    await controller.links["vm-1"].poll()
+    await controller.handle_departure(vm="vm-1")
+    assert "vm-1" in fleet.state.tables.vms
+    await controller.handle_announcement(make_vm("vm-1", boot=2, draining=True))
+    await controller.handle_departure(vm="vm-1")
+    assert "vm-1" not in fleet.state.tables.vms
