Blame no task for the end of a VM that did not run it

Change: the leader names the runs that the VM may have worked on (`lost_at_work`): those in its last list, and those ordered since. Runs count as just started only if the VM accepted them or their connection ended before the answer, as it does when a VM crashes; an order that only timed out does not.

Test (failed before: the job failed): test_order_that_a_vm_left_unanswered_is_not_blamed_for_its_end.

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -7,30 +7,60 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import NO_CRASHES, SUSPICIOUS_CRASHES, TaskId, WorkflowStatus
 
+from .order_state import OrderState
 from .start_log import MAX_RUNS_PER_LOG_LINE
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from hyssopway.workflow import Tables, VmRecord
 
 
+UNKNOWN_ORDER = OrderState()
+
+
 class LostRuns:
     """Runs that are about to end because the boot of their VM has ended.
 
     Attributes:
         vm_id: ID of the VM.
         keys: Keys of the runs in progress, and of those whose lease had ended while the VM was out of contact.
-        just_started: Keys of the runs that the VM had not listed yet.
+        at_work: Keys of the runs in progress that the VM may have worked on.
+        just_started: Keys of the runs that the VM started after it last answered.
     """
 
-    __slots__ = ("just_started", "keys", "vm_id")
+    __slots__ = ("at_work", "just_started", "keys", "vm_id")
+
+    def __init__(
+        self,
+        record: VmRecord,
+        *,
+        listed: Collection[str] = (),
+        order_states: Mapping[str, OrderState] | None = None,
+        listing_sent_at: float = float("-inf"),
+    ) -> None:
+        """Finds the runs.
 
-    def __init__(self, record: VmRecord, *, just_started: Collection[str] = ()) -> None:
+        Args:
+            record: Record of the VM before its runs are ended.
+            listed: Keys of the runs in the VM's last answer.
+            order_states: States of the orders of this leader, by run key.
+            listing_sent_at: Local time at which the poll for the last answer was sent; negative infinity if this leader
+                got none.
+        """
         self.vm_id = record.vm_id
         self.keys = sorted(record.runs | record.lapsed)
-        self.just_started = frozenset(just_started)
+        self.at_work: set[str] = set()
+        self.just_started: set[str] = set()
+        for key in record.runs:
+            order_state = (order_states or {}).get(key, UNKNOWN_ORDER)
+            is_later = listing_sent_at <= order_state.ordered_at < float("inf")
+            if key in listed or is_later or listing_sent_at == float("-inf"):
+                self.at_work.add(key)
+            was_received = order_state.is_connection_broken or order_state.accepted_at < float("inf")
+            if is_later and key not in listed and was_received:
+                self.just_started.add(key)
 
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
--- a/src/hyssopway/dispatch/order_state.py
+++ b/src/hyssopway/dispatch/order_state.py
@@ -11,6 +11,8 @@
 
     Attributes:
         is_sending: Whether the start is in flight.
+        ordered_at: Local time at which this leader first sent the start; infinite if it has not.
+        is_connection_broken: Whether a connection ended while the answer to the start was awaited.
         accepted_at: Local time at which the VM first accepted or listed the run; infinite if it has done neither.
         stop_requested_at: Local time at which a stop was last sent; negative infinity if none was.
         stopped_at: Local time at which the VM first confirmed a stop; infinite if it hasn't.
@@ -19,6 +21,8 @@
     """
 
     is_sending: bool = False
+    ordered_at: float = float("inf")
+    is_connection_broken: bool = False
     accepted_at: float = float("inf")
     stop_requested_at: float = float("-inf")
     stopped_at: float = float("inf")
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -158,6 +158,7 @@
                 if needs_ticket and not ticket:
                     break
                 sent_at = self.leadership.clock()
+                order_state.ordered_at = min(order_state.ordered_at, sent_at)
                 try:
                     reply = await self.calls.start(
                         vm=record,
@@ -174,6 +175,7 @@
                     self._log_unanswered("start", key=run.key, error=error)
                     self.ratings.record_order(self.vm_id, is_answered=False)
                     is_sent = is_sent or error.is_sent
+                    order_state.is_connection_broken |= error.is_broken
                     if not error.is_sent:
                         self.pause()
                     continue
--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -50,7 +50,7 @@
         """
         ends: list[RunEnd] = []
         for key in sorted(record.runs - listed):
-            run = self.find_run(key)
+            run = self._find_run(key)
             if run is None:
                 continue
             order_state = self.orders.order_states.setdefault(key, OrderState())
@@ -96,8 +96,7 @@
         usage = self.leadership.state.indexes.vm_usage.get(self.orders.vm_id)
         return record is not None and usage is not None and not usage.fits(record.capacity)
 
-    def find_run(self, key: str) -> ActiveRun | None:
-        """Returns a run in progress on the VM by its key; None if there is none."""
+    def _find_run(self, key: str) -> ActiveRun | None:
         runs = self.leadership.state.tables.runs.get(key.rpartition("/")[0], ())
         return next((run for run in runs if run.key == key and run.vm == self.orders.vm_id), None)
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -413,7 +413,8 @@
         if not record.runs or self.leadership.clock() <= self.lease.expires_at:
             return
         log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
-        LostRuns(record).report(reason="its lease ended without contact", counters=self.counters)
+        lost = self._find_lost_runs(record)
+        lost.report(reason="its lease ended without contact", counters=self.counters)
         self.listed_runs = {}
         await self._propose_ends(make_run_ends(record, RunOutcome.LAPSED))
         self.on_change()
@@ -424,7 +425,7 @@
         if record is None:
             return
         log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
-        lost = LostRuns(record, just_started=self._list_just_started(record))
+        lost = self._find_lost_runs(record)
         self._discard_boot()
         if not lost.keys:
             return
@@ -436,21 +437,21 @@
                 ends=tuple(make_run_ends(record, RunOutcome.LOST)),
                 at_ms=wall_ms(),
                 boot_ended=True,
+                lost_at_work=tuple(sorted(lost.at_work)),
                 just_started=tuple(sorted(lost.just_started)),
             )
         )
         lost.report_suspects(self.leadership.state.tables, counters=self.counters)
         self.on_change()
 
-    def _list_just_started(self, record: VmRecord) -> set[str]:
-        """Returns the keys of the runs of this term that the VM had not listed when it last answered."""
-        if self.boot != record.boot or self.listing_sent_at == float("-inf"):
-            return set()  # this leader has not heard of the boot
-        return {
-            key
-            for key in record.runs - set(self.listed_runs)
-            if (run := self.unlisted.find_run(key)) is not None and run.fencing_token == self.leadership.term
-        }
+    def _find_lost_runs(self, record: VmRecord) -> LostRuns:
+        is_known = self.boot == record.boot
+        return LostRuns(
+            record,
+            listed=set(self.listed_runs) if is_known else set(),
+            order_states=self.orders.order_states if is_known else {},
+            listing_sent_at=self.listing_sent_at if is_known else float("-inf"),
+        )
 
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
         await self.end_boot(reason=f"boot {boot} follows {record.boot}")
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -18,11 +18,13 @@
 
     Attributes:
         is_sent: Whether the call may have reached the VM, which then may have carried it out or may still do so.
+        is_broken: Whether the connection ended before the answer, as it does when the VM crashes.
     """
 
-    def __init__(self, message: str, *, is_sent: bool = True) -> None:
+    def __init__(self, message: str, *, is_sent: bool = True, is_broken: bool = False) -> None:
         super().__init__(message)
         self.is_sent = is_sent
+        self.is_broken = is_broken
 
 
 class OtherBootError(Exception):
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -52,7 +52,7 @@
     if old is not None and command.boot == old.boot and 0 < command.sequence < old.sequence:
         return  # announcements of one boot may overtake each other
     if old is not None and command.boot > old.boot:
-        started_ms = list_start_times(tables, vm=old)
+        started_ms = list_start_times(tables, vm=old, keys=old.runs)
         _mark_runs_lost(tables, indexes, vm=old, at_ms=command.at_ms)
         count_crashes(tables, indexes, vm=old, started_ms=started_ms, at_ms=command.at_ms)
         old = None
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -14,6 +14,8 @@
 from .workflow_status import WorkflowStatus
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from .commands import (
         AcceptWorkflow,
         AddOccurrence,
@@ -85,7 +87,7 @@
     if vm is not None:
         vm.last_end = max(vm.last_end, command.last_end)
         _update_lapsed(tables, indexes, vm=vm, command=command)
-    started_ms = list_start_times(tables, vm=vm) if vm is not None and command.boot_ended else {}
+    started_ms = list_start_times(tables, vm=vm, keys=command.lost_at_work) if vm is not None else {}
     for end in command.ends:
         end_run(tables, indexes, end=end, vm=command.vm, boot=command.boot, at_ms=command.at_ms)
     if vm is not None and command.boot_ended:
@@ -99,11 +101,12 @@
         )
 
 
-def list_start_times(tables: Tables, *, vm: VmRecord) -> dict[str, int]:
-    """Returns the wall-clock time of the start of each run in progress on a VM, by task."""
-    tasks = {key.rpartition("/")[0] for key in vm.runs}
+def list_start_times(tables: Tables, *, vm: VmRecord, keys: Collection[str]) -> dict[str, int]:
+    """Returns the wall-clock time of the start of each of some runs in progress on a VM, by task."""
+    on_vm = vm.runs.intersection(keys)
+    tasks = {key.rpartition("/")[0] for key in on_vm}
     return {
-        run.task: run.started_ms for task in tasks for run in tables.runs.get(task, ()) if run.key in vm.runs
+        run.task: run.started_ms for task in tasks for run in tables.runs.get(task, ()) if run.key in on_vm
     }
 
 
--- a/tests/dispatch/crashing_vms.py
+++ b/tests/dispatch/crashing_vms.py
@@ -24,6 +24,7 @@
         deadly: Names of the tasks that crash their VM.
         outage_s: Seconds until a crashed VM is back.
         returns_as_new: Whether a VM is back under a new ID; otherwise it is a new boot under its ID.
+        is_dark: Whether a VM that crashes leaves its connections silent instead of ending them.
         boots: Boot number by VM ID.
         down_until: Time until which a VM is down, by VM ID.
         crashes: Times of the crashes by task.
@@ -35,6 +36,7 @@
         self.deadly = set(deadly)
         self.outage_s = outage_s
         self.returns_as_new = returns_as_new
+        self.is_dark = False
         self.boots = defaultdict(lambda: 1)
         self.down_until = {}
         self.crashes = defaultdict(list)
@@ -88,7 +90,7 @@
         if task in self.deadly:
             self.starts[task].append(self.now)
             self.crash(vm.vm_id, task=task)
-            raise WorkerUnreachableError("connection lost")
+            raise WorkerUnreachableError("connection lost", is_broken=not self.is_dark)
         self.started_at[task, run] = self.now
         return await super().start(vm=vm, task=task, run=run, **arguments)
 
--- a/tests/dispatch/test_crash_isolation.py
+++ b/tests/dispatch/test_crash_isolation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dispatch.crashing_vms import CrashingFleet
+from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.workflow import Step, WorkflowStatus
 from workflow.conftest import make_workflow
 
@@ -58,3 +59,24 @@
         await fleet.advance(4.0)
     await fleet.advance(20.0)
     assert {workflow.status for workflow in fleet.workflows.values()} == {WorkflowStatus.COMPLETED}
+
+
+async def test_order_that_a_vm_left_unanswered_is_not_blamed_for_its_end():
+    """Guards against giving up a sound task whose orders are lost on VMs that happen to crash a moment later."""
+    fleet = CrashingFleet(deadly=set())
+    await fleet.set_up(make_job("sound"))
+    start = fleet.vms.start
+
+    async def lose_order(**_):
+        raise WorkerUnreachableError("no answer within 0.1 s")
+
+    fleet.vms.start = lose_order
+    for _ in range(4):
+        await fleet.advance(0.1)
+        (run,) = fleet.leadership.state.tables.runs["sound.0.0.0"]
+        await fleet.advance(0.2)
+        fleet.vms.crash(run.vm, task="power")
+        await fleet.advance(4.0)
+    fleet.vms.start = start
+    await fleet.advance(10.0)
+    assert fleet.workflows["sound"].status is WorkflowStatus.COMPLETED
--- a/tests/workflow/test_crashes.py
+++ b/tests/workflow/test_crashes.py
@@ -29,7 +29,13 @@
 def end_boot(log, *, run, boot, at_ms=2, tasks=(TASK,), just_started=()):
     ends = tuple(RunEnd(task=task, run=run, outcome=RunOutcome.LOST) for task in tasks)
     command = EndRuns(
-        vm="vm-1", boot=boot, ends=ends, at_ms=at_ms, boot_ended=True, just_started=just_started
+        vm="vm-1",
+        boot=boot,
+        ends=ends,
+        at_ms=at_ms,
+        boot_ended=True,
+        lost_at_work=tuple(f"{task}/{run}" for task in tasks),
+        just_started=just_started,
     )
     log.apply(command)
 
