Crash VMs under tasks and change capacities in the soak

One job in 40 now crashes each VM that starts its first task; the VM is down for 0.3 to 3 s; VMs change between 8, 4 and 2 cores while they run and reject nothing.

New checks: BUDGET (three starts after three crashes), LIMIT (a start beyond the capacity of the last 3.8 s), and a job that is shown as failed needs a task with three failures or under which two VMs crashed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,6 +23,8 @@
     0: {"image": "desk", "target_ms": 100, "anti_affinity": 1},
     1: {"image": "batch", "fills": True, "anti_affinity": 1},
 }
+# One job in so many crashes each VM that starts its first task.
+JOBS_PER_DEADLY_JOB = 40
 HEADERS = {"Host": "a.example", "X-Hyssopway-Deadline": "3000"}
 
 
@@ -97,9 +99,8 @@
         duration_s = self.rng.choice((0.1, 0.3, 0.8))
         # Chosen by the ID, so that the other jobs of a seed stay the same.
         kind = JOB_KINDS.get(int(job_id, 16) % 4, {})
-        cpu_millis = self.rng.choice((250, 500, 1000))
         body = {
-            "specification": f"{0 if 'fills' in kind else cpu_millis} {duration_s}",
+            "specification": f"{0 if 'fills' in kind else 1000} {duration_s}{_choose_suffix(job_id)}",
             "steps": [
                 {
                     "count": count,
@@ -166,4 +167,8 @@
         return status, response_body
 
 
+def _choose_suffix(job_id: str) -> str:
+    return " deadly" if int(job_id, 16) % JOBS_PER_DEADLY_JOB == 1 else ""
+
+
 __all__ = ["Callers"]
--- a/tests/soak/invariant_checker.py
+++ b/tests/soak/invariant_checker.py
@@ -6,6 +6,12 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+# A task may start twice more after this many VMs have crashed under it.
+CRASHES = 3
+STARTS_AFTER_CRASHES = 3
+# A job may fail when this many VMs have crashed under one of its tasks.
+MIN_CRASHES = 2
+
 
 @dataclass(slots=True, kw_only=True)
 class Job:
@@ -41,6 +47,8 @@
         running: VM of each active run, by task and run number.
         done: Tasks that completed.
         failures: Number of failed runs by task.
+        crashes: Number of VMs that crashed while they ran a task, by task.
+        starts_after_crashes: Number of starts after `CRASHES` of these, by task.
         highest_run: Highest run number by task.
         broken: Violations, each prefixed with the name of the guarantee.
         starts: Number of started runs.
@@ -52,6 +60,8 @@
     running: dict[str, dict[int, str]] = field(default_factory=dict)
     done: set[str] = field(default_factory=set)
     failures: Counter[str] = field(default_factory=Counter)
+    crashes: Counter[str] = field(default_factory=Counter)
+    starts_after_crashes: Counter[str] = field(default_factory=Counter)
     highest_run: dict[str, int] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
@@ -80,6 +90,10 @@
             )
         if self.failures[task] >= self.max_attempts:
             self.broken.append(f"BUDGET: {task} starts after {self.failures[task]} failures")
+        if self.crashes[task] >= CRASHES and not is_late:
+            self.starts_after_crashes[task] += 1
+            if self.starts_after_crashes[task] == STARTS_AFTER_CRASHES:
+                self.broken.append(f"BUDGET: {task} starts after {self.crashes[task]} VMs crashed under it")
         if int(step) and not self._is_step_done(job_id, step=int(step) - 1):
             self.broken.append(f"ORDER: {task} starts before step {int(step) - 1} is done")
         if not is_late and time.monotonic() - job.cancel_acked_at > self.cancel_s:
@@ -94,6 +108,12 @@
             self.done.add(task)
         if outcome == "failed":
             self.failures[task] += 1
+        if outcome == "crashed":
+            self.crashes[task] += 1
+
+    def record_overload(self, *, task: str, vm: str, used_millis: int) -> None:
+        """Records a start beyond the capacity of a VM that does not reject it."""
+        self.broken.append(f"LIMIT: {task} starts on {vm}, whose runs then declare {used_millis} millicores")
 
     def check_state(self, job_id: str, state: str) -> None:
         """Records and checks a job state that a caller was told."""
@@ -106,8 +126,8 @@
         if state == "cancelled" and not job.cancel_requested:
             self.broken.append(f"LOST: {job_id} is reported as cancelled without a cancellation")
         is_exhausted = any(
-            count >= self.max_attempts
-            for task, count in self.failures.items()
+            self.failures[task] >= self.max_attempts or self.crashes[task] >= MIN_CRASHES
+            for task in {*self.failures, *self.crashes}
             if task.split(".", maxsplit=1)[0] == job_id
         )
         if state == "failed" and not is_exhausted:
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -43,7 +43,7 @@
             "stretch": 2.0,
         }
     ],
-    "services": [{"name": "vans"}],
+    "services": [{"name": "vans", "rejects_overload": False}],
     "tenants": [
         {"name": "one", "api_keys": ["key-0"], "weight": 2.0},
         {"name": "two", "api_keys": ["key-1"]},
--- a/tests/soak/worker_vm.py
+++ b/tests/soak/worker_vm.py
@@ -20,7 +20,12 @@
 
 MAX_LEASE_MS = 10_000
 HEARTBEAT_S = 0.4
-CAPACITY = {"cpu": 8000, "memory_request_mb": 16_000}
+MEMORY_MB = 16_000
+# Capacities in millicores; a VM changes between them while it runs.
+CAPACITIES = (8000, 8000, 4000, 2000)
+CAPACITY_CHANGE_SHARE = 0.03
+# A capacity that has shrunk binds from the next report and the leader's contact timeout on.
+SHRINK_GRACE_S = 3.0 + 2 * HEARTBEAT_S
 
 
 @dataclass(slots=True, kw_only=True)
@@ -28,7 +33,7 @@
     """A run in progress.
 
     Attributes:
-        cpu_millis: CPU usage in millicores.
+        cpu_millis: Declared CPU in millicores.
         timer: Timer that ends the run.
     """
 
@@ -49,6 +54,8 @@
         failure_share: Share of runs that fail.
         clock_rate: Rate of the VM's clock relative to real time; leases expire by this clock.
         boot: Number of the current boot.
+        down_until: Monotonic time in seconds until which the machine is down after a crash.
+        capacities: Capacities in millicores, each with the monotonic time in seconds from which on it holds.
     """
 
     def __init__(
@@ -63,6 +70,8 @@
         self.failure_share = 0.02
         self.clock_rate = rng.uniform(0.98, 1.0)
         self.boot = 0
+        self.down_until = 0.0
+        self.capacities = [(0.0, CAPACITIES[0])]
         self.sequence = 0
         self.fencing_token = 0
         self.lease_expiry_ms = 0.0
@@ -108,8 +117,13 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
-    def crash(self) -> None:
-        """Ends all runs and boots a VM with a new ID that has seen no fencing token."""
+    def crash(self, *, down_s: float = 0.0) -> None:
+        """Ends all runs and boots a VM with a new ID that has seen no fencing token.
+
+        Args:
+            down_s: Seconds until the VM answers and reports.
+        """
+        self.down_until = time.monotonic() + down_s
         for task, run in list(self.running):
             self.running.pop((task, run)).timer.cancel()
             self.checker.record_end(task=task, run=run, outcome="crashed")
@@ -131,13 +145,17 @@
     async def _send_reports(self) -> None:
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session:
             while True:
+                if self._is_down():
+                    await asyncio.sleep(0.05)
+                    continue
+                self._change_capacity()
                 self.sequence += 1
                 body = {
                     "service": "vans",
                     "address": self.announced_address,
                     "zone": "nashua",
                     "state": "ready",
-                    "capacity": CAPACITY,
+                    "capacity": {"cpu": self.capacities[-1][1], "memory_request_mb": MEMORY_MB},
                     # Two racks, because a copy of a run is placed in another rack.
                     "labels": ["a", f"r{zlib.crc32(self.vm_id.encode()) % 2}"],
                     "call_sequence": self.sequence,
@@ -150,6 +168,19 @@
                         pass
                 await asyncio.sleep(HEARTBEAT_S)
 
+    def _is_down(self) -> bool:
+        return time.monotonic() < self.down_until
+
+    def _change_capacity(self) -> None:
+        if self.rng.random() < CAPACITY_CHANGE_SHARE:
+            self.capacities.append((time.monotonic(), self.rng.choice(CAPACITIES)))
+
+    def _find_binding_capacity(self) -> int:
+        """Returns the largest capacity that the leader may still assume, in millicores."""
+        since = time.monotonic() - SHRINK_GRACE_S
+        earlier = [millis for at, millis in self.capacities if at <= since]
+        return max(earlier[-1], *(millis for at, millis in self.capacities if at > since), 0)
+
     async def _enforce_lease(self) -> None:
         while True:
             await asyncio.sleep(0.02)
@@ -158,6 +189,8 @@
                     self._end_run(task, run=run, outcome="lapsed")
 
     async def _handle_call(self, request: web.Request) -> web.Response:
+        if self._is_down():
+            return _drop_response(request)
         if request.headers.get("X-Hyssopway-Expected-Instance") != self.vm_id:
             return web.json_response({"clock_ms": self.clock_ms}, status=421)
         call = request.match_info["call"]
@@ -171,7 +204,11 @@
         if call == "hold":
             return await self._handle_poll(body)
         response = self._execute(call, body=body, is_late=False)
-        return _drop_response(request) if self.rng.random() < self.lost_response_share else response
+        return (
+            _drop_response(request)
+            if self._is_down() or self.rng.random() < self.lost_response_share
+            else response
+        )
 
     async def _handle_poll(self, body: dict[str, Any]) -> web.Response:
         if body["fencing_token"] < self.fencing_token:
@@ -215,15 +252,23 @@
         if body["deadline_ms"] <= self.clock_ms:
             return self._refuse("late")
         self._renew_lease(body["deadline_ms"])
-        cpu_millis, duration_s = (float(word) for word in body["specification"].split())
-        if sum(active.cpu_millis for active in self.running.values()) + cpu_millis > CAPACITY["cpu"]:
-            return self._refuse("room")
+        cpu_millis, duration_s, *kinds = body["specification"].split()
+        used_millis = sum(active.cpu_millis for active in self.running.values()) + int(cpu_millis)
+        if used_millis > self._find_binding_capacity() and not is_late:
+            self.checker.record_overload(task=task, vm=self.vm_id, used_millis=used_millis)
         outcome = "failed" if self.rng.random() < self.failure_share else "done"
         timer = asyncio.get_running_loop().call_later(
-            duration_s * self.rng.uniform(0.5, 1.5), self._end_run_if_active, task, run, self.boot, outcome
+            float(duration_s) * self.rng.uniform(0.5, 1.5),
+            self._end_run_if_active,
+            task,
+            run,
+            self.boot,
+            outcome,
         )
         self.running[task, run] = ActiveRun(cpu_millis=int(cpu_millis), timer=timer)
         self.checker.record_start(task=task, run=run, vm=self.vm_id, is_late=is_late)
+        if "deadly" in kinds and task.endswith(".0.0.0"):
+            self.crash(down_s=self.rng.uniform(0.3, 3.0))
         return web.json_response({"clock_ms": self.clock_ms})
 
     def _refuse(self, reason: str) -> web.Response:
