Count a start that overtook the poll whose answer lacks it

Found while reading the change: calls overtake each other, so a VM may answer a poll and then carry out a start that was sent before the poll. When it crashed under that start, the end did not count for the task.

Change: a start that the VM received (accepted, or its connection ended) counts if it was sent up to 0.2 s before the poll; one that only timed out does not. The choice stands in dispatch/lost_runs.py with a table of cases.

Test (failed before): tests/dispatch/test_lost_runs.py, "overtaken by the poll".

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -7,7 +7,6 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import NO_CRASHES, SUSPICIOUS_CRASHES, TaskId, WorkflowStatus
 
-from .order_state import OrderState
 from .start_log import MAX_RUNS_PER_LOG_LINE
 
 if TYPE_CHECKING:
@@ -16,8 +15,11 @@
 
     from hyssopway.workflow import Tables, VmRecord
 
+    from .order_state import OrderState
 
-UNKNOWN_ORDER = OrderState()
+
+# A VM may carry out an order that it received after it has answered a poll that was sent up to this much later.
+MAX_OVERTAKING_S = 0.2
 
 
 class LostRuns:
@@ -49,18 +51,14 @@
             listing_sent_at: Local time at which the poll for the last answer was sent; negative infinity if this leader
                 got none.
         """
+        states = order_states or {}
         self.vm_id = record.vm_id
         self.keys = sorted(record.runs | record.lapsed)
-        self.at_work: set[str] = set()
-        self.just_started: set[str] = set()
-        for key in record.runs:
-            order_state = (order_states or {}).get(key, UNKNOWN_ORDER)
-            is_later = listing_sent_at <= order_state.ordered_at < float("inf")
-            if key in listed or is_later or listing_sent_at == float("-inf"):
-                self.at_work.add(key)
-            was_received = order_state.is_connection_broken or order_state.accepted_at < float("inf")
-            if is_later and key not in listed and was_received:
-                self.just_started.add(key)
+        unlisted = record.runs.difference(listed)
+        later = {key for key in unlisted if _is_later(states.get(key), listing_sent_at=listing_sent_at)}
+        has_answered = listing_sent_at > float("-inf")
+        self.at_work = record.runs - (unlisted - later) if has_answered else set(record.runs)
+        self.just_started = {key for key in later if states[key].was_received}
 
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
@@ -110,4 +108,12 @@
         log_event(Event.TASKS_SUSPECTED, count=len(suspects), vms=suspects, given_up=given_up)
 
 
+def _is_later(order_state: OrderState | None, *, listing_sent_at: float) -> bool:
+    """Returns whether an order of this leader may have been carried out after the last answer to a poll."""
+    if order_state is None or order_state.ordered_at == float("inf"):
+        return False
+    slack_s = MAX_OVERTAKING_S if order_state.was_received else 0.0
+    return order_state.ordered_at >= listing_sent_at - slack_s
+
+
 __all__ = ["LostRuns"]
--- /dev/null
+++ b/tests/dispatch/test_lost_runs.py
@@ -0,0 +1,61 @@
+"""Choice of the runs that the end of a VM counts against."""
+
+from __future__ import annotations
+
+import pytest
+
+from hyssopway.dispatch.lost_runs import MAX_OVERTAKING_S, LostRuns
+from hyssopway.dispatch.order_state import OrderState
+from hyssopway.workflow import Capacity, VmRecord
+
+KEY = "w.0.0.0/1"
+POLLED_AT = 100.0
+
+
+@pytest.mark.parametrize(
+    ("order_state", "is_listed", "is_at_work", "is_just_started"),
+    [
+        (OrderState(ordered_at=99.0, accepted_at=99.1), True, True, False),
+        (OrderState(ordered_at=100.1, accepted_at=100.2), False, True, True),
+        (OrderState(ordered_at=100.1, is_connection_broken=True), False, True, True),
+        (OrderState(ordered_at=100.1), False, True, False),
+        (OrderState(ordered_at=99.0), False, False, False),
+        (
+            OrderState(ordered_at=POLLED_AT - MAX_OVERTAKING_S / 2, is_connection_broken=True),
+            False,
+            True,
+            True,
+        ),
+        (OrderState(), False, False, False),
+    ],
+    ids=[
+        "listed",
+        "accepted",
+        "broken",
+        "unanswered",
+        "lost before",
+        "overtaken by the poll",
+        "other leader",
+    ],
+)
+def test_runs_that_a_vm_did_not_work_on_are_not_blamed(order_state, is_listed, is_at_work, is_just_started):
+    """Guards against blaming a task for the end of a VM that never ran it, and against missing one that did."""
+    record = VmRecord(
+        vm_id="vm-1", boot=1, address="", pool="", zone="", labels=(), capacity=Capacity(), runs={KEY}
+    )
+    lost = LostRuns(
+        record,
+        listed={KEY} if is_listed else set(),
+        order_states={KEY: order_state},
+        listing_sent_at=POLLED_AT,
+    )
+    assert (KEY in lost.at_work, KEY in lost.just_started) == (is_at_work, is_just_started)
+
+
+def test_all_runs_count_on_a_vm_that_never_answered_the_leader():
+    """Guards against a new leader that excuses the task which crashed a VM under the leader before."""
+    record = VmRecord(
+        vm_id="vm-1", boot=1, address="", pool="", zone="", labels=(), capacity=Capacity(), runs={KEY}
+    )
+    lost = LostRuns(record, order_states={KEY: OrderState()})
+    assert (lost.at_work, lost.just_started) == ({KEY}, set())
