Let the links of a test begin before they are cancelled

test_late_report_does_not_restore_a_capacity_that_has_shrunk cancelled tasks that had not begun, which Python reports as coroutines that were never awaited. Its VMs are silent now and the links begin. The checks are the same; it passes, as before.

--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -91,12 +91,14 @@
 
 async def test_late_report_does_not_restore_a_capacity_that_has_shrunk(fleet, vms):
     """Guards against a new leader that takes an announcement from before the change of leader for the latest one."""
+    vms.silent = True
     await fleet.propose(make_vm("vm-1", cores=2, sequence=6))
     controller = LeaderController(leadership=fleet, calls=vms, machines=None, advisor=None, limits=LIMITS)
     await controller.handle_announcement(make_vm("vm-1", cores=8, sequence=5))
     assert fleet.state.tables.vms["vm-1"].capacity.cpu_millis == 2000
     await controller.handle_announcement(make_vm("vm-1", cores=4, sequence=7))
     assert fleet.state.tables.vms["vm-1"].capacity.cpu_millis == 4000
+    await asyncio.sleep(0)  # lets the links begin, so that they can be cancelled
     for task in controller.tasks.values():
         task.cancel()
     await asyncio.gather(*controller.tasks.values(), return_exceptions=True)
