Blame no task that was ordered to a VM after it had become unreachable

Cause: a start whose connection ended before the answer counted even if the VM had dropped a poll or another order before.

Change: the leader remembers when a connection was first refused or broken since the VM last answered. The VMs of the soak now drop open polls when they crash, as a process that ends does.

Tests (failed before): test_vm_whose_poll_was_cut_off_is_not_ended_by_a_later_start and the case "after the end" of tests/dispatch/test_lost_runs.py.

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -41,6 +41,7 @@
         listed: Collection[str] = (),
         order_states: Mapping[str, OrderState] | None = None,
         listing_sent_at: float = float("-inf"),
+        unreachable_since: float = float("inf"),
     ) -> None:
         """Finds the runs.
 
@@ -50,12 +51,19 @@
             order_states: States of the orders of this leader, by run key.
             listing_sent_at: Local time at which the poll for the last answer was sent; negative infinity if this leader
                 got none.
+            unreachable_since: Local time at which a connection was first refused or broken since the VM last answered.
         """
         states = order_states or {}
         self.vm_id = record.vm_id
         self.keys = sorted(record.runs | record.lapsed)
         unlisted = record.runs.difference(listed)
-        later = {key for key in unlisted if _is_later(states.get(key), listing_sent_at=listing_sent_at)}
+        later = {
+            key
+            for key in unlisted
+            if _may_have_reached(
+                states.get(key), listing_sent_at=listing_sent_at, unreachable_since=unreachable_since
+            )
+        }
         has_answered = listing_sent_at > float("-inf")
         self.at_work = record.runs - (unlisted - later) if has_answered else set(record.runs)
         self.just_started = {key for key in later if states[key].was_received}
@@ -108,10 +116,14 @@
         log_event(Event.TASKS_SUSPECTED, count=len(suspects), vms=suspects, given_up=given_up)
 
 
-def _is_later(order_state: OrderState | None, *, listing_sent_at: float) -> bool:
-    """Returns whether an order of this leader may have been carried out after the last answer to a poll."""
+def _may_have_reached(
+    order_state: OrderState | None, *, listing_sent_at: float, unreachable_since: float
+) -> bool:
+    """Returns whether a VM may have carried out an order of this leader between its last answer and its end."""
     if order_state is None or order_state.ordered_at == float("inf"):
         return False
+    if order_state.ordered_at > unreachable_since:
+        return False
     slack_s = MAX_OVERTAKING_S if order_state.was_received else 0.0
     return order_state.ordered_at >= listing_sent_at - slack_s
 
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -56,6 +56,8 @@
         sending: Asyncio tasks that send stops, changes of pace and repeated starts.
         paces: Pace in percent that the VM confirmed, by run key.
         pace_requests: Keys of the runs whose change of pace is in flight.
+        unreachable_since: Local time at which a connection was first refused or broken since the VM last answered;
+            infinite if none was.
         paused_until: Local time before which no task is placed on the VM.
     """
 
@@ -72,6 +74,7 @@
         "sending",
         "tickets",
         "unanswered_starts",
+        "unreachable_since",
         "vm_id",
     )
 
@@ -97,6 +100,7 @@
         self.sending: set[asyncio.Task[None]] = set()
         self.paces: dict[str, int] = {}
         self.pace_requests: set[str] = set()
+        self.unreachable_since = float("inf")
         self.paused_until = float("-inf")
         self.unanswered_starts: dict[str, _UnansweredStart] = {}
 
@@ -176,10 +180,10 @@
                     self.ratings.record_order(self.vm_id, is_answered=False)
                     is_sent = is_sent or error.is_sent
                     order_state.is_connection_broken |= error.is_broken
-                    if not error.is_sent:
-                        self.pause()
+                    self.record_loss(error)
                     continue
                 self.rtt_estimator.record_rtt(rtt_s=self.leadership.clock() - sent_at)
+                self.record_answer()
                 self.ratings.record_order(self.vm_id, is_answered=True)
                 return self._process_start_reply(
                     run, order_state=order_state, reply=reply, is_repeated=is_sent
@@ -191,8 +195,17 @@
         self.unanswered_starts[run.key] = _UnansweredStart(run, specification, checkpoint, needs_ticket)
         return None
 
-    def pause(self) -> None:
-        """Places no task on the VM for a short time, because it refuses orders or accepts no connections."""
+    def record_answer(self) -> None:
+        """Records that the VM answered a call."""
+        self.unreachable_since = float("inf")
+
+    def record_loss(self, error: WorkerUnreachableError) -> None:
+        """Records that a call got no answer; a VM whose connections end gets no task for a short time."""
+        if error.is_broken or not error.is_sent:
+            self.unreachable_since = min(self.unreachable_since, self.leadership.clock())
+            self._pause()
+
+    def _pause(self) -> None:
         self.paused_until = max(self.paused_until, self.leadership.clock() + REFUSAL_PAUSE_S)
 
     def repeat_start(self, key: str) -> bool:
@@ -225,7 +238,7 @@
             # The ticket has expired or is for another boot; the refusal is no sign of a problem on the VM.
             self.tickets.drop(TaskId.parse(run.task).step_name, vm=self.vm_id)
         else:
-            self.pause()
+            self._pause()
         # An earlier copy of a repeated order may still be carried out.
         if is_repeated or reply.refusal is Refusal.OTHER_BOOT:
             return None
@@ -258,6 +271,7 @@
     def discard_boot(self) -> None:
         """Discards the state of all runs of a boot that has ended."""
         self.order_states.clear()
+        self.record_answer()
         self.paces.clear()
         self.unanswered_starts.clear()
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -223,8 +223,7 @@
             return False
         except WorkerUnreachableError as error:
             self.poll_timing.record_loss(now=self.leadership.clock())
-            if not error.is_sent:
-                self.orders.pause()
+            self.orders.record_loss(error)
             self._record_silence(record, reason=str(error))
             await self._end_lapsed_runs(record)
             return False
@@ -259,6 +258,7 @@
         if reply.boot != record.boot:
             await self._register_new_boot(record, boot=reply.boot)
             return
+        self.orders.record_answer()
         now = self.leadership.clock()
         self.lease.record_clock(clock_ms=reply.clock_ms, now=now)
         self.answered_at = self.heard_at = now
@@ -453,6 +453,7 @@
             listed=set(self.listed_runs) if is_known else set(),
             order_states=self.orders.order_states if is_known else {},
             listing_sent_at=self.listing_sent_at if is_known else float("-inf"),
+            unreachable_since=self.orders.unreachable_since if is_known else float("inf"),
         )
 
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
--- a/tests/dispatch/test_lost_runs.py
+++ b/tests/dispatch/test_lost_runs.py
@@ -10,6 +10,7 @@
 
 KEY = "w.0.0.0/1"
 POLLED_AT = 100.0
+UNREACHABLE_AT = 101.0
 
 
 @pytest.mark.parametrize(
@@ -26,6 +27,7 @@
             True,
             True,
         ),
+        (OrderState(ordered_at=UNREACHABLE_AT + 0.1, is_connection_broken=True), False, False, False),
         (OrderState(), False, False, False),
     ],
     ids=[
@@ -35,6 +37,7 @@
         "unanswered",
         "lost before",
         "overtaken by the poll",
+        "after the end",
         "other leader",
     ],
 )
@@ -48,6 +51,7 @@
         listed={KEY} if is_listed else set(),
         order_states={KEY: order_state},
         listing_sent_at=POLLED_AT,
+        unreachable_since=UNREACHABLE_AT,
     )
     assert (KEY in lost.at_work, KEY in lost.just_started) == (is_at_work, is_just_started)
 
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -310,3 +310,23 @@
     state = link.leadership.state
     assert state.tables.runs == {}
     assert state.indexes.suspects.level("w.0.0.0") == 0
+
+
+async def test_vm_whose_poll_was_cut_off_is_not_ended_by_a_later_start(link, vms):
+    """Guards against blaming tasks that were ordered to a VM after it had crashed."""
+    await poll(link)
+
+    async def break_connection(**_):
+        raise WorkerUnreachableError("disconnected", is_broken=True)
+
+    answer, vms.poll = vms.poll, break_connection
+    await poll(link)
+    assert link.orders.paused_until > link.leadership.now
+    vms.start = break_connection
+    link.leadership.now += 0.1
+    await start(link)
+    vms.poll, vms.boot = answer, 2
+    await poll(link, step_s=3.0)
+    state = link.leadership.state
+    assert state.tables.vms["vm-1"].boot == 2
+    assert state.indexes.suspects.level("w.0.0.0") == 0
--- a/tests/soak/worker_vm.py
+++ b/tests/soak/worker_vm.py
@@ -202,7 +202,8 @@
                 self._execute(call, body=body, is_late=True)
             return _drop_response(request)
         if call == "hold":
-            return await self._handle_poll(body)
+            response = await self._handle_poll(body)
+            return response if boot == self.boot else _drop_response(request)
         response = self._execute(call, body=body, is_late=False)
         return (
             _drop_response(request)
