Take a task for just started only if its VM accepted the start

Both of its orders were the first calls to VMs that had gone down within 0.2 s of their last answer, and were accepted and dropped by what stood before the VM.

Cause: a start whose connection ended before the answer counted as an end right after the start, of which two suffice. Ruled out: an earlier broken connection (there was none, so does not apply).

Change: only an accepted start counts as just started. A broken one still counts among the ends of any kind, of which three or four suffice.

Tests: the cases of tests/dispatch/test_lost_runs.py; the incident's tests now play VMs that answer first, break the connection, or stay silent.

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -29,7 +29,7 @@
         vm_id: ID of the VM.
         keys: Keys of the runs in progress, and of those whose lease had ended while the VM was out of contact.
         at_work: Keys of the runs in progress that the VM may have worked on.
-        just_started: Keys of the runs that the VM started after it last answered.
+        just_started: Keys of the runs that the VM accepted after it last answered a poll.
     """
 
     __slots__ = ("at_work", "just_started", "keys", "vm_id")
@@ -66,7 +66,7 @@
         }
         has_answered = listing_sent_at > float("-inf")
         self.at_work = record.runs - (unlisted - later) if has_answered else set(record.runs)
-        self.just_started = {key for key in later if states[key].was_received}
+        self.just_started = {key for key in later if states[key].is_accepted}
 
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
--- a/src/hyssopway/dispatch/order_state.py
+++ b/src/hyssopway/dispatch/order_state.py
@@ -28,15 +28,20 @@
     stopped_at: float = float("inf")
     unlisted_since: float = float("inf")
 
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the VM accepted the start or listed the run."""
+        return self.accepted_at != float("inf")
+
     @property
     def was_received(self) -> bool:
         """Whether the VM accepted the start, or the connection ended before its answer."""
-        return self.is_connection_broken or self.accepted_at != float("inf")
+        return self.is_connection_broken or self.is_accepted
 
     @property
     def is_start_resolved(self) -> bool:
         """Whether the VM accepted the run or was told to stop it, so that the start must not be retried."""
-        return self.accepted_at != float("inf") or self.stop_requested_at != float("-inf")
+        return self.is_accepted or self.stop_requested_at != float("-inf")
 
 
 __all__ = ["OrderState"]
--- a/tests/dispatch/crashing_vms.py
+++ b/tests/dispatch/crashing_vms.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 
 from dispatch.conftest import FakeLeadership, FakeVms, make_link
-from hyssopway.dispatch import OtherBootError, PollReply, WorkerUnreachableError
+from hyssopway.dispatch import OrderReply, OtherBootError, PollReply, WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.listed_run import ListedRun
@@ -24,6 +24,7 @@
         deadly: Names of the tasks that crash their VM.
         outage_s: Seconds until a crashed VM is back.
         returns_as_new: Whether a VM is back under a new ID; otherwise it is a new boot under its ID.
+        answers_first: Whether a VM answers the start before it crashes.
         is_dark: Whether a VM that crashes leaves its connections silent instead of ending them.
         boots: Boot number by VM ID.
         down_until: Time until which a VM is down, by VM ID.
@@ -36,6 +37,7 @@
         self.deadly = set(deadly)
         self.outage_s = outage_s
         self.returns_as_new = returns_as_new
+        self.answers_first = True
         self.is_dark = False
         self.boots = defaultdict(lambda: 1)
         self.down_until = {}
@@ -90,6 +92,8 @@
         if task in self.deadly:
             self.starts[task].append(self.now)
             self.crash(vm.vm_id, task=task)
+            if self.answers_first:
+                return OrderReply()
             raise WorkerUnreachableError("connection lost", is_broken=not self.is_dark)
         self.started_at[task, run] = self.now
         return await super().start(vm=vm, task=task, run=run, **arguments)
