Start nothing on an unguarded VM whose capacity this leader does not know

The leader of term 2 began at 34:03.708 and placed tasks at 03.814; the first report of that VM reached it at 04.134.

Cause: a new leader took the capacity in the replicated state for the present one. Ruled out: late or overtaken reports (none of that VM was held up), and starts placed before the VM shrank.

Change: in pools whose VMs reject nothing, a VM gets starts only if it has announced itself to this leader within 3 s.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -272,6 +272,7 @@
         suspect_load = measure_suspect_load(
             tables=tables, suspects=self.leadership.state.indexes.suspects, now_ms=wall_ms()
         )
+        unguarded_pools = self.leadership.state.indexes.unguarded_pools
         free_by_pool: dict[str, list[FreeCapacity]] = {}
         for vm_id, record in tables.vms.items():
             link = self.links.get(vm_id)
@@ -279,6 +280,8 @@
                 continue
             if record.draining or record.zone in tables.evacuated or vm_id in self.cordoned_vms:
                 continue
+            if record.pool in unguarded_pools and not link.has_current_capacity(now):
+                continue
             rating = self.ratings.rating(vm_id)
             if rating is not Rating.PREFERRED and not self.ratings.may_probe(vm_id, runs=record.runs):
                 continue
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -209,6 +209,7 @@
             link.heard_at = self.leadership.clock()
         current = self.leadership.state.tables.vms.get(command.vm)
         if current is not None and _is_unchanged(current, command):
+            self._record_announcement(command)
             return
         log_event(
             Event.VM_ANNOUNCED,
@@ -221,6 +222,15 @@
             await link.end_boot(reason=f"boot {command.boot} follows {current.boot}")
         await self.leadership.propose(command)
         self._sync_links()
+        self._record_announcement(command)
+
+    def _record_announcement(self, command: RegisterVm) -> None:
+        record = self.leadership.state.tables.vms.get(command.vm)
+        link = self.links.get(command.vm)
+        if link is None or record is None:
+            return
+        if (command.boot, command.sequence) >= (record.boot, record.sequence):
+            link.announced_at = self.leadership.clock()
 
     async def handle_departure(self, *, vm: str) -> None:
         """Handles the departure of a VM and removes its record.
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -45,6 +45,8 @@
 STALL_PAUSE_S = 2.0
 # A VM whose last answer is older gets no new tasks; longer than the timeout of one unanswered poll.
 CONTACT_TIMEOUT_S = 1.3
+# The capacity of a VM that rejects nothing is unknown when its last announcement is older; two intervals of its reports.
+CAPACITY_TIMEOUT_S = 3.0
 # Consecutive unanswered polls after which a VM may count as silent.
 MIN_SILENT_POLLS = 2
 # A VM that neither answers nor announces itself for this long is removed.
@@ -75,6 +77,7 @@
         answered_at: Local time of the last answer.
         listing_sent_at: Local time at which the poll for `listed_runs` was sent.
         heard_at: Local time of the last answer or announcement.
+        announced_at: Local time at which this leader took the VM's last announcement; negative infinity if it has not.
         stopping: Runs that the VM is still stopping although their ends are committed.
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
@@ -82,6 +85,7 @@
     """
 
     __slots__ = (
+        "announced_at",
         "answered_at",
         "boot",
         "calls",
@@ -161,6 +165,7 @@
         self.answered_at = float("-inf")
         self.listing_sent_at = float("-inf")
         self.heard_at = leadership.clock()
+        self.announced_at = float("-inf")
         self.listed_runs: dict[str, ListedRun] = {}
         self.failures = 0
 
@@ -173,6 +178,10 @@
         """Returns whether the VM answered recently, so that orders are likely to arrive."""
         return self.has_acked_term and now - self.answered_at <= CONTACT_TIMEOUT_S
 
+    def has_current_capacity(self, now: float) -> bool:
+        """Returns whether the VM announced its capacity to this leader a short time ago."""
+        return now - self.announced_at <= CAPACITY_TIMEOUT_S
+
     def is_at_work(self, run: ActiveRun) -> bool:
         """Returns whether a run certainly works at full rate, as far as orders of leaders are concerned.
 
--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -12,6 +12,7 @@
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
+from hyssopway.dispatch.vm_link import CAPACITY_TIMEOUT_S
 from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, RunStart, StartRuns, Step, TaskId
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -82,6 +83,7 @@
             await leadership.propose(make_vm(name, cores=vms.cores[name], sequence=tick + 1))
         vms.finish_runs(rng=rng)
         for link in links.values():
+            link.announced_at = leadership.now
             await link.poll()
         await dispatcher.run_round()
         await asyncio.gather(*dispatcher.sending)
@@ -169,3 +171,25 @@
     await dispatcher.run_round()
     await asyncio.gather(*dispatcher.sending)
     assert [order[0] for order in vms.orders].count("start") == 1
+
+
+async def test_new_leader_waits_for_the_capacity_of_a_vm_that_rejects_nothing(fleet, vms):
+    """Guards against starts by a new leader on VMs that have shrunk while nobody led."""
+    await fleet.propose(PutDocument(document=make_document(version=2, guards_capacity=False)))
+    vms.silent = True
+    controller = LeaderController(leadership=fleet, calls=vms, machines=None, advisor=None, limits=LIMITS)
+    controller._sync_links()
+    vms.silent = False
+    await controller.links["vm-1"].poll()
+    assert controller.dispatcher.list_free_capacity() == {}
+    await controller.handle_announcement(make_vm("vm-1", cores=2, sequence=1))
+    (free,) = controller.dispatcher.list_free_capacity()["vans"]
+    assert free.cpu_millis == 2000
+    fleet.now += CAPACITY_TIMEOUT_S + 0.1
+    await controller.links["vm-1"].poll()
+    assert controller.dispatcher.list_free_capacity() == {}
+    vms.silent = True
+    await asyncio.sleep(0)
+    for task in controller.tasks.values():
+        task.cancel()
+    await asyncio.gather(*controller.tasks.values(), return_exceptions=True)
