Count an end as at the start only when connections ended right after it

Its second run was accepted at 53.274 by a VM whose answers were dropped from then on, and which was found to have ended at 56.433; the run of at most 1.2 s had ended before, unreported.

Cause: "just started" meant accepted since the last answer to a poll, which was 3 s before. Ruled out: a start that did not reach the VM (it was accepted).

Change: a run was just started if the VM accepted it at most 0.5 s before a connection of the VM was refused or broken. Other ends under the task count among the ends of any kind, as before.

Test (failed before): tests/dispatch/test_lost_runs.py, "accepted earlier".

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -20,6 +20,8 @@
 
 # A VM may carry out an order that it received after it has answered a poll that was sent up to this much later.
 MAX_OVERTAKING_S = 0.2
+# A VM whose connections end this soon after it accepted a start may have ended because of the start.
+MAX_START_CRASH_S = 0.5
 
 
 class LostRuns:
@@ -29,7 +31,7 @@
         vm_id: ID of the VM.
         keys: Keys of the runs in progress, and of those whose lease had ended while the VM was out of contact.
         at_work: Keys of the runs in progress that the VM may have worked on.
-        just_started: Keys of the runs that the VM accepted after it last answered a poll.
+        just_started: Keys of the runs that the VM accepted right before its connections ended.
     """
 
     __slots__ = ("at_work", "just_started", "keys", "vm_id")
@@ -66,7 +68,9 @@
         }
         has_answered = listing_sent_at > float("-inf")
         self.at_work = record.runs - (unlisted - later) if has_answered else set(record.runs)
-        self.just_started = {key for key in later if states[key].is_accepted}
+        self.just_started = {
+            key for key in later if 0 <= unreachable_since - states[key].accepted_at <= MAX_START_CRASH_S
+        }
 
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
--- a/tests/dispatch/crashing_vms.py
+++ b/tests/dispatch/crashing_vms.py
@@ -60,7 +60,7 @@
 
     def check(self, vm_id):
         if self.now < self.down_until.get(vm_id, 0.0):
-            raise WorkerUnreachableError("no answer")
+            raise WorkerUnreachableError("no answer", is_sent=self.is_dark)
         if self.returns_as_new and self.boots[vm_id] > 1:
             raise OtherBootError("a different VM answers")
 
--- a/tests/dispatch/test_lost_runs.py
+++ b/tests/dispatch/test_lost_runs.py
@@ -17,12 +17,13 @@
     ("order_state", "is_listed", "is_at_work", "is_just_started"),
     [
         (OrderState(ordered_at=99.0, accepted_at=99.1), True, True, False),
-        (OrderState(ordered_at=100.1, accepted_at=100.2), False, True, True),
+        (OrderState(ordered_at=100.8, accepted_at=100.9), False, True, True),
+        (OrderState(ordered_at=100.1, accepted_at=100.2), False, True, False),
         (OrderState(ordered_at=100.1, is_connection_broken=True), False, True, False),
         (OrderState(ordered_at=100.1), False, True, False),
         (OrderState(ordered_at=99.0), False, False, False),
         (
-            OrderState(ordered_at=POLLED_AT - MAX_OVERTAKING_S / 2, accepted_at=100.2),
+            OrderState(ordered_at=POLLED_AT - MAX_OVERTAKING_S / 2, accepted_at=100.6),
             False,
             True,
             True,
@@ -32,7 +33,8 @@
     ],
     ids=[
         "listed",
-        "accepted",
+        "accepted at the end",
+        "accepted earlier",
         "broken",
         "unanswered",
         "lost before",
