--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -200,9 +200,10 @@
         self.unreachable_since = float("inf")
 
     def record_loss(self, error: WorkerUnreachableError) -> None:
-        """Records that a call got no answer; a VM whose connections end gets no task for a short time."""
+        """Records that a call got no answer; a VM that refuses connections gets no task for a short time."""
         if error.is_broken or not error.is_sent:
             self.unreachable_since = min(self.unreachable_since, self.leadership.clock())
+        if not error.is_sent:
             self._pause()
 
     def _pause(self) -> None:
