Report how late a leader's event loop is and how long its rounds wait

Cause: open; the logs could not tell whether the leader is too slow or its orders are lost, since nothing shows the delay of its event loop.

Change: event 7065, once a second on the leader: lag of the event loop (mean and largest of samples every 20 ms), starts, rounds and the mean time until their commit, unanswered starts; the same as gauges. Decisions are unchanged.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 
 from .approved_vms import set_approved_vms
 from .copyable_runs import CopyableRuns
+from .leader_load import COMMIT_MS, ROUNDS, STARTS
 from .leadership import LeadershipLostError
 from .placement import place_steps
 from .rated_steps import RatedSteps
@@ -184,6 +185,7 @@
 
     async def _start(self, starts: list[RunStart], *, copies: Copies, slow: Copies) -> None:
         self._expect_starts(starts)
+        proposed_at = self.leadership.clock()
         try:
             await self.leadership.propose(
                 StartRuns(fencing_token=self.leadership.term, starts=tuple(starts), at_ms=wall_ms())
@@ -194,6 +196,9 @@
                 if start.vm in self.links:
                     self.links[start.vm].orders.mark_unsent(task=start.task, run=start.run)
             raise
+        self.counters[ROUNDS] += 1
+        self.counters[COMMIT_MS] += round((self.leadership.clock() - proposed_at) * 1000)
+        self.counters[STARTS] += len(starts)
         self._report_starts(starts, copies=copies, slow=slow)
         for start in starts:
             self._order_start(start)
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -19,6 +19,7 @@
 from .advice_fetcher import AdviceFetcher
 from .dispatcher import Dispatcher
 from .duration_scale import DurationScale
+from .leader_load import LeaderLoad
 from .leadership import LeadershipLostError
 from .lost_runs import LostRuns
 from .machine_inventory import MachineInventory
@@ -71,6 +72,7 @@
         tasks: Asyncio tasks that run the links, by VM ID.
         machine_use: Machine time in pools and work of this term.
         counters: Numbers of scheduling decisions of this term, by name; exposed as metrics.
+        load: Load of this process since the last report.
         load_reported_at: Local time of the last load report.
     """
 
@@ -86,6 +88,7 @@
         "leadership",
         "limits",
         "links",
+        "load",
         "load_reported_at",
         "machine_use",
         "poll_limiter",
@@ -115,6 +118,7 @@
         self.load_reported_at = float("-inf")
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.counters: Counter[str] = Counter()
+        self.load = LeaderLoad(clock=leadership.clock, counters=self.counters)
         self.ratings = VmRatings()
         self.durations = DurationQuantiles()
         self.machine_use = MachineUse()
@@ -180,6 +184,7 @@
             "waves": self.waves.run,
             "pools": self.rebalancer.run,
             "advice": self.advice.run,
+            "loop lag": self.load.meter.run,
         }
         running: dict[str, asyncio.Task[None]] = {}
         try:
@@ -292,6 +297,7 @@
         if now - self.load_reported_at < LOAD_REPORT_INTERVAL_S:
             return
         self.load_reported_at = now
+        self.load.report()
         loads = measure_pools(
             tables=self.leadership.state.tables, waiting_millis=self.dispatcher.waiting_millis
         )
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -8,12 +8,14 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import RunOutcome, TaskId
 
+from .leader_load import STARTS_UNANSWERED
 from .order_reply import Refusal
 from .order_state import OrderState
 from .run_ends import make_run_end
 from .worker_calls import WorkerUnreachableError
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Coroutine, Iterable
 
     from hyssopway.scheduling.vm_rating import VmRatings
@@ -51,6 +53,7 @@
         tickets: Tickets of steps whose queue has an advisor.
         unanswered_starts: Starts that got no answer, by run key.
         ratings: Ratings of VMs, which learn whether starts are answered.
+        counters: Numbers of scheduling decisions of this term, by name.
         rtt_estimator: Estimates how long a VM takes to answer an order.
         order_states: States of the orders, by run key.
         sending: Asyncio tasks that send stops, changes of pace and repeated starts.
@@ -63,6 +66,7 @@
 
     __slots__ = (
         "calls",
+        "counters",
         "leadership",
         "lease",
         "order_states",
@@ -88,6 +92,7 @@
         rtt_estimator: RttEstimator,
         tickets: TicketCache,
         ratings: VmRatings,
+        counters: Counter[str],
     ) -> None:
         self.vm_id = vm_id
         self.leadership = leadership
@@ -96,6 +101,7 @@
         self.rtt_estimator = rtt_estimator
         self.tickets = tickets
         self.ratings = ratings
+        self.counters = counters
         self.order_states: dict[str, OrderState] = {}
         self.sending: set[asyncio.Task[None]] = set()
         self.paces: dict[str, int] = {}
@@ -177,6 +183,7 @@
                     )
                 except WorkerUnreachableError as error:
                     self._log_unanswered("start", key=run.key, error=error)
+                    self.counters[STARTS_UNANSWERED] += 1
                     self.ratings.record_order(self.vm_id, is_answered=False)
                     is_sent = is_sent or error.is_sent
                     order_state.is_connection_broken |= error.is_broken
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -152,6 +152,7 @@
             rtt_estimator=rtt_estimator,
             tickets=tickets,
             ratings=self.ratings,
+            counters=self.counters,
         )
         self.pace = VmPace(
             leadership=leadership, orders=self.orders, interference=interference, pacing_s=limits.pacing_s
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -182,6 +182,11 @@
         "INFO",
         "burst of pool {pool} expected in {in_ms} ms after that of pool {follows}: {millicores} millicores",
     )
+    LEADER_LOAD = (
+        7065,
+        "INFO",
+        "event loop late by {lag_mean_ms} ms in the mean, {lag_max_ms} ms at most; {starts} starts in {rounds} rounds, committed in {commit_ms} ms; {unanswered} starts unanswered",
+    )
     RUNS_LOST = (7063, "WARNING", "{count} runs lost with VM {vm}: {reason}")
     TASKS_SUSPECTED = (7064, "WARNING", "several VMs have ended under {count} tasks; given up: {given_up}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
