--- /dev/null
+++ b/tests/adapter/test_busy_leader.py
@@ -0,0 +1,117 @@
+"""Orders of a leader whose event loop is busy, to a VM that answers at once."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+import time
+
+import pytest
+
+from hyssopway.workflow import Capacity, VmRecord
+from hyssopway_platform.worker_client import MAX_CONNECTIONS_PER_VM, WorkerClient
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"clock_ms":5}'
+
+
+class AnsweringVm(threading.Thread):
+    """Worker VM with an event loop of its own.
+
+    Attributes:
+        delay_s: Time until each answer, in seconds.
+        received: Number of requests that it has received.
+        port: Port that it listens on; 0 until it is ready.
+    """
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.delay_s = 0.0
+        self.received = 0
+        self.port = 0
+        self.is_ready = threading.Event()
+        self.is_stopped = threading.Event()
+
+    def run(self):
+        asyncio.run(self._listen())
+
+    async def _listen(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        self.is_ready.set()
+        async with server:
+            await asyncio.to_thread(self.is_stopped.wait)
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError), contextlib.closing(writer):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(int(head.lower().split(b"content-length:")[1].split()[0]))
+                self.received += 1
+                await asyncio.sleep(self.delay_s)
+                writer.write(ANSWER)
+
+
+@pytest.fixture
+def vm():
+    started = AnsweringVm()
+    started.start()
+    assert started.is_ready.wait(5)
+    yield started
+    started.is_stopped.set()
+    started.join(5)
+
+
+@pytest.fixture
+async def workers():
+    client = WorkerClient()
+    client.open()
+    yield client
+    await client.close()
+
+
+async def start(workers, vm, *, number, timeout_s):
+    record = VmRecord(
+        vm_id="vm-1",
+        boot=1,
+        address=f"127.0.0.1:{vm.port}",
+        pool="vans",
+        zone="nashua",
+        labels=(),
+        capacity=Capacity(),
+    )
+    return await workers.start(
+        vm=record,
+        task=f"w.0.0.{number}",
+        run=1,
+        specification="text",
+        checkpoint="",
+        ticket="",
+        lease_until_ms=99,
+        fencing_token=7,
+        timeout_s=timeout_s,
+    )
+
+
+async def block_until_received(vm, count):
+    """Blocks the event loop of the leader once the VM has received `count` requests."""
+    while vm.received < count:  # noqa: ASYNC110  the loop must not read the answer before it is blocked
+        await asyncio.sleep(0)
+    time.sleep(0.1)  # noqa: ASYNC251
+
+
+async def test_answer_that_arrives_while_the_leader_is_busy_is_not_lost(workers, vm):
+    """Guards against a leader that repeats answered orders because it reads their answers late."""
+    await start(workers, vm, number=0, timeout_s=5.0)
+    vm.delay_s = 0.02
+    order = asyncio.create_task(start(workers, vm, number=1, timeout_s=0.05))
+    await block_until_received(vm, 2)
+    assert (await order).refusal is None
+
+
+async def test_wait_for_a_connection_is_no_wait_for_an_answer(workers, vm):
+    """Guards against orders that count as unanswered before they are sent, while a round starts many tasks on a VM."""
+    vm.delay_s = 0.2
+    count = 3 * MAX_CONNECTIONS_PER_VM
+    replies = await asyncio.gather(*(start(workers, vm, number=n, timeout_s=0.5) for n in range(count)))
+    assert [reply.refusal for reply in replies] == [None] * count
