Send orders to VMs with a client whose timeouts do not count a busy leader's own delay

Cause: the timeout of an order began when its coroutine did, before a connection was free and before the request was written, and cancelled the order in the same pass of the event loop in which its answer was read. So a leader that orders hundreds of starts at once took its own delay for lost answers, closed the connections, opened new ones and sent the orders again, which made it later still.

Change: HttpClient, with connections that carry one request each, a limit per host, a reset on close. The timeout runs from the write and takes effect after what has arrived is read; waiting for a connection counts as not sent; an answer read more than 0.3 s after its timeout, by a process that was paused, is dropped as before.

Ruled out: VMs (they answer at once), aiohttp's parser with an own connection (its flow control calls back into the protocol while the body is read).

--- a/tests/adapter/test_busy_leader.py
+++ b/tests/adapter/test_busy_leader.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.workflow import Capacity, VmRecord
+from hyssopway_platform.http_connection import MAX_READ_DELAY_S
 from hyssopway_platform.worker_client import MAX_CONNECTIONS_PER_VM, WorkerClient
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"clock_ms":5}'
@@ -93,11 +95,11 @@
     )
 
 
-async def block_until_received(vm, count):
+async def block_once_received(vm, *, count, seconds):
     """Blocks the event loop of the leader once the VM has received `count` requests."""
     while vm.received < count:  # noqa: ASYNC110  the loop must not read the answer before it is blocked
         await asyncio.sleep(0)
-    time.sleep(0.1)  # noqa: ASYNC251
+    time.sleep(seconds)  # noqa: ASYNC251
 
 
 async def test_answer_that_arrives_while_the_leader_is_busy_is_not_lost(workers, vm):
@@ -105,10 +107,20 @@
     await start(workers, vm, number=0, timeout_s=5.0)
     vm.delay_s = 0.02
     order = asyncio.create_task(start(workers, vm, number=1, timeout_s=0.05))
-    await block_until_received(vm, 2)
+    await block_once_received(vm, count=2, seconds=0.1)
     assert (await order).refusal is None
 
 
+async def test_answer_from_before_a_pause_is_too_old(workers, vm):
+    """Guards against a list of runs from before a pause of the leader that counts as the present one."""
+    await start(workers, vm, number=0, timeout_s=5.0)
+    vm.delay_s = 0.02
+    order = asyncio.create_task(start(workers, vm, number=1, timeout_s=0.05))
+    await block_once_received(vm, count=2, seconds=0.1 + MAX_READ_DELAY_S)
+    with pytest.raises(WorkerUnreachableError):
+        await order
+
+
 async def test_wait_for_a_connection_is_no_wait_for_an_answer(workers, vm):
     """Guards against orders that count as unanswered before they are sent, while a round starts many tasks on a VM."""
     vm.delay_s = 0.2
