Plan no machines for a pool that only a VM names

What callers would see: machines ordered for a pool that no queue uses.

A report that came before the first configuration may name any pool.

Evidence: test_pool_that_only_a_vm_names_gets_no_machines failed before (a machine was ordered for 'ghosts'). Change: pools are those of the configuration and those that the platform lists. Ruled out: refusing reports before the first configuration, as VMs announce themselves before it arrives. Why it works: the platform lists each pool that has machines, so one whose service was removed still gives them back.

--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -136,7 +136,8 @@
         self._report_bursts()
         self.step_sizes.update(tables=state.tables, indexes=state.indexes)
         vm_millis = sorted(vm_sizes)[len(vm_sizes) // 2]
-        demands = [self._compute_demand(pool, load=load) for pool, load in loads.items() if pool != standby]
+        pools = self._list_pools() - {standby}
+        demands = [self._compute_demand(pool, load=load) for pool, load in loads.items() if pool in pools]
         moves = plan_moves(
             demands=demands,
             standby=standby,
@@ -179,6 +180,12 @@
                 times.append(now_ms + 1000 * delay_s)
         return sorted(times)
 
+    def _list_pools(self) -> set[str]:
+        """Returns the pools of the configuration and those that the platform lists; a VM may name any other."""
+        document = self.leadership.state.tables.document
+        configured = {pool.name for pool in document.pools} if document is not None else set()
+        return configured | {machine.pool for machine in self.machines.machines.values()}
+
     def _report_bursts(self) -> None:
         """Counts the bursts that are newly expected, which are also logged, and those that have not begun."""
         self.counters["bursts_missed"] += len(self.forecast.missed_bursts)
--- a/tests/dispatch/test_pool_rebalancer.py
+++ b/tests/dispatch/test_pool_rebalancer.py
@@ -227,3 +227,10 @@
     start = RunStart(task="w.0.0.0", run=1, vm="vm-1")
     await fleet.propose(StartRuns(fencing_token=3, starts=(start,)))
     assert len(rebalancer.list_arrivals_ms("trucks")) == len(STANDBY_MACHINES) + 1
+
+
+async def test_pool_that_only_a_vm_names_gets_no_machines(rebalancer, platform, fleet):
+    """Guards against machines for a pool that exists nowhere but in one odd report."""
+    await fleet.propose(dataclasses.replace(make_vm("vm-9"), pool="ghosts"))
+    await rebalance(rebalancer)
+    assert platform.moves == []
