Believe a VM that answers rather than an announcement of another boot

What operators of similar systems saw: a machine whose running work was started again elsewhere, and a server that was not used again.

Cause: an announcement with a later boot ended the boot that was answering polls, and with it all its runs, which then started elsewhere while they ran. A boot in the future shut out the VM: each poll answered with an earlier boot, which the state ignores, and the link polled on without a pause and proposed a command each time.

When a VM answers with an earlier boot than its record, the record is replaced, and its announcements count from there.

Ruled out: a check of the boot against the clock alone, since clocks differ. Why it works: only the VM itself answers polls; a VM that has restarted does not answer with its former boot.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -216,6 +216,12 @@
         if current is not None and _is_unchanged(current, command):
             self._record_announcement(command)
             return
+        is_later_boot = current is not None and command.boot > current.boot
+        if link is not None and is_later_boot and link.in_contact(self.leadership.clock()):
+            # A VM that has restarted answers with its new boot or not at all, and announces itself again.
+            reason = f"boot {command.boot} is announced while boot {link.boot} answers"
+            log_event(Event.INPUT_REFUSED, method="announcement", path=command.vm, reason=reason)
+            return
         log_event(
             Event.VM_ANNOUNCED,
             vm=command.vm,
@@ -223,7 +229,7 @@
             address=command.address,
             draining=command.draining,
         )
-        if link is not None and current is not None and command.boot > current.boot:
+        if link is not None and current is not None and is_later_boot:
             await link.end_boot(reason=f"boot {command.boot} follows {current.boot}")
         await self.leadership.propose(command)
         self._sync_links()
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -10,7 +10,7 @@
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
-from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
+from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RemoveVm, RunEnd, RunOutcome, TaskId
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
 from .lost_runs import LostRuns
@@ -468,6 +468,9 @@
 
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
         await self.end_boot(reason=f"boot {boot} follows {record.boot}")
+        if boot < record.boot:
+            # Its clock was set back, or another writer announced a boot in the future. The VM's own answer counts.
+            await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
         await self.leadership.propose(
             RegisterVm(
                 vm=record.vm_id,
