Send machine orders and requests for advice with the same HTTP client

An unanswered move keeps its VM without tasks for the machine lease of 3 s, although nothing was sent.

Change: both use HttpClient; a wait for a connection is 'not sent'.

Ruled out: peers' calls, which go over one capnp connection and wait for none.

--- a/tests/adapter/test_http_client.py
+++ b/tests/adapter/test_http_client.py
@@ -120,7 +120,7 @@
 
 
 async def post(client, server, *, timeout_s=2.0, may_send=None):
-    return await client.post(address=server.address, request=REQUEST, timeout_s=timeout_s, may_send=may_send)
+    return await client.send(address=server.address, request=REQUEST, timeout_s=timeout_s, may_send=may_send)
 
 
 async def test_connections_are_reused_and_limited(client, server):
@@ -169,7 +169,7 @@
 async def test_odd_address_is_not_sent_to(client, address):
     """Guards against an address that ends the task which talks to the VM."""
     with pytest.raises(NotSentError):
-        await client.post(address=address, request=REQUEST, timeout_s=0.2)
+        await client.send(address=address, request=REQUEST, timeout_s=0.2)
 
 
 async def test_connections_to_vms_that_are_gone_are_closed(client, server, monkeypatch):
@@ -179,5 +179,5 @@
     host.idle[0].idle_since -= KEEP_ALIVE_S + 1
     client.pruned_at = float("-inf")
     with pytest.raises(NotSentError):
-        await client.post(address="127.0.0.1:1", request=REQUEST, timeout_s=0.2)
+        await client.send(address="127.0.0.1:1", request=REQUEST, timeout_s=0.2)
     assert server.address not in client.hosts
--- a/tests/adapter/test_guarded_payload.py
+++ b/tests/adapter/test_machine_orders.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hyssopway.dispatch import MachineCallError, MachineOrderResult
+from hyssopway_platform.http_client import HttpClient
 from hyssopway_platform.machine_client import MachineClient
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
@@ -75,14 +76,14 @@
 async def test_permission_is_checked_after_the_connection_is_open(client, platform, monkeypatch):
     """Guards against a permission that expires while the connection is opened, after the check."""
     is_permitted = [True]
-    connect = client.session.connector.connect
+    connect = HttpClient._connect
 
     async def connect_slowly(*arguments, **options):
         connection = await connect(*arguments, **options)
         is_permitted[0] = False
         return connection
 
-    monkeypatch.setattr(client.session.connector, "connect", connect_slowly)
+    monkeypatch.setattr(HttpClient, "_connect", connect_slowly)
     with pytest.raises(MachineCallError):
         await move(client, lambda: is_permitted[0])
     await asyncio.sleep(0.05)
