--- a/tests/adapter/test_busy_leader.py
+++ b/tests/adapter/test_busy_leader.py
@@ -123,7 +123,7 @@
 
 async def test_wait_for_a_connection_is_no_wait_for_an_answer(workers, vm):
     """Guards against orders that count as unanswered before they are sent, while a round starts many tasks on a VM."""
-    vm.delay_s = 0.2
-    count = 3 * MAX_CONNECTIONS_PER_VM
-    replies = await asyncio.gather(*(start(workers, vm, number=n, timeout_s=0.5) for n in range(count)))
+    vm.delay_s = 0.1
+    count = 5 * MAX_CONNECTIONS_PER_VM
+    replies = await asyncio.gather(*(start(workers, vm, number=n, timeout_s=0.3) for n in range(count)))
     assert [reply.refusal for reply in replies] == [None] * count
