Test that jobs are accepted after a report with a huge capacity

What callers would have seen, before: after one report with a capacity of 400 digits each submission to its pool ends in an OverflowError, so with status 500, until the VM is forgotten 20 s later, and again with each report.

No program code is changed.

--- a/tests/adapter/test_odd_reports.py
+++ b/tests/adapter/test_odd_reports.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import json
+from types import SimpleNamespace
 
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from adapter.conftest import MANIFEST
 from adapter.test_control_api import REPORT
 from hyssopway.dispatch import MachineState, WorkerUnreachableError
+from hyssopway.dispatch.admission_control import WARM_UP_S
 from hyssopway_platform.machine_client import MAX_PAGES, MachineClient
 from hyssopway_platform.worker_client import _decode_poll
 
@@ -54,6 +57,18 @@
     assert list(client.controller.leadership.state.tables.vms) == ["i-1"]
 
 
+async def test_jobs_are_accepted_after_a_report_with_a_huge_capacity(client):
+    """Guards against a pool that answers each submission with an error, because its capacity is no float any more."""
+    route = MANIFEST["routes"][0] | {"stretch": 2.0, "target_latency_ms": 500}
+    await client.control("PUT", "config", MANIFEST | {"version": 2, "routes": [route]})
+    for vm, cpu in (("i-1", 64000), ("i-2", HUGE)):
+        await client.control("PUT", f"instances/{vm}", REPORT | {"capacity": {"cpu": cpu}})
+        client.controller.links[vm] = SimpleNamespace(has_acked_term=True)
+    client.controller.leadership.started_at -= WARM_UP_S
+    job = {"specification": "", "steps": [{"count": 1, "cpu": 500, "estimated_ms": 900}]}
+    assert (await client.call("POST", "/p/0123456789abcdef", job))[0] == 200
+
+
 @pytest.mark.parametrize("body", [NESTED, b'{"a":' * 100_000, json.dumps(REPORT).encode()[:-3], b"\xff"])
 async def test_unreadable_report_is_refused(client, body):
     """Guards against bytes that end the process which decodes them."""
