Move the HTTP client out of the adapter, one type a module

platform/ only translates; a client that knows no word of the platform belongs to the product. Modules move to hyssopway.http_client, HostConnections and NotSentError get modules of their own, and parse_vm_address is parse_socket_address. No behaviour is changed; its tests move to tests/http_client unchanged but for imports.

Ruled out: hyssopway.http, whose modules are the server's.

--- a/platform/hyssopway_platform/http_answer_reader.py
+++ b/src/hyssopway/http_client/answer_reader.py
@@ -4,7 +4,7 @@
 
 import re
 
-from .http_answer import HttpAnswer
+from .answer import HttpAnswer
 
 HEAD_END = b"\r\n\r\n"
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: .*)?")
--- a/platform/hyssopway_platform/http_client.py
+++ b/src/hyssopway/http_client/client.py
@@ -5,54 +5,20 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from .http_connection import HttpConnection
+from .connection import HttpConnection
+from .host_connections import HostConnections
+from .not_sent import NotSentError
 from .resetting_socket import new_resetting_socket
-from .vm_address import parse_vm_address
+from .socket_address import parse_socket_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .http_answer import HttpAnswer
+    from .answer import HttpAnswer
 
 KEEP_ALIVE_S = 30.0
 
 
-class NotSentError(Exception):
-    """Nothing of a request was written."""
-
-
-class HostConnections:
-    """Connections to one host.
-
-    Attributes:
-        idle: Connections without a request in progress, the last used one at the end.
-        slots: Limits the number of requests in progress.
-        in_use: Number of requests in progress or waiting.
-    """
-
-    __slots__ = ("idle", "in_use", "slots")
-
-    def __init__(self, *, limit: int) -> None:
-        self.idle: list[HttpConnection] = []
-        self.slots = asyncio.Semaphore(limit)
-        self.in_use = 0
-
-    def take_idle(self) -> HttpConnection | None:
-        """Returns an open idle connection, if there is one."""
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.transport is not None:
-                return connection
-        return None
-
-    def close_idle(self, *, unused_since: float) -> None:
-        """Closes the connections that have been idle since before `unused_since`."""
-        for connection in self.idle:
-            if connection.idle_since <= unused_since:
-                connection.abort()
-        self.idle = [connection for connection in self.idle if connection.idle_since > unused_since]
-
-
 class HttpClient:
     """Sends requests over connections that stay open between them.
 
@@ -125,7 +91,7 @@
 
     async def _connect(self, address: str, *, timeout_s: float) -> HttpConnection:
         try:
-            target = parse_vm_address(address)
+            target = parse_socket_address(address)
         except ValueError as error:
             raise NotSentError(f"the address is invalid: {error}") from error
         loop = asyncio.get_running_loop()
@@ -185,4 +151,4 @@
     return answer
 
 
-__all__ = ["HttpClient", "NotSentError"]
+__all__ = ["HttpClient"]
--- a/platform/hyssopway_platform/http_connection.py
+++ b/src/hyssopway/http_client/connection.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING, cast
 
-from .http_answer_reader import HttpAnswerReader, InvalidAnswerError
+from .answer_reader import HttpAnswerReader, InvalidAnswerError
 
 if TYPE_CHECKING:
-    from .http_answer import HttpAnswer
+    from .answer import HttpAnswer
 
 # An answer that is read this much after its timeout, because the process was paused, is too old to be used.
 MAX_READ_DELAY_S = 0.3
--- a/platform/hyssopway_platform/vm_address.py
+++ b/src/hyssopway/http_client/socket_address.py
@@ -1,4 +1,4 @@
-"""Addresses of worker VMs."""
+"""Addresses of listening sockets."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 MAX_PORT = 2**16 - 1
 
 
-def parse_vm_address(address: str) -> tuple[str, int]:
+def parse_socket_address(address: str) -> tuple[str, int]:
     """Returns the IP address and the port of an address ``HOST:PORT``.
 
     Raises:
@@ -27,4 +27,4 @@
     return str(ip), int(port)
 
 
-__all__ = ["parse_vm_address"]
+__all__ = ["parse_socket_address"]
--- a/tests/adapter/test_busy_leader.py
+++ b/tests/adapter/test_busy_leader.py
@@ -10,8 +10,8 @@
 import pytest
 
 from hyssopway.dispatch import WorkerUnreachableError
+from hyssopway.http_client.connection import MAX_READ_DELAY_S
 from hyssopway.workflow import Capacity, VmRecord
-from hyssopway_platform.http_connection import MAX_READ_DELAY_S
 from hyssopway_platform.worker_client import MAX_CONNECTIONS_PER_VM, WorkerClient
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"clock_ms":5}'
--- a/tests/adapter/test_machine_orders.py
+++ b/tests/adapter/test_machine_orders.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hyssopway.dispatch import MachineCallError, MachineOrderResult
-from hyssopway_platform.http_client import HttpClient
+from hyssopway.http_client import HttpClient
 from hyssopway_platform.machine_client import MachineClient
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
--- a/tests/adapter/test_http_client.py
+++ b/tests/http_client/test_http_client.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from hyssopway_platform.http_answer_reader import HttpAnswerReader, InvalidAnswerError
-from hyssopway_platform.http_client import KEEP_ALIVE_S, HttpClient, NotSentError
+from hyssopway.http_client import HttpAnswerReader, HttpClient, InvalidAnswerError, NotSentError
+from hyssopway.http_client.client import KEEP_ALIVE_S
 
 REQUEST = b"POST /order HTTP/1.1\r\nHost: vm\r\nContent-Length: 0\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
