--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -16,6 +16,7 @@
 from cluster import BOUNDS, Node, Record
 
 STOP_S = 0.1  # within `stop_timeout_ms`
+GREY_S = 0.2  # a grey minion fails all that it starts after this time
 GANG_TIMEOUT_S = BOUNDS["gang_timeout_ms"] / 1000
 OTHER_NODE_AFTER_S = 1.0
 
@@ -73,7 +74,7 @@
         self.world, self.machine, self.service, self.zone, self.rack = world, machine, service, zone, rack
         self.controls, self.cpu, self.keeps_id = controls, cpu, keeps_id
         self.rng = random.Random(machine)
-        self.is_cut = self.is_down = self.is_dark = False
+        self.is_cut = self.is_down = self.is_dark = self.is_grey = False
         self.healed = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
         self.runner: web.AppRunner | None = None
@@ -266,6 +267,8 @@
         if body["deadline_ms"] <= self.clock_ms:
             return self._refuse("late")
         work, step = self.world.step_of(task)
+        if step.get("requirements") not in (None, "a", self.rack):
+            self.world.record.write(f"{self.minion_id} lacks the label of {task}")
         used = sum(self.world.step_of(key[0])[1]["cpu"] for key in self.running)
         self._extend(body["deadline_ms"])
         if used + step["cpu"] > self.cpu:
@@ -282,8 +285,10 @@
 
     def _work(self, active: Active, *, work: Work, step: dict) -> None:
         active.works_since = time.monotonic()
-        if not step.get("long_running"):
-            loop = asyncio.get_running_loop()
+        loop = asyncio.get_running_loop()
+        if self.is_grey:
+            active.end_timer = loop.call_later(GREY_S, self._end, active, "failed")
+        elif not step.get("long_running"):
             how = "failed" if active.start.run <= work.failed_runs else "done"
             active.end_timer = loop.call_later(work.seconds, self._end, active, how)
 
