--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 
 
 async def case(bed) -> str | None:
-    zones = ("amman-a", "amman-b", "zarqa-c", "amman-a", "amman-b", "zarqa-c", "amman-a")
+    zones = ("amman-a", "amman-b", "zarqa-c", "amman-a", "amman-b", "zarqa-c", "amman-a", "amman-b")
     await bed.start(
         minions=[
             {"machine": f"m-{number}", "zone": zone, "rack": f"r{number}", "cpu": 8000, "keeps_id": True}
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 from standins import KEY, PREFIX, Work
 
 ZONE = "amman-b"
-FREEZE_S = 8.0
+FREEZE_S = 7.9
 EVACUATION_S = BOUNDS["evacuation_ms"] / 1000
 CONTACT_S = BOUNDS["contact_ms"] / 1000
 JOBS_S = 10.0
--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -46,6 +47,19 @@
     raise RuntimeError("no free port")
 
 
+def free_network(port: int) -> str:
+    """Returns the first three numbers of loopback addresses on which a port is free."""
+    for _ in range(200):
+        network = f"127.{random.randint(64, 127)}.{random.randint(1, 250)}"
+        try:
+            with socket.socket() as probe:
+                probe.bind((f"{network}.1", port))
+        except OSError:
+            continue
+        return network
+    raise RuntimeError("no free loopback addresses")
+
+
 def toml(values: dict) -> str:
     """Encodes settings as TOML."""
     plain = [f"{key} = {json.dumps(value)}" for key, value in values.items() if not isinstance(value, dict)]
@@ -140,12 +154,15 @@
         self.commands = {name: role["run"] for name, role in deploy["roles"].items()}
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.provider_address, self.advisor_address = provider, advisor
-        subnet = 20 + os.getpid() % 200
-        hosts = [f"127.77.{subnet}.{number + 1}" for number in range(controls)]
-        entry_hosts = [f"127.77.{subnet}.{number + 101}" for number in range(entries)]
-        self.http_port = free_port(hosts + entry_hosts)
-        self.readiness_port = free_port(entry_hosts)
-        self.peer_port = free_port(hosts + entry_hosts)
+        # The port of the metrics is the same on all machines, so that no two cases that run at once may share an address.
+        metrics_port = int(deploy["roles"]["control"]["metrics"].partition("/")[0])
+        network = free_network(metrics_port)
+        hosts = [f"{network}.{number + 1}" for number in range(controls)]
+        entry_hosts = [f"{network}.{number + 101}" for number in range(entries)]
+        ports: set[int] = {metrics_port}
+        while len(ports) < 4:
+            ports.add(free_port(hosts + entry_hosts))
+        self.http_port, self.readiness_port, self.peer_port = sorted(ports - {metrics_port})
         self.controls: list[Node] = []
         for number, host in enumerate(hosts):
             zone = ZONES[number % len(ZONES)]
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -78,6 +78,7 @@
         self.healed = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
         self.runner: web.AppRunner | None = None
+        self.connections: set[asyncio.Transport] = set()  # those on which a call has arrived
         self.address = ""
         self.minion_id = ""
         self.boot = 0
@@ -85,7 +86,7 @@
     async def start(self) -> None:
         app = web.Application()
         app.router.add_post("/hyssopway/{call}", self._handle)
-        self.runner = web.AppRunner(app, access_log=None)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
         host, port = self.runner.addresses[0][:2]
@@ -123,14 +124,23 @@
         self.running.clear()
         self.is_down = True
         self.changed.set()  # a call that waits ends with the minion
+        if not (is_dark or self.is_cut):
+            self._reset_connections()
 
     def restart(self) -> None:
+        # No connection outlives its process; those of a silent minion show it once it is up again.
+        self._reset_connections()
         self._begin_life()
         self.is_down = False
         if not self.is_cut:
             self.healed.set()
         self.world.record.write(f"{self.machine} starts again as {self.minion_id}")
 
+    def _reset_connections(self) -> None:
+        for transport in self.connections:
+            transport.abort()
+        self.connections.clear()
+
     # The minion itself.
 
     @property
@@ -185,6 +195,8 @@
                     self._end(active, "lapsed")
 
     async def _handle(self, request: web.Request) -> web.Response:
+        if request.transport is not None:
+            self.connections.add(request.transport)
         raw = await request.read()
         if self.is_down or self.is_cut:
             if self.is_dark or self.is_cut:
@@ -341,7 +353,7 @@
     async def start(self) -> None:
         app = web.Application()
         app.router.add_get("/hyssopway/machines", self._machines)
-        self.runner = web.AppRunner(app, access_log=None)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
         host, port = self.runner.addresses[0][:2]
