Keep runs in doubt when a VM restarts under its ID

The leader sends a start to a VM that is down, the VM comes back under its ID and carries the start out, and the leader's next poll shows the new boot. It ended all runs of the record as lost, this one too, and started the task elsewhere while the first run worked on.

Cause: an order names the VM's ID, not its boot, and a new boot has seen no fencing token and no stop. The leader took a run of the record for one of the boot that had ended, although only a listing of that boot shows that it was there. An answer to the start does not: it carries no boot.

Evidence: the model of the order protocol compared boots that the platform's protocol does not carry, so that its VM refused such orders with 'other boot'. Ruled out: a second leader (all starts of a task have one sender in the records), a late copy of a stop, ends of another boot (they are matched by boot).

Change: runs that the earlier boot has not listed to this leader, or whose start is still being sent, are in doubt. RegisterVm moves them to the new boot (kept_runs); the usual resolution then follows: listed, or stopped and unlisted for the longest duration of a stop, or refused because of this term's token. Listed runs end at once as before, and tasks in doubt still count as suspects of a crash. Event 7066 and the counter runs_kept_over_restarts tell this cause from others: before, only a stop of a run 'whose end is already committed' on the VM that had restarted hinted at it. replaced_boot lets a boot with a lower number take the place of the recorded one without a removal, which ended all runs.

Changed expectations, equally strict: two tests that expect a restart to end the runs at once now let the VM list the run first; without that the run is in doubt, which test_restarted_vms.py covers.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -230,8 +230,9 @@
             draining=command.draining,
         )
         if link is not None and current is not None and is_later_boot:
-            await link.end_boot(reason=f"boot {command.boot} follows {current.boot}")
-        await self.leadership.propose(command)
+            await link.replace_boot(command)
+        else:
+            await self.leadership.propose(command)
         self._sync_links()
         self._record_announcement(command)
 
--- a/src/hyssopway/dispatch/lease.py
+++ b/src/hyssopway/dispatch/lease.py
@@ -39,12 +39,16 @@
         """Discards the clock reading of a boot that has ended."""
         self.clock_ms = None
 
+    def extend(self, *, granted_at: float, length_s: float) -> None:
+        """Records that the VM may have granted a lease of the given length, or a shorter one."""
+        self.expires_at = max(self.expires_at, lease_expiry(granted_at=granted_at, length_s=length_s))
+
     def renew(self, *, now: float) -> int | None:
         """Grants a lease and returns its end on the VM's clock in ms; returns None while that clock is unknown."""
         if self.clock_ms is None:
             return None
         elapsed_s = (now - self.read_at) * (1 - CLOCK_DRIFT)
-        self.expires_at = max(self.expires_at, lease_expiry(granted_at=now, length_s=self.length_s))
+        self.extend(granted_at=now, length_s=self.length_s)
         return int(self.clock_ms + (elapsed_s + self.length_s) * 1000)
 
 
--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -30,11 +30,12 @@
     Attributes:
         vm_id: ID of the VM.
         keys: Keys of the runs in progress, and of those whose lease had ended while the VM was out of contact.
+        in_doubt: Keys of the runs in progress whose start may have reached the next boot; they are not in `keys`.
         at_work: Keys of the runs in progress that the VM may have worked on.
         just_started: Keys of the runs that the VM accepted right before its connections ended.
     """
 
-    __slots__ = ("at_work", "just_started", "keys", "vm_id")
+    __slots__ = ("at_work", "in_doubt", "just_started", "keys", "vm_id")
 
     def __init__(
         self,
@@ -44,6 +45,7 @@
         order_states: Mapping[str, OrderState] | None = None,
         listing_sent_at: float = float("-inf"),
         unreachable_since: float = float("inf"),
+        is_replaced: bool = False,
     ) -> None:
         """Finds the runs.
 
@@ -54,10 +56,12 @@
             listing_sent_at: Local time at which the poll for the last answer was sent; negative infinity if this leader
                 got none.
             unreachable_since: Local time at which a connection was first refused or broken since the VM last answered.
+            is_replaced: Whether another boot of the VM follows under the same ID, to which orders may still go.
         """
         states = order_states or {}
         self.vm_id = record.vm_id
-        self.keys = sorted(record.runs | record.lapsed)
+        self.in_doubt = {key for key in record.runs if is_replaced and _is_in_doubt(states.get(key))}
+        self.keys = sorted((record.runs - self.in_doubt) | record.lapsed)
         unlisted = record.runs.difference(listed)
         later = {
             key
@@ -79,6 +83,11 @@
             reason: How the end of the boot was noticed.
             counters: Numbers of scheduling decisions of this term, by name.
         """
+        if self.in_doubt:
+            counters["runs_kept_over_restarts"] += len(self.in_doubt)
+            log_event(
+                Event.RUNS_IN_DOUBT, vm=self.vm_id, count=len(self.in_doubt), runs=sorted(self.in_doubt)
+            )
         if not self.keys:
             return
         counters["vms_lost_with_runs"] += 1
@@ -103,7 +112,7 @@
         """
         suspects: dict[str, int] = {}
         given_up: list[str] = []
-        for key in self.keys:
+        for key in (*self.keys, *sorted(self.in_doubt)):
             name = key.rpartition("/")[0]
             task = TaskId.parse(name)
             workflow = tables.workflows.get(task.workflow)
@@ -120,6 +129,12 @@
         log_event(Event.TASKS_SUSPECTED, count=len(suspects), vms=suspects, given_up=given_up)
 
 
+def _is_in_doubt(order_state: OrderState | None) -> bool:
+    """Returns whether an order for the start of a run may reach the next boot of its VM."""
+    # Without a state, an earlier leader sent the order and the VM has not listed the run to this one.
+    return order_state is None or order_state.is_start_in_doubt
+
+
 def _may_have_reached(
     order_state: OrderState | None, *, listing_sent_at: float, unreachable_since: float
 ) -> bool:
--- a/src/hyssopway/dispatch/order_state.py
+++ b/src/hyssopway/dispatch/order_state.py
@@ -14,6 +14,7 @@
         ordered_at: Local time at which this leader first sent the start; infinite if it has not.
         is_connection_broken: Whether a connection ended while the answer to the start was awaited.
         accepted_at: Local time at which the VM first accepted or listed the run; infinite if it has done neither.
+        is_listed: Whether this boot of the VM has listed the run.
         stop_requested_at: Local time at which a stop was last sent; negative infinity if none was.
         stopped_at: Local time at which the VM first confirmed a stop; infinite if it hasn't.
         unlisted_since: Local time at which the first poll was sent from which on the run has not been listed;
@@ -24,6 +25,7 @@
     ordered_at: float = float("inf")
     is_connection_broken: bool = False
     accepted_at: float = float("inf")
+    is_listed: bool = False
     stop_requested_at: float = float("-inf")
     stopped_at: float = float("inf")
     unlisted_since: float = float("inf")
@@ -38,6 +40,14 @@
         """Whether the VM accepted the start, or the connection ended before its answer."""
         return self.is_connection_broken or self.is_accepted
 
+    @property
+    def is_start_in_doubt(self) -> bool:
+        """Whether an order for the start may reach the next boot of the VM.
+
+        An accepted start does not tell which boot accepted it.
+        """
+        return self.is_sending or not self.is_listed
+
     @property
     def is_start_resolved(self) -> bool:
         """Whether the VM accepted the run or was told to stop it, so that the start must not be retried."""
--- a/src/hyssopway/dispatch/run_ends.py
+++ b/src/hyssopway/dispatch/run_ends.py
@@ -7,7 +7,9 @@
 from hyssopway.workflow import RunEnd
 
 if TYPE_CHECKING:
-    from hyssopway.workflow import ActiveRun, RunOutcome, VmRecord
+    from collections.abc import Collection
+
+    from hyssopway.workflow import ActiveRun, RunOutcome
 
 
 def make_run_end(run: ActiveRun, outcome: RunOutcome) -> RunEnd:
@@ -15,10 +17,10 @@
     return RunEnd(task=run.task, run=run.run, outcome=outcome)
 
 
-def make_run_ends(record: VmRecord, outcome: RunOutcome) -> list[RunEnd]:
-    """Returns the ends of all runs on a VM according to the replicated state."""
+def make_run_ends(keys: Collection[str], outcome: RunOutcome) -> list[RunEnd]:
+    """Returns the ends of runs, given by their keys, with the same outcome."""
     ends = []
-    for key in sorted(record.runs):
+    for key in sorted(keys):
         task, _, number = key.rpartition("/")
         ends.append(RunEnd(task=task, run=int(number), outcome=outcome))
     return ends
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from hyssopway.event import Event, log_event
@@ -156,15 +157,16 @@
         # Repeated orders carry the same lease: a later end would prolong the wait for a VM that is gone.
         until_ms = self.lease.renew(now=self.leadership.clock())
         is_sent = is_repeated
+        boot = run.boot  # the run may be moved to the next boot, which gets no order with this lease
         self.unanswered_starts.pop(run.key, None)
         try:
             for timeout_s in self.rtt_estimator.choose_timeouts():
                 record = self.record
-                if record is None or record.boot != run.boot or until_ms is None:
+                if record is None or record.boot != boot or until_ms is None:
                     break
                 if not self.leadership.may_order() or order_state.is_start_resolved:
                     break
-                ticket = self.tickets.read(step_name, vm=self.vm_id, boot=run.boot) if needs_ticket else ""
+                ticket = self.tickets.read(step_name, vm=self.vm_id, boot=boot) if needs_ticket else ""
                 if needs_ticket and not ticket:
                     break
                 sent_at = self.leadership.clock()
@@ -179,6 +181,7 @@
                         ticket=ticket,
                         lease_until_ms=until_ms,
                         fencing_token=self.leadership.term,
+                        may_send=partial(self._may_start, boot=boot, order_state=order_state),
                         timeout_s=timeout_s,
                     )
                 except WorkerUnreachableError as error:
@@ -199,9 +202,21 @@
             order_state.is_sending = False
         if not is_sent:
             return make_run_end(run, RunOutcome.NOT_STARTED)
+        if run.boot != boot:
+            return None  # the next boot is told to stop the run unless it lists it
         self.unanswered_starts[run.key] = _UnansweredStart(run, specification, checkpoint, needs_ticket)
         return None
 
+    def _may_start(self, *, boot: int, order_state: OrderState) -> bool:
+        """Returns whether a start may still be sent to a boot, which may have ended while a connection was opened."""
+        record = self.record
+        return (
+            self.leadership.may_order()
+            and record is not None
+            and record.boot == boot
+            and not order_state.is_start_resolved
+        )
+
     def record_answer(self) -> None:
         """Records that the VM answered a call."""
         self.unreachable_since = float("inf")
@@ -294,6 +309,7 @@
         for key in keys:
             order_state = self.order_states.setdefault(key, OrderState())
             order_state.accepted_at = min(order_state.accepted_at, now)
+            order_state.is_listed = True
             order_state.unlisted_since = float("inf")
 
     def _send_in_background(self, order: Coroutine[None, None, None]) -> None:
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
-from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RemoveVm, RunEnd, RunOutcome, TaskId
+from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
 from .lost_runs import LostRuns
@@ -69,6 +70,7 @@
         poll_timing: Chooses the wait and the timeout of each poll.
         poll_limiter: Limits the rate of polls over all VMs.
         lease: Lease of the VM's runs.
+        longest_lease_s: Longest lease that the VM accepts, in seconds.
         orders: Sends orders of this term to the VM.
         pace: Limits the work rate of best-effort tasks on the VM.
         has_acked_term: Whether the VM answers and has acknowledged the fencing token of this term.
@@ -98,6 +100,7 @@
         "lease",
         "listed_runs",
         "listing_sent_at",
+        "longest_lease_s",
         "on_change",
         "orders",
         "pace",
@@ -143,6 +146,7 @@
         self.poll_timing = PollTiming()
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         earlier_leases_expire_at = lease_expiry(granted_at=leadership.started_at, length_s=length_s)
+        self.longest_lease_s = limits.longest_lease_s
         self.lease = VmLease(length_s=length_s, expires_at=earlier_leases_expire_at)
         self.orders = RunOrders(
             vm_id=vm_id,
@@ -255,17 +259,19 @@
             self.boot = record.boot
         sent_at = self.leadership.clock()
         poll_times = self.poll_timing.choose_times(now=sent_at, has_acked_term=self.has_acked_term)
+        lease_until_ms = self.lease.renew(now=sent_at) if self._may_renew_lease() else None
         reply = await self.calls.poll(
             vm=record,
             fencing_token=self.leadership.term,
             last_end=record.last_end,
-            # A silent VM gets no new lease: each unanswered poll may renew the lease, which would then never expire.
-            lease_until_ms=self.lease.renew(now=sent_at) if self.has_acked_term else None,
+            lease_until_ms=lease_until_ms,
             wait_ms=poll_times.wait_ms,
             timeout_s=poll_times.timeout_s,
         )
         self.poll_timing.record_answer()
         if reply.boot != record.boot:
+            if lease_until_ms is not None:
+                self._accept_longest_lease()
             await self._register_new_boot(record, boot=reply.boot)
             return
         self.orders.record_answer()
@@ -290,6 +296,14 @@
         if reply.ends and (pause_s := self.poll_limiter.compute_pause_s()):
             await asyncio.sleep(pause_s)
 
+    def _may_renew_lease(self) -> bool:
+        """Returns whether a poll may renew the lease.
+
+        A silent VM gets no new lease: each unanswered poll may renew the lease, which would then never expire. Nor does one
+        whose connections were refused or broken: it may have restarted, and its clock with it.
+        """
+        return self.has_acked_term and self.orders.unreachable_since == float("inf")
+
     def _select_valid(self, reply: PollReply) -> dict[str, ListedRun]:
         """Returns the listed runs by key, without those that name no task; they must not hold up the others."""
         valid = {f"{row.task}/{row.run}": row for row in reply.running if self._is_task(row.task)}
@@ -428,25 +442,48 @@
         lost = self._find_lost_runs(record)
         lost.report(reason="its lease ended without contact", counters=self.counters)
         self.listed_runs = {}
-        await self._propose_ends(make_run_ends(record, RunOutcome.LAPSED), lost_at_work=lost.at_work)
+        await self._propose_ends(make_run_ends(record.runs, RunOutcome.LAPSED), lost_at_work=lost.at_work)
         self.on_change()
 
     async def end_boot(self, *, reason: str) -> None:
         """Commits that the boot of the VM has ended, and with it all its runs."""
         record = self.record
+        if record is not None:
+            await self._end_boot(record, reason=reason, lost=self._find_lost_runs(record))
+
+    async def replace_boot(self, command: RegisterVm) -> None:
+        """Commits that another boot of the VM, which has the same ID, has replaced the one in the record.
+
+        An order names the ID only. A start that was sent to the earlier boot may have reached the later one, so a run that
+        the earlier boot did not list stays in progress, and is resolved by what the later boot lists.
+        """
+        record = self.record
         if record is None:
+            await self.leadership.propose(command)
             return
+        lost = self._find_lost_runs(record, is_replaced=True)
+        await self._end_boot(record, reason=f"boot {command.boot} follows {record.boot}", lost=lost)
+        if lost.in_doubt:
+            self._accept_longest_lease()
+        await self.leadership.propose(
+            replace(command, replaced_boot=record.boot, kept_runs=tuple(sorted(lost.in_doubt)))
+        )
+
+    def _accept_longest_lease(self) -> None:
+        """Waits for the longest lease: the end of a lease on an earlier boot's clock is far ahead of a new clock."""
+        self.lease.extend(granted_at=self.leadership.clock(), length_s=self.longest_lease_s)
+
+    async def _end_boot(self, record: VmRecord, *, reason: str, lost: LostRuns) -> None:
         log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
-        lost = self._find_lost_runs(record)
         self._discard_boot()
-        if not lost.keys:
+        if not lost.keys and not lost.in_doubt:
             return
         lost.report(reason=reason, counters=self.counters)
         await self.leadership.propose(
             EndRuns(
                 vm=self.vm_id,
                 boot=record.boot,
-                ends=tuple(make_run_ends(record, RunOutcome.LOST)),
+                ends=tuple(make_run_ends(record.runs - lost.in_doubt, RunOutcome.LOST)),
                 at_ms=wall_ms(),
                 boot_ended=True,
                 lost_at_work=tuple(sorted(lost.at_work)),
@@ -456,7 +493,7 @@
         lost.report_suspects(self.leadership.state.tables, counters=self.counters)
         self.on_change()
 
-    def _find_lost_runs(self, record: VmRecord) -> LostRuns:
+    def _find_lost_runs(self, record: VmRecord, *, is_replaced: bool = False) -> LostRuns:
         is_known = self.boot == record.boot
         return LostRuns(
             record,
@@ -464,14 +501,13 @@
             order_states=self.orders.order_states if is_known else {},
             listing_sent_at=self.listing_sent_at if is_known else float("-inf"),
             unreachable_since=self.orders.unreachable_since if is_known else float("inf"),
+            is_replaced=is_replaced,
         )
 
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
-        await self.end_boot(reason=f"boot {boot} follows {record.boot}")
-        if boot < record.boot:
-            # Its clock was set back, or another writer announced a boot in the future. The VM's own answer counts.
-            await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
-        await self.leadership.propose(
+        # A lower number counts as well, since the VM itself answered with it: its clock was set back, or another writer
+        # announced a boot in the future.
+        await self.replace_boot(
             RegisterVm(
                 vm=record.vm_id,
                 boot=boot,
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -66,9 +66,14 @@
         ticket: str,
         lease_until_ms: int,
         fencing_token: int,
+        may_send: Callable[[], bool],
         timeout_s: float,
     ) -> OrderReply:
-        """Starts a run; `ticket` is empty if the queue has no advisor."""
+        """Starts a run; `ticket` is empty if the queue has no advisor.
+
+        `may_send` is checked again when the order is written. A VM that has restarted has seen no fencing token and takes
+        orders of former leaders.
+        """
         ...
 
     async def stop(
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -188,6 +188,11 @@
         "event loop late by {lag_mean_ms} ms in the mean, {lag_max_ms} ms at most; {starts} starts in {rounds} rounds, committed in {commit_ms} ms; {unanswered} starts unanswered",
     )
     RUNS_LOST = (7063, "WARNING", "{count} runs lost with VM {vm}: {reason}")
+    RUNS_IN_DOUBT = (
+        7066,
+        "WARNING",
+        "VM {vm} restarted under its ID; {count} runs that the earlier boot did not list may have been started by it",
+    )
     TASKS_SUSPECTED = (7064, "WARNING", "several VMs have ended under {count} tasks; given up: {given_up}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -12,6 +12,8 @@
 from .wave_record import WaveRecord
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from .commands import (
         BeginMaintenance,
         ConfirmMaintenance,
@@ -45,22 +47,25 @@
 
 
 def register_vm(tables: Tables, indexes: Indexes, command: RegisterVm) -> None:
-    """Stores what a VM announced about itself; marks the runs of an earlier boot as lost."""
+    """Stores what a VM announced about itself; marks the runs of the boot that it replaces as lost, or moves them."""
     old = tables.vms.get(command.vm)
-    if old is not None and command.boot < old.boot:
+    is_replaced = old is not None and (command.boot > old.boot or command.replaced_boot == old.boot)
+    if old is not None and command.boot < old.boot and not is_replaced:
         return
     if old is not None and command.boot == old.boot and 0 < command.sequence < old.sequence:
         return  # announcements of one boot may overtake each other
-    if old is not None and command.boot > old.boot:
-        started_ms = list_start_times(tables, vm=old, keys=old.runs)
-        _mark_runs_lost(tables, indexes, vm=old, at_ms=command.at_ms)
+    if old is not None and is_replaced:
+        lost = old.runs.difference(command.kept_runs)
+        started_ms = list_start_times(tables, vm=old, keys=lost)
+        _mark_runs_lost(tables, indexes, vm=old, keys=lost, at_ms=command.at_ms)
         count_crashes(tables, indexes, vm=old, started_ms=started_ms, at_ms=command.at_ms)
-        old = None
+        _move_to_boot(tables, vm=old, boot=command.boot)
     if old is not None and command.pool != old.pool:
         indexes.move_to_pool(command.pool, tables=tables, vm=old)
+    same_boot = old if not is_replaced else None
     # A VM that started to drain never stops draining within the same boot. An announcement that was sent before
     # the drain may arrive late and must not clear the flag.
-    draining = command.draining or (old is not None and old.draining)
+    draining = command.draining or (same_boot is not None and same_boot.draining)
     tables.vms[command.vm] = VmRecord(
         vm_id=command.vm,
         boot=command.boot,
@@ -71,7 +76,7 @@
         capacity=command.capacity,
         draining=draining,
         sequence=command.sequence,
-        last_end=old.last_end if old is not None else 0,
+        last_end=same_boot.last_end if same_boot is not None else 0,
         runs=old.runs if old is not None else set(),
         lapsed=old.lapsed if old is not None else set(),
     )
@@ -82,7 +87,7 @@
     vm = tables.vms.get(command.vm)
     if vm is None or vm.boot != command.boot:
         return
-    _mark_runs_lost(tables, indexes, vm=vm, at_ms=command.at_ms)
+    _mark_runs_lost(tables, indexes, vm=vm, keys=vm.runs, at_ms=command.at_ms)
     clear_lapsed(indexes, vm=vm)
     del tables.vms[command.vm]
 
@@ -119,8 +124,18 @@
         tables.machine_orders[machine] = command.at_ms
 
 
-def _mark_runs_lost(tables: Tables, indexes: Indexes, *, vm: VmRecord, at_ms: int) -> None:
-    for key in sorted(vm.runs):
+def _move_to_boot(tables: Tables, *, vm: VmRecord, boot: int) -> None:
+    """Moves the runs of a VM to its next boot, which may have received their starts."""
+    for key in vm.runs:
+        for run in tables.runs[key.rpartition("/")[0]]:
+            if run.key == key:
+                run.boot = boot
+
+
+def _mark_runs_lost(
+    tables: Tables, indexes: Indexes, *, vm: VmRecord, keys: Collection[str], at_ms: int
+) -> None:
+    for key in sorted(keys):
         task, _, run = key.rpartition("/")
         end = RunEnd(task=task, run=int(run), outcome=RunOutcome.LOST)
         end_run(tables, indexes, end=end, vm=vm.vm_id, boot=vm.boot, at_ms=at_ms)
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -104,10 +104,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RegisterVm:
-    """Stores what a VM announced about itself; runs of an earlier boot are lost.
+    """Stores what a VM announced about itself; runs of the boot that it replaces are lost, except those in doubt.
 
     Attributes:
         sequence: Number of the announcement within the boot; 0 if the VM has not announced itself.
+        replaced_boot: Number of the boot that has certainly ended, also if it is the higher one; 0 if none has.
+        kept_runs: Keys of the runs of that boot whose start may have reached this one.
     """
 
     vm: str
@@ -120,6 +122,8 @@
     draining: bool
     at_ms: int
     sequence: int = 0
+    replaced_boot: int = 0
+    kept_runs: tuple[str, ...] = ()
     kind: Literal["vm"] = "vm"
 
 
--- a/tests/adapter/test_busy_leader.py
+++ b/tests/adapter/test_busy_leader.py
@@ -91,6 +91,7 @@
         ticket="",
         lease_until_ms=99,
         fencing_token=7,
+        may_send=lambda: True,
         timeout_s=timeout_s,
     )
 
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -62,7 +62,7 @@
     await client.close()
 
 
-async def start(workers, record, *, ticket=""):
+async def start(workers, record, *, ticket="", is_permitted=True):
     return await workers.start(
         vm=record,
         task="w.0.0.1",
@@ -72,6 +72,7 @@
         ticket=ticket,
         lease_until_ms=99,
         fencing_token=7,
+        may_send=lambda: is_permitted,
         timeout_s=0.5,
     )
 
@@ -195,6 +196,13 @@
     assert bodies == sent * [{"task": "w.0.0.1", "run": 2, "fencing_token": 7}]
 
 
+async def test_start_without_permission_is_not_sent(workers, record, fake_vm):
+    """Guards against a leader that is paused while it connects and then starts a run that its successor has moved."""
+    with pytest.raises(WorkerUnreachableError) as refused:
+        await start(workers, record, is_permitted=False)
+    assert (fake_vm.calls, refused.value.is_sent) == ([], False)
+
+
 async def test_refused_connection_is_told_from_a_lost_answer(workers, record, fake_vm):
     """Guards against taking an order that a VM without a listener never received for one that may be carried out."""
     start = {
@@ -205,6 +213,7 @@
         "ticket": "",
         "lease_until_ms": 9,
         "fencing_token": 1,
+        "may_send": lambda: True,
         "timeout_s": 0.3,
     }
     fake_vm.wait_s = 1.0
--- a/tests/dispatch/model_worker.py
+++ b/tests/dispatch/model_worker.py
@@ -1,9 +1,13 @@
-"""Models a worker VM that follows the platform's rules for orders, and a network that loses and delays orders."""
+"""Models a worker VM that follows the platform's rules for orders, and a network that loses and delays orders.
+
+Orders name a VM by its ID only. A VM that restarts keeps its ID and takes orders that were meant for its earlier boot.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
+from dispatch.conftest import LIMITS
 from hyssopway.dispatch import ListedRun, OrderReply, PollReply, Refusal, WorkerUnreachableError
 from hyssopway.dispatch.lease import CLOCK_DRIFT
 from hyssopway.dispatch.listed_end import ListedEnd
@@ -65,24 +69,24 @@
     def working(self):
         return {**self.live, **{task: run for task, (run, _) in self.stopping.items()}}
 
-    def take_start(self, *, boot, task, run, lease_until_ms, fencing_token):
-        if boot != self.boot:
-            return Refusal.OTHER_BOOT
+    def take_start(self, *, task, run, lease_until_ms, fencing_token):
         if fencing_token < self.token:
             return Refusal.FENCED
         self.token = fencing_token
         if lease_until_ms <= self.clock_ms:
             return Refusal.LATE
-        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+        self.extend_lease(lease_until_ms)
         if run <= self.closed.get(task, 0) or task in self.stopping:
             return Refusal.OLD_RUN
         if task not in self.live:
             self.live[task] = run
         return None
 
-    def take_stop(self, *, boot, task, run, fencing_token, stop_s):
-        if boot != self.boot:
-            return Refusal.OTHER_BOOT
+    def extend_lease(self, lease_until_ms):
+        longest_until_ms = self.clock_ms + LIMITS.longest_lease_s * 1000
+        self.lease_until_ms = max(self.lease_until_ms, min(lease_until_ms, longest_until_ms))
+
+    def take_stop(self, *, task, run, fencing_token, stop_s):
         if fencing_token < self.token:
             return Refusal.FENCED
         self.token = fencing_token
@@ -96,7 +100,7 @@
             raise WorkerUnreachableError("fenced")
         self.token = fencing_token
         if lease_until_ms is not None:
-            self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+            self.extend_lease(lease_until_ms)
         self.ends = [end for end in self.ends if end.number > last_end]
         rows = tuple(ListedRun(task, run, "", 50, 0) for task, run in self.live.items())
         return PollReply(
@@ -110,9 +114,10 @@
     Attributes:
         workers: VMs by ID.
         fault: What happens to the next orders: `deliver` (no fault), `lose` (not carried out), `mute` (carried out but
-            not answered), `delay` (carried out later) or `delay_first` (the next order is carried out later, those
-            after it are delivered).
-        delayed: Orders that are still in flight.
+            not answered), `delay` (carried out later), `delay_first` (the next order is carried out later, those
+            after it are delivered), `restart` (the VM restarts before the next order arrives, those after it are
+            delivered) or `restart_mute` (the same, and none is answered).
+        delayed: Orders that a VM has received and has yet to carry out, each with the VM and its boot.
     """
 
     def __init__(self, *, workers, stop_s):
@@ -124,45 +129,51 @@
     async def poll(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, timeout_s):
         worker = self.workers[vm.vm_id]
         return self._send(
+            worker,
             lambda: worker.take_poll(
                 fencing_token=fencing_token, last_end=last_end, lease_until_ms=lease_until_ms
-            )
+            ),
         )
 
     async def start(
-        self, *, vm, task, run, specification, checkpoint, ticket, lease_until_ms, fencing_token, timeout_s
+        self, *, vm, task, run, specification, checkpoint, ticket, lease_until_ms, fencing_token, **_
     ):
-        worker, boot = self.workers[vm.vm_id], vm.boot
+        worker = self.workers[vm.vm_id]
         refusal = self._send(
+            worker,
             lambda: worker.take_start(
-                boot=boot, task=task, run=run, lease_until_ms=lease_until_ms, fencing_token=fencing_token
-            )
+                task=task, run=run, lease_until_ms=lease_until_ms, fencing_token=fencing_token
+            ),
         )
         return OrderReply(refusal=refusal)
 
     async def stop(self, *, vm, task, run, fencing_token, may_send, timeout_s):
-        worker, boot = self.workers[vm.vm_id], vm.boot
+        worker = self.workers[vm.vm_id]
         refusal = self._send(
-            lambda: worker.take_stop(
-                boot=boot, task=task, run=run, fencing_token=fencing_token, stop_s=self.stop_s
-            )
+            worker,
+            lambda: worker.take_stop(task=task, run=run, fencing_token=fencing_token, stop_s=self.stop_s),
         )
         return OrderReply(refusal=refusal)
 
     def deliver_delayed(self):
-        for order in self.delayed:
+        for worker, boot, order in self.delayed:
+            if boot != worker.boot:
+                continue  # the order ended with the boot that had received it
             try:
                 order()
             except WorkerUnreachableError:
                 continue  # the sender no longer waits for the answer
         self.delayed = []
 
-    def _send(self, order):
+    def _send(self, worker, order):
         fault = self.fault
         if fault == "delay_first":
             self.fault, fault = "deliver", "delay"
         if fault == "delay":
-            self.delayed.append(order)
+            self.delayed.append((worker, worker.boot, order))
+        if fault in ("restart", "restart_mute"):
+            worker.restart()
+            self.fault, fault = ("deliver", "deliver") if fault == "restart" else ("mute", "mute")
         if fault in ("delay", "lose"):
             raise WorkerUnreachableError(fault)
         answer = order()
--- a/tests/dispatch/test_announced_boots.py
+++ b/tests/dispatch/test_announced_boots.py
@@ -25,10 +25,12 @@
     await asyncio.gather(*built.tasks.values(), return_exceptions=True)
 
 
-async def test_runs_of_a_vm_that_answers_are_not_lost_to_an_announced_boot(controller, fleet):
+async def test_runs_of_a_vm_that_answers_are_not_lost_to_an_announced_boot(controller, fleet, vms):
     """Guards against starting tasks again that still run, because another writer announced a later boot of their VM."""
     start = RunStart(task="w.0.0.0", run=1, vm="vm-1")
     await fleet.propose(StartRuns(fencing_token=3, starts=(start,)))
+    vms.running["w.0.0.0", 1] = "vm-1"
+    await controller.links["vm-1"].poll()
     await controller.handle_announcement(make_vm("vm-1", boot=9))
     assert fleet.state.tables.vms["vm-1"].runs == {"w.0.0.0/1"}
     fleet.now += 2.0
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -17,7 +17,6 @@
 from hyssopway.workflow import (
     CancelWorkflow,
     PutDocument,
-    RegisterVm,
     RunOutcome,
     RunStart,
     StartRuns,
@@ -28,7 +27,12 @@
 
 VMS = ("vm-1", "vm-2")
 MAX_ATTEMPTS = 2
-FAULTS = st.sampled_from(["deliver", "deliver", "deliver", "deliver", "lose", "mute", "delay", "delay_first"])
+FAULTS = st.sampled_from(
+    [
+        *("deliver", "deliver", "deliver", "deliver", "deliver"),
+        *("lose", "mute", "delay", "delay_first", "restart", "restart_mute"),
+    ]
+)
 SOME_VMS = st.sampled_from([VMS, VMS, ("vm-1",), ("vm-2",)])
 
 
@@ -141,14 +145,15 @@
 
     @rule(name=st.sampled_from(VMS))
     def restart_vm(self, name):
-        """Restarts a VM, which announces itself again under the same ID."""
+        """Restarts a VM under its ID; the leader finds out by a poll or by an announcement."""
         self.workers[name].restart()
-        vm = make_vm(name)
-        fields = {
-            field: getattr(vm, field)
-            for field in ("address", "pool", "zone", "labels", "capacity", "draining", "at_ms")
-        }
-        self.run(self.leader.propose(RegisterVm(vm=name, boot=self.workers[name].boot, **fields)))
+
+    @rule(name=st.sampled_from(VMS))
+    def announce(self, name):
+        """Announces the boot of a VM that has restarted while it left the polls unanswered."""
+        boot = self.workers[name].boot
+        if boot > self.leader.state.tables.vms[name].boot:
+            self.run(self.links[name].replace_boot(make_vm(name, boot=boot)))
 
     @rule()
     def change_leader(self):
--- /dev/null
+++ b/tests/dispatch/test_restarted_vms.py
@@ -0,0 +1,219 @@
+"""A VM that restarts under its ID while orders are on their way to it.
+
+An order names the VM and not its boot, and a new boot has seen no fencing token and no stop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dispatch.conftest import LIMITS, FakeLeadership, make_link
+from hyssopway.dispatch import OrderReply, WorkerUnreachableError
+from hyssopway.dispatch.leader_controller import LeaderController
+from hyssopway.dispatch.lease import lease_expiry
+from hyssopway.workflow import RunStart, StartRuns
+from workflow.conftest import make_vm
+
+TASK = "w.0.0.0"
+KEY = f"{TASK}/1"
+
+
+@pytest.fixture
+async def link(fleet, vms):
+    built = make_link("vm-1", leadership=fleet, calls=vms)
+    await built.poll()
+    return built
+
+
+def restart(vms, *, boot=2):
+    vms.boot, vms.running = boot, {}
+
+
+async def commit_start(link):
+    link.orders.expect_start(task=TASK, run=1)
+    start = RunStart(task=TASK, run=1, vm="vm-1")
+    await link.leadership.propose(StartRuns(fencing_token=link.leadership.term, starts=(start,)))
+    (run,) = link.leadership.state.tables.runs[TASK]
+    return run
+
+
+async def start(link):
+    await link.start(await commit_start(link), specification="", checkpoint="")
+
+
+async def start_on_next_boot(link, vms, *, is_answered, boot=2):
+    """Starts a run; its VM restarts before the order arrives, and starts it."""
+
+    async def take_start(*, vm, task, run, **_):
+        if vms.boot != boot:
+            restart(vms, boot=boot)
+        vms.running[task, run] = vm.vm_id
+        if not is_answered:
+            raise WorkerUnreachableError("no answer")
+        return OrderReply()
+
+    vms.start = take_start
+    await start(link)
+
+
+def list_active_runs(link):
+    return [(run.key, run.boot) for runs in link.leadership.state.tables.runs.values() for run in runs]
+
+
+@pytest.mark.parametrize("is_answered", [False, True], ids=["unanswered", "answered"])
+async def test_start_that_reached_the_next_boot_of_its_vm_is_not_started_again(link, vms, is_answered):
+    """Guards against a second run of a task whose start was carried out by the VM after it had restarted (TWICE)."""
+    await start_on_next_boot(link, vms, is_answered=is_answered)
+    await link.poll()
+    assert list_active_runs(link) == [(KEY, 2)]
+    await link.poll()
+    await asyncio.gather(*link.orders.sending)
+    assert list_active_runs(link) == [(KEY, 2)]
+    assert not any(order == "stop" for order, _, _ in vms.orders)
+
+
+async def test_start_in_doubt_is_stopped_before_its_task_can_start_again(link, vms):
+    """Guards against a late order that starts a run on a VM's next boot after its task was started elsewhere (TWICE)."""
+    vms.silent = True
+    await start(link)
+    vms.silent = False
+    restart(vms)
+    await link.poll()
+    assert list_active_runs(link) == [(KEY, 2)]
+    for _ in range(2):
+        await link.poll()
+        await asyncio.gather(*link.orders.sending)
+    assert vms.orders[-1] == ("stop", TASK, 1)
+    link.leadership.now += LIMITS.stop_s / 2
+    await link.poll()
+    assert list_active_runs(link) == [(KEY, 2)], "a run that is being stopped is not listed"
+    link.leadership.now += LIMITS.stop_s
+    await link.poll()
+    assert list_active_runs(link) == []
+
+
+async def test_order_in_flight_during_a_restart_does_not_become_a_second_run(link, vms):
+    """Guards against a start that is sent again to a VM whose restart has been noticed meanwhile (TWICE)."""
+    orders = []
+
+    async def restart_and_lose(*, task, run, **_):
+        orders.append((task, run))
+        restart(vms)
+        await link.poll()
+        raise WorkerUnreachableError("reset", is_broken=True)
+
+    vms.start = restart_and_lose
+    await start(link)
+    assert orders == [(TASK, 1)]
+    assert list_active_runs(link) == [(KEY, 2)]
+    assert link.orders.unanswered_starts == {}
+
+
+async def test_announced_boot_does_not_end_a_run_that_it_may_have_started(link, vms, fleet):
+    """Guards against a second run of a task when the VM announces its restart before it answers a poll (TWICE)."""
+    controller = LeaderController(leadership=fleet, calls=vms, machines=None, advisor=None, limits=LIMITS)
+    controller.links["vm-1"] = link
+    controller.tasks["vm-1"] = asyncio.create_task(asyncio.sleep(3600))  # polls are made by the test
+    await start_on_next_boot(link, vms, is_answered=False)
+    fleet.now += 2.0
+    await controller.handle_announcement(make_vm("vm-1", boot=2))
+    assert list_active_runs(link) == [(KEY, 2)]
+    await link.poll()
+    assert list_active_runs(link) == [(KEY, 2)]
+    controller.tasks["vm-1"].cancel()
+
+
+async def test_next_boot_keeps_a_start_of_the_leader_before(link, vms, fleet):
+    """Guards against a second run of a task that an earlier leader ordered and the next boot started (TWICE)."""
+    await start_on_next_boot(link, vms, is_answered=False)
+    successor = FakeLeadership()
+    successor.state, successor.term = fleet.state, fleet.term + 1
+    next_link = make_link("vm-1", leadership=successor, calls=vms)
+    await next_link.poll()
+    await next_link.poll()
+    assert list_active_runs(next_link) == [(KEY, 2)]
+
+
+async def test_start_in_doubt_is_kept_when_the_clock_of_the_vm_was_set_back(link, vms):
+    """Guards against a second run of a task whose VM restarted with a lower boot number (TWICE)."""
+    await start_on_next_boot(link, vms, is_answered=False, boot=0)
+    await link.poll()
+    assert list_active_runs(link) == [(KEY, 0)]
+    assert link.record.boot == 0
+
+
+async def test_run_that_the_earlier_boot_listed_is_free_at_once(link, vms):
+    """Guards against a delay of every task whose VM restarts, where no order was on its way."""
+    await start(link)
+    await link.poll()
+    restart(vms)
+    await link.poll()
+    assert list_active_runs(link) == []
+
+
+async def test_task_in_doubt_still_counts_as_a_suspect_of_the_crash(link, vms):
+    """Guards against a task that crashes its VM as it starts and is not counted, because its start got no answer."""
+
+    async def crash(*, task, run, **_):
+        restart(vms)
+        link.leadership.now += 0.1
+        raise WorkerUnreachableError("reset", is_broken=True)
+
+    vms.start = crash
+    await start(link)
+    await link.poll()
+    progress = link.leadership.state.tables.workflows["w"].progress[0][0]
+    assert progress.crashes[0].total == 1
+    await link.poll()
+    assert progress.crashes[0].total == 1
+
+
+async def test_lease_on_the_clock_of_the_earlier_boot_is_waited_for(link, vms):
+    """Guards against a second run after a VM has restarted and fallen silent: its lease is not the usual one (TWICE).
+
+    The end of a lease on the earlier boot's clock is far ahead of the new clock, so that the VM takes the longest lease.
+    """
+    await start_on_next_boot(link, vms, is_answered=False)
+    restarted_at = link.leadership.now
+    await link.poll()
+    await link.poll()
+    vms.silent = True
+    while link.leadership.now < lease_expiry(granted_at=restarted_at, length_s=LIMITS.longest_lease_s):
+        assert list_active_runs(link) == [(KEY, 2)]
+        await link.poll()
+        link.leadership.now += 0.5
+    await link.poll()
+    assert list_active_runs(link) == []
+
+
+async def test_vm_that_refuses_connections_gets_no_lease_on_its_old_clock(link, vms):
+    """Guards against the longest lease for every VM that restarts, which delays tasks when it then falls silent."""
+    link.orders.record_loss(WorkerUnreachableError("refused", is_sent=False))
+    await link.poll()
+    assert vms.leases[-1] is None
+    await link.poll()
+    assert vms.leases[-1] is not None
+
+
+@pytest.mark.parametrize("change", ["lost leadership", "restart", "stop"])
+async def test_start_is_not_written_after_a_pause_that_ended_its_permission(link, vms, change):
+    """Guards against an order of a former leader: a VM that has restarted has seen no higher token and obeys it (TWICE)."""
+    allowed = []
+
+    async def open_connection(*, may_send, **_):
+        match change:
+            case "lost leadership":
+                link.leadership.is_confirmed = False
+            case "restart":
+                restart(vms)
+                await link.poll()
+            case "stop":
+                link.orders.request_stop(task=TASK, run=1, reason="cancelled")
+        allowed.append(may_send())
+        raise WorkerUnreachableError("not sent", is_sent=False)
+
+    vms.start = open_connection
+    await start(link)
+    assert allowed == [False]
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -76,6 +76,7 @@
     """Guards against waiting for runs of an earlier boot that the VM no longer has."""
     await poll(link)
     await start(link)
+    await poll(link)
     vms.boot, vms.running = 2, {}
     await poll(link)
     tables = link.leadership.state.tables
