Carry out orders for zones only while their caller waits

Cause: an operator's order to put the zone back waited in the socket of a frozen node. The operator sent it again to another node after a second, and then evacuated the zone anew. The frozen node woke, read the old copy and relayed it; the time limit of a relay counts from when the request is read. The orders for zones have no version or number, so the leader applies them in the order in which they arrive.

Ruled out: a reverted log (no change of leader between POST and the starts undoes it; the state holds the withdrawal on all nodes), and a relay that tries again for too long (2.2 s at most). Before, 7018 said what changed, but neither where the order came from nor how old it was; now 7067 tells that a node was paused and for how long, and 7068 why an order was not carried out.

Change: the leader answers such an order with a token of its term and clock. The node that received the order sends it again with the token if its caller still waits: the process was not paused lately, the order was read up to 0.6 s ago, and the caller has not closed its side. The leader accepts the token for 0.3 s by its own clock, so that together less than the second after which operators send an order again passes. An order that fails this is answered 503 at once.

Related paths, with tests: the leader itself was frozen (the same check before its own listener's orders); a cut between two nodes holds the relayed order up (the token expires by the leader's clock); a cut before the node holds it up and it arrives with the end of its connection; a token of an earlier leader. By reading: manifests have versions, waves have numbers, cancels are final, reports of VMs have sequence numbers; the first job path's operator API has epochs.

--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -193,6 +193,8 @@
         "WARNING",
         "VM {vm} restarted under its ID; {count} runs that the earlier boot did not list may have been started by it",
     )
+    PROCESS_RESUMED = (7067, "WARNING", "process was paused or blocked for {paused_ms} ms")
+    ORDER_EXPIRED = (7068, "WARNING", "{method} {path} is not carried out: {reason}")
     TASKS_SUSPECTED = (7064, "WARNING", "several VMs have ended under {count} tasks; given up: {given_up}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
--- a/src/hyssopway/http/__init__.py
+++ b/src/hyssopway/http/__init__.py
@@ -12,11 +12,13 @@
     from .middleware import error_middleware
     from .request_body import read_json
     from .responses import failure_response, json_response
+    from .waiting_caller import WaitingCaller
 else:
     __getattr__ = lazy_exports(
         __name__,
         {
             "HttpListener": "listener",
+            "WaitingCaller": "waiting_caller",
             "bearer_token": "credentials",
             "error_middleware": "middleware",
             "failure_response": "responses",
@@ -28,6 +30,7 @@
 
 __all__ = [
     "HttpListener",
+    "WaitingCaller",
     "bearer_token",
     "error_middleware",
     "failure_response",
--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -35,9 +35,10 @@
         loop: Event loop of the connection.
         connections: All open connections, including this one.
         head_timer: Closes the connection when a request head does not arrive in time.
+        is_half_closed: Whether the caller has closed its sending side.
     """
 
-    __slots__ = ("connections", "head_timer", "loop")
+    __slots__ = ("connections", "head_timer", "is_half_closed", "loop")
 
     def __init__(
         self,
@@ -59,6 +60,7 @@
         self.loop = loop
         self.connections = connections
         self.head_timer: asyncio.TimerHandle | None = None
+        self.is_half_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the timer of the first request head."""
@@ -82,6 +84,7 @@
             True to keep this side open for sending until the request in progress has its response.
         """
         super().eof_received()
+        self.is_half_closed = True
         if self._is_idle():
             if self._waiter is None and self.head_timer is None:
                 # aiohttp parsed a whole head and starts its request in the next iteration of the event loop.
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hyssopway.agreement import (
@@ -30,6 +31,7 @@
     Relay,
     RelayedReply,
     RelayedRequest,
+    UnansweredError,
     supervise,
 )
 from hyssopway.workflow import WorkflowState
@@ -39,7 +41,7 @@
 from .membership_manager import MembershipManager
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from hyssopway.dispatch import LeaderController
 
@@ -196,19 +198,34 @@
             log_event(Event.HTTP_HANDLER_FAILED, method=request.method, path=request.path, error=repr(error))
             return RelayedReply(status=500)
 
-    async def serve(self, request: RelayedRequest, *, timeout_s: float) -> RelayedReply:
+    async def serve(
+        self,
+        request: RelayedRequest,
+        *,
+        timeout_s: float,
+        confirm: Callable[[], Awaitable[bool]] | None = None,
+    ) -> RelayedReply:
         """Handles a request that arrived at this node, or forwards it to the leader.
 
+        Args:
+            request: The request.
+            timeout_s: Time in seconds within which a leader must respond.
+            confirm: Returns whether the caller still waits.
+
         Raises:
-            UnansweredError: No leader answered in time.
+            UnansweredError: No leader answered in time, or the caller no longer waits.
         """
         may_have_run = False
         if self.controller is not None:
             reply = await self.answer(request)
+            if reply.confirm_token and confirm is not None and await confirm():
+                reply = await self.answer(replace(request, confirm_token=reply.confirm_token))
+            if reply.confirm_token:
+                raise UnansweredError("the caller no longer waits", may_have_run=False)
             if reply.status:
                 return reply
             may_have_run = reply.may_have_run
-        return await self.relay.send(request, timeout_s=timeout_s, may_have_run=may_have_run)
+        return await self.relay.send(request, timeout_s=timeout_s, confirm=confirm, may_have_run=may_have_run)
 
     async def _run_leadership(self) -> None:
         member = self.member
--- a/src/hyssopway/relay/__init__.py
+++ b/src/hyssopway/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .confirm_token import is_valid_confirm_token, issue_confirm_token
 from .leader_finder import LeaderFinder
 from .node_directory import PEER_TOKEN, NodeDirectory
 from .relay import Relay, UnansweredError
@@ -22,5 +23,7 @@
     "RelayedReply",
     "RelayedRequest",
     "UnansweredError",
+    "is_valid_confirm_token",
+    "issue_confirm_token",
     "supervise",
 ]
--- a/src/hyssopway/relay/relay.py
+++ b/src/hyssopway/relay/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
@@ -12,6 +13,8 @@
 from .topics import RELAY
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from .leader_finder import LeaderFinder
     from .relayed_request import RelayedRequest
 
@@ -44,13 +47,19 @@
         self.finder = finder
 
     async def send(
-        self, request: RelayedRequest, *, timeout_s: float, may_have_run: bool = False
+        self,
+        request: RelayedRequest,
+        *,
+        timeout_s: float,
+        confirm: Callable[[], Awaitable[bool]] | None = None,
+        may_have_run: bool = False,
     ) -> RelayedReply:
         """Returns the leader's reply.
 
         Args:
             request: The request.
             timeout_s: Time in seconds within which a leader must respond.
+            confirm: Returns whether the caller still waits; None if the leader never asks for it.
             may_have_run: Whether the request may already take effect, because this node led until a moment ago.
 
         Raises:
@@ -78,6 +87,11 @@
                 continue
             if reply.status:
                 return reply
+            if reply.confirm_token:
+                if confirm is None or not await confirm():
+                    raise UnansweredError("the caller no longer waits", may_have_run=may_have_run)
+                data = replace(request, confirm_token=reply.confirm_token).encode()
+                continue
             may_have_run = may_have_run or reply.may_have_run
             reason = f"{leader} is not the leader"
             if reply.leader != leader:
--- a/src/hyssopway/relay/relayed_reply.py
+++ b/src/hyssopway/relay/relayed_reply.py
@@ -8,6 +8,8 @@
 # Header of a redirect whose request the former leader proposed without a confirmed commit. Releases that do not know it
 # ignore the headers of a redirect.
 MAY_HAVE_RUN_HEADER = "X-May-Have-Run"
+# Header of a reply without a status in which the leader asks to confirm that the caller still waits.
+CONFIRM_HEADER = "X-Confirm-Token"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,6 +39,16 @@
         headers = {MAY_HAVE_RUN_HEADER: "1"} if may_have_run else {}
         return RelayedReply(status=0, headers=headers, leader=leader)
 
+    @staticmethod
+    def ask_to_confirm(token: str) -> RelayedReply:
+        """Returns the reply of a leader that carries out the request only with this token, from a caller that waits."""
+        return RelayedReply(status=0, headers={CONFIRM_HEADER: token})
+
+    @property
+    def confirm_token(self) -> str:
+        """Token with which the request is to be sent again; empty if the leader did not ask for it."""
+        return self.headers.get(CONFIRM_HEADER, "")
+
     @property
     def may_have_run(self) -> bool:
         """Whether the request of a redirect may take effect although it was not answered."""
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -4,6 +4,7 @@
 
 import json
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from expression import Ok
@@ -92,6 +93,9 @@
             body=data,
         )
         reply = await self.service.answer(request=request, controller=self.controller)
+        if reply.confirm_token:
+            request = replace(request, confirm_token=reply.confirm_token)
+            reply = await self.service.answer(request=request, controller=self.controller)
         self.headers = reply.headers
         return reply.status, json.loads(reply.body)
 
