Do not report a refusal after an attempt whose outcome is unknown

Hypotheses: (1) the relay repeats a request after a lost answer, the first attempt hands the job in, the key is withdrawn in between, and the reply to the second attempt is passed on; (2) the leader checks the key after it has proposed the job; (3) a new leader answers from a state that lacks the job. By reading, (2) and (3) are out: the key is looked up before the proposal with no wait in between, and a new leader answers only once its state has the entries of all earlier terms.

Cause: a refusal is true of the attempt that it answers only. A key or a queue may have been removed since the attempt whose answer was lost, and a change that is still being committed is not visible yet, so that a 429 can be wrong too.

Requests without a lost attempt are answered as before, successes and reads too.

Test: test_refusal_after_a_lost_answer_does_not_claim_that_the_job_never_ran, 10 of 10 cases failed on (DID NOT RAISE).

--- a/src/hyssopway/relay/relay.py
+++ b/src/hyssopway/relay/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import replace
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
@@ -63,7 +64,8 @@
             may_have_run: Whether the request may already take effect, because this node led until a moment ago.
 
         Raises:
-            UnansweredError: No leader responded within `timeout_s` seconds.
+            UnansweredError: No leader responded within `timeout_s` seconds, the caller no longer waits, or a refusal
+                followed an attempt that may have run.
         """
         clock = self.finder.clock
         started_at = clock()
@@ -86,6 +88,12 @@
                 self.finder.clear_leader(leader, reason=reason)
                 continue
             if reply.status:
+                if may_have_run and _is_refused(request, reply):
+                    reason = (
+                        f"{leader} refused it with {reply.status} after an attempt whose outcome is unknown"
+                    )
+                    self._log_failure(request, reason=reason, waited_s=clock() - started_at)
+                    raise UnansweredError(reason, may_have_run=True)
                 return reply
             if reply.confirm_token:
                 if confirm is None or not await confirm():
@@ -98,11 +106,17 @@
                 self.finder.clear_leader(leader, reason=reason)
                 self.finder.set_leader(reply.leader)
             await asyncio.sleep(RETRY_DELAY_S)
-        waited_ms = round((clock() - started_at) * 1000)
+        self._log_failure(request, reason=reason, waited_s=clock() - started_at)
+        raise UnansweredError(reason, may_have_run=may_have_run)
+
+    def _log_failure(self, request: RelayedRequest, *, reason: str, waited_s: float) -> None:
         log_event(
-            Event.RELAY_FAILED, method=request.method, path=request.path, waited_ms=waited_ms, reason=reason
+            Event.RELAY_FAILED,
+            method=request.method,
+            path=request.path,
+            waited_ms=round(waited_s * 1000),
+            reason=reason,
         )
-        raise UnansweredError(reason, may_have_run=may_have_run)
 
     async def _attempt(self, leader: str, *, data: bytes, timeout_s: float) -> RelayedReply:
         client = self.finder.directory.client(leader)
@@ -118,4 +132,13 @@
         return self.finder.leader
 
 
+def _is_refused(request: RelayedRequest, reply: RelayedReply) -> bool:
+    """Returns whether a reply says that a change was not carried out.
+
+    It is true of the attempt that it answers only: a key or a queue may have been removed since an earlier attempt, and a
+    change that is still being committed is not visible yet.
+    """
+    return request.method != "GET" and reply.status >= HTTPStatus.BAD_REQUEST
+
+
 __all__ = ["Relay", "UnansweredError"]
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from hyssopway.clock import monotonic_s
@@ -82,6 +84,46 @@
     assert caught.value.may_have_run
 
 
+class LosingClient:
+    """Leader that carries out the first attempt without an answer and replies to the second."""
+
+    def __init__(self, reply, *, lost):
+        self.answers = [lost, reply]
+
+    async def exchange(self, *, topic, data, timeout_s):
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer.encode()
+
+
+@pytest.mark.parametrize("status", [401, 404, 410, 429, 503])
+@pytest.mark.parametrize(
+    "lost",
+    [PeerUnreachableError("reset"), RelayedReply.redirect(leader="a", may_have_run=True)],
+    ids=["no answer", "lost leadership"],
+)
+async def test_refusal_after_a_lost_answer_does_not_claim_that_the_job_never_ran(finder, status, lost):
+    """Guards against a 401 for a job that an earlier attempt had handed in, whose key was withdrawn since (REFUSED)."""
+    client = LosingClient(RelayedReply(status=status), lost=lost)
+    finder.directory.client = lambda _: client
+    finder.set_leader("a")
+    asyncio.get_running_loop().call_later(0.05, finder.set_leader, "a")
+    with pytest.raises(UnansweredError) as caught:
+        await Relay(finder=finder).send(REQUEST, timeout_s=1.0)
+    assert caught.value.may_have_run
+    assert client.answers == []
+
+
+async def test_success_after_a_lost_answer_is_returned(finder):
+    """Guards against a caller who is told that the outcome is unknown although the repeated request succeeded."""
+    client = LosingClient(RelayedReply(status=200), lost=PeerUnreachableError("reset"))
+    finder.directory.client = lambda _: client
+    finder.set_leader("a")
+    asyncio.get_running_loop().call_later(0.05, finder.set_leader, "a")
+    assert (await Relay(finder=finder).send(REQUEST, timeout_s=1.0)).status == 200
+
+
 @pytest.mark.parametrize("data", [b"", b"{}", b"[1, 2]\n", b"[" * 100_000, b'["200", {}, ""]\n'])
 async def test_malformed_reply_counts_as_none(finder, data):
     """Guards against a malformed reply that ends the request with an unexpected error."""
