Do not end the runs of a silent VM because of a departure that may be of its earlier boot

What callers would see: tasks that a VM still runs are started again elsewhere (TWICE).

Cause: a departure carries no boot. It was refused only while the VM answers and is not draining. When the VM has started again under its ID and is silent for 1.3 s, for instance behind a cut, a departure of its earlier boot that waited in the socket of a frozen node removed the VM, and its runs were started elsewhere.

Change: a departure ends runs only of a VM that has announced that it drains, as every boot does before it departs. If that announcement was lost, the runs end with the lease (4 s), or at once when another VM answers at the address.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -247,16 +247,16 @@
     async def handle_departure(self, *, vm: str) -> None:
         """Handles the departure of a VM and removes its record.
 
-        A departure carries no boot number. One of an earlier boot may arrive when the VM works again under its ID; a boot
-        announces that it is draining before it departs.
+        A departure carries no boot number. One of an earlier boot may arrive when the VM works again under its ID, or is
+        only silent; a boot announces that it is draining before it departs. If that announcement was lost, the runs of the
+        VM end with its lease.
         """
         current = self.leadership.state.tables.vms.get(vm)
         link = self.links.get(vm)
         is_working = link is not None and link.in_contact(self.leadership.clock())
-        if current is not None and is_working and not current.draining:
-            log_event(
-                Event.INPUT_REFUSED, method="departure", path=vm, reason="the VM answers and is not draining"
-            )
+        if current is not None and (is_working or current.runs) and not current.draining:
+            reason = "the VM is not draining, and answers or has runs in progress"
+            log_event(Event.INPUT_REFUSED, method="departure", path=vm, reason=reason)
             return
         if current is not None:
             log_event(Event.VM_GONE, vm=vm, reason="it announced its departure")
--- a/tests/dispatch/test_departures.py
+++ b/tests/dispatch/test_departures.py
@@ -8,7 +8,9 @@
 
 from dispatch.conftest import LIMITS
 from hyssopway.dispatch import LeaderController, Machine, MachineState
+from hyssopway.dispatch.lease import lease_expiry
 from hyssopway.dispatch.vm_link import REMOVE_AFTER_S
+from hyssopway.workflow import RunStart, StartRuns
 from workflow.conftest import make_vm
 
 
@@ -82,3 +84,22 @@
     await controller.handle_announcement(make_vm("vm-1", boot=2, draining=True))
     await controller.handle_departure(vm="vm-1")
     assert "vm-1" not in fleet.state.tables.vms
+
+
+async def test_late_departure_does_not_end_the_runs_of_a_vm_that_is_only_silent(controller, fleet, vms):
+    """Guards against starting tasks again that a silent VM still runs, because a departure of its earlier boot arrives."""
+    vms.silent, vms.boot = False, 2
+    await controller.handle_announcement(make_vm("vm-1", boot=2))
+    await controller.links["vm-1"].poll()
+    await fleet.propose(StartRuns(fencing_token=3, starts=(RunStart(task="w.0.0.0", run=1, vm="vm-1"),)))
+    vms.running["w.0.0.0", 1] = "vm-1"
+    vms.silent = True
+    fleet.now += 2.0
+    await controller.handle_departure(vm="vm-1")
+    assert fleet.state.tables.vms["vm-1"].runs == {"w.0.0.0/1"}
+    await controller.links["vm-1"].poll()
+    fleet.now += lease_expiry(granted_at=0.0, length_s=LIMITS.longest_lease_s)
+    await controller.links["vm-1"].poll()
+    assert fleet.state.tables.vms["vm-1"].runs == set(), "its lease has ended"
+    await controller.handle_departure(vm="vm-1")
+    assert "vm-1" not in fleet.state.tables.vms
