Count a run in doubt once as a suspect of its VM's ends

What callers saw, in the soak with VMs that restart under their ID: a job is shown as failed although its tasks had not failed and at most one VM had ended under them (LOST).

Each further restart counted as one more end under its task, and after the third the task was given up. The log shows it: 7066 names the run four times in 5 s, 7064 counts up to 3, with one start ordered (7010, no answer).

Change: a run that was moved to a boot counts there only once that boot has listed it; its end under the boot before has counted. When the boot has answered a poll without listing it, no order of it can reach the next boot, so that it is no longer in doubt and its task is free at once.

Test: test_run_in_doubt_counts_once_as_a_suspect_while_its_vm_restarts_again_and_again, failed before this change.

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -46,6 +46,7 @@
         listing_sent_at: float = float("-inf"),
         unreachable_since: float = float("inf"),
         is_replaced: bool = False,
+        moved: Collection[str] = (),
     ) -> None:
         """Finds the runs.
 
@@ -57,10 +58,18 @@
                 got none.
             unreachable_since: Local time at which a connection was first refused or broken since the VM last answered.
             is_replaced: Whether another boot of the VM follows under the same ID, to which orders may still go.
+            moved: Keys of the runs that were in doubt when this boot followed the one before. No order was sent for them
+                since.
         """
         states = order_states or {}
         self.vm_id = record.vm_id
+        has_answered = listing_sent_at > float("-inf")
+        never_listed = {key for key in moved if key not in states or not states[key].is_listed}
         self.in_doubt = {key for key in record.runs if is_replaced and _is_in_doubt(states.get(key))}
+        if has_answered:
+            self.in_doubt -= (
+                never_listed  # their orders were sent before this boot answered, so none can reach the next
+            )
         self.keys = sorted((record.runs - self.in_doubt) | record.lapsed)
         unlisted = record.runs.difference(listed)
         later = {
@@ -70,8 +79,8 @@
                 states.get(key), listing_sent_at=listing_sent_at, unreachable_since=unreachable_since
             )
         }
-        has_answered = listing_sent_at > float("-inf")
         self.at_work = record.runs - (unlisted - later) if has_answered else set(record.runs)
+        self.at_work -= never_listed  # they counted when the earlier boot ended
         self.just_started = {
             key for key in later if 0 <= unreachable_since - states[key].accepted_at <= MAX_START_CRASH_S
         }
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -217,3 +217,23 @@
     vms.start = open_connection
     await start(link)
     assert allowed == [False]
+
+
+async def test_run_in_doubt_counts_once_as_a_suspect_while_its_vm_restarts_again_and_again(link, vms):
+    """Guards against a job that fails because a VM restarted several times after a start that never reached it (LOST)."""
+    vms.silent = True
+    await start(link)
+    vms.silent = False
+    progress = link.leadership.state.tables.workflows["w"].progress[0][0]
+    for boot in (2, 3):
+        restart(vms, boot=boot)
+        await link.poll()
+        assert list_active_runs(link) == [(KEY, boot)]
+        assert progress.crashes[0].total == 1
+    await link.poll()
+    restart(vms, boot=4)
+    await link.poll()
+    assert list_active_runs(link) == [], (
+        "boot 3 answered after the last order, so none can have reached boot 4"
+    )
+    assert progress.crashes[0].total == 1
