Stop repeating the start of a run that has ended

What callers saw, in the soak with VMs that restart under their ID: a run starts again after its end 'done' was taken note of (TWICE).

Cause: the attempts of a start go on until one is answered or the VM lists the run. A run that ended in between is listed among the ends and not among the runs, so that nothing stopped them. The VM refuses such a start, but its next boot has forgotten the end.

Change: each attempt, and the check right before it is written, asks whether the run is still in progress.

The same check covers a run that was ended for another reason, such as a lapsed lease.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -162,9 +162,10 @@
         try:
             for timeout_s in self.rtt_estimator.choose_timeouts():
                 record = self.record
-                if record is None or record.boot != boot or until_ms is None:
+                if record is None or until_ms is None:
                     break
-                if not self.leadership.may_order() or order_state.is_start_resolved:
+                may_send = partial(self._may_start, run.key, boot=boot, order_state=order_state)
+                if not may_send():
                     break
                 ticket = self.tickets.read(step_name, vm=self.vm_id, boot=boot) if needs_ticket else ""
                 if needs_ticket and not ticket:
@@ -181,7 +182,7 @@
                         ticket=ticket,
                         lease_until_ms=until_ms,
                         fencing_token=self.leadership.term,
-                        may_send=partial(self._may_start, boot=boot, order_state=order_state),
+                        may_send=may_send,
                         timeout_s=timeout_s,
                     )
                 except WorkerUnreachableError as error:
@@ -207,13 +208,18 @@
         self.unanswered_starts[run.key] = _UnansweredStart(run, specification, checkpoint, needs_ticket)
         return None
 
-    def _may_start(self, *, boot: int, order_state: OrderState) -> bool:
-        """Returns whether a start may still be sent to a boot, which may have ended while a connection was opened."""
+    def _may_start(self, key: str, *, boot: int, order_state: OrderState) -> bool:
+        """Returns whether the start of a run may still be sent to a boot of the VM.
+
+        The boot or the run may have ended while a connection was opened, or while an answer was awaited. The VM refuses the
+        start of a run that has ended there, but its next boot does not.
+        """
         record = self.record
         return (
             self.leadership.may_order()
             and record is not None
             and record.boot == boot
+            and key in record.runs
             and not order_state.is_start_resolved
         )
 
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -13,7 +13,8 @@
 from hyssopway.dispatch import OrderReply, WorkerUnreachableError
 from hyssopway.dispatch.leader_controller import LeaderController
 from hyssopway.dispatch.lease import lease_expiry
-from hyssopway.workflow import RunStart, StartRuns
+from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns
 from workflow.conftest import make_vm
 
 TASK = "w.0.0.0"
@@ -111,6 +112,21 @@
     assert link.orders.unanswered_starts == {}
 
 
+async def test_start_is_not_repeated_after_the_end_of_its_run(link, vms):
+    """Guards against a run that starts again on the next boot of its VM, after its end was acknowledged (TWICE)."""
+    orders = []
+
+    async def end_and_lose(*, task, run, **_):
+        orders.append((task, run))
+        vms.ends.append(ListedEnd(1, RunEnd(task=task, run=run, outcome=RunOutcome.DONE)))
+        await link.poll()
+        raise WorkerUnreachableError("no answer")
+
+    vms.start = end_and_lose
+    await start(link)
+    assert orders == [(TASK, 1)]
+
+
 async def test_announced_boot_does_not_end_a_run_that_it_may_have_started(link, vms, fleet):
     """Guards against a second run of a task when the VM announces its restart before it answers a poll (TWICE)."""
     controller = LeaderController(leadership=fleet, calls=vms, machines=None, advisor=None, limits=LIMITS)
