Take a restart that is noticed twice for one

Cause: the announcement of a new boot and the answer to a poll are handled at the same time. Each committed the end of the earlier boot before the other had registered the new one. The second one found no runs before runs in doubt were kept; now it counted them again.

Change: a lock in the link, and the second one sees that the boot has been replaced.

Tests: test_restart_that_is_noticed_twice_counts_once (2 instead of 1 without the change) and test_answer_of_a_boot_that_was_replaced_meanwhile_changes_nothing.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -230,7 +230,7 @@
             draining=command.draining,
         )
         if link is not None and current is not None and is_later_boot:
-            await link.replace_boot(command)
+            await link.replace_boot(command, replaced_boot=current.boot)
         else:
             await self.leadership.propose(command)
         self._sync_links()
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -60,6 +60,7 @@
     Attributes:
         vm_id: ID of the VM.
         boot: Boot number of the VM that the other attributes describe.
+        boot_change: Held while another boot replaces the one in the record.
         leadership: Term in which orders are sent.
         calls: Client of worker VMs.
         scale: Learns the ratio of actual to declared run durations.
@@ -92,6 +93,7 @@
         "announced_at",
         "answered_at",
         "boot",
+        "boot_change",
         "calls",
         "counters",
         "durations",
@@ -178,6 +180,7 @@
         self.listed_runs: dict[str, ListedRun] = {}
         self.moved_runs: frozenset[str] = frozenset()
         self.moved_to_boot = 0
+        self.boot_change = asyncio.Lock()
         self.failures = 0
 
     @property
@@ -457,16 +460,25 @@
         if record is not None:
             await self._end_boot(record, reason=reason, lost=self._find_lost_runs(record))
 
-    async def replace_boot(self, command: RegisterVm) -> None:
+    async def replace_boot(self, command: RegisterVm, *, replaced_boot: int) -> None:
         """Commits that another boot of the VM, which has the same ID, has replaced the one in the record.
 
         An order names the ID only. A start that was sent to the earlier boot may have reached the later one, so a run that
         the earlier boot did not list stays in progress, and is resolved by what the later boot lists.
+
+        Args:
+            command: What is known of the later boot.
+            replaced_boot: Number of the earlier boot, which was in the record when the later one was noticed.
         """
-        record = self.record
-        if record is None:
-            await self.leadership.propose(command)
-            return
+        # An announcement and the answer to a poll may tell of the same boot, which has to count as one end of the earlier one.
+        async with self.boot_change:
+            record = self.record
+            if record is not None and record.boot == replaced_boot:
+                await self._replace_boot(record, command)
+            elif command.sequence:
+                await self.leadership.propose(command)
+
+    async def _replace_boot(self, record: VmRecord, command: RegisterVm) -> None:
         lost = self._find_lost_runs(record, is_replaced=True)
         await self._end_boot(record, reason=f"boot {command.boot} follows {record.boot}", lost=lost)
         if lost.in_doubt:
@@ -527,7 +539,8 @@
                 capacity=Capacity(),  # it may be of another kind; its announcement says so
                 draining=False,
                 at_ms=wall_ms(),
-            )
+            ),
+            replaced_boot=record.boot,
         )
         self.on_change()
 
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -151,9 +151,10 @@
     @rule(name=st.sampled_from(VMS))
     def announce(self, name):
         """Announces the boot of a VM that has restarted while it left the polls unanswered."""
-        boot = self.workers[name].boot
-        if boot > self.leader.state.tables.vms[name].boot:
-            self.run(self.links[name].replace_boot(make_vm(name, boot=boot)))
+        boot, known_boot = self.workers[name].boot, self.leader.state.tables.vms[name].boot
+        if boot > known_boot:
+            command = make_vm(name, boot=boot, sequence=1)
+            self.run(self.links[name].replace_boot(command, replaced_boot=known_boot))
 
     @rule()
     def change_leader(self):
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -253,3 +253,39 @@
         "boot 3 answered after the last order, so none can have reached boot 4"
     )
     assert progress.crashes[0].total == 1
+
+
+async def test_restart_that_is_noticed_twice_counts_once(link, vms):
+    """Guards against a job that fails because an announcement and a poll told of the same restart (LOST)."""
+    vms.silent = True
+    await start(link)
+    vms.silent = False
+    restart(vms)
+    propose = link.leadership.propose
+
+    async def commit_later(command):
+        await asyncio.sleep(0)
+        await propose(command)
+
+    link.leadership.propose = commit_later
+    announcement = make_vm("vm-1", boot=2, sequence=1)
+    await asyncio.gather(link.replace_boot(announcement, replaced_boot=1), link.poll())
+    assert link.record.capacity == announcement.capacity
+    progress = link.leadership.state.tables.workflows["w"].progress[0][0]
+    assert (list_active_runs(link), progress.crashes[0].total) == ([(KEY, 2)], 1)
+
+
+async def test_answer_of_a_boot_that_was_replaced_meanwhile_changes_nothing(link, vms):
+    """Guards against a late answer that puts the earlier boot back into the record, and ends the runs of the later one."""
+    await start(link)
+    restart(vms, boot=2)
+    poll = vms.poll
+
+    async def answer_after_announcement(**arguments):
+        reply = await poll(**arguments)
+        await link.replace_boot(make_vm("vm-1", boot=3, sequence=1), replaced_boot=1)
+        return reply
+
+    vms.poll = answer_after_announcement
+    await link.poll()
+    assert link.record.boot == 3
