Count a run in doubt once over a change of leader

Cause: which runs were moved to the present boot was known to the leader that moved them only. Its successor, which had no answer from that boot yet, counted them at the next restart.

Change: the replicated run says that it was moved (ActiveRun.is_moved), which takes the place of the link's own note.

Test: test_run_in_doubt_counts_once_over_a_change_of_leader (2 instead of 1 without the change).

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -84,8 +84,6 @@
         stopping: Runs that the VM is still stopping although their ends are committed.
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
-        moved_runs: Keys of the runs that were in doubt when boot `moved_to_boot` followed the one before.
-        moved_to_boot: Number of that boot; 0 if this leader has seen none.
         failures: Number of runs that failed on the VM since the last success.
     """
 
@@ -105,8 +103,6 @@
         "listed_runs",
         "listing_sent_at",
         "longest_lease_s",
-        "moved_runs",
-        "moved_to_boot",
         "on_change",
         "orders",
         "pace",
@@ -178,8 +174,6 @@
         self.heard_at = leadership.clock()
         self.announced_at = float("-inf")
         self.listed_runs: dict[str, ListedRun] = {}
-        self.moved_runs: frozenset[str] = frozenset()
-        self.moved_to_boot = 0
         self.boot_change = asyncio.Lock()
         self.failures = 0
 
@@ -483,8 +477,6 @@
         await self._end_boot(record, reason=f"boot {command.boot} follows {record.boot}", lost=lost)
         if lost.in_doubt:
             self._accept_longest_lease()
-        self.moved_runs = frozenset(lost.in_doubt)
-        self.moved_to_boot = command.boot
         await self.leadership.propose(
             replace(command, replaced_boot=record.boot, kept_runs=tuple(sorted(lost.in_doubt)))
         )
@@ -522,9 +514,17 @@
             listing_sent_at=self.listing_sent_at if is_known else float("-inf"),
             unreachable_since=self.orders.unreachable_since if is_known else float("inf"),
             is_replaced=is_replaced,
-            moved=self.moved_runs if self.moved_to_boot == record.boot else (),
+            moved=self._list_moved_runs(record),
         )
 
+    def _list_moved_runs(self, record: VmRecord) -> list[str]:
+        runs = self.leadership.state.tables.runs
+        return [
+            key
+            for key in record.runs
+            if any(run.key == key and run.is_moved for run in runs.get(key.rpartition("/")[0], ()))
+        ]
+
     async def _register_new_boot(self, record: VmRecord, *, boot: int) -> None:
         # A lower number counts as well, since the VM itself answered with it: its clock was set back, or another writer
         # announced a boot in the future.
--- a/src/hyssopway/workflow/active_run.py
+++ b/src/hyssopway/workflow/active_run.py
@@ -16,6 +16,7 @@
         boot: Boot number of that VM.
         fencing_token: Term of the leader that proposed the start.
         started_ms: Wall-clock time at which the start was proposed; 0 if it is unknown.
+        is_moved: Whether the run was in doubt when the present boot of its VM followed the one that it was placed on.
     """
 
     task: str
@@ -24,6 +25,7 @@
     boot: int
     fencing_token: int
     started_ms: int = 0
+    is_moved: bool = False
 
     @property
     def key(self) -> str:
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -130,6 +130,7 @@
         for run in tables.runs[key.rpartition("/")[0]]:
             if run.key == key:
                 run.boot = boot
+                run.is_moved = True
 
 
 def _mark_runs_lost(
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -255,6 +255,22 @@
     assert progress.crashes[0].total == 1
 
 
+async def test_run_in_doubt_counts_once_over_a_change_of_leader(link, vms, fleet):
+    """Guards against a job that fails because two leaders counted the same end of a VM under its task (LOST)."""
+    vms.silent = True
+    await start(link)
+    vms.silent = False
+    restart(vms)
+    await link.poll()
+    successor = FakeLeadership()
+    successor.state, successor.term = fleet.state, fleet.term + 1
+    restart(vms, boot=3)
+    next_link = make_link("vm-1", leadership=successor, calls=vms)
+    await next_link.poll()
+    progress = fleet.state.tables.workflows["w"].progress[0][0]
+    assert (list_active_runs(next_link), progress.crashes[0].total) == ([(KEY, 3)], 1)
+
+
 async def test_restart_that_is_noticed_twice_counts_once(link, vms):
     """Guards against a job that fails because an announcement and a poll told of the same restart (LOST)."""
     vms.silent = True
