Move what a leader learns from ends out of the link to a VM

The functions of run_end_learning.py take the replicated data and the learning objects as arguments.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -11,11 +11,12 @@
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
-from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RunEnd, RunOutcome, TaskId
+from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RunEnd, RunOutcome
 
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
 from .lost_runs import LostRuns
 from .poll_timing import PollTiming
+from .run_end_learning import is_known_task, rate_end, record_duration
 from .run_ends import make_run_ends
 from .run_orders import RunOrders
 from .stall_detector import StallDetector
@@ -309,30 +310,21 @@
 
     def _select_valid(self, reply: PollReply) -> dict[str, ListedRun]:
         """Returns the listed runs by key, without those that name no task; they must not hold up the others."""
-        valid = {f"{row.task}/{row.run}": row for row in reply.running if self._is_task(row.task)}
+        tables = self.leadership.state.tables
+        valid = {
+            f"{row.task}/{row.run}": row for row in reply.running if is_known_task(row.task, tables=tables)
+        }
         if len(valid) < len(reply.running):
             reason = f"{len(reply.running) - len(valid)} listed runs name no task or are listed twice"
             log_event(Event.INPUT_REFUSED, method="poll", path=self.vm_id, reason=reason)
         return valid
 
-    def _is_task(self, name: str) -> bool:
-        try:
-            task = TaskId.parse(name)
-        except ValueError:
-            return False
-        workflow = self.leadership.state.tables.workflows.get(task.workflow)
-        if workflow is None:
-            return True  # its record has been deleted
-        steps = workflow.spec.steps
-        return 0 <= task.step < len(steps) and 0 <= task.number < steps[task.step].count
-
     async def _process_ends(self, record: VmRecord, *, reply: PollReply) -> None:
         for listed in reply.ends:
             end = listed.end
             order_state = self.orders.discard_run(f"{end.task}/{end.run}")
-            if end.outcome is RunOutcome.DONE and order_state is not None:
-                self._record_duration(end, accepted_at=order_state.accepted_at)
-            self._rate(end, accepted_at=order_state.accepted_at if order_state is not None else None)
+            accepted_at = order_state.accepted_at if order_state is not None else None
+            self._learn(end, accepted_at=accepted_at)
             if end.outcome is RunOutcome.FAILED:
                 self.failures += 1
             elif end.outcome is RunOutcome.DONE:
@@ -342,6 +334,26 @@
         ends = [listed.end for listed in reply.ends]
         await self._propose_ends(ends, last_end=reply.ends[-1].number, boot=record.boot)
 
+    def _learn(self, end: RunEnd, *, accepted_at: float | None) -> None:
+        tables, now = self.leadership.state.tables, self.leadership.clock()
+        if end.outcome is RunOutcome.DONE and accepted_at is not None:
+            record_duration(
+                end,
+                tables=tables,
+                scale=self.scale,
+                quantiles=self.durations if self.ratings.rating(self.vm_id) is Rating.PREFERRED else None,
+                duration_s=now - accepted_at,
+            )
+        rate_end(
+            end,
+            vm_id=self.vm_id,
+            tables=tables,
+            term=self.leadership.term,
+            ratings=self.ratings,
+            accepted_at=accepted_at,
+            now=now,
+        )
+
     def _stop_stalled_runs(self, now: float) -> None:
         workflows = self.leadership.state.tables.workflows
         for row in self.stall_detector.find_stalled(self.listed_runs.values(), workflows=workflows, now=now):
@@ -350,47 +362,6 @@
             self.orders.paused_until = now + STALL_PAUSE_S
             self.orders.request_stop(task=row.task, run=row.run, reason="it makes no progress")
 
-    def _rate(self, end: RunEnd, *, accepted_at: float | None) -> None:
-        if end.outcome not in (RunOutcome.DONE, RunOutcome.FAILED) or not self._is_task(end.task):
-            return
-        tables = self.leadership.state.tables
-        task = TaskId.parse(end.task)
-        workflow = tables.workflows.get(task.workflow)
-        step = workflow.spec.steps[task.step] if workflow is not None else None
-        if step is None or step.long_running or step.fills or step.gang:
-            return
-        key = f"{end.task}/{end.run}"
-        # The start of a run that another leader ordered is not known.
-        is_own = any(
-            run.key == key and run.fencing_token == self.leadership.term
-            for run in tables.runs.get(end.task, ())
-        )
-        now = self.leadership.clock()
-        self.ratings.record_end(
-            vm=self.vm_id,
-            task=task,
-            run_key=key,
-            is_done=end.outcome is RunOutcome.DONE,
-            duration_s=now - accepted_at
-            if is_own and accepted_at is not None and accepted_at <= now
-            else None,
-            now=now,
-        )
-
-    def _record_duration(self, end: RunEnd, *, accepted_at: float) -> None:
-        if not self._is_task(end.task):
-            return
-        actual_s = self.leadership.clock() - accepted_at
-        task = TaskId.parse(end.task)
-        workflow = self.leadership.state.tables.workflows.get(task.workflow)
-        if workflow is None:
-            return  # its record has been deleted
-        step = workflow.spec.steps[task.step]
-        if actual_s > 0 and step.estimate_ms and not step.long_running:
-            self.scale.add(workflow.queue, declared_ms=step.estimate_ms, actual_ms=actual_s * 1000)
-            if self.ratings.rating(self.vm_id) is Rating.PREFERRED and not step.fills:
-                self.durations.add(workflow.queue, declared_ms=step.estimate_ms, actual_ms=actual_s * 1000)
-
     async def _resolve_unlisted(self, record: VmRecord, *, reply: PollReply, sent_at: float) -> None:
         if not reply.is_complete:
             return
