Keep the runs of a VM that reports no start when it announces itself again

What callers would see: all runs of a VM without a boot number are lost and started again while it works on (TWICE), whenever it announces a change such as a drain.

Cause: let RegisterVm name the boot that it replaces, 0 for none. A VM that does not report its start has boot 0, so that 0 equalled the recorded boot.

Change: a command with the boot of the record never replaces it.

Test: test_announcement_of_a_vm_without_a_boot_number_ends_no_run, failed before this change (no runs left of one).

--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -49,8 +49,8 @@
 def register_vm(tables: Tables, indexes: Indexes, command: RegisterVm) -> None:
     """Stores what a VM announced about itself; marks the runs of the boot that it replaces as lost, or moves them."""
     old = tables.vms.get(command.vm)
-    is_replaced = old is not None and (command.boot > old.boot or command.replaced_boot == old.boot)
-    if old is not None and command.boot < old.boot and not is_replaced:
+    is_replaced = old is not None and _replaces_boot(command, old=old)
+    if old is not None and command.boot != old.boot and not is_replaced:
         return
     if old is not None and command.boot == old.boot and 0 < command.sequence < old.sequence:
         return  # announcements of one boot may overtake each other
@@ -124,6 +124,13 @@
         tables.machine_orders[machine] = command.at_ms
 
 
+def _replaces_boot(command: RegisterVm, *, old: VmRecord) -> bool:
+    """Returns whether a command tells of another boot that takes the place of the recorded one."""
+    if command.boot == old.boot:
+        return False  # also if both are 0, for a VM that does not report when it was started
+    return command.boot > old.boot or command.replaced_boot == old.boot
+
+
 def _move_to_boot(tables: Tables, *, vm: VmRecord, boot: int) -> None:
     """Moves the runs of a VM to its next boot, which may have received their starts."""
     for key in vm.runs:
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -305,3 +305,12 @@
     vms.poll = answer_after_announcement
     await link.poll()
     assert link.record.boot == 3
+
+
+async def test_announcement_of_a_vm_without_a_boot_number_ends_no_run(link, vms, fleet):
+    """Guards against losing the runs of a VM that does not report its start, whenever it announces a change."""
+    await fleet.propose(make_vm("vm-3", boot=0))
+    await fleet.propose(StartRuns(fencing_token=3, starts=(RunStart(task=TASK, run=1, vm="vm-3"),)))
+    await fleet.propose(make_vm("vm-3", boot=0, draining=True, sequence=2))
+    record = fleet.state.tables.vms["vm-3"]
+    assert (record.draining, record.runs) == (True, {KEY})
