Complete a gang with the first end of a member that is reported as done

A gang of two has ended done; one VM reports it, the other crashes before it can.

Cause: `done` was recorded for the reported member only. The other member's task waited again, and a gang is placed only when all of its members wait.

Ruled out: a run that stays in progress (its VM's crash is noticed, and the task waits), and ratings of VMs.

Change: the end of a member as done finishes all members that took part in the same run. Members still listed are stopped. The new field `EndRuns.completes_gangs` is off in logs of earlier releases, so that all replicas reach the same state from them.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -404,6 +404,7 @@
             last_end=last_end,
             is_reported=is_reported,
             lost_at_work=tuple(sorted(lost_at_work)),
+            completes_gangs=True,
         )
         await self.leadership.propose(command)
         for end in ends:
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -91,7 +91,15 @@
     if vm is not None and command.boot_ended:
         started_ms = list_start_times(tables, vm=vm, keys=command.lost_at_work)
     for end in command.ends:
-        end_run(tables, indexes, end=end, vm=command.vm, boot=command.boot, at_ms=command.at_ms)
+        end_run(
+            tables,
+            indexes,
+            end=end,
+            vm=command.vm,
+            boot=command.boot,
+            at_ms=command.at_ms,
+            completes_gang=command.completes_gangs,
+        )
     if vm is not None and command.boot_ended:
         count_crashes(
             tables,
@@ -112,7 +120,16 @@
     }
 
 
-def end_run(tables: Tables, indexes: Indexes, *, end: RunEnd, vm: str, boot: int, at_ms: int) -> None:
+def end_run(
+    tables: Tables,
+    indexes: Indexes,
+    *,
+    end: RunEnd,
+    vm: str,
+    boot: int,
+    at_ms: int,
+    completes_gang: bool = False,
+) -> None:
     """Ends one run if it is in progress on this boot of the VM."""
     runs = tables.runs.get(end.task, [])
     run = next((item for item in runs if (item.run, item.vm, item.boot) == (end.run, vm, boot)), None)
@@ -126,7 +143,7 @@
     if record is not None:
         record.runs.discard(run.key)
     indexes.runs_to_stop.pop(run.key, None)
-    _apply_outcome(tables, indexes, end=end, is_last=not runs, at_ms=at_ms)
+    _apply_outcome(tables, indexes, end=end, is_last=not runs, at_ms=at_ms, completes_gang=completes_gang)
 
 
 def _update_lapsed(tables: Tables, indexes: Indexes, *, vm: VmRecord, command: EndRuns) -> None:
@@ -175,7 +192,9 @@
     workflow.status = WorkflowStatus.RUNNING
 
 
-def _apply_outcome(tables: Tables, indexes: Indexes, *, end: RunEnd, is_last: bool, at_ms: int) -> None:
+def _apply_outcome(
+    tables: Tables, indexes: Indexes, *, end: RunEnd, is_last: bool, at_ms: int, completes_gang: bool
+) -> None:
     task = TaskId.parse(end.task)
     workflow = tables.workflows[task.workflow]
     step = workflow.spec.steps[task.step]
@@ -184,6 +203,8 @@
         progress.saved[task.number] = end.checkpoint
     if end.outcome is RunOutcome.DONE and not step.long_running:
         _finish_task(tables, indexes, workflow=workflow, task=task, at_ms=at_ms)
+        if step.gang and completes_gang:
+            _finish_gang(tables, indexes, workflow=workflow, task=task, run=end.run, at_ms=at_ms)
         return
     if progress.done[task.number]:
         return  # a failure of a run that lost to another run of its task does not count
@@ -196,6 +217,17 @@
         progress.pending.add(task.number)
 
 
+def _finish_gang(
+    tables: Tables, indexes: Indexes, *, workflow: Workflow, task: TaskId, run: int, at_ms: int
+) -> None:
+    """Finishes the members that took part in a run of a gang: they end together, and some ends may never be reported."""
+    progress = workflow.progress[task.occurrence][task.step]
+    for number, last_run in enumerate(progress.last_run):
+        if last_run == run:
+            member = TaskId(task.workflow, task.occurrence, task.step, number)
+            _finish_task(tables, indexes, workflow=workflow, task=member, at_ms=at_ms)
+
+
 def _finish_task(tables: Tables, indexes: Indexes, *, workflow: Workflow, task: TaskId, at_ms: int) -> None:
     progress = workflow.progress[task.occurrence][task.step]
     if progress.done[task.number]:
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -88,6 +88,8 @@
             heard of.
         just_started: Those of them that the VM had started after it last answered.
         is_reported: Whether the VM was heard of, so that it has not crashed.
+        completes_gangs: Whether the end of one member as done completes its whole gang. Logs of earlier releases have
+            commands that complete the reported member only.
     """
 
     vm: str
@@ -99,6 +101,7 @@
     lost_at_work: tuple[str, ...] = ()
     just_started: tuple[str, ...] = ()
     is_reported: bool = False
+    completes_gangs: bool = False
     kind: Literal["end"] = "end"
 
 
