Place tasks that no other VM can run on badly rated VMs

Cause: a VM that was avoided because of its own runs came back only after two good probe runs. Long-running tasks are no probes, so with no short task waiting the rating never ended, and the placement did not ask whether another VM could run the task.

Change: steps that no preferred VM in contact can run, even when empty, are placed on avoided and probed VMs in a second pass. Long-running runs are not counted as probes, since they do not end.

Test: tests/dispatch/test_rated_placement.py. On the code before, 5 of the 6 new cases failed (four of the task without another VM, one of the bound); the sixth guards the limit of the change. tests/dispatch and tests/scheduling: 474 passed.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -8,13 +8,14 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.scheduling.copies import find_copies_of_silent_runs
-from hyssopway.scheduling.crash_isolation import NO_SUSPECTS, measure_suspect_load
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
-from hyssopway.workflow import AddOccurrence, StartRuns
+from hyssopway.workflow import AddOccurrence, StartRuns, TaskId
 
 from .approved_vms import set_approved_vms
+from .confined_steps import find_confined_steps
 from .copyable_runs import CopyableRuns
+from .free_vms import list_badly_rated_capacity, list_free_capacity
 from .leader_load import COMMIT_MS, ROUNDS, STARTS
 from .leadership import LeadershipLostError
 from .placement import place_steps
@@ -27,7 +28,6 @@
 from .team_usage import TeamUsage
 from .ticket_cache import TicketCache
 from .vm_assessment import assess_vms
-from .vm_capacity import compute_free_capacity
 from .waiting_demand import measure_waiting_millis
 
 if TYPE_CHECKING:
@@ -211,10 +211,14 @@
             # Registered before the command is applied, so that a list of the VM's runs that arrives in between
             # does not count the run as ended because it lacks it.
             self.links[start.vm].orders.expect_start(task=start.task, run=start.run)
-            if self.ratings.rating(start.vm) is Rating.PROBED:
+            if self.ratings.rating(start.vm) is Rating.PROBED and not self._is_long_running(start):
                 self.ratings.start_probe(start.vm, run_key=f"{start.task}/{start.run}")
                 self.counters["probe_runs"] += 1
 
+    def _is_long_running(self, start: RunStart) -> bool:
+        task = TaskId.parse(start.task)
+        return self.leadership.state.tables.workflows[task.workflow].spec.steps[task.step].long_running
+
     def _add_copies(self, ready: list[ReadyStep], *, copies: Copies) -> list[ReadyStep]:
         if not copies:
             return ready
@@ -236,13 +240,27 @@
         set_suspects(ready, suspects=state.indexes.suspects)
         RatedSteps(state=state, ratings=self.ratings, free_by_pool=free_by_pool).apply(ready)
         queue_pools = state.tables.queue_pools
-        return place_steps(
+
+        def pool_of(ready_step: ReadyStep) -> str:
+            return queue_pools.get(ready_step.workflow.queue, "")
+
+        starts = place_steps(
             steps=self.shares.iterate(ready),
             free_by_pool=free_by_pool,
-            pool_of=lambda ready_step: queue_pools.get(ready_step.workflow.queue, ""),
+            pool_of=pool_of,
             reserve_for_team=team_usage.reserve,
             max_starts=max_starts,
         )
+        confined = find_confined_steps(ready, starts=starts, pool_of=pool_of, dispatcher=self)
+        if confined:
+            starts += place_steps(
+                steps=confined,
+                free_by_pool=list_badly_rated_capacity(self, without={start.vm for start in starts}),
+                pool_of=pool_of,
+                reserve_for_team=team_usage.reserve,
+                max_starts=max_starts - len(starts),
+            )
+        return starts
 
     def _report_starts(self, starts: list[RunStart], *, copies: Copies, slow: Copies) -> None:
         log_starts(starts, links=self.links, now=self.leadership.clock())
@@ -269,42 +287,7 @@
 
     def list_free_capacity(self) -> dict[str, list[FreeCapacity]]:
         """Returns the free capacity of the VMs that may get starts, by pool."""
-        tables = self.leadership.state.tables
-        now = self.leadership.clock()
-        known_pairs = self.interference.find_known_pairs(now) if self.interference is not None else {}
-        document = tables.document
-        machines_can_leave = document is not None and any(pool.standby for pool in document.pools)
-        suspect_load = measure_suspect_load(
-            tables=tables, suspects=self.leadership.state.indexes.suspects, now_ms=wall_ms()
-        )
-        unguarded_pools = self.leadership.state.indexes.unguarded_pools
-        free_by_pool: dict[str, list[FreeCapacity]] = {}
-        for vm_id, record in tables.vms.items():
-            link = self.links.get(vm_id)
-            if link is None or not link.in_contact(now) or now < link.orders.paused_until:
-                continue
-            if record.draining or record.zone in tables.evacuated or vm_id in self.cordoned_vms:
-                continue
-            if record.pool in unguarded_pools and not link.has_current_capacity(now):
-                continue
-            rating = self.ratings.rating(vm_id)
-            if rating is not Rating.PREFERRED and not self.ratings.may_probe(vm_id, runs=record.runs):
-                continue
-            use = self.leadership.state.indexes.vm_usage.get(vm_id)
-            free = compute_free_capacity(
-                record,
-                use=use,
-                failures=link.failures,
-                is_probed=rating is Rating.PROBED,
-                awaits_maintenance=vm_id in self.awaiting_maintenance,
-                known_pairs=known_pairs,
-                machines_can_leave=machines_can_leave,
-                suspect_load=suspect_load.get(vm_id, NO_SUSPECTS),
-            )
-            if link.stopping.missing_since:
-                free.reserve_usage(link.stopping.measure_usage(tables))
-            free_by_pool.setdefault(record.pool, []).append(free)
-        return free_by_pool
+        return list_free_capacity(self)
 
 
 __all__ = ["Dispatcher"]
--- /dev/null
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -0,0 +1,94 @@
+"""Lists the VMs that may get starts, with their free capacity."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hyssopway.clock import wall_ms
+from hyssopway.scheduling.crash_isolation import NO_SUSPECTS, measure_suspect_load
+from hyssopway.scheduling.vm_rating import Rating
+
+from .vm_capacity import compute_free_capacity
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from hyssopway.workflow import VmRecord
+
+    from .dispatcher import Dispatcher
+    from .free_capacity import FreeCapacity
+    from .vm_link import VmLink
+
+
+def list_free_capacity(dispatcher: Dispatcher) -> dict[str, list[FreeCapacity]]:
+    """Returns the free capacity of preferred VMs and of those that may be probed, by pool."""
+    ratings = dispatcher.ratings
+    tables = dispatcher.leadership.state.tables
+    vms = {
+        vm_id
+        for vm_id, record in tables.vms.items()
+        if ratings.rating(vm_id) is Rating.PREFERRED or ratings.may_probe(vm_id, runs=record.runs)
+    }
+    probed = {vm_id for vm_id in vms if ratings.rating(vm_id) is Rating.PROBED}
+    return _list_capacity(dispatcher, vms=vms, probed=probed)
+
+
+def list_badly_rated_capacity(
+    dispatcher: Dispatcher, *, without: Collection[str]
+) -> dict[str, list[FreeCapacity]]:
+    """Returns the free capacity of the VMs that are avoided or probed, for tasks that can run on no other, by pool.
+
+    Args:
+        dispatcher: Dispatcher of the leader.
+        without: IDs of VMs that are left out.
+    """
+    vms = set(dispatcher.ratings.list_avoided()).difference(without)
+    return _list_capacity(dispatcher, vms=vms, probed=set())
+
+
+def find_open_link(dispatcher: Dispatcher, record: VmRecord, *, now: float) -> VmLink | None:
+    """Returns the link to a VM that is in contact and open to starts; None if it is not."""
+    tables = dispatcher.leadership.state.tables
+    link = dispatcher.links.get(record.vm_id)
+    if link is None or not link.in_contact(now):
+        return None
+    if record.draining or record.zone in tables.evacuated or record.vm_id in dispatcher.cordoned_vms:
+        return None
+    return link
+
+
+def _list_capacity(
+    dispatcher: Dispatcher, *, vms: Collection[str], probed: Collection[str]
+) -> dict[str, list[FreeCapacity]]:
+    state, now = dispatcher.leadership.state, dispatcher.leadership.clock()
+    tables, indexes = state.tables, state.indexes
+    known_pairs = dispatcher.interference.find_known_pairs(now) if dispatcher.interference is not None else {}
+    document = tables.document
+    machines_can_leave = document is not None and any(pool.standby for pool in document.pools)
+    suspect_load = measure_suspect_load(tables=tables, suspects=indexes.suspects, now_ms=wall_ms())
+    free_by_pool: dict[str, list[FreeCapacity]] = {}
+    for vm_id, record in tables.vms.items():
+        if vm_id not in vms:
+            continue
+        link = find_open_link(dispatcher, record, now=now)
+        if link is None or now < link.orders.paused_until:
+            continue
+        if record.pool in indexes.unguarded_pools and not link.has_current_capacity(now):
+            continue
+        free = compute_free_capacity(
+            record,
+            use=indexes.vm_usage.get(vm_id),
+            failures=link.failures,
+            is_probed=vm_id in probed,
+            awaits_maintenance=vm_id in dispatcher.awaiting_maintenance,
+            known_pairs=known_pairs,
+            machines_can_leave=machines_can_leave,
+            suspect_load=suspect_load.get(vm_id, NO_SUSPECTS),
+        )
+        if link.stopping.missing_since:
+            free.reserve_usage(link.stopping.measure_usage(tables))
+        free_by_pool.setdefault(record.pool, []).append(free)
+    return free_by_pool
+
+
+__all__ = ["find_open_link", "list_badly_rated_capacity", "list_free_capacity"]
--- a/src/hyssopway/scheduling/vm_rating.py
+++ b/src/hyssopway/scheduling/vm_rating.py
@@ -55,6 +55,8 @@
 MIN_PROBE_WAIT_S = 1.0
 MAX_PROBE_WAIT_S = 16.0
 GOOD_PROBES = 2
+# A VM that is in contact and gets no probe run for this long is preferred again.
+MAX_PROBE_PHASE_S = FLAP_WINDOW_S
 
 # The evidence of removed VMs is dropped when there are more entries than this, or than twice the registered VMs. A machine
 # that moves gets a VM with another ID.
@@ -135,7 +137,6 @@
         silences: Times at which the VM turned silent.
         rating: Current rating.
         reason: What determined the rating.
-        is_judged_by_runs: Whether the ends of its own runs determined it.
         probe_due_at: Time of the next probe.
         probe_wait_s: Time between a failed probe and the next one.
         probes: Keys of the probe runs in progress.
@@ -150,7 +151,6 @@
     silences: deque[float] = field(default_factory=lambda: deque(maxlen=FLAPS))
     rating: Rating = Rating.PREFERRED
     reason: str = ""
-    is_judged_by_runs: bool = False
     probe_due_at: float = 0.0
     probe_wait_s: float = MIN_PROBE_WAIT_S
     probes: set[str] = field(default_factory=set)
@@ -235,6 +235,8 @@
         if run_key in evidence.probes:
             evidence.probes.discard(run_key)
             self._record_probe(evidence, is_good=is_done and (pace is None or pace < SLOW_FACTOR), now=now)
+        elif evidence.rating is Rating.PROBED and pace is not None and pace < SLOW_FACTOR:
+            self._record_probe(evidence, is_good=True, now=now)
 
     def record_projected_duration(self, *, vm: str, task: TaskId, duration_s: float) -> None:
         """Records how long a run will probably take that is to be stopped when its copy is done."""
@@ -332,7 +334,9 @@
             elif _is_reachable_again(evidence, now=now):
                 self.vms[vm] = VmEvidence()
                 yield RatingChange(
-                    vm=vm, rating=Rating.PREFERRED, reason=f"not silent for {FLAP_WINDOW_S:.0f} s"
+                    vm=vm,
+                    rating=Rating.PREFERRED,
+                    reason=f"in contact for {MAX_PROBE_PHASE_S:.0f} s without a probe run",
                 )
 
     def _avoid(self, places: Mapping[str, VmPlace], *, now: float) -> Iterable[RatingChange]:
@@ -341,15 +345,12 @@
         sizes = Counter(place.pool for place in places.values())
         lossy_pools = self._find_lossy_pools(places, sizes=sizes, now=now)
         found: dict[str, str] = {}
-        judged_by_runs: set[str] = set()
         for vm in sorted(self.changed):
             evidence = self.vms.get(vm)
             if evidence is None or evidence.rating is not Rating.PREFERRED:
                 continue
             reason = self._judge_runs(vm, evidence)
-            if reason:
-                judged_by_runs.add(vm)
-            elif places[vm].pool not in lossy_pools:
+            if not reason and places[vm].pool not in lossy_pools:
                 reason = _judge_contact(evidence)
             if reason:
                 found[vm] = reason
@@ -367,7 +368,6 @@
             evidence = self.vms.setdefault(vm, VmEvidence())
             evidence.good_probes = 0
             evidence.rating, evidence.reason = Rating.AVOIDED, reason
-            evidence.is_judged_by_runs = vm in judged_by_runs
             evidence.probe_due_at = now + evidence.probe_wait_s
             yield RatingChange(vm=vm, rating=Rating.AVOIDED, reason=reason)
 
@@ -466,14 +466,14 @@
 
 
 def _is_reachable_again(evidence: VmEvidence, *, now: float) -> bool:
-    """Returns whether a VM that was avoided for other reasons than its runs has been in contact for long enough.
+    """Returns whether a VM has been in contact for long enough while it waited for a probe run.
 
     A pool of long-running tasks has no probe runs, without which its VMs would be avoided for ever.
     """
-    if evidence.is_judged_by_runs or evidence.is_silent or evidence.probes:
+    if evidence.is_silent or evidence.probes:
         return False
     since = max([evidence.probe_due_at, *evidence.silences])
-    return evidence.rating is Rating.PROBED and now - since > FLAP_WINDOW_S
+    return evidence.rating is Rating.PROBED and now - since > MAX_PROBE_PHASE_S
 
 
 __all__ = ["Rating", "RatingChange", "VmPlace", "VmRatings"]
--- a/tests/dispatch/test_rated_placement.py
+++ b/tests/dispatch/test_rated_placement.py
@@ -7,7 +7,7 @@
 from dispatch.test_copies_of_runs import Fleet
 from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.listed_end import ListedEnd
-from hyssopway.scheduling.vm_rating import MIN_ORDERS, MIN_PROBE_WAIT_S, Rating
+from hyssopway.scheduling.vm_rating import MAX_PROBE_PHASE_S, MIN_ORDERS, MIN_PROBE_WAIT_S, Rating
 from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, Step, TaskId
 from workflow.conftest import make_document, make_workflow
 
@@ -173,3 +173,54 @@
         await rated_fleet.poll()
     await rated_fleet.run_round()
     assert rated_fleet.dispatcher.ratings.rating("r0-0") is Rating.AVOIDED
+
+
+async def rate_vm_as_bad(fleet):
+    """Lets one VM fail its runs until it is avoided."""
+    for number in range(3):
+        await fleet.play(f"w{number}", rounds=2)
+    await fleet.run_round()
+    assert fleet.dispatcher.ratings.rating(fleet.bad_vm) is Rating.AVOIDED
+
+
+@pytest.mark.parametrize("wait_s", [0.0, MIN_PROBE_WAIT_S], ids=["avoided", "probed"])
+@pytest.mark.parametrize("gang", [False, True])
+async def test_long_running_task_that_can_run_on_no_other_vm_starts_on_an_avoided_one(
+    rated_fleet, wait_s, gang
+):
+    """Guards against a task that waits for ever because the only VM with its label was faulty once."""
+    await rate_vm_as_bad(rated_fleet)
+    label_vm(rated_fleet, rated_fleet.bad_vm)
+    rated_fleet.leadership.now += wait_s
+    await rated_fleet.poll()
+    steps = (Step(count=1, cpu_millis=1000, long_running=True, label="only-here", gang=gang),)
+    await rated_fleet.leadership.propose(make_workflow("labelled", steps=steps))
+    await rated_fleet.run_round()
+    assert rated_fleet.vms.running["labelled.0.0.0", 1] == rated_fleet.bad_vm
+
+
+async def test_task_that_can_run_on_another_vm_does_not_start_on_an_avoided_one(rated_fleet):
+    """Guards against tasks that fail on a bad VM while a good one is only full."""
+    await rate_vm_as_bad(rated_fleet)
+    steps = (Step(count=400, cpu_millis=9000, long_running=True),)
+    await rated_fleet.leadership.propose(make_workflow("many", steps=steps))
+    await rated_fleet.run_round()
+    assert rated_fleet.vms.running
+    assert rated_fleet.bad_vm not in rated_fleet.vms.running.values()
+
+
+async def test_vm_that_gets_no_probe_run_is_preferred_again(rated_fleet):
+    """Guards against a VM that stays out of use because only long-running tasks wait."""
+    await rate_vm_as_bad(rated_fleet)
+    rated_fleet.leadership.now += MIN_PROBE_WAIT_S
+    await rated_fleet.poll()
+    await rated_fleet.run_round()
+    rated_fleet.leadership.now += MAX_PROBE_PHASE_S + 0.1
+    await rated_fleet.poll()
+    await rated_fleet.run_round()
+    assert rated_fleet.dispatcher.ratings.rating(rated_fleet.bad_vm) is Rating.PREFERRED
+
+
+def label_vm(fleet, vm_id):
+    """Gives a VM a label that no other has."""
+    fleet.leadership.state.tables.vms[vm_id].labels += ("only-here",)
