Log the end of a run that its VM does not list

A run that a VM lists neither as running nor as ended is ended by the leader, as lost or as not started. No line told of it, so in a log a second start of a task could not be told from one after a listed end. Event 7069 names the run, the outcome, the time for which the run was missing and the time since a stop was sent.

--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hyssopway.event import Event, log_event
 from hyssopway.workflow import RunOutcome, TaskId
 
 from .order_state import OrderState
@@ -69,13 +70,28 @@
                 case Resolution.STOP:
                     self.orders.request_stop(task=run.task, run=run.run, reason="its start got no answer")
                 case Resolution.NEVER_RAN:
-                    ends.append(make_run_end(run, RunOutcome.NOT_STARTED))
+                    ends.append(self._make_end(run, RunOutcome.NOT_STARTED, order_state))
                 case Resolution.VANISHED:
-                    ends.append(make_run_end(run, RunOutcome.LOST))
+                    ends.append(self._make_end(run, RunOutcome.LOST, order_state))
                 case Resolution.WAIT:
                     pass
         return ends
 
+    def _make_end(self, run: ActiveRun, outcome: RunOutcome, order_state: OrderState) -> RunEnd:
+        now = self.leadership.clock()
+        stop_requested_at = order_state.stop_requested_at
+        log_event(
+            Event.RUN_UNLISTED,
+            run=run.key,
+            vm=run.vm,
+            outcome=outcome,
+            unlisted_ms=round((now - order_state.unlisted_since) * 1000),
+            stop_age_ms=round((now - stop_requested_at) * 1000)
+            if stop_requested_at > float("-inf")
+            else None,
+        )
+        return make_run_end(run, outcome)
+
     def _may_repeat_start(self, run: ActiveRun, order_state: OrderState, *, sent_at: float) -> bool:
         """Sends the start of a long-running task again and returns whether it did.
 
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -195,6 +195,11 @@
     )
     PROCESS_RESUMED = (7067, "WARNING", "process was paused or blocked for {paused_ms} ms")
     ORDER_EXPIRED = (7068, "WARNING", "{method} {path} is not carried out: {reason}")
+    RUN_UNLISTED = (
+        7069,
+        "INFO",
+        "run {run} on VM {vm} ended: {outcome}, not listed for {unlisted_ms} ms, stop sent {stop_age_ms} ms ago",
+    )
     TASKS_SUSPECTED = (7064, "WARNING", "several VMs have ended under {count} tasks; given up: {given_up}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
     VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
