Count the stop of a run from the answer that lacks it

What callers may see: two runs of one task at a time. A task whose run is stopped, for a wave, a move of its machine or another reason, starts on another VM while the first one still stops it.

Cause: a run that is being stopped works on for up to stop_timeout_ms and is listed neither as running nor as ended. The leader takes it for gone once it has been missing for that time, and counted from when the poll was sent whose answer lacked it first. A poll waits up to 500 ms at the VM, so its list may be written half a second after it was sent. The run then counts as missing since before its stop began. When other runs of the VM end in quick succession, the next polls are answered at once, and the run ends as lost 0.15 s into a stop of 0.4 s. StoppingRuns counts in the same way, so that the capacity of such a run was given away too early.

The tests without the change of this commit:

AssertionError: 0.15 s into the stop AssertionError: 0.20 s into the stop FAILED tests/dispatch/test_vm_link.py::test_run_that_is_being_stopped_is_not_taken_for_gone FAILED tests/dispatch/test_changing_capacity.py::test_run_counts_until_it_is_stopped_after_a_poll_that_waited

Now both count from the arrival of the first answer without the run. A stop that this list hides began before the list was written, so before its arrival, and a later list that was asked for stop_s after that shows the end. A run that has vanished for another reason is resolved later by as long as that one poll took.

--- a/src/hyssopway/dispatch/order_state.py
+++ b/src/hyssopway/dispatch/order_state.py
@@ -17,8 +17,8 @@
         is_listed: Whether this boot of the VM has listed the run.
         stop_requested_at: Local time at which a stop was last sent; negative infinity if none was.
         stopped_at: Local time at which the VM first confirmed a stop; infinite if it hasn't.
-        unlisted_since: Local time at which the first poll was sent from which on the run has not been listed;
-            infinite while it is listed.
+        unlisted_since: Local time at which the first list without the run arrived since it was last listed; infinite while
+            it is listed.
     """
 
     is_sending: bool = False
--- a/src/hyssopway/dispatch/stopping_runs.py
+++ b/src/hyssopway/dispatch/stopping_runs.py
@@ -19,8 +19,7 @@
 
     Attributes:
         stop_s: Longest time that the VM takes to stop a run.
-        missing_since: Local time at which the first poll was sent in whose answer the run was missing, by run key;
-            infinite while it is listed.
+        missing_since: Local time at which the first list without the run arrived, by run key; infinite while it is listed.
     """
 
     __slots__ = ("missing_since", "stop_s")
@@ -29,16 +28,19 @@
         self.stop_s = stop_s
         self.missing_since: dict[str, float] = {}
 
-    def update(self, *, listed: Iterable[str], ended: Iterable[str], sent_at: float) -> None:
+    def update(
+        self, *, listed: Iterable[str], ended: Iterable[str], sent_at: float, answered_at: float
+    ) -> None:
         """Takes the answer to a poll.
 
         Args:
             listed: Keys of the listed runs whose ends are committed.
             ended: Keys of the runs whose ends were listed.
             sent_at: Local time at which the poll was sent.
+            answered_at: Local time at which its answer arrived. A VM may write the list shortly before that time.
         """
         for key, since in list(self.missing_since.items()):
-            self.missing_since[key] = min(since, sent_at)
+            self.missing_since[key] = min(since, answered_at)
             if sent_at - since > self.stop_s:
                 del self.missing_since[key]
         for key in listed:
--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -39,7 +39,13 @@
         self.stop_s = stop_s
 
     def resolve(
-        self, record: VmRecord, *, listed: set[str], sent_at: float, term_acked_at: float
+        self,
+        record: VmRecord,
+        *,
+        listed: set[str],
+        sent_at: float,
+        answered_at: float,
+        term_acked_at: float,
     ) -> list[RunEnd]:
         """Returns the ends of runs whose outcome is certain; requests a stop of those whose start got no answer.
 
@@ -47,6 +53,7 @@
             record: Record of the VM in the replicated state.
             listed: Keys of the runs and ends that the VM listed.
             sent_at: Local time at which the poll was sent.
+            answered_at: Local time at which its answer arrived. A VM may write the list shortly before that time.
             term_acked_at: Local time at which the VM first acknowledged the fencing token of this term.
         """
         ends: list[RunEnd] = []
@@ -55,7 +62,7 @@
             if run is None:
                 continue
             order_state = self.orders.order_states.setdefault(key, OrderState())
-            order_state.unlisted_since = min(order_state.unlisted_since, sent_at)
+            order_state.unlisted_since = min(order_state.unlisted_since, answered_at)
             decision = resolve_unlisted(
                 order_state=order_state,
                 run_token=run.fencing_token,
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -367,7 +367,11 @@
             return
         listed = set(self.listed_runs) | {f"{one.end.task}/{one.end.run}" for one in reply.ends}
         resolved = self.unlisted.resolve(
-            record, listed=listed, sent_at=sent_at, term_acked_at=self.term_acked_at
+            record,
+            listed=listed,
+            sent_at=sent_at,
+            answered_at=self.answered_at,
+            term_acked_at=self.term_acked_at,
         )
         if resolved:
             await self._propose_ends(resolved)
@@ -378,7 +382,7 @@
     def _stop_ended_runs(self, record: VmRecord, *, reply: PollReply, sent_at: float) -> None:
         ended_runs = [key for key in self.listed_runs if key not in record.runs]
         ends = [f"{one.end.task}/{one.end.run}" for one in reply.ends]
-        self.stopping.update(listed=ended_runs, ended=ends, sent_at=sent_at)
+        self.stopping.update(listed=ended_runs, ended=ends, sent_at=sent_at, answered_at=self.answered_at)
         for key, row in self.listed_runs.items():
             if key not in record.runs:
                 # The leader ended the run in the replicated state while the VM was out of contact.
--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from functools import partial
 
 import pytest
 
@@ -12,6 +13,7 @@
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
+from hyssopway.dispatch.poll_timing import STABLE_WAIT_MS
 from hyssopway.dispatch.vm_link import CAPACITY_TIMEOUT_S
 from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, RunStart, StartRuns, Step, TaskId
 from workflow.conftest import make_document, make_vm, make_workflow
@@ -173,6 +175,29 @@
     assert [order[0] for order in vms.orders].count("start") == 1
 
 
+async def test_run_counts_until_it_is_stopped_after_a_poll_that_waited(fleet, vms, monkeypatch):
+    """Guards against counting the stop of a run from when the poll was sent, whose list may be written much later."""
+    link = make_link("vm-1", leadership=fleet, calls=vms)
+    vms.running["w.0.0.1", 1] = "vm-1"  # the leader has ended this run while the VM was out of contact
+    await link.poll()
+    vms.running.clear()
+    answer = vms.poll
+
+    async def answer_after(wait_s, **arguments):
+        fleet.now += wait_s
+        return await answer(**arguments)
+
+    monkeypatch.setattr(vms, "poll", partial(answer_after, STABLE_WAIT_MS / 1000))
+    await link.poll()
+    stop_began_at = fleet.now
+    monkeypatch.setattr(vms, "poll", partial(answer_after, 0.05))
+    while fleet.now + 0.05 < stop_began_at + LIMITS.stop_s:
+        await link.poll()
+        assert link.stopping.measure_usage(fleet.state.tables).cpu_millis > 0, (
+            f"{fleet.now - stop_began_at:.2f} s into the stop"
+        )
+
+
 async def test_new_leader_waits_for_the_capacity_of_a_vm_that_rejects_nothing(fleet, vms):
     """Guards against starts by a new leader on VMs that have shrunk while nobody led."""
     await fleet.propose(PutDocument(document=make_document(version=2, guards_capacity=False)))
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 import pytest
 
-from dispatch.conftest import make_link
+from dispatch.conftest import LIMITS, make_link
 from hyssopway.dispatch import OrderReply, Refusal, WorkerUnreachableError
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.dispatch.listed_end import ListedEnd
-from hyssopway.dispatch.poll_timing import UNSTABLE_S
+from hyssopway.dispatch.poll_timing import STABLE_WAIT_MS, UNSTABLE_S
 from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns, Step
 from workflow.conftest import make_workflow
 
@@ -330,3 +331,31 @@
     state = link.leadership.state
     assert state.tables.vms["vm-1"].boot == 2
     assert state.indexes.suspects.level("w.0.0.0") == 0
+
+
+async def test_run_that_is_being_stopped_is_not_taken_for_gone(link, vms, monkeypatch):
+    """Guards against a second run while the VM stops the first, whose listing is younger than the poll that asked for it."""
+    await poll(link)
+    await start(link)
+    await poll(link)
+    await asyncio.sleep(0)
+    leadership, answer = link.leadership, vms.poll
+
+    async def answer_after(wait_s, **arguments):
+        leadership.now += wait_s
+        return await answer(**arguments)
+
+    # The VM begins to stop the run right before another run ends, for which the poll has waited.
+    monkeypatch.setattr(vms, "poll", partial(answer_after, STABLE_WAIT_MS / 1000))
+    vms.running.clear()
+    await poll(link)
+    stop_began_at = leadership.now
+    # More runs end in quick succession.
+    monkeypatch.setattr(vms, "poll", partial(answer_after, 0.05))
+    while leadership.now + 0.05 < stop_began_at + LIMITS.stop_s:
+        await poll(link)
+        assert "w.0.0.0" in leadership.state.tables.runs, (
+            f"{leadership.now - stop_began_at:.2f} s into the stop"
+        )
+    await poll(link, times=20)
+    assert leadership.state.tables.runs == {}
