Acknowledge ends only to a VM that cannot have restarted since its last answer

A task that is done runs a second time (TWICE).

Cause: a VM that restarts under its ID numbers its ends from 1, and "ends up to `last_seen` are forgotten". Each poll carried the number of the last end of the boot in the record, and a poll names no boot. When the next boot had carried out a start and the run had ended as done there before the first poll, that poll made the VM forget the end unread. An end that `last_seen` has reached counts as taken note of. The leader then found the run in doubt neither running nor ended, had a stop confirmed, and started the task again.

Why it works: the number goes out only if the last poll was answered by the recorded boot, to this leader, at most 0.5 s ago. A VM needs longer for a restart, a start and the end of a run. Otherwise the poll carries 0, the VM lists what it has, and the next poll acknowledges it: one more answer after a lost one, no other calls. Ends that are committed already are passed over when they are listed again, so that a failure is not counted twice.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -13,6 +13,7 @@
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
 from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RunEnd, RunOutcome
 
+from .end_acknowledgement import choose_acknowledged_end
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
 from .lost_runs import LostRuns
 from .poll_timing import PollTiming
@@ -33,6 +34,7 @@
 
     from .duration_scale import DurationScale
     from .leadership import Leadership
+    from .listed_end import ListedEnd
     from .listed_run import ListedRun
     from .platform_limits import PlatformLimits
     from .poll_rate_limiter import PollRateLimiter
@@ -267,7 +269,7 @@
         reply = await self.calls.poll(
             vm=record,
             fencing_token=self.leadership.term,
-            last_end=record.last_end,
+            last_end=self._choose_acknowledged_end(record, now=sent_at),
             lease_until_ms=lease_until_ms,
             wait_ms=poll_times.wait_ms,
             timeout_s=poll_times.timeout_s,
@@ -292,14 +294,22 @@
         self.orders.record_listed(self.listed_runs, now=now)
         self._stop_stalled_runs(now)
         self.pace.update(self.listed_runs, now=now)
-        if reply.ends:
-            await self._process_ends(record, reply=reply)
+        new_ends = [end for end in reply.ends if end.number > record.last_end]
+        if new_ends:
+            await self._process_ends(record, ends=new_ends)
         await self._resolve_unlisted(record, reply=reply, sent_at=sent_at)
         self.on_change()
         self.poll_limiter.record_poll(now=now)
         if reply.ends and (pause_s := self.poll_limiter.compute_pause_s()):
             await asyncio.sleep(pause_s)
 
+    def _choose_acknowledged_end(self, record: VmRecord, *, now: float) -> int:
+        return choose_acknowledged_end(
+            last_end=record.last_end,
+            answer_age_s=now - self.answered_at if self.has_acked_term else float("inf"),
+            consecutive_losses=self.poll_timing.consecutive_losses,
+        )
+
     def _may_renew_lease(self) -> bool:
         """Returns whether a poll may renew the lease.
 
@@ -319,8 +329,8 @@
             log_event(Event.INPUT_REFUSED, method="poll", path=self.vm_id, reason=reason)
         return valid
 
-    async def _process_ends(self, record: VmRecord, *, reply: PollReply) -> None:
-        for listed in reply.ends:
+    async def _process_ends(self, record: VmRecord, *, ends: list[ListedEnd]) -> None:
+        for listed in ends:
             end = listed.end
             order_state = self.orders.discard_run(f"{end.task}/{end.run}")
             accepted_at = order_state.accepted_at if order_state is not None else None
@@ -331,8 +341,7 @@
                 self.failures = 0
             if end.outcome is not RunOutcome.DONE:
                 log_event(Event.RUN_ENDED, run=f"{end.task}/{end.run}", vm=self.vm_id, outcome=end.outcome)
-        ends = [listed.end for listed in reply.ends]
-        await self._propose_ends(ends, last_end=reply.ends[-1].number, boot=record.boot)
+        await self._propose_ends([listed.end for listed in ends], last_end=ends[-1].number, boot=record.boot)
 
     def _learn(self, end: RunEnd, *, accepted_at: float | None) -> None:
         tables, now = self.leadership.state.tables, self.leadership.clock()
