Keep the runs of a machine whose maintenance is answered as already done

Cause: "the call also returns 200 if the operation is already done". A repeated order for maintenance may thus be answered for its earlier copy, whose answer was lost. The machine is then up again with runs that go on, and the leader took 200 as the end of all of them: it removed the VM's record, and their tasks started elsewhere. This needs runs on a VM that has been drained for 8 s, after the machine API had left the order unanswered until the machine was up again.

Evidence: the test of a repeated order that is not due any more, with `done` as a second case.

Why it works: after a repeated order the record of a VM with runs stays. If the order did end them, the VM's polls show it; if it did not, they go on. An order that is sent for the first time, and one for a VM without runs, remove the record as before. Moves of machines were checked: they are sent only for a VM that is empty and closed to starts, and are not repeated.

--- a/src/hyssopway/dispatch/wave_executor.py
+++ b/src/hyssopway/dispatch/wave_executor.py
@@ -166,7 +166,7 @@
                 # The order may not have been carried out. Its VM gets runs again after a change of leader.
                 self._cordon(machine.vm_id, wave=wave)
             if self.machines.may_order(machine_id) and self._may_end_runs(machine):
-                await self._send_order(wave, machine=machine)
+                await self._send_order(wave, machine=machine, is_repeated=True)
 
     def _may_end_runs(self, machine: Machine) -> bool:
         """Returns whether an order for a machine ends no run that must not end with it."""
@@ -222,7 +222,7 @@
         if self._is_drained(machine):
             await self._send_order(wave, machine=machine)
 
-    async def _send_order(self, wave: WaveRecord, *, machine: Machine) -> None:
+    async def _send_order(self, wave: WaveRecord, *, machine: Machine, is_repeated: bool = False) -> None:
         if not self.leadership.may_order():
             return
         if machine.vm_id:
@@ -243,7 +243,7 @@
             case MachineOrderResult.DONE:
                 self.machines.record_order(machine.machine_id, duration_s=self.maintenance_s)
                 await self._confirm(wave, machine=machine)
-                await self._remove_vm(machine)
+                await self._remove_vm(machine, is_repeated=is_repeated)
                 self.drainer.release(machine.vm_id)
             case MachineOrderResult.GONE | MachineOrderResult.NOT_DUE:
                 # The order changed nothing. After a lost answer the machine may be up again, with a VM that has runs.
@@ -256,9 +256,11 @@
     async def _confirm(self, wave: WaveRecord, *, machine: Machine) -> None:
         await self.leadership.propose(ConfirmMaintenance(wave=wave.number, machine=machine.machine_id))
 
-    async def _remove_vm(self, machine: Machine) -> None:
+    async def _remove_vm(self, machine: Machine, *, is_repeated: bool) -> None:
         record = self.leadership.state.tables.vms.get(machine.vm_id)
-        if record is not None:
+        # The platform may mean an earlier copy of a repeated order. The machine is then up again, with runs that go on.
+        may_be_in_service = is_repeated and not self.drainer.is_empty(machine.vm_id)
+        if record is not None and not may_be_in_service:
             await self.leadership.propose(RemoveVm(vm=record.vm_id, boot=record.boot, at_ms=wall_ms()))
         self.drainer.uncordon(machine.vm_id)
 
--- a/tests/dispatch/test_wave_executor.py
+++ b/tests/dispatch/test_wave_executor.py
@@ -169,15 +169,16 @@
     assert wave.is_complete
 
 
-async def test_vm_of_a_maintained_machine_keeps_its_runs(waves, platform, fleet):
+@pytest.mark.parametrize("result", [MachineOrderResult.NOT_DUE, MachineOrderResult.DONE])
+async def test_vm_of_a_maintained_machine_keeps_its_runs(waves, platform, fleet, result):
     """Guards against runs that are taken for lost although they work, so that their tasks run twice.
 
     The answer to the order was lost. When it is repeated the machine is up again, with a new VM, and the platform
-    answers that its maintenance is not due any more.
+    answers that its maintenance is not due any more, or that it is already done.
     """
     await fleet.propose(BeginMaintenance(wave=1, machine="m1", at_ms=0))
     await start_task(fleet, Step(count=1))
-    platform.result = MachineOrderResult.NOT_DUE
+    platform.result = result
     wave = await advance(waves, seconds=MAX_DRAIN_S + 2)
     assert wave.is_complete
     assert fleet.state.tables.vms["vm-1"].runs == {"busy.0.0.0/1"}
