Send no start to a VM that is draining or whose zone is evacuated

A task starts in a zone more than `evacuation_ms` after the evacuation was acknowledged (EVAC), or on a VM more than `drain_ms` after its report that it drains was (DRAIN).

Cause: whether a VM may get runs was checked when the start was committed, and not again when it was sent. The start of a long-running task that got no answer is repeated for 5 s from the first poll that does not list the run, and each round lasts a second and more; an order can also wait up to 1 s for a connection, in each of several attempts. The class: an order that is sent on a permission that has been withdrawn meanwhile.

Why it works: the check right before a start is written, which knew the leadership, the boot and the run, now also reads the VM and its zone. A start that was never written ends at once as not started, and its task waits for another VM. One that may be carried out late is resolved by a stop without further repeats.

--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -52,7 +52,7 @@
     link = dispatcher.links.get(record.vm_id)
     if link is None or not link.in_contact(now):
         return None
-    if record.draining or record.zone in tables.evacuated or record.vm_id in dispatcher.cordoned_vms:
+    if not tables.accepts_starts(record) or record.vm_id in dispatcher.cordoned_vms:
         return None
     return link
 
--- a/src/hyssopway/dispatch/pool_backlog.py
+++ b/src/hyssopway/dispatch/pool_backlog.py
@@ -120,7 +120,7 @@
     backlogs: dict[str, PoolBacklog] = {}
     for vm in tables.vms.values():
         backlog = backlogs.setdefault(vm.pool, PoolBacklog())
-        if not vm.draining and vm.zone not in tables.evacuated:
+        if tables.accepts_starts(vm):
             backlog.capacity.increase(ResourceAmounts.of(vm.capacity))
     for workflow_id in state.indexes.open_workflows:
         workflow = tables.workflows[workflow_id]
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -226,12 +226,10 @@
     def _compute_demand(self, pool: str, *, load: PoolLoad) -> PoolDemand:
         tables = self.leadership.state.tables
         now = self.leadership.clock()
-        evacuated = tables.evacuated
         reachable = self._vms_in_contact(now)
         usable_vms = sum(
             vm.pool == pool
-            and not vm.draining
-            and vm.zone not in evacuated
+            and tables.accepts_starts(vm)
             and vm_id not in self.drainer.cordoned_at
             and vm_id in reachable
             for vm_id, vm in tables.vms.items()
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -212,13 +212,14 @@
         """Returns whether the start of a run may still be sent to a boot of the VM.
 
         The boot or the run may have ended while a connection was opened, or while an answer was awaited. The VM refuses the
-        start of a run that has ended there, but its next boot does not.
+        start of a run that has ended there, but its next boot does not. The VM may also have been closed to new runs.
         """
         record = self.record
         return (
             self.leadership.may_order()
             and record is not None
             and record.boot == boot
+            and self.leadership.state.tables.accepts_starts(record)
             and key in record.runs
             and not order_state.is_start_resolved
         )
--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -108,12 +108,16 @@
         workflow = self.leadership.state.tables.workflows[task.workflow]
         if not workflow.spec.steps[task.step].long_running or workflow.status.is_final:
             return False
-        if self._is_over_capacity():
-            return False  # the VM has shrunk since the run was placed
+        if not self._accepts_starts() or self._is_over_capacity():
+            return False  # the VM was closed to new runs, or has shrunk, since the run was placed
         if sent_at - order_state.unlisted_since > MAX_REPEAT_S:
             return False
         return self.orders.repeat_start(run.key)
 
+    def _accepts_starts(self) -> bool:
+        record = self.orders.record
+        return record is not None and self.leadership.state.tables.accepts_starts(record)
+
     def _is_over_capacity(self) -> bool:
         record = self.orders.record
         usage = self.leadership.state.indexes.vm_usage.get(self.orders.vm_id)
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -161,9 +161,9 @@
     task = TaskId.parse(start.task)
     workflow = tables.workflows.get(task.workflow)
     vm = tables.vms.get(start.vm)
-    if workflow is None or vm is None or workflow.status.is_final or vm.draining:
+    if workflow is None or vm is None or workflow.status.is_final:
         return
-    if vm.zone in tables.evacuated or task.occurrence not in workflow.progress:
+    if not tables.accepts_starts(vm) or task.occurrence not in workflow.progress:
         return
     step = workflow.spec.steps[task.step]
     progress = workflow.progress[task.occurrence][task.step]
--- a/src/hyssopway/workflow/tables.py
+++ b/src/hyssopway/workflow/tables.py
@@ -35,5 +35,9 @@
     machine_orders: dict[str, int] = field(default_factory=dict)
     queue_pools: dict[str, str] = field(default_factory=dict)
 
+    def accepts_starts(self, vm: VmRecord) -> bool:
+        """Returns whether a VM may get new runs: it is not draining, and its zone is in service."""
+        return not vm.draining and vm.zone not in self.evacuated
+
 
 __all__ = ["Tables"]
