Keep the runs of a departing VM until it refuses connections

Two runs of a task at a time (TWICE).

Cause: a departure (DELETE /hyssopway/instances/ID) of a VM that drains removed its record at once, and its tasks started elsewhere. "If it receives no ack, it ends anyway, some seconds later": while the answer is lost or late, the VM works on. A departure also names no boot, so one of an earlier boot had the same effect on a boot that drains. Runs of a VM that does not drain were already kept.

Evidence, the new test on the code before (vm_link.py and leader_controller.py put back): FAILED test_runs_of_a_departing_vm_go_on_until_it_has_ended[answers] FAILED test_runs_of_a_departing_vm_go_on_until_it_has_ended[silent] After: tests/dispatch, tests/adapter, tests/http_client and tests/docs 697 passed.

Why it works: a departure of a VM without runs removes its record as before. With runs, the link remembers the departure, and the first connection that the VM's host refuses ends them: nothing listens at the port any more. The poll in flight breaks when the VM ends, and the next one is sent at once. If the host does not answer at all, the runs end with the lease as those of any silent VM, up to 4 s later than before.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -21,7 +21,6 @@
 from .duration_scale import DurationScale
 from .leader_load import LeaderLoad
 from .leadership import LeadershipLostError
-from .lost_runs import LostRuns
 from .machine_inventory import MachineInventory
 from .poll_rate_limiter import PollRateLimiter
 from .pool_load import measure_pools
@@ -245,11 +244,12 @@
             link.announced_at = self.leadership.clock()
 
     async def handle_departure(self, *, vm: str) -> None:
-        """Handles the departure of a VM and removes its record.
+        """Handles the departure of a VM and removes its record, unless runs are in progress there.
 
         A departure carries no boot number. One of an earlier boot may arrive when the VM works again under its ID, or is
         only silent; a boot announces that it is draining before it departs. If that announcement was lost, the runs of the
-        VM end with its lease.
+        VM end with its lease. A VM works on until it has the answer, and for some seconds if that is lost, so runs that are
+        in progress go on until the VM refuses connections or its lease has ended.
         """
         current = self.leadership.state.tables.vms.get(vm)
         link = self.links.get(vm)
@@ -258,9 +258,11 @@
             reason = "the VM is not draining, and answers or has runs in progress"
             log_event(Event.INPUT_REFUSED, method="departure", path=vm, reason=reason)
             return
-        if current is not None:
+        if current is not None and current.runs:
+            self._sync_links()
+            self.links[vm].is_departing = True
+        elif current is not None:
             log_event(Event.VM_GONE, vm=vm, reason="it announced its departure")
-            LostRuns(current).report(reason="it announced its departure", counters=self.counters)
             await self.leadership.propose(RemoveVm(vm=vm, boot=current.boot, at_ms=wall_ms()))
 
     def _sync_links(self) -> None:
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -11,7 +11,7 @@
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
-from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RunEnd, RunOutcome
+from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RemoveVm, RunEnd, RunOutcome
 
 from .end_acknowledgement import choose_acknowledged_end
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
@@ -88,6 +88,7 @@
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
         failures: Number of runs that failed on the VM since the last success.
+        is_departing: Whether this boot of the VM may have announced its departure.
     """
 
     __slots__ = (
@@ -101,6 +102,7 @@
         "failures",
         "has_acked_term",
         "heard_at",
+        "is_departing",
         "leadership",
         "lease",
         "listed_runs",
@@ -179,6 +181,7 @@
         self.listed_runs: dict[str, ListedRun] = {}
         self.boot_change = asyncio.Lock()
         self.failures = 0
+        self.is_departing = False
 
     @property
     def record(self) -> VmRecord | None:
@@ -245,7 +248,10 @@
             self.poll_timing.record_loss(now=self.leadership.clock())
             self.orders.record_loss(error)
             self._record_silence(record, reason=str(error))
-            await self._end_lapsed_runs(record)
+            if self.is_departing and error.is_refused:
+                await self._remove_departed(record)
+            else:
+                await self._end_lapsed_runs(record)
             return False
         return True
 
@@ -439,6 +445,10 @@
         if record is not None:
             await self._end_boot(record, reason=reason, lost=self._find_lost_runs(record))
 
+    async def _remove_departed(self, record: VmRecord) -> None:
+        await self.end_boot(reason="it announced its departure and refuses connections")
+        await self.leadership.propose(RemoveVm(vm=self.vm_id, boot=record.boot, at_ms=wall_ms()))
+
     async def replace_boot(self, command: RegisterVm, *, replaced_boot: int) -> None:
         """Commits that another boot of the VM, which has the same ID, has replaced the one in the record.
 
@@ -531,6 +541,7 @@
 
     def _discard_boot(self) -> None:
         self.has_acked_term = False
+        self.is_departing = False
         self.listed_runs = {}
         self.listing_sent_at = float("-inf")
         self.ratings.reset(self.vm_id)
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -19,10 +19,19 @@
     Attributes:
         is_sent: Whether the call may have reached the VM, which then may have carried it out or may still do so.
         is_broken: Whether the connection ended before the answer, as it does when the VM crashes.
+        is_refused: Whether the VM's host refused the connection, as it does when the VM has ended.
     """
 
-    def __init__(self, message: str, *, is_sent: bool = True, is_broken: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        is_sent: bool = True,
+        is_broken: bool = False,
+        is_refused: bool = False,
+    ) -> None:
         super().__init__(message)
+        self.is_refused = is_refused
         self.is_sent = is_sent
         self.is_broken = is_broken
 
--- a/src/hyssopway/http_client/client.py
+++ b/src/hyssopway/http_client/client.py
@@ -105,7 +105,8 @@
         except BaseException as error:
             new_socket.close()
             if isinstance(error, OSError):  # includes TimeoutError
-                raise NotSentError(f"no connection: {error!r}") from error
+                is_refused = isinstance(error, ConnectionRefusedError)
+                raise NotSentError(f"no connection: {error!r}", is_refused=is_refused) from error
             raise
         return connection
 
--- a/tests/dispatch/test_departures.py
+++ b/tests/dispatch/test_departures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from dispatch.conftest import LIMITS
-from hyssopway.dispatch import LeaderController, Machine, MachineState
+from hyssopway.dispatch import LeaderController, Machine, MachineState, WorkerUnreachableError
 from hyssopway.dispatch.lease import lease_expiry
 from hyssopway.dispatch.vm_link import REMOVE_AFTER_S
 from hyssopway.workflow import RunStart, StartRuns
@@ -103,3 +103,39 @@
     assert fleet.state.tables.vms["vm-1"].runs == set(), "its lease has ended"
     await controller.handle_departure(vm="vm-1")
     assert "vm-1" not in fleet.state.tables.vms
+
+
+@pytest.mark.parametrize("is_silent", [False, True], ids=["answers", "silent"])
+async def test_runs_of_a_departing_vm_go_on_until_it_has_ended(controller, fleet, vms, is_silent):
+    """Guards against a second run of a task on a VM that works on after its departure: its ack was lost (TWICE)."""
+    vms.silent, vms.boot = False, 2
+    await controller.handle_announcement(make_vm("vm-1", boot=2))
+    link = controller.links["vm-1"]
+    await link.poll()
+    await fleet.propose(StartRuns(fencing_token=3, starts=(RunStart(task="w.0.0.0", run=1, vm="vm-1"),)))
+    vms.running["w.0.0.0", 1] = "vm-1"
+    await controller.handle_announcement(make_vm("vm-1", boot=2, draining=True, sequence=1))
+    await link.poll()
+    vms.silent = is_silent
+    await controller.handle_departure(vm="vm-1")
+    await link.poll()
+    assert fleet.state.tables.vms["vm-1"].runs == {"w.0.0.0/1"}
+    vms.poll = refuse_connection
+    await link.poll()
+    assert "vm-1" not in fleet.state.tables.vms
+    assert fleet.state.tables.runs == {}
+
+
+async def test_refused_connection_ends_no_run_of_a_vm_that_has_not_departed(controller, fleet, vms):
+    """Guards against a second run of a task whose VM refuses connections for another reason (TWICE)."""
+    vms.silent, vms.boot = False, 2
+    await controller.handle_announcement(make_vm("vm-1", boot=2))
+    await controller.links["vm-1"].poll()
+    await fleet.propose(StartRuns(fencing_token=3, starts=(RunStart(task="w.0.0.0", run=1, vm="vm-1"),)))
+    vms.poll = refuse_connection
+    await controller.links["vm-1"].poll()
+    assert fleet.state.tables.vms["vm-1"].runs == {"w.0.0.0/1"}
+
+
+async def refuse_connection(**_):
+    raise WorkerUnreachableError("refused", is_sent=False, is_refused=True)
