--- a/tests/adapter/test_control_api.py
+++ b/tests/adapter/test_control_api.py
@@ -5,6 +5,7 @@
 import pytest
 
 from adapter.conftest import MANIFEST
+from hyssopway.dispatch import LeadershipLostError
 
 REPORT = {
     "service": "vans",
@@ -60,6 +61,23 @@
     assert len(client.controller.announcements) == 2
 
 
+async def test_copy_of_a_report_is_not_acknowledged_before_the_report_is_stored(client):
+    """Guards against a VM that is told that its drain is known while that is lost with the leader (DRAIN)."""
+    store = client.controller.handle_announcement
+
+    async def lose_leadership(_):
+        raise LeadershipLostError("not confirmed", may_take_effect=True)
+
+    client.controller.handle_announcement = lose_leadership
+    draining = REPORT | {"state": "draining"}
+    for _ in range(2):
+        with pytest.raises(LeadershipLostError):
+            await client.control("PUT", "instances/i-1", draining)
+    client.controller.handle_announcement = store
+    assert (await client.control("PUT", "instances/i-1", draining))[0] == 200
+    assert client.controller.leadership.state.tables.vms["i-1"].draining
+
+
 @pytest.mark.parametrize("change", [{"service": "x"}, {"state": "asleep"}, {"capacity": None}])
 async def test_invalid_report_registers_no_vm(client, change):
     """Guards against registering a VM from an invalid report."""
