Tell a request that was not sent from one whose answer was lost

What callers saw: 504 ("the request may have run") in place of the leader's own refusal (401, 404, 410, 429, 503), and in place of 503, although no leader had received an earlier attempt. The same in the first job path: "the change may still take effect" for a command that no member received.

Cause: `PeerUnreachableError` did not say whether the call had been sent. A connection that is refused, or not opened and authenticated in time, counted like a lost answer in `Relay.send` and `Submitter._attempt`. Since that also hides true refusals: the entries keep the address of a killed leader until an attempt fails, and attempts to it are refused connections.

Change: the error has `is_sent`, set once the connection is authenticated and the call is handed to it; everything after that still counts as possibly carried out. Relay and Submitter use it.

Ruled out: telling from the error's type only. A broken connection and a refused one both arrive as OSError or KjException; only the place tells them apart. A connection that was open when the call was made counts as used, even if its peer was gone already.

Tests: LosingClient of test_relay.py is now AnsweringClient, which takes any answers in turn; its cases are unchanged.

--- a/src/hyssopway/peer/connection.py
+++ b/src/hyssopway/peer/connection.py
@@ -86,9 +86,11 @@
 
     async def call(self, call: Any, *, timeout_s: float) -> Any:
         """Connects if necessary and runs a call on the authenticated interface."""
+        is_sent = False
         try:
             async with asyncio.timeout(timeout_s):
                 remote = await self._connect()
+                is_sent = True
                 response = await call(remote)
                 self.last_reply_at = monotonic_s()
                 return response
@@ -98,14 +100,15 @@
             # is slow.
             if monotonic_s() - self.last_reply_at > timeout_s:
                 self.close()
-            raise PeerUnreachableError(f"{self.daemon} did not reply within {timeout_s:.2f} s") from error
+            message = f"{self.daemon} did not reply within {timeout_s:.2f} s"
+            raise PeerUnreachableError(message, is_sent=is_sent) from error
         except (OSError, capnp.KjException) as error:
             reason = str(error).splitlines()[0] if str(error) else type(error).__name__
             if not self._is_handler_error(error):
                 if self.client is not None:
                     log_event(Event.PEER_LOST, peer=self.daemon, error=reason)
                 self.close()
-            raise PeerUnreachableError(f"{self.daemon}: {reason}") from error
+            raise PeerUnreachableError(f"{self.daemon}: {reason}", is_sent=is_sent) from error
 
     def _is_handler_error(self, error: Exception) -> bool:
         # An exception of a remote handler says nothing about the connection. Closing the connection would
--- a/src/hyssopway/peer/directory.py
+++ b/src/hyssopway/peer/directory.py
@@ -50,7 +50,7 @@
         """
         client = self.clients.get(daemon)
         if client is None:
-            raise PeerUnreachableError(f"daemon {daemon!r} is not in the settings")
+            raise PeerUnreachableError(f"daemon {daemon!r} is not in the settings", is_sent=False)
         return client
 
     async def vote(self, *, daemon: str, request: VoteRequest, timeout_s: float) -> VoteReply:
--- a/src/hyssopway/relay/relay.py
+++ b/src/hyssopway/relay/relay.py
@@ -83,7 +83,7 @@
                 ValueError,
                 RecursionError,
             ) as error:  # no reply, or a malformed one
-                may_have_run = True
+                may_have_run = may_have_run or _may_be_received(error)
                 reason = str(error)
                 self.finder.clear_leader(leader, reason=reason)
                 continue
@@ -132,6 +132,11 @@
         return self.finder.leader
 
 
+def _may_be_received(error: Exception) -> bool:
+    """Returns whether a leader may have received a request whose attempt failed with this error."""
+    return not isinstance(error, PeerUnreachableError) or error.is_sent
+
+
 def _is_refused(request: RelayedRequest, reply: RelayedReply) -> bool:
     """Returns whether a reply says that a change was not carried out.
 
--- a/src/hyssopway/replica/submitter.py
+++ b/src/hyssopway/replica/submitter.py
@@ -98,9 +98,8 @@
             reply = await self.peers.client(target).propose(command=data, timeout_s=timeout_s)
         except PeerUnreachableError as error:
             self.leader = ""
-            return Error(
-                Failure(code=ResultCode.PEER_UNREACHABLE, message=str(error), work=WorkState.MAY_HAVE_RUN)
-            )
+            work = WorkState.MAY_HAVE_RUN if error.is_sent else WorkState.NOT_RUN
+            return Error(Failure(code=ResultCode.PEER_UNREACHABLE, message=str(error), work=work))
         if reply.accepted:
             return Ok(decode_outcome(reply.outcome))
         self.leader = reply.leader if reply.leader != target else ""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import socket
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import aiohttp
+import capnp
 import pytest
 
+from hyssopway.peer import PeerClient
 from hyssopway_standins.fleet import EXAMPLES
 from hyssopway_standins.fleet_stand_in import FleetStandIn
 from hyssopway_standins.operator_client import OperatorClient
@@ -44,6 +47,16 @@
     return [line.removeprefix("test: ").strip() for line in lines if line.startswith("test: ")]
 
 
+@pytest.fixture
+async def unreachable_peer() -> AsyncIterator[PeerClient]:
+    """Connection to a daemon that does not listen."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    async with capnp.kj_loop():
+        yield PeerClient(daemon="a", host="127.0.0.1", port=port, own_name="b", token="token")
+
+
 @pytest.fixture
 async def session() -> AsyncIterator[aiohttp.ClientSession]:
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20)) as opened:
--- a/tests/peer/test_contract.py
+++ b/tests/peer/test_contract.py
@@ -93,15 +93,21 @@
 
 
 @pytest.mark.parametrize(
-    ("options", "topic"),
-    [({"listen": False}, "echo"), ({"token": "wrong"}, "echo"), ({}, "fail"), ({}, "slow")],
+    ("options", "topic", "is_sent"),
+    [
+        ({"listen": False}, "echo", False),
+        ({"token": "wrong"}, "echo", False),
+        ({}, "fail", True),
+        ({}, "slow", True),
+    ],
     ids=["nobody listens", "wrong token", "handler fails", "too slow"],
 )
-async def test_every_fault_raises_peer_unreachable(options: dict[str, Any], topic: str):
+async def test_every_fault_raises_peer_unreachable(options: dict[str, Any], topic: str, is_sent: bool):
     """Guards against another exception, which would end the replication or election task of a member."""
     async with connected(**options) as (client, _):
-        with pytest.raises(PeerUnreachableError):
+        with pytest.raises(PeerUnreachableError) as caught:
             await client.exchange(topic=topic, data=b"1", timeout_s=0.2)
+        assert caught.value.is_sent is is_sent
         if not options:
             assert await client.exchange(topic="echo", data=b"2", timeout_s=2) == b"2"
 
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -1,4 +1,4 @@
-"""Relaying of requests to a leader that may change or be unreachable."""
+"""Relaying of requests to a leader that may change or be unreachable_peer."""
 
 from __future__ import annotations
 
@@ -84,11 +84,11 @@
     assert caught.value.may_have_run
 
 
-class LosingClient:
-    """Leader that carries out the first attempt without an answer and replies to the second."""
+class AnsweringClient:
+    """Leader that answers each attempt with the next of some replies or errors."""
 
-    def __init__(self, reply, *, lost):
-        self.answers = [lost, reply]
+    def __init__(self, *answers):
+        self.answers = list(answers)
 
     async def exchange(self, *, topic, data, timeout_s):
         answer = self.answers.pop(0)
@@ -105,7 +105,7 @@
 )
 async def test_refusal_after_a_lost_answer_does_not_claim_that_the_job_never_ran(finder, status, lost):
     """Guards against a 401 for a job that an earlier attempt had handed in, whose key was withdrawn since (REFUSED)."""
-    client = LosingClient(RelayedReply(status=status), lost=lost)
+    client = AnsweringClient(lost, RelayedReply(status=status))
     finder.directory.client = lambda _: client
     finder.set_leader("a")
     asyncio.get_running_loop().call_later(0.05, finder.set_leader, "a")
@@ -115,9 +115,39 @@
     assert client.answers == []
 
 
+@pytest.mark.parametrize("status", [401, 404, 410, 429, 503])
+async def test_refusal_after_a_refused_connection_reaches_the_caller(finder, unreachable_peer, status):
+    """Guards against an unknown outcome for a request that no leader received but the one that refused it."""
+    clients = iter([unreachable_peer, AnsweringClient(RelayedReply(status=status))])
+    finder.directory.client = lambda _: next(clients)
+    finder.set_leader("a")
+    asyncio.get_running_loop().call_later(0.05, finder.set_leader, "b")
+    assert (await Relay(finder=finder).send(REQUEST, timeout_s=1.0)).status == status
+
+
+async def test_request_whose_connection_was_refused_has_not_run(finder, unreachable_peer):
+    """Guards against an unknown outcome for a request that no leader received."""
+    finder.directory.client = lambda _: unreachable_peer
+    finder.set_leader("a")
+    with pytest.raises(UnansweredError) as caught:
+        await Relay(finder=finder).send(REQUEST, timeout_s=0.1)
+    assert not caught.value.may_have_run
+
+
+async def test_lost_answer_counts_when_the_next_connection_is_refused(finder, unreachable_peer):
+    """Guards against "not run" for a request whose first answer was lost and that could not be sent again."""
+    clients = iter([AnsweringClient(PeerUnreachableError("reset")), unreachable_peer])
+    finder.directory.client = lambda _: next(clients)
+    finder.set_leader("a")
+    asyncio.get_running_loop().call_later(0.05, finder.set_leader, "b")
+    with pytest.raises(UnansweredError) as caught:
+        await Relay(finder=finder).send(REQUEST, timeout_s=0.3)
+    assert caught.value.may_have_run
+
+
 async def test_success_after_a_lost_answer_is_returned(finder):
     """Guards against a caller who is told that the outcome is unknown although the repeated request succeeded."""
-    client = LosingClient(RelayedReply(status=200), lost=PeerUnreachableError("reset"))
+    client = AnsweringClient(PeerUnreachableError("reset"), RelayedReply(status=200))
     finder.directory.client = lambda _: client
     finder.set_leader("a")
     asyncio.get_running_loop().call_later(0.05, finder.set_leader, "a")
