Log why the end of a VM counts under a task, and what the soak's VMs ran

The logs named the tasks that were counted (7064) but not by which sign, nor the runs in doubt among them, and the soak kept no record of what its VMs had run. So an end that counted under a start that never arrived could not be told from a crash.

7070 names the runs that count under the end of a VM and the sign for each: listed, accepted, broken, unanswered or unknown. The soak writes the starts and ends of runs on its VMs to runs.log.

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum, auto
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
@@ -24,6 +25,16 @@
 MAX_START_CRASH_S = 0.5
 
 
+class Evidence(StrEnum):
+    """What shows that a VM had a run when its boot ended."""
+
+    LISTED = auto()
+    ACCEPTED = auto()
+    BROKEN = auto()  # the connection of the start ended before its answer
+    UNANSWERED = auto()
+    UNKNOWN = auto()  # an earlier leader sent the start
+
+
 class LostRuns:
     """Runs that are about to end because the boot of their VM has ended.
 
@@ -33,9 +44,10 @@
         in_doubt: Keys of the runs in progress whose start may have reached the next boot; they are not in `keys`.
         at_work: Keys of the runs in progress that the VM may have worked on.
         just_started: Keys of the runs that the VM accepted right before its connections ended.
+        evidence: What shows that the VM had the run, by key of a run at work.
     """
 
-    __slots__ = ("at_work", "in_doubt", "just_started", "keys", "vm_id")
+    __slots__ = ("at_work", "evidence", "in_doubt", "just_started", "keys", "vm_id")
 
     def __init__(
         self,
@@ -86,6 +98,10 @@
         self.just_started = {
             key for key in later if 0 <= unreachable_since - states[key].accepted_at <= MAX_START_CRASH_S
         }
+        self.evidence = {
+            key: Evidence.LISTED if key in listed else _find_evidence(states.get(key))
+            for key in sorted(self.at_work)
+        }
 
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
@@ -99,6 +115,8 @@
             log_event(
                 Event.RUNS_IN_DOUBT, vm=self.vm_id, count=len(self.in_doubt), runs=sorted(self.in_doubt)
             )
+        if self.evidence:
+            log_event(Event.RUNS_AT_WORK, vm=self.vm_id, count=len(self.evidence), runs=self.evidence)
         if not self.keys:
             return
         counters["vms_lost_with_runs"] += 1
@@ -140,6 +158,15 @@
         log_event(Event.TASKS_SUSPECTED, count=len(suspects), vms=suspects, given_up=given_up)
 
 
+def _find_evidence(order_state: OrderState | None) -> Evidence:
+    """Returns what shows that a VM had a run that it did not list last."""
+    if order_state is None or order_state.ordered_at == float("inf"):
+        return Evidence.UNKNOWN
+    if order_state.is_accepted:
+        return Evidence.ACCEPTED
+    return Evidence.BROKEN if order_state.is_connection_broken else Evidence.UNANSWERED
+
+
 def _is_in_doubt(order_state: OrderState | None) -> bool:
     """Returns whether an order for the start of a run may reach the next boot of its VM."""
     # Without a state, an earlier leader sent the order and the VM has not listed the run to this one.
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -188,6 +188,11 @@
         "event loop late by {lag_mean_ms} ms in the mean, {lag_max_ms} ms at most; {starts} starts in {rounds} rounds, committed in {commit_ms} ms; {unanswered} starts unanswered",
     )
     RUNS_LOST = (7063, "WARNING", "{count} runs lost with VM {vm}: {reason}")
+    RUNS_AT_WORK = (
+        7070,
+        "INFO",
+        "{count} runs that VM {vm} probably had when its boot ended or it was last heard of",
+    )
     RUNS_IN_DOUBT = (
         7066,
         "WARNING",
--- a/tests/soak/invariant_checker.py
+++ b/tests/soak/invariant_checker.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 
 # A task may start twice more after this many VMs have crashed under it.
 CRASHES = 3
@@ -55,6 +56,7 @@
             boot may start the same run again.
         broken: Violations, each prefixed with the name of the guarantee.
         starts: Number of started runs.
+        run_log: Starts and ends of runs on the VMs, each with the time of day.
     """
 
     max_attempts: int
@@ -70,6 +72,7 @@
     forgotten_runs: set[tuple[str, int]] = field(default_factory=set)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
+    run_log: list[str] = field(default_factory=list)
 
     def record_start(self, *, task: str, run: int, vm: str, is_late: bool) -> None:
         """Records the start of a run on a VM.
@@ -81,6 +84,7 @@
             is_late: Whether the VM delayed the call; time bounds do not apply to delayed calls.
         """
         self.starts += 1
+        self._log_run(f"{task}/{run} starts on {vm}{' late' if is_late else ''}")
         job_id, _, step, _ = task.split(".")
         job = self.jobs.get(job_id)
         if job is None:
@@ -109,7 +113,8 @@
 
     def record_end(self, *, task: str, run: int, outcome: str) -> None:
         """Records the end of a run."""
-        self.running.get(task, {}).pop(run, None)
+        vm = self.running.get(task, {}).pop(run, None)
+        self._log_run(f"{task}/{run} ends on {vm}: {outcome}")
         if outcome == "done":
             self.done.add(task)
         if outcome == "failed":
@@ -153,6 +158,9 @@
             if job.refused and not job.accepted and job_id in started
         ]
 
+    def _log_run(self, text: str) -> None:
+        self.run_log.append(f"{datetime.now(tz=UTC):%H:%M:%S.%f} {text}")
+
     def _is_repeated(self, job: Job, *, task: str, run: int) -> bool:
         """Returns whether a run starts again, or starts after a later one; copies may overtake each other."""
         if (task, run) in self.forgotten_runs:
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -147,6 +147,7 @@
             )
         finally:
             await self._stop()
+            (self.folder / "runs.log").write_text("".join(f"{line}\n" for line in self.checker.run_log))
 
     def _create_node(self, role: str, *, subnet: int, number: int) -> Node:
         name = f"{role}-{number}"
