Fail no workflow for ends of VMs that may not have had its task

Seen by callers: a job is shown as failed although at most one VM had ended while it ran one of its tasks (LOST in the soak).

Cause: each start that was sent after a VM's last answer counted under the end of the VM like a run that the VM had listed.

Now the leader says which ends are unconfirmed (EndRuns.unconfirmed), the count keeps their number, and a workflow fails only after two confirmed ends, or five of any kind. Unconfirmed ends still isolate the task; then it is started alone, and its end is confirmed if it does crash its VMs, so that it is found after three to five VMs.

Ruled out: not counting such ends at all. In the soak a task that crashes its VM is never accepted, so that it would never be found.

Before, the new test on VMs that restart under their ID: FAILED tests/dispatch/test_restarted_vms.py::test_task_whose_starts_were_lost_together_with_others_is_not_given_up (the workflow is failed instead of running).

--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -35,6 +35,9 @@
     UNKNOWN = auto()  # an earlier leader sent the start
 
 
+UNACCEPTED = (Evidence.BROKEN, Evidence.UNANSWERED)
+
+
 class LostRuns:
     """Runs that are about to end because the boot of their VM has ended.
 
@@ -45,9 +48,10 @@
         at_work: Keys of the runs in progress that the VM may have worked on.
         just_started: Keys of the runs that the VM accepted right before its connections ended.
         evidence: What shows that the VM had the run, by key of a run at work.
+        unconfirmed: Keys of the runs at work of which it is not known whether their start had reached the VM.
     """
 
-    __slots__ = ("at_work", "evidence", "in_doubt", "just_started", "keys", "vm_id")
+    __slots__ = ("at_work", "evidence", "in_doubt", "just_started", "keys", "unconfirmed", "vm_id")
 
     def __init__(
         self,
@@ -102,6 +106,21 @@
             key: Evidence.LISTED if key in listed else _find_evidence(states.get(key))
             for key in sorted(self.at_work)
         }
+        self.unconfirmed = {
+            key
+            for key, evidence in self.evidence.items()
+            if not _is_confirmed(
+                evidence,
+                order_state=states.get(key),
+                is_replaced=is_replaced,
+                unreachable_since=unreachable_since,
+                is_only_start=self._is_only_start(key),
+            )
+        }
+
+    def _is_only_start(self, key: str) -> bool:
+        """Returns whether no other start was on its way to the VM when its connections ended."""
+        return not any(other != key and evidence in UNACCEPTED for other, evidence in self.evidence.items())
 
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
@@ -167,6 +186,30 @@
     return Evidence.BROKEN if order_state.is_connection_broken else Evidence.UNANSWERED
 
 
+def _is_confirmed(
+    evidence: Evidence,
+    *,
+    order_state: OrderState | None,
+    is_replaced: bool,
+    unreachable_since: float,
+    is_only_start: bool,
+) -> bool:
+    """Returns whether a VM certainly had a run when its boot ended.
+
+    A start that was accepted after a connection had ended may have been accepted by the next boot under the ID. Of several
+    starts that were on their way when the connections ended, one may have crashed the VM before it received the others.
+    """
+    match evidence:
+        case Evidence.LISTED:
+            return True
+        case Evidence.ACCEPTED if order_state is not None:
+            return not is_replaced or order_state.accepted_at <= unreachable_since < float("inf")
+        case Evidence.BROKEN if order_state is not None:
+            return is_only_start and 0 <= unreachable_since - order_state.ordered_at <= MAX_START_CRASH_S
+        case _:
+            return False
+
+
 def _is_in_doubt(order_state: OrderState | None) -> bool:
     """Returns whether an order for the start of a run may reach the next boot of its VM."""
     # Without a state, an earlier leader sent the order and the VM has not listed the run to this one.
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -416,6 +416,7 @@
         boot: int | None = None,
         is_reported: bool = False,
         lost_at_work: Collection[str] = (),
+        unconfirmed: Collection[str] = (),
     ) -> None:
         record = self.record
         if record is None:
@@ -429,6 +430,7 @@
             is_reported=is_reported,
             lost_at_work=tuple(sorted(lost_at_work)),
             completes_gangs=True,
+            unconfirmed=tuple(sorted(unconfirmed)),
         )
         await self.leadership.propose(command)
         for end in ends:
@@ -441,7 +443,11 @@
         lost = self._find_lost_runs(record)
         lost.report(reason="its lease ended without contact", counters=self.counters)
         self.listed_runs = {}
-        await self._propose_ends(make_run_ends(record.runs, RunOutcome.LAPSED), lost_at_work=lost.at_work)
+        await self._propose_ends(
+            make_run_ends(record.runs, RunOutcome.LAPSED),
+            lost_at_work=lost.at_work,
+            unconfirmed=lost.unconfirmed,
+        )
         self.on_change()
 
     async def end_boot(self, *, reason: str) -> None:
@@ -507,6 +513,7 @@
                 boot_ended=True,
                 lost_at_work=tuple(sorted(lost.at_work)),
                 just_started=tuple(sorted(lost.just_started)),
+                unconfirmed=tuple(sorted(lost.unconfirmed)),
             )
         )
         lost.report_suspects(self.leadership.state.tables, counters=self.counters)
--- a/src/hyssopway/workflow/apply_crashes.py
+++ b/src/hyssopway/workflow/apply_crashes.py
@@ -30,6 +30,7 @@
     vm: VmRecord,
     started_ms: dict[str, int],
     just_started: Collection[str] = (),
+    unconfirmed: Collection[str] = (),
     at_ms: int,
 ) -> None:
     """Counts the end of a VM's boot for each task that it ran, and fails the workflows of tasks that caused it.
@@ -42,9 +43,11 @@
         vm: VM whose boot has ended.
         started_ms: Wall-clock time of the start of each run that was lost with the VM, by task; 0 if it is unknown.
         just_started: Keys of the runs that the VM had not listed yet.
+        unconfirmed: Keys of the runs of which it is not known whether their start had reached the VM.
         at_ms: Wall-clock time at which the end was noticed.
     """
     lapsed = {_task_of(key) for key in vm.lapsed}
+    unconfirmed_tasks = {_task_of(key) for key in vm.unconfirmed.union(unconfirmed)}
     clear_lapsed(indexes, vm=vm)
     if vm.draining:
         return  # it announced its end
@@ -60,7 +63,9 @@
             indexes.suspects.discard_task(task)
             continue
         count = progress.crashes.get(number, NO_CRASHES)
-        counts[task] = count.plus(is_at_start=task in tasks_at_start)
+        counts[task] = count.plus(
+            is_at_start=task in tasks_at_start, is_confirmed=task not in unconfirmed_tasks
+        )
     causes = find_causes(counts, just_started=tasks_at_start)
     # Once the cause of an end is known, it counts for no other task.
     for task in causes or counts:
@@ -70,7 +75,13 @@
 
 
 def record_lapsed(
-    tables: Tables, indexes: Indexes, *, vm: VmRecord, keys: Collection[str], at_ms: int
+    tables: Tables,
+    indexes: Indexes,
+    *,
+    vm: VmRecord,
+    keys: Collection[str],
+    unconfirmed: Collection[str] = (),
+    at_ms: int,
 ) -> None:
     """Remembers runs whose lease ended without contact, until it is known whether their VM crashed."""
     new = {key for key in keys if key in vm.runs}
@@ -79,6 +90,7 @@
         if _has_lasted(tables, task=task, started_ms=started_ms, at_ms=at_ms):
             new = {key for key in new if _task_of(key) != task}
     vm.lapsed |= new
+    vm.unconfirmed |= new.intersection(unconfirmed)
     indexes.suspects.add_lapsed(new)
 
 
@@ -86,6 +98,7 @@
     """Forgets the runs whose lease ended without contact: their VM was heard of again, or its end was counted."""
     indexes.suspects.discard_lapsed(vm.lapsed)
     vm.lapsed = set()
+    vm.unconfirmed = set()
 
 
 def _find_open_progress(tables: Tables, *, task: str) -> StepProgress | None:
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -79,6 +79,7 @@
         last_end=same_boot.last_end if same_boot is not None else 0,
         runs=old.runs if old is not None else set(),
         lapsed=old.lapsed if old is not None else set(),
+        unconfirmed=old.unconfirmed if old is not None else set(),
     )
 
 
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -107,6 +107,7 @@
             vm=vm,
             started_ms=started_ms,
             just_started=command.just_started,
+            unconfirmed=command.unconfirmed,
             at_ms=command.at_ms,
         )
 
@@ -152,7 +153,7 @@
         return
     ended = {f"{end.task}/{end.run}" for end in command.ends if end.outcome is RunOutcome.LAPSED}
     lapsed = ended.intersection(command.lost_at_work)
-    record_lapsed(tables, indexes, vm=vm, keys=lapsed, at_ms=command.at_ms)
+    record_lapsed(tables, indexes, vm=vm, keys=lapsed, unconfirmed=command.unconfirmed, at_ms=command.at_ms)
 
 
 def _start_run(
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -90,6 +90,7 @@
         is_reported: Whether the VM was heard of, so that it has not crashed.
         completes_gangs: Whether the end of one member as done completes its whole gang. Logs of earlier releases have
             commands that complete the reported member only.
+        unconfirmed: Those of `lost_at_work` of which it is not known whether their start had reached the VM.
     """
 
     vm: str
@@ -102,6 +103,7 @@
     just_started: tuple[str, ...] = ()
     is_reported: bool = False
     completes_gangs: bool = False
+    unconfirmed: tuple[str, ...] = ()
     kind: Literal["end"] = "end"
 
 
--- a/src/hyssopway/workflow/crash_blame.py
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -17,8 +17,13 @@
 CONCLUSIVE_CRASHES = 3
 # A task under which this many VMs have ended is a suspect whenever another ends under it.
 SUSPICIOUS_CRASHES = 2
-# A task under which this many VMs have ended is not started again.
+# A task under which this many VMs have ended is not started again, unless most of the ends are unconfirmed.
 MAX_CRASHES = 4
+# A task is given up after this many confirmed ends, or after `MAX_UNCONFIRMED_CRASHES` of any kind.
+MIN_CONFIRMED_CRASHES = 2
+# A task whose starts are lost with the connections of several VMs is started alone by then, so that this many ends under
+# it are no coincidence, although none is confirmed.
+MAX_UNCONFIRMED_CRASHES = 5
 
 
 def find_causes(counts: Mapping[str, CrashCount], *, just_started: Collection[str]) -> list[str]:
@@ -38,11 +43,13 @@
     suspects = {
         task for task, count in counts.items() if count.total >= SUSPICIOUS_CRASHES or task in just_started
     }
-    causes = {task for task in counts if counts[task].total >= MAX_CRASHES}
+    conclusive = {task for task, count in counts.items() if count.confirmed >= MIN_CONFIRMED_CRASHES}
+    causes = {task for task in conclusive if counts[task].total >= MAX_CRASHES}
+    causes |= {task for task, count in counts.items() if count.total >= MAX_UNCONFIRMED_CRASHES}
     if _are_of_one_workflow(at_start):
         causes |= at_start
     if _are_of_one_workflow(suspects):
-        causes |= {task for task in suspects if counts[task].total >= CONCLUSIVE_CRASHES}
+        causes |= {task for task in suspects & conclusive if counts[task].total >= CONCLUSIVE_CRASHES}
     return sorted(causes)
 
 
@@ -54,6 +61,8 @@
     "CONCLUSIVE_CRASHES",
     "CONCLUSIVE_CRASHES_AT_START",
     "MAX_CRASHES",
+    "MAX_UNCONFIRMED_CRASHES",
+    "MIN_CONFIRMED_CRASHES",
     "SUSPICIOUS_CRASHES",
     "find_causes",
 ]
--- a/src/hyssopway/workflow/vm_record.py
+++ b/src/hyssopway/workflow/vm_record.py
@@ -24,6 +24,7 @@
         last_end: Number of the last reported end of this boot that is committed.
         runs: Keys of runs in progress, ``task/run``.
         lapsed: Keys of runs whose lease ended without contact, while the VM has not been heard since.
+        unconfirmed: Those of them of which it is not known whether their start had reached the VM.
     """
 
     vm_id: str
@@ -38,6 +39,7 @@
     last_end: int = 0
     runs: set[str] = field(default_factory=set)
     lapsed: set[str] = field(default_factory=set)
+    unconfirmed: set[str] = field(default_factory=set)
 
 
 __all__ = ["VmRecord"]
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -15,7 +15,7 @@
 from hyssopway.dispatch.leader_controller import LeaderController
 from hyssopway.dispatch.lease import lease_expiry
 from hyssopway.dispatch.listed_end import ListedEnd
-from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns
+from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns, WorkflowStatus
 from workflow.conftest import make_vm
 
 TASK = "w.0.0.0"
@@ -187,6 +187,32 @@
     assert progress.crashes[0].total == 1
 
 
+async def test_task_whose_starts_were_lost_together_with_others_is_not_given_up(link, vms):
+    """Guards against a failed job whose tasks no VM had, since each VM restarted before it received them (LOST)."""
+
+    async def reset(**_):
+        await asyncio.sleep(0)  # the other start is sent as well
+        link.leadership.now += 0.05
+        raise WorkerUnreachableError("reset", is_broken=True)
+
+    vms.start = reset
+    tables = link.leadership.state.tables
+    for boot in (2, 3, 4):
+        starts = tuple(RunStart(task=f"w.0.0.{number}", run=boot, vm="vm-1") for number in (0, 1))
+        for one in starts:
+            link.orders.expect_start(task=one.task, run=one.run)
+        await link.leadership.propose(StartRuns(fencing_token=link.leadership.term, starts=starts))
+        runs = [run for one in starts for run in tables.runs[one.task]]
+        await asyncio.gather(*(link.start(run, specification="", checkpoint="") for run in runs))
+        restart(vms, boot=boot)
+        for _ in range(3):
+            await link.poll()
+            await asyncio.gather(*link.orders.sending)
+            link.leadership.now += 0.7
+        assert not tables.runs
+    assert tables.workflows["w"].status is WorkflowStatus.RUNNING
+
+
 async def test_lease_on_the_clock_of_the_earlier_boot_is_waited_for(link, vms):
     """Guards against a second run after a VM has restarted and fallen silent: its lease is not the usual one (TWICE).
 
