Keep jobs with long-running tasks when VMs crash under one of them

Cause: such tasks were counted like short ones, and `end_workflow` marks all runs to be stopped. Crashes of a VM seconds after the start of a task that is placed anew within a second are no sign that it caused them.

A failed job cannot stop its runs within the allowance, since the given-up task is away itself. So the job goes on.

Now no end of a VM fails the workflow for a long-running task, and such a task clears no other of suspicion. A task that crashes its VMs right after its start, three times, is held back for 30 s, then twice as long each time; before that and after ends while it worked it starts again at once, isolated. A short task of the same workflow that fails still ends it.

Ruled out: holding back after any three ends.

--- a/src/hyssopway/scheduling/crash_isolation.py
+++ b/src/hyssopway/scheduling/crash_isolation.py
@@ -11,7 +11,14 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from hyssopway.workflow import CONCLUSIVE_CRASHES, NO_CRASHES, PROBATION_MS, SUSPICIOUS_CRASHES, TaskId
+from hyssopway.workflow import (
+    CONCLUSIVE_CRASHES,
+    NO_CRASHES,
+    PROBATION_MS,
+    SUSPICIOUS_CRASHES,
+    TaskId,
+    held_back_until_ms,
+)
 
 from .copies import StepKey
 
@@ -59,6 +66,11 @@
     return {task for task in suspects.lapsed if suspects.level(task) >= CONCLUSIVE_CRASHES}
 
 
+def find_held_back(suspects: CrashSuspects, *, now_ms: int) -> set[str]:
+    """Returns the tasks that are held back if they are long-running, since their VMs ended right after their starts."""
+    return {task for task, count in suspects.crashes.items() if now_ms < held_back_until_ms(count)}
+
+
 def measure_suspect_load(*, tables: Tables, suspects: CrashSuspects, now_ms: int) -> dict[str, SuspectLoad]:
     """Returns the suspect runs on each VM that has any; a run that has lasted its probation is not suspect.
 
@@ -79,6 +91,7 @@
 __all__ = [
     "NO_SUSPECTS",
     "SuspectLoad",
+    "find_held_back",
     "find_waiting",
     "list_suspects",
     "measure_suspect_load",
--- a/src/hyssopway/workflow/apply_crashes.py
+++ b/src/hyssopway/workflow/apply_crashes.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .crash_blame import find_causes
+from .crash_blame import find_causes, must_hold_back
 from .crash_count import NO_CRASHES, CrashCount
 from .task_id import TaskId
 from .workflow_end import end_workflow
@@ -33,7 +33,7 @@
     unconfirmed: Collection[str] = (),
     at_ms: int,
 ) -> None:
-    """Counts the end of a VM's boot for each task that it ran, and fails the workflows of tasks that caused it.
+    """Counts the end of a VM's boot for each task that it ran, and fails the workflows of short tasks that caused it.
 
     Runs whose lease had ended before, while the VM was out of contact, count as well: their VM had crashed.
 
@@ -64,14 +64,20 @@
             continue
         count = progress.crashes.get(number, NO_CRASHES)
         counts[task] = count.plus(
-            is_at_start=task in tasks_at_start, is_confirmed=task not in unconfirmed_tasks
+            is_at_start=task in tasks_at_start, is_confirmed=task not in unconfirmed_tasks, at_ms=at_ms
         )
-    causes = find_causes(counts, just_started=tasks_at_start)
+    causes = [
+        task
+        for task in find_causes(counts, just_started=tasks_at_start)
+        if not is_long_running(tables, task=task) or must_hold_back(counts[task])
+    ]
     # Once the cause of an end is known, it counts for no other task.
     for task in causes or counts:
         _store_count(tables, indexes, task=task, count=counts[task])
     for task in causes:
-        _fail_workflow(tables, indexes, task=task, at_ms=at_ms)
+        # A long-running task is held back instead: the others of its workflow work on.
+        if not is_long_running(tables, task=task):
+            _fail_workflow(tables, indexes, task=task, at_ms=at_ms)
 
 
 def record_lapsed(
@@ -124,15 +130,19 @@
         end_workflow(tables, indexes, workflow, status=WorkflowStatus.FAILED, at_ms=at_ms)
 
 
+def is_long_running(tables: Tables, *, task: str) -> bool:
+    """Returns whether a task runs until its workflow is cancelled."""
+    task_id = TaskId.parse(task)
+    return tables.workflows[task_id.workflow].spec.steps[task_id.step].long_running
+
+
 def _has_lasted(tables: Tables, *, task: str, started_ms: int, at_ms: int) -> bool:
     """Returns whether a run of a long-running task has worked for longer than its probation."""
-    task_id = TaskId.parse(task)
-    step = tables.workflows[task_id.workflow].spec.steps[task_id.step]
-    return step.long_running and started_ms > 0 and at_ms - started_ms > PROBATION_MS
+    return is_long_running(tables, task=task) and started_ms > 0 and at_ms - started_ms > PROBATION_MS
 
 
 def _task_of(key: str) -> str:
     return key.rpartition("/")[0]
 
 
-__all__ = ["PROBATION_MS", "clear_lapsed", "count_crashes", "record_lapsed"]
+__all__ = ["PROBATION_MS", "clear_lapsed", "count_crashes", "is_long_running", "record_lapsed"]
--- a/src/hyssopway/workflow/crash_blame.py
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -25,6 +25,25 @@
 # it are no coincidence, although none is confirmed.
 MAX_UNCONFIRMED_CRASHES = 5
 
+# A long-running task whose VMs have ended right after its start this often is held back.
+HELD_BACK_CRASHES_AT_START = 3
+# How long it is held back after the first such end; each further one doubles the time.
+HOLD_BACK_MS = 30_000
+MAX_HOLD_BACK_MS = 3_600_000
+
+
+def must_hold_back(count: CrashCount) -> bool:
+    """Returns whether a long-running task crashes its VMs, so that it is started again only after some time."""
+    return count.at_start >= HELD_BACK_CRASHES_AT_START
+
+
+def held_back_until_ms(count: CrashCount) -> int:
+    """Returns the wall-clock time in milliseconds until which a long-running task is held back; 0 if it is not."""
+    if not must_hold_back(count):
+        return 0
+    exponent = count.at_start - HELD_BACK_CRASHES_AT_START
+    return count.last_ms + int(min(HOLD_BACK_MS * 2**exponent, MAX_HOLD_BACK_MS))
+
 
 def find_causes(counts: Mapping[str, CrashCount], *, just_started: Collection[str]) -> list[str]:
     """Returns the tasks that caused the end of a VM; empty while it may have been one of several, or none.
@@ -61,8 +80,11 @@
     "CONCLUSIVE_CRASHES",
     "CONCLUSIVE_CRASHES_AT_START",
     "MAX_CRASHES",
+    "MAX_HOLD_BACK_MS",
     "MAX_UNCONFIRMED_CRASHES",
     "MIN_CONFIRMED_CRASHES",
     "SUSPICIOUS_CRASHES",
     "find_causes",
+    "held_back_until_ms",
+    "must_hold_back",
 ]
--- a/tests/workflow/test_crashes.py
+++ b/tests/workflow/test_crashes.py
@@ -208,6 +208,38 @@
     assert crashes(log) == 1
 
 
+@pytest.mark.parametrize("is_at_start", [False, True], ids=["at work", "at start"])
+def test_workflow_with_long_running_tasks_is_not_given_up_for_crashes(log, is_at_start):
+    """Guards against tasks at work that are stopped because the VMs of another one crashed (AVAIL)."""
+    log.apply(make_workflow("w", steps=(Step(count=2, long_running=True),)))
+    log.apply(make_vm("vm-2"))
+    other = RunStart(task="w.0.0.1", run=1, vm="vm-2")
+    log.apply(StartRuns(fencing_token=1, starts=(other,), at_ms=1))
+    for boot in range(1, 7):
+        start(log, run=boot)
+        just_started = (f"{TASK}/{boot}",) if is_at_start else ()
+        end_boot(log, run=boot, boot=boot, just_started=just_started)
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert log.state.tables.workflows["w"].status is WorkflowStatus.RUNNING
+    assert (list(log.state.tables.runs), log.state.indexes.runs_to_stop) == (["w.0.0.1"], {})
+    assert crashes(log) == 6
+
+
+def test_sound_long_running_task_excuses_no_task_that_crashes_its_vms(log):
+    """Guards against a long-running task that takes the blame for the ends of VMs which another task crashed."""
+    log.apply(make_workflow("w", steps=(Step(count=1, long_running=True),)))
+    log.apply(make_workflow("v", steps=(Step(count=1),)))
+    tasks = (TASK, "v.0.0.0")
+    for boot in (1, 2, 3, 4):
+        assert log.state.tables.workflows["v"].status is not WorkflowStatus.FAILED
+        starts = tuple(RunStart(task=task, run=boot, vm="vm-1") for task in tasks)
+        log.apply(StartRuns(fencing_token=1, starts=starts, at_ms=1))
+        end_boot(log, run=boot, boot=boot, tasks=tasks)
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    statuses = {name: one.status for name, one in log.state.tables.workflows.items()}
+    assert statuses == {"w": WorkflowStatus.RUNNING, "v": WorkflowStatus.FAILED}
+
+
 def test_suspects_survive_a_snapshot(workflow_log):
     """Guards against a member that forgets crashes when it restores a snapshot."""
     log = workflow_log
