Make the rename of a compacted log durable before entries are added to it

What callers saw: nothing yet; found by reading how members survive a loss of power. An acknowledged entry could be gone (LOST).

When that sync failed, as on a faulty disk that "refuses writes", the member stepped down and went on with the new file. Entries that were added were synced with the file, but "renamed names become durable once their folder has been synced": a power loss could bring the old file back, without them. It lasts until the next compaction, and an entry is lost only if a quorum was in this state or lost its disks.

Evidence, the new test before the change: FAILED test_entries_wait_for_the_name_of_a_replaced_log (an entry was added without a sync of the folder); 11 passed. After: 20 passed in test_log_file.py, test_files_stateful.py and test_lost_disks.py.

Why it works: the file remembers that its name is not durable yet, and each append syncs the folder first. It fails as long as the folder cannot be synced, so that nothing is acknowledged.

--- a/src/hyssopway/agreement/log_file.py
+++ b/src/hyssopway/agreement/log_file.py
@@ -28,9 +28,10 @@
         end: Offset in bytes at which the intact records end.
         syncs: Number of syncs since the process started.
         descriptor: Descriptor of the open file; -1 when closed.
+        is_rename_synced: Whether the name of the file is durable; until then a power loss may bring back the file before.
     """
 
-    __slots__ = ("descriptor", "end", "first_index", "offsets", "path", "syncs")
+    __slots__ = ("descriptor", "end", "first_index", "is_rename_synced", "offsets", "path", "syncs")
 
     def __init__(self, *, path: Path) -> None:
         self.path = path
@@ -39,6 +40,7 @@
         self.end = 0
         self.syncs = 0
         self.descriptor = -1
+        self.is_rename_synced = True
 
     def open(self, *, first_index: int) -> list[Entry]:
         """Opens or creates the file and returns its entries from `first_index` on.
@@ -66,6 +68,7 @@
         if position < len(self.offsets):
             self.end = self.offsets[position]
             del self.offsets[position:]
+        self._sync_rename()
         self._truncate_tail()
         starts, chunks, offset = [], [], self.end
         for step, entry in enumerate(entries):
@@ -105,10 +108,8 @@
         self.descriptor = replacement.descriptor
         self.first_index, self.offsets, self.end = first_index, replacement.offsets, replacement.end
         self.syncs += replacement.syncs
-        try:
-            sync_folder(self.path.parent)
-        except OSError as error:
-            raise StorageError(f"cannot sync the folder of {self.path}: {error}") from error
+        self.is_rename_synced = False
+        self._sync_rename()
 
     def close(self) -> None:
         """Closes the file."""
@@ -116,6 +117,15 @@
             os.close(self.descriptor)
             self.descriptor = -1
 
+    def _sync_rename(self) -> None:
+        if self.is_rename_synced:
+            return
+        try:
+            sync_folder(self.path.parent)
+        except OSError as error:
+            raise StorageError(f"cannot sync the folder of {self.path}: {error}") from error
+        self.is_rename_synced = True
+
     def _truncate_tail(self) -> None:
         """Truncates the file after the intact records.
 
--- a/tests/agreement/test_log_file.py
+++ b/tests/agreement/test_log_file.py
@@ -109,6 +109,29 @@
     again.close()
 
 
+def test_entries_wait_for_the_name_of_a_replaced_log(tmp_path: Path, monkeypatch: pytest.MonkeyPatch):
+    """Guards against losing entries in a power loss that undoes the rename of the file to which they were written (LOST)."""
+    log = LogFile(path=tmp_path / "log")
+    log.open(first_index=1)
+    log.append(index=1, entries=ENTRIES)
+    synced: list[Path] = []
+
+    def fail(_: Path) -> None:
+        raise OSError("input/output error")
+
+    monkeypatch.setattr(log_file_module, "sync_folder", fail)
+    with pytest.raises(StorageError):
+        log.rewrite(first_index=4, entries=ENTRIES[3:])
+    late = Entry(term=1, data=b"late")
+    with pytest.raises(StorageError):
+        log.append(index=7, entries=[late])
+    monkeypatch.setattr(log_file_module, "sync_folder", synced.append)
+    for index in (7, 8):
+        log.append(index=index, entries=[late])
+    assert synced == [tmp_path]
+    log.close()
+
+
 def test_log_without_vote_file_is_not_initialised(tmp_path: Path):
     """Guards against a second vote in a term after the vote file was lost."""
     write_log(tmp_path / "log", ENTRIES)
