--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from enum import StrEnum, auto
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import NO_CRASHES, SUSPICIOUS_CRASHES, TaskId, WorkflowStatus
 
+from .run_evidence import MAX_START_CRASH_S, UNACCEPTED, Evidence, find_evidence, is_confirmed
 from .start_log import MAX_RUNS_PER_LOG_LINE
 
 if TYPE_CHECKING:
@@ -21,21 +21,6 @@
 
 # A VM may carry out an order that it received after it has answered a poll that was sent up to this much later.
 MAX_OVERTAKING_S = 0.2
-# A VM whose connections end this soon after it accepted a start may have ended because of the start.
-MAX_START_CRASH_S = 0.5
-
-
-class Evidence(StrEnum):
-    """What shows that a VM had a run when its boot ended."""
-
-    LISTED = auto()
-    ACCEPTED = auto()
-    BROKEN = auto()  # the connection of the start ended before its answer
-    UNANSWERED = auto()
-    UNKNOWN = auto()  # an earlier leader sent the start
-
-
-UNACCEPTED = (Evidence.BROKEN, Evidence.UNANSWERED)
 
 
 class LostRuns:
@@ -103,13 +88,13 @@
             key for key in later if 0 <= unreachable_since - states[key].accepted_at <= MAX_START_CRASH_S
         }
         self.evidence = {
-            key: Evidence.LISTED if key in listed else _find_evidence(states.get(key))
+            key: Evidence.LISTED if key in listed else find_evidence(states.get(key))
             for key in sorted(self.at_work)
         }
         self.unconfirmed = {
             key
             for key, evidence in self.evidence.items()
-            if not _is_confirmed(
+            if not is_confirmed(
                 evidence,
                 order_state=states.get(key),
                 is_replaced=is_replaced,
@@ -122,6 +107,13 @@
         """Returns whether no other start was on its way to the VM when its connections ended."""
         return not any(other != key and evidence in UNACCEPTED for other, evidence in self.evidence.items())
 
+    def report_evidence(self) -> None:
+        """Logs the runs that count under the end of the boot, and what shows that the VM had them."""
+        rows = list(self.evidence.items())
+        for offset in range(0, len(rows), MAX_RUNS_PER_LOG_LINE):
+            batch = dict(rows[offset : offset + MAX_RUNS_PER_LOG_LINE])
+            log_event(Event.RUNS_AT_WORK, vm=self.vm_id, count=len(rows), runs=batch)
+
     def report(self, *, reason: str, counters: Counter[str]) -> None:
         """Logs and counts the runs.
 
@@ -134,8 +126,6 @@
             log_event(
                 Event.RUNS_IN_DOUBT, vm=self.vm_id, count=len(self.in_doubt), runs=sorted(self.in_doubt)
             )
-        if self.evidence:
-            log_event(Event.RUNS_AT_WORK, vm=self.vm_id, count=len(self.evidence), runs=self.evidence)
         if not self.keys:
             return
         counters["vms_lost_with_runs"] += 1
@@ -177,39 +167,6 @@
         log_event(Event.TASKS_SUSPECTED, count=len(suspects), vms=suspects, given_up=given_up)
 
 
-def _find_evidence(order_state: OrderState | None) -> Evidence:
-    """Returns what shows that a VM had a run that it did not list last."""
-    if order_state is None or order_state.ordered_at == float("inf"):
-        return Evidence.UNKNOWN
-    if order_state.is_accepted:
-        return Evidence.ACCEPTED
-    return Evidence.BROKEN if order_state.is_connection_broken else Evidence.UNANSWERED
-
-
-def _is_confirmed(
-    evidence: Evidence,
-    *,
-    order_state: OrderState | None,
-    is_replaced: bool,
-    unreachable_since: float,
-    is_only_start: bool,
-) -> bool:
-    """Returns whether a VM certainly had a run when its boot ended.
-
-    A start that was accepted after a connection had ended may have been accepted by the next boot under the ID. Of several
-    starts that were on their way when the connections ended, one may have crashed the VM before it received the others.
-    """
-    match evidence:
-        case Evidence.LISTED:
-            return True
-        case Evidence.ACCEPTED if order_state is not None:
-            return not is_replaced or order_state.accepted_at <= unreachable_since < float("inf")
-        case Evidence.BROKEN if order_state is not None:
-            return is_only_start and 0 <= unreachable_since - order_state.ordered_at <= MAX_START_CRASH_S
-        case _:
-            return False
-
-
 def _is_in_doubt(order_state: OrderState | None) -> bool:
     """Returns whether an order for the start of a run may reach the next boot of its VM."""
     # Without a state, an earlier leader sent the order and the VM has not listed the run to this one.
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -415,8 +415,7 @@
         last_end: int = 0,
         boot: int | None = None,
         is_reported: bool = False,
-        lost_at_work: Collection[str] = (),
-        unconfirmed: Collection[str] = (),
+        lost: LostRuns | None = None,
     ) -> None:
         record = self.record
         if record is None:
@@ -428,9 +427,9 @@
             at_ms=wall_ms(),
             last_end=last_end,
             is_reported=is_reported,
-            lost_at_work=tuple(sorted(lost_at_work)),
             completes_gangs=True,
-            unconfirmed=tuple(sorted(unconfirmed)),
+            lost_at_work=tuple(sorted(lost.at_work)) if lost is not None else (),
+            unconfirmed=tuple(sorted(lost.unconfirmed)) if lost is not None else (),
         )
         await self.leadership.propose(command)
         for end in ends:
@@ -442,12 +441,9 @@
         log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
         lost = self._find_lost_runs(record)
         lost.report(reason="its lease ended without contact", counters=self.counters)
+        lost.report_evidence()
         self.listed_runs = {}
-        await self._propose_ends(
-            make_run_ends(record.runs, RunOutcome.LAPSED),
-            lost_at_work=lost.at_work,
-            unconfirmed=lost.unconfirmed,
-        )
+        await self._propose_ends(make_run_ends(record.runs, RunOutcome.LAPSED), lost=lost)
         self.on_change()
 
     async def end_boot(self, *, reason: str) -> None:
@@ -504,6 +500,7 @@
         if not lost.keys and not lost.in_doubt:
             return
         lost.report(reason=reason, counters=self.counters)
+        lost.report_evidence()
         await self.leadership.propose(
             EndRuns(
                 vm=self.vm_id,
