Wait for daemons to be ready, or to have ended, when a deployment is set up

Cause: the set-up gave a daemon 15 s. The 15 s are no target; start-up has tests of its own (test_program_start.py), and tests that measure a recovery have their own bounds.

Change: the set-up waits for the state, at most 100 s (a test is ended after 120 s), and fails at once when the daemon has ended, which it did not notice before. So it is no weaker: a daemon that does not become ready fails the test as before.

--- a/src/hyssopway_standins/processes.py
+++ b/src/hyssopway_standins/processes.py
@@ -21,7 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-READY_TIMEOUT_S = 15.0
+# Only a hang takes as long: a daemon that has ended is noticed at once, and a busy machine starts slowly.
+READY_TIMEOUT_S = 100.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -160,6 +161,7 @@
         """Waits until every running daemon is confirmed by a leader.
 
         Raises:
+            RuntimeError: A daemon ended before it was confirmed.
             TimeoutError: A daemon was not confirmed in time.
         """
         deadline = time.monotonic() + timeout_s
@@ -179,6 +181,8 @@
                 return
         except aiohttp.ClientError:
             pass
+        if daemon.process is None or daemon.process.poll() is not None:
+            raise RuntimeError(f"{daemon.name} has ended; see {daemon.log_path}")
         if time.monotonic() > deadline:
             raise TimeoutError(f"{daemon.name} is not ready; see {daemon.log_path}")
         await asyncio.sleep(0.05)
