Blame no task for the end of a rack

Cause: each VM of the rack was taken by itself, so that three racks, or two right after a start, counted like three VMs that a task had crashed.

Now the leader remembers when connections to each VM began to fail.

Ruled out: not counting such ends. Two tasks of a burst that crash two VMs of one rack at once would then not be found.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -17,6 +17,7 @@
 
 from .admission_control import AdmissionControl
 from .advice_fetcher import AdviceFetcher
+from .contact_losses import ContactLosses
 from .dispatcher import Dispatcher
 from .duration_scale import DurationScale
 from .late_starts import LateStarts
@@ -65,6 +66,7 @@
         rebalancer: Moves machines between pools.
         durations: Distribution of the ratio of actual to declared run durations.
         ratings: Ratings of VMs by the ends of their runs.
+        losses: Losses of contact with VMs.
         poll_limiter: Limits the rate of polls over all VMs.
         interference: Learns which pairs of images disturb each other.
         rtt_estimator: Estimates how long a VM takes to answer an order.
@@ -92,6 +94,7 @@
         "links",
         "load",
         "load_reported_at",
+        "losses",
         "machine_use",
         "poll_limiter",
         "ratings",
@@ -122,6 +125,7 @@
         self.counters: Counter[str] = Counter()
         self.load = LeaderLoad(clock=leadership.clock, counters=self.counters)
         self.ratings = VmRatings()
+        self.losses = ContactLosses()
         self.durations = DurationQuantiles()
         self.machine_use = MachineUse()
         self.scale = DurationScale()
@@ -291,6 +295,7 @@
                     durations=self.durations,
                     counters=self.counters,
                     late_starts=self.late_starts,
+                    losses=self.losses,
                 )
             self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
         for vm_id in set(self.links) - set(self.leadership.state.tables.vms):
--- a/src/hyssopway/dispatch/lost_runs.py
+++ b/src/hyssopway/dispatch/lost_runs.py
@@ -33,7 +33,8 @@
         at_work: Keys of the runs in progress that the VM may have worked on.
         just_started: Keys of the runs that the VM accepted right before its connections ended.
         evidence: What shows that the VM had the run, by key of a run at work.
-        unconfirmed: Keys of the runs at work of which it is not known whether their start had reached the VM.
+        unconfirmed: Keys of the runs at work of which it is not known whether their start had reached the VM, or whose VM
+            ended with others of its rack.
     """
 
     __slots__ = ("at_work", "evidence", "in_doubt", "just_started", "keys", "unconfirmed", "vm_id")
@@ -49,6 +50,7 @@
         is_replaced: bool = False,
         moved: Collection[str] = (),
         late_starts: Collection[str] = (),
+        ends_with_rack: bool = False,
     ) -> None:
         """Finds the runs.
 
@@ -63,6 +65,7 @@
             moved: Keys of the runs that were in doubt when this boot followed the one before. No order was sent for them
                 since.
             late_starts: Keys of the runs of which a copy of the start may still be carried out, by any boot.
+            ends_with_rack: Whether contact with another VM of its rack was lost at the same time.
         """
         states = order_states or {}
         self.vm_id = record.vm_id
@@ -91,10 +94,13 @@
             key: Evidence.LISTED if key in listed else find_evidence(states.get(key))
             for key in sorted(self.at_work)
         }
+        if ends_with_rack:
+            self.just_started = set()
         self.unconfirmed = {
             key
             for key, evidence in self.evidence.items()
-            if not is_confirmed(
+            if ends_with_rack
+            or not is_confirmed(
                 evidence,
                 order_state=states.get(key),
                 is_replaced=is_replaced,
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -9,6 +9,7 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import RunOutcome, TaskId
 
+from .contact_losses import ContactLosses
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
 from .leader_load import STARTS_UNANSWERED
 from .order_reply import Refusal
@@ -57,6 +58,7 @@
         late_starts: Copies of starts to any VM that got no answer; they outlast the boots and the records of VMs.
         ratings: Ratings of VMs, which learn whether starts are answered.
         counters: Numbers of scheduling decisions of this term, by name.
+        losses: Losses of contact with all VMs.
         rtt_estimator: Estimates how long a VM takes to answer an order.
         order_states: States of the orders, by run key.
         sending: Asyncio tasks that send stops, changes of pace and repeated starts.
@@ -73,6 +75,7 @@
         "late_starts",
         "leadership",
         "lease",
+        "losses",
         "order_states",
         "pace_requests",
         "paces",
@@ -98,7 +101,9 @@
         ratings: VmRatings,
         counters: Counter[str],
         late_starts: LateStarts | None = None,
+        losses: ContactLosses | None = None,
     ) -> None:
+        self.losses = ContactLosses() if losses is None else losses
         self.vm_id = vm_id
         self.leadership = leadership
         self.calls = calls
@@ -240,10 +245,16 @@
     def record_loss(self, error: WorkerUnreachableError) -> None:
         """Records that a call got no answer; a VM that refuses connections gets no task for a short time."""
         if error.is_broken or not error.is_sent:
-            self.unreachable_since = min(self.unreachable_since, self.leadership.clock())
+            self._record_failed_connection(now=self.leadership.clock())
         if not error.is_sent:
             self._pause()
 
+    def _record_failed_connection(self, *, now: float) -> None:
+        record = self.record
+        if self.unreachable_since == float("inf") and record is not None:
+            self.losses.record(record, at=now)
+        self.unreachable_since = min(self.unreachable_since, now)
+
     def _pause(self) -> None:
         self.paused_until = max(self.paused_until, self.leadership.clock() + REFUSAL_PAUSE_S)
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -32,6 +32,7 @@
     from hyssopway.scheduling.interference import InterferenceModel
     from hyssopway.workflow import ActiveRun, VmRecord
 
+    from .contact_losses import ContactLosses
     from .duration_scale import DurationScale
     from .late_starts import LateStarts
     from .leadership import Leadership
@@ -140,6 +141,7 @@
         durations: DurationQuantiles | None = None,
         counters: Counter[str] | None = None,
         late_starts: LateStarts | None = None,
+        losses: ContactLosses | None = None,
     ) -> None:
         self.vm_id = vm_id
         self.counters: Counter[str] = Counter() if counters is None else counters
@@ -167,6 +169,7 @@
             ratings=self.ratings,
             counters=self.counters,
             late_starts=late_starts,
+            losses=losses,
         )
         self.pace = VmPace(
             leadership=leadership, orders=self.orders, interference=interference, pacing_s=limits.pacing_s
@@ -529,6 +532,10 @@
             is_replaced=is_replaced,
             moved=[run.key for run in self.orders.list_runs() if run.is_moved],
             late_starts=self.orders.list_late_starts().union(reported),
+            ends_with_rack=is_known
+            and self.orders.losses.is_shared_by_rack(
+                self.vm_id, at=self.orders.unreachable_since, vms=self.leadership.state.tables.vms
+            ),
         )
 
     async def _register_new_boot(self, record: VmRecord, *, reply: PollReply) -> None:
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -98,7 +98,7 @@
         return OrderReply()
 
 
-def make_link(vm_id, *, leadership, calls, late_starts=None):
+def make_link(vm_id, *, leadership, calls, late_starts=None, losses=None):
     return VmLink(
         vm_id=vm_id,
         leadership=leadership,
@@ -111,6 +111,7 @@
         tickets=TicketCache(clock=leadership.clock),
         on_change=lambda: None,
         late_starts=late_starts,
+        losses=losses,
     )
 
 
--- a/tests/dispatch/test_lost_runs.py
+++ b/tests/dispatch/test_lost_runs.py
@@ -58,7 +58,9 @@
     assert (KEY in lost.at_work, KEY in lost.just_started) == (is_at_work, is_just_started)
 
 
-def find_lost(states, *, listed=(), unreachable_since=UNREACHABLE_AT, is_replaced=False):
+def find_lost(
+    states, *, listed=(), unreachable_since=UNREACHABLE_AT, is_replaced=False, ends_with_rack=False
+):
     record = VmRecord(
         vm_id="vm-1", boot=1, address="", pool="", zone="", labels=(), capacity=Capacity(), runs=set(states)
     )
@@ -69,6 +71,7 @@
         listing_sent_at=POLLED_AT,
         unreachable_since=unreachable_since,
         is_replaced=is_replaced,
+        ends_with_rack=ends_with_rack,
     )
 
 
@@ -108,6 +111,15 @@
     assert (lost.at_work, lost.unconfirmed) == ({KEY}, {KEY})
 
 
+def test_end_of_a_rack_is_confirmed_for_no_task():
+    """Guards against giving up a sound task that was lost with several racks."""
+    states = {KEY: OrderState(ordered_at=99.0, accepted_at=99.1), "u.0.0.0/1": accepted()}
+    alone = find_lost(states, listed={KEY})
+    assert (alone.unconfirmed, alone.just_started) == (set(), {"u.0.0.0/1"})
+    lost = find_lost(states, listed={KEY}, ends_with_rack=True)
+    assert (lost.at_work, lost.unconfirmed, lost.just_started) == (set(states), set(states), set())
+
+
 def test_all_runs_count_on_a_vm_that_never_answered_the_leader():
     """Guards against a new leader that excuses the task which crashed a VM under the leader before."""
     record = VmRecord(
