Let only a confirmed end of a VM decide that a workflow fails

Now the end that decides is confirmed itself, beside another confirmed one; five ends fail a workflow as before.

Before: FAILED tests/workflow/test_unconfirmed_crashes.py::test_unconfirmed_end_does_not_decide

--- a/src/hyssopway/workflow/apply_crashes.py
+++ b/src/hyssopway/workflow/apply_crashes.py
@@ -68,7 +68,7 @@
         )
     causes = [
         task
-        for task in find_causes(counts, just_started=tasks_at_start)
+        for task in find_causes(counts, just_started=tasks_at_start, unconfirmed=unconfirmed_tasks)
         if not is_long_running(tables, task=task) or must_hold_back(counts[task])
     ]
     # Once the cause of an end is known, it counts for no other task.
--- a/src/hyssopway/workflow/crash_blame.py
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -45,7 +45,12 @@
     return count.last_ms + int(min(HOLD_BACK_MS * 2**exponent, MAX_HOLD_BACK_MS))
 
 
-def find_causes(counts: Mapping[str, CrashCount], *, just_started: Collection[str]) -> list[str]:
+def find_causes(
+    counts: Mapping[str, CrashCount],
+    *,
+    just_started: Collection[str],
+    unconfirmed: Collection[str] = (),
+) -> list[str]:
     """Returns the tasks that caused the end of a VM; empty while it may have been one of several, or none.
 
     Sound tasks are lost beside a task that crashes its VMs, and would be blamed as well.
@@ -53,6 +58,7 @@
     Args:
         counts: Numbers of ends under each task that was lost with the VM, including this end.
         just_started: Tasks that the VM had just started.
+        unconfirmed: Tasks of which it is not known whether their start had reached the VM.
     """
     at_start = {
         task
@@ -62,7 +68,11 @@
     suspects = {
         task for task, count in counts.items() if count.total >= SUSPICIOUS_CRASHES or task in just_started
     }
-    conclusive = {task for task, count in counts.items() if count.confirmed >= MIN_CONFIRMED_CRASHES}
+    conclusive = {
+        task
+        for task, count in counts.items()
+        if count.confirmed >= MIN_CONFIRMED_CRASHES and task not in unconfirmed
+    }
     causes = {task for task in conclusive if counts[task].total >= MAX_CRASHES}
     causes |= {task for task, count in counts.items() if count.total >= MAX_UNCONFIRMED_CRASHES}
     if _are_of_one_workflow(at_start):
--- a/tests/workflow/test_unconfirmed_crashes.py
+++ b/tests/workflow/test_unconfirmed_crashes.py
@@ -69,6 +69,15 @@
     assert find_status(workflow_log) is WorkflowStatus.FAILED
 
 
+def test_unconfirmed_end_does_not_decide(workflow_log):
+    """Guards against a job that is given up by the end of a VM that may never have had its task (LOST)."""
+    for run, is_confirmed in ((1, True), (2, True), (3, False)):
+        end_vm(workflow_log, run=run, is_confirmed=is_confirmed)
+    assert find_status(workflow_log) is WorkflowStatus.RUNNING
+    end_vm(workflow_log, run=4, is_confirmed=True)
+    assert find_status(workflow_log) is WorkflowStatus.FAILED
+
+
 def test_fifth_end_fails_the_workflow_without_a_confirmed_one(workflow_log):
     """Guards against a task that crashes VM after VM before any of them answers its start (BUDGET)."""
     for run in (1, 2, 3, 4, 5):
