--- a/src/hyssopway/workflow/apply_crashes.py
+++ b/src/hyssopway/workflow/apply_crashes.py
@@ -69,14 +69,14 @@
     causes = [
         task
         for task in find_causes(counts, just_started=tasks_at_start, unconfirmed=unconfirmed_tasks)
-        if not is_long_running(tables, task=task) or must_hold_back(counts[task])
+        if not _is_long_running(tables, task=task) or must_hold_back(counts[task])
     ]
     # Once the cause of an end is known, it counts for no other task.
     for task in causes or counts:
         _store_count(tables, indexes, task=task, count=counts[task])
     for task in causes:
         # A long-running task is held back instead: the others of its workflow work on.
-        if not is_long_running(tables, task=task):
+        if not _is_long_running(tables, task=task):
             _fail_workflow(tables, indexes, task=task, at_ms=at_ms)
 
 
@@ -130,7 +130,7 @@
         end_workflow(tables, indexes, workflow, status=WorkflowStatus.FAILED, at_ms=at_ms)
 
 
-def is_long_running(tables: Tables, *, task: str) -> bool:
+def _is_long_running(tables: Tables, *, task: str) -> bool:
     """Returns whether a task runs until its workflow is cancelled."""
     task_id = TaskId.parse(task)
     return tables.workflows[task_id.workflow].spec.steps[task_id.step].long_running
@@ -138,11 +138,11 @@
 
 def _has_lasted(tables: Tables, *, task: str, started_ms: int, at_ms: int) -> bool:
     """Returns whether a run of a long-running task has worked for longer than its probation."""
-    return is_long_running(tables, task=task) and started_ms > 0 and at_ms - started_ms > PROBATION_MS
+    return _is_long_running(tables, task=task) and started_ms > 0 and at_ms - started_ms > PROBATION_MS
 
 
 def _task_of(key: str) -> str:
     return key.rpartition("/")[0]
 
 
-__all__ = ["PROBATION_MS", "clear_lapsed", "count_crashes", "is_long_running", "record_lapsed"]
+__all__ = ["PROBATION_MS", "clear_lapsed", "count_crashes", "record_lapsed"]
--- a/src/hyssopway/workflow/crash_blame.py
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -17,9 +17,9 @@
 CONCLUSIVE_CRASHES = 3
 # A task under which this many VMs have ended is a suspect whenever another ends under it.
 SUSPICIOUS_CRASHES = 2
-# A task under which this many VMs have ended is not started again, unless most of the ends are unconfirmed.
+# A task under which this many VMs have ended caused the last end, also beside other suspects.
 MAX_CRASHES = 4
-# A task is given up after this many confirmed ends, or after `MAX_UNCONFIRMED_CRASHES` of any kind.
+# Of these ends, this many must be confirmed, the last one among them.
 MIN_CONFIRMED_CRASHES = 2
 # A task whose starts are lost with the connections of several VMs is started alone by then, so that this many ends under
 # it are no coincidence, although none is confirmed.
