Apply ends of VMs in entries of the release before as it did

Now the leader says in each entry that long-running tasks are held back (EndRuns.holds_back). Entries without it are applied as before, and set no last_ms.

Test: test_entries_of_the_release_before_are_applied_as_it_did; on the commit before, a workflow with a long-running task is running where the release before fails it.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -514,6 +514,7 @@
                 lost_at_work=tuple(sorted(lost.at_work)),
                 just_started=tuple(sorted(lost.just_started)),
                 unconfirmed=tuple(sorted(lost.unconfirmed)),
+                holds_back=True,
             )
         )
         lost.report_suspects(self.leadership.state.tables, counters=self.counters)
--- a/src/hyssopway/workflow/apply_crashes.py
+++ b/src/hyssopway/workflow/apply_crashes.py
@@ -31,6 +31,7 @@
     started_ms: dict[str, int],
     just_started: Collection[str] = (),
     unconfirmed: Collection[str] = (),
+    holds_back: bool = False,
     at_ms: int,
 ) -> None:
     """Counts the end of a VM's boot for each task that it ran, and fails the workflows of short tasks that caused it.
@@ -44,6 +45,7 @@
         started_ms: Wall-clock time of the start of each run that was lost with the VM, by task; 0 if it is unknown.
         just_started: Keys of the runs that the VM had not listed yet.
         unconfirmed: Keys of the runs of which it is not known whether their start had reached the VM.
+        holds_back: Whether long-running tasks are held back instead of failing their workflow.
         at_ms: Wall-clock time at which the end was noticed.
     """
     lapsed = {_task_of(key) for key in vm.lapsed}
@@ -64,19 +66,21 @@
             continue
         count = progress.crashes.get(number, NO_CRASHES)
         counts[task] = count.plus(
-            is_at_start=task in tasks_at_start, is_confirmed=task not in unconfirmed_tasks, at_ms=at_ms
+            is_at_start=task in tasks_at_start,
+            is_confirmed=task not in unconfirmed_tasks,
+            at_ms=at_ms if holds_back else 0,
         )
     causes = [
         task
         for task in find_causes(counts, just_started=tasks_at_start, unconfirmed=unconfirmed_tasks)
-        if not _is_long_running(tables, task=task) or must_hold_back(counts[task])
+        if not (holds_back and _is_long_running(tables, task=task)) or must_hold_back(counts[task])
     ]
     # Once the cause of an end is known, it counts for no other task.
     for task in causes or counts:
         _store_count(tables, indexes, task=task, count=counts[task])
     for task in causes:
         # A long-running task is held back instead: the others of its workflow work on.
-        if not _is_long_running(tables, task=task):
+        if not (holds_back and _is_long_running(tables, task=task)):
             _fail_workflow(tables, indexes, task=task, at_ms=at_ms)
 
 
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -108,6 +108,7 @@
             started_ms=started_ms,
             just_started=command.just_started,
             unconfirmed=command.unconfirmed,
+            holds_back=command.holds_back,
             at_ms=command.at_ms,
         )
 
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -91,6 +91,8 @@
         completes_gangs: Whether the end of one member as done completes its whole gang. Logs of earlier releases have
             commands that complete the reported member only.
         unconfirmed: Those of `lost_at_work` of which it is not known whether their start had reached the VM.
+        holds_back: Whether a long-running task that ended its VMs is held back and its workflow goes on. False in entries
+            of releases that fail the workflow, so that each member applies them alike.
     """
 
     vm: str
@@ -104,6 +106,7 @@
     is_reported: bool = False
     completes_gangs: bool = False
     unconfirmed: tuple[str, ...] = ()
+    holds_back: bool = False
     kind: Literal["end"] = "end"
 
 
--- a/tests/workflow/test_crashes.py
+++ b/tests/workflow/test_crashes.py
@@ -26,7 +26,7 @@
     log.apply(StartRuns(fencing_token=1, starts=(RunStart(task=TASK, run=run, vm=vm),), at_ms=at_ms))
 
 
-def end_boot(log, *, run, boot, at_ms=2, tasks=(TASK,), just_started=()):
+def end_boot(log, *, run, boot, at_ms=2, tasks=(TASK,), just_started=(), holds_back=True):
     ends = tuple(RunEnd(task=task, run=run, outcome=RunOutcome.LOST) for task in tasks)
     command = EndRuns(
         vm="vm-1",
@@ -36,6 +36,7 @@
         boot_ended=True,
         lost_at_work=tuple(f"{task}/{run}" for task in tasks),
         just_started=just_started,
+        holds_back=holds_back,
     )
     log.apply(command)
 
@@ -225,6 +226,17 @@
     assert crashes(log) == 6
 
 
+def test_entries_of_the_release_before_are_applied_as_it_did(log):
+    """Guards against members whose states differ since some replay entries that others had applied before an upgrade."""
+    log.apply(make_workflow("w", steps=(Step(count=1, long_running=True),)))
+    for boot in (1, 2, 3):
+        start(log, run=boot)
+        end_boot(log, run=boot, boot=boot, holds_back=False)
+        assert all(count.last_ms == 0 for count in log.state.indexes.suspects.crashes.values())
+        log.apply(make_vm("vm-1", boot=boot + 1))
+    assert log.state.tables.workflows["w"].status is WorkflowStatus.FAILED
+
+
 def test_sound_long_running_task_excuses_no_task_that_crashes_its_vms(log):
     """Guards against a long-running task that takes the blame for the ends of VMs which another task crashed."""
     log.apply(make_workflow("w", steps=(Step(count=1, long_running=True),)))
