--- a/src/hyssopway/workflow/crash_blame.py
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -19,7 +19,7 @@
 SUSPICIOUS_CRASHES = 2
 # A task under which this many VMs have ended caused the last end, also beside other suspects.
 MAX_CRASHES = 4
-# Of these ends, this many must be confirmed, the last one among them.
+# Of these ends, this many must be confirmed; of three, the last one among them.
 MIN_CONFIRMED_CRASHES = 2
 # A task whose starts are lost with the connections of several VMs is started alone by then, so that this many ends under
 # it are no coincidence, although none is confirmed.
@@ -68,17 +68,14 @@
     suspects = {
         task for task, count in counts.items() if count.total >= SUSPICIOUS_CRASHES or task in just_started
     }
-    conclusive = {
-        task
-        for task, count in counts.items()
-        if count.confirmed >= MIN_CONFIRMED_CRASHES and task not in unconfirmed
-    }
+    conclusive = {task for task, count in counts.items() if count.confirmed >= MIN_CONFIRMED_CRASHES}
     causes = {task for task in conclusive if counts[task].total >= MAX_CRASHES}
     causes |= {task for task, count in counts.items() if count.total >= MAX_UNCONFIRMED_CRASHES}
     if _are_of_one_workflow(at_start):
         causes |= at_start
     if _are_of_one_workflow(suspects):
-        causes |= {task for task in suspects & conclusive if counts[task].total >= CONCLUSIVE_CRASHES}
+        confirmed_now = (suspects & conclusive).difference(unconfirmed)
+        causes |= {task for task in confirmed_now if counts[task].total >= CONCLUSIVE_CRASHES}
     return sorted(causes)
 
 
