Keep the number of attempts of a queue that is removed from the configuration

Cause: `Indexes.max_attempts` knew only the queues of the active document and returned 1 for others, although jobs of a removed queue go on.

Change: the replicated tables keep the last known number of attempts of each queue, as they keep its pool.

--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -35,6 +35,7 @@
         return
     tables.document = document
     tables.queue_pools.update({queue.name: queue.pool for queue in document.queues})
+    tables.queue_attempts.update({queue.name: queue.max_attempts for queue in document.queues})
     indexes.index_document(document)
 
 
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -100,6 +100,7 @@
         vm_usage: Resources in use on each VM, without the CPU of best-effort tasks.
         runs_to_stop: VM by the key of each run in progress that is to be stopped.
         queues: Queues by name.
+        queue_attempts: Last known number of attempts of each queue, also of queues that were removed.
         queues_by_host: Queues by host name, longest path prefix first.
         teams: Teams by name.
         team_by_key: Team name by API key.
@@ -110,6 +111,7 @@
     __slots__ = (
         "open_workflows",
         "pool_usage",
+        "queue_attempts",
         "queues",
         "queues_by_host",
         "runs_to_stop",
@@ -130,6 +132,7 @@
         self.vm_usage: dict[str, Usage] = {}
         self.runs_to_stop: dict[str, str] = {}
         self.queues: dict[str, Queue] = {}
+        self.queue_attempts = tables.queue_attempts
         self.queues_by_host: dict[str, list[Queue]] = {}
         self.teams: dict[str, TeamPolicy] = {}
         self.unguarded_pools: set[str] = set()
@@ -216,7 +219,7 @@
     def max_attempts(self, workflow: Workflow) -> int:
         """Returns the number of failed runs of one task after which a workflow fails."""
         queue = self.queues.get(workflow.queue)
-        return queue.max_attempts if queue is not None else 1
+        return queue.max_attempts if queue is not None else self.queue_attempts.get(workflow.queue, 1)
 
     def find_queue(self, *, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest path prefix that matches, or None."""
--- a/src/hyssopway/workflow/tables.py
+++ b/src/hyssopway/workflow/tables.py
@@ -24,6 +24,7 @@
         waves: Maintenance waves by number.
         machine_orders: Wall-clock time of the last request to the platform about each machine.
         queue_pools: Last known pool of each queue; kept when a queue is removed from the configuration.
+        queue_attempts: Last known number of attempts of each queue; kept likewise.
     """
 
     document: FleetDocument | None = None
@@ -34,6 +35,7 @@
     waves: dict[int, WaveRecord] = field(default_factory=dict)
     machine_orders: dict[str, int] = field(default_factory=dict)
     queue_pools: dict[str, str] = field(default_factory=dict)
+    queue_attempts: dict[str, int] = field(default_factory=dict)
 
     def accepts_starts(self, vm: VmRecord) -> bool:
         """Returns whether a VM may get new runs: it is not draining, and its zone is in service."""
