--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -10,11 +10,12 @@
 from hyssopway.workflow import RunOutcome, TaskId
 
 from .contact_losses import ContactLosses
-from .late_starts import MAX_ORDER_DELAY_S, LateStarts
+from .late_starts import LateStarts
 from .leader_load import STARTS_UNANSWERED
 from .order_reply import Refusal
 from .order_state import OrderState
 from .run_ends import make_run_end
+from .vm_late_starts import VmLateStarts
 from .worker_calls import WorkerUnreachableError
 
 if TYPE_CHECKING:
@@ -55,7 +56,7 @@
         lease: Lease of the VM's runs.
         tickets: Tickets of steps whose queue has an advisor.
         unanswered_starts: Starts that got no answer, by run key.
-        late_starts: Copies of starts to any VM that got no answer; they outlast the boots and the records of VMs.
+        late_starts: Starts that got no answer and that the VM or its next boot may still carry out.
         ratings: Ratings of VMs, which learn whether starts are answered.
         counters: Numbers of scheduling decisions of this term, by name.
         losses: Losses of contact with all VMs.
@@ -112,7 +113,9 @@
         self.tickets = tickets
         self.ratings = ratings
         self.counters = counters
-        self.late_starts = LateStarts() if late_starts is None else late_starts
+        self.late_starts = VmLateStarts(
+            vm_id=vm_id, leadership=leadership, store=LateStarts() if late_starts is None else late_starts
+        )
         self.order_states: dict[str, OrderState] = {}
         self.sending: set[asyncio.Task[None]] = set()
         self.paces: dict[str, int] = {}
@@ -182,7 +185,7 @@
                     break
                 sent_at = self.leadership.clock()
                 order_state.ordered_at = min(order_state.ordered_at, sent_at)
-                earlier = self.late_starts.record_sent(run.key, vm=self.vm_id, boot=boot, now=sent_at)
+                earlier = self.late_starts.record_sent(run.key, boot=boot)
                 try:
                     reply = await self.calls.start(
                         vm=record,
@@ -203,10 +206,10 @@
                     is_sent = is_sent or error.is_sent
                     order_state.is_connection_broken |= error.is_broken
                     if not error.is_sent:
-                        self.late_starts.record_answered(run.key, vm=self.vm_id, earlier=earlier)
+                        self.late_starts.record_answered(run.key, earlier=earlier)
                     self.record_loss(error)
                     continue
-                self.late_starts.record_answered(run.key, vm=self.vm_id, earlier=earlier)
+                self.late_starts.record_answered(run.key, earlier=earlier)
                 self.rtt_estimator.record_rtt(rtt_s=self.leadership.clock() - sent_at)
                 self.record_answer()
                 self.ratings.record_order(self.vm_id, is_answered=True)
@@ -294,39 +297,13 @@
             return None
         return make_run_end(run, RunOutcome.NOT_STARTED)
 
-    def list_late_starts(self) -> set[str]:
-        """Returns the keys of runs of which a copy of the start may reach the next boot of the VM.
-
-        Which orders of earlier leaders were answered is not known to this one. The next boot has seen no fencing token until
-        it answers.
-        """
-        now = self.leadership.clock()
-        keys = set(self.late_starts.find(self.vm_id, now=now))
-        if now - self.leadership.started_at <= MAX_ORDER_DELAY_S and self.record is not None:
-            keys |= {run.key for run in self.list_runs() if run.fencing_token != self.leadership.term}
-        return keys
-
-    def list_runs(self) -> list[ActiveRun]:
-        """Returns the runs in progress in the record of the VM."""
-        runs = self.leadership.state.tables.runs
-        record = self.record
-        keys = record.runs if record is not None else ()
-        return [run for key in keys for run in runs.get(key.rpartition("/")[0], ()) if run.key == key]
-
     def stop_late_starts(self) -> None:
         """Makes the present boot refuse late starts of runs that have ended on an earlier boot or with it."""
-        record = self.record
-        if record is None:
-            return
-        for key, copy in self.late_starts.find(self.vm_id, now=self.leadership.clock()).items():
-            if copy.boot == record.boot or key in record.runs or self._is_stopped(key):
-                continue
-            task, _, run = key.rpartition("/")
-            self.request_stop(task=task, run=int(run), reason="its start may be carried out late")
-
-    def _is_stopped(self, key: str) -> bool:
-        order_state = self.order_states.get(key)
-        return order_state is not None and order_state.stopped_at < float("inf")
+        for key in self.late_starts.list_ended():
+            order_state = self.order_states.get(key)
+            if order_state is None or order_state.stopped_at == float("inf"):
+                task, _, run = key.rpartition("/")
+                self.request_stop(task=task, run=int(run), reason="its start may be carried out late")
 
     def is_stop_requested(self, key: str) -> bool:
         """Returns whether a stop of a run was sent."""
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -531,8 +531,8 @@
             listing_sent_at=self.listing_sent_at if is_known else float("-inf"),
             unreachable_since=self.orders.unreachable_since if is_known else float("inf"),
             is_replaced=is_replaced,
-            moved=[run.key for run in self.orders.list_runs() if run.is_moved],
-            late_starts=self.orders.list_late_starts().union(reported),
+            moved=[run.key for run in self.orders.late_starts.list_runs() if run.is_moved],
+            late_starts=self.orders.late_starts.list_possible().union(reported),
             ends_with_rack=is_known
             and self.orders.losses.is_shared_by_rack(
                 self.vm_id, at=self.orders.unreachable_since, vms=self.leadership.state.tables.vms
--- a/tests/dispatch/test_late_copies_of_starts.py
+++ b/tests/dispatch/test_late_copies_of_starts.py
@@ -202,7 +202,7 @@
     await poll(link, times=2)
     worker.restart()
     await fleet.propose(make_vm("vm-1", boot=2))
-    next_link = make_link("vm-1", leadership=fleet, calls=network, late_starts=link.orders.late_starts)
+    next_link = make_link("vm-1", leadership=fleet, calls=network, late_starts=link.orders.late_starts.store)
     await poll(next_link)
     network.deliver_delayed()
     assert worker.working() == {}
--- a/tests/dispatch/test_order_sequences.py
+++ b/tests/dispatch/test_order_sequences.py
@@ -83,13 +83,14 @@
 
     def _describe_link(self, link, *, now):
         orders = link.orders
+        late = orders.late_starts.store.find(link.vm_id, now=now)
         return (
             (link.boot, link.has_acked_term, sorted(link.listed_runs), sorted(orders.unanswered_starts)),
             (_since(now, link.answered_at), _since(now, link.lease.expires_at)),
             (_since(now, link.term_acked_at), _since(now, orders.unreachable_since)),
             (link.poll_timing.consecutive_losses, _since(now, link.listing_sent_at)),
             [(key, _describe_times(state, now=now)) for key, state in sorted(orders.order_states.items())],
-            sorted(orders.late_starts.find(link.vm_id, now=now)),
+            [(key, _since(now, copy.sent_at)) for key, copy in sorted(late.items())],
         )
 
     def _describe_worker(self, worker, *, term):
