--- a/src/hyssopway/workflow/crash_blame.py
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -17,13 +17,10 @@
 CONCLUSIVE_CRASHES = 3
 # A task under which this many VMs have ended is a suspect whenever another ends under it.
 SUSPICIOUS_CRASHES = 2
-# A task under which this many VMs have ended caused the last end, also beside other suspects.
+# A task under which this many VMs have ended is not started again, whether the ends are confirmed or not.
 MAX_CRASHES = 4
-# Of these ends, this many must be confirmed; of three, the last one among them.
+# Of three ends, this many must be confirmed, the last one among them.
 MIN_CONFIRMED_CRASHES = 2
-# A task whose starts are lost with the connections of several VMs is started alone by then, so that this many ends under
-# it are no coincidence, although none is confirmed.
-MAX_UNCONFIRMED_CRASHES = 5
 
 # A long-running task whose VMs have ended right after its start this often is held back.
 HELD_BACK_CRASHES_AT_START = 3
@@ -69,8 +66,7 @@
         task for task, count in counts.items() if count.total >= SUSPICIOUS_CRASHES or task in just_started
     }
     conclusive = {task for task, count in counts.items() if count.confirmed >= MIN_CONFIRMED_CRASHES}
-    causes = {task for task in conclusive if counts[task].total >= MAX_CRASHES}
-    causes |= {task for task, count in counts.items() if count.total >= MAX_UNCONFIRMED_CRASHES}
+    causes = {task for task in counts if counts[task].total >= MAX_CRASHES}
     if _are_of_one_workflow(at_start):
         causes |= at_start
     if _are_of_one_workflow(suspects):
@@ -88,7 +84,6 @@
     "CONCLUSIVE_CRASHES_AT_START",
     "MAX_CRASHES",
     "MAX_HOLD_BACK_MS",
-    "MAX_UNCONFIRMED_CRASHES",
     "MIN_CONFIRMED_CRASHES",
     "SUSPICIOUS_CRASHES",
     "find_causes",
--- a/tests/workflow/test_unconfirmed_crashes.py
+++ b/tests/workflow/test_unconfirmed_crashes.py
@@ -55,10 +55,10 @@
 def test_ends_under_starts_that_may_not_have_arrived_fail_no_workflow(workflow_log, lapses):
     """Guards against a job that is shown as failed although at most one VM ended while it ran its task (LOST)."""
     end_vm(workflow_log, run=1, is_confirmed=True)
-    for run in (2, 3, 4):
+    for run in (2, 3):
         end_vm(workflow_log, run=run, is_confirmed=False, lapses=lapses)
     assert find_status(workflow_log) is WorkflowStatus.RUNNING
-    assert workflow_log.state.indexes.suspects.level(TASK) == 4
+    assert workflow_log.state.indexes.suspects.level(TASK) == 3
 
 
 def test_second_confirmed_end_fails_the_workflow(workflow_log):
@@ -79,9 +79,9 @@
     assert find_status(workflow_log) is WorkflowStatus.FAILED
 
 
-def test_fifth_end_fails_the_workflow_without_a_confirmed_one(workflow_log):
+def test_fourth_end_fails_the_workflow_without_a_confirmed_one(workflow_log):
     """Guards against a task that crashes VM after VM before any of them answers its start (BUDGET)."""
-    for run in (1, 2, 3, 4, 5):
+    for run in (1, 2, 3, 4):
         assert find_status(workflow_log) is not WorkflowStatus.FAILED
         end_vm(workflow_log, run=run, is_confirmed=False)
     assert find_status(workflow_log) is WorkflowStatus.FAILED
