Make renames that a crashed process left behind durable when a member starts

Cause: remembers in the process that a rename is not durable. The name of a new log was not synced either: the folder was synced before the log was created.

Evidence, the new test before the change: AssertionError: the name of the new log assert [-1] == [0] FAILED tests/agreement/test_log_file.py::test_renames_of_a_process_that_crashed_are_durable_after_its_restart 1 failed, 12 passed After: test_log_file.py and test_lost_disks.py 19 passed. The rest of the suite was not run.

That is one more sync for a new member and two for one that restarts. Found by reading; no power loss was simulated.

--- a/src/hyssopway/agreement/store.py
+++ b/src/hyssopway/agreement/store.py
@@ -90,10 +90,13 @@
             self._initialise(daemon=daemon, initial=initial)
         else:
             self.vote = Vote.decode(raw_vote)
+        # A process that crashed may have left a rename that is not durable. No entries may be dropped or added before it is.
+        sync_folder(self.folder)
         raw_snapshot = read_checksummed(self.folder / "snapshot")
         if raw_snapshot is not None:
             self.snapshot = Snapshot.decode(raw_snapshot)
         self.entries = self.log_file.open(first_index=self.snapshot.index + 1)
+        sync_folder(self.folder)  # the log may be new
         if self.entries and self.entries[0].term < self.snapshot.term:
             # The process crashed between installing a snapshot and rewriting the log, so the entries are obsolete.
             self.entries = []
@@ -189,7 +192,6 @@
         encoded = initial.encode() if initial is not None else b""
         self.vote = Vote(member_id=f"{daemon}/{identity}", initial=encoded)
         self.vote_file.write(self.vote.encode())
-        sync_folder(self.folder)
 
 
 __all__ = ["Store"]
--- a/tests/agreement/test_log_file.py
+++ b/tests/agreement/test_log_file.py
@@ -9,6 +9,8 @@
 
 from hyssopway.agreement import Configuration, LogDamagedError, StorageError, Store
 from hyssopway.agreement import log_file as log_file_module
+from hyssopway.agreement import store as store_module
+from hyssopway.agreement.atomic_file import write_atomically
 from hyssopway.agreement.entry import Entry
 from hyssopway.agreement.log_file import LogFile
 from hyssopway.agreement.slot_file import SLOT_BYTES, SlotFile
@@ -162,3 +164,27 @@
         again = SlotFile(path=path)
         assert again.open() == b"term 2"
         again.close()
+
+
+def test_renames_of_a_process_that_crashed_are_durable_after_its_restart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against losing entries in a power loss that undoes a rename from before a restart of the process (LOST)."""
+    sizes: list[int] = []
+
+    def record_log_size(folder: Path) -> None:
+        sizes.append((folder / "log").stat().st_size if (folder / "log").exists() else -1)
+
+    monkeypatch.setattr(store_module, "sync_folder", record_log_size)
+    store = Store(folder=tmp_path)
+    store.open(daemon="a", initial=Configuration(voters=("a/0",)))
+    assert sizes[-1:] == [0], "the name of the new log"
+    store.entries = list(ENTRIES)
+    store.write_entries(index=1, entries=ENTRIES)
+    write_atomically(tmp_path / "snapshot", Snapshot(index=6, term=1, data=b"state").encode())
+    store.close()
+    sizes.clear()
+    again = Store(folder=tmp_path)
+    again.open(daemon="a", initial=None)
+    again.close()
+    assert sizes[:1] > [0], "the name of the snapshot, before the entries that it covers are dropped"
