Hold back no long-running task for as long as a clock was set back

What callers might see: a long-running task without a run for as long as a clock was set back, or as the clock of the leader before was ahead, beyond the 30 s or more that it is to be held back (LOST). Its VMs must have ended right after its start three times.

Cause: holds the task until last_ms + hold by the wall clock of the present leader, and keeps the highest last_ms.

Evidence, the new test before the change: AssertionError: assert {'w.0.0.0'} == set() FAILED tests/scheduling/test_held_back_tasks.py::test_task_is_not_held_back_for_as_long_as_a_clock_was_set_back 1 failed, 6 passed After: test_held_back_tasks.py, test_crashes.py, test_unconfirmed_crashes.py and test_tasks_that_crash_vms.py 55 passed.

Why it works: the task is held back while the clock differs from the last end by less than the hold, in either direction, so for twice the hold at most; and last_ms is that of the last end by the clock as it then is.

--- a/src/hyssopway/scheduling/crash_isolation.py
+++ b/src/hyssopway/scheduling/crash_isolation.py
@@ -17,7 +17,7 @@
     PROBATION_MS,
     SUSPICIOUS_CRASHES,
     TaskId,
-    held_back_until_ms,
+    is_held_back,
 )
 
 from .copies import StepKey
@@ -68,7 +68,7 @@
 
 def find_held_back(suspects: CrashSuspects, *, now_ms: int) -> set[str]:
     """Returns the tasks that are held back if they are long-running, since their VMs ended right after their starts."""
-    return {task for task, count in suspects.crashes.items() if now_ms < held_back_until_ms(count)}
+    return {task for task, count in suspects.crashes.items() if is_held_back(count, now_ms=now_ms)}
 
 
 def measure_suspect_load(*, tables: Tables, suspects: CrashSuspects, now_ms: int) -> dict[str, SuspectLoad]:
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -24,7 +24,7 @@
     StartRuns,
     StartWave,
 )
-from .crash_blame import CONCLUSIVE_CRASHES, SUSPICIOUS_CRASHES, held_back_until_ms
+from .crash_blame import CONCLUSIVE_CRASHES, SUSPICIOUS_CRASHES, is_held_back
 from .crash_count import NO_CRASHES, CrashCount
 from .crash_suspects import CrashSuspects
 from .fleet_document import FleetDocument
@@ -92,6 +92,6 @@
     "WorkflowStatus",
     "build_codecs",
     "encode_command",
-    "held_back_until_ms",
+    "is_held_back",
     "may_start_copy",
 ]
--- a/src/hyssopway/workflow/crash_blame.py
+++ b/src/hyssopway/workflow/crash_blame.py
@@ -34,12 +34,16 @@
     return count.at_start >= HELD_BACK_CRASHES_AT_START
 
 
-def held_back_until_ms(count: CrashCount) -> int:
-    """Returns the wall-clock time in milliseconds until which a long-running task is held back; 0 if it is not."""
+def is_held_back(count: CrashCount, *, now_ms: int) -> bool:
+    """Returns whether a long-running task is held back at a wall-clock time in milliseconds.
+
+    The clock may have been set back since the last end, by more than the task may be held back.
+    """
     if not must_hold_back(count):
-        return 0
+        return False
     exponent = count.at_start - HELD_BACK_CRASHES_AT_START
-    return count.last_ms + int(min(HOLD_BACK_MS * 2**exponent, MAX_HOLD_BACK_MS))
+    hold_ms = min(HOLD_BACK_MS << exponent, MAX_HOLD_BACK_MS)
+    return abs(now_ms - count.last_ms) < hold_ms
 
 
 def find_causes(
@@ -87,6 +91,6 @@
     "MIN_CONFIRMED_CRASHES",
     "SUSPICIOUS_CRASHES",
     "find_causes",
-    "held_back_until_ms",
+    "is_held_back",
     "must_hold_back",
 ]
--- a/src/hyssopway/workflow/crash_count.py
+++ b/src/hyssopway/workflow/crash_count.py
@@ -32,7 +32,7 @@
             total=self.total + 1,
             at_start=self.at_start + is_at_start,
             unconfirmed=self.unconfirmed + (not is_confirmed),
-            last_ms=max(self.last_ms, at_ms),
+            last_ms=at_ms or self.last_ms,
         )
 
 
--- a/tests/scheduling/test_held_back_tasks.py
+++ b/tests/scheduling/test_held_back_tasks.py
@@ -28,3 +28,17 @@
     suspects = CrashSuspects(Tables())
     suspects.crashes[TASK] = CrashCount(total=9, at_start=2, last_ms=1_000)
     assert find_held_back(suspects, now_ms=1_000) == set()
+
+
+def test_task_is_not_held_back_for_as_long_as_a_clock_was_set_back():
+    """Guards against a task without a run after the leader's clock was set back, or was ahead of the next leader's (LOST)."""
+    suspects = CrashSuspects(Tables())
+    ahead_ms = 3_600_000
+    count = CrashCount(total=3, at_start=3, last_ms=ahead_ms)
+    suspects.crashes[TASK] = count
+    assert find_held_back(suspects, now_ms=ahead_ms - 1_000) == {TASK}, "clocks differ a little"
+    assert find_held_back(suspects, now_ms=1_000) == set()
+    suspects.crashes[TASK] = count.plus(is_at_start=True, at_ms=1_000)
+    assert find_held_back(suspects, now_ms=1_000 + 59_000) == {TASK}, (
+        "the next end counts by the clock as it is"
+    )
