--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -1,4 +1,4 @@
-"""Relaying of requests to a leader that may change or be unreachable_peer."""
+"""Relaying of requests to a leader that may change or be unreachable."""
 
 from __future__ import annotations
 
