Look at each VM once a round for steps that only badly rated VMs can run

What callers might see: a leader that is late with polls, starts and heartbeats while work waits and a VM has a bad rating.

Cause: goes through the VMs for each step that waits, in each round, as soon as one VM of the pool has a bad rating, on the event loop. A step with a label that is rare passes most of the VMs before it finds one.

Why it works: the VMs without a bad rating are listed once by pool, and steps with equal needs are judged once, as in place_steps.

--- a/src/hyssopway/dispatch/confined_steps.py
+++ b/src/hyssopway/dispatch/confined_steps.py
@@ -11,9 +11,9 @@
 from .free_vms import find_open_link
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
-    from hyssopway.workflow import RunStart
+    from hyssopway.workflow import RunStart, VmRecord
 
     from .dispatcher import Dispatcher
     from .ready_step import ReadyStep
@@ -38,27 +38,42 @@
     rated_pools = {vms[vm_id].pool for vm_id in dispatcher.ratings.list_avoided() if vm_id in vms}
     if not rated_pools:
         return []
+    preferred = _list_preferred(rated_pools, dispatcher=dispatcher)
     placed = {start.task for start in starts}
+    runnable: set[tuple[str, int, int, int, str, bool]] = set()  # on a VM without a bad rating
     confined: list[ReadyStep] = []
-    for step in ready:
-        pool = pool_of(step)
-        indexes = [index for index in step.indexes if step.task_name(index) not in placed]
-        if indexes and pool in rated_pools and _is_confined(step, pool=pool, dispatcher=dispatcher):
-            confined.append(replace(step, indexes=indexes))
+    for ready_step in ready:
+        pool = pool_of(ready_step)
+        if pool not in rated_pools:
+            continue
+        step = ready_step.step
+        needs = (pool, step.cpu_millis, step.memory_mb, step.accelerators, step.label, step.fills)
+        if ready_step.approved_vms is None and needs in runnable:
+            continue
+        if any(_may_run(ready_step, vm=vm) for vm in preferred[pool]):
+            runnable.add(needs)
+            continue
+        indexes = [index for index in ready_step.indexes if ready_step.task_name(index) not in placed]
+        if indexes:
+            confined.append(replace(ready_step, indexes=indexes))
     return confined
 
 
-def _is_confined(ready_step: ReadyStep, *, pool: str, dispatcher: Dispatcher) -> bool:
-    """Returns whether each VM in contact that can run a task of a step when it is empty has a bad rating."""
+def _list_preferred(pools: Collection[str], *, dispatcher: Dispatcher) -> dict[str, list[VmRecord]]:
+    """Returns the VMs without a bad rating that are in contact and open to starts, by pool."""
     now = dispatcher.leadership.clock()
-    return not any(
-        record.pool == pool
-        and dispatcher.ratings.rating(vm_id) is Rating.PREFERRED
-        and can_run(ready_step.step, vm=record)
-        and ready_step.is_approved(vm_id)
-        and find_open_link(dispatcher, record, now=now) is not None
-        for vm_id, record in dispatcher.leadership.state.tables.vms.items()
-    )
+    preferred: dict[str, list[VmRecord]] = {pool: [] for pool in pools}
+    for vm_id, record in dispatcher.leadership.state.tables.vms.items():
+        if record.pool not in preferred or dispatcher.ratings.rating(vm_id) is not Rating.PREFERRED:
+            continue
+        if find_open_link(dispatcher, record, now=now) is not None:
+            preferred[record.pool].append(record)
+    return preferred
+
+
+def _may_run(ready_step: ReadyStep, *, vm: VmRecord) -> bool:
+    """Returns whether a VM may run a task of a step when it is empty."""
+    return can_run(ready_step.step, vm=vm) and ready_step.is_approved(vm.vm_id)
 
 
 __all__ = ["find_confined_steps"]
