Move the end and the replacement of a VM's boot out of its link

The keys of reported ends are listed by `PollReply.list_ends`. No change of behaviour. Callers and two tests use `link.boots.replace` and `link.boots.end`.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -237,7 +237,7 @@
             draining=command.draining,
         )
         if link is not None and current is not None and is_later_boot:
-            await link.replace_boot(command, replaced_boot=current.boot)
+            await link.boots.replace(command, replaced_boot=current.boot)
         else:
             await self.leadership.propose(command)
         self._sync_links()
@@ -385,7 +385,7 @@
             record = link.record
             if record is not None and now - link.heard_at > REMOVE_AFTER_S and now > link.lease.expires_at:
                 reason = f"no contact for {now - link.heard_at:.1f} s"
-                await link.end_boot(reason=reason)
+                await link.boots.end(reason=reason)
                 await self.leadership.propose(RemoveVm(vm=vm_id, boot=record.boot, at_ms=wall_ms()))
 
 
--- a/src/hyssopway/dispatch/poll_reply.py
+++ b/src/hyssopway/dispatch/poll_reply.py
@@ -26,5 +26,9 @@
     ends: tuple[ListedEnd, ...]
     is_complete: bool
 
+    def list_ends(self) -> list[str]:
+        """Returns the keys of the runs in `ends`."""
+        return [f"{one.end.task}/{one.end.run}" for one in self.ends]
+
 
 __all__ = ["PollReply"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -4,18 +4,16 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.durations import DurationQuantiles
 from hyssopway.scheduling.vm_rating import Rating, VmRatings
-from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RemoveVm, RunEnd, RunOutcome
+from hyssopway.workflow import EndRuns, RunEnd, RunOutcome
 
 from .end_acknowledgement import choose_acknowledged_end
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
-from .lost_runs import LostRuns
 from .poll_timing import PollTiming
 from .run_end_learning import is_known_task, rate_end, record_duration
 from .run_ends import make_run_ends
@@ -23,11 +21,12 @@
 from .stall_detector import StallDetector
 from .stopping_runs import StoppingRuns
 from .unlisted_runs import UnlistedRuns
+from .vm_boots import VmBoots
 from .vm_pace import UNTHROTTLED_PERCENT, VmPace
 from .worker_calls import OtherBootError, WorkerUnreachableError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable
 
     from hyssopway.scheduling.interference import InterferenceModel
     from hyssopway.workflow import ActiveRun, VmRecord
@@ -38,6 +37,7 @@
     from .leadership import Leadership
     from .listed_end import ListedEnd
     from .listed_run import ListedRun
+    from .lost_runs import LostRuns
     from .platform_limits import PlatformLimits
     from .poll_rate_limiter import PollRateLimiter
     from .poll_reply import PollReply
@@ -65,7 +65,7 @@
     Attributes:
         vm_id: ID of the VM.
         boot: Boot number of the VM that the other attributes describe.
-        boot_change: Held while another boot replaces the one in the record.
+        boots: Ends and replaces boots of the VM.
         leadership: Term in which orders are sent.
         calls: Client of worker VMs.
         scale: Learns the ratio of actual to declared run durations.
@@ -76,7 +76,6 @@
         poll_timing: Chooses the wait and the timeout of each poll.
         poll_limiter: Limits the rate of polls over all VMs.
         lease: Lease of the VM's runs.
-        longest_lease_s: Longest lease that the VM accepts, in seconds.
         orders: Sends orders of this term to the VM.
         pace: Limits the work rate of best-effort tasks on the VM.
         has_acked_term: Whether the VM answers and has acknowledged the fencing token of this term.
@@ -97,7 +96,7 @@
         "announced_at",
         "answered_at",
         "boot",
-        "boot_change",
+        "boots",
         "calls",
         "counters",
         "durations",
@@ -109,7 +108,6 @@
         "lease",
         "listed_runs",
         "listing_sent_at",
-        "longest_lease_s",
         "on_change",
         "orders",
         "pace",
@@ -157,7 +155,6 @@
         self.poll_timing = PollTiming()
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         earlier_leases_expire_at = lease_expiry(granted_at=leadership.started_at, length_s=length_s)
-        self.longest_lease_s = limits.longest_lease_s
         self.lease = VmLease(length_s=length_s, expires_at=earlier_leases_expire_at)
         self.orders = RunOrders(
             vm_id=vm_id,
@@ -185,7 +182,7 @@
         self.heard_at = leadership.clock()
         self.announced_at = float("-inf")
         self.listed_runs: dict[str, ListedRun] = {}
-        self.boot_change = asyncio.Lock()
+        self.boots = VmBoots(link=self, longest_lease_s=limits.longest_lease_s)
         self.failures = 0
         self.is_departing = False
 
@@ -248,14 +245,14 @@
             await self._poll(record)
         except OtherBootError as error:
             self.poll_timing.record_answer()
-            await self.end_boot(reason=str(error))
+            await self.boots.end(reason=str(error))
             return False
         except WorkerUnreachableError as error:
             self.poll_timing.record_loss(now=self.leadership.clock())
             self.orders.record_loss(error)
             self._record_silence(record, reason=str(error))
             if self.is_departing and error.is_refused:
-                await self._remove_departed(record)
+                await self.boots.remove_departed(record)
             else:
                 await self._end_lapsed_runs(record)
             return False
@@ -273,7 +270,7 @@
 
     async def _poll(self, record: VmRecord) -> None:
         if record.boot != self.boot:
-            self._discard_boot()
+            self.discard_boot()
             self.boot = record.boot
         sent_at = self.leadership.clock()
         poll_times = self.poll_timing.choose_times(now=sent_at, has_acked_term=self.has_acked_term)
@@ -289,8 +286,8 @@
         self.poll_timing.record_answer()
         if reply.boot != record.boot:
             if lease_until_ms is not None:
-                self._accept_longest_lease()
-            await self._register_new_boot(record, reply=reply)
+                self.boots.accept_longest_lease()
+            await self.boots.register(record, reply=reply)
             return
         self.orders.record_answer()
         now = self.leadership.clock()
@@ -387,7 +384,7 @@
     async def _resolve_unlisted(self, record: VmRecord, *, reply: PollReply, sent_at: float) -> None:
         if not reply.is_complete:
             return
-        listed = set(self.listed_runs) | set(_list_ends(reply))
+        listed = set(self.listed_runs) | set(reply.list_ends())
         resolved = self.unlisted.resolve(
             record,
             listed=listed,
@@ -404,7 +401,7 @@
     def _stop_ended_runs(self, record: VmRecord, *, reply: PollReply, sent_at: float) -> None:
         ended_runs = [key for key in self.listed_runs if key not in record.runs]
         self.stopping.update(
-            listed=ended_runs, ended=_list_ends(reply), sent_at=sent_at, answered_at=self.answered_at
+            listed=ended_runs, ended=reply.list_ends(), sent_at=sent_at, answered_at=self.answered_at
         )
         for key, row in self.listed_runs.items():
             if key not in record.runs:
@@ -442,124 +439,15 @@
         if not record.runs or self.leadership.clock() <= self.lease.expires_at:
             return
         log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
-        lost = self._find_lost_runs(record)
+        lost = self.boots.find_lost_runs(record)
         lost.report(reason="its lease ended without contact", counters=self.counters)
         lost.report_evidence()
         self.listed_runs = {}
         await self._propose_ends(make_run_ends(record.runs, RunOutcome.LAPSED), lost=lost)
         self.on_change()
 
-    async def end_boot(self, *, reason: str) -> None:
-        """Commits that the boot of the VM has ended, and with it all its runs."""
-        record = self.record
-        if record is not None:
-            await self._end_boot(record, reason=reason, lost=self._find_lost_runs(record))
-
-    async def _remove_departed(self, record: VmRecord) -> None:
-        await self.end_boot(reason="it announced its departure and refuses connections")
-        await self.leadership.propose(RemoveVm(vm=self.vm_id, boot=record.boot, at_ms=wall_ms()))
-
-    async def replace_boot(
-        self, command: RegisterVm, *, replaced_boot: int, reported: Collection[str] = ()
-    ) -> None:
-        """Commits that another boot of the VM, which has the same ID, has replaced the one in the record.
-
-        An order names the ID only. A start that was sent to the earlier boot may reach the later one. So a run that the
-        earlier boot did not list, or of which any copy of the start got no answer, stays in progress, and is resolved by what
-        the later boot lists.
-
-        Args:
-            command: What is known of the later boot.
-            replaced_boot: Number of the earlier boot, which was in the record when the later one was noticed.
-            reported: Keys of the runs that the later boot has listed as running or ended.
-        """
-        # An announcement and the answer to a poll may tell of the same boot, which has to count as one end of the earlier one.
-        async with self.boot_change:
-            record = self.record
-            if record is not None and record.boot == replaced_boot:
-                await self._replace_boot(record, command, reported=reported)
-            elif command.sequence:
-                await self.leadership.propose(command)
-
-    async def _replace_boot(
-        self, record: VmRecord, command: RegisterVm, *, reported: Collection[str]
-    ) -> None:
-        lost = self._find_lost_runs(record, is_replaced=True, reported=reported)
-        await self._end_boot(record, reason=f"boot {command.boot} follows {record.boot}", lost=lost)
-        if lost.in_doubt:
-            self._accept_longest_lease()
-        await self.leadership.propose(
-            replace(command, replaced_boot=record.boot, kept_runs=tuple(sorted(lost.in_doubt)))
-        )
-        self.orders.stop_late_starts()
-
-    def _accept_longest_lease(self) -> None:
-        """Waits for the longest lease: the end of a lease on an earlier boot's clock is far ahead of a new clock."""
-        self.lease.extend(granted_at=self.leadership.clock(), length_s=self.longest_lease_s)
-
-    async def _end_boot(self, record: VmRecord, *, reason: str, lost: LostRuns) -> None:
-        log_event(Event.VM_GONE, vm=self.vm_id, reason=reason)
-        self._discard_boot()
-        if not lost.keys and not lost.in_doubt:
-            return
-        lost.report(reason=reason, counters=self.counters)
-        lost.report_evidence()
-        await self.leadership.propose(
-            EndRuns(
-                vm=self.vm_id,
-                boot=record.boot,
-                ends=tuple(make_run_ends(record.runs - lost.in_doubt, RunOutcome.LOST)),
-                at_ms=wall_ms(),
-                boot_ended=True,
-                lost_at_work=tuple(sorted(lost.at_work)),
-                just_started=tuple(sorted(lost.just_started)),
-                unconfirmed=tuple(sorted(lost.unconfirmed)),
-                holds_back=True,
-            )
-        )
-        lost.report_suspects(self.leadership.state.tables, counters=self.counters)
-        self.on_change()
-
-    def _find_lost_runs(
-        self, record: VmRecord, *, is_replaced: bool = False, reported: Collection[str] = ()
-    ) -> LostRuns:
-        is_known = self.boot == record.boot
-        return LostRuns(
-            record,
-            listed=set(self.listed_runs) if is_known else set(),
-            order_states=self.orders.order_states if is_known else {},
-            listing_sent_at=self.listing_sent_at if is_known else float("-inf"),
-            unreachable_since=self.orders.unreachable_since if is_known else float("inf"),
-            is_replaced=is_replaced,
-            moved=[run.key for run in self.orders.late_starts.list_runs() if run.is_moved],
-            late_starts=self.orders.late_starts.list_possible().union(reported),
-            ends_with_rack=is_known
-            and self.orders.losses.is_shared_by_rack(
-                self.vm_id, at=self.orders.unreachable_since, vms=self.leadership.state.tables.vms
-            ),
-        )
-
-    async def _register_new_boot(self, record: VmRecord, *, reply: PollReply) -> None:
-        # A lower number counts as well, since the VM itself answered with it: its clock was set back, or another writer
-        # announced a boot in the future.
-        await self.replace_boot(
-            RegisterVm(
-                vm=record.vm_id,
-                boot=reply.boot,
-                address=record.address,
-                pool=record.pool,
-                zone=record.zone,
-                labels=record.labels,
-                capacity=Capacity(),  # it may be of another kind; its announcement says so
-                draining=False,
-                at_ms=wall_ms(),
-            ),
-            replaced_boot=record.boot,
-            reported=[f"{row.task}/{row.run}" for row in reply.running] + _list_ends(reply),
-        )
-        self.on_change()
-
-    def _discard_boot(self) -> None:
+    def discard_boot(self) -> None:
+        """Discards what is known of a boot that has ended."""
         self.has_acked_term = False
         self.is_departing = False
         self.listed_runs = {}
@@ -577,8 +465,4 @@
             self.on_change()
 
 
-def _list_ends(reply: PollReply) -> list[str]:
-    return [f"{one.end.task}/{one.end.run}" for one in reply.ends]
-
-
 __all__ = ["REMOVE_AFTER_S", "VmLink"]
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -165,7 +165,7 @@
         boot, known_boot = self.workers[name].boot, self.leader.state.tables.vms[name].boot
         if boot > known_boot:
             command = make_vm(name, boot=boot, sequence=1)
-            self.run(self.links[name].replace_boot(command, replaced_boot=known_boot))
+            self.run(self.links[name].boots.replace(command, replaced_boot=known_boot))
 
     @rule()
     def change_leader(self):
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -317,7 +317,7 @@
 
     link.leadership.propose = commit_later
     announcement = make_vm("vm-1", boot=2, sequence=1)
-    await asyncio.gather(link.replace_boot(announcement, replaced_boot=1), link.poll())
+    await asyncio.gather(link.boots.replace(announcement, replaced_boot=1), link.poll())
     assert link.record.capacity == announcement.capacity
     progress = link.leadership.state.tables.workflows["w"].progress[0][0]
     assert (list_active_runs(link), progress.crashes[0].total) == ([(KEY, 2)], 1)
@@ -331,7 +331,7 @@
 
     async def answer_after_announcement(**arguments):
         reply = await poll(**arguments)
-        await link.replace_boot(make_vm("vm-1", boot=3, sequence=1), replaced_boot=1)
+        await link.boots.replace(make_vm("vm-1", boot=3, sequence=1), replaced_boot=1)
         return reply
 
     vms.poll = answer_after_announcement
