Acknowledge no ends after an answer that waited unread while the leader was paused

A leader that was paused for a second or two reads an answer that the VM sent before it restarted, takes the VM for one that has just answered, and acknowledges the ends of the next boot unread with the number of the boot before.

Evidence, the new test before the change: assert [3, 3] == [0, 3] FAILED test_answer_that_was_read_after_a_pause_does_not_show_that_the_vm_has_not_restarted 1 failed, 5 passed After: test_acknowledged_ends.py, test_vm_link.py, test_restarted_vms.py, test_late_copies_of_starts.py and test_departures.py 74 passed.

Why it works: a poll is answered within its timeout, at most 1.1 s. An answer that is read later counts from then. What remains: a restart within 1.6 s of the poll.

--- a/src/hyssopway/dispatch/poll_timing.py
+++ b/src/hyssopway/dispatch/poll_timing.py
@@ -18,6 +18,8 @@
 # that a VM that takes about a second for each answer keeps its lease; the next is short again, so that the end of the
 # lease of a VM that is gone is noticed as soon as without it.
 UNSTABLE_MARGINS_S = (0.15, 0.25, 0.35, 0.9, 0.35)
+# Longest timeout of a poll.
+MAX_POLL_S = max(STABLE_WAIT_MS / 1000 + STABLE_MARGIN_S, UNSTABLE_WAIT_MS / 1000 + max(UNSTABLE_MARGINS_S))
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,4 +75,4 @@
         return PollTimes(wait_ms=wait_ms, timeout_s=wait_ms / 1000 + margin_s)
 
 
-__all__ = ["UNSTABLE_S", "PollTimes", "PollTiming"]
+__all__ = ["MAX_POLL_S", "UNSTABLE_S", "PollTimes", "PollTiming"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -14,7 +14,7 @@
 
 from .end_acknowledgement import choose_acknowledged_end
 from .lease import RUN_LEASE_S, VmLease, lease_expiry
-from .poll_timing import PollTiming
+from .poll_timing import MAX_POLL_S, PollTiming
 from .run_end_learning import is_known_task, rate_end, record_duration
 from .run_ends import make_run_ends
 from .run_orders import RunOrders
@@ -314,9 +314,11 @@
             await asyncio.sleep(pause_s)
 
     def _choose_acknowledged_end(self, record: VmRecord, *, now: float) -> int:
+        # The answer may have waited unread while this process was paused.
+        answered_at = min(self.answered_at, self.listing_sent_at + MAX_POLL_S)
         return choose_acknowledged_end(
             last_end=record.last_end,
-            answer_age_s=now - self.answered_at if self.has_acked_term else float("inf"),
+            answer_age_s=now - answered_at if self.has_acked_term else float("inf"),
             consecutive_losses=self.poll_timing.consecutive_losses,
         )
 
--- a/tests/dispatch/test_acknowledged_ends.py
+++ b/tests/dispatch/test_acknowledged_ends.py
@@ -84,6 +84,25 @@
     assert tables.workflows["w"].progress[0][0].done == [True, False]
 
 
+async def test_answer_that_was_read_after_a_pause_does_not_show_that_the_vm_has_not_restarted(
+    link, forgetful_vms, monkeypatch
+):
+    """Guards against the same after a pause of the leader in which an answer of the earlier boot waited unread (TWICE)."""
+    poll = forgetful_vms.poll
+
+    async def read_after_pause(**arguments):
+        reply = await poll(**arguments)
+        link.leadership.now += 2.0
+        return reply
+
+    with monkeypatch.context() as patch:
+        patch.setattr(forgetful_vms, "poll", read_after_pause)
+        await link.poll()
+    await link.poll()
+    await link.poll()
+    assert forgetful_vms.acknowledged[-2:] == [0, 3]
+
+
 async def test_ends_are_acknowledged_by_the_next_poll(link, forgetful_vms):
     """Guards against a VM that lists its ends for ever, which the platform counts as ends that nobody took note of."""
     await link.poll()
