Send no backlog to a badly rated VM that answers first after a pause of the leader

What callers might see: waiting long-running tasks and gangs start on a VM with a bad rating, although others of the pool can run them.

Cause: only VMs in contact counted as able to run a task.

A task that no other VM can run is placed as soon as the others are silent.

--- a/src/hyssopway/dispatch/confined_steps.py
+++ b/src/hyssopway/dispatch/confined_steps.py
@@ -8,7 +8,7 @@
 from hyssopway.scheduling.retries import can_run
 from hyssopway.scheduling.vm_rating import Rating
 
-from .free_vms import find_open_link
+from .free_vms import is_open
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -60,13 +60,17 @@
 
 
 def _list_preferred(pools: Collection[str], *, dispatcher: Dispatcher) -> dict[str, list[VmRecord]]:
-    """Returns the VMs without a bad rating that are in contact and open to starts, by pool."""
+    """Returns the VMs without a bad rating that are open to starts, by pool.
+
+    One that is out of contact counts until it is silent: after a pause of the leader, a bad VM may be the first to answer.
+    """
     now = dispatcher.leadership.clock()
     preferred: dict[str, list[VmRecord]] = {pool: [] for pool in pools}
     for vm_id, record in dispatcher.leadership.state.tables.vms.items():
         if record.pool not in preferred or dispatcher.ratings.rating(vm_id) is not Rating.PREFERRED:
             continue
-        if find_open_link(dispatcher, record, now=now) is not None:
+        link = dispatcher.links.get(vm_id)
+        if link is not None and not link.is_silent(now) and is_open(dispatcher, record):
             preferred[record.pool].append(record)
     return preferred
 
--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -17,7 +17,6 @@
 
     from .dispatcher import Dispatcher
     from .free_capacity import FreeCapacity
-    from .vm_link import VmLink
 
 
 def list_free_capacity(dispatcher: Dispatcher) -> dict[str, list[FreeCapacity]]:
@@ -46,15 +45,10 @@
     return _list_capacity(dispatcher, vms=vms, probed=set())
 
 
-def find_open_link(dispatcher: Dispatcher, record: VmRecord, *, now: float) -> VmLink | None:
-    """Returns the link to a VM that is in contact and open to starts; None if it is not."""
+def is_open(dispatcher: Dispatcher, record: VmRecord) -> bool:
+    """Returns whether a VM may get starts as far as operators and the VM itself are concerned."""
     tables = dispatcher.leadership.state.tables
-    link = dispatcher.links.get(record.vm_id)
-    if link is None or not link.in_contact(now):
-        return None
-    if not tables.accepts_starts(record) or record.vm_id in dispatcher.cordoned_vms:
-        return None
-    return link
+    return tables.accepts_starts(record) and record.vm_id not in dispatcher.cordoned_vms
 
 
 def _list_capacity(
@@ -70,8 +64,10 @@
     for vm_id, record in tables.vms.items():
         if vm_id not in vms:
             continue
-        link = find_open_link(dispatcher, record, now=now)
-        if link is None or now < link.orders.paused_until:
+        link = dispatcher.links.get(vm_id)
+        if link is None or not link.in_contact(now) or now < link.orders.paused_until:
+            continue
+        if not is_open(dispatcher, record):
             continue
         if record.pool in indexes.unguarded_pools and not link.has_current_capacity(now):
             continue
@@ -91,4 +87,4 @@
     return free_by_pool
 
 
-__all__ = ["find_open_link", "list_badly_rated_capacity", "list_free_capacity"]
+__all__ = ["is_open", "list_badly_rated_capacity", "list_free_capacity"]
--- a/tests/dispatch/test_confined_steps.py
+++ b/tests/dispatch/test_confined_steps.py
@@ -21,9 +21,9 @@
     def __init__(self):
         self.looks = 0
 
-    def in_contact(self, _now):
+    def is_silent(self, _now):
         self.looks += 1
-        return True
+        return False
 
 
 @pytest.fixture
--- a/tests/dispatch/test_rated_placement.py
+++ b/tests/dispatch/test_rated_placement.py
@@ -7,6 +7,7 @@
 from dispatch.test_copies_of_runs import Fleet
 from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
 from hyssopway.scheduling.vm_rating import MAX_PROBE_PHASE_S, MIN_ORDERS, MIN_PROBE_WAIT_S, Rating
 from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, Step, TaskId
 from workflow.conftest import make_document, make_workflow
@@ -209,6 +210,19 @@
     assert rated_fleet.bad_vm not in rated_fleet.vms.running.values()
 
 
+async def test_tasks_do_not_start_on_an_avoided_vm_that_answers_first_after_a_pause_of_the_leader(
+    rated_fleet,
+):
+    """Guards against a backlog that goes to a bad VM because no other has answered yet."""
+    await rate_vm_as_bad(rated_fleet)
+    steps = (Step(count=3, cpu_millis=1000, long_running=True),)  # no probes
+    await rated_fleet.leadership.propose(make_workflow("backlog", steps=steps))
+    rated_fleet.leadership.now += CONTACT_TIMEOUT_S + 0.1
+    await rated_fleet.links[rated_fleet.bad_vm].poll()
+    await rated_fleet.run_round()
+    assert not rated_fleet.vms.running
+
+
 async def test_vm_that_gets_no_probe_run_is_preferred_again(rated_fleet):
     """Guards against a VM that stays out of use because only long-running tasks wait."""
     await rate_vm_as_bad(rated_fleet)
