Split the rating of VMs into evidence, judgement and ratings

The evidence of a step and of a VM, the place, the rating and its change now have a module each, and the judgements are functions over that evidence without the class (vm_judgement.py), so that a reader sees which evidence decides. Ruled out: splitting the class itself, since assessment and recording share all of its state.

--- a/src/hyssopway/dispatch/confined_steps.py
+++ b/src/hyssopway/dispatch/confined_steps.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from hyssopway.scheduling.rating import Rating
 from hyssopway.scheduling.retries import can_run
-from hyssopway.scheduling.vm_rating import Rating
 
 from .free_vms import is_open
 
--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -9,7 +9,8 @@
 from hyssopway.clock import wall_ms
 from hyssopway.scheduling.copies import find_copies_of_silent_runs
 from hyssopway.scheduling.durations import DurationQuantiles
-from hyssopway.scheduling.vm_rating import Rating, VmRatings
+from hyssopway.scheduling.rating import Rating
+from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import AddOccurrence, StartRuns, TaskId
 
 from .approved_vms import set_approved_vms
--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -6,7 +6,7 @@
 
 from hyssopway.clock import wall_ms
 from hyssopway.scheduling.crash_isolation import NO_SUSPECTS, measure_suspect_load
-from hyssopway.scheduling.vm_rating import Rating
+from hyssopway.scheduling.rating import Rating
 
 from .vm_capacity import compute_free_capacity
 
--- a/src/hyssopway/dispatch/vm_assessment.py
+++ b/src/hyssopway/dispatch/vm_assessment.py
@@ -6,7 +6,7 @@
 
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.racks import RackMap
-from hyssopway.scheduling.vm_rating import VmPlace
+from hyssopway.scheduling.vm_place import VmPlace
 
 if TYPE_CHECKING:
     from collections import Counter
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -9,7 +9,8 @@
 from hyssopway.clock import wall_ms
 from hyssopway.event import Event, log_event
 from hyssopway.scheduling.durations import DurationQuantiles
-from hyssopway.scheduling.vm_rating import Rating, VmRatings
+from hyssopway.scheduling.rating import Rating
+from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import EndRuns, RunEnd, RunOutcome
 
 from .end_acknowledgement import choose_acknowledged_end
--- a/tests/dispatch/test_confined_steps.py
+++ b/tests/dispatch/test_confined_steps.py
@@ -8,7 +8,9 @@
 
 from hyssopway.dispatch.confined_steps import find_confined_steps
 from hyssopway.dispatch.ready_step import ReadyStep
-from hyssopway.scheduling.vm_rating import Rating, VmEvidence, VmRatings
+from hyssopway.scheduling.rating import Rating
+from hyssopway.scheduling.vm_evidence import VmEvidence
+from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import PutDocument, Step, WorkflowState
 from workflow.conftest import Log, make_document, make_vm, make_workflow
 
--- a/tests/dispatch/test_copies_of_runs.py
+++ b/tests/dispatch/test_copies_of_runs.py
@@ -15,7 +15,8 @@
 from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
 from hyssopway.scheduling.copies import StepKey
 from hyssopway.scheduling.durations import MIN_RUNS
-from hyssopway.scheduling.vm_rating import Rating, VmEvidence
+from hyssopway.scheduling.rating import Rating
+from hyssopway.scheduling.vm_evidence import VmEvidence
 from hyssopway.workflow import Capacity, PutDocument, RegisterVm, RunEnd, RunOutcome, Step, TaskId
 from workflow.conftest import make_document, make_workflow
 
--- a/tests/dispatch/test_rated_placement.py
+++ b/tests/dispatch/test_rated_placement.py
@@ -8,7 +8,9 @@
 from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
-from hyssopway.scheduling.vm_rating import MAX_PROBE_PHASE_S, MIN_ORDERS, MIN_PROBE_WAIT_S, Rating
+from hyssopway.scheduling.rating import Rating
+from hyssopway.scheduling.vm_evidence import MIN_PROBE_WAIT_S
+from hyssopway.scheduling.vm_judgement import MAX_PROBE_PHASE_S, MIN_ORDERS
 from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, Step, TaskId
 from workflow.conftest import make_document, make_workflow
 
--- a/tests/scheduling/test_vm_rating.py
+++ b/tests/scheduling/test_vm_rating.py
@@ -6,16 +6,11 @@
 
 import pytest
 
-from hyssopway.scheduling.vm_rating import (
-    AVOIDED_DIVISOR,
-    FLAP_WINDOW_S,
-    MAX_PROBE_WAIT_S,
-    MAX_STEPS,
-    MIN_PROBE_WAIT_S,
-    Rating,
-    VmPlace,
-    VmRatings,
-)
+from hyssopway.scheduling.rating import Rating
+from hyssopway.scheduling.vm_evidence import MIN_PROBE_WAIT_S
+from hyssopway.scheduling.vm_judgement import FLAP_WINDOW_S
+from hyssopway.scheduling.vm_place import VmPlace
+from hyssopway.scheduling.vm_rating import AVOIDED_DIVISOR, MAX_PROBE_WAIT_S, MAX_STEPS, VmRatings
 from hyssopway.workflow import TaskId
 
 VM_COUNT = 60
