Give the replicated state a version that a command raises

Members of two releases apply the same log and must reach the same state, so the effect of a command can't simply change with a release: a start that one member skips and another applies splits the state.

Nothing depends on the version yet. `state_version.py` names the version that each changed rule needs. No flag in each command, as EndRuns has for two rules: such a flag says what the leader's release can do, not what the members can.

--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -20,6 +20,7 @@
     RegisterVm,
     RemoveVm,
     RunStart,
+    SetStateVersion,
     SetZoneEvacuated,
     StartRuns,
     StartWave,
@@ -34,6 +35,7 @@
 from .run_end import RunEnd
 from .run_outcome import RunOutcome
 from .state import WorkflowState, build_codecs, encode_command
+from .state_version import CURRENT_VERSION, PLACEMENT_RULES_VERSION
 from .step import Step
 from .step_progress import StepProgress
 from .tables import Tables
@@ -48,7 +50,9 @@
 
 __all__ = [
     "CONCLUSIVE_CRASHES",
+    "CURRENT_VERSION",
     "NO_CRASHES",
+    "PLACEMENT_RULES_VERSION",
     "PROBATION_MS",
     "SUSPICIOUS_CRASHES",
     "AcceptWorkflow",
@@ -75,6 +79,7 @@
     "RunEnd",
     "RunOutcome",
     "RunStart",
+    "SetStateVersion",
     "SetZoneEvacuated",
     "StartRuns",
     "StartWave",
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -195,6 +195,14 @@
     kind: Literal["forget"] = "forget"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SetStateVersion:
+    """Raises the version of the state, which selects the rules by which later commands are applied; it never falls."""
+
+    version: int
+    kind: Literal["state_version"] = "state_version"
+
+
 Command = (
     PutDocument
     | SetZoneEvacuated
@@ -210,6 +218,7 @@
     | ConfirmMaintenance
     | RecordMachineOrders
     | DeleteWorkflows
+    | SetStateVersion
 )
 
 __all__ = [
@@ -226,6 +235,7 @@
     "RegisterVm",
     "RemoveVm",
     "RunStart",
+    "SetStateVersion",
     "SetZoneEvacuated",
     "StartRuns",
     "StartWave",
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -22,6 +22,7 @@
     RecordMachineOrders,
     RegisterVm,
     RemoveVm,
+    SetStateVersion,
     SetZoneEvacuated,
     StartRuns,
     StartWave,
@@ -131,6 +132,8 @@
                 apply_fleet.confirm_maintenance(tables, command)
             case RecordMachineOrders():
                 apply_fleet.record_machine_orders(tables, command)
+            case SetStateVersion():
+                tables.version = max(tables.version, command.version)
 
 
 __all__ = ["WorkflowState", "build_codecs", "encode_command"]
--- /dev/null
+++ b/src/hyssopway/workflow/state_version.py
@@ -0,0 +1,15 @@
+"""Versions of the replicated state.
+
+Members of two releases apply the same log and must reach the same state. A rule by which a command changes the state is
+therefore only changed together with the version of the state: the new rule holds from the entry that raises the version.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+PLACEMENT_RULES_VERSION: Final = 1  # the application of a start checks the rules that its placement keeps
+
+CURRENT_VERSION: Final = PLACEMENT_RULES_VERSION  # the highest version that this release can apply
+
+__all__ = ["CURRENT_VERSION", "PLACEMENT_RULES_VERSION"]
--- a/src/hyssopway/workflow/tables.py
+++ b/src/hyssopway/workflow/tables.py
@@ -25,6 +25,8 @@
         machine_orders: Wall-clock time of the last request to the platform about each machine.
         queue_pools: Last known pool of each queue; kept when a queue is removed from the configuration.
         queue_attempts: Last known number of attempts of each queue; kept likewise.
+        version: Version of the state, which selects the rules by which commands are applied; 0 in snapshots of releases
+            that have no versions.
     """
 
     document: FleetDocument | None = None
@@ -36,6 +38,7 @@
     machine_orders: dict[str, int] = field(default_factory=dict)
     queue_pools: dict[str, str] = field(default_factory=dict)
     queue_attempts: dict[str, int] = field(default_factory=dict)
+    version: int = 0
 
     def accepts_starts(self, vm: VmRecord) -> bool:
         """Returns whether a VM may get new runs: it is not draining, and its zone is in service."""
