Log each committed start that is skipped, with the rule that it broke

The conditions stood in `_start_run` as bare returns.

`workflow/start_rules.py` holds the same conditions as a pure function that names the first broken rule. No rule is added or changed here. The state hands the skipped starts of a command to `on_starts_skipped`, which only the process that leads sets; event 7080 has the run, the VM and the rule, one line a command, at most 50 runs in it. It is logged as the command is applied rather than where the Dispatcher finds the start missing, because a command that is confirmed too late has no Dispatcher that waits for it.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -29,6 +29,7 @@
 from .pool_rebalancer import PoolRebalancer
 from .retention import Retention
 from .rtt_estimator import RttEstimator
+from .start_log import log_skipped_starts
 from .vm_drainer import VmDrainer
 from .vm_link import REMOVE_AFTER_S, VmLink
 from .wave_executor import WaveExecutor
@@ -186,6 +187,7 @@
     async def run(self) -> None:
         """Runs all control loops, and restarts those that fail, until the term ends."""
         self.leadership.state.on_change = self.dispatcher.changed.set
+        self.leadership.state.on_starts_skipped = log_skipped_starts
         loops = {
             "dispatcher": self.dispatcher.run,
             "waves": self.waves.run,
@@ -211,6 +213,7 @@
             log_event(Event.DECISIONS_STOPPED, term=self.leadership.term, reason=str(error))
         finally:
             self.leadership.state.on_change = None
+            self.leadership.state.on_starts_skipped = None
             for task in (*running.values(), *self.tasks.values(), *self.dispatcher.sending):
                 task.cancel()
 
--- a/src/hyssopway/dispatch/start_log.py
+++ b/src/hyssopway/dispatch/start_log.py
@@ -9,10 +9,10 @@
 from hyssopway.workflow import TaskId
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from hyssopway.scheduling.copies import Copies
-    from hyssopway.workflow import RunStart
+    from hyssopway.workflow import RunStart, SkippedStart
 
     from .vm_link import VmLink
 
@@ -38,6 +38,18 @@
         )
 
 
+def log_skipped_starts(skipped: Sequence[SkippedStart]) -> None:
+    """Logs the starts of one command that were skipped as it was applied, with the rules that they broke."""
+    log_event(
+        Event.STARTS_SKIPPED,
+        count=len(skipped),
+        runs={
+            f"{item.start.task}/{item.start.run}": {"vm": item.start.vm, "rule": item.rule.value}
+            for item in skipped[:MAX_RUNS_PER_LOG_LINE]
+        },
+    )
+
+
 def log_copies(starts: list[RunStart], *, copies: Copies, reason: str, reasons: Mapping[TaskId, str]) -> int:
     """Logs the starts that are copies of runs in progress, and returns their number.
 
@@ -63,4 +75,4 @@
     return {vm: round((now - link.answered_at) * 1000) for vm, link in involved.items()}
 
 
-__all__ = ["log_copies", "log_starts"]
+__all__ = ["log_copies", "log_skipped_starts", "log_starts"]
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -224,6 +224,7 @@
         "INFO",
         "{count} estimated workflows ended, median {median_ms} ms later than estimated; {overdue} overdue",
     )
+    STARTS_SKIPPED = (7080, "INFO", "{count} committed starts skipped as their command was applied")
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -34,6 +34,7 @@
 from .queue import Queue
 from .run_end import RunEnd
 from .run_outcome import RunOutcome
+from .start_rules import SkippedStart, StartRule
 from .state import WorkflowState, build_codecs, encode_command
 from .state_version import CURRENT_VERSION, PLACEMENT_RULES_VERSION
 from .step import Step
@@ -81,6 +82,8 @@
     "RunStart",
     "SetStateVersion",
     "SetZoneEvacuated",
+    "SkippedStart",
+    "StartRule",
     "StartRuns",
     "StartWave",
     "Step",
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -7,7 +7,7 @@
 from .active_run import ActiveRun
 from .apply_crashes import clear_lapsed, count_crashes, record_lapsed
 from .run_outcome import RunOutcome
-from .task_copies import may_start_copy
+from .start_rules import SkippedStart, find_broken_rule
 from .task_id import TaskId
 from .workflow import Workflow
 from .workflow_end import end_workflow, mark_runs_to_stop
@@ -71,12 +71,18 @@
             del tables.workflows[workflow_id]
 
 
-def start_runs(tables: Tables, indexes: Indexes, command: StartRuns) -> None:
-    """Starts the runs of a command that are still allowed and skips the others."""
+def start_runs(tables: Tables, indexes: Indexes, command: StartRuns) -> list[SkippedStart]:
+    """Starts the runs of a command that break no rule, and returns the starts that were skipped."""
+    skipped: list[SkippedStart] = []
     for start in command.starts:
+        rule = find_broken_rule(tables, indexes, start=start)
+        if rule is not None:
+            skipped.append(SkippedStart(start=start, rule=rule))
+            continue
         _start_run(
             tables, indexes, start=start, fencing_token=command.fencing_token, started_ms=command.at_ms
         )
+    return skipped
 
 
 def end_runs(tables: Tables, indexes: Indexes, command: EndRuns) -> None:
@@ -161,23 +167,9 @@
     tables: Tables, indexes: Indexes, *, start: RunStart, fencing_token: int, started_ms: int
 ) -> None:
     task = TaskId.parse(start.task)
-    workflow = tables.workflows.get(task.workflow)
-    vm = tables.vms.get(start.vm)
-    if workflow is None or vm is None or workflow.status.is_final:
-        return
-    if not tables.accepts_starts(vm) or task.occurrence not in workflow.progress:
-        return
-    step = workflow.spec.steps[task.step]
+    workflow = tables.workflows[task.workflow]
+    vm = tables.vms[start.vm]
     progress = workflow.progress[task.occurrence][task.step]
-    if progress.done[task.number] or start.run <= progress.last_run[task.number]:
-        return
-    runs = tables.runs.get(start.task, ())
-    if runs and not may_start_copy(tables, indexes, workflow=workflow, task=task):
-        return
-    if any(other.vm == start.vm for other in runs):
-        return  # a VM identifies a run by its task
-    if not indexes.fits_limit(workflow=workflow, step=step) or not indexes.fits_vm(vm=vm, step=step):
-        return
     progress.last_run[task.number] = start.run
     progress.pending.discard(task.number)
     run = ActiveRun(
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -31,7 +31,9 @@
 from .tables import Tables
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
+
+    from .start_rules import SkippedStart
 
 _COMMAND_ADAPTER: LazyAdapter[Command] = LazyAdapter(Command, discriminator="kind")
 _TABLES_ADAPTER: LazyAdapter[Tables] = LazyAdapter(Tables)
@@ -57,15 +59,17 @@
         applied_index: Log index of the last entry applied.
         on_change: Called after an entry is applied or a snapshot restored, but not for an entry that was skipped
             as unknown.
+        on_starts_skipped: Called with the starts of a command that were skipped as it was applied.
     """
 
-    __slots__ = ("applied_index", "indexes", "on_change", "tables")
+    __slots__ = ("applied_index", "indexes", "on_change", "on_starts_skipped", "tables")
 
     def __init__(self) -> None:
         self.tables = Tables()
         self.indexes = Indexes(self.tables)
         self.applied_index = 0
         self.on_change: Callable[[], None] | None = None
+        self.on_starts_skipped: Callable[[Sequence[SkippedStart]], None] | None = None
 
     def apply(self, *, index: int, data: bytes) -> Outcome:
         """Applies one committed log entry; an empty entry changes nothing."""
@@ -105,7 +109,9 @@
         tables, indexes = self.tables, self.indexes
         match command:
             case StartRuns():
-                apply_workflows.start_runs(tables, indexes, command)
+                skipped = apply_workflows.start_runs(tables, indexes, command)
+                if skipped and self.on_starts_skipped is not None:
+                    self.on_starts_skipped(skipped)
             case EndRuns():
                 apply_workflows.end_runs(tables, indexes, command)
             case AcceptWorkflow():
