Log when a VM lists more tasks of a step than its spread limit

`SpreadWatch` checks each list of a VM; event 7081 names the step, its limit, the runs, and in `not_in_state` those that the replicated state lacks. Lists arrive thousands of times a second, so a list without a new run costs one comparison of keys.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -19,6 +19,7 @@
 from .run_end_learning import is_known_task, rate_end, record_duration
 from .run_ends import make_run_ends
 from .run_orders import RunOrders
+from .spread_watch import SpreadWatch
 from .stall_detector import StallDetector
 from .stopping_runs import StoppingRuns
 from .unlisted_runs import UnlistedRuns
@@ -87,6 +88,7 @@
         heard_at: Local time of the last answer or announcement.
         announced_at: Local time at which this leader took the VM's last announcement; negative infinity if it has not.
         stopping: Runs that the VM is still stopping although their ends are committed.
+        spread_watch: Reports lists that exceed the spread limit of a step.
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
         failures: Number of runs that failed on the VM since the last success.
@@ -116,6 +118,7 @@
         "poll_timing",
         "ratings",
         "scale",
+        "spread_watch",
         "stall_detector",
         "stopping",
         "term_acked_at",
@@ -176,6 +179,7 @@
             leadership=leadership, orders=self.orders, stop_s=limits.stop_s + STOP_SLACK_S
         )
         self.stopping = StoppingRuns(stop_s=limits.stop_s + STOP_SLACK_S)
+        self.spread_watch = SpreadWatch(vm_id=vm_id)
         self.has_acked_term = False
         self.term_acked_at = float("inf")
         self.answered_at = float("-inf")
@@ -301,6 +305,7 @@
             log_event(Event.VM_HELD, vm=self.vm_id, token=self.leadership.term, runs=len(reply.running))
         self.listed_runs = self._select_valid(reply)
         self.listing_sent_at = sent_at
+        self.spread_watch.check(self.listed_runs, committed=record.runs, tables=self.leadership.state.tables)
         self.orders.record_listed(self.listed_runs, now=now)
         self._stop_stalled_runs(now)
         self.pace.update(self.listed_runs, now=now)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -225,6 +225,11 @@
         "{count} estimated workflows ended, median {median_ms} ms later than estimated; {overdue} overdue",
     )
     STARTS_SKIPPED = (7080, "INFO", "{count} committed starts skipped as their command was applied")
+    SPREAD_EXCEEDED = (
+        7081,
+        "WARNING",
+        "VM {vm} lists {count} tasks of step {step}, whose spread limit is {limit}",
+    )
     INPUT_REFUSED = (7027, "WARNING", "{method} {path} refused: {reason}")
 
     @property
