Let copies of slow runs see the starts of their own round

Cause: `Dispatcher.run_round` places waiting tasks first and copies of slow runs second. The second placement made new ReadySteps, whose `placed` was counted from the replicated runs, which lack the starts that the round has just placed.

`PlacedRuns` is the view of one round: it counts the runs of a step once, and all ReadySteps of the step share that count, which each placement raises. Ruled out: the copies of silent runs, which are placed together with the waiting tasks of their step in one ReadyStep. `add_copies` in test_copies_of_runs.py gets the new argument; its assertion is as it was.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
 from .free_vms import list_badly_rated_capacity, list_free_capacity
 from .leader_load import COMMIT_MS, ROUNDS, STARTS
 from .leadership import LeadershipLostError
+from .placed_runs import PlacedRuns
 from .placement import place_steps
 from .rated_steps import RatedSteps
 from .ready_steps import add_copies, find_due_occurrences, find_ready_steps
@@ -152,10 +153,13 @@
         assess_vms(
             state.tables.vms, ratings=self.ratings, counters=self.counters, now=self.leadership.clock()
         )
-        ready = find_ready_steps(tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
+        placed_runs = PlacedRuns(tables=state.tables)
+        ready = find_ready_steps(
+            tables=state.tables, indexes=state.indexes, placed_runs=placed_runs, now_ms=wall_ms()
+        )
         silent_vms = {vm_id for vm_id, link in self.links.items() if link.is_silent(now)}
         copies = find_copies_of_silent_runs(tables=state.tables, indexes=state.indexes, silent_vms=silent_vms)
-        ready = self._add_copies(ready, copies=copies)
+        ready = self._add_copies(ready, copies=copies, placed_runs=placed_runs)
         free_by_pool = self.list_free_capacity() if ready else {}
         self.shares.begin_round(ready, free_by_pool=free_by_pool, now=now)
         team_usage = TeamUsage(indexes=state.indexes, shares=self.shares)
@@ -176,7 +180,7 @@
         )
         if slow:
             starts += self._place(
-                self._add_copies([], copies=slow),
+                self._add_copies([], copies=slow, placed_runs=placed_runs),
                 free_by_pool=free_by_pool or self.list_free_capacity(),
                 team_usage=team_usage,
                 max_starts=MAX_STARTS_PER_ROUND - len(starts),
@@ -220,11 +224,20 @@
         task = TaskId.parse(start.task)
         return self.leadership.state.tables.workflows[task.workflow].spec.steps[task.step].long_running
 
-    def _add_copies(self, ready: list[ReadyStep], *, copies: Copies) -> list[ReadyStep]:
+    def _add_copies(
+        self, ready: list[ReadyStep], *, copies: Copies, placed_runs: PlacedRuns
+    ) -> list[ReadyStep]:
         if not copies:
             return ready
         state = self.leadership.state
-        return add_copies(ready, copies=copies, tables=state.tables, indexes=state.indexes, now_ms=wall_ms())
+        return add_copies(
+            ready,
+            copies=copies,
+            tables=state.tables,
+            indexes=state.indexes,
+            placed_runs=placed_runs,
+            now_ms=wall_ms(),
+        )
 
     def _place(
         self,
--- a/src/hyssopway/dispatch/ready_step.py
+++ b/src/hyssopway/dispatch/ready_step.py
@@ -18,7 +18,7 @@
         step: What the tasks of the step need.
         indexes: Indexes of the tasks to start.
         order: Sort key of the service order; the lowest is served first.
-        placed: Number of active runs of the step by VM ID.
+        placed: Number of runs of the step by VM ID, with the starts that the round has placed; see `PlacedRuns`.
         excluded_vms: IDs of VMs on which a task is not placed, by the index of the task; only for some tasks.
         probe_indexes: Indexes of the tasks that may run on a VM that is probed.
         suspects: Indexes of the tasks that may crash their VMs, and whether each is isolated.
--- a/src/hyssopway/dispatch/ready_steps.py
+++ b/src/hyssopway/dispatch/ready_steps.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from hyssopway.workflow import TaskId
-
 from .ordering import service_order_key
 from .ready_step import ReadyStep
 
@@ -15,17 +13,21 @@
     from hyssopway.scheduling.copies import StepKey
     from hyssopway.workflow import Indexes, Tables, Workflow
 
+    from .placed_runs import PlacedRuns
 
 # Bounds the catch-up work of one round, so that a schedule that starts far in the past does not delay other workflows.
 MAX_DUE_PER_ROUND = 50
 
 
-def find_ready_steps(*, tables: Tables, indexes: Indexes, now_ms: float) -> list[ReadyStep]:
+def find_ready_steps(
+    *, tables: Tables, indexes: Indexes, placed_runs: PlacedRuns, now_ms: float
+) -> list[ReadyStep]:
     """Returns all ready steps with waiting tasks, in the order of service.
 
     Args:
         tables: Replicated data.
         indexes: Indexes over the data.
+        placed_runs: Runs of steps by VM in this round.
         now_ms: Wall-clock time in milliseconds.
     """
     found: list[ReadyStep] = []
@@ -42,7 +44,9 @@
             queue = indexes.queues.get(workflow.queue)
             order = service_order_key(workflow=workflow, occurrence=occurrence, queue=queue, now_ms=now_ms)
             found += [
-                _make_ready_step(tables, workflow=workflow, occurrence=occurrence, number=number, order=order)
+                _make_ready_step(
+                    workflow, occurrence=occurrence, number=number, order=order, placed_runs=placed_runs
+                )
                 for number in waiting
             ]
     found.sort(key=lambda ready_step: ready_step.order)
@@ -55,6 +59,7 @@
     copies: Mapping[StepKey, Mapping[int, frozenset[str]]],
     tables: Tables,
     indexes: Indexes,
+    placed_runs: PlacedRuns,
     now_ms: float,
 ) -> list[ReadyStep]:
     """Adds tasks that get a copy to the ready steps, in the order of their steps.
@@ -64,6 +69,7 @@
         copies: Tasks to copy by step, with the IDs of the VMs that may not get the copy.
         tables: Replicated data.
         indexes: Indexes over the data.
+        placed_runs: Runs of steps by VM in this round.
         now_ms: Wall-clock time in milliseconds.
     """
     by_key = {(step.workflow.workflow_id, step.occurrence, step.number): step for step in ready}
@@ -76,7 +82,11 @@
                 workflow=workflow, occurrence=key.occurrence, queue=queue, now_ms=now_ms
             )
             step = _make_ready_step(
-                tables, workflow=workflow, occurrence=key.occurrence, number=key.step, order=order
+                workflow,
+                occurrence=key.occurrence,
+                number=key.step,
+                order=order,
+                placed_runs=placed_runs,
             )
             # Its waiting tasks are in the list of an earlier placement of this round, or were placed by it.
             step.indexes = []
@@ -114,24 +124,21 @@
 
 
 def _make_ready_step(
-    tables: Tables, *, workflow: Workflow, occurrence: int, number: int, order: tuple[float, ...]
+    workflow: Workflow,
+    *,
+    occurrence: int,
+    number: int,
+    order: tuple[float, ...],
+    placed_runs: PlacedRuns,
 ) -> ReadyStep:
-    step = workflow.spec.steps[number]
-    progress = workflow.progress[occurrence][number]
-    placed: dict[str, int] = {}
-    if (step.spread_limit or step.long_running) and len(progress.pending) < step.count:
-        for index in range(step.count):
-            task = TaskId(workflow.workflow_id, occurrence, number, index).name
-            for run in tables.runs.get(task, ()):
-                placed[run.vm] = placed.get(run.vm, 0) + 1
     return ReadyStep(
         workflow=workflow,
         occurrence=occurrence,
         number=number,
-        step=step,
-        indexes=sorted(progress.pending),
+        step=workflow.spec.steps[number],
+        indexes=sorted(workflow.progress[occurrence][number].pending),
         order=order,
-        placed=placed,
+        placed=placed_runs.of_step(workflow, occurrence=occurrence, number=number),
     )
 
 
--- a/tests/dispatch/test_copies_of_runs.py
+++ b/tests/dispatch/test_copies_of_runs.py
@@ -11,6 +11,7 @@
 from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.placed_runs import PlacedRuns
 from hyssopway.dispatch.ready_steps import add_copies
 from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
 from hyssopway.scheduling.copies import StepKey
@@ -374,6 +375,7 @@
         copies={StepKey("slow", 0, 0): {0: frozenset()}},
         tables=fleet.state.tables,
         indexes=fleet.state.indexes,
+        placed_runs=PlacedRuns(tables=fleet.state.tables),
         now_ms=0,
     )
     assert step.indexes == [0]
--- /dev/null
+++ b/tests/dispatch/test_spread_within_a_round.py
@@ -0,0 +1,87 @@
+"""The spread limit of a step whose tasks and copies are placed in one round."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from dispatch.conftest import FakeVms, make_link
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.scheduling.durations import MIN_RUNS
+from hyssopway.workflow import PutDocument, Step
+from workflow.conftest import make_document, make_vm, make_workflow
+
+USUAL_MS = 600
+# Long enough after the start for a run that is 20% done to count as slow.
+SLOW_AFTER_S = 0.8
+
+
+class SlowVms(FakeVms):
+    """Fake VMs whose runs are 20% done."""
+
+    async def poll(self, **arguments):
+        reply = await super().poll(**arguments)
+        return replace(reply, running=tuple(row._replace(percent=20) for row in reply.running))
+
+
+class Fleet:
+    """A leader with one VM, which others may join.
+
+    Attributes:
+        leadership: Term of the leader.
+        vms: Fake VMs.
+        links: Links to the VMs.
+        dispatcher: Dispatcher of the leader.
+    """
+
+    def __init__(self, leadership):
+        self.leadership = leadership
+        self.vms = SlowVms(leadership)
+        self.links = {}
+        self.dispatcher = Dispatcher(leadership=leadership, links=self.links)
+        for _ in range(MIN_RUNS):
+            self.dispatcher.durations.add("plans", declared_ms=USUAL_MS, actual_ms=USUAL_MS)
+
+    async def join(self, name, *, rack):
+        await self.leadership.propose(make_vm(name, rack=rack))
+        self.links[name] = make_link(name, leadership=self.leadership, calls=self.vms)
+
+    async def poll(self):
+        for link in self.links.values():
+            await link.poll()
+
+    async def run_round(self):
+        await self.dispatcher.run_round()
+        await asyncio.gather(*self.dispatcher.sending)
+
+    def count_runs(self):
+        """Returns the number of runs in progress on each VM."""
+        return Counter(run.vm for runs in self.leadership.state.tables.runs.values() for run in runs)
+
+
+@pytest.fixture
+async def spread_fleet(leadership):
+    await leadership.propose(PutDocument(document=make_document()))
+    result = Fleet(leadership)
+    await result.join("vm-1", rack="r1")
+    await result.poll()
+    return result
+
+
+@pytest.mark.parametrize("joining", [("vm-2",), ("vm-2", "vm-3")], ids=["no room for the copy", "room"])
+async def test_copy_does_not_join_a_task_that_its_own_round_has_placed(spread_fleet, joining):
+    """Guards against two tasks of a spread step on one VM, one of them a copy placed after the waiting tasks (ROUTE)."""
+    step = Step(count=2, cpu_millis=200, estimate_ms=USUAL_MS, spread_limit=1, duplicates=True)
+    await spread_fleet.leadership.propose(make_workflow("spread", steps=(step,)))
+    await spread_fleet.run_round()
+    assert spread_fleet.count_runs() == {"vm-1": 1}
+    for name in joining:
+        await spread_fleet.join(name, rack=f"rack of {name}")
+    await spread_fleet.poll()
+    spread_fleet.leadership.now += SLOW_AFTER_S
+    await spread_fleet.poll()
+    await spread_fleet.run_round()
+    assert spread_fleet.count_runs() == {"vm-1": 1, **dict.fromkeys(joining, 1)}
