Decide nothing while a command of the own term may still be committed

The test FAILED BEFORE, quoted: AssertionError: assert Counter({'vm-1': 2}) == {'vm-1': 1, 'vm-2': 1}

`Leadership.wait_until_applied` waits until the state has every entry that the leader's log had when it was called; entries of its own term leave its log only together with the term. LeaderController calls it before each start of a control loop, so it holds for the dispatcher, the waves (whose view lacks a `BeginMaintenance`), the pools and the links of VMs (which learned the same ends twice). The first start passes through it, too, which covers a new controller in the same term. Not affected: commands of callers and operators and announcements, which are idempotent by ID, version or sequence. The wait checks every 20 ms: hundreds of links may wait while commits are late. Ruled out: to wait in `propose` without a limit, since callers need an answer.

What it costs a busy leader was not measured.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -35,7 +35,7 @@
 from .wave_executor import WaveExecutor
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Callable
 
     from .advice_calls import AdviceCalls
     from .leadership import Leadership
@@ -200,7 +200,7 @@
             while self.leadership.holds:
                 for name, work in loops.items():
                     if name not in running or running[name].done():
-                        running[name] = asyncio.create_task(_run_until_lost(name, work()))
+                        running[name] = self._start_loop(name, work)
                 self._sync_links()
                 self._drain_vms()
                 await self._remove_silent_vms()
@@ -217,6 +217,23 @@
             for task in (*running.values(), *self.tasks.values(), *self.dispatcher.sending):
                 task.cancel()
 
+    def _start_loop(self, name: str, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+        return asyncio.create_task(self._run_until_lost(name, work))
+
+    async def _run_until_lost(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs a control loop; `run` starts it again if it has failed.
+
+        The loop may have ended on a command that was not confirmed in time. It must not decide again from a state that
+        lacks the command.
+        """
+        try:
+            await self.leadership.wait_until_applied()
+            await work()
+        except LeadershipLostError as error:
+            log_event(Event.TASK_ENDED, task=name, reason=str(error))
+        except Exception as error:
+            log_event(Event.TASK_FAILED, task=name, error=repr(error))
+
     async def handle_announcement(self, command: RegisterVm) -> None:
         """Handles the announcement of a VM; proposes a command only when something changed."""
         link = self.links.get(command.vm)
@@ -300,7 +317,7 @@
                     late_starts=self.late_starts,
                     losses=self.losses,
                 )
-            self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
+            self.tasks[vm_id] = self._start_loop(f"VM {vm_id}", link.run)
         for vm_id in set(self.links) - set(self.leadership.state.tables.vms):
             del self.links[vm_id]
             self.tasks.pop(vm_id).cancel()
@@ -392,16 +409,6 @@
                 await self.leadership.propose(RemoveVm(vm=vm_id, boot=record.boot, at_ms=wall_ms()))
 
 
-async def _run_until_lost(name: str, work: Awaitable[None]) -> None:
-    try:
-        await work
-    except LeadershipLostError as error:
-        log_event(Event.TASK_ENDED, task=name, reason=str(error))
-    except Exception as error:
-        # LeaderController.run restarts the task.
-        log_event(Event.TASK_FAILED, task=name, error=repr(error))
-
-
 def _is_unchanged(current: object, command: RegisterVm) -> bool:
     fields = ("boot", "address", "pool", "zone", "labels", "capacity", "draining")
     return all(getattr(current, field) == getattr(command, field) for field in fields)
--- a/src/hyssopway/dispatch/leadership.py
+++ b/src/hyssopway/dispatch/leadership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from expression import Result
@@ -18,6 +19,7 @@
 # Shorter than the shortest election timeout, so no other leader can be elected while the lease is valid.
 LEADER_LEASE_S = 0.3
 CONFIRM_TIMEOUT_S = 0.5
+APPLIED_CHECK_INTERVAL_S = 0.02
 
 
 class LeadershipLostError(Exception):
@@ -80,6 +82,22 @@
             case Result(error=failure):
                 raise LeadershipLostError(failure.message)
 
+    async def wait_until_applied(self) -> None:
+        """Waits until the state has every entry that this leader's log has at present.
+
+        A command whose commit was not confirmed in time may still be committed in the same term. Decisions from a state
+        that lacks it could contradict it.
+
+        Raises:
+            LeadershipLostError: The term has ended.
+        """
+        index = self.member.store.last_index
+        while self.holds:
+            if self.member.applied_index >= index:
+                return
+            await asyncio.sleep(APPLIED_CHECK_INTERVAL_S)
+        raise LeadershipLostError(f"term {self.term} has ended")
+
     async def propose(self, command: Command) -> None:
         """Commits a command to the replicated log and applies it.
 
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from hyssopway.dispatch import ListedRun, OrderReply, PlatformLimits, PollReply, WorkerUnreachableError
+from hyssopway.dispatch import (
+    LeadershipLostError,
+    ListedRun,
+    OrderReply,
+    PlatformLimits,
+    PollReply,
+    WorkerUnreachableError,
+)
 from hyssopway.dispatch.duration_scale import DurationScale
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
 from hyssopway.dispatch.rtt_estimator import RttEstimator
@@ -27,7 +36,12 @@
 
 
 class FakeLeadership:
-    """Term of a leader whose commands are applied at once."""
+    """Term of a leader whose commands are applied at once, or later than the leader waits for them.
+
+    Attributes:
+        confirms: Whether commands are applied at once.
+        unconfirmed: Commands that were not confirmed in time, in the order of the log.
+    """
 
     def __init__(self):
         self.state = WorkflowState()
@@ -36,6 +50,8 @@
         self.started_at = 100.0
         self.holds = True
         self.is_confirmed = True
+        self.confirms = True
+        self.unconfirmed = []
 
     def clock(self):
         return self.now
@@ -44,8 +60,27 @@
         return self.is_confirmed
 
     async def propose(self, command):
+        if not self.confirms:
+            self.unconfirmed.append(command)
+            raise LeadershipLostError("the change was not confirmed in time", may_take_effect=True)
+        self.apply(command)
+
+    def apply(self, command):
         self.state.apply(index=self.state.applied_index + 1, data=encode_command(command))
 
+    def apply_unconfirmed(self):
+        """Applies the commands that were confirmed too late, and confirms all others at once from now on."""
+        self.confirms = True
+        while self.unconfirmed:
+            self.apply(self.unconfirmed.pop(0))
+
+    async def wait_until_applied(self):
+        while self.holds:
+            if not self.unconfirmed:
+                return
+            await asyncio.sleep(0.001)
+        raise LeadershipLostError("the term has ended")
+
 
 class FakeVms:
     """Fake worker VMs that can be silent or lose calls.
--- /dev/null
+++ b/tests/dispatch/test_late_confirmation.py
@@ -0,0 +1,78 @@
+"""Commands that are confirmed later than their control loop waits for them, in the same term."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from dispatch.conftest import LIMITS, make_link
+from hyssopway.dispatch.leader_controller import LeaderController
+from hyssopway.workflow import PutDocument, StartRuns, Step
+from workflow.conftest import make_document, make_vm, make_workflow
+
+# Several intervals at which ended control loops are started again.
+RESTART_S = 0.5
+MAX_WAIT_S = 5.0
+
+
+class Fleet:
+    """A leader whose control loops run; the test polls its VMs.
+
+    Attributes:
+        leadership: Term of the leader.
+        controller: Control loops of the leader.
+        vms: Fake VMs.
+    """
+
+    def __init__(self, leadership, vms):
+        self.leadership = leadership
+        self.vms = vms
+        self.controller = LeaderController(
+            leadership=leadership, calls=vms, machines=None, advisor=None, limits=LIMITS
+        )
+
+    async def join(self, name, *, cores):
+        self.leadership.apply(make_vm(name, cores=cores))
+        link = make_link(name, leadership=self.leadership, calls=self.vms)
+        self.controller.links[name] = link
+        self.controller.tasks[name] = asyncio.create_task(asyncio.sleep(60))
+        await link.poll()
+
+    def count_runs(self):
+        return Counter(run.vm for runs in self.leadership.state.tables.runs.values() for run in runs)
+
+
+async def wait_for(condition):
+    async with asyncio.timeout(MAX_WAIT_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+async def late_fleet(leadership, vms):
+    leadership.apply(PutDocument(document=make_document()))
+    fleet = Fleet(leadership, vms)
+    leading = asyncio.create_task(fleet.controller.run())
+    yield fleet
+    leadership.holds = False
+    await leading
+
+
+async def test_dispatcher_does_not_place_while_its_own_starts_may_still_be_committed(late_fleet):
+    """Guards against two tasks of a spread step on one VM, placed by one leader before and after a late commit (ROUTE)."""
+    leadership = late_fleet.leadership
+    await late_fleet.join("vm-1", cores=8)
+    leadership.confirms = False
+    leadership.apply(make_workflow("spread", steps=(Step(count=2, cpu_millis=1000, spread_limit=1),)))
+    await wait_for(lambda: leadership.unconfirmed)
+    await late_fleet.join("vm-2", cores=4)  # the next round would prefer it
+    await asyncio.sleep(RESTART_S)
+    proposed = [command for command in leadership.unconfirmed if isinstance(command, StartRuns)]
+    leadership.apply_unconfirmed()
+    await wait_for(lambda: late_fleet.count_runs().total() == 2)
+    assert late_fleet.count_runs() == {"vm-1": 1, "vm-2": 1}
+    assert len(proposed) == 1
