--- a/tests/replica/test_following.py
+++ b/tests/replica/test_following.py
@@ -112,17 +112,48 @@
     assert freshness.is_valid
 
 
-async def test_snapshot_replaced_during_a_read_is_discarded(monkeypatch: pytest.MonkeyPatch):
+class ReplacingUpstream(Upstream):
+    """An upstream that replaces its snapshot once, while a follower has read some of its parts.
+
+    Attributes:
+        replaced_after: Share of the snapshot after which it is replaced, between the first and the last part.
+        read_parts: Number of parts read before the snapshot was replaced; None until then.
+        missing_parts: Number of parts that had not been read by then.
+    """
+
+    def __init__(self, *, replaced_after: float) -> None:
+        super().__init__()
+        self.replaced_after = replaced_after
+        self.read_parts: int | None = None
+        self.missing_parts = 0
+
+    async def read_snapshot(self, *, offset: int, timeout_s: float) -> Any:
+        """Returns a part of the snapshot, which is replaced before the part that `replaced_after` names."""
+        if offset and self.read_parts is None:
+            total_parts = math.ceil(len(self.replica.snapshot[1]) / peer_calls.SNAPSHOT_PART_BYTES)
+            read_parts = offset // peer_calls.SNAPSHOT_PART_BYTES
+            if read_parts >= min(self.replaced_after * total_parts, total_parts - 1):
+                self.read_parts, self.missing_parts = read_parts, total_parts - read_parts
+                self.add_entries(3000)
+                await self.calls.read_snapshot(offset=0)
+        return await super().read_snapshot(offset=offset, timeout_s=timeout_s)
+
+
+@pytest.mark.parametrize(
+    "replaced_after", [0.0, 0.5, 1.0], ids=["first part", "half", "all but the last part"]
+)
+async def test_snapshot_replaced_during_a_read_is_discarded(
+    monkeypatch: pytest.MonkeyPatch, replaced_after: float
+):
     """Guards against a state assembled from parts of two snapshots."""
     monkeypatch.setattr(peer_calls, "SNAPSHOT_PART_BYTES", 1000)
-    upstream, replica = Upstream(), Replica()
+    upstream, replica = ReplacingUpstream(replaced_after=replaced_after), Replica()
     upstream.add_entries(3000)
     client: Any = upstream
-    reading = asyncio.create_task(_read_snapshot(client=client, replica=replica))
-    await asyncio.sleep(0.005)
-    upstream.add_entries(3000)
-    await upstream.calls.read_snapshot(offset=0)
-    await reading
+    await _read_snapshot(client=client, replica=replica)
+    assert upstream.read_parts
+    assert upstream.missing_parts
+    assert upstream.replica.snapshot[0] == 6000
     assert replica.applied_index == 0
     await _read_snapshot(client=client, replica=replica)
     assert replica.applied_index == 6000
