Let long-running tasks share VMs after one crash at their start

An isolated task keeps all other suspects off its VM for the 10 s of its probation, and a long-running one does not end earlier, so that seven VMs took seven of the tasks every 10 s.

A long-running task under which one VM has ended may now share a VM with others of its kind. It takes a VM without other suspects while there is one, then the one with the fewest. From the second end on it is isolated as before. Evidence is kept: the second end leaves only the tasks that were on that VM as suspects with two ends at their start, and these do not share, so the third end names the deadly one. Other suspects join such shared VMs as a last resort in place of waiting.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -251,7 +251,7 @@
             return []
         state = self.leadership.state
         set_approved_vms(ready, state=state, tickets=self.tickets)
-        set_suspects(ready, suspects=state.indexes.suspects, now_ms=wall_ms())
+        set_suspects(ready, state=state, now_ms=wall_ms())
         RatedSteps(state=state, ratings=self.ratings, free_by_pool=free_by_pool).apply(ready)
         queue_pools = state.tables.queue_pools
 
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -157,7 +157,7 @@
 def _assign(ready: ReadyStep, *, vm: FreeCapacity, index: int, run: int | None = None) -> RunStart:
     vm.reserve(ready.step)
     if index in ready.suspects:
-        vm.suspect_load = vm.suspect_load.plus(is_isolated=ready.suspects[index])
+        vm.suspect_load = vm.suspect_load.plus(ready.suspects[index])
     ready.placed[vm.vm_id] = ready.placed.get(vm.vm_id, 0) + 1
     progress = ready.workflow.progress[ready.occurrence][ready.number]
     task = TaskId(ready.workflow.workflow_id, ready.occurrence, ready.number, index)
@@ -168,7 +168,7 @@
     ready: ReadyStep, *, vms: list[FreeCapacity], excluded: frozenset[str], index: int
 ) -> FreeCapacity | None:
     step, may_probe = ready.step, index in ready.probe_indexes
-    is_suspect = index in ready.suspects
+    suspicion = ready.suspects.get(index)
     best: FreeCapacity | None = None
     best_cost: tuple[float, ...] = ()
     for vm in vms:
@@ -176,16 +176,18 @@
             continue
         if step.spread_limit and ready.placed.get(vm.vm_id, 0) >= step.spread_limit:
             continue
-        if is_suspect and vm.suspect_load.is_isolated:
+        if suspicion is not None and vm.suspect_load.is_exclusive and not suspicion.may_share:
             continue  # a crash would not show which of the suspects caused it
         if vm.is_probed:
             if may_probe:
                 return vm  # a VM that waits for its probe leaves its capacity unused
             continue
         cost = _placement_cost(ready, step=step, vm=vm)
-        if is_suspect:
+        if suspicion is not None:
             # Suspects are spread, and isolated ones are kept away from other tasks.
-            cost = (vm.suspect_load.spread, vm.runs if ready.suspects[index] else 0, *cost)
+            load = vm.suspect_load
+            other_runs = vm.runs if suspicion.is_isolated else 0
+            cost = (load.is_exclusive, load.is_isolated, load.spread, other_runs, *cost)
         if best is None or cost < best_cost:
             best, best_cost = vm, cost
     return best
--- a/src/hyssopway/dispatch/ready_step.py
+++ b/src/hyssopway/dispatch/ready_step.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from hyssopway.scheduling.crash_isolation import Suspicion
 from hyssopway.workflow import Step, TaskId, Workflow
 
 
@@ -21,7 +22,7 @@
         placed: Number of runs of the step by VM ID, with the starts that the round has placed; see `PlacedRuns`.
         excluded_vms: IDs of VMs on which a task is not placed, by the index of the task; only for some tasks.
         probe_indexes: Indexes of the tasks that may run on a VM that is probed.
-        suspects: Indexes of the tasks that may crash their VMs, and whether each is isolated.
+        suspects: Indexes of the tasks that may crash their VMs, and how each is placed.
         approved_vms: IDs of VMs with a valid ticket for the step; None when the step needs no ticket.
     """
 
@@ -34,7 +35,7 @@
     placed: dict[str, int]
     excluded_vms: dict[int, frozenset[str]] = field(default_factory=dict)
     probe_indexes: frozenset[int] = frozenset()
-    suspects: dict[int, bool] = field(default_factory=dict)
+    suspects: dict[int, Suspicion] = field(default_factory=dict)
     approved_vms: frozenset[str] | None = None
 
     def task_name(self, index: int) -> str:
--- a/src/hyssopway/dispatch/suspect_steps.py
+++ b/src/hyssopway/dispatch/suspect_steps.py
@@ -8,20 +8,21 @@
 from hyssopway.scheduling.crash_isolation import find_held_back, find_waiting, list_suspects
 
 if TYPE_CHECKING:
-    from hyssopway.workflow import CrashSuspects
+    from hyssopway.workflow import WorkflowState
 
     from .ready_step import ReadyStep
 
 
-def set_suspects(ready: list[ReadyStep], *, suspects: CrashSuspects, now_ms: int) -> None:
+def set_suspects(ready: list[ReadyStep], *, state: WorkflowState, now_ms: int) -> None:
     """Sets `suspects` of each step and removes the tasks that must wait.
 
     Args:
         ready: Ready steps with their waiting tasks.
-        suspects: Tasks that may crash their VMs.
+        state: Replicated state, which knows the tasks that may crash their VMs.
         now_ms: Wall-clock time in milliseconds.
     """
-    by_step = list_suspects(suspects)
+    suspects = state.indexes.suspects
+    by_step = list_suspects(suspects, tables=state.tables)
     if not by_step:
         return
     waiting = find_waiting(suspects)
--- a/src/hyssopway/scheduling/crash_isolation.py
+++ b/src/hyssopway/scheduling/crash_isolation.py
@@ -5,6 +5,10 @@
 whose VM ended right after its start, or under which two VMs have ended, is isolated: its VM has the fewest other tasks,
 and no other suspect joins it, so that the next end of a VM shows which task caused it. A task waits while it is not
 known whether it has crashed three VMs.
+
+Long-running tasks under which one VM has ended share VMs where there are fewer VMs than suspects, as evenly as they can:
+they never end, and each would keep the others waiting for its probation. The next end of a VM leaves only those that
+were on it, which then do not share.
 """
 
 from __future__ import annotations
@@ -26,38 +30,66 @@
     from hyssopway.workflow import CrashSuspects, Tables
 
 
+class Suspicion(NamedTuple):
+    """How a task that may crash its VM is placed.
+
+    Attributes:
+        is_isolated: Whether it gets a VM without other suspects, with the fewest other tasks.
+        may_share: Whether it shares a VM with isolated tasks where there is no other.
+    """
+
+    is_isolated: bool
+    may_share: bool = False
+
+    @property
+    def is_exclusive(self) -> bool:
+        """Whether no other suspect joins the VM of the task that may not share one."""
+        return self.is_isolated and not self.may_share
+
+
 class SuspectLoad(NamedTuple):
     """Runs on a VM whose tasks may crash it.
 
     Attributes:
         spread: Number of such runs.
         is_isolated: Whether one of them is isolated.
+        is_exclusive: Whether one of them is isolated and may not share the VM.
     """
 
     spread: int = 0
     is_isolated: bool = False
+    is_exclusive: bool = False
 
-    def plus(self, *, is_isolated: bool) -> SuspectLoad:
+    def plus(self, suspicion: Suspicion) -> SuspectLoad:
         """Returns the load with one more such run."""
-        return SuspectLoad(self.spread + 1, self.is_isolated or is_isolated)
+        return SuspectLoad(
+            self.spread + 1,
+            self.is_isolated or suspicion.is_isolated,
+            self.is_exclusive or suspicion.is_exclusive,
+        )
 
 
 NO_SUSPECTS = SuspectLoad()
 
 
-def needs_isolation(suspects: CrashSuspects, *, task: str) -> bool:
-    """Returns whether a suspect is isolated."""
-    at_start = suspects.crashes.get(task, NO_CRASHES).at_start
-    return at_start > 0 or suspects.level(task) >= SUSPICIOUS_CRASHES
+def assess_suspect(suspects: CrashSuspects, *, task: TaskId, tables: Tables) -> Suspicion:
+    """Returns how a suspect is placed."""
+    has_ended_several = suspects.level(task.name) >= SUSPICIOUS_CRASHES
+    at_start = suspects.crashes.get(task.name, NO_CRASHES).at_start
+    workflow = tables.workflows.get(task.workflow)
+    is_long_running = workflow is not None and workflow.spec.steps[task.step].long_running
+    return Suspicion(
+        is_isolated=at_start > 0 or has_ended_several, may_share=is_long_running and not has_ended_several
+    )
 
 
-def list_suspects(suspects: CrashSuspects) -> dict[StepKey, dict[int, bool]]:
-    """Returns for each step the numbers of its suspect tasks, and whether each is isolated."""
-    found: dict[StepKey, dict[int, bool]] = {}
+def list_suspects(suspects: CrashSuspects, *, tables: Tables) -> dict[StepKey, dict[int, Suspicion]]:
+    """Returns for each step the numbers of its suspect tasks, and how each is placed."""
+    found: dict[StepKey, dict[int, Suspicion]] = {}
     for name in suspects.list_tasks():
         task = TaskId.parse(name)
         key = StepKey(task.workflow, task.occurrence, task.step)
-        found.setdefault(key, {})[task.number] = needs_isolation(suspects, task=name)
+        found.setdefault(key, {})[task.number] = assess_suspect(suspects, task=task, tables=tables)
     return found
 
 
@@ -81,19 +113,20 @@
     """
     load: dict[str, SuspectLoad] = {}
     for name in suspects.list_tasks():
-        is_isolated = needs_isolation(suspects, task=name)
+        suspicion = assess_suspect(suspects, task=TaskId.parse(name), tables=tables)
         for run in tables.runs.get(name, ()):
             if now_ms - run.started_ms <= PROBATION_MS:
-                load[run.vm] = load.get(run.vm, NO_SUSPECTS).plus(is_isolated=is_isolated)
+                load[run.vm] = load.get(run.vm, NO_SUSPECTS).plus(suspicion)
     return load
 
 
 __all__ = [
     "NO_SUSPECTS",
     "SuspectLoad",
+    "Suspicion",
+    "assess_suspect",
     "find_held_back",
     "find_waiting",
     "list_suspects",
     "measure_suspect_load",
-    "needs_isolation",
 ]
