Report the version of the state that each member supports to the leader

A leader may raise the version of the replicated state (SetStateVersion) only when every member can apply it, and until now it had no way to learn that: members of two releases look alike in the protocol.

`AppendReply` carries `supported_version`, and the leader keeps it in `Progress`. Fields of Cap'n Proto that a sender doesn't know are 0, so a member of an earlier release reports 0. The number comes from whoever creates the `Member`; the agreement package only carries it, and the first job path passes none. `Progress` is created anew in each term and for each member ID, so a report from an earlier term or from a lost disk is never counted. The report that belongs to the latest acknowledged message counts, also when it is lower: a process may be replaced by one of an earlier release within a term. The dump of a member lists the reports.

--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -53,6 +53,8 @@
         timers: Timeouts and intervals.
         clock: Clock in monotonic seconds.
         snapshot_entries: Number of applied entries after which a snapshot is written.
+        supported_version: Highest version of the replicated state that the state machine supports; reported to the leader,
+            which alone knows its meaning.
         role: Role in the current term.
         leader_id: Id of the leader of the current term; empty when unknown.
         commit_index: Last index known to be committed.
@@ -84,6 +86,7 @@
         clock: Clock,
         timers: Timers | None = None,
         snapshot_entries: int = 10_000,
+        supported_version: int = 0,
         started_at: float | None = None,
     ) -> None:
         self.daemon = daemon
@@ -92,6 +95,7 @@
         self.clock = clock
         self.timers = timers or Timers()
         self.snapshot_entries = snapshot_entries
+        self.supported_version = supported_version
         self.role = Role.FOLLOWER
         self.leader_id = ""
         self.commit_index = 0
--- a/src/hyssopway/agreement/member_dump.py
+++ b/src/hyssopway/agreement/member_dump.py
@@ -22,6 +22,10 @@
         "snapshot_index": member.store.snapshot.index,
         "syncs": member.store.log_file.syncs,
         "configuration": member.configuration,
+        "supported_version": member.supported_version,
+        "supported_versions": {
+            name: progress.supported_version for name, progress in member.progress.items()
+        },
         "progress": {name: progress.match_index for name, progress in member.progress.items()},
     }
 
--- a/src/hyssopway/agreement/messages.py
+++ b/src/hyssopway/agreement/messages.py
@@ -74,12 +74,15 @@
         match_index: On success the last index known to match the leader's log, 0 if the log was not checked;
             otherwise the index up to which the leader should check next.
         member: Id of the member that replies.
+        supported_version: Highest version of the replicated state that the member supports; 0 in replies of releases that
+            have no versions.
     """
 
     term: int
     success: bool
     match_index: int
     member: str
+    supported_version: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/hyssopway/agreement/progress.py
+++ b/src/hyssopway/agreement/progress.py
@@ -16,6 +16,8 @@
         match_index: Last index known to be durable on the member.
         sent_at: Local time at which the last message was sent.
         acked_at: Local time at which the last acknowledged message was sent.
+        supported_version: Version that the member reported in reply to that message; None before its first reply in this
+            term.
         wake: Set when there is something to send.
     """
 
@@ -24,6 +26,7 @@
     match_index: int = 0
     sent_at: float = float("-inf")
     acked_at: float = float("-inf")
+    supported_version: int | None = None
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
 
--- a/src/hyssopway/agreement/replication.py
+++ b/src/hyssopway/agreement/replication.py
@@ -138,7 +138,7 @@
                 async with member.lock:
                     await member.adopt_term(reply.term)
             elif reply is not None and reply.member == progress.member_id:
-                await _record_ack(member=member, progress=progress, sent_at=sent_at)
+                await _record_ack(member=member, progress=progress, reply=reply, sent_at=sent_at)
         await asyncio.sleep(member.timers.heartbeat_s)
 
 
@@ -201,11 +201,14 @@
         await asyncio.sleep(member.timers.heartbeat_s)
     elif not reply.success:
         progress.next_index = max(1, min(progress.next_index - 1, reply.match_index + 1))
-    await _record_ack(member=member, progress=progress, sent_at=sent_at)
+    await _record_ack(member=member, progress=progress, reply=reply, sent_at=sent_at)
 
 
-async def _record_ack(*, member: Member, progress: Progress, sent_at: float) -> None:
-    progress.acked_at = max(progress.acked_at, sent_at)
+async def _record_ack(*, member: Member, progress: Progress, reply: AppendReply, sent_at: float) -> None:
+    if sent_at >= progress.acked_at:
+        # An overtaken reply may come from the process before a restart, of another release.
+        progress.acked_at = sent_at
+        progress.supported_version = reply.supported_version
     async with member.ack_received:
         member.ack_received.notify_all()
 
@@ -313,7 +316,13 @@
 
 
 def _reply(member: Member, *, success: bool, match_index: int) -> AppendReply:
-    return AppendReply(term=member.term, success=success, match_index=match_index, member=member.member_id)
+    return AppendReply(
+        term=member.term,
+        success=success,
+        match_index=match_index,
+        member=member.member_id,
+        supported_version=member.supported_version,
+    )
 
 
 async def _wait_for_event(event: asyncio.Event, *, timeout_s: float) -> None:
--- a/src/hyssopway/peer/conversion.py
+++ b/src/hyssopway/peer/conversion.py
@@ -78,14 +78,22 @@
 def append_reply_to_wire(reply: AppendReply) -> Any:
     """Converts the reply to an append request."""
     return SCHEMA.AppendReply.new_message(
-        term=reply.term, success=reply.success, matchIndex=reply.match_index, member=reply.member
+        term=reply.term,
+        success=reply.success,
+        matchIndex=reply.match_index,
+        member=reply.member,
+        supportedVersion=reply.supported_version,
     )
 
 
 def append_reply_from_wire(wire: Any) -> AppendReply:
     """Converts the reply to an append request."""
     return AppendReply(
-        term=wire.term, success=wire.success, match_index=wire.matchIndex, member=str(wire.member)
+        term=wire.term,
+        success=wire.success,
+        match_index=wire.matchIndex,
+        member=str(wire.member),
+        supported_version=wire.supportedVersion,
     )
 
 
--- a/src/hyssopway/peer/schema.capnp
+++ b/src/hyssopway/peer/schema.capnp
@@ -37,6 +37,7 @@
   success @1 :Bool;
   matchIndex @2 :UInt64;
   member @3 :Text;
+  supportedVersion @4 :UInt32;
 }
 
 struct SnapshotChunk {
--- a/tests/agreement/group.py
+++ b/tests/agreement/group.py
@@ -146,6 +146,7 @@
         before_chunk: Called before a snapshot chunk is delivered.
         acknowledged: Commands whose proposal by `write` was acknowledged, in that order.
         unconfirmed: Commands whose proposal by `write` was not confirmed; they may take effect, once.
+        supported_versions: Version that each member supports from its next start on; 0 if it is not listed.
     """
 
     def __init__(self, *, folder: Path, snapshot_entries: int = 10_000, timers: Timers = TIMERS) -> None:
@@ -158,6 +159,7 @@
         self.before_chunk: Callable[[Node, Any], Awaitable[None]] | None = None
         self.acknowledged: list[bytes] = []
         self.unconfirmed: set[bytes] = set()
+        self.supported_versions: dict[str, int] = {}
 
     def start(self, *names: str, initial: bool = True, subfolder: str = "") -> None:
         """Starts members; without `initial` they get a new identity and are not part of the group yet."""
@@ -171,6 +173,7 @@
                 clock=time.monotonic,
                 timers=self.timers,
                 snapshot_entries=self.snapshot_entries,
+                supported_version=self.supported_versions.get(name, 0),
             )
             member.open(initial=configuration)
             node = self.nodes[name] = Node(member, state_machine)
--- a/tests/peer/test_contract.py
+++ b/tests/peer/test_contract.py
@@ -47,7 +47,7 @@
     async def append(self, request: AppendRequest) -> AppendReply:
         """Accepts the entries."""
         self.requests.append(request)
-        return AppendReply(term=4, success=True, match_index=8, member="b/0")
+        return AppendReply(term=4, success=True, match_index=8, member="b/0", supported_version=3)
 
     async def install_snapshot(self, chunk: SnapshotChunk) -> AppendReply:
         """Refuses the chunk."""
@@ -88,7 +88,7 @@
         chunk = await client.install_snapshot(chunk=CHUNK, timeout_s=2)
     assert handlers.requests == [VOTE, APPEND, CHUNK]
     assert vote == VoteReply(term=4, granted=True)
-    assert append == AppendReply(term=4, success=True, match_index=8, member="b/0")
+    assert append == AppendReply(term=4, success=True, match_index=8, member="b/0", supported_version=3)
     assert not chunk.success
 
 
