Halt a member whose release does not support the version of the state

This can happen once a release with a later version exists: a node that is set back to this release, or one that was away while the others moved on.

The state machine now refuses both with UnsupportedVersionError before it changes anything, also if the tables of the later version have another form. The member logs event 7085 and halts: it applies nothing, steps down and does not campaign. It still stores entries and votes, because neither depends on the state, and a group in which two of five members halt keeps its quorum. Its log grows until then. Ending the process was weighed and not chosen: the node also relays requests to the leader.

--- a/src/hyssopway/agreement/election.py
+++ b/src/hyssopway/agreement/election.py
@@ -75,7 +75,8 @@
 
 def _may_campaign(member: Member, *, silence_s: float) -> bool:
     now = member.clock()
-    return member.is_voter and now - member.heard_at >= silence_s and now >= member.candidacy_suspended_until
+    is_able = member.is_voter and not member.is_halted
+    return is_able and now - member.heard_at >= silence_s and now >= member.candidacy_suspended_until
 
 
 def _check_own_disk(member: Member) -> None:
--- a/src/hyssopway/agreement/member.py
+++ b/src/hyssopway/agreement/member.py
@@ -15,7 +15,7 @@
 from expression import Error, Ok, Result
 
 from hyssopway.event import Event, log_event
-from hyssopway.result import Failure, Outcome, ResultCode, WorkState
+from hyssopway.result import Failure, Outcome, ResultCode, UnsupportedVersionError, WorkState
 
 from .cancellation import defer_cancellation, run_to_completion
 from .configuration import Configuration, daemon_of
@@ -57,6 +57,8 @@
             which alone knows its meaning.
         role: Role in the current term.
         leader_id: Id of the leader of the current term; empty when unknown.
+        is_halted: Whether the state machine does not support the version of the state. The member stores entries and votes
+            for others, but it applies nothing and does not campaign.
         commit_index: Last index known to be committed.
         applied_index: Last index applied to the state machine.
         started_at: Local time at which the process started.
@@ -98,6 +100,7 @@
         self.supported_version = supported_version
         self.role = Role.FOLLOWER
         self.leader_id = ""
+        self.is_halted = False
         self.commit_index = 0
         self.applied_index = 0
         self.started_at = clock() if started_at is None else started_at
@@ -150,9 +153,18 @@
         """
         self.store.open(daemon=self.daemon, initial=initial)
         self.configuration = self.store.configuration()
+        self.commit_index = self.store.snapshot.index
         if self.store.snapshot.index:
+            self.restore_stored_snapshot()
+
+    def restore_stored_snapshot(self) -> None:
+        """Loads the stored snapshot into the state machine; halts the member if it does not support it."""
+        try:
             self.state_machine.restore_snapshot(self.store.snapshot.data)
-        self.commit_index = self.applied_index = self.store.snapshot.index
+        except UnsupportedVersionError as error:
+            self.halt(error)
+        else:
+            self.applied_index = self.store.snapshot.index
 
     async def propose(self, *, data: bytes, timeout_s: float) -> Result[Outcome, Failure]:
         """Appends a command as leader and waits until it is applied.
@@ -378,12 +390,18 @@
         while self.role is not Role.STOPPED:
             await self.commit_advanced.wait()
             self.commit_advanced.clear()
-            while self.applied_index < self.commit_index:
-                for _ in range(min(APPLY_BATCH, self.commit_index - self.applied_index)):
-                    self._apply_next()
+            while self.applied_index < self.commit_index and not self.is_halted:
+                self._apply_batch()
                 await asyncio.sleep(0)
             await self._compact()
 
+    def halt(self, error: UnsupportedVersionError) -> None:
+        """Stops applying entries until the process is replaced by one of a later release, and leaves the lead to others."""
+        if not self.is_halted:
+            log_event(Event.STATE_UNSUPPORTED, index=self.applied_index + 1, error=str(error))
+        self.is_halted = True
+        self.step_down(reason="this release does not support the version of the state")
+
     def suspend_candidacy(self) -> None:
         """Stops the member from campaigning for `suspend_s`, so that a member with a working disk can win.
 
@@ -403,6 +421,13 @@
         del self.store.entries[self.store.synced_index - self.store.snapshot.index :]
         self.configuration = self.store.configuration()
 
+    def _apply_batch(self) -> None:
+        try:
+            for _ in range(min(APPLY_BATCH, self.commit_index - self.applied_index)):
+                self._apply_next()
+        except UnsupportedVersionError as error:
+            self.halt(error)
+
     def _apply_next(self) -> None:
         index = self.applied_index + 1
         entry = self.store.entries[index - self.store.snapshot.index - 1]
--- a/src/hyssopway/agreement/member_dump.py
+++ b/src/hyssopway/agreement/member_dump.py
@@ -13,6 +13,7 @@
     return {
         "member_id": member.member_id,
         "role": member.role,
+        "is_halted": member.is_halted,
         "term": member.term,
         "leader": member.leader_id,
         "commit_index": member.commit_index,
--- a/src/hyssopway/agreement/state_machine.py
+++ b/src/hyssopway/agreement/state_machine.py
@@ -12,7 +12,12 @@
     """Deterministic state machine that committed entries are applied to."""
 
     def apply(self, *, index: int, data: bytes) -> Outcome:
-        """Applies a committed entry; `data` is empty for entries without a command."""
+        """Applies a committed entry; `data` is empty for entries without a command.
+
+        Raises:
+            UnsupportedVersionError: The entry raises the state to a version that this release does not support; nothing
+                was applied.
+        """
         ...
 
     def encode_snapshot(self) -> bytes:
@@ -20,7 +25,11 @@
         ...
 
     def restore_snapshot(self, data: bytes) -> None:
-        """Replaces the state with an encoded one."""
+        """Replaces the state with an encoded one.
+
+        Raises:
+            UnsupportedVersionError: The state has a version that this release does not support; nothing was replaced.
+        """
         ...
 
 
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -207,6 +207,11 @@
     )
     TASKS_SUSPECTED = (7064, "WARNING", "several VMs have ended under {count} tasks; given up: {given_up}")
     COMMAND_FAILED = (7037, "ERROR", "log entry {index} of kind {kind} cannot be applied: {error}")
+    STATE_UNSUPPORTED = (
+        7085,
+        "ERROR",
+        "member halted, log entry {index} or the snapshot needs a later release: {error}",
+    )
     VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
     COPIES_ORDERED = (7050, "INFO", "{count} copies of runs ordered: {reason}")
     SHARES_APPLIED = (
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING
 
 from hyssopway.event import Event, log_event
 from hyssopway.lazy_adapter import LazyAdapter
-from hyssopway.result import Outcome
+from hyssopway.result import Outcome, UnsupportedVersionError
 
 from . import apply_fleet, apply_workflows
 from .commands import (
@@ -28,6 +29,7 @@
     StartWave,
 )
 from .indexes import Indexes
+from .state_version import CURRENT_VERSION
 from .tables import Tables
 
 if TYPE_CHECKING:
@@ -56,15 +58,17 @@
     Attributes:
         tables: Replicated data.
         indexes: Indexes derived from the tables.
+        supported_version: Highest version of the state that it can apply; lower than that of this release only in tests.
         applied_index: Log index of the last entry applied.
         on_change: Called after an entry is applied or a snapshot restored, but not for an entry that was skipped
             as unknown.
         on_starts_skipped: Called with the starts of a command that were skipped as it was applied.
     """
 
-    __slots__ = ("applied_index", "indexes", "on_change", "on_starts_skipped", "tables")
+    __slots__ = ("applied_index", "indexes", "on_change", "on_starts_skipped", "supported_version", "tables")
 
-    def __init__(self) -> None:
+    def __init__(self, *, supported_version: int = CURRENT_VERSION) -> None:
+        self.supported_version = supported_version
         self.tables = Tables()
         self.indexes = Indexes(self.tables)
         self.applied_index = 0
@@ -72,16 +76,23 @@
         self.on_starts_skipped: Callable[[Sequence[SkippedStart]], None] | None = None
 
     def apply(self, *, index: int, data: bytes) -> Outcome:
-        """Applies one committed log entry; an empty entry changes nothing."""
-        self.applied_index = index
+        """Applies one committed log entry; an empty entry changes nothing.
+
+        Raises:
+            UnsupportedVersionError: The entry raises the state to a version that this release does not support.
+        """
         if data:
             try:
                 command = _COMMAND_ADAPTER.get().validate_json(data)
             except ValueError as error:
                 # A newer release wrote the entry; every member of this release skips it.
                 log_event(Event.COMMAND_UNKNOWN, index=index, error=str(error).splitlines()[0])
+                self.applied_index = index
                 return Outcome(index=index)
+            if isinstance(command, SetStateVersion):
+                self._require_support(command.version)
             self._apply_or_skip(command, index=index)
+        self.applied_index = index
         if self.on_change is not None:
             self.on_change()
         return Outcome(index=index)
@@ -91,12 +102,29 @@
         return _TABLES_ADAPTER.get().dump_json(self.tables)
 
     def restore_snapshot(self, data: bytes) -> None:
-        """Replaces the tables by those of a snapshot and rebuilds the indexes."""
-        self.tables = _TABLES_ADAPTER.get().validate_json(data)
+        """Replaces the tables by those of a snapshot and rebuilds the indexes.
+
+        Raises:
+            UnsupportedVersionError: The snapshot has a version that this release does not support.
+        """
+        try:
+            tables = _TABLES_ADAPTER.get().validate_json(data)
+        except ValueError:
+            # Tables of a later version may have another form; their version has not.
+            self._require_support(_read_version(data))
+            raise
+        self._require_support(tables.version)
+        self.tables = tables
         self.indexes = Indexes(self.tables)
         if self.on_change is not None:
             self.on_change()
 
+    def _require_support(self, version: int) -> None:
+        if version > self.supported_version:
+            raise UnsupportedVersionError(
+                f"the state has version {version}, this release supports up to {self.supported_version}"
+            )
+
     def _apply_or_skip(self, command: Command, *, index: int) -> None:
         try:
             self._apply_command(command)
@@ -142,4 +170,10 @@
                 tables.version = max(tables.version, command.version)
 
 
+def _read_version(snapshot: bytes) -> int:
+    fields = json.loads(snapshot)
+    version = fields.get("version", 0) if isinstance(fields, dict) else 0
+    return version if isinstance(version, int) else 0
+
+
 __all__ = ["WorkflowState", "build_codecs", "encode_command"]
--- a/tests/agreement/group.py
+++ b/tests/agreement/group.py
@@ -27,7 +27,7 @@
     run_to_completion,
 )
 from hyssopway.control import Outcome
-from hyssopway.result import WorkState
+from hyssopway.result import UnsupportedVersionError, WorkState
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -40,15 +40,21 @@
 NAMES = ("a", "b", "c", "d", "e")
 
 
+LATER_VERSION = b"later version"
+
+
 class RecordingStateMachine:
-    """Records the applied entries."""
+    """Records the applied entries; one of an earlier release refuses `LATER_VERSION` and a snapshot with it."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_earlier: bool = False) -> None:
         self.applied: list[tuple[int, bytes]] = []
+        self.is_earlier = is_earlier
 
     def apply(self, *, index: int, data: bytes) -> Outcome:
         """Records an entry; fails if its index was already applied."""
         assert not self.applied or index > self.applied[-1][0], "an index was applied twice"
+        if self.is_earlier and data == LATER_VERSION:
+            raise UnsupportedVersionError("later version")
         self.applied.append((index, data))
         return Outcome(index=index, reference=data.decode())
 
@@ -59,7 +65,10 @@
     def restore_snapshot(self, data: bytes) -> None:
         """Replaces the applied entries."""
         lines = [line.partition(b" ") for line in data.split(b"\n") if line]
-        self.applied = [(int(index), command) for index, _, command in lines]
+        applied = [(int(index), command) for index, _, command in lines]
+        if self.is_earlier and any(data == LATER_VERSION for _, data in applied):
+            raise UnsupportedVersionError("later version")
+        self.applied = applied
 
     @property
     def commands(self) -> list[bytes]:
@@ -147,6 +156,7 @@
         acknowledged: Commands whose proposal by `write` was acknowledged, in that order.
         unconfirmed: Commands whose proposal by `write` was not confirmed; they may take effect, once.
         supported_versions: Version that each member supports from its next start on; 0 if it is not listed.
+        earlier_releases: Members whose state machine is of an earlier release, from their next start on.
     """
 
     def __init__(self, *, folder: Path, snapshot_entries: int = 10_000, timers: Timers = TIMERS) -> None:
@@ -160,12 +170,13 @@
         self.acknowledged: list[bytes] = []
         self.unconfirmed: set[bytes] = set()
         self.supported_versions: dict[str, int] = {}
+        self.earlier_releases: set[str] = set()
 
     def start(self, *names: str, initial: bool = True, subfolder: str = "") -> None:
         """Starts members; without `initial` they get a new identity and are not part of the group yet."""
         configuration = Configuration(voters=tuple(f"{name}/0" for name in NAMES)) if initial else None
         for name in names:
-            state_machine = RecordingStateMachine()
+            state_machine = RecordingStateMachine(is_earlier=name in self.earlier_releases)
             member = Member(
                 daemon=name,
                 store=FaultyStore(folder=self.folder / f"{name}{subfolder}"),
