Raise the version of the state once all members support it

SetStateVersion had no one who proposed it, so that no rule which depends on the version could take effect. A leader may only propose it when no member can apply the commands after it differently.

The leader proposes the highest version that all voters and learners support, itself included. A member that supports less than the version in force is neither added nor promoted: event 7086 names it and the gauge `unsupported_members` counts it. A node that asks to join is asked back for its version before it is added, as a learner would get entries to apply at once; a release without versions does not know the question. The request to join itself stays as it is, since a leader of the release before takes its whole text for the ID of the member.

The version is a gauge (`state_version`), part of the dump, and event 7087 is written when it is raised.

--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -212,6 +212,12 @@
         "ERROR",
         "member halted, log entry {index} or the snapshot needs a later release: {error}",
     )
+    MEMBER_UNSUPPORTED = (
+        7086,
+        "ERROR",
+        "member {member} reports version {supported} of the state, version {required} is in force: it is neither added nor promoted",
+    )
+    STATE_VERSION_RAISED = (7087, "INFO", "log entry {index} raised the state to version {version}")
     VM_RATED = (7045, "INFO", "VM {vm} rated {rating}: {reason}")
     COPIES_ORDERED = (7050, "INFO", "{count} copies of runs ordered: {reason}")
     SHARES_APPLIED = (
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -27,6 +27,7 @@
     PEER_TOKEN,
     RELAY,
     STOPPING,
+    SUPPORTED_VERSION,
     LeaderFinder,
     Relay,
     RelayedReply,
@@ -34,11 +35,12 @@
     UnansweredError,
     supervise,
 )
-from hyssopway.workflow import WorkflowState
+from hyssopway.workflow import CURRENT_VERSION, WorkflowState
 
 from .control_handlers import ControlHandlers
 from .member_directory import MemberDirectory
 from .membership_manager import MembershipManager
+from .state_version_manager import StateVersionManager
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -51,6 +53,7 @@
 LEADERSHIP_CHECK_INTERVAL_S = 0.02
 JOIN_INTERVAL_S = 0.5
 JOIN_TIMEOUT_S = 0.8
+VERSION_QUERY_TIMEOUT_S = 0.4
 ASSUME_REMOVED_AFTER_S = 2.0
 STOP_NOTICE_TIMEOUT_S = 0.3
 SNAPSHOT_ENTRIES = 5000
@@ -69,6 +72,7 @@
         member: Member of this node.
         finder: Finds the current leader.
         relay: Forwards requests to the leader.
+        state_version_manager: Raises the version of the replicated state while this node leads.
         membership_manager: Changes the members of the group while this node leads.
         service: Handles requests while this node leads.
         new_controller: Creates the leader controller of a term.
@@ -83,6 +87,7 @@
         settings: NodeSettings,
         service: RequestService,
         new_controller: Callable[[Leadership], LeaderController],
+        supported_version: int = CURRENT_VERSION,
     ) -> None:
         if settings.data_dir is None:
             raise ValueError("a control node requires data_dir")
@@ -90,7 +95,7 @@
         self.service = service
         self.new_controller = new_controller
         self.directory = MemberDirectory(own_name=settings.host, peer_port=settings.peer_port)
-        self.state = WorkflowState()
+        self.state = WorkflowState(supported_version=supported_version)
         self.member = Member(
             daemon=settings.host,
             store=Store(folder=settings.data_dir),
@@ -98,14 +103,18 @@
             clock=monotonic_s,
             timers=TIMERS,
             snapshot_entries=SNAPSHOT_ENTRIES,
+            supported_version=supported_version,
             started_at=settings.started_at,
         )
         self.finder = LeaderFinder(
             directory=self.directory, seed_hosts=settings.seed_hosts, clock=monotonic_s
         )
         self.relay = Relay(finder=self.finder)
+        self.state_version_manager = StateVersionManager(member=self.member, state=self.state)
         self.membership_manager = MembershipManager(
-            member=self.member, tolerated_losses=settings.tolerated_losses
+            member=self.member,
+            versions=self.state_version_manager,
+            tolerated_losses=settings.tolerated_losses,
         )
         self.controller: LeaderController | None = None
         handlers = ControlHandlers(
@@ -115,6 +124,7 @@
                 LEADER: self._handle_leader_query,
                 JOIN: self._handle_join,
                 STOPPING: self._handle_stop_notice,
+                SUPPORTED_VERSION: self._handle_version_query,
             },
         )
         self.peer_server = PeerServer(handlers=handlers, token=PEER_TOKEN)
@@ -135,6 +145,7 @@
             "elections": lambda: run_elections(member=member, transport=self.directory, rng=rng),
             "replication": lambda: run_replication(member=member, transport=self.directory),
             "group": self.membership_manager.run,
+            "state_version": self.state_version_manager.run,
             "join": self._join_group,
             "lead": self._run_leadership,
             "finder": self.finder.run,
@@ -173,6 +184,9 @@
             "applied_index": member.applied_index,
             "voters": len(member.configuration.voters),
             "learners": len(member.configuration.learners),
+            "halted": float(member.is_halted),
+            "state_version": tables.version,
+            "unsupported_members": len(self.membership_manager.unsupported),
             "vms": len(tables.vms),
             "vms_in_contact": sum(link.in_contact(now) for link in links),
             "workflows": len(tables.workflows),
@@ -297,9 +311,26 @@
         return b""
 
     async def _handle_join(self, data: bytes) -> bytes:
+        member_id = data.decode()
         if self.member.is_leader:
-            self.membership_manager.record_join_request(data.decode())
+            version = await self._query_supported_version(daemon_of(member_id))
+            self.membership_manager.record_join_request(member_id, supported_version=version)
         return b""
 
+    async def _query_supported_version(self, host: str) -> int | None:
+        """Returns the highest version of the state that a node supports, or None while every node supports it."""
+        if not self.state_version_manager.required_version:
+            return None
+        try:
+            answer = await self.directory.client(host).exchange(
+                topic=SUPPORTED_VERSION, data=b"", timeout_s=VERSION_QUERY_TIMEOUT_S
+            )
+            return int(answer)
+        except (PeerUnreachableError, ValueError):
+            return 0  # a release that has no versions does not know the topic
+
+    async def _handle_version_query(self, _: bytes) -> bytes:
+        return str(self.member.supported_version).encode()
+
 
 __all__ = ["ControlNode"]
--- a/src/hyssopway/node/membership_policy.py
+++ b/src/hyssopway/node/membership_policy.py
@@ -13,6 +13,8 @@
 from hyssopway.agreement import AddLearner, PromoteLearner, RemoveMember, daemon_of
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from hyssopway.agreement import Configuration, MemberChange
 
 # Longer than a restart; a voter that is replaced too early only costs the transfer of a snapshot.
@@ -41,6 +43,7 @@
     views: dict[str, MemberStatus],
     wanted_voters: int,
     max_lag: int,
+    unsupported: Container[str] = (),
 ) -> MemberChange | None:
     """Returns the next change of the members, or None if none is needed.
 
@@ -50,13 +53,15 @@
         views: Status of the other members by id.
         wanted_voters: Number of voters that tolerates the losses.
         max_lag: Most entries that a learner may lack when it gets a vote.
+        unsupported: Ids of members and joiners that do not support the version of the state; they are neither added nor
+            promoted.
     """
     for joiner in joiners:
         for member in configuration.members:
             if daemon_of(member) == daemon_of(joiner) and member != joiner:
                 return RemoveMember(member_id=member)
     for joiner in joiners:
-        if joiner not in configuration.members:
+        if joiner not in configuration.members and joiner not in unsupported:
             return AddLearner(member_id=joiner)
     silent = [
         voter
@@ -69,6 +74,7 @@
         learner
         for learner in configuration.learners
         if learner in views
+        and learner not in unsupported
         and views[learner].silent_s < MAX_SILENCE_FOR_PROMOTION_S
         and views[learner].lag <= max_lag
     ]
--- a/src/hyssopway/node/node_dump.py
+++ b/src/hyssopway/node/node_dump.py
@@ -26,6 +26,7 @@
 def _dump_tables(tables: Tables) -> dict[str, Any]:
     document = tables.document
     return {
+        "version": tables.version,
         "document": {"version": document.version, "queues": document.queues, "pools": document.pools}
         if document is not None
         else None,
--- a/src/hyssopway/relay/__init__.py
+++ b/src/hyssopway/relay/__init__.py
@@ -9,7 +9,7 @@
 from .relayed_reply import RelayedReply
 from .relayed_request import RelayedRequest
 from .supervise import supervise
-from .topics import JOIN, LEADER, RELAY, STOPPING
+from .topics import JOIN, LEADER, RELAY, STOPPING, SUPPORTED_VERSION
 
 __all__ = [
     "JOIN",
@@ -17,6 +17,7 @@
     "PEER_TOKEN",
     "RELAY",
     "STOPPING",
+    "SUPPORTED_VERSION",
     "LeaderFinder",
     "NodeDirectory",
     "Relay",
--- a/src/hyssopway/relay/topics.py
+++ b/src/hyssopway/relay/topics.py
@@ -6,5 +6,6 @@
 LEADER = "leader"
 JOIN = "join"
 STOPPING = "stopping"
+SUPPORTED_VERSION = "supported_version"
 
-__all__ = ["JOIN", "LEADER", "RELAY", "STOPPING"]
+__all__ = ["JOIN", "LEADER", "RELAY", "STOPPING", "SUPPORTED_VERSION"]
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -91,6 +91,8 @@
                 return Outcome(index=index)
             if isinstance(command, SetStateVersion):
                 self._require_support(command.version)
+                if command.version > self.tables.version:
+                    log_event(Event.STATE_VERSION_RAISED, index=index, version=command.version)
             self._apply_or_skip(command, index=index)
         self.applied_index = index
         if self.on_change is not None:
--- a/tests/agreement/group.py
+++ b/tests/agreement/group.py
@@ -172,11 +172,15 @@
         self.supported_versions: dict[str, int] = {}
         self.earlier_releases: set[str] = set()
 
+    def new_state_machine(self, name: str) -> RecordingStateMachine:
+        """Creates the state machine of a member."""
+        return RecordingStateMachine(is_earlier=name in self.earlier_releases)
+
     def start(self, *names: str, initial: bool = True, subfolder: str = "") -> None:
         """Starts members; without `initial` they get a new identity and are not part of the group yet."""
         configuration = Configuration(voters=tuple(f"{name}/0" for name in NAMES)) if initial else None
         for name in names:
-            state_machine = RecordingStateMachine(is_earlier=name in self.earlier_releases)
+            state_machine = self.new_state_machine(name)
             member = Member(
                 daemon=name,
                 store=FaultyStore(folder=self.folder / f"{name}{subfolder}"),
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -14,9 +14,9 @@
 from hyssopway.clock import monotonic_s
 from hyssopway.dispatch import LeaderController
 from hyssopway.node import ControlNode, NodeSettings, dump_control_node
-from hyssopway.relay import RelayedReply, RelayedRequest, UnansweredError
+from hyssopway.relay import SUPPORTED_VERSION, RelayedReply, RelayedRequest, UnansweredError
 from hyssopway.result import Failure, ResultCode, WorkState
-from hyssopway.workflow import PutDocument, SetZoneEvacuated, TaskId
+from hyssopway.workflow import CURRENT_VERSION, PutDocument, SetZoneEvacuated, TaskId
 from workflow.conftest import make_document, make_vm, make_workflow
 
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
@@ -51,7 +51,7 @@
         return probe.getsockname()[1]
 
 
-def build_node(host, *, port, folder, is_first_start=True):
+def build_node(host, *, port, folder, is_first_start=True, supported_version=CURRENT_VERSION):
     settings = NodeSettings(
         name=host,
         host=host,
@@ -68,6 +68,7 @@
         new_controller=lambda leadership: LeaderController(
             leadership=leadership, calls=None, machines=NoMachines(), advisor=None, limits=LIMITS
         ),
+        supported_version=supported_version,
     )
 
 
@@ -167,22 +168,55 @@
     assert (await old.serve(REQUEST, timeout_s=5.0)).status == 200
 
 
-async def test_node_that_lost_its_disk_joins_under_a_new_member_id(group, tmp_path):
-    """Guards against a node with an empty disk that votes under its former member id."""
+async def replace_follower(group, *, folder, supported_version=CURRENT_VERSION):
+    """Stops a node that does not lead, and starts one on its address with an empty disk."""
     (leader,) = leaders(group)
     lost = next(node for node in group if node is not leader)
-    old_id = lost.member.member_id
     await lost.stop()
     group.remove(lost)
     for node in group:
         # In a real stop, the connections would end with the process.
         node.directory.client(lost.settings.host).close()
     fresh = build_node(
-        lost.settings.host, port=lost.settings.peer_port, folder=tmp_path / "new", is_first_start=False
+        lost.settings.host,
+        port=lost.settings.peer_port,
+        folder=folder,
+        is_first_start=False,
+        supported_version=supported_version,
     )
+    if not supported_version:
+        del fresh.peer_server.handlers.exchange_handlers[SUPPORTED_VERSION]
     await fresh.start()
     group.append(fresh)
+    return lost, fresh
+
+
+async def test_node_that_lost_its_disk_joins_under_a_new_member_id(group, tmp_path):
+    """Guards against a node with an empty disk that votes under its former member id."""
+    (leader,) = leaders(group)
+    lost, fresh = await replace_follower(group, folder=tmp_path / "new")
+    old_id = lost.member.member_id
     await wait_until(lambda: fresh.member.is_voter)
     assert fresh.member.member_id != old_id
     assert old_id not in leader.member.configuration.members
     assert monotonic_s() - leader.member.quorum_acked_at() < 1.0
+
+
+async def test_gauge_and_dump_show_the_version_of_the_state(group):
+    """Guards against operators who cannot tell whether a release that knows no version may still be started."""
+    await wait_until(lambda: all(node.read_gauges()["state_version"] == CURRENT_VERSION for node in group))
+    for node in group:
+        dump = dump_control_node(node)
+        assert dump["agreed_state"]["version"] == CURRENT_VERSION
+        assert (dump["gauges"]["halted"], dump["gauges"]["unsupported_members"]) == (0.0, 0)
+
+
+async def test_node_of_an_earlier_release_does_not_join(group, tmp_path):
+    """Guards against a node that applies the commands of a later version by the rules of its own release."""
+    (leader,) = leaders(group)
+    await wait_until(lambda: leader.state.tables.version == CURRENT_VERSION)
+    _, fresh = await replace_follower(group, folder=tmp_path / "new", supported_version=0)
+    await wait_until(lambda: leader.read_gauges()["unsupported_members"] == 1)
+    await asyncio.sleep(1.0)
+    assert fresh.member.member_id not in leader.member.configuration.members
+    assert fresh.member.applied_index == 0
