--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -7,7 +7,7 @@
 from .active_run import ActiveRun
 from .apply_crashes import clear_lapsed, count_crashes, record_lapsed
 from .run_outcome import RunOutcome
-from .start_rules import SkippedStart, find_broken_rule
+from .start_rules import SkippedStart, find_broken_rule, group_starts
 from .task_id import TaskId
 from .workflow import Workflow
 from .workflow_end import end_workflow, mark_runs_to_stop
@@ -74,14 +74,15 @@
 def start_runs(tables: Tables, indexes: Indexes, command: StartRuns) -> list[SkippedStart]:
     """Starts the runs of a command that break no rule, and returns the starts that were skipped."""
     skipped: list[SkippedStart] = []
-    for start in command.starts:
-        rule = find_broken_rule(tables, indexes, start=start)
+    for group in group_starts(tables, command.starts):
+        rule = find_broken_rule(tables, indexes, group=group)
         if rule is not None:
-            skipped.append(SkippedStart(start=start, rule=rule))
+            skipped += [SkippedStart(start=start, rule=rule) for start in group]
             continue
-        _start_run(
-            tables, indexes, start=start, fencing_token=command.fencing_token, started_ms=command.at_ms
-        )
+        for start in group:
+            _start_run(
+                tables, indexes, start=start, fencing_token=command.fencing_token, started_ms=command.at_ms
+            )
     return skipped
 
 
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -189,8 +189,8 @@
             self.count_in_pool(vm.pool, team=workflow.team, step=step, sign=-1)
             self.count_in_pool(pool, team=workflow.team, step=step, sign=1)
 
-    def fits_limit(self, *, workflow: Workflow, step: Step) -> bool:
-        """Returns whether one more run of a step stays within the upper limit of its team."""
+    def fits_limit(self, *, workflow: Workflow, step: Step, runs: int = 1) -> bool:
+        """Returns whether more runs of a step stay within the upper limit of its team."""
         team = self.teams.get(workflow.team)
         if team is None:
             return True
@@ -199,21 +199,23 @@
             usage = Usage()
         limit = team.upper_limit
         return (
-            (not limit.cpu_millis or usage.cpu_millis + step.cpu_millis <= limit.cpu_millis)
-            and (not limit.memory_mb or usage.memory_mb + step.memory_mb <= limit.memory_mb)
-            and (not limit.accelerators or usage.accelerators + step.accelerators <= limit.accelerators)
+            (not limit.cpu_millis or usage.cpu_millis + runs * step.cpu_millis <= limit.cpu_millis)
+            and (not limit.memory_mb or usage.memory_mb + runs * step.memory_mb <= limit.memory_mb)
+            and (
+                not limit.accelerators or usage.accelerators + runs * step.accelerators <= limit.accelerators
+            )
         )
 
-    def fits_vm(self, *, vm: VmRecord, step: Step) -> bool:
-        """Returns whether one more run of a step fits the capacity of a VM that does not check this itself."""
+    def fits_vm(self, *, vm: VmRecord, step: Step, runs: int = 1) -> bool:
+        """Returns whether more runs of a step fit the capacity of a VM that does not check this itself."""
         if vm.pool not in self.unguarded_pools:
             return True
         usage = self.vm_usage.get(vm.vm_id, Usage())
         cpu_millis = 0 if step.fills else step.cpu_millis
         return (
-            usage.cpu_millis + cpu_millis <= vm.capacity.cpu_millis
-            and usage.memory_mb + step.memory_mb <= vm.capacity.memory_mb
-            and usage.accelerators + step.accelerators <= vm.capacity.accelerators
+            usage.cpu_millis + runs * cpu_millis <= vm.capacity.cpu_millis
+            and usage.memory_mb + runs * step.memory_mb <= vm.capacity.memory_mb
+            and usage.accelerators + runs * step.accelerators <= vm.capacity.accelerators
         )
 
     def max_attempts(self, workflow: Workflow) -> int:
