Count runs that only the VM still has against the spread limit

`StoppingRuns` knows these runs and holds their resources back, but the spread limit was counted from the replicated runs alone, so that another task of the step joined the run that was being stopped.

The test FAILED BEFORE, quoted (the VM lists task 0, whose end is committed; the next round must place nothing there): AssertionError: assert Counter({'vm-1': 1}) == {} Left contains 1 more item: {'vm-1': 1}

`PlacedRuns` now counts the runs in `StoppingRuns` of each link as well, until the VM has listed their end or no longer lists them for the longest duration of a stop. The application of the start can't decide this, as it is not in the replicated state. A new leader learns such runs from the first list of a VM, before which the VM gets no start; one that the VM doesn't list because it is stopping at that very moment is not seen. test_spread_within_a_round.py is now test_spread_limit.py; its earlier test is unchanged.

--- a/src/hyssopway/dispatch/placed_runs.py
+++ b/src/hyssopway/dispatch/placed_runs.py
@@ -2,34 +2,45 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from hyssopway.workflow import TaskId
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from hyssopway.workflow import Tables, Workflow
 
+    from .vm_link import VmLink
+
 
 class PlacedRuns:
-    """Counts the runs of steps by VM: those in progress, and the starts that the round has placed so far.
+    """Counts the runs of steps by VM: those in progress, those that only the VM still has, and the starts of the round.
 
     All placements of a round share one instance, so that a later one sees the starts of the earlier ones.
 
     Attributes:
         tables: Replicated data.
+        stopping: Runs that a VM still stops although their ends are committed, by step; the VM of each.
         by_step: Number of runs by VM ID, by workflow, occurrence and number of the step.
     """
 
-    __slots__ = ("by_step", "tables")
+    __slots__ = ("by_step", "stopping", "tables")
 
-    def __init__(self, *, tables: Tables) -> None:
+    def __init__(self, *, tables: Tables, links: Mapping[str, VmLink]) -> None:
         self.tables = tables
+        self.stopping: dict[str, list[str]] = {}
+        for vm_id, link in links.items():
+            for key in link.stopping.missing_since:
+                step_name = TaskId.parse(key.rpartition("/")[0]).step_name
+                self.stopping.setdefault(step_name, []).append(vm_id)
         self.by_step: dict[tuple[str, int, int], dict[str, int]] = {}
 
     def of_step(self, workflow: Workflow, *, occurrence: int, number: int) -> dict[str, int]:
         """Returns the number of runs of a step by VM ID; who places a task of the step counts it there.
 
-        The runs in progress of a step that neither has a spread limit nor is long-running are not counted.
+        Only the starts of the round are counted for a step that neither has a spread limit nor is long-running.
         """
         key = (workflow.workflow_id, occurrence, number)
         placed = self.by_step.get(key)
@@ -40,13 +51,13 @@
     def _count(self, workflow: Workflow, *, occurrence: int, number: int) -> dict[str, int]:
         step = workflow.spec.steps[number]
         progress = workflow.progress[occurrence][number]
-        placed: dict[str, int] = {}
-        if not (step.spread_limit or step.long_running) or len(progress.pending) == step.count:
-            return placed
-        for index in range(step.count):
-            task = TaskId(workflow.workflow_id, occurrence, number, index).name
-            for run in self.tables.runs.get(task, ()):
-                placed[run.vm] = placed.get(run.vm, 0) + 1
+        if not (step.spread_limit or step.long_running):
+            return {}
+        step_name = TaskId(workflow.workflow_id, occurrence, number, 0).step_name
+        placed = Counter(self.stopping.get(step_name, ()))
+        if len(progress.pending) < step.count:
+            for index in range(step.count):
+                placed.update(run.vm for run in self.tables.runs.get(f"{step_name}.{index}", ()))
         return placed
 
 
--- a/tests/dispatch/test_spread_within_a_round.py
+++ b/tests/dispatch/test_spread_limit.py
@@ -1,4 +1,4 @@
-"""The spread limit of a step whose tasks and copies are placed in one round."""
+"""The spread limit of a step, as a round sees it: starts of the round itself, and runs that only the VM still has."""
 
 from __future__ import annotations
 
@@ -10,8 +10,9 @@
 
 from dispatch.conftest import FakeVms, make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.scheduling.durations import MIN_RUNS
-from hyssopway.workflow import PutDocument, Step
+from hyssopway.workflow import EndRuns, PutDocument, RunEnd, RunOutcome, Step
 from workflow.conftest import make_document, make_vm, make_workflow
 
 USUAL_MS = 600
@@ -85,3 +86,20 @@
     await spread_fleet.poll()
     await spread_fleet.run_round()
     assert spread_fleet.count_runs() == {"vm-1": 1, **dict.fromkeys(joining, 1)}
+
+
+async def test_task_does_not_join_a_run_whose_end_is_committed_but_which_the_vm_still_has(spread_fleet):
+    """Guards against two tasks of a spread step on one VM, one of which the leader has given up (ROUTE)."""
+    leadership, vms = spread_fleet.leadership, spread_fleet.vms
+    await leadership.propose(make_workflow("spread", steps=(Step(count=2, cpu_millis=200, spread_limit=1),)))
+    await spread_fleet.run_round()
+    lost = RunEnd(task="spread.0.0.0", run=1, outcome=RunOutcome.LOST)
+    await leadership.propose(EndRuns(vm="vm-1", boot=1, ends=(lost,), at_ms=9))
+    await spread_fleet.poll()
+    await spread_fleet.run_round()
+    assert spread_fleet.count_runs() == {}
+    vms.running.clear()
+    vms.ends.append(ListedEnd(1, replace(lost, outcome=RunOutcome.STOPPED)))
+    await spread_fleet.poll()
+    await spread_fleet.run_round()
+    assert spread_fleet.count_runs() == {"vm-1": 1}
