Learn which given-up runs a VM lists before anything else is awaited

`VmLink._poll` now updates `StoppingRuns` together with `listed_runs`, before the first await. What is listed and which ends are known is the same there: a listed run is in the record from before its order until its end is committed. The stops are requested where they were.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -306,6 +306,12 @@
         self.listed_runs = self._select_valid(reply)
         self.listing_sent_at = sent_at
         self.spread_watch.check(self.listed_runs, committed=record.runs, tables=self.leadership.state.tables)
+        self.stopping.update(
+            listed=self.listed_runs.keys() - record.runs,
+            ended=reply.list_ends(),
+            sent_at=sent_at,
+            answered_at=now,
+        )
         self.orders.record_listed(self.listed_runs, now=now)
         self._stop_stalled_runs(now)
         self.pace.update(self.listed_runs, now=now)
@@ -404,13 +410,9 @@
             await self._propose_ends(resolved)
         if self.record is not None and self.record.lapsed:
             await self._propose_ends([], is_reported=True)
-        self._stop_ended_runs(record, reply=reply, sent_at=sent_at)
+        self._stop_ended_runs(record)
 
-    def _stop_ended_runs(self, record: VmRecord, *, reply: PollReply, sent_at: float) -> None:
-        ended_runs = [key for key in self.listed_runs if key not in record.runs]
-        self.stopping.update(
-            listed=ended_runs, ended=reply.list_ends(), sent_at=sent_at, answered_at=self.answered_at
-        )
+    def _stop_ended_runs(self, record: VmRecord) -> None:
         for key, row in self.listed_runs.items():
             if key not in record.runs:
                 # The leader ended the run in the replicated state while the VM was out of contact.
--- a/tests/dispatch/test_spread_limit.py
+++ b/tests/dispatch/test_spread_limit.py
@@ -11,6 +11,7 @@
 from dispatch.conftest import FakeVms, make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
 from hyssopway.scheduling.durations import MIN_RUNS
 from hyssopway.workflow import EndRuns, PutDocument, RunEnd, RunOutcome, Step
 from workflow.conftest import make_document, make_vm, make_workflow
@@ -103,3 +104,26 @@
     await spread_fleet.poll()
     await spread_fleet.run_round()
     assert spread_fleet.count_runs() == {"vm-1": 1}
+
+
+async def test_round_during_a_poll_sees_the_runs_that_the_vm_lists(spread_fleet, monkeypatch):
+    """Guards against a round between the answer of a VM and the commit of the ends in it, which places from an older list."""
+    leadership, vms = spread_fleet.leadership, spread_fleet.vms
+    await leadership.propose(make_workflow("other", steps=(Step(count=1, cpu_millis=200),)))
+    await leadership.propose(make_workflow("spread", steps=(Step(count=2, cpu_millis=200, spread_limit=1),)))
+    await spread_fleet.run_round()
+    lost = RunEnd(task="spread.0.0.0", run=1, outcome=RunOutcome.LOST)
+    await leadership.propose(EndRuns(vm="vm-1", boot=1, ends=(lost,), at_ms=9))
+    leadership.now += CONTACT_TIMEOUT_S + 0.1
+    del vms.running["other.0.0.0", 1]
+    vms.ends.append(ListedEnd(1, RunEnd(task="other.0.0.0", run=1, outcome=RunOutcome.DONE)))
+    propose = leadership.propose
+
+    async def propose_after_a_round(command):
+        monkeypatch.setattr(leadership, "propose", propose)
+        await spread_fleet.run_round()
+        await propose(command)
+
+    monkeypatch.setattr(leadership, "propose", propose_after_a_round)
+    await spread_fleet.poll()
+    assert spread_fleet.count_runs() == {}
