Keep one controller for a whole term

It has no `LateStarts` and no states of orders. For runs of its own term without a record it assumes that each start was answered (`VmLateStarts.list_possible` takes in runs of other terms only), so the next boot of a VM isn't guarded against a late start of them.

The test FAILED BEFORE (the controller's run ended while the term held), quoted: AssertionError: assert not True + where True = <built-in method done of _asyncio.Task object ...>

The supervision is now run like the other loops: an error ends it, it waits until the log is applied, and starts again with what the controller knows. The same holds for an unexpected error in it. Event 7011 is logged at the end of each term that a controller outlives, not only when a command failed; docs/OPERATIONS.md says of 7011 just that.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -185,40 +185,55 @@
         )
 
     async def run(self) -> None:
-        """Runs all control loops, and restarts those that fail, until the term ends."""
+        """Runs all control loops, and restarts those that fail, until the term ends.
+
+        Nothing that fails ends the run while the term goes on. What is known of orders without an answer would be lost: a
+        later controller of the same term takes them for answered.
+        """
         self.leadership.state.on_change = self.dispatcher.changed.set
         self.leadership.state.on_starts_skipped = log_skipped_starts
-        loops = {
-            "dispatcher": self.dispatcher.run,
-            "waves": self.waves.run,
-            "pools": self.rebalancer.run,
-            "advice": self.advice.run,
-            "loop lag": self.load.meter.run,
-        }
         running: dict[str, asyncio.Task[None]] = {}
         try:
             while self.leadership.holds:
-                for name, work in loops.items():
-                    if name not in running or running[name].done():
-                        running[name] = asyncio.create_task(
-                            _run_until_lost(name, self._decide_when_applied(work))
-                        )
-                self._sync_links()
-                self._drain_vms()
-                await self._remove_silent_vms()
-                await self._delete_expired_workflows()
-                self._report_load()
-                self._report_interference()
-                self.admission.report_accuracy()
+                await _run_until_lost("supervision", self._supervise(running))
                 await asyncio.sleep(SUPERVISION_INTERVAL_S)
-        except LeadershipLostError as error:
-            log_event(Event.DECISIONS_STOPPED, term=self.leadership.term, reason=str(error))
+            log_event(Event.DECISIONS_STOPPED, term=self.leadership.term, reason="the term has ended")
         finally:
             self.leadership.state.on_change = None
             self.leadership.state.on_starts_skipped = None
             for task in (*running.values(), *self.tasks.values(), *self.dispatcher.sending):
                 task.cancel()
 
+    async def _supervise(self, running: dict[str, asyncio.Task[None]]) -> None:
+        """Restarts control loops and links that have ended, and reports, until the term ends; proposes nothing itself."""
+        loops = {
+            "dispatcher": self.dispatcher.run,
+            "waves": self.waves.run,
+            "pools": self.rebalancer.run,
+            "records": self._delete_records,
+            "advice": self.advice.run,
+            "loop lag": self.load.meter.run,
+        }
+        while self.leadership.holds:
+            for name, work in loops.items():
+                if name not in running or running[name].done():
+                    running[name] = asyncio.create_task(
+                        _run_until_lost(name, self._decide_when_applied(work))
+                    )
+            self._sync_links()
+            self._drain_vms()
+            self._report_load()
+            self._report_interference()
+            self.admission.report_accuracy()
+            await asyncio.sleep(SUPERVISION_INTERVAL_S)
+
+    async def _delete_records(self) -> None:
+        """Deletes the records of silent VMs and of workflows that ended long ago, until the term ends."""
+        while self.leadership.holds:
+            await self._remove_silent_vms()
+            await self._delete_expired_workflows()
+            await asyncio.sleep(SUPERVISION_INTERVAL_S)
+
     async def _decide_when_applied(self, work: Callable[[], Awaitable[None]]) -> None:
         """Runs a control loop that may have ended on a command which was not confirmed in time.
 
--- a/tests/dispatch/test_late_confirmation.py
+++ b/tests/dispatch/test_late_confirmation.py
@@ -9,7 +9,7 @@
 
 from dispatch.conftest import LIMITS, make_link
 from hyssopway.dispatch.leader_controller import LeaderController
-from hyssopway.dispatch.vm_link import VmLink
+from hyssopway.dispatch.vm_link import REMOVE_AFTER_S, VmLink
 from hyssopway.workflow import PutDocument, StartRuns, Step
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -25,6 +25,7 @@
         leadership: Term of the leader.
         controller: Control loops of the leader.
         vms: Fake VMs.
+        leading: Task in which the control loops run.
     """
 
     def __init__(self, leadership, vms):
@@ -33,6 +34,7 @@
         self.controller = LeaderController(
             leadership=leadership, calls=vms, machines=None, advisor=None, limits=LIMITS
         )
+        self.leading = asyncio.create_task(self.controller.run())
 
     async def join(self, name, *, cores):
         self.leadership.apply(make_vm(name, cores=cores))
@@ -57,10 +59,9 @@
 async def late_fleet(leadership, vms):
     leadership.apply(PutDocument(document=make_document()))
     fleet = Fleet(leadership, vms)
-    leading = asyncio.create_task(fleet.controller.run())
     yield fleet
     leadership.holds = False
-    await leading
+    await fleet.leading
 
 
 async def test_dispatcher_does_not_place_while_its_own_starts_may_still_be_committed(late_fleet):
@@ -93,3 +94,36 @@
     late_fleet.leadership.apply(make_vm("vm-1", cores=8))
     async with asyncio.timeout(MAX_WAIT_S):
         await started.wait()
+
+
+async def test_unconfirmed_command_of_the_supervision_does_not_end_the_controller(late_fleet):
+    """Guards against a second controller in one term that does not know which orders of the first got no answer (TWICE)."""
+    leadership = late_fleet.leadership
+    await late_fleet.join("vm-1", cores=8)
+    leadership.confirms = False
+    leadership.now += REMOVE_AFTER_S + LIMITS.longest_lease_s
+    await wait_for(lambda: leadership.unconfirmed)
+    await asyncio.sleep(RESTART_S)
+    assert not late_fleet.leading.done()
+    assert len(leadership.unconfirmed) == 1
+    leadership.apply_unconfirmed()
+    await wait_for(lambda: not late_fleet.controller.links)
+    assert not late_fleet.leading.done()
+
+
+async def test_links_are_started_again_while_a_removal_may_still_be_committed(late_fleet, monkeypatch):
+    """Guards against a supervision that waits for its own late command while links end, so that leases run out (LOST)."""
+    started = asyncio.Event()
+
+    async def run(_):
+        started.set()
+
+    leadership = late_fleet.leadership
+    await late_fleet.join("vm-1", cores=8)
+    leadership.confirms = False
+    leadership.now += REMOVE_AFTER_S + LIMITS.longest_lease_s
+    await wait_for(lambda: leadership.unconfirmed)
+    monkeypatch.setattr(VmLink, "run", run)
+    late_fleet.controller.tasks["vm-1"].cancel()
+    async with asyncio.timeout(MAX_WAIT_S):
+        await started.wait()
