Count a failure that is reported after the lease of its run expired

A run fails on a VM that is out of contact, its lease expires, and the VM reports the failure once it answers again. Counting it changes what a command does to the state; it was left because members of an older release would not do so. The version of the state answers that: the rule holds from version 1 on, which no release has shipped yet.

From that version on, a run that ends as lapsed is remembered with its VM (`VmRecord.unreported`) until the VM reports its end on the same boot. A reported failure then counts as an attempt and fails the workflow when the attempts are used up. Any report settles the run, so that a report which is committed twice, or a run which lapses twice, counts once. Ends of tasks that are done or long running, of cancelled or deleted workflows and of another boot do not count. Keys of ended workflows are dropped when the next run lapses, so the set does not grow.

The limit of a task without a version is as before.

Shown to fail: test_failure_reported_after_the_lease_expired_counts on the code before, with a set-up that raises the version (a third run in progress instead of none). Bound and check are unchanged; without the raised version the test cannot pass, since state of version 0 has to stay what earlier releases make of the log.

--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -36,7 +36,7 @@
 from .run_outcome import RunOutcome
 from .start_rules import SkippedStart, StartRule
 from .state import WorkflowState, build_codecs, encode_command
-from .state_version import CURRENT_VERSION, PLACEMENT_RULES_VERSION
+from .state_version import CURRENT_VERSION, LATE_FAILURES_VERSION, PLACEMENT_RULES_VERSION
 from .step import Step
 from .step_progress import StepProgress
 from .tables import Tables
@@ -52,6 +52,7 @@
 __all__ = [
     "CONCLUSIVE_CRASHES",
     "CURRENT_VERSION",
+    "LATE_FAILURES_VERSION",
     "NO_CRASHES",
     "PLACEMENT_RULES_VERSION",
     "PROBATION_MS",
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -81,6 +81,7 @@
         runs=old.runs if old is not None else set(),
         lapsed=old.lapsed if old is not None else set(),
         unconfirmed=old.unconfirmed if old is not None else set(),
+        unreported=same_boot.unreported if same_boot is not None else set(),
     )
 
 
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -6,6 +6,7 @@
 
 from .active_run import ActiveRun
 from .apply_crashes import clear_lapsed, count_crashes, record_lapsed
+from .late_failures import count_failure, count_late_failure, record_unreported
 from .run_outcome import RunOutcome
 from .start_rules import SkippedStart, find_broken_rule, group_starts
 from .task_id import TaskId
@@ -98,7 +99,7 @@
     if vm is not None and command.boot_ended:
         started_ms = list_start_times(tables, vm=vm, keys=command.lost_at_work)
     for end in command.ends:
-        end_run(
+        is_ended = end_run(
             tables,
             indexes,
             end=end,
@@ -107,6 +108,10 @@
             at_ms=command.at_ms,
             completes_gang=command.completes_gangs,
         )
+        if vm is not None and command.last_end:
+            count_late_failure(tables, indexes, vm=vm, end=end, at_ms=command.at_ms)
+        elif vm is not None and is_ended:
+            record_unreported(tables, vm=vm, end=end)
     if vm is not None and command.boot_ended:
         count_crashes(
             tables,
@@ -138,12 +143,12 @@
     boot: int,
     at_ms: int,
     completes_gang: bool = False,
-) -> None:
-    """Ends one run if it is in progress on this boot of the VM."""
+) -> bool:
+    """Ends one run if it is in progress on this boot of the VM; returns whether it was."""
     runs = tables.runs.get(end.task, [])
     run = next((item for item in runs if (item.run, item.vm, item.boot) == (end.run, vm, boot)), None)
     if run is None:
-        return
+        return False
     indexes.count_run(tables=tables, run=run, sign=-1)
     runs.remove(run)
     if not runs:
@@ -153,6 +158,7 @@
         record.runs.discard(run.key)
     indexes.runs_to_stop.pop(run.key, None)
     _apply_outcome(tables, indexes, end=end, is_last=not runs, at_ms=at_ms, completes_gang=completes_gang)
+    return True
 
 
 def _update_lapsed(tables: Tables, indexes: Indexes, *, vm: VmRecord, command: EndRuns) -> None:
@@ -204,10 +210,7 @@
     if progress.done[task.number]:
         return  # a failure of a run that lost to another run of its task does not count
     if end.outcome is RunOutcome.FAILED and not step.long_running:
-        progress.failures[task.number] += 1
-        max_attempts = indexes.max_attempts(workflow)
-        if progress.failures[task.number] >= max_attempts and not workflow.status.is_final:
-            end_workflow(tables, indexes, workflow, status=WorkflowStatus.FAILED, at_ms=at_ms)
+        count_failure(tables, indexes, workflow=workflow, task=task, at_ms=at_ms)
     if is_last:
         progress.pending.add(task.number)
 
--- a/src/hyssopway/workflow/vm_record.py
+++ b/src/hyssopway/workflow/vm_record.py
@@ -25,6 +25,7 @@
         runs: Keys of runs in progress, ``task/run``.
         lapsed: Keys of runs whose lease ended without contact, while the VM has not been heard since.
         unconfirmed: Those of them of which it is not known whether their start had reached the VM.
+        unreported: Keys of runs of this boot that ended as lapsed and whose end the VM has not reported since.
     """
 
     vm_id: str
@@ -40,6 +41,7 @@
     runs: set[str] = field(default_factory=set)
     lapsed: set[str] = field(default_factory=set)
     unconfirmed: set[str] = field(default_factory=set)
+    unreported: set[str] = field(default_factory=set)
 
 
 __all__ = ["VmRecord"]
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -12,7 +12,15 @@
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.poll_timing import STABLE_WAIT_MS, UNSTABLE_S
-from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns, Step
+from hyssopway.workflow import (
+    LATE_FAILURES_VERSION,
+    RunEnd,
+    RunOutcome,
+    RunStart,
+    SetStateVersion,
+    StartRuns,
+    Step,
+)
 from workflow.conftest import make_workflow
 
 
@@ -60,6 +68,23 @@
         await poll(link, step_s=0.25)
 
 
+async def test_failure_on_a_silent_vm_counts_once_the_vm_answers(link, vms):
+    """Guards against a task that is started more often than its attempts allow because its VM was silent."""
+    await link.leadership.propose(SetStateVersion(version=LATE_FAILURES_VERSION))
+    await poll(link)
+    await start(link)
+    await poll(link)
+    vms.silent = True
+    await poll(link, times=15, step_s=0.5)
+    progress = link.leadership.state.tables.workflows["w"].progress[0][0]
+    assert (progress.failures, progress.pending) == ([0, 0], {0, 1})
+    vms.silent = False
+    vms.running.clear()
+    vms.ends.append(ListedEnd(1, RunEnd(task="w.0.0.0", run=1, outcome=RunOutcome.FAILED)))
+    await poll(link, times=2, step_s=0.5)
+    assert progress.failures == [1, 0]
+
+
 async def test_end_is_agreed_before_it_is_acknowledged(link, vms):
     """Guards against acknowledging an end that is not committed: the VM would discard it and it would be lost."""
     await poll(link)
--- a/tests/workflow/test_state.py
+++ b/tests/workflow/test_state.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hyssopway.workflow import (
+    LATE_FAILURES_VERSION,
     AddOccurrence,
     CancelWorkflow,
     DeleteWorkflows,
@@ -16,6 +17,7 @@
     RunEnd,
     RunOutcome,
     RunStart,
+    SetStateVersion,
     SetZoneEvacuated,
     StartRuns,
     Step,
@@ -266,6 +268,7 @@
 
 def test_failure_reported_after_the_lease_expired_counts(log):
     """Guards against a start after the attempts were used up by a run that failed while its VM was silent."""
+    log.apply(SetStateVersion(version=LATE_FAILURES_VERSION))
     log.apply(make_workflow("w", steps=(Step(count=1),)))
     start(log, "w.0.0.0", run=1)
     end(log, "w.0.0.0", RunOutcome.LAPSED, run=1)
