Check the spread limit, label and pool of each start in the soak

The soak submitted jobs with a limit of one task per VM, but its checker had no check of ROUTE, so no run could have shown it.

`InvariantChecker` now knows the spread limit, label and queue of each job, the pool and labels of each VM and the pools to which any document leads a queue. A start is a violation if as many other tasks of its step as the limit allows are at work on the VM, counted from their start on the VM until their end there, or if the VM lacks the label or is in a pool to which no document leads the queue. Copies of the task itself do not count. The rule has no time bound, so late starts are checked, too.

Tests feed the checker each kind of violation, and starts that are allowed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -99,11 +99,12 @@
     async def _run_job(self) -> None:
         job_id = f"{self.rng.getrandbits(64):016x}"
         steps = tuple(self.rng.choice((1, 1, 2, 4)) for _ in range(self.rng.choice((1, 1, 2, 3))))
-        job = Job(steps=steps, duplicates=self.rng.random() < 0.2)
+        job = Job(steps=steps, duplicates=self.rng.random() < 0.2, queue="plans")
         self.checker.jobs[job_id] = job
         duration_s = self.rng.choice((0.1, 0.3, 0.8))
         # Chosen by the ID, so that the other jobs of a seed stay the same.
         kind = JOB_KINDS.get(int(job_id, 16) % 4, {})
+        job.spread_limit = kind.get("anti_affinity", 0)
         body = {
             "specification": f"{0 if 'fills' in kind else 1000} {duration_s}{_choose_suffix(job_id)}",
             "steps": [
--- a/tests/soak/invariant_checker.py
+++ b/tests/soak/invariant_checker.py
@@ -21,6 +21,9 @@
     Attributes:
         steps: Number of tasks of each step; a step starts after the previous one.
         duplicates: Whether duplicate runs of a task are allowed.
+        queue: Queue of the job.
+        spread_limit: Maximum number of tasks of a step on one VM; 0 for no limit.
+        label: Label that the VM of a task must have; empty for any VM.
         accepted: Whether a submission was acknowledged.
         refused: Whether every response so far refused the job.
         cancel_acked_at: Monotonic time in seconds of the first acknowledged cancellation.
@@ -30,6 +33,9 @@
 
     steps: tuple[int, ...]
     duplicates: bool
+    queue: str = ""
+    spread_limit: int = 0
+    label: str = ""
     accepted: bool = False
     refused: bool = True
     cancel_acked_at: float = float("inf")
@@ -37,6 +43,19 @@
     state: str = ""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmTraits:
+    """What decides which tasks may run on a VM.
+
+    Attributes:
+        pool: Pool of the VM.
+        labels: Labels of the VM.
+    """
+
+    pool: str
+    labels: tuple[str, ...]
+
+
 @dataclass(slots=True, kw_only=True)
 class InvariantChecker:
     """Records starts and ends of runs, and every violation of a guarantee.
@@ -56,6 +75,8 @@
             boot may start the same run again.
         broken: Violations, each prefixed with the name of the guarantee.
         starts: Number of started runs.
+        vm_traits: Pool and labels by VM ID.
+        queue_pools: Pools to which any document that was sent leads a queue, by queue.
         run_log: Starts and ends of runs on the VMs, each with the time of day.
     """
 
@@ -72,6 +93,8 @@
     forgotten_runs: set[tuple[str, int]] = field(default_factory=set)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
+    vm_traits: dict[str, VmTraits] = field(default_factory=dict)
+    queue_pools: dict[str, set[str]] = field(default_factory=dict)
     run_log: list[str] = field(default_factory=list)
 
     def record_start(self, *, task: str, run: int, vm: str, is_late: bool) -> None:
@@ -107,6 +130,7 @@
             self.broken.append(f"ORDER: {task} starts before step {int(step) - 1} is done")
         if not is_late and time.monotonic() - job.cancel_acked_at > self.cancel_s:
             self.broken.append(f"UNASKED: {task} starts long after its cancellation")
+        self._check_route(job, task=task, run=run, vm=vm)
         self.highest_run[task] = max(run, self.highest_run.get(task, 0))
         self.seen_runs.add((task, run))
         others[run] = vm
@@ -158,6 +182,26 @@
             if job.refused and not job.accepted and job_id in started
         ]
 
+    def _check_route(self, job: Job, *, task: str, run: int, vm: str) -> None:
+        """Checks the VM of a start. The rule has no time bound, so it holds for delayed calls, too."""
+        step_name, _, index = task.rpartition(".")
+        beside = [
+            f"{step_name}.{other}/{number}"
+            for other in range(job.steps[int(step_name.rpartition(".")[2])])
+            for number, other_vm in self.running.get(f"{step_name}.{other}", {}).items()
+            if other != int(index) and other_vm == vm
+        ]
+        tasks = {key.rpartition("/")[0] for key in beside}
+        if job.spread_limit and len(tasks) >= job.spread_limit:
+            self.broken.append(f"ROUTE: run {run} of {task} starts on {vm} beside {beside}")
+        traits = self.vm_traits.get(vm)
+        if traits is None:
+            return
+        if job.label and job.label not in traits.labels:
+            self.broken.append(f"ROUTE: run {run} of {task} starts on {vm} without the label {job.label}")
+        if job.queue and traits.pool not in self.queue_pools[job.queue]:
+            self.broken.append(f"ROUTE: run {run} of {task} of {job.queue} starts on {vm} of {traits.pool}")
+
     def _log_run(self, text: str) -> None:
         self.run_log.append(f"{datetime.now(tz=UTC):%H:%M:%S.%f} {text}")
 
@@ -172,4 +216,4 @@
         return all(f"{job_id}.0.{step}.{index}" in self.done for index in range(count))
 
 
-__all__ = ["InvariantChecker", "Job"]
+__all__ = ["InvariantChecker", "Job", "VmTraits"]
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -197,6 +197,8 @@
         self.config_version += 1
         tenants = CONFIG["tenants"] if grants_guest else CONFIG["tenants"][:GUEST]
         config = CONFIG | {"version": self.config_version, "tenants": tenants}
+        for route in CONFIG["routes"]:
+            self.checker.queue_pools.setdefault(route["name"], set()).add(route["service"])
         rng = random.Random(f"{self.seed} config {self.config_version}")
         deadline = time.monotonic() + READY_TIMEOUT_S
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3.0)) as session:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from .invariant_checker import InvariantChecker, Job
+from .invariant_checker import InvariantChecker, Job, VmTraits
 from .soak_run import SoakRun
 
 SEEDS_FILE = Path(__file__).with_name("seeds.txt")
@@ -65,6 +65,15 @@
             ),
             "BUDGET",
         ),
+        (
+            lambda checker: (
+                record_start(checker, "c.0.0.0", 1),
+                record_start(checker, "c.0.0.1", 1, is_late=True),
+            ),
+            "ROUTE",
+        ),
+        (lambda checker: record_start(checker, "c.0.0.0", 1, vm="m1-1"), "ROUTE"),
+        (lambda checker: record_start(checker, "c.0.0.0", 1, vm="m2-1"), "ROUTE"),
         (lambda checker: checker.record_overload(task="a.0.0.0", vm="m0-1", used_millis=9000), "LIMIT"),
         (lambda checker: checker.check_state("a", "completed"), "LOST"),
         (lambda checker: checker.check_state("a", "failed"), "LOST"),
@@ -78,6 +87,9 @@
         "unknown",
         "attempts",
         "crashes",
+        "spread",
+        "label",
+        "pool",
         "capacity",
         "completed",
         "failed",
@@ -89,5 +101,25 @@
     """Guards against a soak test that passes because its checker detects no violation."""
     checker = InvariantChecker(max_attempts=3)
     checker.jobs["a"] = Job(steps=(1, 1), duplicates=False)
+    checker.jobs["c"] = Job(steps=(2,), duplicates=True, queue="q", spread_limit=1, label="x")
+    checker.queue_pools["q"] = {"p"}
+    checker.vm_traits["m0-1"] = VmTraits(pool="p", labels=("x",))
+    checker.vm_traits["m1-1"] = VmTraits(pool="p", labels=())
+    checker.vm_traits["m2-1"] = VmTraits(pool="o", labels=("x",))
     record_events(checker)
     assert [text.split(":")[0] for text in checker.broken] == [guarantee]
+
+
+def test_checker_accepts_spread_tasks():
+    """Guards against a check that counts the copies of a task, ended runs or other steps against the limit of a step."""
+    checker = InvariantChecker(max_attempts=3)
+    checker.jobs["c"] = Job(steps=(3, 1), duplicates=True, spread_limit=1)
+    record_start(checker, "c.0.0.0", 1)
+    record_start(checker, "c.0.0.0", 2, vm="m1-1")
+    record_start(checker, "c.0.0.1", 1, vm="m2-1")
+    checker.record_end(task="c.0.0.0", run=1, outcome="stopped")
+    record_start(checker, "c.0.0.2", 1)
+    for task, run in (("c.0.0.0", 2), ("c.0.0.1", 1), ("c.0.0.2", 1)):
+        checker.record_end(task=task, run=run, outcome="done")
+    record_start(checker, "c.0.1.0", 1)
+    assert checker.broken == []
--- a/tests/soak/worker_vm.py
+++ b/tests/soak/worker_vm.py
@@ -12,6 +12,8 @@
 import aiohttp
 from aiohttp import web
 
+from .invariant_checker import VmTraits
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Coroutine
@@ -21,6 +23,7 @@
 MAX_LEASE_MS = 10_000
 HEARTBEAT_S = 0.4
 MEMORY_MB = 16_000
+POOL = "vans"
 # Capacities in millicores; a VM changes between them while it runs.
 CAPACITIES = (8000, 8000, 4000, 2000)
 CAPACITY_CHANGE_SHARE = 0.03
@@ -143,6 +146,7 @@
         self.boot_time_ms = int(time.time() * 1000)
         self.lease_expiry_ms = 0.0
         self.highest_ended_run, self.finished = {}, []
+        self.checker.vm_traits[self.vm_id] = VmTraits(pool=POOL, labels=self._list_labels())
         self.change_event.set()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
@@ -159,13 +163,12 @@
                 self._change_capacity()
                 self.sequence += 1
                 body = {
-                    "service": "vans",
+                    "service": POOL,
                     "address": self.announced_address,
                     "zone": "nashua",
                     "state": "ready",
                     "capacity": {"cpu": self.capacities[-1][1], "memory_request_mb": MEMORY_MB},
-                    # Two racks, because a copy of a run is placed in another rack.
-                    "labels": ["a", f"r{zlib.crc32(self.vm_id.encode()) % 2}"],
+                    "labels": self._list_labels(),
                     "call_sequence": self.sequence,
                     "born": self.boot_time_ms,
                 }
@@ -176,6 +179,10 @@
                         pass
                 await asyncio.sleep(HEARTBEAT_S)
 
+    def _list_labels(self) -> tuple[str, ...]:
+        # Two racks, because a copy of a run is placed in another rack.
+        return "a", f"r{zlib.crc32(self.vm_id.encode()) % 2}"
+
     def _is_down(self) -> bool:
         return time.monotonic() < self.down_until
 
