--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -110,6 +110,20 @@
     assert [text.split(":")[0] for text in checker.broken] == [guarantee]
 
 
+def test_checker_counts_only_failures_that_can_be_known():
+    """Guards against a budget that counts a failure whose VM crashed before anyone could take note of it."""
+    checker = InvariantChecker(max_attempts=1)
+    checker.jobs["a"] = Job(steps=(1,), duplicates=False)
+    record_start(checker, "a.0.0.0", 1)
+    checker.record_end(task="a.0.0.0", run=1, outcome="failed")
+    checker.record_forgotten(task="a.0.0.0", run=1, outcome="failed")
+    record_start(checker, "a.0.0.0", 2)
+    assert checker.broken == []
+    checker.record_end(task="a.0.0.0", run=2, outcome="failed")
+    record_start(checker, "a.0.0.0", 3)
+    assert [text.split(":")[0] for text in checker.broken] == ["BUDGET"]
+
+
 def test_checker_accepts_spread_tasks():
     """Guards against a check that counts the copies of a task, ended runs or other steps against the limit of a step."""
     checker = InvariantChecker(max_attempts=3)
