Let the soak hold up commits and slow down VMs of spread tasks

In all earlier runs no VM was slow, no copy of a slow run was ordered, and no commit took longer than a leader waits (3 s). So the soak could not show what an overlap of rounds of placement does, whatever its checker looked for.

A second kind of caller submits jobs of two to six tasks, most with a limit of one or two tasks per VM and with copies, some with a label, some that last until they are cancelled, to two queues. Their VMs, five and three in two pools, work 3 to 8 times as long for some seconds, fail often, end and join. Documents lead one queue to the other pool and back. All followers are suspended, or their disks answer no sync (a wrapper of the program delays `os.fdatasync` while a file exists), for 3.3 to 5.8 s. The report of a run counts the copies of slow runs and of silent VMs, the late commits, the rounds that a leader repeated in the same term, and the terms; a run without any shows nothing of what they cause.

The new parts use random generators of their own, so that the earlier seeds keep theirs. The tests of the earlier seeds run without the new parts, with the same checks and bounds; the seeds that break now have a test of their own. Two things change for all VMs, without a random number: they list the percentage of the work done instead of 100, and do not list a run that is being stopped, as the protocol has it.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,23 +8,18 @@
 
 import aiohttp
 
-from .invariant_checker import Job
+from .job_kinds import PATH_PREFIXES
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
-    from .invariant_checker import InvariantChecker
+    from .invariant_checker import InvariantChecker, Job
+    from .job_kinds import Submission
 
 TIMEOUT_S = 3.0
 VISIBILITY_TIMEOUT_S = 3.0
 SEND_ATTEMPTS = 4
-# Additional fields of the steps of some jobs. Their tasks are spread over the VMs, so that both kinds meet there.
-JOB_KINDS: dict[int, dict[str, Any]] = {
-    0: {"image": "desk", "target_ms": 100, "anti_affinity": 1},
-    1: {"image": "batch", "fills": True, "anti_affinity": 1},
-}
-# One job in so many crashes each VM that starts its first task.
-JOBS_PER_DEADLY_JOB = 40
 # One job in so many uses the key that is withdrawn at times.
 JOBS_PER_GUEST_JOB = 5
 GUEST_KEY = "key-2"
@@ -34,22 +29,31 @@
 
 
 class Callers:
-    """Simulates all callers of a soak run.
+    """Simulates the callers of one kind of job of a soak run.
 
     Attributes:
         checker: Records the jobs and checks what callers are told.
         rng: Random source for jobs, entry VMs and delays.
         entries: Addresses of the entry VMs as ``IP:PORT``, each behind a proxy.
+        make_job: Returns the job of an ID.
         session: HTTP session with persistent connections; None until `open`.
         tasks: Running callers, one for each job.
         acked_at: Monotonic time in seconds of the first acknowledgement, by job ID.
         answers: Number of responses by HTTP status; status 0 counts calls without a complete response.
     """
 
-    def __init__(self, *, checker: InvariantChecker, rng: random.Random, entries: list[str]) -> None:
+    def __init__(
+        self,
+        *,
+        checker: InvariantChecker,
+        rng: random.Random,
+        entries: list[str],
+        make_job: Callable[[random.Random, str], Submission],
+    ) -> None:
         self.checker = checker
         self.rng = rng
         self.entries = entries
+        self.make_job = make_job
         self.session: aiohttp.ClientSession | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.acked_at: dict[str, float] = {}
@@ -98,34 +102,17 @@
 
     async def _run_job(self) -> None:
         job_id = f"{self.rng.getrandbits(64):016x}"
-        steps = tuple(self.rng.choice((1, 1, 2, 4)) for _ in range(self.rng.choice((1, 1, 2, 3))))
-        job = Job(steps=steps, duplicates=self.rng.random() < 0.2, queue="plans")
-        self.checker.jobs[job_id] = job
-        duration_s = self.rng.choice((0.1, 0.3, 0.8))
-        # Chosen by the ID, so that the other jobs of a seed stay the same.
-        kind = JOB_KINDS.get(int(job_id, 16) % 4, {})
-        job.spread_limit = kind.get("anti_affinity", 0)
-        body = {
-            "specification": f"{0 if 'fills' in kind else 1000} {duration_s}{_choose_suffix(job_id)}",
-            "steps": [
-                {
-                    "count": count,
-                    "cpu": 1000,
-                    "memory_request_mb": 100,
-                    "estimated_ms": round(duration_s * 1000),
-                    **({"after": [number - 1]} if number else {}),
-                    **({"allow_duplicates": True} if job.duplicates else {}),
-                    **kind,
-                }
-                for number, count in enumerate(steps)
-            ],
-        }
-        await self._submit(job_id, job=job, body=body)
+        submission = self.make_job(self.rng, job_id)
+        job = self.checker.jobs[job_id] = submission.job
+        await self._submit(job_id, job=job, body=submission.body)
         if not job.accepted:
             return
         if self.rng.random() < 0.1:
             await asyncio.sleep(self.rng.uniform(0.0, 1.0))
             await self._cancel(job_id, job=job)
+        await asyncio.sleep(submission.cancel_after_s)
+        while submission.cancel_after_s and job.cancel_acked_at == float("inf"):
+            await self._cancel(job_id, job=job)
         while job.state not in ("completed", "failed", "cancelled"):
             await asyncio.sleep(self.rng.uniform(0.3, 1.0))
             await self.fetch_state(job_id)
@@ -161,7 +148,8 @@
         if self.session is None:
             raise RuntimeError("open() must be called before sending requests")
         headers = HEADERS | {"Authorization": f"Bearer {_choose_key(job_id)}"}
-        url = f"http://{self.rng.choice(self.entries)}/p/{job_id}"
+        path_prefix = PATH_PREFIXES[self.checker.jobs[job_id].queue]
+        url = f"http://{self.rng.choice(self.entries)}{path_prefix}{job_id}"
         try:
             async with self.session.request(method, url, json=body, headers=headers) as response:
                 response_body = await response.json()
@@ -177,8 +165,4 @@
     return GUEST_KEY if int(job_id, 16) % JOBS_PER_GUEST_JOB == 0 else f"key-{int(job_id, 16) % 2}"
 
 
-def _choose_suffix(job_id: str) -> str:
-    return " deadly" if int(job_id, 16) % JOBS_PER_DEADLY_JOB == 1 else ""
-
-
 __all__ = ["Callers"]
--- a/tests/soak/fault_injector.py
+++ b/tests/soak/fault_injector.py
@@ -104,13 +104,14 @@
             self.tasks.add(task)
             await asyncio.sleep(rng.expovariate(0.7))
 
-    def _log_fault(self, text: str) -> None:
+    def log_fault(self, text: str) -> None:
+        """Logs a fault with the time."""
         self.log.append(f"{time.monotonic() - self.started_at:7.2f} {text}")
         with self.log_file.open("a") as stream:
             stream.write(f"{time.strftime('%H:%M:%S')} {self.log[-1]}\n")
 
     def _start(self, node: Node) -> None:
-        self._log_fault(f"start {node.name}")
+        self.log_fault(f"start {node.name}")
         node.start()
 
     def _choose_healthy_node(self, nodes: list[Node]) -> Node | None:
@@ -121,7 +122,7 @@
         node = self._choose_healthy_node([*self.controls, *self.entries])
         if node is not None:
             self.faulted_nodes.add(node.name)
-            self._log_fault(f"kill {node.name}")
+            self.log_fault(f"kill {node.name}")
             node.kill()
             await asyncio.sleep(self.rng.uniform(0.1, 3.0))
             self._start(node)
@@ -132,7 +133,7 @@
         if node is not None:
             self.faulted_nodes.add(node.name)
             seconds = self.rng.choice((0.2, 0.6, 2.0, 6.0))
-            self._log_fault(f"suspend {node.name} for {seconds} s")
+            self.log_fault(f"suspend {node.name} for {seconds} s")
             node.suspend()
             await asyncio.sleep(seconds)
             node.resume()
@@ -142,10 +143,10 @@
         node = self._choose_healthy_node([*self.controls, *self.entries])
         if node is not None:
             self.faulted_nodes.add(node.name)
-            self._log_fault(f"restart {node.name}")
+            self.log_fault(f"restart {node.name}")
             node.terminate()
             status = await asyncio.to_thread(node.wait)
-            self._log_fault(f"{node.name} exited with status {status}")
+            self.log_fault(f"{node.name} exited with status {status}")
             self._start(node)
             self.faulted_nodes.discard(node.name)
 
@@ -162,7 +163,7 @@
         # No other control node may fail until the control group has replaced the member.
         self.wiped_at = now
         self.faulted_nodes |= controls
-        self._log_fault(f"wipe {node.name}")
+        self.log_fault(f"wipe {node.name}")
         node.kill()
         node.wipe()
         self.configure(node)
@@ -175,7 +176,7 @@
         if self.faulted_nodes & {node.name for node in self.controls}:
             return
         self.faulted_nodes |= {node.name for node in self.controls}
-        self._log_fault("kill all control nodes")
+        self.log_fault("kill all control nodes")
         for node in self.controls:
             node.kill()
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
@@ -188,14 +189,14 @@
         proxy = self.rng.choice(self.proxies)
         fault = self.rng.choice([one for one in NetworkFault if one is not NetworkFault.NONE])
         seconds = self.rng.uniform(0.2, 4.0)
-        self._log_fault(f"{fault} in front of {proxy.target} for {seconds:.1f} s")
+        self.log_fault(f"{fault} in front of {proxy.target} for {seconds:.1f} s")
         proxy.set(fault, delay_s=self.rng.uniform(0.05, 0.6))
         await asyncio.sleep(seconds)
         proxy.set(NetworkFault.NONE)
 
     async def _crash_worker(self) -> None:
         worker = self.rng.choice(self.workers)
-        self._log_fault(f"crash {worker.vm_id}")
+        self.log_fault(f"crash {worker.vm_id}")
         worker.crash()
 
     async def _restart_worker(self) -> None:
@@ -204,20 +205,20 @@
         worker = rng.choice(self.workers)
         for _ in range(rng.choice((1, 2, 4))):
             down_s = rng.choice((0.05, 0.4, 1.5))
-            self._log_fault(f"restart {worker.vm_id} under its ID after {down_s} s")
+            self.log_fault(f"restart {worker.vm_id} under its ID after {down_s} s")
             worker.crash(down_s=down_s, keeps_id=True)
             await asyncio.sleep(down_s + rng.uniform(0.2, 1.5))
 
     async def _change_keys(self) -> None:
         """Withdraws the key of a team whose callers go on to use it, and grants it again."""
         for grants_guest in (False, True):
-            self._log_fault(f"key of the guest granted: {grants_guest}")
+            self.log_fault(f"key of the guest granted: {grants_guest}")
             await self.put_config(grants_guest)
             await asyncio.sleep(self.restart_rng.uniform(0.1, 1.0))
 
     async def _degrade_worker(self) -> None:
         worker = self.rng.choice(self.workers)
-        self._log_fault(f"{worker.name} drops responses and delays calls")
+        self.log_fault(f"{worker.name} drops responses and delays calls")
         worker.lost_response_share, worker.delayed_call_share = (
             self.rng.uniform(0, 0.5),
             self.rng.uniform(0, 0.3),
--- a/tests/soak/invariant_checker.py
+++ b/tests/soak/invariant_checker.py
@@ -21,6 +21,7 @@
     Attributes:
         steps: Number of tasks of each step; a step starts after the previous one.
         duplicates: Whether duplicate runs of a task are allowed.
+        lasts: Whether the tasks run until the job is cancelled; they have no limit of failures.
         queue: Queue of the job.
         spread_limit: Maximum number of tasks of a step on one VM; 0 for no limit.
         label: Label that the VM of a task must have; empty for any VM.
@@ -33,6 +34,7 @@
 
     steps: tuple[int, ...]
     duplicates: bool
+    lasts: bool = False
     queue: str = ""
     spread_limit: int = 0
     label: str = ""
@@ -123,7 +125,7 @@
                 f"TWICE: run {run} of {task} starts again, run {self.highest_run[task]} was seen before"
             )
         failures = self.failures[task] - self.forgotten_failures[task]
-        if failures >= self.max_attempts:
+        if failures >= self.max_attempts and not job.lasts:
             self.broken.append(f"BUDGET: {task} starts after {failures} failures")
         if self.crashes[task] >= CRASHES and not is_late:
             self.starts_after_crashes[task] += 1
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -12,7 +12,9 @@
 
 import tomli_w
 
-REPOSITORY_ROOT = Path(__file__).parents[2]
+from .stalling_disk import STALL_VARIABLE
+
+PROGRAM = Path(__file__).with_name("stalling_disk.py")
 ZONES = {"nashua": "north", "worcester": "north"}
 STOP_TIMEOUT_S = 12.0
 
@@ -36,6 +38,8 @@
         http: Address for callers or operators as ``IP:PORT``.
         process: The process; None while it does not run.
         is_suspended: Whether the process is suspended by SIGSTOP.
+        output: File with the log of the process.
+        stall_file: File that stalls the disk while it exists.
     """
 
     def __init__(self, *, name: str, role: str, host: str, folder: Path) -> None:
@@ -46,7 +50,10 @@
         self.http = f"{host}:{find_free_port(host)}"
         self.process: subprocess.Popen[bytes] | None = None
         self.is_suspended = False
+        self.stall_file = folder / "disk-stalls"
+        self.output = folder / "output.jsonl"
         folder.mkdir(parents=True)
+        self.output.touch()
 
     def write_settings(
         self, *, seeds: list[str], peer_port: int, machine_api_address: str, bootstrap: bool
@@ -72,10 +79,13 @@
     def start(self) -> None:
         """Starts the process."""
         (self.folder / "data").mkdir(exist_ok=True)
-        output = (self.folder / "output.jsonl").open("ab")
-        environment = os.environ | {"HYSSOPWAY_BOOT": str(self.folder / "settings.toml")}
+        output = self.output.open("ab")
+        environment = os.environ | {
+            "HYSSOPWAY_BOOT": str(self.folder / "settings.toml"),
+            STALL_VARIABLE: str(self.stall_file),
+        }
         self.process = subprocess.Popen(
-            [sys.executable, str(REPOSITORY_ROOT / "platform" / "run.py"), self.role],
+            [sys.executable, str(PROGRAM), self.role],
             stdout=output,
             stderr=subprocess.STDOUT,
             env=environment,
@@ -101,6 +111,14 @@
             self.process.send_signal(signal.SIGCONT)
         self.is_suspended = False
 
+    def stall_disk(self) -> None:
+        """Lets the disk answer no sync until `release_disk`."""
+        self.stall_file.touch()
+
+    def release_disk(self) -> None:
+        """Lets the disk answer again."""
+        self.stall_file.unlink(missing_ok=True)
+
     def terminate(self) -> None:
         """Sends SIGTERM to the process."""
         if self.process is not None:
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -6,17 +6,21 @@
 import json
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
 from .callers import Callers
 from .fault_injector import FaultInjector
 from .invariant_checker import InvariantChecker
+from .job_kinds import PATH_PREFIXES, make_plan, make_spread_job
+from .leader_events import LeaderCounts
 from .machine_api import MachineApi
 from .nodes import Node, find_free_port
 from .proxy import Proxy
+from .spread_troubles import SpreadTroubles
 from .worker_vm import WorkerVm
 
 if TYPE_CHECKING:
@@ -41,9 +45,22 @@
             "max_attempts": MAX_ATTEMPTS,
             "target_latency_ms": 500,
             "stretch": 2.0,
-        }
+        },
+        *(
+            {
+                "name": queue,
+                "host": "a.example",
+                "path_prefix": PATH_PREFIXES[queue],
+                "timeout_ms": 3000,
+                "service": "trams",
+                "max_attempts": MAX_ATTEMPTS,
+                "target_latency_ms": 500,
+                "stretch": 2.0,
+            }
+            for queue in ("peeks", "scans")
+        ),
     ],
-    "services": [{"name": "vans", "rejects_overload": False}],
+    "services": [{"name": name, "rejects_overload": False} for name in ("vans", "cars", "trams")],
     "tenants": [
         {"name": "one", "api_keys": ["key-0"], "weight": 2.0},
         {"name": "two", "api_keys": ["key-1"]},
@@ -51,6 +68,14 @@
     ],
 }
 GUEST = 2
+# Position of the queue that documents lead to one pool and then to another.
+MOVED_QUEUE = 1
+# Pools of spread tasks, with the labels of their VMs: each has a rack of its own, so that a copy may go to any other.
+SPREAD_POOLS = {
+    pool: [(kind, f"{pool}-{number}") for number, kind in enumerate("aab" if pool == "trams" else "aabab")]
+    for pool in ("cars", "trams")
+}
+SPREAD_RATE_PER_S = 3.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -65,6 +90,7 @@
         starts: Number of runs that started on worker VMs.
         answers: Number of responses by HTTP status.
         faults: Log of the injected faults.
+        counts: What leaders logged that makes rounds of placement overlap.
     """
 
     seed: int
@@ -74,13 +100,14 @@
     starts: int = 0
     answers: dict[int, int] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
+    counts: LeaderCounts = field(default_factory=LeaderCounts)
 
     def describe(self) -> str:
         """Returns a one-line summary."""
         outcome = "; ".join(self.broken[:3]) or "no guarantee violated"
         return (
             f"seed {self.seed}: {self.jobs} jobs, {self.accepted} accepted, {self.starts} starts, "
-            f"{len(self.faults)} faults, answers {dict(sorted(self.answers.items()))}: {outcome}"
+            f"{len(self.faults)} faults, {self.counts.describe()}, answers {dict(sorted(self.answers.items()))}: {outcome}"
         )
 
 
@@ -90,11 +117,13 @@
     Attributes:
         seed: Seed of jobs, faults and the behaviour of worker VMs; the timing of processes is not reproduced.
         folder: Directory of settings, data and output of all processes.
+        has_spread_tasks: Whether spread tasks, their pools and their troubles are added.
     """
 
-    def __init__(self, *, seed: int, folder: Path) -> None:
+    def __init__(self, *, seed: int, folder: Path, has_spread_tasks: bool = True) -> None:
         self.seed = seed
         self.folder = folder
+        self.has_spread_tasks = has_spread_tasks
         self.checker = InvariantChecker(max_attempts=MAX_ATTEMPTS)
         self.machine_api = MachineApi()
         # Each run uses its own loopback addresses, so that concurrent runs do not conflict.
@@ -108,8 +137,12 @@
         self.peer_port = find_free_port(self.controls[0].host)
         self.workers: list[WorkerVm] = []
         self.proxies: list[Proxy] = []
-        self.callers: Callers | None = None
+        self.spread_workers: list[WorkerVm] = []
+        self.callers: list[Callers] = []
         self.config_version = 0
+        self.config_lock = asyncio.Lock()
+        self.grants_guest = True
+        self.moved_to = "cars"
 
     async def run(self, *, for_s: float) -> SoakReport:
         """Injects faults, ends all of them, waits for the jobs and checks the guarantees.
@@ -130,11 +163,24 @@
                 put_config=self._put_config,
                 log_file=self.folder / "faults.log",
             )
-            callers = self.callers
-            if callers is None:
-                raise RuntimeError("the soak run has no callers")
-            await asyncio.gather(injector.run(for_s=for_s), callers.run(for_s=for_s, rate_per_s=RATE_PER_S))
-            await self._wait_for_jobs(callers)
+            troubles = SpreadTroubles(
+                rng=random.Random(f"{self.seed} spread troubles"),
+                controls=self.controls,
+                workers=self.spread_workers,
+                move_queue=self._move_queue,
+                log_fault=injector.log_fault,
+                list_faulted=lambda: injector.faulted_nodes,
+            )
+            rates = (RATE_PER_S, SPREAD_RATE_PER_S)
+            await asyncio.gather(
+                injector.run(for_s=for_s),
+                troubles.run(for_s=for_s if self.has_spread_tasks else 0.0),
+                *(
+                    callers.run(for_s=for_s, rate_per_s=rate)
+                    for callers, rate in zip(self.callers, rates, strict=False)
+                ),
+            )
+            await self._wait_for_jobs()
             self.checker.check_refused_jobs()
             return SoakReport(
                 seed=self.seed,
@@ -142,8 +188,9 @@
                 jobs=len(self.checker.jobs),
                 accepted=sum(job.accepted for job in self.checker.jobs.values()),
                 starts=self.checker.starts,
-                answers=callers.answers,
+                answers=sum((Counter(callers.answers) for callers in self.callers), Counter()),
                 faults=injector.log,
+                counts=self._count_events(),
             )
         finally:
             await self._stop()
@@ -169,22 +216,36 @@
             node.start()
         await self._put_config()
         for number in range(WORKER_VMS):
-            worker = WorkerVm(
-                name=f"m{number}",
-                checker=self.checker,
-                rng=random.Random(f"{self.seed} worker {number}"),
-                control=[one.http for one in self.controls],
-            )
+            worker = self._create_worker(f"m{number}")
             await worker.start()
             proxy = await self._start_proxy(worker.address)
             worker.announced_address = proxy.address
             self.workers.append(worker)
+        for pool, all_labels in SPREAD_POOLS.items() if self.has_spread_tasks else ():
+            for number, labels in enumerate(all_labels):
+                worker = self._create_worker(f"{pool}{number}", pool=pool, labels=labels)
+                await worker.start()
+                self.spread_workers.append(worker)
         entries = [(await self._start_proxy(entry.http)).address for entry in self.entries]
-        rng = random.Random(f"{self.seed} callers")
-        self.callers = Callers(checker=self.checker, rng=rng, entries=entries)
-        await self.callers.open()
+        kinds = (("callers", make_plan), ("spread callers", make_spread_job))
+        for name, make_job in kinds if self.has_spread_tasks else kinds[:1]:
+            rng = random.Random(f"{self.seed} {name}")
+            callers = Callers(checker=self.checker, rng=rng, entries=entries, make_job=make_job)
+            await callers.open()
+            self.callers.append(callers)
         await asyncio.sleep(1.0)
 
+    def _create_worker(self, name: str, *, pool: str = "vans", labels: tuple[str, ...] = ()) -> WorkerVm:
+        number = name.removeprefix("m")
+        return WorkerVm(
+            name=name,
+            checker=self.checker,
+            rng=random.Random(f"{self.seed} worker {number}"),
+            control=[one.http for one in self.controls],
+            pool=pool,
+            labels=labels,
+        )
+
     async def _start_proxy(self, address: str) -> Proxy:
         host, _, port = address.rpartition(":")
         proxy = Proxy(target=(host, int(port)))
@@ -193,12 +254,28 @@
         return proxy
 
     async def _put_config(self, grants_guest: bool = True) -> None:
-        """Puts the next version of the configuration into force, at any control node."""
-        self.config_version += 1
-        tenants = CONFIG["tenants"] if grants_guest else CONFIG["tenants"][:GUEST]
-        config = CONFIG | {"version": self.config_version, "tenants": tenants}
-        for route in CONFIG["routes"]:
-            self.checker.queue_pools.setdefault(route["name"], set()).add(route["service"])
+        """Puts the next version of the configuration into force, with or without the key of the guest."""
+        self.grants_guest = grants_guest
+        await self._put_next_version()
+
+    async def _move_queue(self, pool: str) -> None:
+        self.moved_to = pool
+        await self._put_next_version()
+
+    async def _put_next_version(self) -> None:
+        async with self.config_lock:
+            self.config_version += 1
+            routes = [dict(route) for route in CONFIG["routes"]]
+            routes[MOVED_QUEUE]["service"] = self.moved_to
+            for route in routes:
+                self.checker.queue_pools.setdefault(route["name"], set()).add(route["service"])
+            tenants = CONFIG["tenants"] if self.grants_guest else CONFIG["tenants"][:GUEST]
+            await self._send_config(
+                CONFIG | {"version": self.config_version, "tenants": tenants, "routes": routes}
+            )
+
+    async def _send_config(self, config: dict[str, Any]) -> None:
+        """Sends a configuration to any control node until one accepts it."""
         rng = random.Random(f"{self.seed} config {self.config_version}")
         deadline = time.monotonic() + READY_TIMEOUT_S
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3.0)) as session:
@@ -215,33 +292,41 @@
             f"the configuration was not accepted within {READY_TIMEOUT_S:.0f} s of the start"
         )
 
-    async def _wait_for_jobs(self, callers: Callers) -> None:
+    async def _wait_for_jobs(self) -> None:
         deadline = time.monotonic() + SETTLE_TIMEOUT_S
         unfinished = self._list_unfinished_jobs()
         while unfinished and time.monotonic() < deadline:
             await asyncio.sleep(0.5)
-            for job_id in unfinished:
-                await callers.fetch_state(job_id)
+            for callers in self.callers:
+                for job_id in callers.acked_at.keys() & set(unfinished):
+                    await callers.fetch_state(job_id)
             unfinished = self._list_unfinished_jobs()
         self.checker.broken += [
             f"LOST: {job_id} is {self.checker.jobs[job_id].state or 'unknown'} {SETTLE_TIMEOUT_S:.0f} s after the last fault"
             for job_id in unfinished
         ]
 
+    def _count_events(self) -> LeaderCounts:
+        counts = LeaderCounts()
+        for control in self.controls:
+            counts.add_log(control.output)
+        return counts
+
     def _list_unfinished_jobs(self) -> list[str]:
         return [
             key for key, job in self.checker.jobs.items() if job.accepted and job.state not in FINAL_STATES
         ]
 
     async def _stop(self) -> None:
-        if self.callers is not None:
-            await self.callers.close()
-        for worker in self.workers:
+        for callers in self.callers:
+            await callers.close()
+        for worker in (*self.workers, *self.spread_workers):
             await worker.stop()
         for proxy in self.proxies:
             await proxy.stop()
         for node in (*self.controls, *self.entries):
             node.resume()
+            node.release_disk()
             node.kill()
         await self.machine_api.stop()
 
--- a/tests/soak/test_lost_answers.py
+++ b/tests/soak/test_lost_answers.py
@@ -60,7 +60,7 @@
 @pytest.mark.faults
 async def test_job_that_ran_is_not_reported_as_refused_when_its_leader_is_killed(tmp_path):
     """Guards against a 401 for a job that the killed leader had stored, and that its successor runs (REFUSED)."""
-    run = SoakRun(seed=171, folder=tmp_path)
+    run = SoakRun(seed=171, folder=tmp_path, has_spread_tasks=False)
     rng = random.Random(run.seed)
     statuses = set()
     try:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,25 +10,38 @@
 from .soak_run import SoakRun
 
 SEEDS_FILE = Path(__file__).with_name("seeds.txt")
+# Second word of the line of a seed that failed in a run with spread tasks.
+SPREAD_MARK = "spread:"
 
 
-def read_failed_seeds():
-    lines = SEEDS_FILE.read_text().splitlines()
-    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+def read_failed_seeds(*, spread):
+    """Returns the seeds that failed, with or without spread tasks."""
+    lines = [
+        line.split() for line in SEEDS_FILE.read_text().splitlines() if line and not line.startswith("#")
+    ]
+    return [int(words[0]) for words in lines if (words[1] == SPREAD_MARK) == spread]
 
 
 async def test_guarantees_hold_under_injected_faults(tmp_path):
     """Guards against defects of the platform programs that only show when they run as processes."""
-    report = await SoakRun(seed=1, folder=tmp_path).run(for_s=8.0)
+    report = await SoakRun(seed=1, folder=tmp_path, has_spread_tasks=False).run(for_s=8.0)
     assert report.broken == [], report.describe()
     assert report.accepted > 10
     assert report.starts > report.accepted
 
 
 @pytest.mark.faults
-@pytest.mark.parametrize("seed", [2, 3, 4, *read_failed_seeds()])
+@pytest.mark.parametrize("seed", [2, 3, 4, *read_failed_seeds(spread=False)])
 async def test_guarantees_hold_in_longer_runs(tmp_path, seed):
     """Guards against defects that need a series of faults, and against regressions of failed seeds."""
+    report = await SoakRun(seed=seed, folder=tmp_path, has_spread_tasks=False).run(for_s=20.0)
+    assert report.broken == [], report.describe()
+
+
+@pytest.mark.faults
+@pytest.mark.parametrize("seed", read_failed_seeds(spread=True))
+async def test_guarantees_hold_for_spread_tasks(tmp_path, seed):
+    """Guards against two tasks of a spread step on one VM when rounds of placement overlap (ROUTE)."""
     report = await SoakRun(seed=seed, folder=tmp_path).run(for_s=20.0)
     assert report.broken == [], report.describe()
 
--- a/tests/soak/worker_vm.py
+++ b/tests/soak/worker_vm.py
@@ -23,7 +23,6 @@
 MAX_LEASE_MS = 10_000
 HEARTBEAT_S = 0.4
 MEMORY_MB = 16_000
-POOL = "vans"
 # Capacities in millicores; a VM changes between them while it runs.
 CAPACITIES = (8000, 8000, 4000, 2000)
 CAPACITY_CHANGE_SHARE = 0.03
@@ -37,11 +36,26 @@
 
     Attributes:
         cpu_millis: Declared CPU in millicores.
+        started_at: Monotonic time in seconds of its start.
+        duration_s: Duration in seconds.
+        lasts: Whether the run is at work until it is stopped or fails.
         timer: Timer that ends the run.
+        is_stopping: Whether the run was told to stop; it is then listed neither as running nor as ended until it ends.
     """
 
     cpu_millis: int
+    started_at: float
+    duration_s: float
+    lasts: bool
     timer: asyncio.TimerHandle
+    is_stopping: bool = False
+
+    @property
+    def percent(self) -> int:
+        """Percentage of the work that is done; of a task that lasts, 100 while it is at work."""
+        if self.lasts:
+            return 100
+        return min(99, int(100 * (time.monotonic() - self.started_at) / self.duration_s))
 
 
 class WorkerVm:
@@ -54,6 +68,9 @@
         control: Addresses of the control nodes to report to.
         lost_response_share: Share of calls that are executed but whose response is dropped.
         delayed_call_share: Share of calls that are executed up to 3 s late and whose response is dropped.
+        slowdown: Factor by which runs that start now last longer.
+        pool: Pool of the VM.
+        labels: Labels of the VM; empty for a kind and one of two racks, which changes with the VM.
         failure_share: Share of runs that fail.
         clock_rate: Rate of the VM's clock relative to real time; leases expire by this clock.
         boot: Number of the current boot.
@@ -64,12 +81,22 @@
     """
 
     def __init__(
-        self, *, name: str, checker: InvariantChecker, rng: random.Random, control: list[str]
+        self,
+        *,
+        name: str,
+        checker: InvariantChecker,
+        rng: random.Random,
+        control: list[str],
+        pool: str = "vans",
+        labels: tuple[str, ...] = (),
     ) -> None:
         self.name = name
         self.checker = checker
         self.rng = rng
         self.control = control
+        self.pool = pool
+        self.labels = labels
+        self.slowdown = 1.0
         self.lost_response_share = 0.0
         self.delayed_call_share = 0.0
         self.failure_share = 0.02
@@ -146,7 +173,7 @@
         self.boot_time_ms = int(time.time() * 1000)
         self.lease_expiry_ms = 0.0
         self.highest_ended_run, self.finished = {}, []
-        self.checker.vm_traits[self.vm_id] = VmTraits(pool=POOL, labels=self._list_labels())
+        self.checker.vm_traits[self.vm_id] = VmTraits(pool=self.pool, labels=self._list_labels())
         self.change_event.set()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
@@ -163,7 +190,7 @@
                 self._change_capacity()
                 self.sequence += 1
                 body = {
-                    "service": POOL,
+                    "service": self.pool,
                     "address": self.announced_address,
                     "zone": "nashua",
                     "state": "ready",
@@ -181,7 +208,7 @@
 
     def _list_labels(self) -> tuple[str, ...]:
         # Two racks, because a copy of a run is placed in another rack.
-        return "a", f"r{zlib.crc32(self.vm_id.encode()) % 2}"
+        return self.labels or ("a", f"r{zlib.crc32(self.vm_id.encode()) % 2}")
 
     def _is_down(self) -> bool:
         return time.monotonic() < self.down_until
@@ -241,7 +268,11 @@
                     await self.change_event.wait()
         # A tail latency that rises with the number of runs, so that pace and interference have something to decide.
         tail_ms = 30 * len(self.running)
-        listed_runs = [[task, run, "", 100, tail_ms] for task, run in self.running]
+        listed_runs = [
+            [task, run, "", active.percent, tail_ms]
+            for (task, run), active in self.running.items()
+            if not active.is_stopping
+        ]
         response = {"running": listed_runs, "finished": self.finished[:500], "born": self.boot_time_ms}
         return web.json_response(response | {"clock_ms": self.clock_ms})
 
@@ -253,6 +284,7 @@
         if call == "run-stop":
             self.highest_ended_run[task] = max(run, self.highest_ended_run.get(task, 0))
             if (task, run) in self.running:
+                self.running[task, run].is_stopping = True
                 delay_s = self.rng.uniform(0.0, 0.3)
                 asyncio.get_running_loop().call_later(delay_s, self._end_run_if_active, task, run, self.boot)
         elif call == "run-start":
@@ -272,16 +304,23 @@
         used_millis = sum(active.cpu_millis for active in self.running.values()) + int(cpu_millis)
         if used_millis > self._find_binding_capacity() and not is_late:
             self.checker.record_overload(task=task, vm=self.vm_id, used_millis=used_millis)
-        outcome = "failed" if self.rng.random() < self.failure_share else "done"
+        outcome = "failed" if self.rng.random() < self.failure_share or "lasting" in kinds else "done"
+        total_s = float(duration_s) * self.rng.uniform(0.5, 1.5) * self.slowdown
         timer = asyncio.get_running_loop().call_later(
-            float(duration_s) * self.rng.uniform(0.5, 1.5),
+            total_s,
             self._end_run_if_active,
             task,
             run,
             self.boot,
             outcome,
         )
-        self.running[task, run] = ActiveRun(cpu_millis=int(cpu_millis), timer=timer)
+        self.running[task, run] = ActiveRun(
+            cpu_millis=int(cpu_millis),
+            started_at=time.monotonic(),
+            duration_s=total_s,
+            lasts="lasting" in kinds,
+            timer=timer,
+        )
         self.checker.record_start(task=task, run=run, vm=self.vm_id, is_late=is_late)
         if "deadly" in kinds and task.endswith(".0.0.0"):
             self.crash(down_s=self.rng.uniform(0.3, 3.0))
