Measure early elections on a clock that stands still with the process

Three tests of early elections failed at times on a busy machine with 1.5 to 3.2 s until a leader was elected, in place of less than 1.5 s: test_lost_connections_to_the_leader_start_an_election, test_members_that_all_start_elect_a_leader_at_once and test_election_starts_early_while_voters_write_the_last_entries.

Cause, traced in 45 groups with each vote, campaign, sync and delay of the event loop recorded (trial, load 22; 3 of 45 took longer than 1.5 s, at most 3.6 s): in each of the three, the event loop did not run for 0.85, 1.5 and 1.6 s, in the last one a vote took 0.6 s to sync besides. All five members share one process, so all of them stood still, campaigned in the same moment when it went on, and split the vote. 0.4 to 0.5 s later a leader was elected, so the staggering of the campaigns works. Processes of their own do not stand still together.

The tests of this file now run on an event loop with virtual time (tests/virtual_time.py, marker `virtual_time`): the clock advances only while all tasks wait, stands still while a thread of a member writes, and a pause of the process takes no time. The bound of 1.5 s stays.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -15,9 +16,10 @@
 from hyssopway_standins.fleet_stand_in import FleetStandIn
 from hyssopway_standins.operator_client import OperatorClient
 from hyssopway_standins.processes import Deployment
+from virtual_time import VirtualTimeLoop
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
@@ -36,6 +38,15 @@
     items[:] = [item for item in items if item.nodeid not in known]
 
 
+def pytest_asyncio_loop_factories(
+    config: pytest.Config, item: pytest.Item
+) -> dict[str, Callable[[], asyncio.AbstractEventLoop]]:
+    """Runs tests with the marker `virtual_time` on an event loop with virtual time."""
+    if item.get_closest_marker("virtual_time") is not None:
+        return {"virtual": VirtualTimeLoop}
+    return {"real": asyncio.new_event_loop}
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Prints the tests listed in KNOWN-RED.txt."""
     for name in _read_known_red():
