Guard against two copies for different reasons on one VM

It needs no waiting task, and one silent VM beside a slow one, as when a rack is cut off.

Run now: pytest tests/dispatch/test_spread_limit.py, 5 passed.

--- a/tests/dispatch/test_spread_limit.py
+++ b/tests/dispatch/test_spread_limit.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dispatch.conftest import FakeVms, make_link
+from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.vm_link import CONTACT_TIMEOUT_S
@@ -22,10 +23,20 @@
 
 
 class SlowVms(FakeVms):
-    """Fake VMs whose runs are 20% done."""
+    """Fake VMs whose runs are 20% done.
 
-    async def poll(self, **arguments):
-        reply = await super().poll(**arguments)
+    Attributes:
+        silent_vms: IDs of the VMs that answer nothing.
+    """
+
+    def __init__(self, leadership):
+        super().__init__(leadership)
+        self.silent_vms = set()
+
+    async def poll(self, *, vm, **arguments):
+        if vm.vm_id in self.silent_vms:
+            raise WorkerUnreachableError("silent")
+        reply = await super().poll(vm=vm, **arguments)
         return replace(reply, running=tuple(row._replace(percent=20) for row in reply.running))
 
 
@@ -89,6 +100,23 @@
     assert spread_fleet.count_runs() == {"vm-1": 1, **dict.fromkeys(joining, 1)}
 
 
+async def test_copies_of_a_silent_and_of_a_slow_run_do_not_share_a_vm(spread_fleet):
+    """Guards against two copies of tasks of a spread step on one VM, for different reasons in one round (ROUTE)."""
+    step = Step(count=2, cpu_millis=200, estimate_ms=USUAL_MS, spread_limit=1, duplicates=True)
+    await spread_fleet.leadership.propose(make_workflow("spread", steps=(step,)))
+    await spread_fleet.join("vm-2", rack="r2")
+    await spread_fleet.poll()
+    await spread_fleet.run_round()
+    assert spread_fleet.count_runs() == {"vm-1": 1, "vm-2": 1}
+    await spread_fleet.join("vm-3", rack="r3")
+    spread_fleet.vms.silent_vms = {"vm-1"}
+    for seconds in (0.0, CONTACT_TIMEOUT_S + 0.1):
+        spread_fleet.leadership.now += seconds
+        await spread_fleet.poll()
+    await spread_fleet.run_round()
+    assert spread_fleet.count_runs() == {"vm-1": 1, "vm-2": 1, "vm-3": 1}
+
+
 async def test_task_does_not_join_a_run_whose_end_is_committed_but_which_the_vm_still_has(spread_fleet):
     """Guards against two tasks of a spread step on one VM, one of which the leader has given up (ROUTE)."""
     leadership, vms = spread_fleet.leadership, spread_fleet.vms
