--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -196,7 +196,8 @@
         try:
             while self.leadership.holds:
                 await _run_until_lost("supervision", self._supervise(running))
-                await asyncio.sleep(SUPERVISION_INTERVAL_S)
+                if self.leadership.holds:
+                    await asyncio.sleep(SUPERVISION_INTERVAL_S)
             log_event(Event.DECISIONS_STOPPED, term=self.leadership.term, reason="the term has ended")
         finally:
             self.leadership.state.on_change = None
