Log only those starts as ordered that were carried out

`_order_start` says whether it sends the order, and only those starts are logged and counted. What is sent, and when, is unchanged.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -203,10 +203,10 @@
             raise
         self.counters[ROUNDS] += 1
         self.counters[COMMIT_MS] += round((self.leadership.clock() - proposed_at) * 1000)
-        self.counters[STARTS] += len(starts)
-        self._report_starts(starts, copies=copies, slow=slow)
-        for start in starts:
-            self._order_start(start)
+        ordered = [start for start in starts if self._order_start(start)]
+        self.counters[STARTS] += len(ordered)
+        self._report_starts(ordered, copies=copies, slow=slow)
+        for start in ordered:
             self.copyable_runs.add(
                 start, state=self.leadership.state, durations=self.durations, now=self.leadership.clock()
             )
@@ -286,18 +286,20 @@
             count = log_copies(starts, copies=slow, reason="slow runs", reasons=reasons)
             self.counters["copies_of_slow_runs"] += count
 
-    def _order_start(self, start: RunStart) -> None:
+    def _order_start(self, start: RunStart) -> bool:
+        """Sends a committed start in the background; returns False if it was skipped or its VM is gone."""
         run = find_run(start, tables=self.leadership.state.tables)
         link = self.links.get(start.vm)
         if link is None:
-            return  # the VM was removed
+            return False  # the VM was removed
         if run is None:
             # The command no longer allowed the start when it was applied.
             link.orders.drop_start(task=start.task, run=start.run)
-            return
+            return False
         sending = asyncio.create_task(send_start(run, link=link, state=self.leadership.state))
         self.sending.add(sending)
         sending.add_done_callback(self.sending.discard)
+        return True
 
     def list_free_capacity(self) -> dict[str, list[FreeCapacity]]:
         """Returns the free capacity of the VMs that may get starts, by pool."""
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -11,6 +11,7 @@
 
 from dispatch.conftest import make_link
 from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.leader_load import STARTS
 from hyssopway.dispatch.leadership import LeadershipLostError
 from hyssopway.event import Event
 from hyssopway.workflow import CancelWorkflow, Capacity, PutDocument, RegisterVm, Step
@@ -133,3 +134,24 @@
     assert dispatcher.shares.counters["share_rounds"] == 0
     await dispatcher.run_round()
     assert dispatcher.shares.counters["share_rounds"] == 1
+
+
+async def test_start_that_is_skipped_as_it_is_committed_is_not_logged_as_ordered(
+    dispatcher, fleet, monkeypatch
+):
+    """Guards against a log that shows the order of a run which no VM ever got."""
+    for name in ("cancelled", "kept"):
+        await fleet.propose(make_workflow(name, steps=(Step(count=1, cpu_millis=1000),)))
+    propose = fleet.propose
+
+    async def propose_after_a_cancellation(command):
+        await propose(CancelWorkflow(workflow_id="cancelled", at_ms=6))
+        await propose(command)
+
+    monkeypatch.setattr(fleet, "propose", propose_after_a_cancellation)
+    lines = []
+    handler = logger.add(lines.append, format="{message}", filter=is_runs_ordered)
+    await dispatcher.run_round()
+    logger.remove(handler)
+    assert [list(line.record["extra"]["runs"]) for line in lines] == [["kept.0.0.0/1"]]
+    assert dispatcher.counters[STARTS] == 1
