--- a/src/hyssopway/agreement/replication.py
+++ b/src/hyssopway/agreement/replication.py
@@ -309,8 +309,8 @@
     )
     await member.run_write(member.store.write_snapshot, snapshot=snapshot)
     member.store.adopt_snapshot(snapshot)
-    member.commit_index = chunk.index
     member.restore_stored_snapshot()
+    member.commit_index = chunk.index
     member.adopt_configuration()
     log_event(Event.SNAPSHOT_INSTALLED, index=chunk.index)
 
--- a/src/hyssopway/node/state_version_manager.py
+++ b/src/hyssopway/node/state_version_manager.py
@@ -59,7 +59,7 @@
         """Proposes the highest version that all members support if it is higher than the one in force."""
         if not self.is_ready:
             return
-        version = self._find_common_version()
+        version = self.find_common_version()
         if version <= self.required_version:
             return
         self.proposed_term = self.member.term
@@ -68,7 +68,7 @@
         # Without a confirmation the entry is still in the log of this leader, and the next one finds it there or not.
         await self.member.propose(data=data, timeout_s=PROPOSE_TIMEOUT_S)
 
-    def _find_common_version(self) -> int:
+    def find_common_version(self) -> int:
         """Returns the highest version that all members support; 0 if one has not reported lately in this term."""
         versions = [self.member.supported_version]
         oldest_valid_ack = self.member.clock() - MAX_REPORT_AGE_S
--- a/tests/agreement/test_halted_members.py
+++ b/tests/agreement/test_halted_members.py
@@ -89,3 +89,32 @@
     group.start(behind)
     assert len(await group.wait_until_converged()) == 42
     await group.stop()
+
+
+async def test_snapshot_that_cannot_be_loaded_once_is_sent_again(tmp_path: Path):
+    """Guards against a member that takes entries for committed whose effect it has not loaded, and never catches up."""
+    group = Group(folder=tmp_path, snapshot_entries=20)
+    group.start(*NAMES)
+    await group.write(b"first")
+    await group.wait_until_converged()
+    leader = name_of(await group.wait_for_leader())
+    behind = next(name for name in NAMES if name != leader)
+    await group.stop(behind)
+    for number in range(40):
+        await group.write(b"%d" % number)
+    await wait_until(lambda: all(node.store.snapshot.index >= 20 for node in group.nodes.values()))
+    group.start(behind)
+    state_machine = group.nodes[behind].state_machine
+    restore = state_machine.restore_snapshot
+    # As the leader sees it: the error of a handler reaches the caller of a real connection as one of the connection.
+    failures = [ConnectionError("damaged on its way")]
+
+    def fail_once(data: bytes) -> None:
+        if failures:
+            raise failures.pop()
+        restore(data)
+
+    state_machine.restore_snapshot = fail_once  # type: ignore[method-assign]
+    assert len(await group.wait_until_converged()) == 41
+    assert not failures
+    await group.stop()
--- a/tests/node/test_state_version_manager.py
+++ b/tests/node/test_state_version_manager.py
@@ -130,10 +130,10 @@
     group.start(*NAMES)
     leader = await group.wait_for_reports()
     versions = group.versions[name_of(leader)]
-    assert versions._find_common_version() == 1
+    assert versions.find_common_version() == 1
     group.partition(next(name for name in NAMES if name != name_of(leader)))
     await asyncio.sleep(1.2)
-    assert versions._find_common_version() == 0
+    assert versions.find_common_version() == 0
 
 
 async def test_new_leader_counts_the_reports_of_its_own_term(group):
@@ -141,7 +141,7 @@
     group.supported_versions["e"] = 0
     group.start(*NAMES)
     old = await group.wait_for_reports()
-    assert group.versions[name_of(old)]._find_common_version() == 0
+    assert group.versions[name_of(old)].find_common_version() == 0
     await group.stop(name_of(old), *(["e"] if name_of(old) != "e" else []))
     await group.wait_for_leader()
     await asyncio.sleep(0.8)
