Add tests with crowds of clients that do not behave

Clients outside the limits ended a process of this system: it ran out of memory. The settings field `limits` is ignored by the code as it stands.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test test-faults fuzz soak measure format
+.PHONY: setup demo test test-crowds test-faults fuzz soak measure format
 
 setup: $(STAMP)
 
@@ -22,7 +22,12 @@
 	$(BIN)/ruff format --check src tests platform
 	$(BIN)/ruff check src tests platform
 	$(BIN)/mypy
-	$(BIN)/python -m pytest -n 4 -m 'not faults' tests
+	$(BIN)/python -m pytest -n 4 -m 'not faults and not crowds' tests
+	$(MAKE) test-crowds PYTHON=$(PYTHON)
+
+# One test at a time and apart from the others, because each measures the memory of a process under load.
+test-crowds: setup
+	$(BIN)/python -m pytest -m crowds tests/crowds
 
 test-faults: setup
 	$(BIN)/python -m pytest -n 2 -m faults tests
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -56,9 +56,15 @@
         self.output.touch()
 
     def write_settings(
-        self, *, seeds: list[str], peer_port: int, machine_api_address: str, bootstrap: bool
+        self,
+        *,
+        seeds: list[str],
+        peer_port: int,
+        machine_api_address: str,
+        bootstrap: bool,
+        limits: dict[str, int] | None = None,
     ) -> None:
-        """Writes the settings file that the platform reads at start."""
+        """Writes the settings file that the platform reads at start; without limits the defaults apply."""
         listen = {"front": self.http, "readiness": f"{self.host}:{find_free_port(self.host)}"}
         settings = {
             "node_name": self.name,
@@ -73,6 +79,7 @@
             "bounds": {"stop_timeout_ms": 400, "grace_period_s": 6.0},
             "fault_tolerance": {"machines": 1},
             "cloud_api": {"address": machine_api_address},
+            **({"limits": limits} if limits else {}),
         }
         (self.folder / "settings.toml").write_text(tomli_w.dumps(settings))
 
