Bound the memory that unfinished requests hold

Clients that do not behave ended a process: it ran out of memory. The HTTP parser held what had arrived of every request, with 100 fields of 8 kB for each head and a whole body for each connection, whatever the memory; nothing bounded empty lines, the time of a body or the responses that nobody reads; the kernel kept up to megabytes for each connection that was not read; and a body in chunks of one byte cost a Python call and an entry in a queue for each of them.

Now a connection finds whole requests by itself and passes them to the parser one at a time. Chunks are joined in one buffer, beyond 64 in a request at 100,000 a second for the process. All unfinished requests and unread responses of a process share a sixteenth of its memory; the oldest is closed first, so that one that arrives whole never waits for stalled ones. Requests in progress share a thirty-second part, and small ones have as much again. A connection that has sent more than its request is not read until its response is taken. A refused client is read on for 2 s, so that it gets the response. Refusals (408, 413, 431, 503) come before a request is passed on, so none of them ever runs. Listening sockets have receive buffers of 32 kB. Connections are bounded by the memory as well, and one without a request for a second gives way to a new one. hyssopwayd uses the same code for heads, lines and chunks and passes bodies on while they arrive, as before.

Ruled out: a larger limit for each connection, since 4,096 legal bodies are 1 GB; closing the newest, which stalled bodies would turn against ordinary callers. The fixture of tests/http/test_bad_input.py sets its time-outs by the limits instead of constants, with the same values, and runs each case for whole and streamed bodies; no check changed.

--- a/src/hyssopway/daemon/daemon.py
+++ b/src/hyssopway/daemon/daemon.py
@@ -9,6 +9,8 @@
 from hyssopway.event import Event, log_event
 from hyssopway.fleet import VM_REQUESTS_TOPIC
 from hyssopway.http import HttpListener
+from hyssopway.http.request_limits import RequestLimits
+from hyssopway.http.request_memory import RequestMemory
 from hyssopway.peer import PeerServer
 from hyssopway.routing import SUMMARY_TOPIC
 from hyssopway.settings import http_context, peer_server_context
@@ -93,6 +95,10 @@
             app=self.http.build(),
             shutdown_s=self.settings.shutdown_s,
             max_connections=self.settings.max_connections,
+            limits=RequestLimits.for_streams(
+                max_head_bytes=self.settings.max_head_bytes, max_body_bytes=self.settings.max_body_bytes
+            ),
+            memory=RequestMemory(memory_mb=self.settings.memory_mb),
         )
         await self.listener.open(host=own.host, port=own.http_port, tls=http_context(tls) if tls else None)
         log_event(
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -21,6 +21,11 @@
     TASK_FAILED = (1007, "ERROR", "task {task} failed and is restarted: {error}")
     SETTINGS_NEED_RESTART = (1008, "WARNING", "changed settings {fields} take effect only after a restart")
     HTTP_HANDLER_FAILED = (1009, "ERROR", "{method} {path} failed: {error}")
+    CONNECTIONS_CLOSED_EARLY = (
+        1011,
+        "WARNING",
+        "{count} connections closed before their requests were answered ({reasons}), {held_kb} kB held by unfinished ones",
+    )
     DAEMON_DRAINING = (1010, "INFO", "daemon reports itself unhealthy and stops in {seconds:.1f} s")
     ELECTION_STARTED = (2001, "INFO", "election for term {term} started")
     LEADER_ELECTED = (2002, "INFO", "this member was elected leader of term {term}")
--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -2,50 +2,97 @@
 
 from __future__ import annotations
 
+from enum import Enum, auto
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, TypeVar
 
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 
 from hyssopway.result import Failure, ResultCode, http_status
 
+from .chunk_pace import FREE_CHUNKS
+from .framing_error import FramingError
+from .request_framer import RequestFramer
+from .request_memory import CloseReason
 from .responses import encode_failure, failure_response
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from aiohttp import web
     from aiohttp.web_request import BaseRequest
 
-# Frees the connection of a caller that does not complete a request head.
-HEAD_TIMEOUT_S = 10.0
+    from .request_limits import RequestLimits
+    from .request_memory import RequestMemory
+
+T = TypeVar("T")
+
 MAX_LINE_BYTES = 8190
 MAX_FIELD_BYTES = 8190
 MAX_HEADERS = 100
-KEEP_ALIVE_S = 75.0
-# Reads on for this time after a rejected body, so that the caller receives the response.
+# Reads on for this time after a rejected request, so that the caller receives the response.
 LINGER_S = 2.0
+# A client that sends more than this after its response does not wait for it.
+MAX_LINGER_BYTES = 1024 * 1024
+# Requests reach the parser whole, so it never has to stop reading.
+PARSER_BUFFER_BYTES = 64 * 1024 * 1024
+# A streamed body is read on when less than this of it waits.
+STREAM_BUFFER_BYTES = 64 * 1024
+# Size of the receive buffer of each connection; a connection that is not read holds as much.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+# Time without a whole request after which a connection may be closed for another one.
+RECLAIM_AFTER_S = 1.0
+# Time after which a connection continues to decode chunks.
+PACE_INTERVAL_S = 0.05
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class ConnectionHandler(RequestHandler):
-    """Serves one connection.
+    """Serves one connection; passes whole requests to the HTTP parser, one at a time.
 
     Attributes:
         loop: Event loop of the connection.
-        connections: All open connections, including this one.
-        head_timer: Closes the connection when a request head does not arrive in time.
+        connections: All open connections, including this one, the oldest first.
+        limits: Limits in force.
+        memory: Bounds the bytes that all connections hold.
+        framer: Holds what has arrived of the next requests.
+        size_in_progress: Bytes of the request in progress; None without one.
+        waits_since: Local time since which the connection has no request in progress.
+        deadline: Local time at which what is unfinished is given up.
         is_half_closed: Whether the caller has closed its sending side.
+        is_lingering: Whether the connection only waits for the caller to read its last response.
+        is_doomed: Whether the connection closes after the request in progress.
     """
 
-    __slots__ = ("connections", "head_timer", "is_half_closed", "loop")
+    __slots__ = (
+        "connections",
+        "deadline",
+        "framer",
+        "is_doomed",
+        "is_half_closed",
+        "is_held",
+        "is_input_paused",
+        "is_lingering",
+        "limits",
+        "linger_bytes",
+        "loop",
+        "memory",
+        "pace_timer",
+        "phase",
+        "size_in_progress",
+        "waits_since",
+    )
 
     def __init__(
         self,
         server: web.Server,
         *,
         loop: asyncio.AbstractEventLoop,
-        connections: set[ConnectionHandler],
+        connections: dict[ConnectionHandler, None],
+        limits: RequestLimits,
+        memory: RequestMemory,
     ) -> None:
         super().__init__(
             server,
@@ -54,61 +101,346 @@
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_FIELD_BYTES,
             max_headers=MAX_HEADERS,
-            keepalive_timeout=KEEP_ALIVE_S,
+            keepalive_timeout=limits.idle_timeout_s,
             lingering_time=LINGER_S,
+            read_bufsize=STREAM_BUFFER_BYTES if limits.streams_bodies else PARSER_BUFFER_BYTES,
         )
         self.loop = loop
         self.connections = connections
-        self.head_timer: asyncio.TimerHandle | None = None
+        self.limits = limits
+        self.memory = memory
+        self.framer = RequestFramer(limits=limits)
+        self.size_in_progress: int | None = None
+        self.deadline = float("inf")
+        self.phase = _Phase.IDLE
+        self.is_held = False
         self.is_half_closed = False
+        self.is_input_paused = False
+        self.is_lingering = False
+        self.is_doomed = False
+        self.linger_bytes = 0
+        self.waits_since = 0.0
+        self.pace_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts the timer of the first request head."""
+        """Counts the connection."""
         super().connection_made(transport)
-        self.connections.add(self)
-        self.head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self._time_out_head)
+        self.connections[self] = None
+        self.waits_since = self.memory.clock()
 
     def data_received(self, data: bytes) -> None:
-        """Passes bytes to the parser and updates the timer of the request head."""
-        super().data_received(data)
-        if self._is_idle():
-            if self.head_timer is None:
-                self.head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self._time_out_head)
-        else:
-            self._cancel_timer()
+        """Collects bytes and passes the next request to the parser when it is whole."""
+        if not data:
+            super().data_received(data)  # aiohttp continues to parse what its parser holds
+        elif self.is_lingering or self.is_doomed:
+            self._discard(len(data))
+        elif not self._force_close and not self._close:
+            framer = self.framer
+            if not self._waits() and framer.is_whole_request(data):
+                self._pass_on(data)
+                return
+            framer.feed(data)
+            if self.pace_timer is None:
+                self._advance()
+
+    def _waits(self) -> bool:
+        """Returns whether what arrives now has to wait, or belongs to what has arrived."""
+        framer = self.framer
+        return (
+            self.size_in_progress is not None
+            or self.is_held
+            or self._paused
+            or self.is_half_closed
+            or framer.is_body_open
+            or bool(framer.buffer or framer.head or framer.skipped_bytes)
+        )
 
     def eof_received(self) -> bool | None:  # type: ignore[override]
         """Handles a caller that closed its sending side.
 
         Returns:
-            True to keep this side open for sending until the request in progress has its response.
+            True to keep this side open for sending until the requests that have arrived have their responses.
         """
         super().eof_received()
         self.is_half_closed = True
-        if self._is_idle():
-            if self._waiter is None and self.head_timer is None:
-                # aiohttp parsed a whole head and starts its request in the next iteration of the event loop.
-                self.loop.call_soon(self._handle_eof)
-                return True
-            if self.head_timer is not None:
-                self._send_error(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request head")
+        if self.is_lingering:
             return None
-        return self._handle_eof()
-
-    def _handle_eof(self) -> bool | None:
-        request = self._current_request
-        if request is not None and not request.content.is_eof():
-            self._send_error(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request body")
-            return None
-        self.close()
+        if self.framer.is_body_open:
+            self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request body")
+        elif self.size_in_progress is None and self.pace_timer is None:
+            self._end_half_closed()
         return True
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancels the timer and removes the connection."""
-        self._cancel_timer()
-        self.connections.discard(self)
+        """Releases all that the connection holds."""
+        self.connections.pop(self, None)
+        self._cancel_pace()
+        self._release()
+        self._end_request()
+        self.framer.clear()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Counts a response that the caller does not read as fast as it is written."""
+        super().pause_writing()
+        self._hold(_Phase.RESPONSE, timeout_s=self.limits.response_timeout_s)
+
+    def resume_writing(self) -> None:
+        """Continues with the next request when the caller has read most of the last response."""
+        super().resume_writing()
+        self._release()
+        self._advance()
+
+    async def finish_response(
+        self, request: BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Sends a response and turns to the next request of the connection."""
+        try:
+            result = await super().finish_response(request, resp, start_time)
+        finally:
+            self._end_request()
+        if result[0].keep_alive and self.transport is not None:
+            self._turn_to_next()
+        return result
+
+    def is_reclaimable(self, now: float) -> bool:
+        """Returns whether the connection has had no whole request for a while, so that another one may replace it."""
+        return self.size_in_progress is None and now - self.waits_since >= RECLAIM_AFTER_S
+
+    def close_early(self, reason: CloseReason) -> None:
+        """Closes the connection because of what it holds, or to make room for another one."""
+        phase = self.phase
+        was_sent = phase is _Phase.RESPONSE and not self._unsent_bytes()
+        self._release()
+        if was_sent and self.size_in_progress is None and not self.framer.buffer:
+            return  # the caller has taken its response in the meantime
+        self.memory.count_closed(CloseReason.UNREAD if phase is _Phase.RESPONSE else reason)
+        if self.size_in_progress is not None and not self.writing_paused:
+            # The request in progress still gets its response.
+            self.is_doomed = True
+            self.framer.clear()
+            self._resume_input()
+        elif phase is _Phase.RESPONSE:
+            self._abort()
+        elif reason is CloseReason.CONNECTIONS:
+            if phase is not _Phase.IDLE:
+                message = "the limit of connections is reached and this request was not complete"
+                self._write(
+                    encode_error_response(Failure(code=ResultCode.TOO_MANY_CONNECTIONS, message=message))
+                )
+            self.force_close()
+        elif reason is CloseReason.SLOW:
+            part = "head" if phase is _Phase.HEAD else "body"
+            limit = self.limits.head_timeout_s if part == "head" else self.limits.body_timeout_s
+            self._refuse(ResultCode.REQUEST_TOO_SLOW, f"the request {part} did not arrive within {limit:g} s")
+        else:
+            message = "the memory for unfinished requests is full and this one was the oldest"
+            self._refuse(ResultCode.TOO_MANY_CONNECTIONS, message)
+
+    def _advance(self) -> None:
+        """Passes the next whole request to the parser, or waits for the rest of it."""
+        self._cancel_pace()
+        if self.is_lingering or self.is_doomed or self._force_close or self._close:
+            return
+        if self.framer.is_body_open and not self._pass_on_body():
+            return
+        if self.size_in_progress is not None or self.writing_paused:
+            self._wait_for_response()
+            return
+        try:
+            request = self._read_paced(self.framer.next_request)
+        except FramingError as error:
+            self._refuse_malformed(error)
+            return
+        if request is None:
+            self._wait_for_rest()
+        else:
+            self._begin_request(request)
+
+    def _read_paced(self, read: Callable[..., T]) -> T:
+        """Reads from the framer as many chunks as the process may decode now."""
+        decoder, pace = self.framer.decoder, self.memory.pace
+        decoded = decoder.chunks if decoder is not None else 0
+        result = read(max_chunks=pace.allow(decoded=decoded))
+        if decoder is not None and decoded >= FREE_CHUNKS:
+            pace.spend(decoder.chunks - decoded)
+        return result
+
+    def _pass_on_body(self) -> bool:
+        """Passes on what has arrived of a streamed body; returns whether that was its end."""
+        framer = self.framer
+        try:
+            part = self._read_paced(framer.next_part)
+        except FramingError as error:
+            self._refuse_malformed(error)
+            return False
+        if part:
+            super().data_received(part)
+        if framer.is_held_up:
+            self._pause_input()
+            self.pace_timer = self.loop.call_later(PACE_INTERVAL_S, self._advance)
+        return not framer.is_body_open
+
+    def _refuse_malformed(self, error: FramingError) -> None:
+        self._release()
+        self.memory.count_closed(CloseReason.MALFORMED)
+        self._refuse(error.code, str(error))
+
+    def _begin_request(self, request: bytes) -> None:
+        self._release()
+        if not self._pass_on(request):
+            return
+        is_whole = not self.framer.is_body_open or self._pass_on_body()
+        if is_whole and self.framer.buffer:
+            self._wait_for_response()
+        elif not self.framer.is_held_up:
+            self._resume_input()
+
+    def _pass_on(self, request: bytes) -> bool:
+        """Passes a request to the HTTP parser; returns False if it is refused."""
+        size = len(request)
+        if not self.memory.begin(size):
+            self.memory.count_closed(CloseReason.MEMORY)
+            self._refuse(ResultCode.TOO_MANY_CONNECTIONS, "the memory for requests in progress is full")
+            return False
+        self.size_in_progress = size
+        super().data_received(request)
+        if not self._messages:
+            self._end_request()
+            self._refuse(ResultCode.MALFORMED_REQUEST, "the request is not valid HTTP")
+            return False
+        return True
+
+    def _wait_for_rest(self) -> None:
+        framer = self.framer
+        if framer.is_held_up:
+            self._pause_input()
+            self.pace_timer = self.loop.call_later(PACE_INTERVAL_S, self._advance)
+        elif self.is_half_closed:
+            self._end_half_closed()
+            return
+        else:
+            self._resume_input()
+        if not framer.is_inside_request:
+            self._release()
+            self.phase = _Phase.IDLE
+            return
+        if framer.head:
+            self._hold(_Phase.BODY, timeout_s=self.limits.body_timeout_s)
+            if framer.wants_continue:
+                framer.wants_continue = False
+                self._write(CONTINUE_RESPONSE)
+        else:
+            self._hold(_Phase.HEAD, timeout_s=self.limits.head_timeout_s)
+
+    def _wait_for_response(self) -> None:
+        """Stops reading until the caller has its last response."""
+        if self.framer.buffer:
+            self._pause_input()
+        if self.framer.buffer or self._unsent_bytes():
+            self._hold(_Phase.RESPONSE, timeout_s=self.limits.response_timeout_s)
+
+    def _turn_to_next(self) -> None:
+        if self.is_doomed:
+            self._linger()
+            return
+        if self._unsent_bytes():
+            self.phase = _Phase.IDLE
+            self._hold(_Phase.RESPONSE, timeout_s=self.limits.response_timeout_s)
+        elif self.is_held:
+            self._release()
+        if self.framer.buffer:
+            self.loop.call_soon(self._advance)
+        elif self.is_half_closed:
+            self.close()
+
+    def _end_half_closed(self) -> None:
+        if self.framer.is_inside_request:
+            self._release()
+            part = "body" if self.framer.head else "head"
+            self._refuse(ResultCode.MALFORMED_REQUEST, f"the connection ended inside the request {part}")
+        else:
+            self.force_close()
+
+    def _end_request(self) -> None:
+        if self.size_in_progress is not None:
+            self.memory.end(self.size_in_progress)
+            self.size_in_progress = None
+            self.waits_since = self.memory.clock()
+
+    def _hold(self, phase: _Phase, *, timeout_s: float) -> None:
+        if phase is not self.phase:
+            self.phase = phase
+            self.deadline = self.memory.clock() + timeout_s
+        size = self.framer.held_bytes + self._unsent_bytes()
+        if self.is_input_paused:
+            size += RECEIVE_BUFFER_BYTES
+        self.is_held = True
+        self.memory.hold(self, size=size)
+
+    def _release(self) -> None:
+        if self.is_held:
+            self.is_held = False
+            self.memory.release(self)
+            self.phase = _Phase.IDLE
+
+    def _unsent_bytes(self) -> int:
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def _pause_input(self) -> None:
+        # aiohttp resumes the transport at the end of each body, so the flag may be set already.
+        self.is_input_paused = True
+        self._pause_transport_reading()
+
+    def _resume_input(self) -> None:
+        if self.is_input_paused:
+            self.is_input_paused = False
+            self._resume_transport_reading()
+
+    def _discard(self, size: int) -> None:
+        self.linger_bytes += size
+        if self.linger_bytes > MAX_LINGER_BYTES and self.is_lingering:
+            self._abort()
+
+    def _refuse(self, code: ResultCode, message: str) -> None:
+        """Sends an error response and closes the connection when the caller has had time to read it."""
+        self._write(encode_error_response(Failure(code=code, message=message)))
+        self._linger()
+
+    def _linger(self) -> None:
+        self.is_lingering = True
+        self._cancel_pace()
+        self.framer.clear()
+        self._resume_input()
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        if self.is_half_closed or not transport.can_write_eof():
+            transport.close()
+            return
+        transport.write_eof()
+        self.loop.call_later(LINGER_S, self._abort)
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def _cancel_pace(self) -> None:
+        if self.pace_timer is not None:
+            self.pace_timer.cancel()
+            self.pace_timer = None
+
+    def _process_keepalive(self) -> None:
+        """Closes an idle connection; one inside a request has other time limits."""
+        if self.phase is _Phase.IDLE:
+            super()._process_keepalive()
+        else:
+            self._keepalive_handle = self.loop.call_later(self.limits.idle_timeout_s, self._process_keepalive)
+
     def handle_error(
         self,
         request: BaseRequest,
@@ -133,25 +465,14 @@
         response.force_close()
         return response
 
-    def _is_idle(self) -> bool:
-        return self._current_request is None and not self._messages
 
-    def _time_out_head(self) -> None:
-        self.head_timer = None
-        if self._is_idle():
-            message = f"the request head did not arrive within {HEAD_TIMEOUT_S:.0f} s"
-            self._send_error(ResultCode.REQUEST_TOO_SLOW, message)
-
-    def _send_error(self, code: ResultCode, message: str) -> None:
-        transport: Any = self.transport
-        if transport is not None and not transport.is_closing():
-            transport.write(encode_error_response(Failure(code=code, message=message)))
-            transport.close()
+class _Phase(Enum):
+    """What a connection waits for."""
 
-    def _cancel_timer(self) -> None:
-        if self.head_timer is not None:
-            self.head_timer.cancel()
-            self.head_timer = None
+    IDLE = auto()
+    HEAD = auto()
+    BODY = auto()
+    RESPONSE = auto()
 
 
 def encode_error_response(failure: Failure) -> bytes:
--- a/src/hyssopway/http/listener.py
+++ b/src/hyssopway/http/listener.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
-from .connection_handler import ConnectionHandler
+from .connection_handler import RECEIVE_BUFFER_BYTES, ConnectionHandler
 from .refused_connection import RefusedConnection
+from .request_limits import RequestLimits
+from .request_memory import CloseReason, RequestMemory
 
 if TYPE_CHECKING:
     import ssl
     from collections.abc import Awaitable, Callable
 
 BACKLOG = 1024
+ACCEPTS_AT_ONCE = 16
 
 
 class HttpListener:
@@ -23,18 +28,32 @@
     Attributes:
         runner: Runs the application.
         max_connections: Most connections at a time; further ones are refused with an error response.
-        connections: Open connections that are served.
+        limits: Limits on the requests of a connection, in force from the next request on.
+        memory: Bounds the memory of requests; the listeners of a process share one.
+        connections: Open connections that are served, the oldest first.
+        refused: Open connections that are refused.
         tcp_server: Listening server while open; None otherwise.
     """
 
-    __slots__ = ("connections", "max_connections", "runner", "tcp_server")
-
-    def __init__(self, *, app: web.Application, shutdown_s: float, max_connections: int = 4096) -> None:
+    __slots__ = ("connections", "limits", "max_connections", "memory", "refused", "runner", "tcp_server")
+
+    def __init__(
+        self,
+        *,
+        app: web.Application,
+        shutdown_s: float,
+        max_connections: int = 4096,
+        limits: RequestLimits | None = None,
+        memory: RequestMemory | None = None,
+    ) -> None:
         self.runner = web.AppRunner(
             app, access_log=None, shutdown_timeout=shutdown_s, handler_cancellation=True
         )
         self.max_connections = max_connections
-        self.connections: set[ConnectionHandler] = set()
+        self.limits = limits if limits is not None else RequestLimits.for_streams()
+        self.memory = memory if memory is not None else RequestMemory()
+        self.connections: dict[ConnectionHandler, None] = {}
+        self.refused: set[RefusedConnection] = set()
         self.tcp_server: asyncio.Server | None = None
 
     async def open(self, *, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
@@ -46,11 +65,29 @@
         loop = asyncio.get_running_loop()
 
         def create_protocol() -> asyncio.Protocol:
-            if len(self.connections) >= self.max_connections:
-                return RefusedConnection(loop=loop, limit=self.max_connections)
-            return ConnectionHandler(server, loop=loop, connections=self.connections)
-
-        self.tcp_server = await loop.create_server(create_protocol, host, port, ssl=tls, backlog=BACKLOG)
+            if len(self.connections) >= self.max_connections and not self._reclaim():
+                self.memory.count_closed(CloseReason.CONNECTIONS)
+                return RefusedConnection(loop=loop, limit=self.max_connections, refused=self.refused)
+            return ConnectionHandler(
+                server, loop=loop, connections=self.connections, limits=self.limits, memory=self.memory
+            )
+
+        listening = _listen(host, port)
+        # asyncio accepts as many connections at once as its backlog, before the first of them can be refused.
+        self.tcp_server = await loop.create_server(
+            create_protocol, sock=listening, ssl=tls, backlog=ACCEPTS_AT_ONCE
+        )
+        listening.listen(BACKLOG)
+
+    def _reclaim(self) -> bool:
+        """Closes the oldest connection without a request in progress; returns whether there was one."""
+        now = self.memory.clock()
+        for connection in self.connections:
+            if connection.is_reclaimable(now):
+                del self.connections[connection]
+                connection.close_early(CloseReason.CONNECTIONS)
+                return True
+        return False
 
     async def close(self, *, finish: Callable[[], Awaitable[None]] | None = None) -> None:
         """Stops listening and waits for requests in progress.
@@ -65,4 +102,19 @@
         await self.runner.cleanup()
 
 
+def _listen(host: str, port: int) -> socket.socket:
+    listening = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections inherit the size. Without it the kernel holds megabytes for each one that is not read.
+        with contextlib.suppress(OSError):
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listening.setblocking(False)
+        listening.bind((host, port))
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
 __all__ = ["HttpListener"]
--- a/src/hyssopway/http/refused_connection.py
+++ b/src/hyssopway/http/refused_connection.py
@@ -10,6 +10,8 @@
 
 # Closing with the request unread would reset the connection, and the caller would lose the response.
 LINGER_S = 1.0
+# Further connections are reset at once, since each response takes a descriptor until it is read.
+MAX_REFUSED = 32
 
 
 class RefusedConnection(asyncio.Protocol):
@@ -18,16 +20,20 @@
     Attributes:
         loop: Event loop of the connection.
         limit: Number of connections that are served.
+        refused: All open connections that were refused, including this one.
         answered: Whether the response was sent.
         transport: Transport while open.
         timer: Closes the connection after `LINGER_S`.
     """
 
-    __slots__ = ("answered", "limit", "loop", "timer", "transport")
+    __slots__ = ("answered", "limit", "loop", "refused", "timer", "transport")
 
-    def __init__(self, *, loop: asyncio.AbstractEventLoop, limit: int) -> None:
+    def __init__(
+        self, *, loop: asyncio.AbstractEventLoop, limit: int, refused: set[RefusedConnection]
+    ) -> None:
         self.loop = loop
         self.limit = limit
+        self.refused = refused
         self.answered = False
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -36,6 +42,10 @@
         """Starts the timer; the response waits for the first bytes, so that it answers a request."""
         if isinstance(transport, asyncio.Transport):
             self.transport = transport
+            if len(self.refused) >= MAX_REFUSED:
+                transport.abort()
+                return
+            self.refused.add(self)
             self.timer = self.loop.call_later(LINGER_S, transport.close)
 
     def data_received(self, data: bytes) -> None:
@@ -48,7 +58,8 @@
             )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels the timer."""
+        """Cancels the timer and removes the connection."""
+        self.refused.discard(self)
         if self.timer is not None:
             self.timer.cancel()
 
--- a/src/hyssopway/settings/daemon_settings.py
+++ b/src/hyssopway/settings/daemon_settings.py
@@ -36,7 +36,9 @@
         shutdown_s: Seconds that requests in progress then have to finish.
         snapshot_entries: Number of log entries between two snapshots.
         max_body_bytes: Largest accepted request body.
+        max_head_bytes: Largest accepted request head.
         max_connections: Most HTTP connections at a time; further ones are refused.
+        memory_mb: Memory of the process; a sixteenth of it may hold unfinished requests.
         tls: Certificate files; None for plain TCP.
     """
 
@@ -54,7 +56,9 @@
     shutdown_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
     snapshot_entries: Annotated[int, Field(ge=10)] = 10_000
     max_body_bytes: Annotated[int, Field(ge=1024)] = 16 * 1024 * 1024
+    max_head_bytes: Annotated[int, Field(ge=8192)] = 65_536
     max_connections: Annotated[int, Field(ge=10, le=1_000_000)] = 4096
+    memory_mb: Annotated[int, Field(ge=64)] = 1024
     tls: TlsSettings | None = field(default=None)
 
     @property
--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -11,12 +11,12 @@
 
 from hyssopway.http import (
     HttpListener,
-    connection_handler,
     error_middleware,
     json_response,
     read_json,
     request_body,
 )
+from hyssopway.http.request_limits import RequestLimits
 from hyssopway.http.responses import failure_response
 from hyssopway_standins.waiting import wait_until
 
@@ -33,14 +33,14 @@
     raise RuntimeError("secret detail")
 
 
-@pytest.fixture
-async def port(monkeypatch):
-    monkeypatch.setattr(connection_handler, "HEAD_TIMEOUT_S", 0.3)
+@pytest.fixture(params=[False, True], ids=["whole bodies", "streamed bodies"])
+async def port(request, monkeypatch):
     monkeypatch.setattr(request_body, "BODY_TIMEOUT_S", 0.3)
     app = web.Application(client_max_size=2000, middlewares=[error_middleware])
     app.router.add_post("/take", echo_numbers)
     app.router.add_get("/fail", fail)
-    listener = HttpListener(app=app, shutdown_s=1)
+    limits = RequestLimits(head_timeout_s=0.3, body_timeout_s=0.3, streams_bodies=request.param)
+    listener = HttpListener(app=app, shutdown_s=1, limits=limits)
     await listener.open(host=HOST, port=0)
     yield listener.tcp_server.sockets[0].getsockname()[1]
     await listener.close()
--- /dev/null
+++ b/tests/http/test_connection_limits.py
@@ -0,0 +1,185 @@
+"""Connections that hold unfinished requests, on a listener with little memory."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from hyssopway.http import HttpListener
+from hyssopway.http.request_limits import RequestLimits
+from hyssopway.http.request_memory import CloseReason, RequestMemory
+from hyssopway_standins.waiting import wait_until
+
+HOST = "127.0.0.1"
+BODY_BYTES = 200_000
+STALLED = b"POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES + b"x" * (BODY_BYTES - 1)
+SMALL = b"POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 4000\r\n\r\n" + b"x" * 4000
+
+
+async def answer(request: web.Request) -> web.Response:
+    return web.Response(text=f"{len(await request.read())} {request.query_string}")
+
+
+@pytest.fixture
+async def listener():
+    """Listener of a process with 16 MB, so that unfinished requests may hold 1 MB."""
+    app = web.Application(client_max_size=2**22)
+    app.router.add_route("*", "/{path:.*}", answer)
+    opened = HttpListener(
+        app=app, shutdown_s=1, limits=RequestLimits(), memory=RequestMemory(memory_mb=16), max_connections=20
+    )
+    await opened.open(host=HOST, port=0)
+    yield opened
+    await opened.close()
+
+
+async def connect(listener, data: bytes = b""):
+    reader, writer = await asyncio.open_connection(
+        HOST, listener.tcp_server.sockets[0].getsockname()[1], limit=2**20
+    )
+    writer.write(data)
+    return reader, writer
+
+
+async def read_status(reader) -> int:
+    async with asyncio.timeout(5):
+        line = await reader.readline()
+    return int(line.split()[1])
+
+
+async def test_oldest_unfinished_request_makes_room_and_others_are_served(listener):
+    """Guards against stalled bodies that shut out ordinary callers, or that are all held."""
+    stalled = []
+    for number in range(8):
+        stalled.append(await connect(listener, STALLED))
+        await wait_until(lambda count=number + 1: is_held(listener, count=min(count, 4)), timeout_s=5)
+        reader, _ = await connect(listener, SMALL)
+        assert await read_status(reader) == 200
+    assert [await read_status(reader) for reader, _ in stalled[:4]] == [503] * 4
+    assert listener.memory.held_bytes <= listener.memory.max_unfinished_bytes
+    assert listener.memory.closed[CloseReason.MEMORY] == 4
+    for reader, writer in stalled[4:]:
+        writer.write(b"x")
+        assert await read_status(reader) == 200
+    assert listener.memory.held_bytes == 0
+    assert listener.memory.in_progress_bytes == 0
+
+
+async def is_held(listener, *, count: int) -> bool:
+    held = listener.memory.held_bytes
+    return held >= count * BODY_BYTES
+
+
+async def test_largest_body_in_chunks_of_one_byte_is_served_in_calm(listener):
+    """Guards against limits that refuse a single request within the limits."""
+    data = (
+        b"POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n" * 262_144
+        + b"0\r\n\r\n"
+    )
+    reader, _ = await connect(listener, data)
+    async with asyncio.timeout(20):
+        assert b"200" in await reader.readline()
+    async with asyncio.timeout(5):
+        assert (await reader.readuntil(b"\r\n\r\n262144 ")).endswith(b"262144 ")
+
+
+async def test_caller_that_waits_for_the_interim_response_gets_it(listener):
+    """Guards against a caller and a listener that wait for one another."""
+    head = b"POST /p HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+    reader, writer = await connect(listener, head)
+    assert await read_status(reader) == 100
+    assert await reader.readline() == b"\r\n"
+    writer.write(b"abc")
+    assert await read_status(reader) == 200
+
+
+@pytest.mark.parametrize("half_closes", [False, True])
+async def test_requests_sent_at_once_are_all_answered_in_order(listener, half_closes):
+    """Guards against requests that are lost behind one in progress, or at the end of the input."""
+    data = b"".join(b"GET /p?%d HTTP/1.1\r\nHost: x\r\n\r\n" % number for number in range(2000))
+    reader, writer = await connect(listener, data)
+    if half_closes:
+        writer.write_eof()
+    async with asyncio.timeout(20):
+        for number in range(2000):
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            text = b"0 %d" % number
+            assert await reader.readexactly(len(text)) == text
+    if half_closes:
+        assert await reader.read() == b""
+
+
+async def test_refused_caller_that_sends_on_gets_its_response(listener):
+    """Guards against a reset that takes the response from a caller that is still sending."""
+    reader, writer = await connect(listener, b"POST /p HTTP/1.1\r\nContent-Length: 999999\r\n\r\n")
+    for _ in range(20):
+        writer.write(b"x" * 10_000)
+        await asyncio.sleep(0.005)
+    assert await read_status(reader) == 413
+
+
+async def test_request_in_progress_is_answered_although_its_connection_is_closed_early(listener):
+    """Guards against a memory limit that takes the response of a request that is carried out."""
+    started, release = asyncio.Event(), asyncio.Event()
+
+    async def wait(request: web.Request) -> web.Response:
+        started.set()
+        await release.wait()
+        return web.Response(text="done")
+
+    app = web.Application()
+    app.router.add_get("/wait", wait)
+    slow = HttpListener(app=app, shutdown_s=1, limits=RequestLimits(), memory=RequestMemory(memory_mb=16))
+    await slow.open(host=HOST, port=0)
+    reader, writer = await connect(slow, b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+    await started.wait()
+    writer.write(b"GET /wait HTTP/1.1\r\n")
+    await wait_until(lambda: has_holders(slow), timeout_s=5)
+    next(iter(slow.memory.holders)).close_early(CloseReason.MEMORY)
+    release.set()
+    assert await read_status(reader) == 200
+    assert (await reader.read()).endswith(b"done")
+    await slow.close()
+
+
+async def has_holders(listener) -> bool:
+    return bool(listener.memory.holders)
+
+
+async def test_connections_without_requests_make_room_for_others(listener):
+    """Guards against idle connections that shut out ordinary callers."""
+    idle = [await connect(listener) for _ in range(listener.max_connections)]
+    listener.memory.clock = lambda now=listener.memory.clock: now() + 2.0
+    reader, _ = await connect(listener, SMALL)
+    assert await read_status(reader) == 200
+    async with asyncio.timeout(5):
+        assert await idle[0][0].read() == b""
+
+
+async def test_response_that_is_not_read_is_given_up_for_others():
+    """Guards against responses that are held for callers that do not read, and against requests they send on."""
+    calls = 0
+
+    async def send_much(request: web.Request) -> web.Response:
+        nonlocal calls
+        calls += 1
+        return web.Response(body=b"x" * 8_000_000)
+
+    app = web.Application()
+    app.router.add_get("/much", send_much)
+    listener = HttpListener(app=app, shutdown_s=1, limits=RequestLimits(), memory=RequestMemory(memory_mb=16))
+    await listener.open(host=HOST, port=0)
+    connections = [await connect(listener, b"GET /much HTTP/1.1\r\nHost: x\r\n\r\n" * 100) for _ in range(3)]
+
+    async def is_given_up() -> bool:
+        return listener.memory.closed[CloseReason.UNREAD] == len(connections)
+
+    for _, writer in connections:
+        writer.transport.pause_reading()
+    await wait_until(is_given_up, timeout_s=5)
+    assert calls == len(connections)
+    assert listener.memory.held_bytes == 0
+    await listener.close()
