Keep descriptors for files and connections to other nodes

More connections than descriptors left none for files: a listener took 4,096 connections whatever the limits of its machine, and asyncio accepted 1,024 of them at once before the first could be refused. A control node could then not open the next file of its log.

The limit now follows from the settings: half of the descriptors that are not for files, less 64 for connections that were accepted and are being refused, at most ten connections for each MB of memory, at most 4,096.

--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+import tomli_w
 from pydantic import TypeAdapter
 
 from hyssopway_platform.exact_fields import InexactValueError, read_exactly
@@ -92,3 +93,43 @@
         PlatformSettings, VALID | {"bounds": {"grace_period_s": 6}, "seed_nodes": ["a:1"]}
     )
     assert (settings.bounds.grace_period_s, settings.seed_hosts) == (6.0, ("a",))
+
+
+@pytest.mark.parametrize(
+    ("table", "name", "value"),
+    [
+        ("limits", "memory_mb", 63),
+        ("limits", "file_descriptors", 255),
+        ("request_limits", "max_connections", -1),
+        ("request_limits", "max_document_bytes", 0),
+        ("request_limits", "max_document_bytes", 2**23),
+        ("request_limits", "body_timeout_ms", 999),
+        ("request_limits", "response_timeout_ms", 10**8),
+    ],
+)
+def test_limit_out_of_range_is_named(table, name, value, tmp_path):
+    """Guards against a program that starts with a limit under which it can serve nobody, or none at all."""
+    path = tmp_path / "settings.toml"
+    path.write_text(tomli_w.dumps(VALID | {table: {name: value}}))
+    with pytest.raises(SettingsError, match=rf"{table}\.{name}: {value} is not between"):
+        read_settings(path)
+
+
+@pytest.mark.parametrize(
+    ("limits", "connections"),
+    [
+        ({}, 1884),
+        ({"memory_mb": 200, "file_descriptors": 4100}, 1886),
+        ({"memory_mb": 100.5, "file_descriptors": 4100}, 1005),
+        ({"memory_mb": 200, "file_descriptors": 400}, 36),
+        ({"memory_mb": 200, "file_descriptors": 256}, 16),
+        ({"memory_mb": 4000, "file_descriptors": 100_000}, 4096),
+    ],
+)
+def test_connections_are_bounded_by_memory_and_descriptors(limits, connections, tmp_path):
+    """Guards against connections that take the memory of the process or the descriptors of its files."""
+    path = tmp_path / "settings.toml"
+    path.write_text(tomli_w.dumps(VALID | {"limits": limits}))
+    assert read_settings(path).max_connections == connections
+    path.write_text(tomli_w.dumps(VALID | {"limits": limits, "request_limits": {"max_connections": 77}}))
+    assert read_settings(path).max_connections == 77
