Bound what connections between nodes hold before they authenticate

Messages between nodes may have megabytes, so a smaller limit for all of them is no way.

Now 24 connections at a time are read before they have authenticated. Up to 128 others wait unread, with a receive buffer of 64 kB each; more are closed. One that has not authenticated within 0.5 s gives up its place if others wait, else within 3 s, so that a node gets a place among connections that stall; a handshake takes milliseconds.

Not bounded: the size of one message (64 MB, the library's limit) of the 24, and what an authenticated node sends.

--- a/src/hyssopway/http/listener.py
+++ b/src/hyssopway/http/listener.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from hyssopway.listening_socket import ACCEPTS_AT_ONCE, BACKLOG, listen
+
 from .connection_handler import RECEIVE_BUFFER_BYTES, ConnectionHandler
 from .refused_connection import RefusedConnection
 from .request_limits import RequestLimits
@@ -18,9 +18,6 @@
     import ssl
     from collections.abc import Awaitable, Callable
 
-BACKLOG = 1024
-ACCEPTS_AT_ONCE = 16
-
 
 class HttpListener:
     """Serves an application on one address, with a limit on connections.
@@ -72,8 +69,7 @@
                 server, loop=loop, connections=self.connections, limits=self.limits, memory=self.memory
             )
 
-        listening = _listen(host, port)
-        # asyncio accepts as many connections at once as its backlog, before the first of them can be refused.
+        listening = listen(host, port, receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
         self.tcp_server = await loop.create_server(
             create_protocol, sock=listening, ssl=tls, backlog=ACCEPTS_AT_ONCE
         )
@@ -102,19 +98,4 @@
         await self.runner.cleanup()
 
 
-def _listen(host: str, port: int) -> socket.socket:
-    listening = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-    try:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Connections inherit the size. Without it the kernel holds megabytes for each one that is not read.
-        with contextlib.suppress(OSError):
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listening.setblocking(False)
-        listening.bind((host, port))
-    except OSError:
-        listening.close()
-        raise
-    return listening
-
-
 __all__ = ["HttpListener"]
--- /dev/null
+++ b/src/hyssopway/listening_socket.py
@@ -0,0 +1,40 @@
+"""Opens listening sockets with small receive buffers."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+BACKLOG = 1024
+# asyncio accepts as many connections at once as its backlog, before the first of them can be refused. A server starts with
+# this backlog; `BACKLOG` is for the kernel's queue and set afterwards.
+ACCEPTS_AT_ONCE = 16
+
+
+def listen(host: str, port: int, *, receive_buffer_bytes: int) -> socket.socket:
+    """Binds a TCP socket whose connections hold few unread bytes in the kernel.
+
+    Without the limit the kernel holds up to megabytes for each connection that is not read.
+
+    Args:
+        host: IP address.
+        port: TCP port; 0 for any free one.
+        receive_buffer_bytes: Size of the receive buffer that connections inherit.
+
+    Raises:
+        OSError: The address is not available.
+    """
+    listening = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        listening.setblocking(False)
+        listening.bind((host, port))
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
+__all__ = ["ACCEPTS_AT_ONCE", "BACKLOG", "listen"]
--- a/src/hyssopway/peer/server.py
+++ b/src/hyssopway/peer/server.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 from typing import TYPE_CHECKING, Any
 
 import capnp
 
 from hyssopway.event import Event, log_event
+from hyssopway.listening_socket import ACCEPTS_AT_ONCE, BACKLOG, listen
 
 from . import conversion
 from .schema import SCHEMA
@@ -18,6 +20,14 @@
     from .handlers import PeerHandlers
 
 SNAPSHOT_PART_BYTES = 1024 * 1024
+# Connections that are read before they have authenticated; the others wait unread.
+MAX_HANDSHAKES = 24
+MAX_WAITING = 128
+# The kernel holds as much for each connection that waits unread.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+HANDSHAKE_TIMEOUT_S = 3.0
+# Time after which a handshake ends if others wait for its place.
+HANDSHAKE_TURN_S = 0.5
 
 
 class PeerServer:
@@ -27,19 +37,27 @@
         handlers: Handlers of the calls.
         token: Secret that all daemons share.
         listener: Listening server while open; None before.
+        handshakes: Places of connections that have not authenticated.
+        waiting: Number of connections that wait for a place.
     """
 
-    __slots__ = ("handlers", "listener", "token")
+    __slots__ = ("handlers", "handshakes", "listener", "token", "waiting")
 
     def __init__(self, *, handlers: PeerHandlers, token: str) -> None:
         self.handlers = handlers
         self.token = token
         self.listener: Any = None
+        self.handshakes = asyncio.Semaphore(MAX_HANDSHAKES)
+        self.waiting = 0
 
     async def open(self, *, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
         """Starts listening."""
         options = {"ssl": tls} if tls else {}
-        self.listener = await capnp.AsyncIoStream.create_server(self._serve, host, port, **options)
+        listening = listen(host, port, receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
+        self.listener = await capnp.AsyncIoStream.create_server(
+            self._serve, sock=listening, backlog=ACCEPTS_AT_ONCE, **options
+        )
+        listening.listen(BACKLOG)
 
     def close(self) -> None:
         """Stops listening."""
@@ -47,15 +65,54 @@
             self.listener.close()
 
     async def _serve(self, stream: Any) -> None:
+        if self.waiting >= MAX_WAITING:
+            log_event(Event.PEER_REFUSED, reason=f"{MAX_WAITING} connections wait to authenticate")
+            return
         gate = _Gate(handlers=self.handlers, token=self.token)
+        self.waiting += 1
         try:
-            await capnp.TwoPartyServer(stream, bootstrap=gate).on_disconnect()
+            await self.handshakes.acquire()
+        finally:
+            self.waiting -= 1
+        disconnected = asyncio.create_task(_wait_for_end(stream, gate=gate))
+        try:
+            try:
+                await self._wait_for_handshake(gate, disconnected=disconnected)
+            finally:
+                self.handshakes.release()
+            if gate.authenticated.is_set() or disconnected.done():
+                await disconnected
+            else:
+                log_event(Event.PEER_REFUSED, reason="the connection did not authenticate in time")
         except capnp.KjException as error:
             log_event(Event.PEER_REFUSED, reason=str(error).splitlines()[0])
         finally:
+            disconnected.cancel()
             if gate.daemon:
                 self.handlers.handle_connection_lost(gate.daemon)
 
+    async def _wait_for_handshake(self, gate: _Gate, *, disconnected: asyncio.Task[None]) -> None:
+        """Returns when a connection has authenticated or ended, or has had its time."""
+        ready = asyncio.create_task(_wait_until_set(gate.authenticated))
+        try:
+            turns = round(HANDSHAKE_TIMEOUT_S / HANDSHAKE_TURN_S)
+            for _ in range(turns):
+                done, _ = await asyncio.wait(
+                    {ready, disconnected}, timeout=HANDSHAKE_TURN_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done or self.waiting:
+                    return
+        finally:
+            ready.cancel()
+
+
+async def _wait_for_end(stream: Any, *, gate: _Gate) -> None:
+    await capnp.TwoPartyServer(stream, bootstrap=gate).on_disconnect()
+
+
+async def _wait_until_set(event: asyncio.Event) -> None:
+    await event.wait()
+
 
 class _Gate(SCHEMA.Gate.Server):  # type: ignore[misc]
     """First interface of a connection; returns the others after authentication."""
@@ -65,12 +122,14 @@
         self.handlers = handlers
         self.token = token
         self.daemon = ""
+        self.authenticated = asyncio.Event()
 
     async def authenticate(self, daemon: str, token: str, **_: Any) -> Any:
         if not hmac.compare_digest(token.encode(), self.token.encode()):
             log_event(Event.PEER_REFUSED, reason=f"wrong token of daemon {daemon}")
             raise PermissionError("wrong peer token")
         self.daemon = str(daemon)
+        self.authenticated.set()
         return _PeerInterface(handlers=self.handlers)
 
 
--- a/tests/peer/test_contract.py
+++ b/tests/peer/test_contract.py
@@ -12,7 +12,7 @@
 
 from hyssopway.agreement.entry import Entry, EntryKind
 from hyssopway.agreement.messages import AppendReply, AppendRequest, SnapshotChunk, VoteReply, VoteRequest
-from hyssopway.peer import PeerClient, PeerServer, PeerUnreachableError
+from hyssopway.peer import PeerClient, PeerServer, PeerUnreachableError, server
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -70,13 +70,13 @@
         port = probe.getsockname()[1]
     handlers: Any = FakeHandlers()
     async with capnp.kj_loop():
-        server = PeerServer(handlers=handlers, token=TOKEN)
+        peer_server = PeerServer(handlers=handlers, token=TOKEN)
         if listen:
-            await server.open(host="127.0.0.1", port=port)
+            await peer_server.open(host="127.0.0.1", port=port)
         client = PeerClient(daemon="b", host="127.0.0.1", port=port, own_name="a", token=token)
         yield client, handlers
         client.close()
-        server.close()
+        peer_server.close()
         await asyncio.sleep(0.05)
 
 
@@ -120,3 +120,20 @@
         with pytest.raises(PeerUnreachableError):
             await client.exchange(topic="fail", data=b"", timeout_s=2)
         assert await slow == b"kept"
+
+
+async def test_connections_that_do_not_authenticate_shut_out_no_daemon(monkeypatch):
+    """Guards against strangers whose unfinished messages take the memory, or the places of other daemons."""
+    monkeypatch.setattr(server, "HANDSHAKE_TURN_S", 0.05)
+    async with connected() as (client, _):
+        strangers = [
+            await asyncio.open_connection(client.host, client.port) for _ in range(3 * server.MAX_HANDSHAKES)
+        ]
+        for _, writer in strangers:
+            writer.write(b"\0\0\0\0\0\0\1\0" + b"\0" * 1000)
+        assert await client.exchange(topic="echo", data=b"x", timeout_s=5) == b"x"
+        for reader, writer in strangers[: server.MAX_HANDSHAKES]:
+            assert await reader.read() == b""
+            writer.close()
+        for _, writer in strangers[server.MAX_HANDSHAKES :]:
+            writer.close()
