Apply the limits of the manifest while requests arrive

The manifest's max_header_bytes, header_timeout_ms and idle_timeout_ms were read by nobody, and max_body_bytes was asked by the leader when it had the whole body: an entry took 4 MiB from any caller whatever the manifest said, passed it to the leader and only then got the 413. A client that sent a head of 2 kB under a manifest with 2,000 bytes was served.

The leader now tells the limits of its document with each answer to a query for the leader, which entries and control nodes send four times a second, and the listeners apply them from the next request on (the idle timeout from the next connection on). The replicated state is unchanged: the limits are read from the text of the document, once for each version. Earlier releases ignore the field, and its absence keeps the defaults. An entry that knows no document yet refuses a body over the default with 503 instead of 413, since 413 is final for callers and the document may allow more. Control nodes keep their own limit on bodies, because operators and worker VMs send more than callers. Values that would keep an operator from replacing the document (heads under 1,024 bytes, time-outs under 100 ms) count as these least values.

--- a/src/hyssopway/http/chunk_decoder.py
+++ b/src/hyssopway/http/chunk_decoder.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from hyssopway.result import ResultCode
 
 from .framing_error import FramingError
 
+if TYPE_CHECKING:
+    from .request_limits import RequestLimits
+
 LINE_END = b"\r\n"
 # A chunk size with its extensions.
 MAX_SIZE_LINE_BYTES = 256
@@ -19,7 +23,7 @@
     """Decodes one chunked body into one buffer, however small the chunks are.
 
     Attributes:
-        max_body_bytes: Largest decoded body.
+        limits: Limits in force.
         body: Decoded bytes so far.
         left: Bytes of the current chunk that have not arrived.
         chunks: Number of chunks decoded so far.
@@ -34,13 +38,13 @@
         "in_trailers",
         "is_complete",
         "left",
-        "max_body_bytes",
+        "limits",
         "needs_line_end",
         "trailer_bytes",
     )
 
-    def __init__(self, *, max_body_bytes: int) -> None:
-        self.max_body_bytes = max_body_bytes
+    def __init__(self, *, limits: RequestLimits) -> None:
+        self.limits = limits
         self.body = bytearray()
         self.dropped_bytes = 0
         self.left = 0
@@ -112,13 +116,20 @@
         self.chunks += 1
         self.left = int(match[1], 16)
         self.in_trailers = not self.left
-        if self.dropped_bytes + len(self.body) + self.left > self.max_body_bytes:
-            message = f"the body is larger than {self.max_body_bytes} bytes"
-            raise FramingError(ResultCode.BODY_TOO_LARGE, message)
+        if self.dropped_bytes + len(self.body) + self.left > self.limits.max_body_bytes:
+            raise body_too_large(self.limits)
+
+
+def body_too_large(limits: RequestLimits) -> FramingError:
+    """Returns the error of a body over the limit; it is final only if the limit is known to be in force."""
+    message = f"the body is larger than {limits.max_body_bytes} bytes"
+    if limits.is_confirmed:
+        return FramingError(ResultCode.BODY_TOO_LARGE, message)
+    return FramingError(ResultCode.NOT_LEADER, f"{message}, the limit until a leader is known")
 
 
 def _malformed(message: str) -> FramingError:
     return FramingError(ResultCode.MALFORMED_REQUEST, message)
 
 
-__all__ = ["ChunkDecoder"]
+__all__ = ["ChunkDecoder", "body_too_large"]
--- a/src/hyssopway/http/request_framer.py
+++ b/src/hyssopway/http/request_framer.py
@@ -7,7 +7,7 @@
 
 from hyssopway.result import ResultCode
 
-from .chunk_decoder import ChunkDecoder
+from .chunk_decoder import ChunkDecoder, body_too_large
 from .framing_error import FramingError
 
 if TYPE_CHECKING:
@@ -212,7 +212,7 @@
         if coding is not None:
             if length is not None or coding[2].strip().lower() != b"chunked":
                 raise _malformed("the transfer coding of the body is not supported")
-            self.length, self.decoder = None, ChunkDecoder(max_body_bytes=self.limits.max_body_bytes)
+            self.length, self.decoder = None, ChunkDecoder(limits=self.limits)
             removed.append(coding)
         elif length is not None:
             self.length = self._read_length(length[2].strip())
@@ -230,8 +230,7 @@
         if not text.isdigit():
             raise _malformed("Content-Length is not a number")
         if len(text) > MAX_LENGTH_DIGITS or int(text) > self.limits.max_body_bytes:
-            message = f"the body is larger than {self.limits.max_body_bytes} bytes"
-            raise FramingError(ResultCode.BODY_TOO_LARGE, message)
+            raise body_too_large(self.limits)
         return int(text)
 
     def _decode_chunks(self, decoder: ChunkDecoder, *, max_chunks: int) -> bytes | None:
--- a/src/hyssopway/http/request_limits.py
+++ b/src/hyssopway/http/request_limits.py
@@ -16,6 +16,7 @@
         idle_timeout_s: Time for which a connection may wait for its next request.
         body_timeout_s: Time from the end of a head to the end of its body.
         response_timeout_s: Time in which a client has to take a response.
+        is_confirmed: Whether `max_body_bytes` is in force; if not, a larger body may be sent again later.
         streams_bodies: Whether handlers read bodies while they arrive, and limit their time themselves.
     """
 
@@ -25,6 +26,7 @@
     idle_timeout_s: float = 15.0
     body_timeout_s: float = 30.0
     response_timeout_s: float = 30.0
+    is_confirmed: bool = True
     streams_bodies: bool = False
 
     @staticmethod
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -46,6 +46,8 @@
     from collections.abc import Awaitable, Callable
 
     from hyssopway.dispatch import LeaderController
+    from hyssopway.relay import DocumentLimits
+    from hyssopway.workflow import FleetDocument
 
     from .node_settings import NodeSettings
     from .request_service import RequestService
@@ -76,6 +78,8 @@
         membership_manager: Changes the members of the group while this node leads.
         service: Handles requests while this node leads.
         new_controller: Creates the leader controller of a term.
+        read_limits: Returns the limits on requests that a document sets; None if it sets none.
+        told_limits: Version of the document that was read last, and its limits.
         controller: Runs the work of the leader in the current term; None while this node does not lead.
         peer_server: Server for calls of other nodes.
         tasks: Background tasks.
@@ -88,12 +92,15 @@
         service: RequestService,
         new_controller: Callable[[Leadership], LeaderController],
         supported_version: int = CURRENT_VERSION,
+        read_limits: Callable[[FleetDocument], DocumentLimits] | None = None,
     ) -> None:
         if settings.data_dir is None:
             raise ValueError("a control node requires data_dir")
         self.settings = settings
         self.service = service
         self.new_controller = new_controller
+        self.read_limits = read_limits
+        self.told_limits: tuple[int, dict[str, int]] = (-1, {})
         self.directory = MemberDirectory(own_name=settings.host, peer_port=settings.peer_port)
         self.state = WorkflowState(supported_version=supported_version)
         self.member = Member(
@@ -290,9 +297,23 @@
     async def _handle_leader_query(self, data: bytes) -> bytes:
         members = sorted({daemon_of(member) for member in self.member.configuration.members})
         leads = self.controller is not None and self.controller.leadership.may_order()
-        answer = {"leads": leads, "leader": self.member.leader_daemon, "members": members}
+        answer = {
+            "leads": leads,
+            "leader": self.member.leader_daemon,
+            "members": members,
+            "limits": self._list_limits(),
+        }
         return json.dumps(answer).encode()
 
+    def _list_limits(self) -> dict[str, int]:
+        """Returns the limits of the document in force; empty without one."""
+        document = self.state.tables.document
+        if document is None or self.read_limits is None:
+            return {}
+        if self.told_limits[0] != document.version:
+            self.told_limits = (document.version, self.read_limits(document).encode())
+        return self.told_limits[1]
+
     async def _send_stop_notice(self, host: str) -> None:
         data = self.member.member_id.encode()
         try:
--- a/src/hyssopway/relay/__init__.py
+++ b/src/hyssopway/relay/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .confirm_token import is_valid_confirm_token, issue_confirm_token
+from .document_limits import DocumentLimits
 from .leader_finder import LeaderFinder
 from .node_directory import PEER_TOKEN, NodeDirectory
 from .relay import Relay, UnansweredError
@@ -18,6 +19,7 @@
     "RELAY",
     "STOPPING",
     "SUPPORTED_VERSION",
+    "DocumentLimits",
     "LeaderFinder",
     "NodeDirectory",
     "Relay",
--- a/src/hyssopway/relay/leader_finder.py
+++ b/src/hyssopway/relay/leader_finder.py
@@ -9,9 +9,12 @@
 from hyssopway.event import Event, log_event
 from hyssopway.peer import PeerUnreachableError
 
+from .document_limits import DocumentLimits
 from .topics import LEADER
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hyssopway.clock import Clock
 
     from .node_directory import ExchangeDirectory
@@ -33,9 +36,20 @@
         leader: Host of the leader; empty if unknown.
         confirmed_at: Local time in seconds of the latest query in which the leader confirmed its leadership.
         changed: Set while a leader is known.
+        limits: Limits of the leader's document; None until a leader has told them.
+        handle_limits: Called when `limits` has changed; None to ignore them.
     """
 
-    __slots__ = ("changed", "clock", "confirmed_at", "directory", "known_hosts", "leader")
+    __slots__ = (
+        "changed",
+        "clock",
+        "confirmed_at",
+        "directory",
+        "handle_limits",
+        "known_hosts",
+        "leader",
+        "limits",
+    )
 
     def __init__(self, *, directory: ExchangeDirectory, seed_hosts: tuple[str, ...], clock: Clock) -> None:
         self.directory = directory
@@ -44,6 +58,8 @@
         self.leader = ""
         self.confirmed_at = float("-inf")
         self.changed = asyncio.Event()
+        self.limits: DocumentLimits | None = None
+        self.handle_limits: Callable[[DocumentLimits], None] | None = None
 
     def confirmed_age_s(self) -> float:
         """Returns the time in seconds since the leader last confirmed its leadership."""
@@ -91,7 +107,7 @@
         except PeerUnreachableError:
             return  # retried in the next round; `_query_all` logs if no leader responds
         try:
-            members, leads, leader = _decode_answer(data)
+            members, leads, leader, limits = _decode_answer(data)
         except (ValueError, KeyError, TypeError, RecursionError) as error:
             log_event(Event.INPUT_REFUSED, method=LEADER, path=host, reason=repr(error))
             return
@@ -100,16 +116,25 @@
         if leads:
             self.set_leader(host)
             self.confirmed_at = max(self.confirmed_at, sent_at)
+            self._set_limits(limits)
         elif leader != host:
             self.known_hosts.setdefault(leader or host)
 
+    def _set_limits(self, limits: DocumentLimits | None) -> None:
+        if limits is not None and limits != self.limits:
+            self.limits = limits
+            if self.handle_limits is not None:
+                self.handle_limits(limits)
+
 
-def _decode_answer(data: bytes) -> tuple[list[str], bool, str]:
+def _decode_answer(data: bytes) -> tuple[list[str], bool, str, DocumentLimits | None]:
     answer = json.loads(data)
     members, leads, leader = list(answer["members"]), bool(answer["leads"]), answer["leader"]
     if not all(isinstance(name, str) for name in (*members, leader)):
         raise TypeError("the names of nodes must be strings")
-    return members, leads, leader
+    # Leaders of earlier releases, and one without a document, tell no limits.
+    limits = DocumentLimits.decode(answer["limits"]) if answer.get("limits") else None
+    return members, leads, leader, limits
 
 
 __all__ = ["LeaderFinder"]
--- a/tests/http/test_connection_limits.py
+++ b/tests/http/test_connection_limits.py
@@ -183,3 +183,10 @@
     assert calls == len(connections)
     assert listener.memory.held_bytes == 0
     await listener.close()
+
+
+async def test_body_over_an_unconfirmed_limit_may_be_sent_again(listener):
+    """Guards against a final refusal by an entry that does not know the document in force yet."""
+    listener.limits.is_confirmed = False
+    reader, _ = await connect(listener, b"POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 262145\r\n\r\n")
+    assert await read_status(reader) == 503
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -8,7 +8,7 @@
 
 from hyssopway.clock import monotonic_s
 from hyssopway.peer import PeerUnreachableError
-from hyssopway.relay import LeaderFinder, Relay, RelayedReply, RelayedRequest, UnansweredError
+from hyssopway.relay import DocumentLimits, LeaderFinder, Relay, RelayedReply, RelayedRequest, UnansweredError
 
 REQUEST = RelayedRequest(entry="callers", method="POST", path="/a", host="h", credential="", body=b"")
 
@@ -184,3 +184,22 @@
     await finder._query("a")
     assert list(finder.known_hosts) == ["a", "b"]
     assert finder.leader == ""
+
+
+@pytest.mark.parametrize(
+    ("values", "limits"),
+    [
+        (None, DocumentLimits()),
+        ({}, DocumentLimits()),
+        ({"max_body_bytes": 5, "later": 1}, DocumentLimits(max_body_bytes=5)),
+        ({"max_body_bytes": 0, "head_timeout_ms": True, "idle_timeout_ms": "5"}, DocumentLimits()),
+        (
+            {"max_head_bytes": 1, "head_timeout_ms": 1},
+            DocumentLimits(max_head_bytes=1024, head_timeout_ms=100),
+        ),
+        (DocumentLimits(max_body_bytes=7).encode(), DocumentLimits(max_body_bytes=7)),
+    ],
+)
+def test_odd_limits_keep_their_defaults(values, limits):
+    """Guards against limits that end the search for the leader, or under which no request can replace the document."""
+    assert DocumentLimits.decode(values) == limits
