Refuse compressed bodies on the platform's ports

A request of 4 kB could make an entry or a control node hold 4 MB and more: the HTTP library unpacked bodies with Content-Encoding by itself, up to the largest body of the application, and the bound on requests in progress counts what has arrived. 300 such requests would take over 1 GB; this was read in the code and tried with one request, not with a crowd. The platform's messages are plain JSON, so a body with another coding than identity is refused with 400 before it is read, and the parser of whole requests unpacks nothing. hyssopwayd passes bodies on as before; its budget counts them unpacked.

--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -104,6 +104,7 @@
             keepalive_timeout=limits.idle_timeout_s,
             lingering_time=LINGER_S,
             read_bufsize=STREAM_BUFFER_BYTES if limits.streams_bodies else PARSER_BUFFER_BYTES,
+            auto_decompress=limits.streams_bodies,
         )
         self.loop = loop
         self.connections = connections
--- a/src/hyssopway/http/request_framer.py
+++ b/src/hyssopway/http/request_framer.py
@@ -23,9 +23,12 @@
 COLON = ord(":")
 LENGTH_FIELD = b"\r\ncontent-length"
 CODING_FIELD = b"\r\ntransfer-encoding"
+ENCODING_FIELD = b"\r\ncontent-encoding"
 EXPECT_FIELD = b"\r\nexpect"
 _EMPTY_LINES = re.compile(rb"(?:\r\n)+")
-_FRAMING_FIELD = re.compile(rb"\r\n((?i:content-length|transfer-encoding|expect))[ \t]*:[ \t]*([^\r\n]*)")
+_FRAMING_FIELD = re.compile(
+    rb"\r\n((?i:content-length|transfer-encoding|content-encoding|expect))[ \t]*:[ \t]*([^\r\n]*)"
+)
 _CONTINUE = b"100-continue"
 
 
@@ -92,7 +95,7 @@
         if size < len(HEAD_END) or size > self.limits.max_head_bytes or data[0] not in METHOD_BYTES:
             return False
         head = data[:size].lower()
-        if CODING_FIELD in head or EXPECT_FIELD in head or head.startswith(CONNECT):
+        if CODING_FIELD in head or ENCODING_FIELD in head or EXPECT_FIELD in head or head.startswith(CONNECT):
             return False
         start = head.find(LENGTH_FIELD)
         if start < 0:
@@ -207,6 +210,13 @@
             fields[name] = match
         if not fields:
             return
+        encoding = fields.get(b"content-encoding")
+        if (
+            encoding is not None
+            and encoding[2].strip().lower() != b"identity"
+            and not self.limits.streams_bodies
+        ):
+            raise _malformed("compressed bodies are not supported")
         coding, length = fields.get(b"transfer-encoding"), fields.get(b"content-length")
         removed = []
         if coding is not None:
--- a/tests/http/test_connection_limits.py
+++ b/tests/http/test_connection_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 import pytest
 from aiohttp import web
@@ -190,3 +191,11 @@
     listener.limits.is_confirmed = False
     reader, _ = await connect(listener, b"POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 262145\r\n\r\n")
     assert await read_status(reader) == 503
+
+
+async def test_compressed_body_is_refused_before_it_is_unpacked(listener):
+    """Guards against small bodies that take many times their size, which no limit counts."""
+    body = gzip.compress(b"x" * 4_000_000)
+    head = b"POST /p HTTP/1.1\r\nHost: x\r\ncontent-ENCODING: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
+    reader, _ = await connect(listener, head + body)
+    assert await read_status(reader) == 400
