Keep reading paused while chunks of a streamed body wait

Clients that send one-byte chunks made a daemon hold 242 MB with a bound of 128 after the bound on unfinished requests was in: aiohttp resumes the transport with each part of a body that it takes, also when the connection had paused it because the process decodes no more chunks for now. Each 50 ms one more read of 64 kB came in and a few hundred chunks went out. A connection now decides by itself whether its transport may be resumed, and it resumes reading when its chunks are decoded, instead of relying on aiohttp to do so.

Ruled out: the parser's own buffer, whose share was steady in the trial; a leak, since memory fell when the connections closed.

--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -280,6 +280,8 @@
         if framer.is_held_up:
             self._pause_input()
             self.pace_timer = self.loop.call_later(PACE_INTERVAL_S, self._advance)
+        elif framer.is_body_open:
+            self._resume_input()
         return not framer.is_body_open
 
     def _refuse_malformed(self, error: FramingError) -> None:
@@ -389,14 +391,20 @@
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
     def _pause_input(self) -> None:
-        # aiohttp resumes the transport at the end of each body, so the flag may be set already.
-        self.is_input_paused = True
-        self._pause_transport_reading()
+        if not self.is_input_paused:
+            self.is_input_paused = True
+            self._pause_transport_reading()
 
     def _resume_input(self) -> None:
         if self.is_input_paused:
             self.is_input_paused = False
-            self._resume_transport_reading()
+            if not self._reading_paused and not self._buffer_paused:
+                self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Resumes reading for aiohttp, which does so with each part of a body, unless this class has paused it."""
+        if not self.is_input_paused:
+            super()._resume_transport_reading()
 
     def _discard(self, size: int) -> None:
         self.linger_bytes += size
--- a/tests/http/test_connection_limits.py
+++ b/tests/http/test_connection_limits.py
@@ -87,6 +87,28 @@
         assert (await reader.readuntil(b"\r\n\r\n262144 ")).endswith(b"262144 ")
 
 
+async def test_streamed_body_in_chunks_of_one_byte_is_read_to_its_end_and_held_in_part():
+    """Guards against a streamed body that waits for ever after a pause, and against one that piles up meanwhile."""
+    app = web.Application(client_max_size=2**22)
+    app.router.add_post("/p", answer)
+    streaming = HttpListener(app=app, shutdown_s=1)
+    await streaming.open(host=HOST, port=0)
+    held = 0
+    reader, writer = await connect(
+        streaming, b"POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    async with asyncio.timeout(20):
+        for _ in range(64):
+            writer.write(b"1\r\nx\r\n" * 4096)
+            await writer.drain()
+            held = max(held, *(connection.framer.held_bytes for connection in streaming.connections))
+        writer.write(b"0\r\n\r\n")
+        assert b"200" in await reader.readline()
+        assert (await reader.readuntil(b"\r\n\r\n262144 ")).endswith(b"262144 ")
+    assert held < 300_000
+    await streaming.close()
+
+
 async def test_caller_that_waits_for_the_interim_response_gets_it(listener):
     """Guards against a caller and a listener that wait for one another."""
     head = b"POST /p HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
