Send no second response, and close no connection whose client acts

A streamed request that was answered before its body had arrived (404) got a second response, 400, behind the first when its client half-closed or sent a malformed chunk ("assert b'HTTP/1.1 ' not in ..." twice). A malformed chunk of a body that a handler was reading was answered with 400 and "not run" by the connection, though the handler may have passed on a part of the body ("assert 400 == 502"). And at the limit of connections one whose client had just begun a request, or was still taking a response, could be closed for another ("assert 200 == 503").

A connection now reports a malformed streamed body to the handler, which decides what its caller is told, and closes after that response; when the request is answered already it closes without another one. The time that counts at the limit of connections begins with the first byte of a request, and connections with an unsent response are left alone.

--- a/src/hyssopway/http/chunk_decoder.py
+++ b/src/hyssopway/http/chunk_decoder.py
@@ -27,14 +27,12 @@
         body: Decoded bytes so far.
         left: Bytes of the current chunk that have not arrived.
         chunks: Number of chunks decoded so far.
-        dropped_bytes: Number of decoded bytes that are no longer in `body`.
         is_complete: Whether the last chunk and the trailers have arrived.
     """
 
     __slots__ = (
         "body",
         "chunks",
-        "dropped_bytes",
         "in_trailers",
         "is_complete",
         "left",
@@ -46,7 +44,6 @@
     def __init__(self, *, limits: RequestLimits) -> None:
         self.limits = limits
         self.body = bytearray()
-        self.dropped_bytes = 0
         self.left = 0
         self.chunks = 0
         self.needs_line_end = False
@@ -98,11 +95,6 @@
         del buffer[:position]
         return False
 
-    def drop_body(self) -> None:
-        """Empties `body`, whose bytes have been passed on."""
-        self.dropped_bytes += len(self.body)
-        self.body.clear()
-
     def _read_line(self, line: bytes) -> None:
         if self.in_trailers:
             self.trailer_bytes += len(line) + len(LINE_END)
@@ -116,7 +108,9 @@
         self.chunks += 1
         self.left = int(match[1], 16)
         self.in_trailers = not self.left
-        if self.dropped_bytes + len(self.body) + self.left > self.limits.max_body_bytes:
+        if self.limits.streams_bodies:
+            return  # handlers limit what they read
+        if len(self.body) + self.left > self.limits.max_body_bytes:
             raise body_too_large(self.limits)
 
 
--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
 from hyssopway.result import Failure, ResultCode, http_status
 
@@ -59,7 +59,7 @@
         memory: Bounds the bytes that all connections hold.
         framer: Holds what has arrived of the next requests.
         size_in_progress: Bytes of the request in progress; None without one.
-        waits_since: Local time since which the connection has no request in progress.
+        waits_since: Local time of the end of the last request, or of the first bytes of the next one.
         deadline: Local time at which what is unfinished is given up.
         is_half_closed: Whether the caller has closed its sending side.
         is_lingering: Whether the connection only waits for the caller to read its last response.
@@ -166,7 +166,9 @@
         self.is_half_closed = True
         if self.is_lingering:
             return None
-        if self.framer.is_body_open:
+        if self.framer.is_body_open and self.size_in_progress is None:
+            self.force_close()  # the request was answered before its body was read
+        elif self.framer.is_body_open:
             self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request body")
         elif self.size_in_progress is None and self.pace_timer is None:
             self._end_half_closed()
@@ -206,7 +208,8 @@
 
     def is_reclaimable(self, now: float) -> bool:
         """Returns whether the connection has had no whole request for a while, so that another one may replace it."""
-        return self.size_in_progress is None and now - self.waits_since >= RECLAIM_AFTER_S
+        waits = self.size_in_progress is None and not self._unsent_bytes()
+        return waits and now - self.waits_since >= RECLAIM_AFTER_S
 
     def close_early(self, reason: CloseReason) -> None:
         """Closes the connection because of what it holds, or to make room for another one."""
@@ -273,7 +276,7 @@
         try:
             part = self._read_paced(framer.next_part)
         except FramingError as error:
-            self._refuse_malformed(error)
+            self._break_off_body(error)
             return False
         if part:
             super().data_received(part)
@@ -284,6 +287,19 @@
             self._resume_input()
         return not framer.is_body_open
 
+    def _break_off_body(self, error: FramingError) -> None:
+        """Reports a malformed body to the handler, which may have passed on a part of it, and closes after its response."""
+        self.framer.clear()
+        self.is_doomed = True
+        self.memory.count_closed(CloseReason.MALFORMED)
+        request = self._current_request
+        payload = (
+            request.content if request is not None else self._messages[-1][1] if self._messages else None
+        )
+        if payload is not None:
+            payload.set_exception(RequestPayloadError(str(error)))
+            payload.feed_eof()
+
     def _refuse_malformed(self, error: FramingError) -> None:
         self._release()
         self.memory.count_closed(CloseReason.MALFORMED)
@@ -373,8 +389,11 @@
 
     def _hold(self, phase: _Phase, *, timeout_s: float) -> None:
         if phase is not self.phase:
+            now = self.memory.clock()
+            if self.phase is _Phase.IDLE:
+                self.waits_since = now
             self.phase = phase
-            self.deadline = self.memory.clock() + timeout_s
+            self.deadline = now + timeout_s
         size = self.framer.held_bytes + self._unsent_bytes()
         if self.is_input_paused:
             size += RECEIVE_BUFFER_BYTES
--- a/src/hyssopway/http/request_framer.py
+++ b/src/hyssopway/http/request_framer.py
@@ -149,7 +149,7 @@
         """Removes and returns what has arrived of a streamed body, with its framing; may be empty.
 
         Raises:
-            FramingError: The body is malformed or too large.
+            FramingError: The body is malformed.
         """
         decoder = self.decoder
         if decoder is None:
@@ -160,7 +160,7 @@
             return part
         self.is_held_up = decoder.decode(self.buffer, at_most=max_chunks)
         part = b"%x\r\n%s\r\n" % (len(decoder.body), decoder.body) if decoder.body else b""
-        decoder.drop_body()
+        decoder.body.clear()
         if decoder.is_complete:
             part += b"0\r\n\r\n"
             self.is_body_open, self.decoder = False, None
--- a/tests/http/test_connection_limits.py
+++ b/tests/http/test_connection_limits.py
@@ -221,3 +221,67 @@
     head = b"POST /p HTTP/1.1\r\nHost: x\r\ncontent-ENCODING: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
     reader, _ = await connect(listener, head + body)
     assert await read_status(reader) == 400
+
+
+@pytest.mark.parametrize("ending", ["half-closed", "bad chunk"])
+async def test_answered_streamed_request_gets_no_second_response(ending):
+    """Guards against an error response behind, or inside, the response to a request whose body is still open."""
+    app = web.Application()
+    app.router.add_post("/p", answer)
+    streaming = HttpListener(app=app, shutdown_s=1)
+    await streaming.open(host=HOST, port=0)
+    head = b"POST /absent HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+    reader, writer = await connect(streaming, head)
+    assert await read_status(reader) == 404
+    if ending == "half-closed":
+        writer.write_eof()
+    else:
+        writer.write(b"zz\r\n")
+    async with asyncio.timeout(5):
+        assert b"HTTP/1.1 " not in await reader.read()
+    await streaming.close()
+
+
+async def test_bad_chunk_of_a_streamed_body_is_left_to_the_handler():
+    """Guards against a refusal that says "not run" of a request whose handler has passed on a part of it."""
+    app = web.Application()
+
+    async def fail_as_run(request: web.Request) -> web.Response:
+        try:
+            await request.read()
+        except web.RequestPayloadError:
+            return web.Response(status=502)
+        return web.Response()
+
+    app.router.add_post("/p", fail_as_run)
+    streaming = HttpListener(app=app, shutdown_s=1)
+    await streaming.open(host=HOST, port=0)
+    head = b"POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+    reader, writer = await connect(streaming, head)
+    await asyncio.sleep(0.1)
+    writer.write(b"zz\r\n")
+    assert await read_status(reader) == 502
+    await streaming.close()
+
+
+async def test_connection_that_has_begun_a_request_or_is_sent_a_response_makes_no_room(listener):
+    """Guards against a connection that is closed for another one although its client acts."""
+    busy = [await connect(listener, SMALL) for _ in range(listener.max_connections)]
+    for reader, _ in busy:
+        assert await read_status(reader) == 200
+    listener.memory.clock = lambda now=listener.memory.clock: now() + 2.0
+    for _, writer in busy:
+        writer.write(SMALL[:-1])
+    await wait_until(lambda: has_holders_all(listener, count=len(busy)), timeout_s=5)
+    reader, _ = await connect(listener, SMALL)
+    assert await read_status(reader) == 503
+    for _, writer in busy:
+        writer.write(SMALL[-1:])
+    for reader, _ in busy:
+        async with asyncio.timeout(5):
+            await reader.readuntil(b"4000 ")
+            assert b"200" in await reader.readline()
+
+
+async def has_holders_all(listener, *, count: int) -> bool:
+    return len(listener.memory.holders) == count
