Keep a VM that answers while the end of its runs is being committed

LeaderController._remove_silent_vms decides that a VM has been silent for 20 s, commits the end of its boot and then its removal. While the first command is being committed (some milliseconds, up to 3 s when commits are late) the VM can answer again and get starts.

The VM is now removed only if it was not heard between the two commands. Starts that are proposed after the removal are skipped as they are applied, since the VM is not known.

The test FAILED BEFORE, quoted (the runs that the state has and those that the VM has): AssertionError: assert [] == ['w.0.0.0/2', 'w.0.0.1/1'] Run: pytest tests/dispatch/test_removal_of_vms.py test_departures.py test_late_confirmation.py test_announced_boots.py.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -415,8 +415,10 @@
             record = link.record
             if record is not None and now - link.heard_at > REMOVE_AFTER_S and now > link.lease.expires_at:
                 reason = f"no contact for {now - link.heard_at:.1f} s"
+                heard_at = link.heard_at
                 await link.boots.end(reason=reason)
-                await self.leadership.propose(RemoveVm(vm=vm_id, boot=record.boot, at_ms=wall_ms()))
+                if link.heard_at == heard_at:  # else it may have got runs since
+                    await self.leadership.propose(RemoveVm(vm=vm_id, boot=record.boot, at_ms=wall_ms()))
 
 
 async def _run_until_lost(name: str, work: Awaitable[None]) -> None:
