Count starts that are being committed before a departure removes a VM

LeaderController.handle_departure removes the record of a VM that is out of contact and has no run in the replicated state. A departure carries no boot number, so one of an earlier boot may arrive when the VM works again and is only silent. A start that is being committed at that moment is not in the state yet: the removal follows it in the log and marks the run as lost after its order was sent. The task then starts elsewhere while the VM may work on it (TWICE).

The check now asks VmDrainer.is_empty, which counts starts in flight as waves and moves of machines do already.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -282,7 +282,7 @@
             link.announced_at = self.leadership.clock()
 
     async def handle_departure(self, *, vm: str) -> None:
-        """Handles the departure of a VM and removes its record, unless runs are in progress there.
+        """Handles the departure of a VM and removes its record, unless runs are in progress or about to start there.
 
         A departure carries no boot number. One of an earlier boot may arrive when the VM works again under its ID, or is
         only silent; a boot announces that it is draining before it departs. If that announcement was lost, the runs of the
@@ -292,11 +292,12 @@
         current = self.leadership.state.tables.vms.get(vm)
         link = self.links.get(vm)
         is_working = link is not None and link.in_contact(self.leadership.clock())
-        if current is not None and (is_working or current.runs) and not current.draining:
+        is_empty = self.drainer.is_empty(vm)
+        if current is not None and (is_working or not is_empty) and not current.draining:
             reason = "the VM is not draining, and answers or has runs in progress"
             log_event(Event.INPUT_REFUSED, method="departure", path=vm, reason=reason)
             return
-        if current is not None and current.runs:
+        if current is not None and not is_empty:
             self._sync_links()
             self.links[vm].is_departing = True
         elif current is not None:
--- a/tests/dispatch/test_removal_of_vms.py
+++ b/tests/dispatch/test_removal_of_vms.py
@@ -50,3 +50,28 @@
     await controller._remove_silent_vms()
     assert vms.running
     assert list_runs(fleet) == sorted(f"{task}/{run}" for task, run in vms.running)
+
+
+async def test_late_departure_does_not_end_a_start_that_is_being_committed(
+    controller, fleet, vms, monkeypatch
+):
+    """Guards against a second run of a task whose start is committed right before a removal by an old departure (TWICE)."""
+    propose, behind = fleet.propose, []
+
+    async def propose_behind(command):
+        behind.append(command)
+
+    async def commit_late(command):
+        assert isinstance(command, StartRuns)
+        monkeypatch.setattr(fleet, "propose", propose_behind)
+        fleet.now += 2.0  # the VM has not answered for some time
+        await controller.handle_departure(vm="vm-1")
+        await propose(command)
+
+    monkeypatch.setattr(fleet, "propose", commit_late)
+    await controller.dispatcher.run_round()
+    await asyncio.gather(*controller.dispatcher.sending)
+    for command in behind:
+        fleet.apply(command)
+    assert vms.running
+    assert list_runs(fleet) == sorted(f"{task}/{run}" for task, run in vms.running)
