--- a/tests/adapter/test_caller_api.py
+++ b/tests/adapter/test_caller_api.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from hyssopway.dispatch import LeadershipLostError
+
 JOB = {"specification": "x", "steps": [{"count": 1, "cpu": 100}]}
 ID = "5c0e7a21d94b36f8"
 
@@ -32,6 +36,19 @@
     assert await client.call("GET", f"/p/{ID}") == (200, {"state": "cancelled"})
 
 
+async def test_cancelled_job_whose_submission_is_still_being_committed_does_not_run(client):
+    """Guards against a job that starts although its cancelling was answered with 410 (UNASKED)."""
+    leadership = client.controller.leadership
+    leadership.confirms = False
+    with pytest.raises(LeadershipLostError):
+        await client.call("POST", f"/p/{ID}", JOB)
+    cancelling = asyncio.create_task(client.call("DELETE", f"/p/{ID}"))
+    await asyncio.sleep(0.01)
+    leadership.apply_unconfirmed()
+    assert (await cancelling)[0] == 200
+    assert await client.call("GET", f"/p/{ID}") == (200, {"state": "cancelled"})
+
+
 @pytest.mark.parametrize(
     ("method", "path", "key", "status"),
     [
