Place nothing on a VM before it refuses the late starts of its earlier boot

A copy of a start got no answer, the run has ended, and the VM restarts under its ID. Its next boot may still carry the copy out, so the leader tells it to stop the run. Until that stop is confirmed, PlacedRuns and StoppingRuns know nothing of the run, since the VM doesn't list it yet: a round placed another task of the step on the VM, and its capacity was given away. With allow_duplicates no other rule forbids the late run.

A VM with such late starts gets no task until it has confirmed the stops, which are sent with its first answer and repeated every 0.5 s.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -299,11 +299,17 @@
 
     def stop_late_starts(self) -> None:
         """Makes the present boot refuse late starts of runs that have ended on an earlier boot or with it."""
-        for key in self.late_starts.list_ended():
-            order_state = self.order_states.get(key)
-            if order_state is None or order_state.stopped_at == float("inf"):
-                task, _, run = key.rpartition("/")
-                self.request_stop(task=task, run=int(run), reason="its start may be carried out late")
+        for key in self.list_open_late_starts():
+            task, _, run = key.rpartition("/")
+            self.request_stop(task=task, run=int(run), reason="its start may be carried out late")
+
+    def list_open_late_starts(self) -> list[str]:
+        """Returns the keys of ended runs whose late start the present boot has not yet been made to refuse."""
+        return [key for key in self.late_starts.list_ended() if not self._is_stopped(key)]
+
+    def _is_stopped(self, key: str) -> bool:
+        order_state = self.order_states.get(key)
+        return order_state is not None and order_state.stopped_at != float("inf")
 
     def is_stop_requested(self, key: str) -> bool:
         """Returns whether a stop of a run was sent."""
--- a/tests/dispatch/test_late_copies_of_starts.py
+++ b/tests/dispatch/test_late_copies_of_starts.py
@@ -11,6 +11,7 @@
 
 from dispatch.conftest import LIMITS, FakeLeadership, make_link
 from dispatch.model_worker import ModelNetwork, ModelWorker
+from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S, LateStarts
 from hyssopway.workflow import RunOutcome, RunStart, StartRuns
 from workflow.conftest import make_vm
@@ -195,6 +196,33 @@
     assert worker.working() == {}
 
 
+async def test_next_boot_gets_no_task_before_it_refuses_the_late_starts_of_the_earlier_one(
+    link, network, worker, fleet
+):
+    """Guards against a late copy that joins another task of its spread step on the next boot of its VM (ROUTE)."""
+    await start_with_late_copy(link, network)
+    worker.finish(TASK, RunOutcome.FAILED)
+    await poll(link, times=2)
+    worker.restart()
+    await link.poll()
+    await fleet.propose(make_vm("vm-1", boot=2))
+    dispatcher = Dispatcher(leadership=fleet, links={"vm-1": link})
+    network.stop_fault = "lose"
+    await poll_and_place(link, dispatcher)
+    assert list_active_runs(link) == []
+    network.stop_fault = None
+    link.leadership.now += 1.0
+    await poll_and_place(link, dispatcher)
+    await poll_and_place(link, dispatcher)
+    assert [boot for _, boot in list_active_runs(link)] == [2, 2]
+
+
+async def poll_and_place(link, dispatcher):
+    await link.poll()
+    await dispatcher.run_round()
+    await asyncio.gather(*link.orders.sending, *dispatcher.sending)
+
+
 async def test_stops_of_ended_runs_outlast_the_record_of_their_vm(link, network, worker, fleet):
     """Guards against a run that starts again on a VM that has left and comes back under its ID (TWICE)."""
     await start_with_late_copy(link, network)
