Learn once from an end whose commit is late

The link remembers the last end of the boot that it has learned from. The command itself is proposed again as before.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -91,6 +91,7 @@
         spread_watch: Reports lists that exceed the spread limit of a step.
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
+        learned_end: Number of the last end of the boot that was learned from; its commit may be late.
         failures: Number of runs that failed on the VM since the last success.
         is_departing: Whether this boot of the VM may have announced its departure.
     """
@@ -108,6 +109,7 @@
         "heard_at",
         "is_departing",
         "leadership",
+        "learned_end",
         "lease",
         "listed_runs",
         "listing_sent_at",
@@ -188,6 +190,7 @@
         self.announced_at = float("-inf")
         self.listed_runs: dict[str, ListedRun] = {}
         self.boots = VmBoots(link=self, longest_lease_s=limits.longest_lease_s)
+        self.learned_end = 0
         self.failures = 0
         self.is_departing = False
 
@@ -355,6 +358,9 @@
 
     async def _process_ends(self, record: VmRecord, *, ends: list[ListedEnd]) -> None:
         for listed in ends:
+            if listed.number <= self.learned_end:
+                continue
+            self.learned_end = listed.number
             end = listed.end
             order_state = self.orders.discard_run(f"{end.task}/{end.run}")
             accepted_at = order_state.accepted_at if order_state is not None else None
@@ -460,6 +466,7 @@
         """Discards what is known of a boot that has ended."""
         self.has_acked_term = False
         self.is_departing = False
+        self.learned_end = 0
         self.listed_runs = {}
         self.listing_sent_at = float("-inf")
         self.ratings.reset(self.vm_id)
--- a/tests/dispatch/test_vm_link.py
+++ b/tests/dispatch/test_vm_link.py
@@ -8,7 +8,7 @@
 import pytest
 
 from dispatch.conftest import LIMITS, make_link
-from hyssopway.dispatch import OrderReply, Refusal, WorkerUnreachableError
+from hyssopway.dispatch import LeadershipLostError, OrderReply, Refusal, WorkerUnreachableError
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.poll_timing import STABLE_WAIT_MS, UNSTABLE_S
@@ -85,6 +85,23 @@
     assert progress.failures == [1, 0]
 
 
+async def test_failure_whose_commit_is_late_is_learned_once(link, vms):
+    """Guards against a VM that is avoided because the one failure on it was listed again before its late commit."""
+    await poll(link)
+    await start(link)
+    await poll(link)
+    vms.running.clear()
+    vms.ends.append(ListedEnd(1, RunEnd(task="w.0.0.0", run=1, outcome=RunOutcome.FAILED)))
+    link.leadership.confirms = False
+    for _ in range(3):
+        with pytest.raises(LeadershipLostError):
+            await poll(link)
+    link.leadership.apply_unconfirmed()
+    await poll(link)
+    assert link.failures == 1
+    assert len(link.ratings.vms["vm-1"].runs) == 1
+
+
 async def test_end_is_agreed_before_it_is_acknowledged(link, vms):
     """Guards against acknowledging an end that is not committed: the VM would discard it and it would be lost."""
     await poll(link)
