Submit until the withdrawn key is refused in the test of lost answers

test_job_that_ran_is_not_reported_as_refused_when_its_leader_is_killed failed at times beside load: no answer of 401 came, so that what it guards against was not tried.

The test is at fault. It submitted jobs for 1.2 s, killed the leader after 0.5 s and then withdrew the key, which the next leader has to accept: if the election and the withdrawal take longer than the 0.7 s that are left, nobody submits with the withdrawn key.

Each round now kills the leader once jobs have been accepted, and submits until a job that was sent after the withdrawal is refused for its key. It is stricter: in each of the six rounds jobs must be accepted and refused, in place of one of each in all of them, and a withdrawal that is not accepted fails the test at once. A wait of 30 s for either kind of answer fails it as well.

--- a/tests/soak/test_lost_answers.py
+++ b/tests/soak/test_lost_answers.py
@@ -16,6 +16,8 @@
 from .soak_run import SoakRun
 
 ROUNDS = 6
+# How long a round may wait for each kind of answer before the test fails, in seconds.
+MAX_WAIT_S = 30.0
 JOBS_PER_S = 120.0
 LEADER_FOUND = 7020
 BODY = {
@@ -32,11 +34,30 @@
     return next(node for node in run.controls if node.host == host)
 
 
-async def submit(run, *, session, rng):
+class Round:
+    """What callers were answered in one round.
+
+    Attributes:
+        accepted: Number of jobs that were accepted.
+        is_withdrawn: Whether the withdrawal of the key has been acknowledged.
+        refused: Number of jobs that were refused for their key since then.
+    """
+
+    def __init__(self):
+        self.accepted = 0
+        self.is_withdrawn = False
+        self.refused = 0
+
+    def record(self, status, *, was_withdrawn):
+        self.accepted += status == 200
+        self.refused += status == 401 and was_withdrawn
+
+
+async def submit(run, *, current, session, rng):
     job_id = f"{rng.getrandbits(64):016x}"
     job = run.checker.jobs[job_id] = Job(steps=(1,), duplicates=False)
     headers = HEADERS | {"Authorization": f"Bearer {GUEST_KEY}"}
-    status = 0
+    status, was_withdrawn = 0, current.is_withdrawn
     with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
         url = f"http://{rng.choice(run.entries).http}/p/{job_id}"
         async with session.post(url, json=BODY, headers=headers) as response:
@@ -44,17 +65,27 @@
             status = response.status
     job.refused = status in REFUSALS
     job.accepted = status == 200
-    return status
+    current.record(status, was_withdrawn=was_withdrawn)
 
 
-async def submit_for(run, *, seconds, session, rng):
-    """Submits jobs at random intervals and returns the statuses."""
+async def submit_until_refused(run, *, current, session, rng):
+    """Submits jobs at random intervals until one is refused since the key is withdrawn."""
     submissions = []
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        submissions.append(asyncio.create_task(submit(run, session=session, rng=rng)))
+    started = time.monotonic()
+    while not current.refused:
+        assert time.monotonic() - started < MAX_WAIT_S, "no job was refused for its key"
+        submissions.append(asyncio.create_task(submit(run, current=current, session=session, rng=rng)))
         await asyncio.sleep(rng.expovariate(JOBS_PER_S))
-    return await asyncio.gather(*submissions)
+    await asyncio.gather(*submissions)
+
+
+async def wait_for_accepted_jobs(current):
+    """Waits until jobs have been accepted, and some time more."""
+    started = time.monotonic()
+    while not current.accepted:
+        assert time.monotonic() - started < MAX_WAIT_S, "no job was accepted"
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(0.3)
 
 
 @pytest.mark.faults
@@ -62,23 +93,26 @@
     """Guards against a 401 for a job that the killed leader had stored, and that its successor runs (REFUSED)."""
     run = SoakRun(seed=171, folder=tmp_path, has_spread_tasks=False)
     rng = random.Random(run.seed)
-    statuses = set()
     try:
         await run._start()
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=4.0)) as session:
             for _ in range(ROUNDS):
                 await run._put_config(grants_guest=True)
                 await asyncio.sleep(0.5)
-                submitting = asyncio.create_task(submit_for(run, seconds=1.2, session=session, rng=rng))
-                await asyncio.sleep(0.5)
+                current = Round()
+                submitting = asyncio.create_task(
+                    submit_until_refused(run, current=current, session=session, rng=rng)
+                )
+                await wait_for_accepted_jobs(current)
                 leader = find_leader(run)
                 leader.kill()
                 await run._put_config(grants_guest=False)
-                statuses.update(await submitting)
+                assert run.checker.broken == []
+                current.is_withdrawn = True
+                await submitting
                 leader.start()
                 await asyncio.sleep(2.0)
     finally:
         await run._stop()
     run.checker.check_refused_jobs()
     assert run.checker.broken == []
-    assert {200, 401} <= statuses
