Name the answers when a configuration of the soak is not accepted

The message was the same for each later version, which is put while faults are injected, so that a slow start of the processes and a group without a leader could not be told apart, and the answers were dropped.

The message now has the version and how often each node gave which answer or error. The bound of 20 s is as before.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -277,19 +277,22 @@
     async def _send_config(self, config: dict[str, Any]) -> None:
         """Sends a configuration to any control node until one accepts it."""
         rng = random.Random(f"{self.seed} config {self.config_version}")
+        answers: Counter[str] = Counter()
         deadline = time.monotonic() + READY_TIMEOUT_S
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3.0)) as session:
             while time.monotonic() < deadline:
+                node = rng.choice(self.controls)
                 try:
-                    url = f"http://{rng.choice(self.controls).http}/hyssopway/config"
+                    url = f"http://{node.http}/hyssopway/config"
                     async with session.put(url, data=json.dumps(config)) as response:
                         if response.status == 200:
                             return
-                except (aiohttp.ClientError, TimeoutError, OSError):
-                    pass
+                        answers[f"{node.name} {response.status}"] += 1
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    answers[f"{node.name} {type(error).__name__}"] += 1
                 await asyncio.sleep(0.1)
         self.checker.broken.append(
-            f"the configuration was not accepted within {READY_TIMEOUT_S:.0f} s of the start"
+            f"version {self.config_version} of the configuration was not accepted within {READY_TIMEOUT_S:.0f} s: {dict(answers)}"
         )
 
     async def _wait_for_jobs(self) -> None:
