Close a reclaimed connection whose caller took its response late

What callers saw: nothing directly; the process kept more connections open than its limit of connections, so that a crowd could use up the descriptors and memory that the limit protects.

Cause: a response that does not fit into the socket buffer puts the connection into the response phase. Nothing tells the connection when the caller takes the rest, unless writing was paused. When such a connection is chosen to make room, the listener removes it from the connections that it counts, and `close_early` returns without closing it because its response has been taken meanwhile. It stays open and is counted by nothing.

Evidence: the test sends requests without reading until a response waits, reads all, and has the listener reclaim the connection. FAILED BEFORE: "TimeoutError" while it waits for the end of the connection, which stayed open; passes now (pytest tests/http, 114 passed).

The fix treats such a connection as idle, so that it is closed like any other idle connection. The other reasons still leave it open, as before.

--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -215,7 +215,10 @@
         was_sent = phase is _Phase.RESPONSE and not self._unsent_bytes()
         self._release()
         if was_sent and self.size_in_progress is None and not self.framer.buffer:
-            return  # the caller has taken its response in the meantime
+            # The caller has taken its response in the meantime.
+            if reason is not CloseReason.CONNECTIONS:
+                return
+            phase = _Phase.IDLE
         self.memory.count_closed(CloseReason.UNREAD if phase is _Phase.RESPONSE else reason)
         if self.size_in_progress is not None and not self.writing_paused:
             # The request in progress still gets its response.
