Let the end of a TLS connection pass without a warning

What operators saw: with TLS, hyssopwayd writes a line "returning true from eof_received() has no effect when using ssl" for each connection that its caller closes. A crowd of callers fills the log and costs processor time; the lines name nothing that anyone could act on.

Cause: since the connection frames requests by itself, it asks at every end of input to keep its sending side open, also when it is idle and has just closed itself. TLS has no half-closed connections, so asyncio warns.

Evidence: the test opens a TLS connection, makes one request and closes it. FAILED BEFORE: "assert not [<LogRecord: asyncio, 30, .../sslproto.py, 807, "returning true from eof_received() has no effect when using ssl">]"; passes now. tests/http and tests/daemon/test_tls.py: 116 passed.

The connection asks only if its transport can be closed in one direction and was not closed meanwhile.

--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -158,7 +158,8 @@
         """Handles a caller that closed its sending side.
 
         Returns:
-            True to keep this side open for sending until the requests that have arrived have their responses.
+            True to keep this side open for sending until the requests that have arrived have their responses. TLS
+            closes both sides.
         """
         super().eof_received()
         self.is_half_closed = True
@@ -170,7 +171,7 @@
             self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request body")
         elif self.size_in_progress is None and self.pace_timer is None:
             self._end_half_closed()
-        return True
+        return self.transport is not None and self.transport.can_write_eof()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Releases all that the connection holds."""
