Read an answer in small chunks without copying its rest for each

What callers saw: nothing yet. A VM, or whoever registers an address as one, can answer a leader's call with a body in chunks of one byte. The leader's event loop is blocked for 0.6 s by each 256 kB that it reads, longer than its lease allows several times in a row; the answer may be 4 MiB.

Cause: the reader cut the remaining bytes anew after each chunk (`self.data = rest[size + 2:]`, and a copy by `partition` before), and appended the body to immutable bytes, so that the time grows with the square of what arrives.

The reader moves a position through what has arrived and cuts once at the end of a call.

--- a/src/hyssopway/http_client/answer_reader.py
+++ b/src/hyssopway/http_client/answer_reader.py
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self.data = b""
-        self.body = b""
+        self.body = bytearray()
         self.status = 0
         self.keeps_open = True
         self.length: int | None = None
@@ -54,7 +54,7 @@
         if len(self.data) + len(self.body) > MAX_BODY_BYTES:
             raise InvalidAnswerError(f"the body is longer than {MAX_BODY_BYTES} bytes")
         if self.is_chunked:
-            return self._answer(self.body) if self._read_chunks() else None
+            return self._answer(bytes(self.body)) if self._read_chunks() else None
         if self.length is None or len(self.data) < self.length:
             return None
         return self._answer(self.data[: self.length], left=self.data[self.length :])
@@ -116,24 +116,29 @@
                 pass
 
     def _read_chunks(self) -> bool:
+        data, position = self.data, 0
         while True:
-            line, separator, rest = self.data.partition(b"\r\n")
-            if not separator:
-                if len(line) > MAX_HEAD_BYTES:
+            end = data.find(b"\r\n", position)
+            if end < 0:
+                if len(data) - position > MAX_HEAD_BYTES:
                     raise InvalidAnswerError("the line of a chunk size is too long")
-                return False
+                break
+            line = data[position:end]
             match = CHUNK_SIZE.fullmatch(line)
             if match is None:
                 raise InvalidAnswerError(f"the size of a chunk is invalid: {line[:80]!r}")
-            size = int(match[1], 16)
+            size, start = int(match[1], 16), end + 2
             if not size:
-                return self._read_trailers(rest)
-            if len(rest) < size + 2:
-                return False
-            if rest[size : size + 2] != b"\r\n":
+                self.data = data[position:]
+                return self._read_trailers(data[start:])
+            if len(data) < start + size + 2:
+                break
+            if data[start + size : start + size + 2] != b"\r\n":
                 raise InvalidAnswerError("a chunk is longer than its size")
-            self.body += rest[:size]
-            self.data = rest[size + 2 :]
+            self.body += data[start : start + size]
+            position = start + size + 2
+        self.data = data[position:]
+        return False
 
     def _read_trailers(self, rest: bytes) -> bool:
         if rest.startswith(b"\r\n"):
