Refuse an answer with interim answers without end

What callers saw: nothing yet. A host that answers a call with many interim answers at once ("100 Continue") makes the reader of answers fail with RecursionError, which asyncio reports as a fatal error of the protocol with a traceback; sent slowly they were read until the call's timeout.

Cause: the reader called itself once for each interim answer, so the depth of the stack was set by the other side. Nothing bounded their number.

Evidence: the test feeds 10,000 interim answers. FAILED BEFORE: "RecursionError: maximum recursion depth exceeded while calling a Python object"; passes now, with tests/http_client and tests/worker (71 passed). No process ended by it: the connection was closed and the call failed.

The reader loops over interim answers and gives the answer up as invalid after 100 of them. No other answer is read differently.

--- a/src/hyssopway/http_client/answer_reader.py
+++ b/src/hyssopway/http_client/answer_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from http import HTTPStatus
 
 from .answer import HttpAnswer
 
@@ -12,6 +13,7 @@
 CHUNK_SIZE = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(?:;.*)?")
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_INTERIM_ANSWERS = 100
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 
@@ -30,9 +32,10 @@
         keeps_open: Whether the connection may carry another request after the answer.
         length: Number of bytes of the body; None if it comes in chunks or ends with the connection.
         is_chunked: Whether the body comes in chunks.
+        interim_answers: Number of interim answers so far.
     """
 
-    __slots__ = ("body", "data", "is_chunked", "keeps_open", "length", "status")
+    __slots__ = ("body", "data", "interim_answers", "is_chunked", "keeps_open", "length", "status")
 
     def __init__(self) -> None:
         self.data = b""
@@ -41,6 +44,7 @@
         self.keeps_open = True
         self.length: int | None = None
         self.is_chunked = False
+        self.interim_answers = 0
 
     def feed(self, data: bytes) -> HttpAnswer | None:
         """Adds bytes and returns the answer once it is complete.
@@ -75,20 +79,24 @@
         return HttpAnswer(status=self.status, body=body, keeps_open=self.keeps_open and not left)
 
     def _read_head(self) -> bool:
-        head, separator, rest = self.data.partition(HEAD_END)
-        if len(head) > MAX_HEAD_BYTES:
-            raise InvalidAnswerError(f"the head is longer than {MAX_HEAD_BYTES} bytes")
-        if not separator:
-            return False
-        status_line, *lines = head.split(b"\r\n")
-        match = STATUS_LINE.fullmatch(status_line)
-        if match is None:
-            raise InvalidAnswerError(f"the status line is invalid: {status_line[:80]!r}")
-        self.keeps_open = match[1] == b"1"
-        status = int(match[2])
-        if status < 200:
-            self.data = rest  # an interim answer
-            return self._read_head()
+        while True:
+            head, separator, rest = self.data.partition(HEAD_END)
+            if len(head) > MAX_HEAD_BYTES:
+                raise InvalidAnswerError(f"the head is longer than {MAX_HEAD_BYTES} bytes")
+            if not separator:
+                return False
+            status_line, *lines = head.split(b"\r\n")
+            match = STATUS_LINE.fullmatch(status_line)
+            if match is None:
+                raise InvalidAnswerError(f"the status line is invalid: {status_line[:80]!r}")
+            self.keeps_open = match[1] == b"1"
+            status = int(match[2])
+            if status >= HTTPStatus.OK:
+                break
+            self.interim_answers += 1
+            if self.interim_answers > MAX_INTERIM_ANSWERS:
+                raise InvalidAnswerError(f"there are more than {MAX_INTERIM_ANSWERS} interim answers")
+            self.data = rest
         for line in lines:
             self._read_header(line)
         if status in (NO_CONTENT, NOT_MODIFIED):
--- a/tests/http_client/test_answer_reader.py
+++ b/tests/http_client/test_answer_reader.py
@@ -4,7 +4,9 @@
 
 import time
 
-from hyssopway.http_client import HttpAnswerReader
+import pytest
+
+from hyssopway.http_client import HttpAnswerReader, InvalidAnswerError
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ROUNDS = 3
@@ -26,3 +28,9 @@
     small = min(read_tiny_chunks(8192) for _ in range(ROUNDS))
     large = min(read_tiny_chunks(16 * 8192) for _ in range(ROUNDS))
     assert large < 64 * small
+
+
+def test_interim_answers_without_end_are_refused():
+    """Guards against an error of the recursion limit, and against a reader that never gives up."""
+    with pytest.raises(InvalidAnswerError, match="interim"):
+        HttpAnswerReader().feed(b"HTTP/1.1 100 Continue\r\n\r\n" * 10_000)
