Read trailers longer than the line of a chunk size

What callers saw: a legal chunked request with a trailer of more than 256 bytes, for example a signature, got 400 "a line of the chunked body is too long".

Cause: the decoder looks for the end of a trailer within `MAX_SIZE_LINE_BYTES`, which is meant for the size of a chunk with its extensions. The limit on all trailers, 8,192 bytes, was never reached by a single one.

In the trailers, a line may be as long as all trailers together; their sum is checked as before, so nothing more is held than the limit allows.

--- a/src/hyssopway/http/chunk_decoder.py
+++ b/src/hyssopway/http/chunk_decoder.py
@@ -85,9 +85,10 @@
             if self.chunks >= last:
                 del buffer[:position]
                 return True
-            end_of_line = buffer.find(LINE_END, position, position + MAX_SIZE_LINE_BYTES)
+            max_bytes = MAX_TRAILER_BYTES if self.in_trailers else MAX_SIZE_LINE_BYTES
+            end_of_line = buffer.find(LINE_END, position, position + max_bytes)
             if end_of_line < 0:
-                if len(buffer) - position >= MAX_SIZE_LINE_BYTES:
+                if len(buffer) - position >= max_bytes:
                     raise _malformed("a line of the chunked body is too long")
                 break
             self._read_line(bytes(buffer[position:end_of_line]))
