Move responses to rejected input and the phases of a connection out of its handler

The responses that no handler makes (error_response.py, which refused connections use too) and what a connection waits for (connection_phase.py) have modules of their own now.

--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-from enum import Enum, auto
 from http import HTTPStatus
 from typing import TYPE_CHECKING, TypeVar
 
-from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
-from hyssopway.result import Failure, ResultCode, http_status
+from hyssopway.result import Failure, ResultCode
 
 from .chunk_pace import FREE_CHUNKS
+from .connection_phase import ConnectionPhase
+from .error_response import encode_error_response, parser_error_response
 from .framing_error import FramingError
 from .request_framer import RequestFramer
 from .request_memory import CloseReason
-from .responses import encode_failure, failure_response
 
 if TYPE_CHECKING:
     import asyncio
@@ -111,7 +110,7 @@
         self.framer = RequestFramer(limits=limits)
         self.size_in_progress: int | None = None
         self.deadline = float("inf")
-        self.phase = _Phase.IDLE
+        self.phase = ConnectionPhase.IDLE
         self.is_held = False
         self.is_half_closed = False
         self.is_input_paused = False
@@ -185,7 +184,7 @@
     def pause_writing(self) -> None:
         """Counts a response that the caller does not read as fast as it is written."""
         super().pause_writing()
-        self._hold(_Phase.RESPONSE, timeout_s=self.limits.response_timeout_s)
+        self._hold(ConnectionPhase.RESPONSE, timeout_s=self.limits.response_timeout_s)
 
     def resume_writing(self) -> None:
         """Continues with the next request when the caller has read most of the last response."""
@@ -213,30 +212,30 @@
     def close_early(self, reason: CloseReason) -> None:
         """Closes the connection because of what it holds, or to make room for another one."""
         phase = self.phase
-        was_sent = phase is _Phase.RESPONSE and not self._unsent_bytes()
+        was_sent = phase is ConnectionPhase.RESPONSE and not self._unsent_bytes()
         self._release()
         if was_sent and self.size_in_progress is None and not self.framer.buffer:
             # The caller has taken its response in the meantime.
             if reason is not CloseReason.CONNECTIONS:
                 return
-            phase = _Phase.IDLE
-        self.memory.count_closed(CloseReason.UNREAD if phase is _Phase.RESPONSE else reason)
+            phase = ConnectionPhase.IDLE
+        self.memory.count_closed(CloseReason.UNREAD if phase is ConnectionPhase.RESPONSE else reason)
         if self.size_in_progress is not None and not self.writing_paused:
             # The request in progress still gets its response.
             self.is_doomed = True
             self.framer.clear()
             self._resume_input()
-        elif phase is _Phase.RESPONSE:
+        elif phase is ConnectionPhase.RESPONSE:
             self._abort()
         elif reason is CloseReason.CONNECTIONS:
-            if phase is not _Phase.IDLE:
+            if phase is not ConnectionPhase.IDLE:
                 message = "the limit of connections is reached and this request was not complete"
                 self._write(
                     encode_error_response(Failure(code=ResultCode.TOO_MANY_CONNECTIONS, message=message))
                 )
             self.force_close()
         elif reason is CloseReason.SLOW:
-            part = "head" if phase is _Phase.HEAD else "body"
+            part = "head" if phase is ConnectionPhase.HEAD else "body"
             limit = self.limits.head_timeout_s if part == "head" else self.limits.body_timeout_s
             self._refuse(ResultCode.REQUEST_TOO_SLOW, f"the request {part} did not arrive within {limit:g} s")
         else:
@@ -344,30 +343,30 @@
             self._resume_input()
         if not framer.is_inside_request:
             self._release()
-            self.phase = _Phase.IDLE
+            self.phase = ConnectionPhase.IDLE
             return
         if framer.head:
-            self._hold(_Phase.BODY, timeout_s=self.limits.body_timeout_s)
+            self._hold(ConnectionPhase.BODY, timeout_s=self.limits.body_timeout_s)
             if framer.wants_continue:
                 framer.wants_continue = False
                 self._write(CONTINUE_RESPONSE)
         else:
-            self._hold(_Phase.HEAD, timeout_s=self.limits.head_timeout_s)
+            self._hold(ConnectionPhase.HEAD, timeout_s=self.limits.head_timeout_s)
 
     def _wait_for_response(self) -> None:
         """Stops reading until the caller has its last response."""
         if self.framer.buffer:
             self._pause_input()
         if self.framer.buffer or self._unsent_bytes():
-            self._hold(_Phase.RESPONSE, timeout_s=self.limits.response_timeout_s)
+            self._hold(ConnectionPhase.RESPONSE, timeout_s=self.limits.response_timeout_s)
 
     def _turn_to_next(self) -> None:
         if self.is_doomed:
             self._linger()
             return
         if self._unsent_bytes():
-            self.phase = _Phase.IDLE
-            self._hold(_Phase.RESPONSE, timeout_s=self.limits.response_timeout_s)
+            self.phase = ConnectionPhase.IDLE
+            self._hold(ConnectionPhase.RESPONSE, timeout_s=self.limits.response_timeout_s)
         elif self.is_held:
             self._release()
         if self.framer.buffer:
@@ -389,10 +388,10 @@
             self.size_in_progress = None
             self.waits_since = self.memory.clock()
 
-    def _hold(self, phase: _Phase, *, timeout_s: float) -> None:
+    def _hold(self, phase: ConnectionPhase, *, timeout_s: float) -> None:
         if phase is not self.phase:
             now = self.memory.clock()
-            if self.phase is _Phase.IDLE:
+            if self.phase is ConnectionPhase.IDLE:
                 self.waits_since = now
             self.phase = phase
             self.deadline = now + timeout_s
@@ -406,7 +405,7 @@
         if self.is_held:
             self.is_held = False
             self.memory.release(self)
-            self.phase = _Phase.IDLE
+            self.phase = ConnectionPhase.IDLE
 
     def _unsent_bytes(self) -> int:
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
@@ -466,7 +465,7 @@
 
     def _process_keepalive(self) -> None:
         """Closes an idle connection; one inside a request has other time limits."""
-        if self.phase is _Phase.IDLE:
+        if self.phase is ConnectionPhase.IDLE:
             super()._process_keepalive()
         else:
             self._keepalive_handle = self.loop.call_later(self.limits.idle_timeout_s, self._process_keepalive)
@@ -485,35 +484,7 @@
         """
         if request.writer.output_size > 0:
             raise ConnectionError("the response has already been started")
-        code = ResultCode.INTERNAL
-        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            # aiohttp reports too long a line by an exception type and too many headers by a message only.
-            too_large = isinstance(exc, LineTooLong) or "Too many headers" in f"{message}{exc}"
-            code = ResultCode.HEADER_TOO_LARGE if too_large else ResultCode.MALFORMED_REQUEST
-        text = " ".join((message or str(exc) or "the request is not valid HTTP").split())[:300]
-        response = failure_response(Failure(code=code, message=text))
-        response.force_close()
-        return response
-
-
-class _Phase(Enum):
-    """What a connection waits for."""
-
-    IDLE = auto()
-    HEAD = auto()
-    BODY = auto()
-    RESPONSE = auto()
-
-
-def encode_error_response(failure: Failure) -> bytes:
-    """Encodes a failure as a complete HTTP response that closes the connection."""
-    status = http_status(failure.code)
-    body = encode_failure(failure)
-    head = (
-        f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-    )
-    return head.encode() + body
+        return parser_error_response(status, exc=exc, message=message)
 
 
-__all__ = ["ConnectionHandler", "encode_error_response"]
+__all__ = ["ConnectionHandler"]
--- a/src/hyssopway/http/refused_connection.py
+++ b/src/hyssopway/http/refused_connection.py
@@ -6,7 +6,7 @@
 
 from hyssopway.result import Failure, ResultCode
 
-from .connection_handler import encode_error_response
+from .error_response import encode_error_response
 
 # Closing with the request unread would reset the connection, and the caller would lose the response.
 LINGER_S = 1.0
