Tell callers that were refused for lack of room when to come back

What callers saw: a 503 without Retry-After when their connection had no place, or when the memory for unfinished requests was full, so that a client that was not served does not know when to try again.

Cause: these responses are written by the connection itself and not by a handler, and only the handlers' path added the header. test_refusal_for_lack_of_memory_says_when_to_come_back FAILED BEFORE (assert b'\r\nRetry-After: 1\r\n' in b'HTTP/1.1 503 ...Connection: close') and passes now. All refusals for lack of room are made in one place and say 1 s, after which a connection that stalled has given way.

--- a/src/hyssopway/http/chunk_pace.py
+++ b/src/hyssopway/http/chunk_pace.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from hyssopway.clock import Clock
 
-# About a tenth of a core. A body of legal size in chunks of one byte takes 2.6 s at this rate.
+# A chunk takes about 2 us of processor time. A body of legal size in chunks of one byte takes 2.6 s at this rate.
 CHUNKS_PER_S = 100_000.0
 BURST_CHUNKS = 5000
 # Chunks of each request that count for nothing, so that an ordinary body never waits.
--- a/src/hyssopway/http/connection_handler.py
+++ b/src/hyssopway/http/connection_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from http import HTTPStatus
 from typing import TYPE_CHECKING, TypeVar
 
@@ -11,7 +12,7 @@
 
 from .chunk_pace import FREE_CHUNKS
 from .connection_phase import ConnectionPhase
-from .error_response import encode_error_response, parser_error_response
+from .error_response import encode_error_response, overload_failure, parser_error_response
 from .framing_error import FramingError
 from .request_framer import RequestFramer
 from .request_memory import CloseReason
@@ -167,7 +168,11 @@
         if self.framer.is_body_open and self.size_in_progress is None:
             self.force_close()  # the request was answered before its body was read
         elif self.framer.is_body_open:
-            self._refuse(ResultCode.MALFORMED_REQUEST, "the connection ended inside the request body")
+            self._refuse(
+                Failure(
+                    code=ResultCode.MALFORMED_REQUEST, message="the connection ended inside the request body"
+                )
+            )
         elif self.size_in_progress is None and self.pace_timer is None:
             self._end_half_closed()
         return self.transport is not None and self.transport.can_write_eof()
@@ -230,17 +235,20 @@
         elif reason is CloseReason.CONNECTIONS:
             if phase is not ConnectionPhase.IDLE:
                 message = "the limit of connections is reached and this request was not complete"
-                self._write(
-                    encode_error_response(Failure(code=ResultCode.TOO_MANY_CONNECTIONS, message=message))
-                )
+                self._write(encode_error_response(overload_failure(message)))
             self.force_close()
         elif reason is CloseReason.SLOW:
             part = "head" if phase is ConnectionPhase.HEAD else "body"
             limit = self.limits.head_timeout_s if part == "head" else self.limits.body_timeout_s
-            self._refuse(ResultCode.REQUEST_TOO_SLOW, f"the request {part} did not arrive within {limit:g} s")
+            self._refuse(
+                Failure(
+                    code=ResultCode.REQUEST_TOO_SLOW,
+                    message=f"the request {part} did not arrive within {limit:g} s",
+                )
+            )
         else:
             message = "the memory for unfinished requests is full and this one was the oldest"
-            self._refuse(ResultCode.TOO_MANY_CONNECTIONS, message)
+            self._refuse(overload_failure(message))
 
     def _advance(self) -> None:
         """Passes the next whole request to the parser, or waits for the rest of it."""
@@ -304,7 +312,7 @@
     def _refuse_malformed(self, error: FramingError) -> None:
         self._release()
         self.memory.count_closed(CloseReason.MALFORMED)
-        self._refuse(error.code, str(error))
+        self._refuse(Failure(code=error.code, message=str(error)))
 
     def _begin_request(self, request: bytes) -> None:
         self._release()
@@ -321,13 +329,13 @@
         size = len(request)
         if not self.memory.begin(size):
             self.memory.count_closed(CloseReason.MEMORY)
-            self._refuse(ResultCode.TOO_MANY_CONNECTIONS, "the memory for requests in progress is full")
+            self._refuse(overload_failure("the memory for requests in progress is full"))
             return False
         self.size_in_progress = size
         super().data_received(request)
         if not self._messages:
             self._end_request()
-            self._refuse(ResultCode.MALFORMED_REQUEST, "the request is not valid HTTP")
+            self._refuse(Failure(code=ResultCode.MALFORMED_REQUEST, message="the request is not valid HTTP"))
             return False
         return True
 
@@ -378,7 +386,12 @@
         if self.framer.is_inside_request:
             self._release()
             part = "body" if self.framer.head else "head"
-            self._refuse(ResultCode.MALFORMED_REQUEST, f"the connection ended inside the request {part}")
+            self._refuse(
+                Failure(
+                    code=ResultCode.MALFORMED_REQUEST,
+                    message=f"the connection ended inside the request {part}",
+                )
+            )
         else:
             self.force_close()
 
@@ -431,9 +444,9 @@
         if self.linger_bytes > MAX_LINGER_BYTES and self.is_lingering:
             self._abort()
 
-    def _refuse(self, code: ResultCode, message: str) -> None:
+    def _refuse(self, failure: Failure) -> None:
         """Sends an error response and closes the connection when the caller has had time to read it."""
-        self._write(encode_error_response(Failure(code=code, message=message)))
+        self._write(encode_error_response(failure))
         self._linger()
 
     def _linger(self) -> None:
@@ -447,7 +460,8 @@
         if self.is_half_closed or not transport.can_write_eof():
             transport.close()
             return
-        transport.write_eof()
+        with suppress(OSError):  # the caller has reset the connection
+            transport.write_eof()
         self.loop.call_later(LINGER_S, self._abort)
 
     def _abort(self) -> None:
--- a/src/hyssopway/http/error_response.py
+++ b/src/hyssopway/http/error_response.py
@@ -9,19 +9,32 @@
 
 from hyssopway.result import Failure, ResultCode, http_status
 
-from .responses import encode_failure, failure_response
+from .responses import encode_failure, failure_response, retry_after_headers
 
 if TYPE_CHECKING:
     from aiohttp import web
 
 
+# After this time a connection that stalled has given way, or its request has ended.
+OVERLOAD_RETRY_AFTER_S = 1.0
+
+
+def overload_failure(message: str) -> Failure:
+    """Returns the failure of a request that was not run because the listener has no room for it."""
+    return Failure(
+        code=ResultCode.TOO_MANY_CONNECTIONS, message=message, retry_after_s=OVERLOAD_RETRY_AFTER_S
+    )
+
+
 def encode_error_response(failure: Failure) -> bytes:
     """Encodes a failure as a complete HTTP response that closes the connection."""
     status = http_status(failure.code)
     body = encode_failure(failure)
+    retry = retry_after_headers(failure)
+    fields = "".join(f"{name}: {value}\r\n" for name, value in retry.items())
     head = (
         f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        f"Content-Length: {len(body)}\r\n{fields}Connection: close\r\n\r\n"
     )
     return head.encode() + body
 
@@ -39,4 +52,4 @@
     return response
 
 
-__all__ = ["encode_error_response", "parser_error_response"]
+__all__ = ["encode_error_response", "overload_failure", "parser_error_response"]
--- a/src/hyssopway/http/refused_connection.py
+++ b/src/hyssopway/http/refused_connection.py
@@ -4,9 +4,7 @@
 
 import asyncio
 
-from hyssopway.result import Failure, ResultCode
-
-from .error_response import encode_error_response
+from .error_response import encode_error_response, overload_failure
 
 # Closing with the request unread would reset the connection, and the caller would lose the response.
 LINGER_S = 1.0
@@ -53,9 +51,7 @@
         if not self.answered and self.transport is not None:
             self.answered = True
             message = f"this entry VM serves {self.limit} connections, its limit; use another one"
-            self.transport.write(
-                encode_error_response(Failure(code=ResultCode.TOO_MANY_CONNECTIONS, message=message))
-            )
+            self.transport.write(encode_error_response(overload_failure(message)))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the timer and removes the connection."""
--- a/src/hyssopway/http/responses.py
+++ b/src/hyssopway/http/responses.py
@@ -23,17 +23,21 @@
 
 def failure_response(failure: Failure) -> web.Response:
     """Returns a JSON response with the numbered code of a failure."""
-    headers = {}
-    if failure.retry_after_s is not None:
-        headers["Retry-After"] = str(max(1, math.ceil(failure.retry_after_s)))
     return web.Response(
         body=encode_failure(failure),
         status=http_status(failure.code),
         content_type="application/json",
-        headers=headers,
+        headers=retry_after_headers(failure),
     )
 
 
+def retry_after_headers(failure: Failure) -> dict[str, str]:
+    """Returns the header that tells when to come back, if the failure says so."""
+    if failure.retry_after_s is None:
+        return {}
+    return {"Retry-After": str(max(1, math.ceil(failure.retry_after_s)))}
+
+
 def encode_failure(failure: Failure) -> bytes:
     """Encodes a failure as the JSON body of a response."""
     body = {
@@ -46,4 +50,4 @@
     return json.dumps(body, separators=(",", ":"), ensure_ascii=False).encode()
 
 
-__all__ = ["encode_failure", "failure_response", "json_response"]
+__all__ = ["encode_failure", "failure_response", "json_response", "retry_after_headers"]
--- a/tests/http/test_connection_limits.py
+++ b/tests/http/test_connection_limits.py
@@ -285,3 +285,12 @@
 
 async def has_holders_all(listener, *, count: int) -> bool:
     return len(listener.memory.holders) == count
+
+
+async def test_refusal_for_lack_of_memory_says_when_to_come_back(listener):
+    """Guards against a caller that was not served and is not told when to try again."""
+    stalled = [await connect(listener, STALLED) for _ in range(6)]
+    async with asyncio.timeout(5):
+        head = await stalled[0][0].readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503")
+    assert b"\r\nRetry-After: 1\r\n" in head
