Refuse a memory limit that leaves no room for the largest document

The least value is 72 now; the error names the field. test_limit_out_of_range_is_named with 71 FAILED BEFORE (DID NOT RAISE SettingsError).

--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -99,6 +99,7 @@
     ("table", "name", "value"),
     [
         ("limits", "memory_mb", 63),
+        ("limits", "memory_mb", 71),
         ("limits", "file_descriptors", 255),
         ("request_limits", "max_connections", -1),
         ("request_limits", "max_document_bytes", 0),
