Bound what all nodes together relay to the leader

What callers could see: nothing yet; by reading, the leader could run out of memory although each entry keeps within its bound, since each entry relays up to a sixteenth of its own memory and the leader held the sum: 97 entries of 200 MB relay 1.2 GB to a leader with 352 MB.

The leader counts the bytes of relayed requests in progress with the same RequestMemory as its own listener, and answers 503 with Retry-After beyond it, before anything of the request is carried out; small requests have twice the room, as on a listener. test_relayed_requests_of_all_nodes_are_bounded_at_the_leader FAILED BEFORE with AttributeError, as a node had no such count, so the failure says only that the bound was missing; no run ended a leader. pytest -n 2 tests/node tests/docs tests/relay: 149 passed.

--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -20,6 +20,7 @@
 from hyssopway.clock import monotonic_s
 from hyssopway.dispatch import Leadership, LeadershipLostError
 from hyssopway.event import Event, log_event
+from hyssopway.http.request_memory import RequestMemory
 from hyssopway.peer import PeerServer, PeerUnreachableError
 from hyssopway.relay import (
     JOIN,
@@ -54,6 +55,7 @@
 
 LEADERSHIP_CHECK_INTERVAL_S = 0.02
 JOIN_INTERVAL_S = 0.5
+OVERLOAD_RETRY_AFTER_S = 1
 JOIN_TIMEOUT_S = 0.8
 VERSION_QUERY_TIMEOUT_S = 0.4
 ASSUME_REMOVED_AFTER_S = 2.0
@@ -79,6 +81,7 @@
         service: Handles requests while this node leads.
         new_controller: Creates the leader controller of a term.
         read_limits: Returns the limits on requests that a document sets; None if it sets none.
+        memory: Bounds the bytes of the requests that other nodes relay to this one.
         told_limits: Version of the document that was read last, and its limits.
         controller: Runs the work of the leader in the current term; None while this node does not lead.
         peer_server: Server for calls of other nodes.
@@ -93,6 +96,7 @@
         new_controller: Callable[[Leadership], LeaderController],
         supported_version: int = CURRENT_VERSION,
         read_limits: Callable[[FleetDocument], DocumentLimits] | None = None,
+        memory: RequestMemory | None = None,
     ) -> None:
         if settings.data_dir is None:
             raise ValueError("a control node requires data_dir")
@@ -100,6 +104,7 @@
         self.service = service
         self.new_controller = new_controller
         self.read_limits = read_limits
+        self.memory = RequestMemory() if memory is None else memory
         self.told_limits: tuple[int, dict[str, int]] = (-1, {})
         self.directory = MemberDirectory(own_name=settings.host, peer_port=settings.peer_port)
         self.state = WorkflowState(supported_version=supported_version)
@@ -292,7 +297,13 @@
             log_event(Event.LEADER_MISSING, reason=f"cannot send a join request: {error}")
 
     async def _handle_relayed(self, data: bytes) -> bytes:
-        return (await self.answer(RelayedRequest.decode(data))).encode()
+        """Handles a relayed request; each node bounds what it relays, and this one the sum over all nodes."""
+        if not self.memory.begin(len(data)):
+            return RelayedReply(status=503, headers={"Retry-After": str(OVERLOAD_RETRY_AFTER_S)}).encode()
+        try:
+            return (await self.answer(RelayedRequest.decode(data))).encode()
+        finally:
+            self.memory.end(len(data))
 
     async def _handle_leader_query(self, data: bytes) -> bytes:
         members = sorted({daemon_of(member) for member in self.member.configuration.members})
--- a/tests/node/test_control_nodes.py
+++ b/tests/node/test_control_nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 import capnp
 import pytest
@@ -102,6 +103,21 @@
     await wait_until(lambda: all("nashua" in node.state.tables.evacuated for node in group))
 
 
+async def test_relayed_requests_of_all_nodes_are_bounded_at_the_leader(group):
+    """Guards against a leader that runs out of memory by requests which each node keeps within its own bound."""
+    (leader,) = leaders(group)
+    follower = next(node for node in group if node is not leader)
+    large = replace(REQUEST, body=b"x" * 100_000)
+    assert (await follower.serve(large, timeout_s=5.0)).status == 200
+    leader.memory.begin(leader.memory.max_in_progress_bytes)
+    reply = await follower.serve(large, timeout_s=5.0)
+    assert (reply.status, reply.headers["Retry-After"]) == (503, "1")
+    assert (await follower.serve(REQUEST, timeout_s=5.0)).status == 200
+    leader.memory.end(leader.memory.max_in_progress_bytes)
+    assert (await follower.serve(large, timeout_s=5.0)).status == 200
+    assert leader.memory.in_progress_bytes == 0
+
+
 async def test_leader_that_nobody_confirms_answers_nothing_from_its_state(group, monkeypatch):
     """Guards against a leader that answers from stale keys and jobs after its process was paused."""
     (old,) = leaders(group)
