Count the end of a boot once for each run that is kept

A run that is kept is now marked when the end of its boot is counted, and counts again only after it has moved to the next boot.

--- a/src/hyssopway/workflow/active_run.py
+++ b/src/hyssopway/workflow/active_run.py
@@ -17,6 +17,8 @@
         fencing_token: Term of the leader that proposed the start.
         started_ms: Wall-clock time at which the start was proposed; 0 if it is unknown.
         is_moved: Whether the run was in doubt when the present boot of its VM followed the one that it was placed on.
+        is_counted: Whether the end of this boot was counted for its task; the run is kept, as its start may have reached the
+            next boot.
     """
 
     task: str
@@ -26,6 +28,7 @@
     fencing_token: int
     started_ms: int = 0
     is_moved: bool = False
+    is_counted: bool = False
 
     @property
     def key(self) -> str:
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -141,6 +141,7 @@
             if run.key == key:
                 run.boot = boot
                 run.is_moved = True
+                run.is_counted = False
 
 
 def _mark_runs_lost(
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -9,6 +9,7 @@
 from .late_failures import count_failure, count_late_failure, record_unreported
 from .run_outcome import RunOutcome
 from .start_rules import SkippedStart, find_broken_rule, group_starts
+from .state_version import ENDS_COUNT_ONCE_VERSION
 from .task_id import TaskId
 from .workflow import Workflow
 from .workflow_end import end_workflow, mark_runs_to_stop
@@ -97,7 +98,9 @@
         _update_lapsed(tables, indexes, vm=vm, command=command)
     started_ms: dict[str, int] = {}
     if vm is not None and command.boot_ended:
-        started_ms = list_start_times(tables, vm=vm, keys=command.lost_at_work)
+        started_ms = list_start_times(
+            tables, vm=vm, keys=_mark_counted(tables, vm=vm, keys=command.lost_at_work)
+        )
     for end in command.ends:
         is_ended = end_run(
             tables,
@@ -125,6 +128,25 @@
         )
 
 
+def _mark_counted(tables: Tables, *, vm: VmRecord, keys: Collection[str]) -> set[str]:
+    """Returns the keys of the runs for which the end of the VM's boot has not been counted yet, and marks these runs.
+
+    The end of a boot is committed again if the command that replaces the boot was lost after it. Runs that are kept in
+    progress would count twice.
+    """
+    if tables.version < ENDS_COUNT_ONCE_VERSION:
+        return set(keys)
+    runs = [
+        run
+        for key in vm.runs.intersection(keys)
+        for run in tables.runs.get(key.rpartition("/")[0], ())
+        if run.key == key and not run.is_counted
+    ]
+    for run in runs:
+        run.is_counted = True
+    return {run.key for run in runs}
+
+
 def list_start_times(tables: Tables, *, vm: VmRecord, keys: Collection[str]) -> dict[str, int]:
     """Returns the wall-clock time of the start of each of some runs in progress on a VM, by task."""
     on_vm = vm.runs.intersection(keys)
--- a/src/hyssopway/workflow/state_version.py
+++ b/src/hyssopway/workflow/state_version.py
@@ -10,7 +10,10 @@
 
 PLACEMENT_RULES_VERSION: Final = 1  # the application of a start checks the rules that its placement keeps
 LATE_FAILURES_VERSION: Final = 1  # a failure that is reported after the lease of its run expired counts
+ENDS_COUNT_ONCE_VERSION: Final = (
+    1  # the end of a boot counts once for each run that is kept, however often it is committed
+)
 
 CURRENT_VERSION: Final = PLACEMENT_RULES_VERSION  # the highest version that this release can apply
 
-__all__ = ["CURRENT_VERSION", "LATE_FAILURES_VERSION", "PLACEMENT_RULES_VERSION"]
+__all__ = ["CURRENT_VERSION", "ENDS_COUNT_ONCE_VERSION", "LATE_FAILURES_VERSION", "PLACEMENT_RULES_VERSION"]
--- a/tests/workflow/test_crashes.py
+++ b/tests/workflow/test_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from hyssopway.workflow import (
@@ -12,6 +14,7 @@
     RunEnd,
     RunOutcome,
     RunStart,
+    SetStateVersion,
     StartRuns,
     Step,
     WorkflowState,
@@ -263,3 +266,19 @@
     restored.restore_snapshot(log.state.encode_snapshot())
     assert restored.indexes.suspects.level(TASK) == level(log) == 2
     assert restored.tables == log.state.tables
+
+
+@pytest.mark.parametrize(("version", "counted"), [(0, 2), (1, 1)])
+def test_end_of_a_boot_that_is_committed_again_counts_once(workflow_log, version, counted):
+    """Guards against a job that is given up for one end of a VM, as its replacement was lost and it ended again (LOST)."""
+    log = workflow_log
+    log.apply(SetStateVersion(version=version))
+    start(log, run=1)
+    kept = f"{TASK}/1"
+    end = EndRuns(vm="vm-1", boot=1, ends=(), at_ms=2, boot_ended=True, lost_at_work=(kept,), holds_back=True)
+    log.apply(end)
+    log.apply(end)
+    assert crashes(log) == counted
+    log.apply(replace(make_vm("vm-1", boot=2), replaced_boot=1, kept_runs=(kept,)))
+    log.apply(replace(end, boot=2))  # the start did reach the next boot, which has ended as well
+    assert crashes(log) == counted + 1
