Log when the next boot of a VM answers an order, and how long a lease was waited for

Each answer of a VM has its clock, which starts anew with each boot: worker_client.py read it from polls only. An answer with a clock behind that of the boot polled last is now logged as 7090, with whether the answer shows that the lease on the earlier clock was taken; 7006 tells how long the VM had been silent. No decision changes.

Tests: the clock of an answer to an order, an invalid one, and the least reading that a slow clock can give.

--- a/src/hyssopway/dispatch/lease.py
+++ b/src/hyssopway/dispatch/lease.py
@@ -6,6 +6,7 @@
 # The monotonic clock of a VM may run slower than the local one by this share.
 CLOCK_DRIFT = 0.02
 LEASE_SLACK_S = 0.05
+CLOCK_ROUNDING_MS = 2
 
 
 class VmLease:
@@ -39,6 +40,15 @@
         """Discards the clock reading of a boot that has ended."""
         self.clock_ms = None
 
+    def find_least_clock_ms(self, *, at: float) -> int | None:
+        """Returns the least reading of the VM's clock that its boot can give at a local time or later.
+
+        An answer with a lower reading comes from another boot. None before the first reading.
+        """
+        if self.clock_ms is None:
+            return None
+        return int(self.clock_ms + (at - self.read_at) * (1 - CLOCK_DRIFT) * 1000) - CLOCK_ROUNDING_MS
+
     def extend(self, *, granted_at: float, length_s: float) -> None:
         """Records that the VM may have granted a lease of the given length, or a shorter one."""
         self.expires_at = max(self.expires_at, lease_expiry(granted_at=granted_at, length_s=length_s))
--- a/src/hyssopway/dispatch/order_reply.py
+++ b/src/hyssopway/dispatch/order_reply.py
@@ -25,9 +25,11 @@
 
     Attributes:
         refusal: Reason for which the order was not carried out; None if it was.
+        clock_ms: Monotonic clock of the VM when it answered; None if the answer does not tell.
     """
 
     refusal: Refusal | None = None
+    clock_ms: int | None = None
 
 
 __all__ = ["OrderReply", "Refusal"]
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -36,6 +36,10 @@
 REFUSAL_PAUSE_S = 0.3
 
 
+# Answers to a start whose lease the VM has taken.
+LEASED_ANSWERS = (None, Refusal.OLD_RUN, Refusal.NO_ROOM)
+
+
 class _UnansweredStart(NamedTuple):
     run: ActiveRun
     specification: str
@@ -210,6 +214,7 @@
                     self.record_loss(error)
                     continue
                 self.late_starts.record_answered(run.key, earlier=earlier)
+                self._report_other_boot("start", key=run.key, reply=reply, sent_at=sent_at)
                 self.rtt_estimator.record_rtt(rtt_s=self.leadership.clock() - sent_at)
                 self.record_answer()
                 self.ratings.record_order(self.vm_id, is_answered=True)
@@ -368,8 +373,9 @@
                 record = self.record
                 if record is None or not self.leadership.may_order():
                     return
+                sent_at = self.leadership.clock()
                 try:
-                    await self.calls.pace(
+                    reply = await self.calls.pace(
                         vm=record,
                         task=task,
                         run=run,
@@ -380,6 +386,7 @@
                 except WorkerUnreachableError as error:
                     self._log_unanswered("pace", key=key, error=error)
                     continue
+                self._report_other_boot("pace", key=key, reply=reply, sent_at=sent_at)
                 # A refused change is not retried: the run has ended or another leader controls it.
                 self.paces[key] = percent
                 return
@@ -391,6 +398,7 @@
             record = self.record
             if record is None or not self.leadership.may_order():
                 return
+            sent_at = self.leadership.clock()
             try:
                 reply = await self.calls.stop(
                     vm=record,
@@ -403,10 +411,26 @@
             except WorkerUnreachableError as error:
                 self._log_unanswered("stop", key=f"{task}/{run}", error=error)
                 continue
+            self._report_other_boot("stop", key=f"{task}/{run}", reply=reply, sent_at=sent_at)
             if reply.refusal is None:
                 order_state.stopped_at = min(order_state.stopped_at, self.leadership.clock())
             return
 
+    def _report_other_boot(self, order: str, *, key: str, reply: OrderReply, sent_at: float) -> None:
+        """Logs an answer whose clock shows that it comes from another boot than the one that was polled last."""
+        least_ms = self.lease.find_least_clock_ms(at=sent_at)
+        if reply.clock_ms is None or least_ms is None or reply.clock_ms >= least_ms:
+            return
+        log_event(
+            Event.OTHER_BOOT_ANSWERED,
+            vm=self.vm_id,
+            order=order,
+            run=key,
+            clock_ms=reply.clock_ms,
+            least_ms=least_ms,
+            has_lease=order == "start" and reply.refusal in LEASED_ANSWERS,
+        )
+
     def _log_unanswered(self, order: str, *, key: str, error: WorkerUnreachableError) -> None:
         log_event(Event.ORDER_UNANSWERED, order=order, run=key, vm=self.vm_id, reason=str(error))
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -454,7 +454,8 @@
     async def _end_lapsed_runs(self, record: VmRecord) -> None:
         if not record.runs or self.leadership.clock() <= self.lease.expires_at:
             return
-        log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs))
+        silent_s = self.leadership.clock() - max(self.answered_at, self.leadership.started_at)
+        log_event(Event.LEASE_ENDED, vm=self.vm_id, runs=len(record.runs), silent_ms=round(silent_s * 1000))
         lost = self.boots.find_lost_runs(record)
         lost.report(reason="its lease ended without contact", counters=self.counters)
         lost.report_evidence()
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -113,7 +113,11 @@
     VM_HELD = (7003, "INFO", "VM {vm} acknowledged fencing token {token} and lists {runs} runs")
     VM_SILENT = (7004, "WARNING", "VM {vm} at {address} does not answer: {reason}")
     VM_GONE = (7005, "INFO", "VM {vm} is gone: {reason}")
-    LEASE_ENDED = (7006, "WARNING", "lease of {runs} runs on VM {vm} expired without contact")
+    LEASE_ENDED = (
+        7006,
+        "WARNING",
+        "lease of {runs} runs on VM {vm} expired without contact, {silent_ms} ms after its last answer",
+    )
     RUNS_ORDERED = (7007, "INFO", "{count} runs ordered to start")
     RUN_ENDED = (7008, "INFO", "run {run} on VM {vm} ended: {outcome}")
     ORDER_REFUSED = (7009, "WARNING", "{order} of run {run} refused by VM {vm}: {reason}")
@@ -205,6 +209,11 @@
     )
     PROCESS_RESUMED = (7067, "WARNING", "process was paused or blocked for {paused_ms} ms")
     ORDER_EXPIRED = (7068, "WARNING", "{method} {path} is not carried out: {reason}")
+    OTHER_BOOT_ANSWERED = (
+        7090,
+        "WARNING",
+        "clock of VM {vm} went back to {clock_ms} ms ({least_ms} ms or more expected): next boot answered {order} of {run}",
+    )
     RUN_UNLISTED = (
         7069,
         "INFO",
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -223,3 +223,19 @@
     with pytest.raises(WorkerUnreachableError) as refused:
         await workers.start(vm=record, **start)
     assert (lost.value.is_sent, refused.value.is_sent) == (True, False)
+
+
+@pytest.mark.parametrize(("status", "refusal"), [(200, None), (409, Refusal.OLD_RUN)])
+async def test_answer_to_an_order_tells_the_clock_of_the_vm(workers, record, fake_vm, status, refusal):
+    """Guards against a restart of a VM that shows in the answer to a start and is not noticed."""
+    fake_vm.status, fake_vm.body = status, {"clock_ms": 41, "reason": "old"}
+    reply = await start(workers, record)
+    assert (reply.refusal, reply.clock_ms) == (refusal, 41)
+
+
+@pytest.mark.parametrize("clock", ["x", None, 2**60])
+async def test_answer_with_an_invalid_clock_still_counts(workers, record, fake_vm, clock):
+    """Guards against a start that is repeated because another field of its answer cannot be read."""
+    fake_vm.body = {"clock_ms": clock}
+    reply = await start(workers, record)
+    assert (reply.refusal, reply.clock_ms) == (None, None)
--- a/tests/dispatch/test_lease.py
+++ b/tests/dispatch/test_lease.py
@@ -34,3 +34,13 @@
     lease.renew(now=0.0)
     assert lease.expires_at == 10.0
     assert lease_expiry(granted_at=7.0, length_s=4.0) > 11.0
+
+
+@pytest.mark.parametrize("rate", [1 - CLOCK_DRIFT, 1.0])
+def test_same_boot_never_answers_with_less_than_the_least_clock(lease, rate):
+    """Guards against taking a VM with a slow clock for one that has restarted."""
+    assert lease.find_least_clock_ms(at=100.0) is None
+    lease.record_clock(clock_ms=50_000, now=100.0)
+    for at in (100.0, 100.5, 160.0):
+        assert int(50_000 + (at - 100.0) * rate * 1000) >= lease.find_least_clock_ms(at=at)
+    assert lease.find_least_clock_ms(at=160.0) > 100_000
