Let the next leader wait for leases that may end on the clock of an earlier boot

Cause: a next leader counts the usual lease (4.1 s) from the start of its term for every VM.

Change: each member keeps, by its own monotonic clock, when it applied the start of each run and the last change of boot of each VM (ObservedTimes; not replicated). A boot that replaced another one less than 13 s before or during the term of former leaders may hold the longest lease by calls for the one before, up to 13 s after the change. Of other silent VMs only a run waits longer that was committed so late that its start, or a lease for it, may have reached a boot nobody has heard; runs that were started some 9 s (long-running ones 14 s) before the term are free after the usual lease. A leader that finds the next boot itself in its first 13 s counts the calls of the leaders before.

Ruled out: waiting for the longest lease after each change of leader. Left: a start that is carried out late by a boot of which nothing is heard (the window in docs/design/restarts-under-an-id.md).

--- a/src/hyssopway/dispatch/next_boot_lease.py
+++ b/src/hyssopway/dispatch/next_boot_lease.py
@@ -62,6 +62,12 @@
         """Records that a call got no answer; the next boot may have carried it out."""
         self._extend(self.longest_s)
 
+    def record_former_leader(self, *, ended_at: float) -> None:
+        """Records that a former leader may have sent calls to an earlier boot until a local time."""
+        if self.clock() - ended_at <= MAX_ORDER_DELAY_S:
+            late = lease_expiry(granted_at=ended_at + MAX_ORDER_DELAY_S, length_s=self.longest_s)
+            self.expires_at = max(self.expires_at, late)
+
     def record_grant(self, *, until_ms: int, clock_ms: int | None) -> None:
         """Records that the next boot took a lease.
 
--- a/src/hyssopway/dispatch/run_expiry.py
+++ b/src/hyssopway/dispatch/run_expiry.py
@@ -8,13 +8,44 @@
 
 from typing import TYPE_CHECKING
 
+from hyssopway.workflow import TaskId
+
+from .late_starts import MAX_ORDER_DELAY_S
+from .lease import lease_expiry
+
 if TYPE_CHECKING:
-    from hyssopway.workflow import VmRecord
+    from hyssopway.workflow import ActiveRun, VmRecord
 
+    from .leadership import Leadership
     from .order_state import OrderState
     from .vm_link import VmLink
 
 
+# A leader sends a start, and leases to a VM that does not answer, for at most this long after the start is committed.
+MAX_SENDING_S = 3.0
+# The same if it repeats the start, as it does for long-running tasks.
+MAX_REPEATED_SENDING_S = 8.0
+
+
+def find_former_lease_expiry(
+    leadership: Leadership, *, vm_id: str, length_s: float, longest_s: float
+) -> float:
+    """Returns the local time after which the boot of a VM holds no lease of former leaders.
+
+    If it has replaced another one, calls that were meant for that one may give it the longest lease.
+
+    Args:
+        leadership: Term of this leader.
+        vm_id: ID of the VM.
+        length_s: Length of a lease in seconds.
+        longest_s: Longest lease that VMs accept, in seconds.
+    """
+    expires_at = lease_expiry(granted_at=leadership.started_at, length_s=length_s)
+    last_sent_at = min(leadership.state.observed.find_boot_change(vm_id), leadership.started_at)
+    late = lease_expiry(granted_at=last_sent_at + MAX_ORDER_DELAY_S, length_s=longest_s)
+    return max(expires_at, late)
+
+
 def list_expired_runs(link: VmLink, record: VmRecord) -> set[str]:
     """Returns the keys of the runs in the record of a VM that certainly hold no lease any more."""
     now = link.leadership.clock()
@@ -22,8 +53,8 @@
 
 
 def find_last_expiry(link: VmLink, record: VmRecord) -> float:
-    """Returns the local time after which no run in the record of a VM holds a lease."""
-    return max((find_expiry(link, key) for key in record.runs), default=link.lease.expires_at)
+    """Returns the local time after which no run in the record of a VM holds a lease; negative infinity without runs."""
+    return max((find_expiry(link, key) for key in record.runs), default=float("-inf"))
 
 
 def find_expiry(link: VmLink, key: str) -> float:
@@ -34,11 +65,31 @@
         key: Key of a run in the VM's record.
     """
     order_state = link.orders.order_states.get(key)
+    run = _find_run(link, key)
     if order_state is not None and order_state.is_sending:
         return float("inf")
-    if _may_be_on_next_boot(link, order_state):
-        return max(link.lease.expires_at, link.orders.next_boot.expires_at)
-    return link.lease.expires_at
+    expires_at = link.lease.expires_at
+    if not _may_be_on_next_boot(link, order_state):
+        return expires_at
+    if run is not None and run.fencing_token != link.leadership.term:
+        expires_at = max(expires_at, _find_former_expiry(link, run))
+    return max(expires_at, link.orders.next_boot.expires_at)
+
+
+def _find_run(link: VmLink, key: str) -> ActiveRun | None:
+    runs = link.leadership.state.tables.runs.get(key.rpartition("/")[0], ())
+    return next((run for run in runs if run.key == key), None)
+
+
+def _find_former_expiry(link: VmLink, run: ActiveRun) -> float:
+    """Returns when the lease expires that a former leader may have given to a next boot that started the run."""
+    task = TaskId.parse(run.task)
+    step = link.leadership.state.tables.workflows[task.workflow].spec.steps[task.step]
+    sending_s = MAX_REPEATED_SENDING_S if step.long_running else MAX_SENDING_S
+    last_sent_at = min(
+        link.leadership.state.observed.find_start(run.key) + sending_s, link.leadership.started_at
+    )
+    return lease_expiry(granted_at=last_sent_at, length_s=link.orders.next_boot.longest_s)
 
 
 def _may_be_on_next_boot(link: VmLink, order_state: OrderState | None) -> bool:
@@ -46,9 +97,12 @@
     if link.orders.is_refused:
         return False  # nothing runs on a VM that refuses connections
     if order_state is None:
-        return True
+        return True  # a former leader sent the start
+    if order_state.has_started_on_boot:
+        return False
     # A boot that answered a poll later was still there when the start arrived.
-    return not order_state.has_started_on_boot and order_state.last_sent_at >= link.listing_sent_at
+    last_sent_at = max(order_state.last_sent_at, link.leadership.started_at)
+    return last_sent_at >= link.listing_sent_at
 
 
-__all__ = ["find_expiry", "find_last_expiry", "list_expired_runs"]
+__all__ = ["find_expiry", "find_former_lease_expiry", "find_last_expiry", "list_expired_runs"]
--- a/src/hyssopway/dispatch/vm_boots.py
+++ b/src/hyssopway/dispatch/vm_boots.py
@@ -71,8 +71,10 @@
 
     async def _replace(self, record: VmRecord, command: RegisterVm, *, reported: Collection[str]) -> None:
         lost = self.find_lost_runs(record, is_replaced=True, reported=reported)
+        next_boot = self.link.orders.next_boot
+        next_boot.record_former_leader(ended_at=self.link.leadership.started_at)
         if lost.in_doubt:
-            self.link.orders.next_boot.record_loss()
+            next_boot.record_loss()
         await self._end(record, reason=f"boot {command.boot} follows {record.boot}", lost=lost)
         await self.link.leadership.propose(
             replace(command, replaced_boot=record.boot, kept_runs=tuple(sorted(lost.in_doubt)))
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -15,13 +15,13 @@
 from hyssopway.workflow import EndRuns, RunEnd, RunOutcome
 
 from .end_acknowledgement import choose_acknowledged_end
-from .lease import RUN_LEASE_S, VmLease, lease_expiry
+from .lease import RUN_LEASE_S, VmLease
 from .leased_calls import LeasedCalls
 from .next_boot_lease import NextBootLease
 from .poll_timing import MAX_POLL_S, PollTiming
 from .run_end_learning import is_known_task, rate_end, record_duration
 from .run_ends import make_run_ends
-from .run_expiry import list_expired_runs
+from .run_expiry import find_former_lease_expiry, list_expired_runs
 from .run_orders import RunOrders
 from .spread_watch import SpreadWatch
 from .stall_detector import StallDetector
@@ -171,8 +171,12 @@
             longest_s=limits.longest_lease_s,
             calls=LeasedCalls() if leased_calls is None else leased_calls,
         )
-        earlier_leases_expire_at = lease_expiry(granted_at=leadership.started_at, length_s=length_s)
-        self.lease = VmLease(length_s=length_s, expires_at=earlier_leases_expire_at)
+        self.lease = VmLease(
+            length_s=length_s,
+            expires_at=find_former_lease_expiry(
+                leadership, vm_id=vm_id, length_s=length_s, longest_s=limits.longest_lease_s
+            ),
+        )
         self.orders = RunOrders(
             vm_id=vm_id,
             leadership=leadership,
--- a/src/hyssopway/node/control_node.py
+++ b/src/hyssopway/node/control_node.py
@@ -107,7 +107,7 @@
         self.memory = RequestMemory() if memory is None else memory
         self.told_limits: tuple[int, dict[str, int]] = (-1, {})
         self.directory = MemberDirectory(own_name=settings.host, peer_port=settings.peer_port)
-        self.state = WorkflowState(supported_version=supported_version)
+        self.state = WorkflowState(supported_version=supported_version, clock=monotonic_s)
         self.member = Member(
             daemon=settings.host,
             store=Store(folder=settings.data_dir),
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -8,6 +8,7 @@
 from .apply_workflows import end_run, list_start_times
 from .run_end import RunEnd
 from .run_outcome import RunOutcome
+from .state_version import REPLACED_BOOTS_VERSION
 from .vm_record import VmRecord
 from .wave_record import WaveRecord
 
@@ -82,6 +83,7 @@
         lapsed=old.lapsed if old is not None else set(),
         unconfirmed=old.unconfirmed if old is not None else set(),
         unreported=same_boot.unreported if same_boot is not None else set(),
+        replaced_at_ms=_find_replacement_ms(tables, command, old=old, is_replaced=is_replaced),
     )
 
 
@@ -134,6 +136,14 @@
     return command.boot > old.boot or command.replaced_boot == old.boot
 
 
+def _find_replacement_ms(
+    tables: Tables, command: RegisterVm, *, old: VmRecord | None, is_replaced: bool
+) -> int:
+    if old is None or tables.version < REPLACED_BOOTS_VERSION:
+        return 0
+    return command.at_ms if is_replaced else old.replaced_at_ms
+
+
 def _move_to_boot(tables: Tables, *, vm: VmRecord, boot: int) -> None:
     """Moves the runs of a VM to its next boot, which may have received their starts."""
     for key in vm.runs:
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -5,6 +5,7 @@
 import json
 from typing import TYPE_CHECKING
 
+from hyssopway.clock import monotonic_s, wall_ms
 from hyssopway.event import Event, log_event
 from hyssopway.lazy_adapter import LazyAdapter
 from hyssopway.result import Outcome, UnsupportedVersionError
@@ -29,6 +30,7 @@
     StartWave,
 )
 from .indexes import Indexes
+from .observed_times import ObservedTimes
 from .state_version import CURRENT_VERSION
 from .tables import Tables
 
@@ -59,15 +61,27 @@
         tables: Replicated data.
         indexes: Indexes derived from the tables.
         supported_version: Highest version of the state that it can apply; lower than that of this release only in tests.
+        observed: Local times at which starts and changes of boots were applied; not replicated.
         applied_index: Log index of the last entry applied.
         on_change: Called after an entry is applied or a snapshot restored, but not for an entry that was skipped
             as unknown.
         on_starts_skipped: Called with the starts of a command that were skipped as it was applied.
     """
 
-    __slots__ = ("applied_index", "indexes", "on_change", "on_starts_skipped", "supported_version", "tables")
-
-    def __init__(self, *, supported_version: int = CURRENT_VERSION) -> None:
+    __slots__ = (
+        "applied_index",
+        "indexes",
+        "observed",
+        "on_change",
+        "on_starts_skipped",
+        "supported_version",
+        "tables",
+    )
+
+    def __init__(
+        self, *, supported_version: int = CURRENT_VERSION, clock: Callable[[], float] = monotonic_s
+    ) -> None:
+        self.observed = ObservedTimes(clock=clock, wall_ms=wall_ms)
         self.supported_version = supported_version
         self.tables = Tables()
         self.indexes = Indexes(self.tables)
@@ -118,6 +132,7 @@
         self._require_support(tables.version)
         self.tables = tables
         self.indexes = Indexes(self.tables)
+        self.observed.restore(self.tables)
         if self.on_change is not None:
             self.on_change()
 
@@ -140,10 +155,12 @@
         match command:
             case StartRuns():
                 skipped = apply_workflows.start_runs(tables, indexes, command)
+                self._observe_starts(command)
                 if skipped and self.on_starts_skipped is not None:
                     self.on_starts_skipped(skipped)
             case EndRuns():
                 apply_workflows.end_runs(tables, indexes, command)
+                self.observed.record_ends([f"{end.task}/{end.run}" for end in command.ends])
             case AcceptWorkflow():
                 apply_workflows.accept_workflow(tables, indexes, command)
             case AddOccurrence():
@@ -152,10 +169,8 @@
                 apply_workflows.cancel_workflow(tables, indexes, command)
             case DeleteWorkflows():
                 apply_workflows.delete_workflows(tables, command)
-            case RegisterVm():
-                apply_fleet.register_vm(tables, indexes, command)
-            case RemoveVm():
-                apply_fleet.remove_vm(tables, indexes, command)
+            case RegisterVm() | RemoveVm():
+                self._change_vm(command)
             case PutDocument():
                 apply_fleet.put_document(tables, indexes, command)
             case SetZoneEvacuated():
@@ -171,6 +186,24 @@
             case SetStateVersion():
                 tables.version = max(tables.version, command.version)
 
+    def _observe_starts(self, command: StartRuns) -> None:
+        for start in command.starts:
+            key = f"{start.task}/{start.run}"
+            if any(run.key == key for run in self.tables.runs.get(start.task, ())):
+                self.observed.record_start(key, at_ms=command.at_ms)
+
+    def _change_vm(self, command: RegisterVm | RemoveVm) -> None:
+        old = self.tables.vms.get(command.vm)
+        old_runs = set(old.runs) if old is not None else set()
+        if isinstance(command, RegisterVm):
+            apply_fleet.register_vm(self.tables, self.indexes, command)
+        else:
+            apply_fleet.remove_vm(self.tables, self.indexes, command)
+        new = self.tables.vms.get(command.vm)
+        self.observed.record_ends(old_runs - (new.runs if new is not None else set()))
+        if old is not None and (new is None or new.boot != old.boot):
+            self.observed.record_boot_change(command.vm, at_ms=command.at_ms)
+
 
 def _read_version(snapshot: bytes) -> int:
     fields = json.loads(snapshot)
--- a/src/hyssopway/workflow/state_version.py
+++ b/src/hyssopway/workflow/state_version.py
@@ -13,7 +13,14 @@
 ENDS_COUNT_ONCE_VERSION: Final = (
     1  # the end of a boot counts once for each run that is kept, however often it is committed
 )
+REPLACED_BOOTS_VERSION: Final = 2  # the record of a VM tells when its boot replaced another one
 
-CURRENT_VERSION: Final = PLACEMENT_RULES_VERSION  # the highest version that this release can apply
+CURRENT_VERSION: Final = REPLACED_BOOTS_VERSION  # the highest version that this release can apply
 
-__all__ = ["CURRENT_VERSION", "ENDS_COUNT_ONCE_VERSION", "LATE_FAILURES_VERSION", "PLACEMENT_RULES_VERSION"]
+__all__ = [
+    "CURRENT_VERSION",
+    "ENDS_COUNT_ONCE_VERSION",
+    "LATE_FAILURES_VERSION",
+    "PLACEMENT_RULES_VERSION",
+    "REPLACED_BOOTS_VERSION",
+]
--- a/src/hyssopway/workflow/vm_record.py
+++ b/src/hyssopway/workflow/vm_record.py
@@ -25,6 +25,8 @@
         runs: Keys of runs in progress, ``task/run``.
         lapsed: Keys of runs whose lease ended without contact, while the VM has not been heard since.
         unconfirmed: Those of them of which it is not known whether their start had reached the VM.
+        replaced_at_ms: Wall-clock time at which this boot replaced another one under the ID; 0 if it is the first one, or if
+            the state had a version before `REPLACED_BOOTS_VERSION` then.
         unreported: Keys of runs of this boot that ended as lapsed and whose end the VM has not reported since.
     """
 
@@ -42,6 +44,7 @@
     lapsed: set[str] = field(default_factory=set)
     unconfirmed: set[str] = field(default_factory=set)
     unreported: set[str] = field(default_factory=set)
+    replaced_at_ms: int = 0
 
 
 __all__ = ["VmRecord"]
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -44,7 +44,7 @@
     """
 
     def __init__(self):
-        self.state = WorkflowState()
+        self.state = WorkflowState(clock=self.clock)
         self.term = 3
         self.now = 100.0
         self.started_at = 100.0
