Acknowledge ends in short polls, and keep work from a boot that a late one could make forget

What callers saw (by the model; the users' cases overlap and are not this): a task ran again after it was done. Its run had ended `done` on the next boot of a VM; a poll for the boot before, which acknowledged ends by that one's numbers, was carried out late, and the VM forgot the end before anybody had read it. The leader took the run for vanished (TWICE).

Cause: a poll names no boot and each boot numbers its ends anew. choose_acknowledged_end asked how old the last answer was when the poll is sent; what counts is when it is carried out, and by whom. Nearly each poll in a burst acknowledged ends and waited for the next one, so it was on its way whenever a VM crashed.

Change: ends are acknowledged once, by a poll that does not wait; polls that wait acknowledge nothing. Acknowledging polls without an answer are remembered by VM ID for as long as they may be carried out (13 s). The next boot gets no task meanwhile (7091, `withheld_left_s` in the state dump); after a change of leader, polls of the former leader count until 13 s into the term.

The model places on VMs that may get tasks, as rounds do, so the task goes to another VM, and its terms are old. Ruled out: acknowledging nothing after a restart (it is the earlier poll that harms); taking a vanished run for done (it may have failed).

Left: a run that the next boot started before the leader knew of that boot may still lose its end in this way.

--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -9,6 +9,7 @@
 from hyssopway.scheduling.rating import Rating
 
 from .vm_capacity import compute_free_capacity
+from .withheld_vms import find_withheld_vms
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -60,9 +61,10 @@
     document = tables.document
     machines_can_leave = document is not None and any(pool.standby for pool in document.pools)
     suspect_load = measure_suspect_load(tables=tables, suspects=indexes.suspects, now_ms=wall_ms())
+    withheld = find_withheld_vms(dispatcher.links, now=now)
     free_by_pool: dict[str, list[FreeCapacity]] = {}
     for vm_id, record in tables.vms.items():
-        if vm_id not in vms:
+        if vm_id not in vms or vm_id in withheld:
             continue
         link = dispatcher.links.get(vm_id)
         if link is None or not link.in_contact(now) or now < link.orders.paused_until:
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -23,7 +23,6 @@
 from .late_starts import LateStarts
 from .leader_load import LeaderLoad
 from .leadership import LeadershipLostError
-from .leased_calls import LeasedCalls
 from .machine_inventory import MachineInventory
 from .poll_rate_limiter import PollRateLimiter
 from .pool_load import measure_pools
@@ -32,6 +31,7 @@
 from .rtt_estimator import RttEstimator
 from .run_expiry import find_last_expiry
 from .start_log import log_skipped_starts
+from .unsettled_calls import UnsettledCalls
 from .vm_drainer import VmDrainer
 from .vm_link import REMOVE_AFTER_S, VmLink
 from .wave_executor import WaveExecutor
@@ -73,6 +73,7 @@
         poll_limiter: Limits the rate of polls over all VMs.
         interference: Learns which pairs of images disturb each other.
         rtt_estimator: Estimates how long a VM takes to answer an order.
+        acknowledging_polls: Polls that acknowledge ends, got no answer, and may still be carried out.
         leased_calls: Calls with a lease that got no answer and that a VM may still carry out.
         late_starts: Copies of starts that got no answer and that a VM may still carry out.
         retention: Finds ended workflows whose records may be deleted.
@@ -84,6 +85,7 @@
     """
 
     __slots__ = (
+        "acknowledging_polls",
         "admission",
         "advice",
         "calls",
@@ -138,7 +140,8 @@
         self.interference = InterferenceModel(is_enabled=uses_interference, counters=self.counters)
         self.rtt_estimator = RttEstimator()
         self.late_starts = LateStarts()
-        self.leased_calls = LeasedCalls()
+        self.leased_calls = UnsettledCalls()
+        self.acknowledging_polls = UnsettledCalls()
         self.retention = Retention(retention_s=limits.status_s)
         self.dispatcher = Dispatcher(
             leadership=leadership,
@@ -332,6 +335,7 @@
                     counters=self.counters,
                     late_starts=self.late_starts,
                     leased_calls=self.leased_calls,
+                    acknowledging_polls=self.acknowledging_polls,
                     losses=self.losses,
                 )
             self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
@@ -340,6 +344,7 @@
             self.tasks.pop(vm_id).cancel()
             self.late_starts.discard_expired(now=self.leadership.clock())
             self.leased_calls.discard_expired(now=self.leadership.clock())
+            self.acknowledging_polls.discard_expired(now=self.leadership.clock())
 
     def _drain_vms(self) -> None:
         for vm_id, vm in self.leadership.state.tables.vms.items():
--- a/src/hyssopway/dispatch/next_boot_lease.py
+++ b/src/hyssopway/dispatch/next_boot_lease.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .leased_calls import LeasedCalls
+    from .unsettled_calls import UnsettledCalls
 
 
 class NextBootLease:
@@ -33,7 +33,7 @@
     __slots__ = ("calls", "clock", "expires_at", "extended_at", "longest_s", "vm_id")
 
     def __init__(
-        self, *, vm_id: str, clock: Callable[[], float], longest_s: float, calls: LeasedCalls
+        self, *, vm_id: str, clock: Callable[[], float], longest_s: float, calls: UnsettledCalls
     ) -> None:
         self.vm_id = vm_id
         self.clock = clock
--- a/src/hyssopway/dispatch/poll_timing.py
+++ b/src/hyssopway/dispatch/poll_timing.py
@@ -58,19 +58,20 @@
         self.consecutive_losses += 1
         self.lost_at = now
 
-    def choose_times(self, *, now: float, has_acked_term: bool) -> PollTimes:
+    def choose_times(self, *, now: float, has_acked_term: bool, acknowledges: bool = False) -> PollTimes:
         """Returns the times of the next poll.
 
         Args:
             now: Local time.
             has_acked_term: Whether the VM has acknowledged this leader's term; if not, it is asked to answer at once.
+            acknowledges: Whether the poll acknowledges ends; it is then to be answered at once as well.
         """
         if now - self.lost_at >= UNSTABLE_S:
             wait_ms, margin_s = STABLE_WAIT_MS, STABLE_MARGIN_S
         else:
             wait_ms = UNSTABLE_WAIT_MS
             margin_s = UNSTABLE_MARGINS_S[min(self.consecutive_losses, len(UNSTABLE_MARGINS_S) - 1)]
-        if not has_acked_term:
+        if acknowledges or not has_acked_term:
             wait_ms = 0
         return PollTimes(wait_ms=wait_ms, timeout_s=wait_ms / 1000 + margin_s)
 
--- a/src/hyssopway/dispatch/leased_calls.py
+++ b/src/hyssopway/dispatch/unsettled_calls.py
@@ -1,12 +1,12 @@
-"""Remembers calls with a lease that got no answer and that a VM may still carry out."""
+"""Remembers calls that got no answer and that a VM may still carry out."""
 
 from __future__ import annotations
 
 from .late_starts import MAX_ORDER_DELAY_S
 
 
-class LeasedCalls:
-    """Calls of this leader that carry a lease and are in flight, or got no answer, for as long as they may be carried out.
+class UnsettledCalls:
+    """Calls of one kind that are in flight, or got no answer, for as long as they may be carried out.
 
     Attributes:
         sent_at: Local time at which each of them was sent, by VM ID and number of the call.
@@ -44,4 +44,4 @@
                 del self.sent_at[vm]
 
 
-__all__ = ["LeasedCalls"]
+__all__ = ["UnsettledCalls"]
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -14,9 +14,8 @@
 from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import EndRuns, RunEnd, RunOutcome
 
-from .end_acknowledgement import choose_acknowledged_end
+from .end_acknowledgement import EndAcknowledgement
 from .lease import RUN_LEASE_S, VmLease
-from .leased_calls import LeasedCalls
 from .next_boot_lease import NextBootLease
 from .poll_timing import MAX_POLL_S, PollTiming
 from .run_end_learning import is_known_task, rate_end, record_duration
@@ -27,6 +26,7 @@
 from .stall_detector import StallDetector
 from .stopping_runs import StoppingRuns
 from .unlisted_runs import UnlistedRuns
+from .unsettled_calls import UnsettledCalls
 from .vm_boots import VmBoots
 from .vm_pace import UNTHROTTLED_PERCENT, VmPace
 from .worker_calls import OtherBootError, WorkerUnreachableError
@@ -79,6 +79,7 @@
         durations: Learns the distribution of the ratio of actual to declared run durations.
         counters: Numbers of scheduling decisions of this term, by name.
         on_change: Called when a change may allow the leader to start tasks.
+        acknowledgement: Acknowledges the ends that the VM lists.
         poll_timing: Chooses the wait and the timeout of each poll.
         poll_limiter: Limits the rate of polls over all VMs.
         lease: Lease of the VM's runs.
@@ -101,6 +102,7 @@
     """
 
     __slots__ = (
+        "acknowledgement",
         "announced_at",
         "answered_at",
         "boot",
@@ -149,7 +151,8 @@
         durations: DurationQuantiles | None = None,
         counters: Counter[str] | None = None,
         late_starts: LateStarts | None = None,
-        leased_calls: LeasedCalls | None = None,
+        leased_calls: UnsettledCalls | None = None,
+        acknowledging_polls: UnsettledCalls | None = None,
         losses: ContactLosses | None = None,
     ) -> None:
         self.vm_id = vm_id
@@ -164,12 +167,15 @@
         self.poll_limiter = poll_limiter
         self.stall_detector = StallDetector()
         self.poll_timing = PollTiming()
+        self.acknowledgement = EndAcknowledgement(
+            vm_id=vm_id, calls=UnsettledCalls() if acknowledging_polls is None else acknowledging_polls
+        )
         length_s = min(RUN_LEASE_S, limits.longest_lease_s)
         next_boot = NextBootLease(
             vm_id=vm_id,
             clock=leadership.clock,
             longest_s=limits.longest_lease_s,
-            calls=LeasedCalls() if leased_calls is None else leased_calls,
+            calls=UnsettledCalls() if leased_calls is None else leased_calls,
         )
         self.lease = VmLease(
             length_s=length_s,
@@ -296,24 +302,9 @@
             self.discard_boot()
             self.boot = record.boot
         sent_at = self.leadership.clock()
-        poll_times = self.poll_timing.choose_times(now=sent_at, has_acked_term=self.has_acked_term)
-        lease_until_ms = self.lease.renew(now=sent_at) if self._may_renew_lease() else None
-        leased_call = self.orders.next_boot.record_sent() if lease_until_ms is not None else None
-        try:
-            reply = await self.calls.poll(
-                vm=record,
-                fencing_token=self.leadership.term,
-                last_end=self._choose_acknowledged_end(record, now=sent_at),
-                lease_until_ms=lease_until_ms,
-                wait_ms=poll_times.wait_ms,
-                timeout_s=poll_times.timeout_s,
-            )
-        except WorkerUnreachableError as error:
-            self.orders.record_loss(error, leased_call=leased_call)
-            raise
+        last_end = self._choose_acknowledged_end(record, now=sent_at)
+        reply, lease_until_ms = await self._send_poll(record, last_end=last_end, sent_at=sent_at)
         self.poll_timing.record_answer()
-        if leased_call is not None:
-            self.orders.next_boot.record_settled(leased_call)
         if reply.boot != record.boot:
             if lease_until_ms is not None:
                 self.orders.next_boot.record_grant(until_ms=lease_until_ms, clock_ms=reply.clock_ms)
@@ -351,10 +342,42 @@
         if reply.ends and (pause_s := self.poll_limiter.compute_pause_s()):
             await asyncio.sleep(pause_s)
 
+    async def _send_poll(
+        self, record: VmRecord, *, last_end: int, sent_at: float
+    ) -> tuple[PollReply, int | None]:
+        """Sends a poll and returns its answer, with the end of the lease in the poll; None if it had none."""
+        times = self.poll_timing.choose_times(
+            now=sent_at, has_acked_term=self.has_acked_term, acknowledges=bool(last_end)
+        )
+        lease_until_ms = self.lease.renew(now=sent_at) if self._may_renew_lease() else None
+        next_boot = self.orders.next_boot
+        leased_call = next_boot.record_sent() if lease_until_ms is not None else None
+        acknowledgement = self.acknowledgement.record_sent(now=sent_at) if last_end else None
+        try:
+            reply = await self.calls.poll(
+                vm=record,
+                fencing_token=self.leadership.term,
+                last_end=last_end,
+                lease_until_ms=lease_until_ms,
+                wait_ms=times.wait_ms,
+                timeout_s=times.timeout_s,
+            )
+        except WorkerUnreachableError as error:
+            self.orders.record_loss(error, leased_call=leased_call)
+            if acknowledgement is not None and not error.is_sent:
+                self.acknowledgement.record_settled(acknowledgement, last_end=0)
+            raise
+        if leased_call is not None:
+            next_boot.record_settled(leased_call)
+        if acknowledgement is not None:
+            is_same_boot = reply.boot == record.boot
+            self.acknowledgement.record_settled(acknowledgement, last_end=last_end if is_same_boot else 0)
+        return reply, lease_until_ms
+
     def _choose_acknowledged_end(self, record: VmRecord, *, now: float) -> int:
         # The answer may have waited unread while this process was paused.
         answered_at = min(self.answered_at, self.listing_sent_at + MAX_POLL_S)
-        return choose_acknowledged_end(
+        return self.acknowledgement.choose(
             last_end=record.last_end,
             answer_age_s=now - answered_at if self.has_acked_term else float("inf"),
             consecutive_losses=self.poll_timing.consecutive_losses,
@@ -499,6 +522,16 @@
         self.stopping.clear()
         self.lease.replace_boot(expires_at=self.orders.next_boot.find_latest_expiry())
         self.orders.next_boot.clear()
+        self._withhold_next_boot()
+
+    def _withhold_next_boot(self) -> None:
+        now, started_at = self.leadership.clock(), self.leadership.started_at
+        changed_at = self.leadership.state.observed.find_boot_change(self.vm_id)
+        # Former leaders acknowledged ends of the boot before until it was replaced, or until their terms ended.
+        former = min(changed_at, started_at) if self.boot == 0 else started_at
+        if self.acknowledgement.replace_boot(former_leader_ended_at=former, now=now):
+            withheld_s = self.acknowledgement.withheld_until - now
+            log_event(Event.VM_WITHHELD, vm=self.vm_id, withheld_ms=round(withheld_s * 1000))
 
     def _record_silence(self, record: VmRecord, *, reason: str) -> None:
         if self.leadership.clock() - self.answered_at > CONTACT_TIMEOUT_S and self.has_acked_term:
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -214,6 +214,11 @@
         "WARNING",
         "clock of VM {vm} went back to {clock_ms} ms ({least_ms} ms or more expected): next boot answered {order} of {run}",
     )
+    VM_WITHHELD = (
+        7091,
+        "INFO",
+        "VM {vm} may forget ends for {withheld_ms} ms by a poll for the boot before; other VMs get the tasks",
+    )
     RUN_UNLISTED = (
         7069,
         "INFO",
--- a/src/hyssopway/node/node_dump.py
+++ b/src/hyssopway/node/node_dump.py
@@ -56,6 +56,7 @@
                 "listed": sorted(link.listed_runs),
                 "orders": sorted(link.orders.order_states),
                 "pause_left_s": max(0.0, link.orders.paused_until - now),
+                "withheld_left_s": max(0.0, link.acknowledgement.withheld_until - now),
                 "failures": link.failures,
                 "rating": controller.ratings.rating(vm_id),
                 "evidence": controller.ratings.vms.get(vm_id),
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -13,6 +13,7 @@
 
 from dispatch.conftest import LIMITS
 from dispatch.test_order_protocol import VMS, OrderProtocol
+from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.workflow import RunOutcome, Step
 
@@ -37,6 +38,9 @@
         super().__init__()
         # Starts of runs that have ended may reach the next boot as well.
         self.network.list_runs = None
+        # The term has lasted for so long that no call of a former leader can be on its way.
+        self.advance(MAX_ORDER_DELAY_S + STEP_S)
+        self.poll(VMS, "deliver")
 
     def begin(self):
         """Leaves the start to the test."""
@@ -85,6 +89,12 @@
     assert model.workers["vm-1"].live
 
 
+def place(model):
+    """Places the tasks that wait, on the first VM if it may get one."""
+    model.run_round("deliver", "vm-1")
+    assert any(worker.live for worker in model.workers.values())
+
+
 def start_with_late_copy(model):
     """The first copy of the start is delayed, and the second one answered."""
     model.run_round("delay_first", "vm-1")
@@ -132,8 +142,9 @@
 
 
 def runs_are_done(model):
-    while model.workers["vm-1"].live:
-        model.finish("vm-1", RunOutcome.DONE)
+    for name in VMS:
+        while model.workers[name].live:
+            model.finish(name, RunOutcome.DONE)
 
 
 def late_calls_arrive(model):
@@ -197,7 +208,7 @@
         start,
     ),
 }
-ACKNOWLEDGED_ENDS = (start, runs_are_done, poll, poll_is_late, *ON_NEXT_BOOT, start, runs_are_done)
+ACKNOWLEDGED_ENDS = (start, runs_are_done, poll, poll_is_late, *ON_NEXT_BOOT, place, runs_are_done)
 
 
 def play(model, events):
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -15,6 +15,7 @@
 
 from dispatch.conftest import LIMITS, FakeLeadership, make_link
 from dispatch.model_worker import ModelNetwork, ModelWorker
+from hyssopway.dispatch.withheld_vms import find_withheld_vms
 from hyssopway.workflow import (
     CancelWorkflow,
     PutDocument,
@@ -86,7 +87,10 @@
     def run_round(self, fault, first):
         """Places every waiting task on a VM in contact."""
         names = (first, *(name for name in VMS if name != first))
-        found = [name for name in names if self.links[name].in_contact(self.leader.now)]
+        withheld = find_withheld_vms(self.links, now=self.leader.now)
+        found = [
+            name for name in names if name not in withheld and self.links[name].in_contact(self.leader.now)
+        ]
         if self.workflow.status.is_final or not found:
             return
         first, link = found[0], self.links[found[0]]
