--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from hyssopway.dispatch import (
     LeadershipLostError,
@@ -170,3 +171,11 @@
     await leadership.propose(make_vm("vm-1"))
     await leadership.propose(make_workflow("w"))
     return leadership
+
+
+@pytest.fixture
+def silent_log():
+    """Disables the log, which would take most of the time of tests that play many sequences."""
+    logger.disable("hyssopway")
+    yield
+    logger.enable("hyssopway")
--- a/tests/dispatch/model_worker.py
+++ b/tests/dispatch/model_worker.py
@@ -133,7 +133,7 @@
         )
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True, eq=False)
 class LateOrder:
     """Order that is carried out later.
 
@@ -165,8 +165,9 @@
             delivered) or `restart_mute` (the same, and none is answered).
         stop_fault: What happens to stops instead, if it differs.
         delayed: Orders that are carried out later, also by a later boot than the one that they were sent to.
-        list_runs: Returns the keys of the runs in progress, as far as the leader knows.
-        lapsed: Keys of runs whose lease ended while their VM was out of contact.
+        list_runs: Returns the keys of the runs in progress, as far as the leader knows; None if late starts of ended
+            runs are carried out in any case.
+        answered: ID and boot number of the VMs of which the present leader has got an answer.
     """
 
     def __init__(self, *, workers, stop_s):
@@ -176,7 +177,7 @@
         self.stop_fault = None
         self.delayed = []
         self.list_runs = None
-        self.lapsed = set()
+        self.answered = set()
 
     async def poll(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, timeout_s):
         worker = self.workers[vm.vm_id]
@@ -212,30 +213,41 @@
         )
         return OrderReply(refusal=refusal, clock_ms=int(worker.clock_ms))
 
-    def deliver_delayed(self):
-        for late in self.delayed:
-            if late.boot != late.worker.boot and (late.age_s > MAX_DELAY_S or late.starts in self.lapsed):
-                continue  # a lease that ended meanwhile is a window that remains, see restart()
+    def deliver_delayed(self, orders=None):
+        """Carries out orders that are late, all if none are given, in the order in which they were sent."""
+        for late in list(self.delayed) if orders is None else orders:
+            self.delayed.remove(late)
+            if not self._may_be_carried_out(late):
+                continue
             try:
                 late.order()
             except WorkerUnreachableError:
                 continue  # the sender no longer waits for the answer
-        self.delayed = []
+
+    def _may_be_carried_out(self, late):
+        """Returns whether a late order is carried out by the present boot of its VM.
+
+        A boot that has not answered the present leader since it started has been told neither the leader's fencing token
+        nor of any stop, so that no leader can keep it from a start of a run that has ended by then: a window that remains,
+        see docs/design/restarts-under-an-id.md.
+        """
+        worker = late.worker
+        if late.boot == worker.boot:
+            return True
+        if late.age_s > MAX_DELAY_S:
+            return False
+        is_ended = (
+            late.starts is not None and self.list_runs is not None and late.starts not in self.list_runs()
+        )
+        return not is_ended or (worker.name, worker.boot) in self.answered
 
     def advance(self, seconds):
         for late in self.delayed:
             late.age_s += seconds
 
-    def restart(self, worker):
-        """Restarts a VM under its ID; starts of runs that have ended by then are lost.
-
-        The next boot would carry them out until the leader has told it otherwise: a window that remains, see
-        docs/design/restarts-under-an-id.md.
-        """
-        worker.restart()
-        if self.list_runs is not None:
-            kept = {None, *self.list_runs()}
-            self.delayed = [late for late in self.delayed if late.worker is not worker or late.starts in kept]
+    def change_leader(self):
+        """Forgets which boots have answered the leader."""
+        self.answered.clear()
 
     def _send(self, worker, order, *, text, starts=None, fault=None):
         fault = fault or self.fault
@@ -246,11 +258,12 @@
                 LateOrder(worker=worker, boot=worker.boot, order=order, text=text, starts=starts)
             )
         if fault in ("restart", "restart_mute"):
-            self.restart(worker)
+            worker.restart()
             self.fault, fault = ("deliver", "deliver") if fault == "restart" else ("mute", "mute")
         if fault in ("delay", "lose"):
             raise WorkerUnreachableError(fault)
         answer = order()
         if fault == "mute":
             raise WorkerUnreachableError(fault)
+        self.answered.add((worker.name, worker.boot))
         return answer
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -9,7 +9,6 @@
 from contextlib import contextmanager
 
 import pytest
-from loguru import logger
 
 from dispatch.conftest import LIMITS
 from dispatch.test_order_protocol import VMS, OrderProtocol
@@ -17,8 +16,7 @@
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.workflow import RunOutcome, Step
 
-# The VMs have been up for so long that the clock of a later boot lies far behind.
-UPTIME_MS = 500_000.0
+pytestmark = pytest.mark.usefixtures("silent_log")
 # Long enough that a run which shows no progress is not taken for a stalled one.
 TASK_MS = 600_000
 STEP_S = 0.5
@@ -32,12 +30,9 @@
     """A workflow of one long task on two VMs that have been up for long; nothing has been started."""
 
     steps = (Step(count=1, estimate_ms=TASK_MS),)
-    first_clock_ms = UPTIME_MS
 
     def __init__(self):
         super().__init__()
-        # Starts of runs that have ended may reach the next boot as well.
-        self.network.list_runs = None
         # The term has lasted for so long that no call of a former leader can be on its way.
         self.advance(MAX_ORDER_DELAY_S + STEP_S)
         self.poll(VMS, "deliver")
@@ -45,11 +40,6 @@
     def begin(self):
         """Leaves the start to the test."""
 
-    def check(self):
-        self.no_task_runs_twice()
-        self.done_tasks_stay_done()
-        self.tasks_with_a_noted_end_stay_done()
-
     @property
     def run_of_task(self):
         """VM and number of the run of the first task; None if there is none."""
@@ -63,13 +53,6 @@
     steps = OrderProtocol.steps
 
 
-@pytest.fixture(autouse=True)
-def silent_log():
-    logger.disable("hyssopway")
-    yield
-    logger.enable("hyssopway")
-
-
 @pytest.fixture
 def model():
     built = LongUptime()
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -9,7 +9,8 @@
 import asyncio
 import os
 
-from hypothesis import HealthCheck, settings
+import pytest
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -27,6 +28,10 @@
 )
 from workflow.conftest import make_document, make_vm, make_workflow
 
+pytestmark = pytest.mark.usefixtures("silent_log")
+IS_FRESH = bool(os.environ.get("HYSSOPWAY_FRESH"))
+# Shortening a failing example may take minutes, longer than a test may run; a fresh run is given the time.
+PHASES = tuple(phase for phase in Phase if IS_FRESH or phase is not Phase.shrink)
 VMS = ("vm-1", "vm-2")
 MAX_ATTEMPTS = 2
 FAULTS = st.sampled_from(
@@ -35,6 +40,9 @@
         *("lose", "mute", "delay", "delay_first", "restart", "restart_mute"),
     ]
 )
+# Longer than the usual lease, and nearly as long as the longest one.
+CUT_S = st.sampled_from([5.0, 9.0])
+CUT_STEP_S = 0.5
 SOME_VMS = st.sampled_from([VMS, VMS, ("vm-1",), ("vm-2",)])
 
 
@@ -42,8 +50,8 @@
     """One workflow of two steps on two VMs under a succession of leaders."""
 
     steps = (Step(count=2), Step(count=1, after=(0,)))
-    # Clock of the VMs at first; that of a later boot starts at the default.
-    first_clock_ms = 1000.0
+    # The VMs have been up for so long that the clock of a later boot lies far behind.
+    first_clock_ms = 500_000.0
 
     def __init__(self):
         super().__init__()
@@ -113,7 +121,6 @@
         self.network.fault = fault
         for name in names:
             self.run(self.links[name].poll())
-            self.network.lapsed |= self.leader.state.tables.vms[name].lapsed
         self.run_pending_tasks()
         self.network.fault = "deliver"
 
@@ -155,15 +162,39 @@
         task = min(worker.live)
         worker.finish(task, outcome)
 
-    @rule()
-    def deliver_delayed(self):
-        """Delivers orders that were in flight."""
-        self.network.deliver_delayed()
+    @rule(position=st.sampled_from([None, 0, -1]))
+    def deliver_delayed(self, position=None):
+        """Delivers all orders that were in flight, or the one that was for the longest or shortest time."""
+        if position is None:
+            self.network.deliver_delayed()
+        elif self.network.delayed:
+            self.network.deliver_delayed([self.network.delayed[position]])
 
     @rule(name=st.sampled_from(VMS))
     def restart_vm(self, name):
         """Restarts a VM under its ID; the leader finds out by a poll or by an announcement."""
-        self.network.restart(self.workers[name])
+        self.workers[name].restart()
+
+    @rule(fault=st.sampled_from(["restart", "restart_mute"]), name=st.sampled_from(VMS))
+    def start_on_next_boot(self, fault, name):
+        """Restarts a VM right before a start reaches it."""
+        self.run_round(fault, name)
+
+    @rule(name=st.sampled_from(VMS), capacity=st.sampled_from([0, 1, None]))
+    def change_room(self, name, capacity):
+        """Changes the number of runs for which a VM has room; those in progress go on."""
+        self.workers[name].capacity = capacity
+
+    @rule(name=st.sampled_from(VMS), seconds=CUT_S)
+    def cut_off(self, name, seconds):
+        """Loses all calls to a VM for some seconds, while the other VM gets the waiting tasks."""
+        (other,) = (vm for vm in VMS if vm != name)
+        for _ in range(int(seconds / CUT_STEP_S)):
+            self.advance(CUT_STEP_S)
+            self.poll((name,), "lose")
+            self.poll((other,), "deliver")
+            self.run_round("deliver", other)
+            self.check()
 
     @rule(name=st.sampled_from(VMS))
     def announce(self, name):
@@ -182,6 +213,7 @@
         self.leader = FakeLeadership()
         self.leader.state, self.leader.now, self.leader.started_at = state, now, now
         self.leader.term = term
+        self.network.change_leader()
         self.lead()
 
     @rule(should_cancel=st.sampled_from([False, False, False, False, True]))
@@ -190,6 +222,12 @@
         if should_cancel:
             self.run(self.leader.propose(CancelWorkflow(workflow_id="w", at_ms=0)))
 
+    def check(self):
+        """Checks the rules within a longer sequence of events."""
+        self.no_task_runs_twice()
+        self.done_tasks_stay_done()
+        self.tasks_with_a_noted_end_stay_done()
+
     @invariant()
     def no_task_runs_twice(self):
         """A task runs on at most one VM."""
@@ -236,7 +274,9 @@
 TestOrderProtocol.settings = settings(
     max_examples=int(os.environ.get("HYSSOPWAY_EXAMPLES", "300")),
     stateful_step_count=40,
-    derandomize=not os.environ.get("HYSSOPWAY_FRESH"),
+    derandomize=not IS_FRESH,
+    phases=PHASES,
+    report_multiple_bugs=False,
     deadline=None,
     database=None,
     suppress_health_check=list(HealthCheck),
--- a/tests/dispatch/test_order_sequences.py
+++ b/tests/dispatch/test_order_sequences.py
@@ -10,11 +10,11 @@
 from dataclasses import fields
 
 import pytest
-from loguru import logger
 
 from dispatch.test_order_protocol import VMS, OrderProtocol
 from hyssopway.workflow import RunOutcome, Step
 
+pytestmark = pytest.mark.usefixtures("silent_log")
 # Number of actions, the start among them.
 DEPTH = int(os.environ.get("HYSSOPWAY_DEPTH", "5"))
 RECOVERY_DEPTH = DEPTH - 3
@@ -79,7 +79,8 @@
         workers = [self._describe_worker(worker, term=term) for _, worker in sorted(self.workers.items())]
         late = [(one.worker.name, one.boot, one.text, one.age_s) for one in self.network.delayed]
         started = round(now - self.leader.started_at, 2)
-        return repr((self.workflow.status, runs, task, vms, links, workers, late, started))
+        answered = sorted(self.network.answered)
+        return repr((self.workflow.status, runs, task, vms, links, workers, late, started, answered))
 
     def _describe_link(self, link, *, now):
         orders = link.orders
@@ -169,13 +170,6 @@
         sequences = [(*names, name) for names in frontier for name in actions]
 
 
-@pytest.fixture(autouse=True)
-def silent_log():
-    logger.disable("hyssopway")
-    yield
-    logger.enable("hyssopway")
-
-
 @pytest.mark.parametrize("fault", FIRST_FAULTS)
 def test_short_sequences_of_messages_give_each_task_one_run(fault):
     """Guards against sequences that lead to two runs of a task (TWICE), or to none once all answer again (LOST)."""
