Test six more orders of events in which a call outlives the boot it was meant for

- a late poll is carried out by the next boot before it announces itself; the run that it gets later works on the lease of that poll
- the same with a poll of the former leader, before the boot has seen the present leader's token
- no call is late: the VM restarts right before a poll arrives, the answer is lost, the VM announces itself, is polled and gets a run
- all copies of a start are late, the next boot announces itself and is cut off; the start arrives 9 s into the cut, while the leader waits 10 s from the announcement; the same 3.5 s into the term of a next leader
- within one moment a VM restarts, a start reaches the next boot and ends as done, and a poll acknowledges that end by the count of the boot before

They were found by reading the code with the model, not by random sequences.

--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -21,6 +21,8 @@
 TASK_MS = 600_000
 STEP_S = 0.5
 CUT_S = 9.0
+# Shorter than the usual lease.
+LEASED_CUT_S = 3.5
 # A run that a boot has listed for longer than the longest lease can't have been started by a later one.
 LISTED_S = LIMITS.longest_lease_s + 2.0
 FINE_STEP_S = 0.1
@@ -120,6 +122,17 @@
     model.poll(("vm-1",), "delay")
 
 
+def poll_reaches_next_boot_unanswered(model):
+    """The VM restarts right before a poll arrives, which renews the lease; the answer is lost."""
+    model.poll(("vm-1",), "restart_mute")
+
+
+def start_is_late(model):
+    """All copies of the start are delayed."""
+    model.run_round("delay", "vm-1")
+    assert model.network.delayed
+
+
 def run_fails(model):
     model.finish("vm-1", RunOutcome.FAILED)
 
@@ -186,6 +199,28 @@
         *ON_NEXT_BOOT,
         *(start, late_calls_arrive),
     ),
+    "a late poll renews the lease of the next boot before it announces itself": (
+        *(poll_is_late, restart, late_calls_arrive),
+        *(announce, poll, start),
+    ),
+    "a late poll of the former leader renews the lease of the next boot": (
+        *(poll_is_late, restart, change_leader, late_calls_arrive),
+        *(announce, poll, start),
+    ),
+    "a poll reaches the next boot, its answer is lost": (
+        *(poll_reaches_next_boot_unanswered, announce, poll),
+        start,
+    ),
+    "a late start reaches the next boot during the cut": (
+        *(start_is_late, restart, announce),
+        *(cut_vm,) * int(CUT_S / STEP_S),
+        late_calls_arrive,
+    ),
+    "a late start reaches the next boot during the cut, the leader has changed": (
+        *(start_is_late, restart, announce, change_leader),
+        *(cut_vm,) * int(LEASED_CUT_S / STEP_S),
+        late_calls_arrive,
+    ),
     "the next boot refuses a start for want of room": (
         *(next_boot_has_no_room, announce, poll),
         start,
@@ -228,6 +263,13 @@
     assert two_steps.workflow.status.is_final
 
 
+def test_end_soon_after_a_restart_is_read_before_it_is_acknowledged(two_steps):
+    """Guards against the same by a poll that follows at once: the VM restarted, and a run ended there, since the last answer."""
+    before = (start, runs_are_done, poll, start_reaches_next_boot, runs_are_done)
+    play(two_steps, (*before, poll, poll, pass_time, poll, *(poll_and_place,) * 4))
+    assert two_steps.workflow.status.is_final
+
+
 def no_event(model):
     """Nothing happens."""
 
