Acknowledge no end after a call that another boot may have answered

What callers saw (by the model): a task ran again after it was done. Within one moment a VM listed an end, restarted under its ID, took a start, whose run ended `done`, and got the poll that acknowledges the end of the boot before: it forgot the new one (TWICE).

Cause: a poll acknowledged ends if the boot had answered the last poll lately. Calls in between that got no answer, or one whose clock is another boot's, were not looked at.

Change: any such call holds the acknowledgement back until the boot in the record has answered a poll again, which lists the ends again and acknowledges them with the next one.

Evidence: test_end_soon_after_a_restart_is_read_before_it_is_acknowledged failed on ("assert not ({'w.0.1.0'} & {'w.0.1.0'})") and passes.

--- a/src/hyssopway/dispatch/end_acknowledgement.py
+++ b/src/hyssopway/dispatch/end_acknowledgement.py
@@ -36,7 +36,7 @@
         self.acknowledged = 0
         self.withheld_until = float("-inf")
 
-    def choose(self, *, last_end: int, answer_age_s: float, consecutive_losses: int) -> int:
+    def choose(self, *, last_end: int, answer_age_s: float, may_have_restarted: bool) -> int:
         """Returns the number of the last end that the VM may forget; 0 if there is none, or the VM may have restarted.
 
         In the second case the VM lists its ends again, and a later poll acknowledges them.
@@ -44,9 +44,9 @@
         Args:
             last_end: Number of the last committed end of the boot in the record.
             answer_age_s: Seconds since that boot last answered a poll; infinite if it has not answered this leader.
-            consecutive_losses: Unanswered polls since then; each may have been carried out.
+            may_have_restarted: Whether a call got no answer, or one of another boot, since then.
         """
-        if consecutive_losses or answer_age_s > MAX_ANSWER_AGE_S:
+        if may_have_restarted or answer_age_s > MAX_ANSWER_AGE_S:
             self.acknowledged = 0
             return 0
         return last_end if last_end > self.acknowledged else 0
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -71,6 +71,7 @@
         paces: Pace in percent that the VM confirmed, by run key.
         pace_requests: Keys of the runs whose change of pace is in flight.
         next_boot: Lease that the next boot of the VM may hold by calls that were meant for the present one.
+        may_have_restarted: Whether a call got no answer, or one of another boot, since the present boot last answered a poll.
         is_refused: Whether the last call that got no answer was refused a connection.
         unreachable_since: Local time at which a connection was first refused or broken since the VM last answered;
             infinite if none was.
@@ -85,6 +86,7 @@
         "leadership",
         "lease",
         "losses",
+        "may_have_restarted",
         "next_boot",
         "order_states",
         "pace_requests",
@@ -116,6 +118,7 @@
     ) -> None:
         self.next_boot = next_boot
         self.is_refused = False
+        self.may_have_restarted = False
         self.losses = ContactLosses() if losses is None else losses
         self.vm_id = vm_id
         self.leadership = leadership
@@ -225,7 +228,7 @@
                     continue
                 self.late_starts.record_answered(run.key, earlier=earlier)
                 self.next_boot.record_settled(call)
-                self._report_other_boot("start", key=run.key, reply=reply, sent_at=sent_at)
+                self._note_other_boot("start", key=run.key, reply=reply, sent_at=sent_at)
                 is_of_boot = self.lease.is_of_boot(reply.clock_ms, sent_at=sent_at)
                 if reply.refusal in LEASED_ANSWERS and not is_of_boot:
                     self.next_boot.record_grant(until_ms=until_ms, clock_ms=reply.clock_ms)
@@ -266,6 +269,16 @@
         self.unreachable_since = float("inf")
         self.is_refused = False
 
+    def record_listing(self, *, sent_at: float) -> None:
+        """Records that the present boot answered a poll.
+
+        Args:
+            sent_at: Local time at which the poll was sent.
+        """
+        self.record_answer()
+        self.may_have_restarted = False
+        self.next_boot.record_listing(sent_at=sent_at)
+
     def record_loss(self, error: WorkerUnreachableError, *, leased_call: int | None = None) -> None:
         """Records that a call got no answer; a VM that refuses connections gets no task for a short time.
 
@@ -274,6 +287,7 @@
             leased_call: Number of the call if it carried a lease.
         """
         self.is_refused = error.is_refused
+        self.may_have_restarted = True
         if leased_call is not None and error.is_sent:
             self.next_boot.record_loss()
         elif leased_call is not None:
@@ -412,7 +426,7 @@
                 except WorkerUnreachableError as error:
                     self._log_unanswered("pace", key=key, error=error)
                     continue
-                self._report_other_boot("pace", key=key, reply=reply, sent_at=sent_at)
+                self._note_other_boot("pace", key=key, reply=reply, sent_at=sent_at)
                 # A refused change is not retried: the run has ended or another leader controls it.
                 self.paces[key] = percent
                 return
@@ -437,16 +451,17 @@
             except WorkerUnreachableError as error:
                 self._log_unanswered("stop", key=f"{task}/{run}", error=error)
                 continue
-            self._report_other_boot("stop", key=f"{task}/{run}", reply=reply, sent_at=sent_at)
+            self._note_other_boot("stop", key=f"{task}/{run}", reply=reply, sent_at=sent_at)
             if reply.refusal is None:
                 order_state.stopped_at = min(order_state.stopped_at, self.leadership.clock())
             return
 
-    def _report_other_boot(self, order: str, *, key: str, reply: OrderReply, sent_at: float) -> None:
-        """Logs an answer whose clock shows that it comes from another boot than the one that was polled last."""
+    def _note_other_boot(self, order: str, *, key: str, reply: OrderReply, sent_at: float) -> None:
+        """Records and logs an answer whose clock shows that it comes from another boot than the one that was polled last."""
         least_ms = self.lease.find_least_clock_ms(at=sent_at)
         if reply.clock_ms is None or least_ms is None or reply.clock_ms >= least_ms:
             return
+        self.may_have_restarted = True
         log_event(
             Event.OTHER_BOOT_ANSWERED,
             vm=self.vm_id,
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -310,8 +310,7 @@
                 self.orders.next_boot.record_grant(until_ms=lease_until_ms, clock_ms=reply.clock_ms)
             await self.boots.register(record, reply=reply)
             return
-        self.orders.record_answer()
-        self.orders.next_boot.record_listing(sent_at=sent_at)
+        self.orders.record_listing(sent_at=sent_at)
         now = self.leadership.clock()
         self.lease.record_clock(clock_ms=reply.clock_ms, now=now)
         self.answered_at = self.heard_at = now
@@ -380,7 +379,7 @@
         return self.acknowledgement.choose(
             last_end=record.last_end,
             answer_age_s=now - answered_at if self.has_acked_term else float("inf"),
-            consecutive_losses=self.poll_timing.consecutive_losses,
+            may_have_restarted=self.orders.may_have_restarted,
         )
 
     def _may_renew_lease(self) -> bool:
