Let no task of a spread step join a run that a former leader has stopped

Callers saw two tasks of a step on one VM beyond its spread limit (ROUTE) around a change of leader: the former leader had told the VM to stop a run whose end was committed already, and a VM does not list a run that it is stopping. The next leader saw an empty VM and placed another task of the step there.

Failing run before, in tests/dispatch/test_spread_over_restarts.py: AssertionError: assert Counter({'spread.0.0': 2}) == {'spread.0.0': 1}

A VM that acknowledges the token of a term counts as full for steps with a spread limit for the longest duration of a stop. From the acknowledgement on it refuses stops of earlier leaders, so a run that it may be stopping by then has ended afterwards. Ruled out: asking the replicated state, which lacks the run; the list of the VM, which lacks it too.

The fixtures of three older tests now begin their term long ago: they are about rounds of one leader, and their checks are unchanged.

--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -153,7 +153,7 @@
         assess_vms(
             state.tables.vms, ratings=self.ratings, counters=self.counters, now=self.leadership.clock()
         )
-        placed_runs = PlacedRuns(tables=state.tables, links=self.links)
+        placed_runs = PlacedRuns(tables=state.tables, links=self.links, now=now)
         ready = find_ready_steps(
             tables=state.tables, indexes=state.indexes, placed_runs=placed_runs, now_ms=wall_ms()
         )
--- a/src/hyssopway/dispatch/placed_runs.py
+++ b/src/hyssopway/dispatch/placed_runs.py
@@ -23,13 +23,15 @@
     Attributes:
         tables: Replicated data.
         stopping: Runs that a VM still stops although their ends are committed, by step; the VM of each.
+        unknown: IDs of the VMs that may still be stopping runs which nobody has listed to this leader.
         by_step: Number of runs by VM ID, by workflow, occurrence and number of the step.
     """
 
-    __slots__ = ("by_step", "stopping", "tables")
+    __slots__ = ("by_step", "stopping", "tables", "unknown")
 
-    def __init__(self, *, tables: Tables, links: Mapping[str, VmLink]) -> None:
+    def __init__(self, *, tables: Tables, links: Mapping[str, VmLink], now: float) -> None:
         self.tables = tables
+        self.unknown = [vm_id for vm_id, link in links.items() if link.may_stop_unknown_runs(now)]
         self.stopping: dict[str, list[str]] = {}
         for vm_id, link in links.items():
             for key in link.stopping.missing_since:
@@ -40,7 +42,8 @@
     def of_step(self, workflow: Workflow, *, occurrence: int, number: int) -> dict[str, int]:
         """Returns the number of runs of a step by VM ID; who places a task of the step counts it there.
 
-        Only the starts of the round are counted for a step that neither has a spread limit nor is long-running.
+        Only the starts of the round are counted for a step that neither has a spread limit nor is long-running. A VM that
+        may be stopping unknown runs counts as if the spread limit were reached there.
         """
         key = (workflow.workflow_id, occurrence, number)
         placed = self.by_step.get(key)
@@ -55,6 +58,8 @@
             return {}
         step_name = TaskId(workflow.workflow_id, occurrence, number, 0).step_name
         placed = Counter(self.stopping.get(step_name, ()))
+        for vm_id in self.unknown:
+            placed[vm_id] += step.spread_limit
         if len(progress.pending) < step.count:
             for index in range(step.count):
                 placed.update(run.vm for run in self.tables.runs.get(f"{step_name}.{index}", ()))
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -15,6 +15,7 @@
 from hyssopway.workflow import EndRuns, RunEnd, RunOutcome
 
 from .end_acknowledgement import EndAcknowledgement
+from .late_starts import MAX_ORDER_DELAY_S
 from .lease import RUN_LEASE_S, VmLease
 from .next_boot_lease import NextBootLease
 from .poll_timing import MAX_POLL_S, PollTiming
@@ -247,6 +248,15 @@
         listed_run = self.listed_runs.get(run.key)
         return listed_run is not None and listed_run.percent == UNTHROTTLED_PERCENT
 
+    def may_stop_unknown_runs(self, now: float) -> bool:
+        """Returns whether the VM may still be stopping a run that it has never listed to this leader.
+
+        A run that is being stopped is not listed. A stop of an earlier leader may have been carried out just before the VM
+        acknowledged the token of this term, if it was still on its way by then.
+        """
+        acked_after_s = self.term_acked_at - self.leadership.started_at
+        return acked_after_s <= MAX_ORDER_DELAY_S and now - self.term_acked_at <= self.unlisted.stop_s
+
     def is_silent(self, now: float) -> bool:
         """Returns whether the VM has left repeated polls of this term unanswered, so that its runs have probably ended.
 
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -16,6 +16,7 @@
     WorkerUnreachableError,
 )
 from hyssopway.dispatch.duration_scale import DurationScale
+from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
 from hyssopway.dispatch.rtt_estimator import RttEstimator
 from hyssopway.dispatch.ticket_cache import TicketCache
@@ -57,6 +58,10 @@
     def clock(self):
         return self.now
 
+    def begin_long_ago(self):
+        """Starts the term so long ago that no order of a leader before can be on its way."""
+        self.started_at = self.now - MAX_ORDER_DELAY_S - 1.0
+
     def may_order(self):
         return self.is_confirmed
 
--- a/tests/dispatch/test_late_confirmation.py
+++ b/tests/dispatch/test_late_confirmation.py
@@ -57,6 +57,7 @@
 
 @pytest.fixture
 async def late_fleet(leadership, vms):
+    leadership.begin_long_ago()
     leadership.apply(PutDocument(document=make_document()))
     fleet = Fleet(leadership, vms)
     yield fleet
--- a/tests/dispatch/test_spread_limit.py
+++ b/tests/dispatch/test_spread_limit.py
@@ -77,6 +77,7 @@
 
 @pytest.fixture
 async def spread_fleet(leadership):
+    leadership.begin_long_ago()
     await leadership.propose(PutDocument(document=make_document()))
     result = Fleet(leadership)
     await result.join("vm-1", rack="r1")
--- /dev/null
+++ b/tests/dispatch/test_spread_over_restarts.py
@@ -0,0 +1,67 @@
+"""The spread limit of a step on VMs that stop runs, are cut off, restart under their ID or get another leader."""
+
+from __future__ import annotations
+
+import pytest
+
+from dispatch.conftest import LIMITS
+from dispatch.model_fleet import ModelFleet
+from hyssopway.dispatch.vm_link import STOP_SLACK_S
+from hyssopway.workflow import EndRuns, PutDocument, RunEnd, RunOutcome, RunStart, StartRuns, Step
+from workflow.conftest import make_document, make_workflow
+
+STEP = "spread.0.0"
+TASKS = (f"{STEP}.0", f"{STEP}.1")
+STOPPED_AFTER_S = LIMITS.stop_s + STOP_SLACK_S + 0.1
+
+
+@pytest.fixture
+async def fleet(leadership):
+    leadership.begin_long_ago()
+    await leadership.propose(PutDocument(document=make_document(max_attempts=9)))
+    result = ModelFleet(leadership)
+    await result.join("vm-1")
+    await result.poll()
+    await leadership.propose(make_workflow("spread", steps=(Step(count=2, cpu_millis=200, spread_limit=1),)))
+    return result
+
+
+async def start(fleet, task, *, fault="deliver"):
+    link = fleet.links["vm-1"]
+    link.orders.expect_start(task=task, run=1)
+    placed = RunStart(task=task, run=1, vm="vm-1")
+    await fleet.leadership.propose(StartRuns(fencing_token=fleet.leadership.term, starts=(placed,)))
+    (run,) = fleet.leadership.state.tables.runs[task]
+    fleet.network.fault = fault
+    await link.start(run, specification="", checkpoint="")
+    fleet.network.fault = "deliver"
+
+
+async def end_in_state(fleet, task):
+    """Commits that a run was lost, although its VM may work on it."""
+    lost = RunEnd(task=task, run=1, outcome=RunOutcome.LOST)
+    boot = fleet.leadership.state.tables.vms["vm-1"].boot
+    await fleet.leadership.propose(EndRuns(vm="vm-1", boot=boot, ends=(lost,), at_ms=9))
+
+
+async def check_that_the_next_task_waits(fleet):
+    """Checks that the other task of the step starts only when the VM has stopped the first one."""
+    await fleet.run_round()
+    assert fleet.count_by_step("vm-1") == {STEP: 1}
+    assert fleet.list_committed("vm-1") == []
+    fleet.advance(STOPPED_AFTER_S)
+    for _ in range(2):
+        await fleet.poll()
+    await fleet.run_round()
+    assert fleet.count_by_step("vm-1") == {STEP: 1}
+    assert fleet.list_committed("vm-1") == [TASKS[0]]
+
+
+async def test_task_does_not_join_a_run_that_a_former_leader_has_stopped(fleet):
+    """Guards against two tasks of a spread step on one VM: a new leader does not see a run that is stopping (ROUTE)."""
+    await start(fleet, TASKS[1])
+    await end_in_state(fleet, TASKS[1])
+    await fleet.poll()  # the run is listed, and told to stop
+    fleet.change_leader()
+    await fleet.poll()
+    await check_that_the_next_task_waits(fleet)
--- a/tests/dispatch/test_spread_protocol.py
+++ b/tests/dispatch/test_spread_protocol.py
@@ -25,6 +25,7 @@
     def set_up(self, max_attempts, version):
         """Stores the configuration and the workflow, and starts the first runs."""
         self.max_attempts = max_attempts
+        self.leader.begin_long_ago()
         self.run(self.leader.propose(SetStateVersion(version=version)))
         self.run(self.leader.propose(PutDocument(document=make_document(max_attempts=max_attempts))))
         for name in VMS:
