Count a run whose lease ended until its VM has been heard without it

Callers saw two tasks of a spread step on one VM (ROUTE): a VM was cut off, the leader counted the lease of a run as ended while the VM held a longer one, and a stop that had been sent before the cut was carried out as the cut ended. The first list of the VM had neither the run nor its end, so that the next task of the step was placed there at once.

Failing run before, in tests/dispatch/test_spread_over_restarts.py: AssertionError: assert Counter({'spread.0.0': 2}) == {'spread.0.0': 1}

Runs that end as lapsed are now kept in `StoppingRuns`, as those are that a VM lists after their end: they hold their place and their resources until a list has lacked them for the longest duration of a stop, or until the VM lists their end, which it does at once where the lease really ended. So it costs nothing in the usual case. A restart of the VM clears them. Ruled out: to close the VM after each silence, which holds up tasks where nothing was ended.

--- a/src/hyssopway/dispatch/stopping_runs.py
+++ b/src/hyssopway/dispatch/stopping_runs.py
@@ -1,4 +1,4 @@
-"""Runs that a VM is still stopping although their ends are committed."""
+"""Runs that a VM may still work on or stop although their ends are committed."""
 
 from __future__ import annotations
 
@@ -13,13 +13,15 @@
 
 
 class StoppingRuns:
-    """Resources of runs that a VM listed after their ends had been committed.
+    """Runs that a VM listed after their ends had been committed, and runs whose lease ended without contact.
 
-    They are told to stop. A run that is being stopped is not listed, and its resources are free only once it has ended.
+    They are told to stop. A run that is being stopped is not listed, and its resources are free only once it has ended. A
+    stop that was sent before contact was lost may be carried out when contact is back.
 
     Attributes:
         stop_s: Longest time that the VM takes to stop a run.
-        missing_since: Local time at which the first list without the run arrived, by run key; infinite while it is listed.
+        missing_since: Local time at which the first list without the run arrived, by run key; infinite while it is listed
+            and while the VM is out of contact.
     """
 
     __slots__ = ("missing_since", "stop_s")
@@ -48,6 +50,10 @@
         for key in ended:
             self.missing_since.pop(key, None)
 
+    def add_lapsed(self, keys: Iterable[str]) -> None:
+        """Adds runs whose lease has ended while their VM was out of contact."""
+        self.missing_since.update(dict.fromkeys(keys, float("inf")))
+
     def clear(self) -> None:
         """Forgets the runs of a boot that has ended."""
         self.missing_since.clear()
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -93,7 +93,7 @@
         listing_sent_at: Local time at which the poll for `listed_runs` was sent.
         heard_at: Local time of the last answer or announcement.
         announced_at: Local time at which this leader took the VM's last announcement; negative infinity if it has not.
-        stopping: Runs that the VM is still stopping although their ends are committed.
+        stopping: Runs that the VM may still work on or stop although their ends are committed.
         spread_watch: Reports lists that exceed the spread limit of a step.
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
@@ -516,6 +516,7 @@
         lost.report(reason="its lease ended without contact", counters=self.counters)
         lost.report_evidence()
         self.listed_runs = {key: row for key, row in self.listed_runs.items() if key not in expired}
+        self.stopping.add_lapsed(expired)
         await self._propose_ends(make_run_ends(expired, RunOutcome.LAPSED), lost=lost)
         self.on_change()
 
--- a/tests/dispatch/test_spread_over_restarts.py
+++ b/tests/dispatch/test_spread_over_restarts.py
@@ -6,6 +6,7 @@
 
 from dispatch.conftest import LIMITS
 from dispatch.model_fleet import ModelFleet
+from hyssopway.dispatch.lease import RUN_LEASE_S
 from hyssopway.dispatch.vm_link import STOP_SLACK_S
 from hyssopway.workflow import EndRuns, PutDocument, RunEnd, RunOutcome, RunStart, StartRuns, Step
 from workflow.conftest import make_document, make_workflow
@@ -65,3 +66,21 @@
     fleet.change_leader()
     await fleet.poll()
     await check_that_the_next_task_waits(fleet)
+
+
+async def test_task_does_not_join_a_run_whose_stop_arrived_after_its_lease_had_ended(fleet):
+    """Guards against two tasks of a spread step on one VM that a late stop reached as the cut ended (ROUTE)."""
+    await start(fleet, TASKS[1])
+    await fleet.poll()
+    worker, link = fleet.workers["vm-1"], fleet.links["vm-1"]
+    worker.extend_lease(worker.clock_ms + 2 * RUN_LEASE_S * 1000)  # a longer one than the leader knows of
+    fleet.network.fault = "delay"
+    link.orders.request_stop(task=TASKS[1], run=1, reason="test")
+    await fleet.poll(fault="delay")
+    while fleet.list_committed("vm-1"):
+        fleet.advance(0.5)
+        await fleet.poll(fault="lose")
+    assert fleet.count_by_step("vm-1") == {STEP: 1}
+    fleet.network.deliver_delayed()
+    await fleet.poll()
+    await check_that_the_next_task_waits(fleet)
