Give a VM no task while it may be stopping a late start

Callers saw two tasks of a spread step on one VM (ROUTE): the next boot of a VM carried out a late start of a run that had ended, was told to stop it, and confirmed the stop at once. The VM counted as free from the confirmation on, though a stop takes up to `stop_timeout_ms` and the run is listed nowhere meanwhile. The room of the run was given away as well.

Failing runs before, in tests/dispatch/test_spread_over_restarts.py (two tests): AssertionError: assert Counter({'spread.0.0': 2}) == {'spread.0.0': 1}

Such a VM now gets its first task when the longest duration of a stop has passed after the confirmation. An end that the boot lists shows that it refuses the late start, so that no further stop is sent for it and the VM is not closed again. The older test of the closed VM now checks that it stays closed while it may be stopping, and opens afterwards.

--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -71,7 +71,7 @@
             continue
         if not is_open(dispatcher, record):
             continue
-        if link.orders.list_open_late_starts():
+        if link.orders.may_work_on_late_starts(stop_s=link.unlisted.stop_s):
             continue  # one of them could take the VM over its capacity, or join another task of a spread step
         if record.pool in indexes.unguarded_pools and not link.has_current_capacity(now):
             continue
--- a/src/hyssopway/dispatch/late_starts.py
+++ b/src/hyssopway/dispatch/late_starts.py
@@ -12,7 +12,7 @@
     """Last copy of a start that got no answer.
 
     Attributes:
-        boot: Boot of the VM that it was sent to.
+        boot: Boot of the VM that it was sent to, or a later one that refuses it.
         sent_at: Local time at which it was sent.
     """
 
@@ -50,6 +50,12 @@
         if earlier is not None:
             copies[key] = earlier
 
+    def record_refused(self, key: str, *, vm: str, boot: int) -> None:
+        """Records that a boot of a VM has ended the run, so that it refuses the copies that are still on their way."""
+        copies = self.copies.get(vm, {})
+        if key in copies:
+            copies[key] = copies[key]._replace(boot=boot)
+
     def find(self, vm: str, *, now: float) -> dict[str, UnansweredCopy]:
         """Returns the copies that the VM may still carry out, by run key."""
         copies = self.copies.get(vm, {})
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -352,9 +352,21 @@
         """Returns the keys of ended runs whose late start the present boot has not yet been made to refuse."""
         return [key for key in self.late_starts.list_ended() if not self._is_stopped(key)]
 
-    def _is_stopped(self, key: str) -> bool:
+    def may_work_on_late_starts(self, *, stop_s: float) -> bool:
+        """Returns whether the present boot may start an ended run late, or may still be stopping one.
+
+        Args:
+            stop_s: Longest time that the VM takes to stop a run.
+        """
+        stopped_until = self.leadership.clock() - stop_s
+        return any(not self._is_stopped(key, until=stopped_until) for key in self.late_starts.list_ended())
+
+    def _is_stopped(self, key: str, *, until: float | None = None) -> bool:
+        """Returns whether the VM confirmed the stop of a run, and did so until some local time if one is given."""
         order_state = self.order_states.get(key)
-        return order_state is not None and order_state.stopped_at != float("inf")
+        if order_state is None or order_state.stopped_at == float("inf"):
+            return False
+        return until is None or order_state.stopped_at <= until
 
     def is_stop_requested(self, key: str) -> bool:
         """Returns whether a stop of a run was sent."""
--- a/src/hyssopway/dispatch/vm_late_starts.py
+++ b/src/hyssopway/dispatch/vm_late_starts.py
@@ -37,6 +37,10 @@
         """Records that the last copy was answered or not sent; copies before it may still be carried out."""
         self.store.record_answered(key, vm=self.vm_id, earlier=earlier)
 
+    def record_ended(self, key: str, *, boot: int) -> None:
+        """Records that a boot has listed the end of a run, which makes this boot refuse its late starts."""
+        self.store.record_refused(key, vm=self.vm_id, boot=boot)
+
     def list_possible(self) -> set[str]:
         """Returns the keys of runs of which a copy of the start may reach the next boot of the VM.
 
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -418,6 +418,7 @@
             self.learned_end = listed.number
             end = listed.end
             order_state = self.orders.discard_run(f"{end.task}/{end.run}")
+            self.orders.late_starts.record_ended(f"{end.task}/{end.run}", boot=record.boot)
             accepted_at = order_state.accepted_at if order_state is not None else None
             self._learn(end, accepted_at=accepted_at)
             if end.outcome is RunOutcome.FAILED:
--- a/tests/dispatch/test_late_copies_of_starts.py
+++ b/tests/dispatch/test_late_copies_of_starts.py
@@ -214,6 +214,9 @@
     link.leadership.now += 1.0
     await poll_and_place(link, dispatcher)
     await poll_and_place(link, dispatcher)
+    assert list_active_runs(link) == [], "it may still be stopping one of them"
+    link.leadership.now += STOP_TIME_S
+    await poll_and_place(link, dispatcher)
     assert [boot for _, boot in list_active_runs(link)] == [2, 2]
 
 
--- a/tests/dispatch/test_spread_over_restarts.py
+++ b/tests/dispatch/test_spread_over_restarts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from dispatch.conftest import LIMITS
@@ -9,7 +11,7 @@
 from hyssopway.dispatch.lease import RUN_LEASE_S
 from hyssopway.dispatch.vm_link import STOP_SLACK_S
 from hyssopway.workflow import EndRuns, PutDocument, RunEnd, RunOutcome, RunStart, StartRuns, Step
-from workflow.conftest import make_document, make_workflow
+from workflow.conftest import make_document, make_vm, make_workflow
 
 STEP = "spread.0.0"
 TASKS = (f"{STEP}.0", f"{STEP}.1")
@@ -84,3 +86,33 @@
     fleet.network.deliver_delayed()
     await fleet.poll()
     await check_that_the_next_task_waits(fleet)
+
+
+async def test_task_does_not_join_a_late_start_that_is_being_stopped(fleet):
+    """Guards against two tasks of a spread step on one VM, one of which was started late and then stopped (ROUTE)."""
+    await start(fleet, TASKS[1], fault="delay_first")
+    await end_in_state(fleet, TASKS[1])
+    fleet.workers["vm-1"].restart()
+    fleet.network.deliver_delayed()
+    await fleet.poll()  # shows the next boot, which is told to stop the run
+    await fleet.leadership.propose(make_vm("vm-1", boot=2, sequence=1))
+    await fleet.poll()
+    await check_that_the_next_task_waits(fleet)
+
+
+async def test_task_does_not_join_a_late_start_whose_stop_was_confirmed_a_moment_ago(fleet):
+    """Guards against two tasks of a spread step on one VM after a stop of a late start that was never listed (ROUTE)."""
+    await start(fleet, TASKS[1], fault="delay_first")
+    await end_in_state(fleet, TASKS[1])
+    fleet.workers["vm-1"].restart()
+    fleet.network.stop_fault = "lose"
+    await fleet.poll()  # shows the next boot
+    await fleet.leadership.propose(make_vm("vm-1", boot=2, sequence=1))
+    fleet.advance(STOPPED_AFTER_S)
+    await fleet.poll()
+    fleet.advance(STOPPED_AFTER_S)
+    fleet.network.deliver_delayed()
+    fleet.network.stop_fault = None
+    fleet.links["vm-1"].orders.stop_late_starts()
+    await asyncio.gather(*fleet.links["vm-1"].orders.sending)
+    await check_that_the_next_task_waits(fleet)
