Place nothing on a boot that has not announced itself

Callers could see a run on a VM without the label that its step needs, or in a pool to which its queue does not lead (ROUTE): a VM restarts under its ID, perhaps as another kind or in another pool, and answers a poll before it announces itself. Until then its record had the labels, pool and zone of the boot before. Its capacity was unknown and counted as none, but a task that asks for no resources, or a best-effort task that asks for no memory, fitted nevertheless.

Such a boot now gets no task at all until it has announced itself, which takes one interval of its reports. The record is unchanged, so that members of two releases still agree. Ruled out: no labels in the command that registers the boot, since the pool and the zone would stay those of the boot before.

--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -69,7 +69,7 @@
         link = dispatcher.links.get(vm_id)
         if link is None or not link.in_contact(now) or now < link.orders.paused_until:
             continue
-        if not is_open(dispatcher, record):
+        if not record.is_announced or not is_open(dispatcher, record):
             continue
         if link.orders.may_work_on_late_starts(stop_s=link.unlisted.stop_s):
             continue  # one of them could take the VM over its capacity, or join another task of a spread step
--- a/src/hyssopway/workflow/vm_record.py
+++ b/src/hyssopway/workflow/vm_record.py
@@ -46,5 +46,14 @@
     unreported: set[str] = field(default_factory=set)
     replaced_at_ms: int = 0
 
+    @property
+    def is_announced(self) -> bool:
+        """Whether this boot has announced itself.
+
+        A boot that has only answered a poll is known without capacity, and its pool, zone and labels are those of the boot
+        before; it may be of another kind.
+        """
+        return self.capacity != Capacity()
+
 
 __all__ = ["VmRecord"]
--- /dev/null
+++ b/tests/dispatch/test_unknown_boots.py
@@ -0,0 +1,56 @@
+"""Placement on VMs that have restarted under their ID: their kind and pool may be others than before."""
+
+from __future__ import annotations
+
+import pytest
+
+from dispatch.conftest import FakeVms, make_link
+from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.workflow import PutDocument, Step
+from workflow.conftest import make_document, make_vm, make_workflow
+
+TASK = "small.0.0.0"
+
+
+class Fleet:
+    """A leader with one VM.
+
+    Attributes:
+        leadership: Term of the leader.
+        vms: Fake VM.
+        link: Link to the VM.
+        dispatcher: Dispatcher of the leader.
+    """
+
+    def __init__(self, leadership):
+        self.leadership = leadership
+        self.vms = FakeVms(leadership)
+        self.link = make_link("vm-1", leadership=leadership, calls=self.vms)
+        self.dispatcher = Dispatcher(leadership=leadership, links={"vm-1": self.link})
+
+    async def place(self):
+        """Runs a round and returns whether the task was started."""
+        await self.dispatcher.run_round()
+        return TASK in self.leadership.state.tables.runs
+
+
+@pytest.fixture
+async def small_fleet(leadership):
+    leadership.begin_long_ago()
+    await leadership.propose(PutDocument(document=make_document()))
+    await leadership.propose(make_vm("vm-1", labels=("a", "r1")))
+    fleet = Fleet(leadership)
+    await fleet.link.poll()
+    return fleet
+
+
+async def test_boot_that_has_not_announced_itself_gets_no_task_by_the_labels_of_the_one_before(small_fleet):
+    """Guards against a task without resources on a VM whose next boot is of another kind or in another pool (ROUTE)."""
+    small_fleet.vms.boot = 2
+    await small_fleet.link.poll()
+    await small_fleet.link.poll()
+    step = Step(count=1, label="a")
+    await small_fleet.leadership.propose(make_workflow("small", steps=(step,)))
+    assert not await small_fleet.place()
+    await small_fleet.leadership.propose(make_vm("vm-1", boot=2, labels=("a", "r1"), sequence=1))
+    assert await small_fleet.place()
