Discard an answer to a poll whose boot was replaced meanwhile

Callers could see two runs of a task, or two tasks of a spread step, on a VM that had restarted (TWICE, ROUTE): an answer that the VM had given before its restart was on its way while the next boot announced itself. The answer named the boot that was polled, so the link took it for one of the boot in the record: that boot counted as in contact and as having acknowledged the term, and the clock and the runs of the boot before stood for its own. Starts went to a boot that still obeys former leaders, and its lease was set by the clock of the other one.

Failing run before, in tests/dispatch/test_unknown_boots.py: assert not True, where True = in_contact(100.0)

The link now checks the record again when the answer arrives. Nothing is lost by it: the next poll asks the boot in the record.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -320,6 +320,8 @@
                 self.orders.next_boot.record_grant(until_ms=lease_until_ms, clock_ms=reply.clock_ms)
             await self.boots.register(record, reply=reply)
             return
+        if not self._is_in_record(record.boot):
+            return  # another boot was announced meanwhile; this answer says nothing of it
         self.orders.record_listing(sent_at=sent_at)
         now = self.leadership.clock()
         self.lease.record_clock(clock_ms=reply.clock_ms, now=now)
@@ -383,6 +385,9 @@
             self.acknowledgement.record_settled(acknowledgement, last_end=last_end if is_same_boot else 0)
         return reply, lease_until_ms
 
+    def _is_in_record(self, boot: int) -> bool:
+        return self.record is not None and self.record.boot == boot
+
     def _choose_acknowledged_end(self, record: VmRecord, *, now: float) -> int:
         # The answer may have waited unread while this process was paused.
         answered_at = min(self.answered_at, self.listing_sent_at + MAX_POLL_S)
--- a/tests/dispatch/test_unknown_boots.py
+++ b/tests/dispatch/test_unknown_boots.py
@@ -54,3 +54,23 @@
     assert not await small_fleet.place()
     await small_fleet.leadership.propose(make_vm("vm-1", boot=2, labels=("a", "r1"), sequence=1))
     assert await small_fleet.place()
+
+
+async def test_late_answer_of_the_boot_before_does_not_open_an_announced_boot(small_fleet):
+    """Guards against starts on a boot that has not answered yet, after an answer that its VM gave before it restarted."""
+    link, poll = small_fleet.link, small_fleet.vms.poll
+
+    async def answer_after_announcement(**arguments):
+        reply = await poll(**arguments)
+        await link.boots.replace(make_vm("vm-1", boot=2, sequence=1), replaced_boot=1)
+        return reply
+
+    small_fleet.vms.poll = answer_after_announcement
+    await link.poll()
+    await small_fleet.leadership.propose(make_workflow("small", steps=(Step(count=1, label="a"),)))
+    assert not link.in_contact(small_fleet.leadership.now)
+    assert link.lease.clock_ms is None
+    assert not await small_fleet.place()
+    small_fleet.vms.poll, small_fleet.vms.boot = poll, 2
+    await link.poll()
+    assert await small_fleet.place()
