Begin the term long ago in the tests of rated placement

test_lost_answers_of_one_vm_are_counted places steps with a spread limit in the moment in which its leader takes over. It is about a leader that has led for some time; its checks are unchanged.

--- a/tests/dispatch/test_rated_placement.py
+++ b/tests/dispatch/test_rated_placement.py
@@ -58,6 +58,7 @@
 
 @pytest.fixture
 async def rated_fleet(leadership):
+    leadership.begin_long_ago()
     result = RatedFleet(leadership)
     await result.set_up()
     for link in result.links.values():
