Give a VM no task while it may have restarted

Callers could see a run on a VM without the label that its step needs, in another pool or beside another task of its step (ROUTE): for up to 1.3 s after the last answer of a boot the leader went on to place by its labels and its runs, although a later boot had announced itself, or connections to the VM were being broken. An order names no boot, so the next one carries these starts out.

The announcement of a later boot is still refused while the boot in the record answers, since another writer may have sent it. But from then on the VM gets no task until it has answered a poll that was sent afterwards, and neither does a VM whose connections were refused or broken since its last answer. Polls follow each other within half a second, and a broken one is repeated at once, so that a sound VM loses little. Ruled out: to take the announcement as the end of the boot, which would start tasks again that still run.

--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -69,6 +69,8 @@
         link = dispatcher.links.get(vm_id)
         if link is None or not link.in_contact(now) or now < link.orders.paused_until:
             continue
+        if link.may_have_restarted():
+            continue
         if not record.is_announced or not is_open(dispatcher, record):
             continue
         if link.orders.may_work_on_late_starts(stop_s=link.unlisted.stop_s):
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -263,7 +263,9 @@
             return
         is_later_boot = current is not None and command.boot > current.boot
         if link is not None and is_later_boot and link.in_contact(self.leadership.clock()):
-            # A VM that has restarted answers with its new boot or not at all, and announces itself again.
+            # A VM that has restarted answers with its new boot or not at all, and announces itself again. Until it
+            # answers, it gets no task.
+            link.other_boot_announced_at = self.leadership.clock()
             reason = f"boot {command.boot} is announced while boot {link.boot} answers"
             log_event(Event.INPUT_REFUSED, method="announcement", path=command.vm, reason=reason)
             return
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -99,6 +99,7 @@
         listed_runs: Runs in the last answer, by run key.
         learned_end: Number of the last end of the boot that was learned from; its commit may be late.
         failures: Number of runs that failed on the VM since the last success.
+        other_boot_announced_at: Local time of the last announcement of a later boot while this one was in contact.
         is_departing: Whether this boot of the VM may have announced its departure.
     """
 
@@ -122,6 +123,7 @@
         "listing_sent_at",
         "on_change",
         "orders",
+        "other_boot_announced_at",
         "pace",
         "poll_limiter",
         "poll_timing",
@@ -211,6 +213,7 @@
         self.listing_sent_at = float("-inf")
         self.heard_at = leadership.clock()
         self.announced_at = float("-inf")
+        self.other_boot_announced_at = float("-inf")
         self.listed_runs: dict[str, ListedRun] = {}
         self.boots = VmBoots(link=self)
         self.learned_end = 0
@@ -248,6 +251,11 @@
         listed_run = self.listed_runs.get(run.key)
         return listed_run is not None and listed_run.percent == UNTHROTTLED_PERCENT
 
+    def may_have_restarted(self) -> bool:
+        """Returns whether there is a sign that another boot, perhaps of another kind, has taken the place of this one."""
+        is_announced = self.listing_sent_at < self.other_boot_announced_at
+        return is_announced or self.orders.unreachable_since < float("inf")
+
     def may_stop_unknown_runs(self, now: float) -> bool:
         """Returns whether the VM may still be stopping a run that it has never listed to this leader.
 
--- a/tests/dispatch/test_unknown_boots.py
+++ b/tests/dispatch/test_unknown_boots.py
@@ -4,8 +4,10 @@
 
 import pytest
 
-from dispatch.conftest import FakeVms, make_link
+from dispatch.conftest import LIMITS, FakeVms, make_link
+from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
+from hyssopway.dispatch.leader_controller import LeaderController
 from hyssopway.workflow import PutDocument, Step
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -74,3 +76,27 @@
     small_fleet.vms.poll, small_fleet.vms.boot = poll, 2
     await link.poll()
     assert await small_fleet.place()
+
+
+async def test_vm_gets_no_task_once_a_later_boot_of_it_was_announced(small_fleet):
+    """Guards against starts that are meant for a boot of which the leader knows that it may be gone (ROUTE)."""
+    controller = LeaderController(
+        leadership=small_fleet.leadership, calls=small_fleet.vms, machines=None, advisor=None, limits=LIMITS
+    )
+    controller.links["vm-1"] = small_fleet.link
+    small_fleet.leadership.now += 0.1
+    await controller.handle_announcement(make_vm("vm-1", boot=2, labels=("b", "r1"), sequence=1))
+    await small_fleet.leadership.propose(make_workflow("small", steps=(Step(count=1, label="a"),)))
+    assert not await small_fleet.place()
+    small_fleet.leadership.now += 0.1
+    await small_fleet.link.poll()  # another writer announced it: the boot before still answers
+    assert await small_fleet.place()
+
+
+async def test_vm_gets_no_task_while_its_connections_break(small_fleet):
+    """Guards against starts that are meant for a boot whose connections ended, and reach another one (ROUTE)."""
+    small_fleet.link.orders.record_loss(WorkerUnreachableError("reset", is_broken=True))
+    await small_fleet.leadership.propose(make_workflow("small", steps=(Step(count=1, label="a"),)))
+    assert not await small_fleet.place()
+    await small_fleet.link.poll()
+    assert await small_fleet.place()
