Open a VM whose boot before was draining

Runs of steps with checkpoints that the next boot had kept were stopped as well.

Failing run before, in tests/dispatch/test_values_of_boots.py: TimeoutError, as the VM was still cordoned 2 s after its next boot had announced that it was ready

A cordon is kept by VM ID, and nothing ended one whose reason was the announcement of a boot. The drainer now remembers which VMs it has cordoned for no other reason, and uncordons them when the record is no longer draining; within a boot that never happens. A cordon for a move or for maintenance speaks for the machine and stays over a restart, which a second test checks (it passed before).

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -349,9 +349,7 @@
             self.acknowledging_polls.discard_expired(now=self.leadership.clock())
 
     def _drain_vms(self) -> None:
-        for vm_id, vm in self.leadership.state.tables.vms.items():
-            if vm.draining:
-                self.drainer.cordon(vm_id, reason="it is draining")
+        self.drainer.cordon_draining()
         for vm_id in self.waves.machines.list_uncertain_vms():
             self.drainer.hold(vm_id, seconds=UNCERTAIN_HOLD_S)
         if self.leadership.may_order():
--- a/src/hyssopway/dispatch/vm_drainer.py
+++ b/src/hyssopway/dispatch/vm_drainer.py
@@ -26,18 +26,29 @@
         links: Links to VMs by VM ID.
         dispatcher: Places no tasks on cordoned VMs.
         cordoned_at: Local time since which each VM has been cordoned, by VM ID.
+        draining: IDs of the VMs that are cordoned only because their boot has announced that it is draining.
         held_until: Local time until which each held VM gets no new runs, by VM ID.
     """
 
-    __slots__ = ("cordoned_at", "dispatcher", "held_until", "leadership", "links")
+    __slots__ = ("cordoned_at", "dispatcher", "draining", "held_until", "leadership", "links")
 
     def __init__(self, *, leadership: Leadership, links: dict[str, VmLink], dispatcher: Dispatcher) -> None:
         self.leadership = leadership
         self.links = links
         self.dispatcher = dispatcher
         self.cordoned_at: dict[str, float] = {}
+        self.draining: set[str] = set()
         self.held_until: dict[str, float] = {}
 
+    def cordon_draining(self) -> None:
+        """Cordons the VMs that have announced that they are draining, and uncordons those whose next boot is not."""
+        for vm_id, vm in self.leadership.state.tables.vms.items():
+            if vm.draining and vm_id not in self.cordoned_at:
+                self.cordon(vm_id, reason="it is draining")
+                self.draining.add(vm_id)
+            elif not vm.draining and vm_id in self.draining:
+                self.uncordon(vm_id)
+
     def cordon(self, vm_id: str, *, reason: str) -> None:
         """Keeps new runs off a VM and starts to drain it; `reason` is logged."""
         if vm_id not in self.cordoned_at:
@@ -48,6 +59,7 @@
     def uncordon(self, vm_id: str) -> None:
         """Allows new runs on a VM again."""
         self.cordoned_at.pop(vm_id, None)
+        self.draining.discard(vm_id)
         if vm_id not in self.held_until:
             self.dispatcher.cordoned_vms.discard(vm_id)
         self.dispatcher.changed.set()
