Measure the progress of a run anew on each boot

Callers lost work: a run that the next boot of its VM had kept was stopped a moment after that boot had begun with it, and the VM got no task for 2 s. The stall detector keeps the last percentage by run key, and the percentage of the boot before counted as one that had not changed since. The pause of a VM with a stalled run outlasted its restart, too.

Both are forgotten with the boot that they speak of.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -397,6 +397,7 @@
         self.order_states.clear()
         self.record_answer()
         self.paces.clear()
+        self.paused_until = float("-inf")
         self.unanswered_starts.clear()
 
     def discard_run(self, key: str) -> OrderState | None:
--- a/src/hyssopway/dispatch/stall_detector.py
+++ b/src/hyssopway/dispatch/stall_detector.py
@@ -35,6 +35,10 @@
     def __init__(self) -> None:
         self.last_progress: dict[str, tuple[int, float]] = {}
 
+    def clear(self) -> None:
+        """Forgets the runs of a boot that has ended; the next one may list the same runs again from their beginning."""
+        self.last_progress.clear()
+
     def update(self, progress: Iterable[tuple[str, int]], *, now: float) -> None:
         """Records the percentage done of each listed run and drops runs that are no longer listed."""
         updated: dict[str, tuple[int, float]] = {}
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -544,6 +544,7 @@
         self.ratings.reset(self.vm_id)
         self.orders.discard_boot()
         self.stopping.clear()
+        self.stall_detector.clear()
         self.lease.replace_boot(expires_at=self.orders.next_boot.find_latest_expiry())
         self.orders.next_boot.clear()
         self._withhold_next_boot()
--- a/tests/dispatch/test_values_of_boots.py
+++ b/tests/dispatch/test_values_of_boots.py
@@ -7,9 +7,12 @@
 import pytest
 
 from dispatch.conftest import LIMITS, make_link
+from dispatch.model_fleet import ModelFleet
 from hyssopway.dispatch.leader_controller import LeaderController
-from workflow.conftest import make_vm
+from hyssopway.workflow import PutDocument, Step
+from workflow.conftest import make_document, make_vm, make_workflow
 
+TASK = "w.0.0.0"
 MAX_WAIT_S = 2.0
 
 
@@ -24,6 +27,17 @@
     await leading
 
 
+@pytest.fixture
+async def model_fleet(leadership):
+    leadership.begin_long_ago()
+    await leadership.propose(PutDocument(document=make_document(max_attempts=9)))
+    result = ModelFleet(leadership)
+    await result.join("vm-1")
+    await result.poll()
+    await leadership.propose(make_workflow("w", steps=(Step(count=1, cpu_millis=200, estimate_ms=600),)))
+    return result
+
+
 async def wait_for(condition):
     async with asyncio.timeout(MAX_WAIT_S):
         while True:
@@ -49,3 +63,32 @@
     await fleet.propose(make_vm("vm-1", boot=2, sequence=1))
     await asyncio.sleep(0.3)
     assert controller.dispatcher.cordoned_vms == {"vm-1"}
+
+
+async def test_run_that_the_next_boot_keeps_is_not_stalled_by_the_progress_of_the_boot_before(model_fleet):
+    """Guards against stopping a run that has just begun on the next boot, since it shows what it showed before."""
+    await model_fleet.run_round(fault="delay_first")
+    worker, link = model_fleet.workers["vm-1"], model_fleet.links["vm-1"]
+    for _ in range(3):
+        await model_fleet.poll()
+        model_fleet.advance(0.3)
+    worker.restart()
+    model_fleet.network.deliver_delayed()
+    for _ in range(2):
+        await model_fleet.poll()
+        model_fleet.advance(0.3)
+    await model_fleet.poll()
+    assert (worker.working(), link.orders.is_stop_requested(f"{TASK}/1")) == ({TASK: 1}, False)
+
+
+async def test_stalled_run_does_not_close_the_next_boot(model_fleet):
+    """Guards against a VM that gets no task because a run of its boot before made no progress."""
+    await model_fleet.run_round()
+    link = model_fleet.links["vm-1"]
+    while link.orders.paused_until < model_fleet.leadership.now:
+        await model_fleet.poll()
+        model_fleet.advance(0.3)
+    model_fleet.workers["vm-1"].restart()
+    for _ in range(2):
+        await model_fleet.poll()
+    assert link.orders.paused_until < model_fleet.leadership.now
