Count the failures of a boot against that boot only

A VM whose runs had failed in a row was avoided after it had restarted under its ID, perhaps as another kind, until a run on it was done: its tasks went to other VMs though it had room (worth). The number of failures was kept by the link and outlasted the boot, while the rating of the VM is reset with it.

Failing run before, in tests/dispatch/test_values_of_boots.py: assert 1 == 0, where 1 = failures of the link after the restart

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -98,7 +98,7 @@
         stall_detector: Detects runs that make no progress.
         listed_runs: Runs in the last answer, by run key.
         learned_end: Number of the last end of the boot that was learned from; its commit may be late.
-        failures: Number of runs that failed on the VM since the last success.
+        failures: Number of runs that failed on this boot of the VM since the last success.
         other_boot_announced_at: Local time of the last announcement of a later boot while this one was in contact.
         is_departing: Whether this boot of the VM may have announced its departure.
     """
@@ -545,6 +545,7 @@
         self.orders.discard_boot()
         self.stopping.clear()
         self.stall_detector.clear()
+        self.failures = 0
         self.lease.replace_boot(expires_at=self.orders.next_boot.find_latest_expiry())
         self.orders.next_boot.clear()
         self._withhold_next_boot()
--- a/tests/dispatch/test_values_of_boots.py
+++ b/tests/dispatch/test_values_of_boots.py
@@ -9,7 +9,7 @@
 from dispatch.conftest import LIMITS, make_link
 from dispatch.model_fleet import ModelFleet
 from hyssopway.dispatch.leader_controller import LeaderController
-from hyssopway.workflow import PutDocument, Step
+from hyssopway.workflow import PutDocument, RunOutcome, Step
 from workflow.conftest import make_document, make_vm, make_workflow
 
 TASK = "w.0.0.0"
@@ -92,3 +92,16 @@
     for _ in range(2):
         await model_fleet.poll()
     assert link.orders.paused_until < model_fleet.leadership.now
+
+
+async def test_failures_of_a_boot_do_not_count_against_the_next_one(model_fleet):
+    """Guards against a VM that is avoided because of runs that failed before it restarted."""
+    await model_fleet.run_round()
+    model_fleet.workers["vm-1"].finish(TASK, RunOutcome.FAILED)
+    await model_fleet.poll()
+    link = model_fleet.links["vm-1"]
+    assert link.failures == 1
+    model_fleet.workers["vm-1"].restart()
+    for _ in range(2):
+        await model_fleet.poll()
+    assert link.failures == 0
