Order the pace of a run anew on each boot

A latency-bound task could stay over its target beside best-effort tasks at full pace (HARM): an order for their pace was unanswered as the VM restarted, its repetition went to the next boot, which refused it or did not have the runs yet, and that answer counted as the confirmed pace of runs which this boot began with later, at full pace. The pace was never ordered again.

Failing run before, in tests/dispatch/test_pace_control.py: assert {} == {'mixed.0.1.0': 50, 'mixed.0.1.1': 50}

An order for a pace now ends with the boot that it was meant for, and its answer counts for no other one.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -385,12 +385,12 @@
 
     def request_pace(self, *, task: str, run: int, percent: int) -> None:
         """Sends a change of pace unless one is in flight."""
-        key = f"{task}/{run}"
-        if key in self.pace_requests or not self.leadership.may_order():
+        key, record = f"{task}/{run}", self.record
+        if record is None or key in self.pace_requests or not self.leadership.may_order():
             return
         self.pace_requests.add(key)
         log_event(Event.PACE_ORDERED, run=key, vm=self.vm_id, percent=percent)
-        self._send_in_background(self._send_pace(task=task, run=run, percent=percent))
+        self._send_in_background(self._send_pace(task=task, run=run, percent=percent, boot=record.boot))
 
     def discard_boot(self) -> None:
         """Discards the state of all runs of a boot that has ended."""
@@ -419,12 +419,12 @@
         self.sending.add(sending)
         sending.add_done_callback(self.sending.discard)
 
-    async def _send_pace(self, *, task: str, run: int, percent: int) -> None:
+    async def _send_pace(self, *, task: str, run: int, percent: int, boot: int) -> None:
         key = f"{task}/{run}"
         try:
             for timeout_s in self.rtt_estimator.choose_timeouts():
                 record = self.record
-                if record is None or not self.leadership.may_order():
+                if record is None or record.boot != boot or not self.leadership.may_order():
                     return
                 sent_at = self.leadership.clock()
                 try:
@@ -441,7 +441,8 @@
                     continue
                 self._note_other_boot("pace", key=key, reply=reply, sent_at=sent_at)
                 # A refused change is not retried: the run has ended or another leader controls it.
-                self.paces[key] = percent
+                if self.record is not None and self.record.boot == boot:
+                    self.paces[key] = percent
                 return
         finally:
             self.pace_requests.discard(key)
--- a/tests/dispatch/test_pace_control.py
+++ b/tests/dispatch/test_pace_control.py
@@ -7,14 +7,14 @@
 import pytest
 
 from dispatch.conftest import make_link
-from hyssopway.dispatch import ListedRun, OrderReply
+from hyssopway.dispatch import ListedRun, OrderReply, WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.pace_control import OWN_LOAD_RECHECK_S, PaceControl
 from hyssopway.scheduling.interference import FIRST_PERCENT, InterferenceModel
 from hyssopway.scheduling.latency_sample import LatencySample
 from hyssopway.workflow import StartRuns, Step
 from hyssopway.workflow.commands import RunStart
-from workflow.conftest import make_workflow
+from workflow.conftest import make_vm, make_workflow
 
 TARGET_MS = 100
 # The platform's bound on the time for which interference may keep a task over its latency target.
@@ -218,3 +218,27 @@
     model.is_enabled = False
     (vm,) = dispatcher.list_free_capacity()["vans"]
     assert not vm.known_pairs
+
+
+async def restart(link):
+    """Lets the next boot of the VM follow, which keeps the runs."""
+    await link.boots.replace(make_vm("vm-1", boot=2, sequence=1), replaced_boot=1)
+
+
+async def test_pace_of_the_boot_before_is_ordered_anew_on_the_next_one(shared_vm, monkeypatch):
+    """Guards against best-effort tasks at full pace beside a latency-bound one, after a restart during an order (HARM)."""
+    fleet, paced, link = shared_vm
+    pace = paced.pace
+
+    async def lose_with_a_restart(**_):
+        monkeypatch.setattr(paced, "pace", pace)
+        await restart(link)
+        raise WorkerUnreachableError("no answer")
+
+    monkeypatch.setattr(paced, "pace", lose_with_a_restart)
+    link.pace.update(rows(70), now=fleet.now)
+    await _settle(link)
+    paced.paces.clear()  # the next boot begins with the runs only now
+    link.pace.update(rows(70), now=fleet.now)
+    await _settle(link)
+    assert paced.paces == {"mixed.0.1.0": FIRST_PERCENT, "mixed.0.1.1": FIRST_PERCENT}
