Choose the pace of best-effort tasks anew for each boot

Readings of a run that both boots had were learned from at once, though it had just begun.

Failing run before, in tests/dispatch/test_pace_control.py: assert 0 == 2 (no pace was ordered on the next boot)

The control starts anew with each boot, as it does on another VM; the estimates by pairs of images are kept by the leader and stay.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -545,6 +545,7 @@
         self.orders.discard_boot()
         self.stopping.clear()
         self.stall_detector.clear()
+        self.pace.discard_boot()
         self.failures = 0
         self.lease.replace_boot(expires_at=self.orders.next_boot.find_latest_expiry())
         self.orders.next_boot.clear()
--- a/src/hyssopway/dispatch/vm_pace.py
+++ b/src/hyssopway/dispatch/vm_pace.py
@@ -28,6 +28,7 @@
 
     Attributes:
         leadership: Term on whose behalf the pace is ordered.
+        pacing_s: Longest time in seconds until an order for a pace takes effect.
         orders: Orders to the VM.
         interference: Learns from the readings of latency-bound runs.
         control: Chooses the pace.
@@ -44,6 +45,7 @@
         "leadership",
         "learned_at",
         "orders",
+        "pacing_s",
         "run_keys",
         "unchanged_since",
     )
@@ -54,9 +56,14 @@
         self.leadership = leadership
         self.orders = orders
         self.interference = interference
-        self.control = PaceControl(interference=interference, pacing_s=pacing_s)
+        self.pacing_s = pacing_s
+        self.discard_boot()
+
+    def discard_boot(self) -> None:
+        """Starts anew for the next boot of the VM: its runs begin at full pace, and it may be of another kind."""
+        self.control = PaceControl(interference=self.interference, pacing_s=self.pacing_s)
         self.run_keys: frozenset[str] = frozenset()
-        self.unchanged_since = self.learned_at = self.counted_at = leadership.clock()
+        self.unchanged_since = self.learned_at = self.counted_at = self.leadership.clock()
 
     def update(self, listed_runs: dict[str, ListedRun], *, now: float) -> None:
         """Updates the pace from the runs that the VM lists, and orders it for best-effort runs that have another.
--- a/tests/dispatch/test_pace_control.py
+++ b/tests/dispatch/test_pace_control.py
@@ -242,3 +242,19 @@
     link.pace.update(rows(70), now=fleet.now)
     await _settle(link)
     assert paced.paces == {"mixed.0.1.0": FIRST_PERCENT, "mixed.0.1.1": FIRST_PERCENT}
+
+
+async def test_pace_of_the_next_boot_is_chosen_anew(shared_vm):
+    """Guards against best-effort tasks at full pace because a latency-bound task was loaded before its VM restarted."""
+    fleet, paced, link = shared_vm
+    for tail_ms in (70, 2 * TARGET_MS, 2 * TARGET_MS):
+        link.pace.update(rows(tail_ms), now=fleet.now)
+        await _settle(link)
+        fleet.now += 1.0
+    assert set(paced.paces.values()) == {100}, "the load of the task itself is the cause"
+    paced.paces.clear()
+    await restart(link)
+    link.pace.update(rows(70), now=fleet.now)
+    await _settle(link)
+    assert len(paced.paces) == 2
+    assert max(paced.paces.values()) < 100
