Rate no boot by orders to the one before

A VM that had restarted under its ID could be avoided, and its capacity left unused (worth), because orders to its boot before had got no answer: the rating is reset when the next boot shows, but orders that were on their way by then gave up later, and counted against it.

Failing run before, in tests/dispatch/test_values_of_boots.py: AssertionError: assert 'vm-1' not in {'vm-1': VmEvidence(...)}

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -219,7 +219,7 @@
                 except WorkerUnreachableError as error:
                     self._log_unanswered("start", key=run.key, error=error)
                     self.counters[STARTS_UNANSWERED] += 1
-                    self.ratings.record_order(self.vm_id, is_answered=False)
+                    self._rate(boot, is_answered=False)
                     is_sent = is_sent or error.is_sent
                     order_state.is_connection_broken |= error.is_broken
                     if not error.is_sent:
@@ -235,7 +235,7 @@
                 order_state.has_started_on_boot |= is_of_boot and reply.refusal is None
                 self.rtt_estimator.record_rtt(rtt_s=self.leadership.clock() - sent_at)
                 self.record_answer()
-                self.ratings.record_order(self.vm_id, is_answered=True)
+                self._rate(boot, is_answered=True)
                 return self._process_start_reply(
                     run, order_state=order_state, reply=reply, is_repeated=is_sent
                 )
@@ -248,6 +248,11 @@
         self.unanswered_starts[run.key] = _UnansweredStart(run, specification, checkpoint, needs_ticket)
         return None
 
+    def _rate(self, boot: int, *, is_answered: bool) -> None:
+        """Rates a boot of the VM by whether it answered an order, unless another one has followed it meanwhile."""
+        if self.record is not None and self.record.boot == boot:
+            self.ratings.record_order(self.vm_id, is_answered=is_answered)
+
     def _may_start(self, key: str, *, boot: int, order_state: OrderState) -> bool:
         """Returns whether the start of a run may still be sent to a boot of the VM.
 
--- a/tests/dispatch/test_values_of_boots.py
+++ b/tests/dispatch/test_values_of_boots.py
@@ -8,6 +8,7 @@
 
 from dispatch.conftest import LIMITS, make_link
 from dispatch.model_fleet import ModelFleet
+from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.leader_controller import LeaderController
 from hyssopway.workflow import PutDocument, RunOutcome, Step
 from workflow.conftest import make_document, make_vm, make_workflow
@@ -105,3 +106,16 @@
     for _ in range(2):
         await model_fleet.poll()
     assert link.failures == 0
+
+
+async def test_order_to_a_boot_that_has_ended_does_not_count_against_the_next_one(model_fleet, monkeypatch):
+    """Guards against a VM that is avoided because orders to its boot before got no answer as it restarted."""
+    link = model_fleet.links["vm-1"]
+
+    async def lose_with_a_restart(**_):
+        await link.boots.replace(make_vm("vm-1", boot=2, sequence=1), replaced_boot=1)
+        raise WorkerUnreachableError("no answer")
+
+    monkeypatch.setattr(model_fleet.network, "start", lose_with_a_restart)
+    await model_fleet.run_round()
+    assert "vm-1" not in link.ratings.vms
