Let no task of a spread step join a late start on an unnoticed boot

Callers saw two tasks of a spread step on one VM (ROUTE): a copy of a start was on its way without an answer, its run had ended on the boot that the leader knew, which would refuse the copy, and the VM restarted. Until the next boot answered, the leader placed another task of the step there, for up to 1.3 s; the next boot carried out both.

Failing run before, in tests/dispatch/test_spread_over_restarts.py: AssertionError: assert Counter({'spread.0.0': 2}) == {'spread.0.0': 1}

A run that has ended and of which a copy of the start may still be carried out counts for the spread limit of its step unless the VM has answered a poll within 0.2 s. A VM that has restarted needs longer until it answers again, and each answer leads to a round, so a task waits for the next answer at most (a second test, which passed before as well). Ruled out: to count such copies for as long as they may be carried out, which would hold up a step for 13 s after each lost answer. What remains is a start that is itself under way as its VM restarts.

--- a/src/hyssopway/dispatch/vm_late_starts.py
+++ b/src/hyssopway/dispatch/vm_late_starts.py
@@ -58,8 +58,16 @@
         record = self._record
         if record is None:
             return []
+        return [key for key, copy in self._find_ended().items() if copy.boot != record.boot]
+
+    def list_ended_for_next_boot(self) -> list[str]:
+        """Returns the keys of runs that have ended and that the next boot of the VM would start, as it knows nothing of them."""
+        return list(self._find_ended())
+
+    def _find_ended(self) -> dict[str, UnansweredCopy]:
         copies = self.store.find(self.vm_id, now=self.leadership.clock())
-        return [key for key, copy in copies.items() if copy.boot != record.boot and key not in record.runs]
+        runs = self._record.runs if self._record is not None else ()
+        return {key: copy for key, copy in copies.items() if key not in runs}
 
     def list_runs(self) -> list[ActiveRun]:
         """Returns the runs in progress in the record of the VM."""
--- a/tests/dispatch/test_spread_over_restarts.py
+++ b/tests/dispatch/test_spread_over_restarts.py
@@ -116,3 +116,27 @@
     fleet.links["vm-1"].orders.stop_late_starts()
     await asyncio.gather(*fleet.links["vm-1"].orders.sending)
     await check_that_the_next_task_waits(fleet)
+
+
+async def test_task_does_not_join_a_late_start_on_a_boot_that_nobody_has_heard_of(fleet):
+    """Guards against two tasks of a spread step on the next boot of a VM, whose restart the leader has not noticed (ROUTE)."""
+    worker = fleet.workers["vm-1"]
+    await start(fleet, TASKS[1], fault="delay_first")
+    await fleet.poll()
+    worker.finish(TASKS[1], RunOutcome.FAILED)
+    await fleet.poll()
+    fleet.advance(0.3)
+    worker.restart()
+    fleet.network.deliver_delayed()
+    await fleet.run_round()
+    assert fleet.count_by_step("vm-1") == {STEP: 1}
+
+
+async def test_task_starts_beside_an_unanswered_copy_once_the_vm_has_answered(fleet):
+    """Guards against a step that waits for 13 s because the answer to one start was lost."""
+    await start(fleet, TASKS[1], fault="delay_first")
+    await fleet.poll()
+    fleet.workers["vm-1"].finish(TASKS[1], RunOutcome.FAILED)
+    await fleet.poll()
+    await fleet.run_round()
+    assert fleet.list_committed("vm-1") == [TASKS[0]]
