Test that the next leader knows of a lease which an answered poll gave to the next boot

vm-1 restarts, the poll that notices it renews the lease to a time on the earlier clock, which gives the next boot the longest lease; a run starts there within that time, the leader changes and the VM is cut off.

--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -211,6 +211,10 @@
         *(poll_reaches_next_boot_unanswered, announce, poll),
         start,
     ),
+    "a poll reaches the next boot and is answered, the leader changes": (
+        *(restart, poll, poll, start),
+        change_leader,
+    ),
     "a late start reaches the next boot during the cut": (
         *(start_is_late, restart, announce),
         *(cut_vm,) * int(CUT_S / STEP_S),
