Let the state of the protocol models follow the clock of the present leader

The times at which a member applied starts and changes of boots are taken from the state's clock. In the models of the order protocol and of copies the state passes from one fake leader to the next, and its clock stayed with the first one, whose time stands still after a change of leader, so that later starts looked old.

--- a/tests/dispatch/test_copy_protocol.py
+++ b/tests/dispatch/test_copy_protocol.py
@@ -183,6 +183,7 @@
         self.leader.on_start = self.check_start
         self.leader.state, self.leader.now, self.leader.started_at = former.state, former.now, former.now
         self.leader.term = former.term + 1
+        self.leader.state.observed.clock = self.leader.clock
         self.lead()
 
     @rule(should_cancel=st.sampled_from([False] * 9 + [True]))
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -213,6 +213,7 @@
         self.leader = FakeLeadership()
         self.leader.state, self.leader.now, self.leader.started_at = state, now, now
         self.leader.term = term
+        state.observed.clock = self.leader.clock
         self.network.change_leader()
         self.lead()
 
