Place nothing on a VM whose answer to an order has the clock of another boot

Such an answer is now one more sign that the VM may have restarted, beside an announcement and a failed connection; it also holds acknowledgements back, as before.

test_vm_whose_answer_has_the_clock_of_another_boot_gets_no_task failed before (1 failed, 4 passed: the task was placed).

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -71,7 +71,8 @@
         paces: Pace in percent that the VM confirmed, by run key.
         pace_requests: Keys of the runs whose change of pace is in flight.
         next_boot: Lease that the next boot of the VM may hold by calls that were meant for the present one.
-        may_have_restarted: Whether a call got no answer, or one of another boot, since the present boot last answered a poll.
+        has_lost_call: Whether a call got no answer since the present boot last answered a poll.
+        has_other_boot_answered: Whether an answer had the clock of another boot since then.
         is_refused: Whether the last call that got no answer was refused a connection.
         unreachable_since: Local time at which a connection was first refused or broken since the VM last answered;
             infinite if none was.
@@ -81,12 +82,13 @@
     __slots__ = (
         "calls",
         "counters",
+        "has_lost_call",
+        "has_other_boot_answered",
         "is_refused",
         "late_starts",
         "leadership",
         "lease",
         "losses",
-        "may_have_restarted",
         "next_boot",
         "order_states",
         "pace_requests",
@@ -118,7 +120,7 @@
     ) -> None:
         self.next_boot = next_boot
         self.is_refused = False
-        self.may_have_restarted = False
+        self.has_lost_call = self.has_other_boot_answered = False
         self.losses = ContactLosses() if losses is None else losses
         self.vm_id = vm_id
         self.leadership = leadership
@@ -281,7 +283,7 @@
             sent_at: Local time at which the poll was sent.
         """
         self.record_answer()
-        self.may_have_restarted = False
+        self.has_lost_call = self.has_other_boot_answered = False
         self.next_boot.record_listing(sent_at=sent_at)
 
     def record_loss(self, error: WorkerUnreachableError, *, leased_call: int | None = None) -> None:
@@ -292,7 +294,7 @@
             leased_call: Number of the call if it carried a lease.
         """
         self.is_refused = error.is_refused
-        self.may_have_restarted = True
+        self.has_lost_call = True
         if leased_call is not None and error.is_sent:
             self.next_boot.record_loss()
         elif leased_call is not None:
@@ -480,7 +482,7 @@
         least_ms = self.lease.find_least_clock_ms(at=sent_at)
         if reply.clock_ms is None or least_ms is None or reply.clock_ms >= least_ms:
             return
-        self.may_have_restarted = True
+        self.has_other_boot_answered = True
         log_event(
             Event.OTHER_BOOT_ANSWERED,
             vm=self.vm_id,
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -254,7 +254,8 @@
     def may_have_restarted(self) -> bool:
         """Returns whether there is a sign that another boot, perhaps of another kind, has taken the place of this one."""
         is_announced = self.listing_sent_at < self.other_boot_announced_at
-        return is_announced or self.orders.unreachable_since < float("inf")
+        has_connection_failed = self.orders.unreachable_since < float("inf")
+        return is_announced or has_connection_failed or self.orders.has_other_boot_answered
 
     def may_stop_unknown_runs(self, now: float) -> bool:
         """Returns whether the VM may still be stopping a run that it has never listed to this leader.
@@ -402,7 +403,7 @@
         return self.acknowledgement.choose(
             last_end=record.last_end,
             answer_age_s=now - answered_at if self.has_acked_term else float("inf"),
-            may_have_restarted=self.orders.may_have_restarted,
+            may_have_restarted=self.may_have_restarted() or self.orders.has_lost_call,
         )
 
     def _may_renew_lease(self) -> bool:
--- a/tests/dispatch/test_unknown_boots.py
+++ b/tests/dispatch/test_unknown_boots.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from dispatch.conftest import LIMITS, FakeVms, make_link
-from hyssopway.dispatch import WorkerUnreachableError
+from hyssopway.dispatch import OrderReply, WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.leader_controller import LeaderController
 from hyssopway.workflow import PutDocument, Step
@@ -100,3 +102,19 @@
     assert not await small_fleet.place()
     await small_fleet.link.poll()
     assert await small_fleet.place()
+
+
+async def test_vm_whose_answer_has_the_clock_of_another_boot_gets_no_task(small_fleet):
+    """Guards against starts on a boot, perhaps of another kind, that has shown only in the answer to an order (ROUTE)."""
+    small_fleet.link.orders.record_listed([f"{TASK}/9"], now=small_fleet.leadership.now)
+
+    async def answer_from_next_boot(**_):
+        return OrderReply(clock_ms=5)
+
+    small_fleet.vms.stop = answer_from_next_boot
+    small_fleet.link.orders.request_stop(task=TASK, run=9, reason="test")
+    await asyncio.gather(*small_fleet.link.orders.sending)
+    await small_fleet.leadership.propose(make_workflow("small", steps=(Step(count=1, label="a"),)))
+    assert not await small_fleet.place()
+    await small_fleet.link.poll()
+    assert await small_fleet.place()
