Let the fake VMs of the skipped start's log answer after a moment

The test took 120 s, alone as well as on: its fake VM answers a poll without giving way to other tasks, so that the link polled on and on until pytest's timeout broke the loop, and the test passed by that. It now takes less than a second; what it checks is unchanged.

--- a/tests/dispatch/test_skipped_start_log.py
+++ b/tests/dispatch/test_skipped_start_log.py
@@ -22,9 +22,24 @@
     return lines
 
 
-async def test_leader_logs_a_skipped_start_with_its_rule(fleet, vms, logged):
+@pytest.fixture
+def slow_vms(vms):
+    """VMs whose answers take a moment; a link to VMs that answer at once polls them without a pause."""
+    answer = vms.poll
+
+    async def answer_later(**arguments):
+        await asyncio.sleep(0.001)
+        return await answer(**arguments)
+
+    vms.poll = answer_later
+    return vms
+
+
+async def test_leader_logs_a_skipped_start_with_its_rule(fleet, slow_vms, logged):
     """Guards against a committed start that is skipped and can't be told from one that was never decided."""
-    controller = LeaderController(leadership=fleet, calls=vms, machines=None, advisor=None, limits=LIMITS)
+    controller = LeaderController(
+        leadership=fleet, calls=slow_vms, machines=None, advisor=None, limits=LIMITS
+    )
     await fleet.propose(CancelWorkflow(workflow_id="w", at_ms=6))
     await fleet.propose(STARTS)
     assert logged == []  # this process does not lead yet
