Wait for the late copy of a start that the boot of a VM has accepted

Callers could see two runs of a task (TWICE): the first copy of a start got no answer within its timeout (40 ms at first), the second was accepted, the VM restarted without anybody noticing, its next boot carried out the first copy by a lease on the earlier clock, and the VM was cut off. A run that its boot has accepted counted as one that no other boot can have, so that it was free after the usual lease.

Failing runs before, two new orders in tests/dispatch/test_lease_over_restarts.py: AssertionError: ['w.0.0.0', 'w.0.0.0'] (2 failed)

A copy without an answer is now remembered with the run. Ruled out: the same for starts that no boot has accepted; it breaks test_lost_order_is_not_blamed_when_its_vm_falls_silent (run not free after 7.5 s).

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -219,11 +219,8 @@
                         timeout_s=timeout_s,
                     )
                 except WorkerUnreachableError as error:
-                    self._log_unanswered("start", key=run.key, error=error)
-                    self.counters[STARTS_UNANSWERED] += 1
-                    self._rate(boot, is_answered=False)
+                    self._record_unanswered_start(error, key=run.key, order_state=order_state, boot=boot)
                     is_sent = is_sent or error.is_sent
-                    order_state.is_connection_broken |= error.is_broken
                     if not error.is_sent:
                         self.late_starts.record_answered(run.key, earlier=earlier)
                     self.record_loss(error, leased_call=call)
@@ -250,6 +247,16 @@
         self.unanswered_starts[run.key] = _UnansweredStart(run, specification, checkpoint, needs_ticket)
         return None
 
+    def _record_unanswered_start(
+        self, error: WorkerUnreachableError, *, key: str, order_state: OrderState, boot: int
+    ) -> None:
+        self._log_unanswered("start", key=key, error=error)
+        self.counters[STARTS_UNANSWERED] += 1
+        self._rate(boot, is_answered=False)
+        order_state.is_connection_broken |= error.is_broken
+        if error.is_sent:
+            order_state.unanswered_at = order_state.last_sent_at
+
     def _rate(self, boot: int, *, is_answered: bool) -> None:
         """Rates a boot of the VM by whether it answered an order, unless another one has followed it meanwhile."""
         if self.record is not None and self.record.boot == boot:
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -225,6 +225,14 @@
         *(cut_vm,) * int(LEASED_CUT_S / STEP_S),
         late_calls_arrive,
     ),
+    "a late copy of a listed run reaches the next boot, nothing else is heard": (
+        *(start_with_late_copy, poll, restart),
+        late_calls_arrive,
+    ),
+    "a late copy of an answered start reaches the next boot, nothing else is heard": (
+        *(start_with_late_copy, restart),
+        late_calls_arrive,
+    ),
     "the next boot refuses a start for want of room": (
         *(next_boot_has_no_room, announce, poll),
         start,
