Keep the sign of another boot that comes while the boot before answers a poll

Callers could see a run on a VM without the label that its step needs (ROUTE), or an end that nobody had read could be acknowledged (TWICE): an answer to an order had the clock of another boot, or a call got no answer, and then the answer to a poll that had been sent before arrived, which the boot before had given. It erased the sign, as answers on different channels may overtake each other.

Failing run before, in tests/dispatch/test_unknown_boots.py: assert not True (the task was placed)

Both signs now have a time, and only a poll that was sent later erases them, as it is for announcements.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -71,8 +71,9 @@
         paces: Pace in percent that the VM confirmed, by run key.
         pace_requests: Keys of the runs whose change of pace is in flight.
         next_boot: Lease that the next boot of the VM may hold by calls that were meant for the present one.
-        has_lost_call: Whether a call got no answer since the present boot last answered a poll.
-        has_other_boot_answered: Whether an answer had the clock of another boot since then.
+        call_lost_at: Local time at which a call last got no answer; negative infinity if the present boot has answered a poll
+            that was sent later.
+        other_boot_answered_at: The same for an answer that had the clock of another boot.
         is_refused: Whether the last call that got no answer was refused a connection.
         unreachable_since: Local time at which a connection was first refused or broken since the VM last answered;
             infinite if none was.
@@ -80,10 +81,9 @@
     """
 
     __slots__ = (
+        "call_lost_at",
         "calls",
         "counters",
-        "has_lost_call",
-        "has_other_boot_answered",
         "is_refused",
         "late_starts",
         "leadership",
@@ -91,6 +91,7 @@
         "losses",
         "next_boot",
         "order_states",
+        "other_boot_answered_at",
         "pace_requests",
         "paces",
         "paused_until",
@@ -120,7 +121,7 @@
     ) -> None:
         self.next_boot = next_boot
         self.is_refused = False
-        self.has_lost_call = self.has_other_boot_answered = False
+        self.call_lost_at = self.other_boot_answered_at = float("-inf")
         self.losses = ContactLosses() if losses is None else losses
         self.vm_id = vm_id
         self.leadership = leadership
@@ -278,6 +279,16 @@
             and not order_state.is_start_resolved
         )
 
+    @property
+    def has_lost_call(self) -> bool:
+        """Whether a call got no answer since the last poll that the present boot answered was sent."""
+        return self.call_lost_at > float("-inf")
+
+    @property
+    def has_other_boot_answered(self) -> bool:
+        """Whether an answer had the clock of another boot since then."""
+        return self.other_boot_answered_at > float("-inf")
+
     def record_answer(self) -> None:
         """Records that the VM answered a call."""
         self.unreachable_since = float("inf")
@@ -290,7 +301,10 @@
             sent_at: Local time at which the poll was sent.
         """
         self.record_answer()
-        self.has_lost_call = self.has_other_boot_answered = False
+        if self.call_lost_at <= sent_at:
+            self.call_lost_at = float("-inf")
+        if self.other_boot_answered_at <= sent_at:
+            self.other_boot_answered_at = float("-inf")
         self.next_boot.record_listing(sent_at=sent_at)
 
     def record_loss(self, error: WorkerUnreachableError, *, leased_call: int | None = None) -> None:
@@ -301,7 +315,7 @@
             leased_call: Number of the call if it carried a lease.
         """
         self.is_refused = error.is_refused
-        self.has_lost_call = True
+        self.call_lost_at = self.leadership.clock()
         if leased_call is not None and error.is_sent:
             self.next_boot.record_loss()
         elif leased_call is not None:
@@ -489,7 +503,7 @@
         least_ms = self.lease.find_least_clock_ms(at=sent_at)
         if reply.clock_ms is None or least_ms is None or reply.clock_ms >= least_ms:
             return
-        self.has_other_boot_answered = True
+        self.other_boot_answered_at = self.leadership.clock()
         log_event(
             Event.OTHER_BOOT_ANSWERED,
             vm=self.vm_id,
--- a/tests/dispatch/test_unknown_boots.py
+++ b/tests/dispatch/test_unknown_boots.py
@@ -118,3 +118,26 @@
     assert not await small_fleet.place()
     await small_fleet.link.poll()
     assert await small_fleet.place()
+
+
+async def test_late_answer_of_the_boot_before_does_not_hide_that_another_one_has_answered(small_fleet):
+    """Guards against starts on an unknown boot (ROUTE) after an answer to a poll that the boot before it gave."""
+    link, poll = small_fleet.link, small_fleet.vms.poll
+
+    async def answer_from_next_boot(**_):
+        return OrderReply(clock_ms=5)
+
+    async def answer_after_stop(**arguments):
+        reply = await poll(**arguments)
+        small_fleet.leadership.now += 0.1
+        link.orders.request_stop(task=TASK, run=9, reason="test")
+        await asyncio.gather(*link.orders.sending)
+        return reply
+
+    small_fleet.vms.stop, small_fleet.vms.poll = answer_from_next_boot, answer_after_stop
+    await link.poll()
+    await small_fleet.leadership.propose(make_workflow("small", steps=(Step(count=1, label="a"),)))
+    assert not await small_fleet.place()
+    small_fleet.vms.poll = poll
+    await link.poll()
+    assert await small_fleet.place()
