End runs of a VM that refuses connections after the lease of its own boot

While a VM refuses connections nothing runs there. A run that its last boot has certainly started, and of whose start no copy can be on its way, is now free after the lease that this boot was granted, as on a VM that never restarted. A VM that is merely silent is waited for as before, and so is a run that a late copy may start anew (a second test, which fails without that condition).

--- a/src/hyssopway/dispatch/lease.py
+++ b/src/hyssopway/dispatch/lease.py
@@ -19,15 +19,16 @@
     Attributes:
         length_s: Length of a lease in seconds.
         expires_at: Local time after which no run of the VM holds a lease.
+        granted_until: The same if only what was granted to the present boot counts, and no call for an earlier one.
         clock_ms: Last reading of the VM's clock; None before the first.
         read_at: Local time at which that reading arrived.
     """
 
-    __slots__ = ("clock_ms", "expires_at", "length_s", "read_at")
+    __slots__ = ("clock_ms", "expires_at", "granted_until", "length_s", "read_at")
 
     def __init__(self, *, length_s: float, expires_at: float) -> None:
         self.length_s = length_s
-        self.expires_at = expires_at
+        self.expires_at = self.granted_until = expires_at
         self.clock_ms: int | None = None
         self.read_at = 0.0
 
@@ -39,6 +40,7 @@
     def replace_boot(self, *, expires_at: float) -> None:
         """Discards the clock of a boot that has ended; the one that follows may hold leases up to a local time."""
         self.clock_ms = None
+        self.granted_until = float("-inf")
         self.expires_at = max(self.expires_at, expires_at)
 
     def is_of_boot(self, clock_ms: int | None, *, sent_at: float) -> bool:
@@ -62,7 +64,9 @@
 
     def extend(self, *, granted_at: float, length_s: float) -> None:
         """Records that the VM may have granted a lease of the given length, or a shorter one."""
-        self.expires_at = max(self.expires_at, lease_expiry(granted_at=granted_at, length_s=length_s))
+        granted_until = lease_expiry(granted_at=granted_at, length_s=length_s)
+        self.granted_until = max(self.granted_until, granted_until)
+        self.expires_at = max(self.expires_at, granted_until)
 
     def renew(self, *, now: float) -> int | None:
         """Grants a lease and returns its end on the VM's clock in ms; returns None while that clock is unknown."""
--- a/src/hyssopway/dispatch/run_expiry.py
+++ b/src/hyssopway/dispatch/run_expiry.py
@@ -68,6 +68,8 @@
     run = _find_run(link, key)
     if order_state is not None and order_state.is_sending:
         return float("inf")
+    if _has_ended_with_boot(link, key=key, order_state=order_state):
+        return link.lease.granted_until
     expires_at = max(link.lease.expires_at, _find_late_copy_expiry(link, order_state))
     if not _may_be_on_next_boot(link, order_state):
         return expires_at
@@ -103,6 +105,16 @@
     return lease_expiry(granted_at=carried_out_at, length_s=link.orders.next_boot.longest_s)
 
 
+def _has_ended_with_boot(link: VmLink, *, key: str, order_state: OrderState | None) -> bool:
+    """Returns whether a VM refuses connections, and no boot but the one that has ended can have started a run."""
+    return (
+        link.orders.is_refused
+        and order_state is not None
+        and order_state.has_started_on_boot
+        and key not in link.orders.late_starts.list_possible()
+    )
+
+
 def _may_be_on_next_boot(link: VmLink, order_state: OrderState | None) -> bool:
     """Returns whether a boot that has not been heard of may have started a run when its start arrived."""
     if link.orders.is_refused:
--- a/tests/dispatch/model_worker.py
+++ b/tests/dispatch/model_worker.py
@@ -162,7 +162,7 @@
         fault: What happens to the next orders: `deliver` (no fault), `lose` (not carried out), `mute` (carried out but
             not answered), `delay` (carried out later), `delay_first` (the next order is carried out later, those
             after it are delivered), `restart` (the VM restarts before the next order arrives, those after it are
-            delivered) or `restart_mute` (the same, and none is answered).
+            delivered), `restart_mute` (the same, and none is answered) or `refuse` (the VM is down).
         stop_fault: What happens to stops instead, if it differs.
         delayed: Orders that are carried out later, also by a later boot than the one that they were sent to.
         list_runs: Returns the keys of the runs in progress, as far as the leader knows; None if late starts of ended
@@ -257,6 +257,8 @@
             self.delayed.append(
                 LateOrder(worker=worker, boot=worker.boot, order=order, text=text, starts=starts)
             )
+        if fault == "refuse":
+            raise WorkerUnreachableError(fault, is_sent=False, is_refused=True)
         if fault in ("restart", "restart_mute"):
             worker.restart()
             self.fault, fault = ("deliver", "deliver") if fault == "restart" else ("mute", "mute")
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -310,6 +310,32 @@
     assert model.leader.now <= lease_expiry(granted_at=granted_at, length_s=RUN_LEASE_S) + 2 * FINE_STEP_S
 
 
+def test_run_on_the_next_boot_of_a_vm_that_then_ends_is_free_after_the_usual_lease(model):
+    """Guards against tasks that wait for 23 s after their VM has restarted and, soon after, ended for good (LOST)."""
+    play(model, (start, poll, poll_reaches_next_boot_unanswered, announce, poll, start, poll))
+    crashed_at = model.leader.now
+    model.workers["vm-1"].restart()  # what it ran has ended
+    while model.run_of_task == ("vm-1", 2):
+        assert model.leader.now - crashed_at <= CUT_S, "the run was never given up"
+        model.advance(FINE_STEP_S)
+        model.poll(("vm-1",), "refuse")
+        model.poll(("vm-2",), "deliver")
+        model.run_round("deliver", "vm-2")
+        model.check()
+    assert model.run_of_task == ("vm-2", 3)
+    ended_at = lease_expiry(granted_at=crashed_at, length_s=RUN_LEASE_S)
+    assert model.leader.now <= ended_at + 2 * FINE_STEP_S
+
+
+def test_run_of_a_vm_that_ended_while_a_copy_of_its_start_is_late_is_not_free_sooner(model):
+    """Guards against a second run beside one that the next boot starts from a late copy after the VM refused a poll (TWICE)."""
+    play(model, (poll_is_late, restart, announce, poll, start_with_late_copy, poll, restart))
+    model.poll(("vm-1",), "refuse")
+    model.advance(RUN_LEASE_S + STEP_S)
+    model.poll(("vm-1",), "refuse")
+    assert model.run_of_task == ("vm-1", 1)
+
+
 def record_renewals(model, monkeypatch):
     """Returns the list of the times at which polls of the first VM carry a lease from now on."""
     renewals = []
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -188,10 +188,20 @@
     @rule(name=st.sampled_from(VMS), seconds=CUT_S)
     def cut_off(self, name, seconds):
         """Loses all calls to a VM for some seconds, while the other VM gets the waiting tasks."""
+        self.serve_other(name, "lose", seconds=seconds)
+
+    @rule(name=st.sampled_from(VMS), seconds=CUT_S)
+    def take_down(self, name, seconds):
+        """Ends a VM, which refuses connections for some seconds and then starts again under its ID."""
+        self.workers[name].restart()
+        self.serve_other(name, "refuse", seconds=seconds)
+
+    def serve_other(self, name, fault, *, seconds):
+        """Polls both VMs for some seconds, one of them with a fault, while the other one gets the waiting tasks."""
         (other,) = (vm for vm in VMS if vm != name)
         for _ in range(int(seconds / CUT_STEP_S)):
             self.advance(CUT_STEP_S)
-            self.poll((name,), "lose")
+            self.poll((name,), fault)
             self.poll((other,), "deliver")
             self.run_round("deliver", other)
             self.check()
