Stop repeating a start after the time that the next leader counts on

Callers could see two runs of a long-running task (TWICE): its VM left the start unanswered and then all polls for some seconds, so that the leader repeated the start until 13 s after its commit. The last copy reached the next boot of the VM, the leader changed and the VM was cut off. The next leader takes a start to be sent for 8 s at most (MAX_REPEATED_SENDING_S).

Failing run before, in tests/dispatch/test_lease_over_restarts.py (with 7.5 s of silence; 0 and 3 s passed): AssertionError: ['w.0.0.0', 'w.0.0.0']

The time to repeat began with the first list without the run, which may be late. It begins with the first order now. A run that is not accepted by then is stopped and its task starts elsewhere, as before.

--- a/src/hyssopway/dispatch/run_expiry.py
+++ b/src/hyssopway/dispatch/run_expiry.py
@@ -23,7 +23,7 @@
 
 # A leader sends a start, and leases to a VM that does not answer, for at most this long after the start is committed.
 MAX_SENDING_S = 3.0
-# The same if it repeats the start, as it does for long-running tasks.
+# The same if it repeats the start, as it does for long-running tasks: `MAX_REPEAT_S`, then one poll and one round of orders.
 MAX_REPEATED_SENDING_S = 8.0
 
 
--- a/src/hyssopway/dispatch/unlisted_runs.py
+++ b/src/hyssopway/dispatch/unlisted_runs.py
@@ -17,8 +17,9 @@
     from .leadership import Leadership
     from .run_orders import RunOrders
 
-# A VM that answers polls and leaves the starts of a long-running task unanswered for longer is told to stop the run, so
-# that the task can start elsewhere. One round of repeats takes about a second, so this allows four or five.
+# A VM that leaves the starts of a long-running task unanswered for longer is told to stop the run, so that the task can
+# start elsewhere. One round of repeats takes about a second, so this allows four or five. The next leader relies on it, see
+# `MAX_REPEATED_SENDING_S`.
 MAX_REPEAT_S = 5.0
 
 
@@ -110,7 +111,7 @@
             return False
         if not self._accepts_starts() or self._is_over_capacity():
             return False  # the VM was closed to new runs, or has shrunk, since the run was placed
-        if sent_at - order_state.unlisted_since > MAX_REPEAT_S:
+        if sent_at - order_state.ordered_at > MAX_REPEAT_S:
             return False
         return self.orders.repeat_start(run.key)
 
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -26,6 +26,7 @@
 # A run that a boot has listed for longer than the longest lease can't have been started by a later one.
 LISTED_S = LIMITS.longest_lease_s + 2.0
 FINE_STEP_S = 0.1
+REPEATED_S = 4.5
 
 
 class LongUptime(OrderProtocol):
@@ -55,6 +56,19 @@
     steps = OrderProtocol.steps
 
 
+class LongRunning(LongUptime):
+    """A workflow of one long-running task, whose start is repeated."""
+
+    steps = (Step(count=1, long_running=True),)
+
+
+@pytest.fixture
+def long_running():
+    built = LongRunning()
+    yield built
+    built.teardown()
+
+
 @pytest.fixture
 def model():
     built = LongUptime()
@@ -336,6 +350,40 @@
     assert model.run_of_task == ("vm-1", 1)
 
 
+def repeat_start(model, fault):
+    """The first VM answers a poll; the starts that are repeated after it meet a fault."""
+    deliver = model.network.start
+
+    async def start_with_fault(**arguments):
+        nonlocal fault
+        model.network.fault = fault
+        try:
+            return await deliver(**arguments)
+        finally:
+            fault, model.network.fault = model.network.fault, "deliver"
+
+    model.network.start = start_with_fault
+    model.advance(STEP_S)
+    model.poll(("vm-1",), "deliver")
+    model.network.start = deliver
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 3.0, 7.5])
+def test_start_that_is_repeated_for_long_reaches_no_boot_that_the_next_leader_does_not_wait_for(
+    long_running, silent_s
+):
+    """Guards against a second run of a long-running task beside a start that was repeated for 13 s (TWICE)."""
+    model = long_running
+    model.run_round("lose", "vm-1")
+    for _ in range(int(silent_s / STEP_S)):
+        model.advance(STEP_S)
+        model.poll(("vm-1",), "lose")
+    for _ in range(int(REPEATED_S / STEP_S)):
+        repeat_start(model, "lose")
+    repeat_start(model, "restart_mute")
+    play(model, (change_leader, *CUT))
+
+
 def record_renewals(model, monkeypatch):
     """Returns the list of the times at which polls of the first VM carry a lease from now on."""
     renewals = []
