Keep the runs of an announced boot when another VM answers at the address before

Callers could see two runs of a task (TWICE): a VM restarted under its ID at another address, its next boot carried out a start and announced itself while a poll for the boot before was on its way, and another VM at the earlier address answered that poll with 421. The leader ended the runs of the boot in the record, which was the announced one by then, as lost and started their tasks again.

Failing run before, in tests/dispatch/test_restarted_vms.py: AssertionError: assert [] == [('w.0.0.0/1', 2)]

The answer now counts only while the boot that was polled is in the record, as other answers to polls do.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -294,7 +294,10 @@
             await self._poll(record)
         except OtherBootError as error:
             self.poll_timing.record_answer()
-            await self.boots.end(reason=str(error))
+            if self._is_in_record(
+                record.boot
+            ):  # else another boot was announced meanwhile, perhaps at another address
+                await self.boots.end(reason=str(error))
             return False
         except WorkerUnreachableError as error:
             self.poll_timing.record_loss(now=self.leadership.clock())
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -10,7 +10,7 @@
 import pytest
 
 from dispatch.conftest import LIMITS, FakeLeadership, make_link
-from hyssopway.dispatch import OrderReply, WorkerUnreachableError
+from hyssopway.dispatch import OrderReply, OtherBootError, WorkerUnreachableError
 from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.leader_controller import LeaderController
 from hyssopway.dispatch.lease import lease_expiry
@@ -340,6 +340,19 @@
     assert link.record.boot == 3
 
 
+async def test_vm_that_has_left_its_address_does_not_lose_the_runs_of_its_announced_boot(link, vms):
+    """Guards against a second run of a task that the next boot works on, as another VM answers at the earlier address (TWICE)."""
+    await start_on_next_boot(link, vms, is_answered=False)
+
+    async def answer_as_other_vm(**_):
+        await link.boots.replace(make_vm("vm-1", boot=2, sequence=1), replaced_boot=1)
+        raise OtherBootError("421")
+
+    vms.poll = answer_as_other_vm
+    await link.poll()
+    assert list_active_runs(link) == [(KEY, 2)]
+
+
 async def test_announcement_of_a_vm_without_a_boot_number_ends_no_run(link, vms, fleet):
     """Guards against losing the runs of a VM that does not report its start, whenever it announces a change."""
     await fleet.propose(make_vm("vm-3", boot=0))
