Do not wait for the lease in a poll that another VM has refused

Callers could see the tasks of a silent VM wait for up to 23 s (LOST): another VM had answered at the earlier address of the VM with 421, so the poll was not carried out, but it counted for 13 s as one that the next boot may carry out. An acknowledging poll kept the next boot from getting tasks in the same way.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -373,8 +373,7 @@
             now=sent_at, has_acked_term=self.has_acked_term, acknowledges=bool(last_end)
         )
         lease_until_ms = self.lease.renew(now=sent_at) if self._may_renew_lease() else None
-        next_boot = self.orders.next_boot
-        leased_call = next_boot.record_sent() if lease_until_ms is not None else None
+        leased_call = self.orders.next_boot.record_sent() if lease_until_ms is not None else None
         acknowledgement = self.acknowledgement.record_sent(now=sent_at) if last_end else None
         try:
             reply = await self.calls.poll(
@@ -390,12 +389,18 @@
             if acknowledgement is not None and not error.is_sent:
                 self.acknowledgement.record_settled(acknowledgement, last_end=0)
             raise
+        except OtherBootError:
+            self._settle_poll(leased_call, acknowledgement, last_end=0)  # it was not carried out
+            raise
+        is_same_boot = reply.boot == record.boot
+        self._settle_poll(leased_call, acknowledgement, last_end=last_end if is_same_boot else 0)
+        return reply, lease_until_ms
+
+    def _settle_poll(self, leased_call: int | None, acknowledgement: int | None, *, last_end: int) -> None:
         if leased_call is not None:
-            next_boot.record_settled(leased_call)
+            self.orders.next_boot.record_settled(leased_call)
         if acknowledgement is not None:
-            is_same_boot = reply.boot == record.boot
-            self.acknowledgement.record_settled(acknowledgement, last_end=last_end if is_same_boot else 0)
-        return reply, lease_until_ms
+            self.acknowledgement.record_settled(acknowledgement, last_end=last_end)
 
     def _is_in_record(self, boot: int) -> bool:
         return self.record is not None and self.record.boot == boot
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -13,7 +13,7 @@
 from hyssopway.dispatch import OrderReply, OtherBootError, WorkerUnreachableError
 from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.leader_controller import LeaderController
-from hyssopway.dispatch.lease import lease_expiry
+from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns, WorkflowStatus
 from workflow.conftest import make_vm
@@ -353,6 +353,23 @@
     assert list_active_runs(link) == [(KEY, 2)]
 
 
+async def test_lease_that_another_vm_has_refused_is_not_waited_for(link, vms):
+    """Guards against runs that wait 23 s for the lease in a poll that was answered with 421 and not carried out (LOST)."""
+    link.leadership.begin_long_ago()
+    poll = vms.poll
+
+    async def answer_as_other_vm(**_):
+        raise OtherBootError("421")
+
+    vms.poll = answer_as_other_vm
+    await link.poll()
+    await link.boots.replace(make_vm("vm-1", boot=2, sequence=1), replaced_boot=1)
+    vms.poll, vms.boot = poll, 2
+    await link.poll()
+    now = link.leadership.clock()
+    assert link.lease.expires_at <= lease_expiry(granted_at=now, length_s=RUN_LEASE_S)
+
+
 async def test_announcement_of_a_vm_without_a_boot_number_ends_no_run(link, vms, fleet):
     """Guards against losing the runs of a VM that does not report its start, whenever it announces a change."""
     await fleet.propose(make_vm("vm-3", boot=0))
