Keep runs off a restarted VM whose machine a former leader may have ordered

Callers could lose runs, long-running ones beyond their allowance among them (AVAIL): an order of a former leader for the machine of a VM was still on its way, the VM crashed and came back under its ID, and the new leader took it for the VM that the order had led to, since its boot was later than the order. It placed tasks there, and the order ended them.

Failing run before, in tests/dispatch/test_machine_inventory.py: AssertionError: assert [] == ['vm-m1']

A move or a maintenance leads to a new VM with another ID. The older test stood for the result of an order with a restart under the same ID; it now has a VM that joins under another ID, and checks besides that the machine is still under the former lease by then.

--- a/src/hyssopway/dispatch/machine_inventory.py
+++ b/src/hyssopway/dispatch/machine_inventory.py
@@ -123,16 +123,18 @@
     def list_uncertain_vms(self) -> list[str]:
         """Returns the IDs of VMs for whose machine an order of a former leader may still take effect.
 
-        A VM that has started since the order is the one that the order led to.
+        A VM that has joined since the order is the one that the order led to, which has another ID than the one before. A
+        VM that has restarted under its ID is not.
         """
-        tables = self.leadership.state.tables
+        tables, observed = self.leadership.state.tables, self.leadership.state.observed
         uncertain = []
         for machine_id in self.orderable_at:
             machine = self.machines.get(machine_id)
             record = tables.vms.get(machine.vm_id) if machine is not None else None
             if record is None or self.may_order(machine_id):
                 continue
-            if record.boot <= tables.machine_orders.get(machine_id, 0):
+            has_restarted = observed.find_boot_change(record.vm_id) > float("-inf")
+            if has_restarted or record.boot <= tables.machine_orders.get(machine_id, 0):
                 uncertain.append(record.vm_id)
         return uncertain
 
--- a/tests/dispatch/test_machine_inventory.py
+++ b/tests/dispatch/test_machine_inventory.py
@@ -17,10 +17,11 @@
 
     def __init__(self):
         self.states = {"m1": MachineState.UP, "m2": MachineState.UP}
+        self.vm_ids = {"m1": "vm-m1", "m2": "vm-m2"}
 
     async def list_machines(self):
         return [
-            Machine(machine_id=name, pool="vans", state=state, zone="nashua", vm_id=f"vm-{name}")
+            Machine(machine_id=name, pool="vans", state=state, zone="nashua", vm_id=self.vm_ids[name])
             for name, state in self.states.items()
         ]
 
@@ -98,7 +99,7 @@
 async def test_vm_whose_machine_a_former_leader_ordered_is_uncertain(machines, leadership):
     """Guards against runs on a VM that an order of a former leader is about to end.
 
-    A VM that has started since the order is the result of the order.
+    A VM that has joined since the order is the result of the order.
     """
     for name in ("vm-m1", "vm-m2"):
         await leadership.propose(make_vm(name))
@@ -106,5 +107,16 @@
     leadership.now += LIMITS.machine_lease_s
     assert machines.list_uncertain_vms() == []
     leadership.now -= LIMITS.machine_lease_s
-    await leadership.propose(make_vm("vm-m1", boot=wall_ms()))
+    machines.calls.vm_ids["m1"] = "vm-after-move"
+    await leadership.propose(make_vm("vm-after-move", boot=wall_ms()))
+    leadership.now += 1.1
+    await machines.refresh(max_age_s=1.0)
+    assert not machines.may_order("m1")
     assert machines.list_uncertain_vms() == []
+
+
+async def test_vm_that_restarted_under_its_id_is_not_the_result_of_an_order(machines, leadership):
+    """Guards against runs that a late order of a former leader ends, on a VM that has crashed and come back (AVAIL)."""
+    await leadership.propose(make_vm("vm-m1"))
+    await leadership.propose(make_vm("vm-m1", boot=wall_ms()))
+    assert machines.list_uncertain_vms() == ["vm-m1"]
