End runs of a silent VM without waiting for late copies of starts that it has accepted

Callers would have waited up to 23 s for a task on a VM that fell silent, where a copy of its start had got no answer within its first timeout (40 ms, often missed in a burst) and the next copy was accepted: 13 s for the copy and the longest lease.

The wait after a known restart stays. Both figures are from the constants (13 s, 10 s), not from a run.

tests/dispatch: 451 passed.

--- a/src/hyssopway/dispatch/order_state.py
+++ b/src/hyssopway/dispatch/order_state.py
@@ -13,8 +13,6 @@
         is_sending: Whether the start is in flight.
         ordered_at: Local time at which this leader first sent the start; infinite if it has not.
         last_sent_at: Local time at which this leader last sent the start; negative infinity if it has not.
-        unanswered_at: Local time at which the last copy of the start that got no answer was sent; negative infinity if each
-            was answered.
         is_connection_broken: Whether a connection ended while the answer to the start was awaited.
         accepted_at: Local time at which the VM first accepted or listed the run; infinite if it has done neither.
         is_listed: Whether this boot of the VM has listed the run.
@@ -29,7 +27,6 @@
     is_sending: bool = False
     ordered_at: float = float("inf")
     last_sent_at: float = float("-inf")
-    unanswered_at: float = float("-inf")
     is_connection_broken: bool = False
     accepted_at: float = float("inf")
     is_listed: bool = False
--- a/src/hyssopway/dispatch/run_expiry.py
+++ b/src/hyssopway/dispatch/run_expiry.py
@@ -70,7 +70,7 @@
         return float("inf")
     if _has_ended_with_boot(link, key=key, order_state=order_state):
         return link.lease.granted_until
-    expires_at = max(link.lease.expires_at, _find_late_copy_expiry(link, order_state))
+    expires_at = link.lease.expires_at
     if not _may_be_on_next_boot(link, order_state):
         return expires_at
     if run is not None and run.fencing_token != link.leadership.term:
@@ -94,17 +94,6 @@
     return lease_expiry(granted_at=last_sent_at, length_s=link.orders.next_boot.longest_s)
 
 
-def _find_late_copy_expiry(link: VmLink, order_state: OrderState | None) -> float:
-    """Returns when the lease expires that a next boot takes by a late copy of the start of an accepted run.
-
-    The present boot has the run by another copy, and the next one would start it anew. Negative infinity if there is none.
-    """
-    if link.orders.is_refused or order_state is None or not order_state.is_accepted:
-        return float("-inf")
-    carried_out_at = order_state.unanswered_at + MAX_ORDER_DELAY_S
-    return lease_expiry(granted_at=carried_out_at, length_s=link.orders.next_boot.longest_s)
-
-
 def _has_ended_with_boot(link: VmLink, *, key: str, order_state: OrderState | None) -> bool:
     """Returns whether a VM refuses connections, and no boot but the one that has ended can have started a run."""
     return (
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -255,8 +255,6 @@
         self.counters[STARTS_UNANSWERED] += 1
         self._rate(boot, is_answered=False)
         order_state.is_connection_broken |= error.is_broken
-        if error.is_sent:
-            order_state.unanswered_at = order_state.last_sent_at
 
     def _rate(self, boot: int, *, is_answered: bool) -> None:
         """Rates a boot of the VM by whether it answered an order, unless another one has followed it meanwhile."""
