Keep the runs in doubt of a boot that is announced before the leader has a link to its VM

Callers could see two runs of a task (TWICE) right after a change of leader: the next boot of a VM announced itself before the new leader had made its links, which it does when its supervision begins. The announcement was committed without the runs in doubt, so that all runs of the VM ended as lost, though the boot may have carried out their starts.

Failing run before, in tests/dispatch/test_announced_boots.py: AssertionError: assert set() == {'w.0.0.0/1'}

The link is made first, and replaces the boot as it does at other times.

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -276,8 +276,9 @@
             address=command.address,
             draining=command.draining,
         )
-        if link is not None and current is not None and is_later_boot:
-            await link.boots.replace(command, replaced_boot=current.boot)
+        if current is not None and is_later_boot:
+            self._sync_links()  # the term may have just begun
+            await self.links[command.vm].boots.replace(command, replaced_boot=current.boot)
         else:
             await self.leadership.propose(command)
         self._sync_links()
