Count a boot change of the former leader that is applied after the link was made

Callers could see two runs of a task (TWICE): a leader committed that a VM had restarted with runs in doubt and ended right after. The next leader had that entry in its log and applied it when its term, and its link to the VM, had begun, and then waited only as for a VM that had not restarted.

Failing runs before, in tests/dispatch/test_lease_from_earlier_leader.py (2 failed): AssertionError: ended 8.5 s into the term (the boot may hold a lease until 23.2 s)

What former leaders may have given to a boot was computed once, when the link is made. It is computed again whenever another boot follows. A boot that follows more than 23 s into a term inherits nothing of former leaders. The new test of 421 answers begins its term longer ago for that, since a boot that is found 14 s into a term may hold a lease of the former leader; its check is unchanged.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -556,10 +556,19 @@
         self.stall_detector.clear()
         self.pace.discard_boot()
         self.failures = 0
-        self.lease.replace_boot(expires_at=self.orders.next_boot.find_latest_expiry())
+        self.lease.replace_boot(expires_at=self._find_inherited_expiry())
         self.orders.next_boot.clear()
         self._withhold_next_boot()
 
+    def _find_inherited_expiry(self) -> float:
+        """Returns when the leases expire that the next boot may hold by calls for earlier ones, of any leader."""
+        # A boot change that a former leader has committed may be applied only after the link was made.
+        next_boot = self.orders.next_boot
+        former = find_former_lease_expiry(
+            self.leadership, vm_id=self.vm_id, length_s=self.lease.length_s, longest_s=next_boot.longest_s
+        )
+        return max(former, next_boot.find_latest_expiry())
+
     def _withhold_next_boot(self) -> None:
         now, started_at = self.leadership.clock(), self.leadership.started_at
         changed_at = self.leadership.state.observed.find_boot_change(self.vm_id)
--- a/tests/dispatch/test_lease_from_earlier_leader.py
+++ b/tests/dispatch/test_lease_from_earlier_leader.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import pytest
+
 from dispatch.conftest import LIMITS, FakeLeadership, make_link
 from hyssopway.dispatch import OrderReply
+from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.lease import lease_expiry
 from hyssopway.workflow import RunStart, StartRuns
+from workflow.conftest import make_vm
 
 TASK = "w.0.0.0"
 
@@ -37,3 +43,32 @@
         await next_link.poll()
         assert TASK in fleet.state.tables.runs, f"ended {successor.now - granted_at:.1f} s after the start"
         successor.now += 0.5
+
+
+@pytest.mark.parametrize(
+    "is_polled_before", [False, True], ids=["before the first poll", "after the first poll"]
+)
+async def test_boot_change_that_the_next_leader_applies_late_counts_for_the_lease(
+    fleet, vms, is_polled_before
+):
+    """Guards against a second run of a task as the former leader ended right after it had committed a restart (TWICE).
+
+    The next leader has the entry in its log, and applies it when its own term has begun.
+    """
+    await fleet.propose(StartRuns(fencing_token=2, starts=(RunStart(task=TASK, run=1, vm="vm-1"),)))
+    fleet.now += 5.0
+    fleet.started_at = fleet.now
+    vms.silent = True
+    link = make_link("vm-1", leadership=fleet, calls=vms)
+    if is_polled_before:
+        await link.poll()
+    command = make_vm("vm-1", boot=2, sequence=1)
+    fleet.apply(replace(command, replaced_boot=1, kept_runs=(f"{TASK}/1",)))
+    last_order_at = fleet.started_at + MAX_ORDER_DELAY_S
+    while fleet.now < lease_expiry(granted_at=last_order_at, length_s=LIMITS.longest_lease_s):
+        await link.poll()
+        assert TASK in fleet.state.tables.runs, f"ended {fleet.now - fleet.started_at:.1f} s into the term"
+        fleet.now += 0.5
+    fleet.now += 0.5
+    await link.poll()
+    assert TASK not in fleet.state.tables.runs
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -355,7 +355,7 @@
 
 async def test_lease_that_another_vm_has_refused_is_not_waited_for(link, vms):
     """Guards against runs that wait 23 s for the lease in a poll that was answered with 421 and not carried out (LOST)."""
-    link.leadership.begin_long_ago()
+    link.leadership.started_at -= 60.0  # no lease of a former leader is held
     poll = vms.poll
 
     async def answer_as_other_vm(**_):
