Send no copy of a start to a boot that has shown itself in place of another

Callers could see a run on a VM without the label that its step needs, in another pool or beside another task of its step (ROUTE): a start got no answer, a poll was answered by the next boot of the VM, and until the command that registers this boot was committed, up to 3 s with slow disks, the leader repeated the start. The record still had the boot before, with its labels and its pool, while the leader had heard of the next one.

Failing run before, in tests/dispatch/test_unknown_boots.py: assert [1, 2, 2, 2, 2] == [1] (the boots that the copies of the start reached)

The state of an order is discarded as soon as the next boot shows; a copy is sent only while the order still has its state. The run is in doubt as before, and moves to the next boot. Polls, stops and changes of pace in this time are harmless: the first renew no lease, and the others change no run that the next boot does not have.

--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -265,7 +265,8 @@
         """Returns whether the start of a run may still be sent to a boot of the VM.
 
         The boot or the run may have ended while a connection was opened, or while an answer was awaited. The VM refuses the
-        start of a run that has ended there, but its next boot does not. The VM may also have been closed to new runs.
+        start of a run that has ended there, but its next boot does not. The VM may also have been closed to new runs. The
+        state of the order is discarded as soon as the next boot shows, before that one is in the record.
         """
         record = self.record
         return (
@@ -274,6 +275,7 @@
             and record.boot == boot
             and self.leadership.state.tables.accepts_starts(record)
             and key in record.runs
+            and self.order_states.get(key) is order_state
             and not order_state.is_start_resolved
         )
 
--- a/tests/dispatch/test_unknown_boots.py
+++ b/tests/dispatch/test_unknown_boots.py
@@ -10,7 +10,7 @@
 from hyssopway.dispatch import OrderReply, WorkerUnreachableError
 from hyssopway.dispatch.dispatcher import Dispatcher
 from hyssopway.dispatch.leader_controller import LeaderController
-from hyssopway.workflow import PutDocument, Step
+from hyssopway.workflow import PutDocument, RegisterVm, Step
 from workflow.conftest import make_document, make_vm, make_workflow
 
 TASK = "small.0.0.0"
@@ -141,3 +141,33 @@
     small_fleet.vms.poll = poll
     await link.poll()
     assert await small_fleet.place()
+
+
+async def test_start_is_not_repeated_while_the_next_boot_is_being_committed(small_fleet, monkeypatch):
+    """Guards against a copy of a start to a boot, perhaps of another kind, that the leader has already heard of (ROUTE)."""
+    leadership, vms, link = small_fleet.leadership, small_fleet.vms, small_fleet.link
+    propose, may_commit = leadership.propose, asyncio.Event()
+    boots, polls = [], []
+
+    async def commit_boot_late(command):
+        if isinstance(command, RegisterVm):
+            await may_commit.wait()
+        await propose(command)
+
+    async def lose_with_a_restart(**_):
+        boots.append(vms.boot)
+        vms.boot = 2
+        polls.append(asyncio.create_task(link.poll()))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert not link.has_acked_term
+        raise WorkerUnreachableError("no answer")
+
+    monkeypatch.setattr(leadership, "propose", commit_boot_late)
+    monkeypatch.setattr(vms, "start", lose_with_a_restart)
+    await leadership.propose(make_workflow("small", steps=(Step(count=1, label="a"),)))
+    assert await small_fleet.place()
+    await asyncio.gather(*small_fleet.dispatcher.sending)
+    may_commit.set()
+    await asyncio.gather(*polls)
+    assert boots == [1]
