Wait for late polls that the next boot may carry out once it has answered an order

Callers could see two runs of a task (TWICE): a VM restarted, its next boot took and answered a start (7090), and then the VM was cut off. A poll for the boot before, which had got no answer, was carried out during the cut, for a lease as long as possible from then on. The leader waited for the longest lease from the answer only.

Failing runs before, two new orders in tests/dispatch/test_lease_over_restarts.py (the poll is sent before or after the start): 2 failed (AssertionError: ['w.0.0.0', 'w.0.0.0'])

An answer with the clock of another boot is as certain as an announcement. From then on, calls without an answer count as carried out as late as possible, as they do when that boot is registered. Until there is such an answer, nothing changes.

--- a/src/hyssopway/dispatch/next_boot_lease.py
+++ b/src/hyssopway/dispatch/next_boot_lease.py
@@ -25,12 +25,13 @@
         clock: Local monotonic clock, in seconds.
         longest_s: Longest lease that the VM accepts, in seconds.
         calls: Calls with a lease that the VM may still carry out.
-        expires_at: Local time after which no such lease is held, if each call was carried out before its timeout;
-            negative infinity if none can be held.
+        expires_at: Local time after which no such lease is held; negative infinity if none can be held. Until the next boot
+            has answered, it holds only if each call was carried out before its timeout.
         extended_at: Local time at which `expires_at` was last extended.
+        has_answered: Whether the next boot has answered a call, so that it may carry out every late one.
     """
 
-    __slots__ = ("calls", "clock", "expires_at", "extended_at", "longest_s", "vm_id")
+    __slots__ = ("calls", "clock", "expires_at", "extended_at", "has_answered", "longest_s", "vm_id")
 
     def __init__(
         self, *, vm_id: str, clock: Callable[[], float], longest_s: float, calls: UnsettledCalls
@@ -40,6 +41,7 @@
         self.longest_s = longest_s
         self.calls = calls
         self.expires_at = self.extended_at = float("-inf")
+        self.has_answered = False
 
     def record_sent(self) -> int:
         """Records that a call with a lease is being sent and returns its number."""
@@ -75,6 +77,7 @@
             until_ms: End of the lease in the call.
             clock_ms: Clock of the VM in its answer; None if it is unknown.
         """
+        self.has_answered = True
         granted_s = self.longest_s if clock_ms is None else (until_ms - clock_ms) / 1000
         self._extend(min(granted_s, self.longest_s))
 
@@ -85,13 +88,16 @@
         return max(self.expires_at, late)
 
     def clear(self) -> None:
-        """Discards the bound on calls that were carried out before their timeout."""
+        """Discards what is known of the next boot."""
         self.expires_at = float("-inf")
+        self.has_answered = False
 
     def _extend(self, length_s: float) -> None:
         self.extended_at = self.clock()
         expires_at = lease_expiry(granted_at=self.extended_at, length_s=length_s)
         self.expires_at = max(self.expires_at, expires_at)
+        if self.has_answered:
+            self.expires_at = self.find_latest_expiry()
 
 
 __all__ = ["NextBootLease"]
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -247,6 +247,16 @@
         *(start_with_late_copy, restart),
         late_calls_arrive,
     ),
+    "a late poll reaches the next boot during the cut, which has answered a start": (
+        *(poll_is_late, poll, start_reaches_next_boot),
+        *(cut_vm,) * int(LEASED_CUT_S / STEP_S),
+        late_calls_arrive,
+    ),
+    "a late poll during the cut reaches the next boot, which has answered a start": (
+        *(start_reaches_next_boot, poll_is_late),
+        *(cut_vm,) * int(LEASED_CUT_S / STEP_S),
+        late_calls_arrive,
+    ),
     "the next boot refuses a start for want of room": (
         *(next_boot_has_no_room, announce, poll),
         start,
