--- a/tests/dispatch/model_worker.py
+++ b/tests/dispatch/model_worker.py
@@ -162,11 +162,12 @@
         fault: What happens to the next orders: `deliver` (no fault), `lose` (not carried out), `mute` (carried out but
             not answered), `delay` (carried out later), `delay_first` (the next order is carried out later, those
             after it are delivered), `restart` (the VM restarts before the next order arrives, those after it are
-            delivered), `restart_mute` (the same, and none is answered) or `refuse` (the VM is down).
+            delivered) or `restart_mute` (the same, and none is answered).
         stop_fault: What happens to stops instead, if it differs.
         delayed: Orders that are carried out later, also by a later boot than the one that they were sent to.
         list_runs: Returns the keys of the runs in progress, as far as the leader knows; None if late starts of ended
             runs are carried out in any case.
+        down: IDs of the VMs that refuse all connections.
         answered: ID and boot number of the VMs of which the present leader has got an answer.
     """
 
@@ -177,6 +178,7 @@
         self.stop_fault = None
         self.delayed = []
         self.list_runs = None
+        self.down = set()
         self.answered = set()
 
     async def poll(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, timeout_s):
@@ -250,6 +252,8 @@
         self.answered.clear()
 
     def _send(self, worker, order, *, text, starts=None, fault=None):
+        if worker.name in self.down:
+            raise WorkerUnreachableError("refused", is_sent=False, is_refused=True)
         fault = fault or self.fault
         if fault == "delay_first":
             self.fault, fault = "deliver", "delay"
@@ -257,8 +261,6 @@
             self.delayed.append(
                 LateOrder(worker=worker, boot=worker.boot, order=order, text=text, starts=starts)
             )
-        if fault == "refuse":
-            raise WorkerUnreachableError(fault, is_sent=False, is_refused=True)
         if fault in ("restart", "restart_mute"):
             worker.restart()
             self.fault, fault = ("deliver", "deliver") if fault == "restart" else ("mute", "mute")
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -162,6 +162,12 @@
     model.deliver_delayed()
 
 
+def take_down(model):
+    """The VM ends and refuses connections from then on."""
+    model.workers["vm-1"].restart()
+    model.network.down.add("vm-1")
+
+
 def change_leader(model):
     model.change_leader()
 
@@ -338,12 +344,11 @@
     """Guards against tasks that wait for 23 s after their VM has restarted and, soon after, ended for good (LOST)."""
     play(model, (start, poll, poll_reaches_next_boot_unanswered, announce, poll, start, poll))
     crashed_at = model.leader.now
-    model.workers["vm-1"].restart()  # what it ran has ended
+    take_down(model)
     while model.run_of_task == ("vm-1", 2):
         assert model.leader.now - crashed_at <= CUT_S, "the run was never given up"
         model.advance(FINE_STEP_S)
-        model.poll(("vm-1",), "refuse")
-        model.poll(("vm-2",), "deliver")
+        model.poll(VMS, "deliver")
         model.run_round("deliver", "vm-2")
         model.check()
     assert model.run_of_task == ("vm-2", 3)
@@ -353,10 +358,9 @@
 
 def test_run_of_a_vm_that_ended_while_a_copy_of_its_start_is_late_is_not_free_sooner(model):
     """Guards against a second run beside one that the next boot starts from a late copy after the VM refused a poll (TWICE)."""
-    play(model, (poll_is_late, restart, announce, poll, start_with_late_copy, poll, restart))
-    model.poll(("vm-1",), "refuse")
+    play(model, (poll_is_late, restart, announce, poll, start_with_late_copy, poll, take_down, poll))
     model.advance(RUN_LEASE_S + STEP_S)
-    model.poll(("vm-1",), "refuse")
+    poll(model)
     assert model.run_of_task == ("vm-1", 1)
 
 
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -194,7 +194,9 @@
     def take_down(self, name, seconds):
         """Ends a VM, which refuses connections for some seconds and then starts again under its ID."""
         self.workers[name].restart()
-        self.serve_other(name, "refuse", seconds=seconds)
+        self.network.down.add(name)
+        self.serve_other(name, "deliver", seconds=seconds)
+        self.network.down.discard(name)
 
     def serve_other(self, name, fault, *, seconds):
         """Polls both VMs for some seconds, one of them with a fault, while the other one gets the waiting tasks."""
