Keep the runs in doubt of a boot that is announced while an earlier one is registered

Callers could see two runs of a task (TWICE): a VM restarted twice within the time of one commit. While the first restart, which a poll had shown, was being committed, the next boot announced itself; the announcement waited, found another boot in the record than it had expected, and was committed without the runs in doubt. All runs of the VM ended as lost, though the last boot may have carried out their starts.

Failing run before, in tests/dispatch/test_restarted_vms.py: AssertionError: assert [] == [('w.0.0.0/1', 3)]

A later boot than the one in the record now replaces that one in any case, with the runs that may have reached it.

--- a/src/hyssopway/dispatch/vm_boots.py
+++ b/src/hyssopway/dispatch/vm_boots.py
@@ -63,8 +63,9 @@
         """
         # An announcement and the answer to a poll may tell of the same boot, which has to count as one end of the earlier one.
         async with self.change:
+            # A boot in between may have been registered meanwhile.
             record = self.link.record
-            if record is not None and record.boot == replaced_boot:
+            if record is not None and (record.boot == replaced_boot or record.boot < command.boot):
                 await self._replace(record, command, reported=reported)
             elif command.sequence:
                 await self.link.leadership.propose(command)
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -370,6 +370,25 @@
     assert link.lease.expires_at <= lease_expiry(granted_at=now, length_s=RUN_LEASE_S)
 
 
+async def test_run_in_doubt_is_kept_when_two_restarts_are_noticed_together(link, vms, monkeypatch):
+    """Guards against a second run of a task that a boot works on which announced itself while another was registered (TWICE)."""
+    await start_on_next_boot(link, vms, is_answered=False, boot=3)
+    leadership, announcements = link.leadership, []
+    propose = leadership.propose
+
+    async def announce_and_commit(command):
+        if not announcements:
+            announcement = link.boots.replace(make_vm("vm-1", boot=3, sequence=1), replaced_boot=1)
+            announcements.append(asyncio.create_task(announcement))
+            await asyncio.sleep(0)
+        await propose(command)
+
+    monkeypatch.setattr(leadership, "propose", announce_and_commit)
+    await link.boots.replace(make_vm("vm-1", boot=2), replaced_boot=1)
+    await asyncio.gather(*announcements)
+    assert list_active_runs(link) == [(KEY, 3)]
+
+
 async def test_announcement_of_a_vm_without_a_boot_number_ends_no_run(link, vms, fleet):
     """Guards against losing the runs of a VM that does not report its start, whenever it announces a change."""
     await fleet.propose(make_vm("vm-3", boot=0))
