Write no poll whose permission has ended while a connection was opened

Callers could see a task run again after it was done (TWICE): a leader prepared a poll that acknowledges ends and was paused, or waited for a free connection, before it wrote it. The VM had restarted meanwhile, and its next boot forgot an end that nobody had read. A leader whose term had ended could do the same, or give that boot the longest lease.

Failing runs before, in tests/dispatch/test_acknowledged_ends.py (2 failed: the poll was written): assert [4] == []

Starts and stops are checked again when they are written; polls are now, too: whether the leader may still send orders, and whether the answer on which the acknowledgement relies is still recent. The fakes take the new argument; no check of theirs changes.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
@@ -382,6 +383,7 @@
                 last_end=last_end,
                 lease_until_ms=lease_until_ms,
                 wait_ms=times.wait_ms,
+                may_send=partial(self._may_poll, record, last_end=last_end),
                 timeout_s=times.timeout_s,
             )
         except WorkerUnreachableError as error:
@@ -414,6 +416,13 @@
             may_have_restarted=self.may_have_restarted() or self.orders.has_lost_call,
         )
 
+    def _may_poll(self, record: VmRecord, *, last_end: int) -> bool:
+        """Returns whether a poll may still be sent; the process may have been paused while a connection was opened."""
+        if not self.leadership.may_order():
+            return False
+        now = self.leadership.clock()
+        return not last_end or self._choose_acknowledged_end(record, now=now) == last_end
+
     def _may_renew_lease(self) -> bool:
         """Returns whether a poll may renew the lease.
 
--- a/src/hyssopway/dispatch/worker_calls.py
+++ b/src/hyssopway/dispatch/worker_calls.py
@@ -55,10 +55,13 @@
         last_end: int,
         lease_until_ms: int | None,
         wait_ms: int,
+        may_send: Callable[[], bool],
         timeout_s: float,
     ) -> PollReply:
         """Renews the lease of all runs of a VM, if one is given, and lists the runs.
 
+        `may_send` is checked again when the poll is written. A VM that has restarted would forget ends that nobody has read.
+
         Raises:
             OtherBootError: Another VM or boot answers at the address.
         """
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -77,9 +77,15 @@
     )
 
 
-async def poll(workers, record):
+async def poll(workers, record, *, is_permitted=True):
     return await workers.poll(
-        vm=record, fencing_token=7, last_end=3, lease_until_ms=None, wait_ms=0, timeout_s=0.35
+        vm=record,
+        fencing_token=7,
+        last_end=3,
+        lease_until_ms=None,
+        wait_ms=0,
+        may_send=lambda: is_permitted,
+        timeout_s=0.35,
     )
 
 
@@ -203,6 +209,13 @@
     assert (fake_vm.calls, refused.value.is_sent) == ([], False)
 
 
+async def test_poll_without_permission_is_not_sent(workers, record, fake_vm):
+    """Guards against a leader that is paused while it connects and then lets a VM forget ends that nobody has read."""
+    with pytest.raises(WorkerUnreachableError) as refused:
+        await poll(workers, record, is_permitted=False)
+    assert (fake_vm.calls, refused.value.is_sent) == ([], False)
+
+
 async def test_refused_connection_is_told_from_a_lost_answer(workers, record, fake_vm):
     """Guards against taking an order that a VM without a listener never received for one that may be carried out."""
     start = {
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -117,7 +117,7 @@
         if self.silent or self.lose >= 0:
             raise WorkerUnreachableError("silent")
 
-    async def poll(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, timeout_s):
+    async def poll(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, may_send, timeout_s):
         self.leases.append(lease_until_ms)
         self._answer(timeout_s)
         rows = tuple(
--- a/tests/dispatch/model_worker.py
+++ b/tests/dispatch/model_worker.py
@@ -181,7 +181,7 @@
         self.down = set()
         self.answered = set()
 
-    async def poll(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, timeout_s):
+    async def poll(self, *, vm, fencing_token, last_end, lease_until_ms, wait_ms, may_send, timeout_s):
         worker = self.workers[vm.vm_id]
         return self._send(
             worker,
--- a/tests/dispatch/test_acknowledged_ends.py
+++ b/tests/dispatch/test_acknowledged_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dispatch.conftest import FakeLeadership, make_link
+from hyssopway.dispatch import WorkerUnreachableError
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns
 
@@ -124,3 +125,24 @@
     link.leadership.now += 2.0
     await link.poll()
     assert link.failures == 1
+
+
+@pytest.mark.parametrize("is_confirmed", [True, False], ids=["old answer", "lost leadership"])
+async def test_poll_is_not_written_after_a_pause_that_ended_its_permission(link, forgetful_vms, is_confirmed):
+    """Guards against a leader that was paused while it connected, and lets the next boot forget an end unread (TWICE)."""
+    forgetful_vms.ends.append(done("gone.0.0.4", number=4))
+    await link.poll()
+    written = []
+
+    async def connect_after_pause(*, may_send, last_end, **_):
+        assert last_end == 4
+        if is_confirmed:
+            link.leadership.now += 2.0
+        link.leadership.is_confirmed = is_confirmed
+        if may_send():
+            written.append(last_end)
+        raise WorkerUnreachableError("permission expired", is_sent=False)
+
+    forgetful_vms.poll = connect_after_pause
+    await link.poll()
+    assert written == []
