--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -295,9 +295,8 @@
             await self._poll(record)
         except OtherBootError as error:
             self.poll_timing.record_answer()
-            if self._is_in_record(
-                record.boot
-            ):  # else another boot was announced meanwhile, perhaps at another address
+            # Another boot may have been announced meanwhile, perhaps at another address.
+            if self._is_in_record(record.boot):
                 await self.boots.end(reason=str(error))
             return False
         except WorkerUnreachableError as error:
