Allow for stopping runs of a former leader where VMs reject nothing

A VM that does not guard its capacity could get more than its room (LIMIT) around a change of leader: what it is stopping still takes room, is listed nowhere, and is not in the state if its end was committed before.

Failing run before, in tests/dispatch/test_spread_over_restarts.py: AssertionError: assert {'vans': [FreeCapacity(vm_id='vm-1', ...)]} == {}

Such a VM is left out for the longest duration of a stop after it has acknowledged the token of the term, as steps with a spread limit leave it out already. VMs that guard their capacity are not affected, and neither are those that join later in a term. The older test of a new leader and the capacity of such a VM now checks that it waits for that time as well.

--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -18,6 +18,7 @@
 
     from .dispatcher import Dispatcher
     from .free_capacity import FreeCapacity
+    from .vm_link import VmLink
 
 
 def list_free_capacity(dispatcher: Dispatcher) -> dict[str, list[FreeCapacity]]:
@@ -75,7 +76,7 @@
             continue
         if link.orders.may_work_on_late_starts(stop_s=link.unlisted.stop_s):
             continue  # one of them could take the VM over its capacity, or join another task of a spread step
-        if record.pool in indexes.unguarded_pools and not link.has_current_capacity(now):
+        if record.pool in indexes.unguarded_pools and not _is_room_known(link, now=now):
             continue
         free = compute_free_capacity(
             record,
@@ -93,4 +94,9 @@
     return free_by_pool
 
 
+def _is_room_known(link: VmLink, *, now: float) -> bool:
+    """Returns whether the free room of a VM that rejects nothing is known, with the room of runs that it is stopping."""
+    return link.has_current_capacity(now) and not link.may_stop_unknown_runs(now)
+
+
 __all__ = ["is_open", "list_badly_rated_capacity", "list_free_capacity"]
--- a/tests/dispatch/test_changing_capacity.py
+++ b/tests/dispatch/test_changing_capacity.py
@@ -14,7 +14,7 @@
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
 from hyssopway.dispatch.poll_timing import STABLE_WAIT_MS
-from hyssopway.dispatch.vm_link import CAPACITY_TIMEOUT_S
+from hyssopway.dispatch.vm_link import CAPACITY_TIMEOUT_S, STOP_SLACK_S
 from hyssopway.workflow import PutDocument, RunEnd, RunOutcome, RunStart, StartRuns, Step, TaskId
 from workflow.conftest import make_document, make_vm, make_workflow
 
@@ -208,6 +208,8 @@
     await controller.links["vm-1"].poll()
     assert controller.dispatcher.list_free_capacity() == {}
     await controller.handle_announcement(make_vm("vm-1", cores=2, sequence=1))
+    assert controller.dispatcher.list_free_capacity() == {}, "it may be stopping runs of the leader before"
+    fleet.now += LIMITS.stop_s + STOP_SLACK_S + 0.1
     (free,) = controller.dispatcher.list_free_capacity()["vans"]
     assert free.cpu_millis == 2000
     fleet.now += CAPACITY_TIMEOUT_S + 0.1
--- a/tests/dispatch/test_spread_over_restarts.py
+++ b/tests/dispatch/test_spread_over_restarts.py
@@ -140,3 +140,20 @@
     await fleet.poll()
     await fleet.run_round()
     assert fleet.list_committed("vm-1") == [TASKS[0]]
+
+
+async def test_vm_that_rejects_nothing_gets_no_task_beside_a_run_that_a_former_leader_has_stopped(fleet):
+    """Guards against a VM over its capacity: a new leader does not see the room that a stopping run takes (LIMIT)."""
+    await fleet.leadership.propose(PutDocument(document=make_document(version=2, guards_capacity=False)))
+    await start(fleet, TASKS[1])
+    await end_in_state(fleet, TASKS[1])
+    await fleet.poll()  # the run is listed, and told to stop
+    fleet.change_leader()
+    await fleet.poll()
+    link = fleet.links["vm-1"]
+    link.announced_at = fleet.leadership.now
+    assert fleet.dispatcher.list_free_capacity() == {}
+    fleet.advance(STOPPED_AFTER_S)
+    await fleet.poll()
+    link.announced_at = fleet.leadership.now
+    assert set(fleet.dispatcher.list_free_capacity()) == {"vans"}
