--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -386,9 +386,11 @@
                 timeout_s=times.timeout_s,
             )
         except WorkerUnreachableError as error:
-            self.orders.record_loss(error, leased_call=leased_call)
-            if acknowledgement is not None and not error.is_sent:
-                self.acknowledgement.record_settled(acknowledgement, last_end=0)
+            if not error.is_sent:
+                self._settle_poll(leased_call, acknowledgement, last_end=0)
+            # A poll that this process no longer wanted to send says nothing of the VM.
+            if error.is_sent or error.is_refused or self._may_poll(record, last_end=last_end):
+                self.orders.record_loss(error, leased_call=leased_call)
             raise
         except OtherBootError:
             self._settle_poll(leased_call, acknowledgement, last_end=0)  # it was not carried out
--- a/tests/dispatch/test_acknowledged_ends.py
+++ b/tests/dispatch/test_acknowledged_ends.py
@@ -146,3 +146,4 @@
     forgetful_vms.poll = connect_after_pause
     await link.poll()
     assert written == []
+    assert not link.may_have_restarted(), "what this process did not send is no sign of a restart"
