Withhold no label's VMs all at once

Callers could wait up to 13 s for a task (LOST; found by the review): VMs that may forget ends get no tasks as long as they are at most half of those of their pool that answer, but they could be all VMs with the label that a step needs. The share now holds for each pool and for its VMs with each label that a step of an open workflow needs.

--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -62,7 +62,7 @@
     document = tables.document
     machines_can_leave = document is not None and any(pool.standby for pool in document.pools)
     suspect_load = measure_suspect_load(tables=tables, suspects=indexes.suspects, now_ms=wall_ms())
-    withheld = find_withheld_vms(dispatcher.links, now=now)
+    withheld = find_withheld_vms(dispatcher.links, state=state, now=now)
     free_by_pool: dict[str, list[FreeCapacity]] = {}
     for vm_id, record in tables.vms.items():
         if vm_id not in vms or vm_id in withheld:
--- a/tests/dispatch/test_order_protocol.py
+++ b/tests/dispatch/test_order_protocol.py
@@ -96,7 +96,7 @@
     def run_round(self, fault, first):
         """Places every waiting task on a VM in contact."""
         names = (first, *(name for name in VMS if name != first))
-        withheld = find_withheld_vms(self.links, now=self.leader.now)
+        withheld = find_withheld_vms(self.links, state=self.leader.state, now=self.leader.now)
         found = [
             name for name in names if name not in withheld and self.links[name].in_contact(self.leader.now)
         ]
--- a/tests/dispatch/test_withheld_vms.py
+++ b/tests/dispatch/test_withheld_vms.py
@@ -8,8 +8,8 @@
 from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.listed_end import ListedEnd
 from hyssopway.dispatch.withheld_vms import find_withheld_vms
-from hyssopway.workflow import RunEnd, RunOutcome
-from workflow.conftest import make_vm
+from hyssopway.workflow import RunEnd, RunOutcome, Step
+from workflow.conftest import make_vm, make_workflow
 
 VMS = ("vm-1", "vm-2", "vm-3", "vm-4")
 
@@ -42,7 +42,8 @@
 
 
 def list_withheld(links):
-    return find_withheld_vms(links, now=links["vm-1"].leadership.clock())
+    leadership = links["vm-1"].leadership
+    return find_withheld_vms(links, state=leadership.state, now=leadership.clock())
 
 
 async def test_vm_that_may_forget_ends_gets_no_tasks_until_the_late_poll_has_expired(links, vms):
@@ -62,6 +63,16 @@
     assert list_withheld(links) == set()
 
 
+async def test_label_of_which_all_vms_have_restarted_still_gets_tasks(links, vms, fleet):
+    """Guards against tasks that wait 13 s after a restart of all VMs with the label that their step needs (LOST)."""
+    for name in VMS[:2]:
+        await restart_with_late_acknowledgement(links[name], vms)
+        await fleet.propose(make_vm(name, boot=2, labels=("b", "r1"), sequence=1))
+    assert list_withheld(links) == set(VMS[:2])
+    await fleet.propose(make_workflow("labelled", steps=(Step(count=1, label="b"),)))
+    assert list_withheld(links) == set()
+
+
 async def test_vm_that_restarts_in_a_long_term_gets_tasks_at_once(links, vms):
     """Guards against withholding each VM that restarts, although no acknowledgement was on its way."""
     links["vm-1"].leadership.started_at -= MAX_ORDER_DELAY_S + 1.0
