--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -263,6 +263,20 @@
         *(cut_vm,) * int(LEASED_CUT_S / STEP_S),
         late_calls_arrive,
     ),
+    "a late start reaches the next boot during the cut, nothing else is heard": (
+        *(start_is_late, restart),
+        *(cut_vm,) * int(LEASED_CUT_S / STEP_S),
+        late_calls_arrive,
+    ),
+    "a late start of the former leader reaches the next boot during the cut, nothing else is heard": (
+        *(start_is_late, restart, change_leader),
+        *(cut_vm,) * int(LEASED_CUT_S / STEP_S),
+        late_calls_arrive,
+    ),
+    "a late copy of the former leader reaches the next boot, the next leader has listed the run": (
+        *(start_with_late_copy, poll, change_leader, poll, restart),
+        late_calls_arrive,
+    ),
     "the next boot refuses a start for want of room": (
         *(next_boot_has_no_room, announce, poll),
         start,
