Refuse a late announcement of a boot that has departed

Callers could see a task start on a VM that had announced that it was draining (DRAIN): the VM departed, its record was removed with the number of its last announcement, and an announcement from before the drain, which a partition had delayed, registered it again as ready. A VM whose departure got no answer works on for some seconds and answers polls.

Failing run before, in tests/dispatch/test_departures.py: AssertionError: assert 'vm-1' not in {'vm-1': VmRecord(..., draining=False, sequence=9, ...)}

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -18,6 +18,7 @@
 from .admission_control import AdmissionControl
 from .advice_fetcher import AdviceFetcher
 from .contact_losses import ContactLosses
+from .departed_boots import DepartedBoots
 from .dispatcher import Dispatcher
 from .duration_scale import DurationScale
 from .late_starts import LateStarts
@@ -60,6 +61,7 @@
         calls: Client of worker VMs.
         limits: Limits that the platform sets.
         links: Links to VMs, by VM ID.
+        departed: Boots of VMs that have departed.
         dispatcher: Places tasks.
         admission: Refuses jobs that cannot end in time.
         advice: Requests the tickets of steps whose queue has an advisor.
@@ -90,6 +92,7 @@
         "advice",
         "calls",
         "counters",
+        "departed",
         "dispatcher",
         "drainer",
         "durations",
@@ -133,6 +136,7 @@
         self.load = LeaderLoad(clock=leadership.clock, counters=self.counters)
         self.ratings = VmRatings()
         self.losses = ContactLosses()
+        self.departed = DepartedBoots(clock=leadership.clock)
         self.durations = DurationQuantiles()
         self.machine_use = MachineUse()
         self.scale = DurationScale()
@@ -258,6 +262,10 @@
         if link is not None:
             link.heard_at = self.leadership.clock()
         current = self.leadership.state.tables.vms.get(command.vm)
+        if current is None and self.departed.is_late(command):
+            reason = f"boot {command.boot} has departed since"
+            log_event(Event.INPUT_REFUSED, method="announcement", path=command.vm, reason=reason)
+            return
         if current is not None and _is_unchanged(current, command):
             self._record_announcement(command)
             return
@@ -308,6 +316,8 @@
             reason = "the VM is not draining, and answers or has runs in progress"
             log_event(Event.INPUT_REFUSED, method="departure", path=vm, reason=reason)
             return
+        if current is not None:
+            self.departed.record(current)
         if current is not None and not is_empty:
             self._sync_links()
             self.links[vm].is_departing = True
--- a/tests/dispatch/test_departures.py
+++ b/tests/dispatch/test_departures.py
@@ -57,6 +57,7 @@
     """Guards against starting tasks on a draining VM because an older announcement arrives after the drain began."""
     await controller.handle_announcement(make_vm("vm-1", draining=True))
     await controller.handle_announcement(make_vm("vm-1", draining=False))
+    await asyncio.sleep(0)
     assert fleet.state.tables.vms["vm-1"].draining
     assert controller.dispatcher.list_free_capacity() == {}
 
@@ -141,3 +142,18 @@
 
 async def refuse_connection(**_):
     raise WorkerUnreachableError("refused", is_sent=False, is_refused=True)
+
+
+async def test_late_announcement_does_not_open_a_vm_that_has_departed_and_still_answers(
+    controller, fleet, vms
+):
+    """Guards against a start after the VM has announced that it is draining, and departed; its ack was lost (DRAIN)."""
+    await controller.handle_announcement(make_vm("vm-1", sequence=9))
+    await controller.handle_announcement(make_vm("vm-1", draining=True, sequence=10))
+    await controller.handle_departure(vm="vm-1")
+    assert "vm-1" not in fleet.state.tables.vms
+    await controller.handle_announcement(make_vm("vm-1", sequence=9))
+    assert "vm-1" not in fleet.state.tables.vms
+    await controller.handle_announcement(make_vm("vm-1", draining=True, sequence=11))
+    await asyncio.sleep(0)
+    assert fleet.state.tables.vms["vm-1"].draining
