Let the soak restart VMs under their ID, cut them off and end the leader in between

The clock of the first boot starts at 300 s; a call that is held back is carried out by whichever boot the VM has by then; `room` exists and takes the lease as `old` does, and so does the start of a run that is already there. The checker also knows when the end of a run was noted, so that a start before or after it breaks TWICE as the rule has it (unless the lease lapsed in between). Calls delayed by the older series may now reach the next boot as well; their random sequences stay the same.

Tests: tests/soak without `faults` and tests/docs pass; a VM that drops calls at a restart, takes no lease from a refused start, or a checker without noted ends fails them.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,22 +20,33 @@
         float, typer.Option(help="Duration of fault injection in each run, in seconds.")
     ] = 20.0,
     jobs: Annotated[int, typer.Option(help="Number of concurrent runs.")] = 1,
+    cuts: Annotated[
+        bool, typer.Option(help="Restart VMs with long tasks and cut them off, in place of the spread tasks.")
+    ] = False,
     folder: Annotated[Path, typer.Option(help="Directory for settings, data and logs.")] = Path("soak-runs"),
 ) -> None:
     """Runs the seeds, prints one line for each and exits with status 1 on any violated guarantee."""
     chosen_seeds = [first + number if first else secrets.randbelow(10**9) for number in range(seeds)]
-    reports = asyncio.run(_run_all(chosen_seeds, seconds=seconds, jobs=jobs, folder=folder))
+    reports = asyncio.run(_run_all(chosen_seeds, seconds=seconds, jobs=jobs, cuts=cuts, folder=folder))
     broken = [report.seed for report in reports if report.broken]
     typer.echo(f"{len(reports)} seeds, broken: {broken or 'none'}; logs in {folder}")
     raise typer.Exit(code=1 if broken else 0)
 
 
-async def _run_all(seeds: list[int], *, seconds: float, jobs: int, folder: Path) -> list[SoakReport]:
+async def _run_all(
+    seeds: list[int], *, seconds: float, jobs: int, cuts: bool, folder: Path
+) -> list[SoakReport]:
     limit = asyncio.Semaphore(jobs)
 
     async def run_one(seed: int) -> SoakReport:
         async with limit:
-            report = await SoakRun(seed=seed, folder=folder / f"seed-{seed}").run(for_s=seconds)
+            run = SoakRun(
+                seed=seed,
+                folder=folder / f"seed-{seed}",
+                has_spread_tasks=not cuts,
+                has_restart_cuts=cuts,
+            )
+            report = await run.run(for_s=seconds)
         typer.echo(report.describe())
         for line in report.faults if report.broken else ():
             typer.echo(f"  {line}")
--- a/tests/soak/fault_injector.py
+++ b/tests/soak/fault_injector.py
@@ -27,7 +27,7 @@
     Attributes:
         rng: Random source for the kinds, targets and durations of faults.
         restart_rng: The same for restarts of VMs under their ID and changes of keys, which overlap with the others.
-        controls: Control nodes.
+        controls: Control nodes; none if another series ends them.
         entries: Entry nodes.
         proxies: Proxies in front of entry nodes and worker VMs.
         workers: Worker VMs.
@@ -78,8 +78,7 @@
             self._kill,
             self._suspend,
             self._restart,
-            self._wipe,
-            self._kill_all,
+            *([self._wipe, self._kill_all] if self.controls else []),
             self._inject_network_fault,
             self._inject_network_fault,
             self._crash_worker,
--- a/tests/soak/invariant_checker.py
+++ b/tests/soak/invariant_checker.py
@@ -76,6 +76,8 @@
         seen_runs: Runs that have started.
         forgotten_runs: Runs whose VM crashed while they were active, or before their end was taken note of. The VM's next
             boot may start the same run again.
+        starts_after_done: Starts of the same task since a run ended `done`, by task and run number.
+        noted: Runs that ended `done` and whose end a sender took note of.
         broken: Violations, each prefixed with the name of the guarantee.
         starts: Number of started runs.
         vm_traits: Pool and labels by VM ID.
@@ -95,6 +97,8 @@
     highest_run: dict[str, int] = field(default_factory=dict)
     seen_runs: set[tuple[str, int]] = field(default_factory=set)
     forgotten_runs: set[tuple[str, int]] = field(default_factory=set)
+    starts_after_done: dict[tuple[str, int], list[str]] = field(default_factory=dict)
+    noted: set[tuple[str, int]] = field(default_factory=set)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
     vm_traits: dict[str, VmTraits] = field(default_factory=dict)
@@ -111,7 +115,7 @@
             is_late: Whether the VM delayed the call; time bounds do not apply to delayed calls.
         """
         self.starts += 1
-        self._log_run(f"{task}/{run} starts on {vm}{' late' if is_late else ''}")
+        self.log_run(f"{task}/{run} starts on {vm}{' late' if is_late else ''}")
         job_id, _, step, _ = task.split(".")
         job = self.jobs.get(job_id)
         if job is None:
@@ -135,6 +139,9 @@
             self.broken.append(f"ORDER: {task} starts before step {int(step) - 1} is done")
         if not is_late and time.monotonic() - job.cancel_acked_at > self.cancel_s:
             self.broken.append(f"UNASKED: {task} starts long after its cancellation")
+        for _, done_run in [key for key in self.starts_after_done if key[0] == task]:
+            self.starts_after_done[task, done_run].append(f"run {run} on {vm}")
+            self._check_no_start_after_done(task, run=done_run)
         self._check_route(job, task=task, run=run, vm=vm)
         self.highest_run[task] = max(run, self.highest_run.get(task, 0))
         self.seen_runs.add((task, run))
@@ -143,9 +150,10 @@
     def record_end(self, *, task: str, run: int, outcome: str) -> None:
         """Records the end of a run."""
         vm = self.running.get(task, {}).pop(run, None)
-        self._log_run(f"{task}/{run} ends on {vm}: {outcome}")
+        self.log_run(f"{task}/{run} ends on {vm}: {outcome}")
         if outcome == "done":
             self.done.add(task)
+            self.starts_after_done.setdefault((task, run), [])
         if outcome == "failed":
             self.failures[task] += 1
         if outcome == "crashed":
@@ -157,6 +165,21 @@
         self.forgotten_runs.add((task, run))
         self.forgotten_failures[task] += int(outcome == "failed")
 
+    def record_noted(self, *, task: str, run: int, vm: str) -> None:
+        """Records that a sender took note that a run ended `done`; no start of its task may follow that end."""
+        self.log_run(f"{task}/{run} is noted as done on {vm}")
+        self.noted.add((task, run))
+        self._check_no_start_after_done(task, run=run)
+
+    def _check_no_start_after_done(self, task: str, *, run: int) -> None:
+        starts = self.starts_after_done.get((task, run), [])
+        if starts and (task, run) in self.noted and not self.jobs[task.split(".", maxsplit=1)[0]].duplicates:
+            self.broken.append(f"TWICE: {task} starts again after run {run} was noted as done: {starts}")
+
+    def log_run(self, text: str) -> None:
+        """Adds a line with the time of day to the log of runs."""
+        self.run_log.append(f"{datetime.now(tz=UTC):%H:%M:%S.%f} {text}")
+
     def record_overload(self, *, task: str, vm: str, used_millis: int) -> None:
         """Records a start beyond the capacity of a VM that does not reject it."""
         self.broken.append(f"LIMIT: {task} starts on {vm}, whose runs then declare {used_millis} millicores")
@@ -208,9 +231,6 @@
         if job.queue and traits.pool not in self.queue_pools[job.queue]:
             self.broken.append(f"ROUTE: run {run} of {task} of {job.queue} starts on {vm} of {traits.pool}")
 
-    def _log_run(self, text: str) -> None:
-        self.run_log.append(f"{datetime.now(tz=UTC):%H:%M:%S.%f} {text}")
-
     def _is_repeated(self, job: Job, *, task: str, run: int) -> bool:
         """Returns whether a run starts again, or starts after a later one; copies may overtake each other."""
         if (task, run) in self.forgotten_runs:
--- a/tests/soak/job_kinds.py
+++ b/tests/soak/job_kinds.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from .invariant_checker import Job
 
-PATH_PREFIXES = {"plans": "/p/", "peeks": "/peeks/", "scans": "/scans/"}
+PATH_PREFIXES = {"plans": "/p/", "peeks": "/peeks/", "scans": "/scans/", "hauls": "/hauls/"}
 # Additional fields of the steps of some jobs. Their tasks are spread over the VMs, so that both kinds meet there.
 PLAN_KINDS: dict[int, dict[str, Any]] = {
     0: {"image": "desk", "target_ms": 100, "anti_affinity": 1},
@@ -24,6 +25,10 @@
 LASTING_DURATION_S = 5.0
 # Share of the jobs whose tasks are spread and may have copies; copies are not checked for TWICE.
 SPREAD_COPY_SHARE = 0.85
+# Long tasks run on while their VM is cut off and leaders change; short ones keep orders on their way to each VM.
+HAUL_CPU_MILLIS = 400
+LONG_HAUL_S = 10.0
+SHORT_HAUL_S = 0.8
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,6 +102,27 @@
     return Submission(job=job, body=body)
 
 
+def make_long_haul(rng: random.Random, _job_id: str) -> Submission:
+    """Returns a job of one step of long tasks, with a spread limit in most cases."""
+    return _make_haul(rng, steps=(rng.choice((1, 2, 3)),), duration_s=LONG_HAUL_S, suffix=" long")
+
+
+def make_short_haul(rng: random.Random, _job_id: str) -> Submission:
+    """Returns a job of short tasks, with a spread limit in most cases."""
+    steps = tuple(rng.choice((1, 2, 3)) for _ in range(rng.choice((1, 2))))
+    return _make_haul(rng, steps=steps, duration_s=SHORT_HAUL_S, suffix="")
+
+
+def _make_haul(rng: random.Random, *, steps: tuple[int, ...], duration_s: float, suffix: str) -> Submission:
+    job = Job(steps=steps, duplicates=False, queue="hauls", spread_limit=rng.choice((0, 1, 1, 2)))
+    fields = {"cpu": HAUL_CPU_MILLIS, "memory_request_mb": 100, "estimated_ms": round(duration_s * 1000)}
+    fields |= {"anti_affinity": job.spread_limit} if job.spread_limit else {}
+    return Submission(
+        job=job,
+        body=_make_body(job, specification=f"{HAUL_CPU_MILLIS} {duration_s}{suffix}", fields=fields),
+    )
+
+
 def _make_body(job: Job, *, specification: str, fields: dict[str, Any]) -> dict[str, Any]:
     steps = [
         {"count": count, **({"after": [number - 1]} if number else {}), **fields}
@@ -105,4 +131,29 @@
     return {"specification": specification, "steps": steps}
 
 
-__all__ = ["PATH_PREFIXES", "Submission", "make_plan", "make_spread_job"]
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """Jobs of one kind.
+
+    Attributes:
+        name: Name of the random source.
+        make_job: Returns the job of an ID.
+        rate_per_s: Mean number of jobs per second.
+        rest_s: Seconds at the end of the run without new jobs, so that long tasks end in time.
+    """
+
+    name: str
+    make_job: Callable[[random.Random, str], Submission]
+    rate_per_s: float
+    rest_s: float = 0.0
+
+
+PLAN_LOAD = Load(name="callers", make_job=make_plan, rate_per_s=6.0)
+SPREAD_LOAD = Load(name="spread callers", make_job=make_spread_job, rate_per_s=3.0)
+HAUL_LOADS = (
+    Load(name="long hauls", make_job=make_long_haul, rate_per_s=0.8, rest_s=10.0),
+    Load(name="short hauls", make_job=make_short_haul, rate_per_s=3.0),
+)
+
+
+__all__ = ["HAUL_LOADS", "PATH_PREFIXES", "PLAN_LOAD", "SPREAD_LOAD", "Submission"]
--- a/tests/soak/leader_events.py
+++ b/tests/soak/leader_events.py
@@ -1,4 +1,4 @@
-"""Counts what leaders logged that makes rounds of placement overlap."""
+"""Counts what leaders logged of rounds that overlap, restarts of VMs and leases that ended."""
 
 from __future__ import annotations
 
@@ -11,11 +11,14 @@
     from pathlib import Path
 
 LEADER_ELECTED = 2002
+LEASE_ENDED = 7006
 RUNS_ORDERED = 7007
 DECISIONS_STOPPED = 7011
 TASK_ENDED = 7012
 DECISIONS_STARTED = 7024
 COPIES_ORDERED = 7050
+RUNS_IN_DOUBT = 7066
+OTHER_BOOT_ANSWERED = 7090
 LATE_COMMIT = "it may still take effect"
 
 
@@ -29,6 +32,9 @@
         late_commits: Rounds of placement whose starts were not confirmed in time but might be committed.
         repeated_rounds: Rounds that ordered starts in the same term after such a round.
         terms: Terms in which a leader took decisions.
+        restarts_in_doubt: Restarts of a VM under its ID with runs that the next boot may start.
+        other_boots: Answers to an order by the next boot of a VM.
+        ended_leases: Leases that ended without contact.
     """
 
     slow_copies: int = 0
@@ -36,6 +42,9 @@
     late_commits: int = 0
     repeated_rounds: int = 0
     terms: int = 0
+    restarts_in_doubt: int = 0
+    other_boots: int = 0
+    ended_leases: int = 0
 
     def add_log(self, path: Path) -> None:
         """Adds the log of one control node."""
@@ -57,6 +66,12 @@
                 case code if code == RUNS_ORDERED and is_repeated:
                     self.repeated_rounds += 1
                     is_repeated = False
+                case code if code == RUNS_IN_DOUBT:
+                    self.restarts_in_doubt += 1
+                case code if code == OTHER_BOOT_ANSWERED:
+                    self.other_boots += 1
+                case code if code == LEASE_ENDED:
+                    self.ended_leases += 1
                 case _:
                     pass
 
@@ -64,7 +79,9 @@
         """Returns a summary of one line."""
         return (
             f"{self.slow_copies} copies of slow runs, {self.silent_copies} of silent VMs, "
-            f"{self.late_commits} late commits, {self.repeated_rounds} rounds repeated, {self.terms} terms"
+            f"{self.late_commits} late commits, {self.repeated_rounds} rounds repeated, {self.terms} terms, "
+            f"{self.restarts_in_doubt} restarts in doubt (7066), {self.other_boots} answers of the next boot (7090), "
+            f"{self.ended_leases} leases ended (7006)"
         )
 
 
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -14,12 +14,14 @@
 
 from .callers import Callers
 from .fault_injector import FaultInjector
+from .held_calls import HeldCalls
 from .invariant_checker import InvariantChecker
-from .job_kinds import PATH_PREFIXES, make_plan, make_spread_job
+from .job_kinds import HAUL_LOADS, PATH_PREFIXES, PLAN_LOAD, SPREAD_LOAD
 from .leader_events import LeaderCounts
 from .machine_api import MachineApi
 from .nodes import Node, find_free_port
 from .proxy import Proxy
+from .restart_cuts import RestartCuts
 from .spread_troubles import SpreadTroubles
 from .worker_vm import WorkerVm
 
@@ -28,7 +30,6 @@
 
 CONTROL_NODES, ENTRY_NODES, WORKER_VMS = 4, 2, 5
 MAX_ATTEMPTS = 3
-RATE_PER_S = 6.0
 READY_TIMEOUT_S = 20.0
 # Every accepted job must reach a final state within this time after the last fault.
 SETTLE_TIMEOUT_S = 25.0
@@ -52,15 +53,18 @@
                 "host": "a.example",
                 "path_prefix": PATH_PREFIXES[queue],
                 "timeout_ms": 3000,
-                "service": "trams",
+                "service": service,
                 "max_attempts": MAX_ATTEMPTS,
                 "target_latency_ms": 500,
                 "stretch": 2.0,
             }
-            for queue in ("peeks", "scans")
+            for queue, service in (("peeks", "trams"), ("scans", "trams"), ("hauls", "barges"))
         ),
     ],
-    "services": [{"name": name, "rejects_overload": False} for name in ("vans", "cars", "trams")],
+    "services": [
+        *({"name": name, "rejects_overload": False} for name in ("vans", "cars", "trams")),
+        {"name": "barges", "rejects_overload": True},
+    ],
     "tenants": [
         {"name": "one", "api_keys": ["key-0"], "weight": 2.0},
         {"name": "two", "api_keys": ["key-1"]},
@@ -75,7 +79,10 @@
     pool: [(kind, f"{pool}-{number}") for number, kind in enumerate("aab" if pool == "trams" else "aabab")]
     for pool in ("cars", "trams")
 }
-SPREAD_RATE_PER_S = 3.0
+# VMs that are restarted under their ID and cut off.
+CUT_POOL, CUT_VMS = "barges", 6
+# No wave of restarts and cuts starts in the last seconds of a run.
+LAST_WAVE_S = 10.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -90,7 +97,8 @@
         starts: Number of runs that started on worker VMs.
         answers: Number of responses by HTTP status.
         faults: Log of the injected faults.
-        counts: What leaders logged that makes rounds of placement overlap.
+        counts: What leaders logged of rounds that overlap, restarts of VMs and leases that ended.
+        window: How often VMs restarted, were cut off and lost their leader in between; empty without this series.
     """
 
     seed: int
@@ -101,13 +109,14 @@
     answers: dict[int, int] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
     counts: LeaderCounts = field(default_factory=LeaderCounts)
+    window: str = ""
 
     def describe(self) -> str:
         """Returns a one-line summary."""
         outcome = "; ".join(self.broken[:3]) or "no guarantee violated"
         return (
             f"seed {self.seed}: {self.jobs} jobs, {self.accepted} accepted, {self.starts} starts, "
-            f"{len(self.faults)} faults, {self.counts.describe()}, answers {dict(sorted(self.answers.items()))}: {outcome}"
+            f"{len(self.faults)} faults, {self.counts.describe()}, {self.window}answers {dict(sorted(self.answers.items()))}: {outcome}"
         )
 
 
@@ -118,12 +127,16 @@
         seed: Seed of jobs, faults and the behaviour of worker VMs; the timing of processes is not reproduced.
         folder: Directory of settings, data and output of all processes.
         has_spread_tasks: Whether spread tasks, their pools and their troubles are added.
+        has_restart_cuts: Whether long tasks, their pool and the restarts and cuts of its VMs are added.
     """
 
-    def __init__(self, *, seed: int, folder: Path, has_spread_tasks: bool = True) -> None:
+    def __init__(
+        self, *, seed: int, folder: Path, has_spread_tasks: bool = True, has_restart_cuts: bool = False
+    ) -> None:
         self.seed = seed
         self.folder = folder
         self.has_spread_tasks = has_spread_tasks
+        self.has_restart_cuts = has_restart_cuts
         self.checker = InvariantChecker(max_attempts=MAX_ATTEMPTS)
         self.machine_api = MachineApi()
         # Each run uses its own loopback addresses, so that concurrent runs do not conflict.
@@ -138,7 +151,13 @@
         self.workers: list[WorkerVm] = []
         self.proxies: list[Proxy] = []
         self.spread_workers: list[WorkerVm] = []
+        self.cut_workers: list[WorkerVm] = []
         self.callers: list[Callers] = []
+        self.loads = [
+            PLAN_LOAD,
+            *((SPREAD_LOAD,) if has_spread_tasks else ()),
+            *(HAUL_LOADS if has_restart_cuts else ()),
+        ]
         self.config_version = 0
         self.config_lock = asyncio.Lock()
         self.grants_guest = True
@@ -155,7 +174,7 @@
             injector = FaultInjector(
                 rng=random.Random(f"{self.seed} faults"),
                 restart_rng=random.Random(f"{self.seed} restarts"),
-                controls=self.controls,
+                controls=[] if self.has_restart_cuts else self.controls,
                 entries=self.entries,
                 proxies=self.proxies,
                 workers=self.workers,
@@ -171,13 +190,19 @@
                 log_fault=injector.log_fault,
                 list_faulted=lambda: injector.faulted_nodes,
             )
-            rates = (RATE_PER_S, SPREAD_RATE_PER_S)
+            cuts = RestartCuts(
+                rng=random.Random(f"{self.seed} restart cuts"),
+                controls=self.controls,
+                workers=self.cut_workers,
+                log_fault=injector.log_fault,
+            )
             await asyncio.gather(
                 injector.run(for_s=for_s),
                 troubles.run(for_s=for_s if self.has_spread_tasks else 0.0),
+                cuts.run(for_s=for_s - LAST_WAVE_S if self.has_restart_cuts else 0.0),
                 *(
-                    callers.run(for_s=for_s, rate_per_s=rate)
-                    for callers, rate in zip(self.callers, rates, strict=False)
+                    callers.run(for_s=for_s - load.rest_s, rate_per_s=load.rate_per_s)
+                    for callers, load in zip(self.callers, self.loads, strict=True)
                 ),
             )
             await self._wait_for_jobs()
@@ -191,6 +216,7 @@
                 answers=sum((Counter(callers.answers) for callers in self.callers), Counter()),
                 faults=injector.log,
                 counts=self._count_events(),
+                window=f"{cuts.describe()}, " if self.has_restart_cuts else "",
             )
         finally:
             await self._stop()
@@ -226,24 +252,36 @@
                 worker = self._create_worker(f"{pool}{number}", pool=pool, labels=labels)
                 await worker.start()
                 self.spread_workers.append(worker)
+        for number in range(CUT_VMS if self.has_restart_cuts else 0):
+            worker = self._create_worker(f"{CUT_POOL}{number}", pool=CUT_POOL, rejects_overload=True)
+            await worker.start()
+            self.cut_workers.append(worker)
         entries = [(await self._start_proxy(entry.http)).address for entry in self.entries]
-        kinds = (("callers", make_plan), ("spread callers", make_spread_job))
-        for name, make_job in kinds if self.has_spread_tasks else kinds[:1]:
-            rng = random.Random(f"{self.seed} {name}")
-            callers = Callers(checker=self.checker, rng=rng, entries=entries, make_job=make_job)
+        for load in self.loads:
+            rng = random.Random(f"{self.seed} {load.name}")
+            callers = Callers(checker=self.checker, rng=rng, entries=entries, make_job=load.make_job)
             await callers.open()
             self.callers.append(callers)
         await asyncio.sleep(1.0)
 
-    def _create_worker(self, name: str, *, pool: str = "vans", labels: tuple[str, ...] = ()) -> WorkerVm:
+    def _create_worker(
+        self,
+        name: str,
+        *,
+        pool: str = "vans",
+        labels: tuple[str, ...] = (),
+        rejects_overload: bool = False,
+    ) -> WorkerVm:
         number = name.removeprefix("m")
         return WorkerVm(
             name=name,
             checker=self.checker,
             rng=random.Random(f"{self.seed} worker {number}"),
             control=[one.http for one in self.controls],
+            held_calls=HeldCalls(rng=random.Random(f"{self.seed} held calls {name}")),
             pool=pool,
             labels=labels,
+            rejects_overload=rejects_overload,
         )
 
     async def _start_proxy(self, address: str) -> Proxy:
@@ -323,7 +361,7 @@
     async def _stop(self) -> None:
         for callers in self.callers:
             await callers.close()
-        for worker in (*self.workers, *self.spread_workers):
+        for worker in (*self.workers, *self.spread_workers, *self.cut_workers):
             await worker.stop()
         for proxy in self.proxies:
             await proxy.stop()
--- a/tests/soak/worker_vm.py
+++ b/tests/soak/worker_vm.py
@@ -18,9 +18,12 @@
     import random
     from collections.abc import Coroutine
 
+    from .held_calls import HeldCalls
     from .invariant_checker import InvariantChecker
 
 MAX_LEASE_MS = 10_000
+# The first boot of a machine has run for so long that its clock is far ahead of those of later boots.
+FIRST_UPTIME_S = 300.0
 HEARTBEAT_S = 0.4
 MEMORY_MB = 16_000
 # Capacities in millicores; a VM changes between them while it runs.
@@ -71,13 +74,18 @@
         slowdown: Factor by which runs that start now last longer.
         pool: Pool of the VM.
         labels: Labels of the VM; empty for a kind and one of two racks, which changes with the VM.
+        held_calls: Chooses calls that the present boot or a later one carries out late.
+        rejects_overload: Whether the VM refuses a start for which it has no room.
         failure_share: Share of runs that fail.
         clock_rate: Rate of the VM's clock relative to real time; leases expire by this clock.
         boot: Number of the current boot.
         instance: Number of the current VM, which is part of its ID.
         booted_at: Monotonic time in seconds of the current boot.
         down_until: Monotonic time in seconds until which the machine is down after a crash.
+        cut_until: Monotonic time in seconds until which the machine is cut off from all control nodes.
+        is_cut_silent: Whether connections stay open without an answer while the machine is cut off.
         capacities: Capacities in millicores, each with the monotonic time in seconds from which on it holds.
+        lapsed_end: Number of the last end after which the lease lapsed; nobody can take note of it any more.
     """
 
     def __init__(
@@ -87,8 +95,10 @@
         checker: InvariantChecker,
         rng: random.Random,
         control: list[str],
+        held_calls: HeldCalls,
         pool: str = "vans",
         labels: tuple[str, ...] = (),
+        rejects_overload: bool = False,
     ) -> None:
         self.name = name
         self.checker = checker
@@ -99,12 +109,16 @@
         self.slowdown = 1.0
         self.lost_response_share = 0.0
         self.delayed_call_share = 0.0
+        self.rejects_overload = rejects_overload
+        self.held_calls = held_calls
         self.failure_share = 0.02
         self.clock_rate = rng.uniform(0.98, 1.0)
         self.boot = self.instance = 0
         self.booted_at = 0.0
         self.down_until = 0.0
         self.capacities = [(0.0, CAPACITIES[0])]
+        self.cut_until = 0.0
+        self.is_cut_silent = False
         self.sequence = 0
         self.fencing_token = 0
         self.lease_expiry_ms = 0.0
@@ -112,6 +126,7 @@
         self.highest_ended_run: dict[str, int] = {}
         self.finished: list[list[Any]] = []
         self.ended_count = 0
+        self.lapsed_end = 0
         self.change_event = asyncio.Event()
         self.address = ""
         self.announced_address = ""
@@ -165,12 +180,23 @@
             self.checker.record_forgotten(task=task, run=run, outcome=outcome)
         self._start_boot(keeps_id=keeps_id)
 
+    def cut_off(self, *, for_s: float, is_silent: bool) -> None:
+        """Separates the VM from all control nodes while it runs on.
+
+        Args:
+            for_s: Duration in seconds.
+            is_silent: Whether connections stay open without an answer.
+        """
+        self.cut_until = time.monotonic() + for_s
+        self.is_cut_silent = is_silent
+
     def _start_boot(self, *, keeps_id: bool = False) -> None:
+        uptime_s = 0.0 if self.boot else FIRST_UPTIME_S
         self.boot += 1
         self.instance += 0 if keeps_id else 1
-        self.booted_at = time.monotonic()
-        self.sequence = self.fencing_token = self.ended_count = 0
-        self.boot_time_ms = int(time.time() * 1000)
+        self.booted_at = time.monotonic() - uptime_s
+        self.sequence = self.fencing_token = self.ended_count = self.lapsed_end = 0
+        self.boot_time_ms = int((time.time() - uptime_s) * 1000)
         self.lease_expiry_ms = 0.0
         self.highest_ended_run, self.finished = {}, []
         self.checker.vm_traits[self.vm_id] = VmTraits(pool=self.pool, labels=self._list_labels())
@@ -184,7 +210,7 @@
     async def _send_reports(self) -> None:
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session:
             while True:
-                if self._is_down():
+                if self._is_down() or self._is_cut_off():
                     await asyncio.sleep(0.05)
                     continue
                 self._change_capacity()
@@ -213,6 +239,9 @@
     def _is_down(self) -> bool:
         return time.monotonic() < self.down_until
 
+    def _is_cut_off(self) -> bool:
+        return time.monotonic() < self.cut_until
+
     def _change_capacity(self) -> None:
         if self.rng.random() < CAPACITY_CHANGE_SHARE:
             self.capacities.append((time.monotonic(), self.rng.choice(CAPACITIES)))
@@ -226,11 +255,23 @@
     async def _enforce_lease(self) -> None:
         while True:
             await asyncio.sleep(0.02)
-            if self.running and self.clock_ms > self.lease_expiry_ms:
+            if self.clock_ms > self.lease_expiry_ms:
                 for task, run in list(self.running):
                     self._end_run(task, run=run, outcome="lapsed")
+                self.lapsed_end = self.ended_count
 
     async def _handle_call(self, request: web.Request) -> web.Response:
+        if self._is_cut_off():
+            return await self._lose_call(request)
+        response = await self._answer_call(request)
+        return await self._lose_call(request) if self._is_cut_off() else response
+
+    async def _lose_call(self, request: web.Request) -> web.Response:
+        if self.is_cut_silent:
+            await asyncio.sleep(self.cut_until - time.monotonic())
+        return _drop_response(request)
+
+    async def _answer_call(self, request: web.Request) -> web.Response:
         if self._is_down():
             return _drop_response(request)
         if request.headers.get("X-Hyssopway-Expected-Instance") != self.vm_id:
@@ -238,10 +279,11 @@
         call = request.match_info["call"]
         body = await request.json()
         boot = self.boot
+        if self.held_calls.is_chosen():
+            await self._carry_out_late(call, body=body, delay_s=self.held_calls.choose_delay_s())
+            return _drop_response(request)
         if call != "hold" and self.rng.random() < self.delayed_call_share:
-            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
-            if boot == self.boot:
-                self._execute(call, body=body, is_late=True)
+            await self._carry_out_late(call, body=body, delay_s=self.rng.uniform(0.3, 3.0))
             return _drop_response(request)
         if call == "hold":
             response = await self._handle_poll(body)
@@ -253,14 +295,38 @@
             else response
         )
 
-    async def _handle_poll(self, body: dict[str, Any]) -> web.Response:
-        if body["fencing_token"] < self.fencing_token:
-            return web.json_response({"reason": "fence", "clock_ms": self.clock_ms}, status=409)
+    async def _carry_out_late(self, call: str, *, body: dict[str, Any], delay_s: float) -> None:
+        """Carries a call out after its sender has stopped waiting, by whichever boot of the VM is up by then."""
+        vm_id, boot = self.vm_id, self.boot
+        await asyncio.sleep(delay_s)
+        if self._is_down() or vm_id != self.vm_id:
+            return
+        if boot != self.boot:
+            self.held_calls.carried_over[call] += 1
+            task = f" of {body['task']}/{body['run']}" if "task" in body else ""
+            self.checker.log_run(
+                f"{call}{task}, sent to boot {boot}, is carried out by boot {self.boot} of {vm_id}"
+            )
+        if call != "hold":
+            self._execute(call, body=body, is_late=True)
+        elif body["fencing_token"] >= self.fencing_token:
+            self._take_poll(body)
+
+    def _take_poll(self, body: dict[str, Any]) -> None:
+        """Takes the lease and the acknowledgement of a poll."""
         self.fencing_token = body["fencing_token"]
         self._renew_lease(body.get("deadline_ms"))
+        for number, task, run, outcome, _ in self.finished:
+            if outcome == "done" and self.lapsed_end < number <= body["last_seen"]:
+                self.checker.record_noted(task=task, run=run, vm=self.vm_id)
         self.finished = [
             finished_run for finished_run in self.finished if finished_run[0] > body["last_seen"]
         ]
+
+    async def _handle_poll(self, body: dict[str, Any]) -> web.Response:
+        if body["fencing_token"] < self.fencing_token:
+            return web.json_response({"reason": "fence", "clock_ms": self.clock_ms}, status=409)
+        self._take_poll(body)
         if not self.finished and body.get("wait_ms"):
             self.change_event.clear()
             with contextlib.suppress(TimeoutError):
@@ -293,6 +359,7 @@
 
     def _start_run(self, task: str, *, run: int, body: dict[str, Any], is_late: bool) -> web.Response:
         if (task, run) in self.running:
+            self._renew_lease(body["deadline_ms"])
             return web.json_response({"clock_ms": self.clock_ms})
         if run <= self.highest_ended_run.get(task, 0):
             self._renew_lease(body["deadline_ms"])
@@ -302,10 +369,13 @@
         self._renew_lease(body["deadline_ms"])
         cpu_millis, duration_s, *kinds = body["specification"].split()
         used_millis = sum(active.cpu_millis for active in self.running.values()) + int(cpu_millis)
+        if self.rejects_overload and used_millis > self.capacities[-1][1]:
+            return self._refuse("room")
         if used_millis > self._find_binding_capacity() and not is_late:
             self.checker.record_overload(task=task, vm=self.vm_id, used_millis=used_millis)
         outcome = "failed" if self.rng.random() < self.failure_share or "lasting" in kinds else "done"
-        total_s = float(duration_s) * self.rng.uniform(0.5, 1.5) * self.slowdown
+        factor = self.rng.uniform(0.5, 1.5)
+        total_s = float(duration_s) * (max(1.0, factor) if "long" in kinds else factor) * self.slowdown
         timer = asyncio.get_running_loop().call_later(
             total_s,
             self._end_run_if_active,
