--- a/tests/soak/invariant_checker.py
+++ b/tests/soak/invariant_checker.py
@@ -175,6 +175,7 @@
         starts = self.starts_after_done.get((task, run), [])
         if starts and (task, run) in self.noted and not self.jobs[task.split(".", maxsplit=1)[0]].duplicates:
             self.broken.append(f"TWICE: {task} starts again after run {run} was noted as done: {starts}")
+            starts.clear()
 
     def log_run(self, text: str) -> None:
         """Adds a line with the time of day to the log of runs."""
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -220,7 +220,8 @@
             )
         finally:
             await self._stop()
-            (self.folder / "runs.log").write_text("".join(f"{line}\n" for line in self.checker.run_log))
+            for name, lines in (("runs.log", self.checker.run_log), ("broken.log", self.checker.broken)):
+                (self.folder / name).write_text("".join(f"{line}\n" for line in lines))
 
     def _create_node(self, role: str, *, subnet: int, number: int) -> Node:
         name = f"{role}-{number}"
