--- a/tests/soak/invariant_checker.py
+++ b/tests/soak/invariant_checker.py
@@ -76,7 +76,8 @@
         seen_runs: Runs that have started.
         forgotten_runs: Runs whose VM crashed while they were active, or before their end was taken note of. The VM's next
             boot may start the same run again.
-        starts_after_done: Starts of the same task since a run ended `done`, by task and run number.
+        starts_after_done: Starts of the same task since a run ended `done`, by task and run number; without ends that nobody
+            can take note of any more.
         noted: Runs that ended `done` and whose end a sender took note of.
         broken: Violations, each prefixed with the name of the guarantee.
         starts: Number of started runs.
@@ -164,6 +165,8 @@
         """Records that a VM crashed before the end of a run was taken note of; nobody can count it any more."""
         self.forgotten_runs.add((task, run))
         self.forgotten_failures[task] += int(outcome == "failed")
+        if (task, run) not in self.noted:
+            self.starts_after_done.pop((task, run), None)
 
     def record_noted(self, *, task: str, run: int, vm: str) -> None:
         """Records that a sender took note that a run ended `done`; no start of its task may follow that end."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -112,6 +112,19 @@
     checker.jobs["a"] = Job(steps=(1,), duplicates=False)
     record_start(checker, "a.0.0.0", 1)
     checker.record_end(task="a.0.0.0", run=1, outcome="done")
+    checker.record_forgotten(task="a.0.0.0", run=1, outcome="done")
+    record_start(checker, "a.0.0.0", 1)
+    checker.record_end(task="a.0.0.0", run=1, outcome="done")
+    checker.record_noted(task="a.0.0.0", run=1, vm="m0-1")
+    assert checker.broken == []
+
+
+def test_checker_detects_start_before_end_is_noted():
+    """Guards against a check that looks only at starts after an end was taken note of."""
+    checker = InvariantChecker(max_attempts=3)
+    checker.jobs["a"] = Job(steps=(1,), duplicates=False)
+    record_start(checker, "a.0.0.0", 1)
+    checker.record_end(task="a.0.0.0", run=1, outcome="done")
     record_start(checker, "a.0.0.0", 2, vm="m1-1")
     assert checker.broken == []
     checker.record_noted(task="a.0.0.0", run=1, vm="m0-1")
