Ask a VM at once which boot it is when another one shows itself

Its poll of that VM waited for the boot before and could only time out (0.85 s), so that the restart was never committed. The next leader knew nothing of it, waited 6.2 to 6.7 s, started the tasks again, and then read that they had ended on the next boot.

Change: such a sign leads to one short poll at once, beside the one in progress; it carries neither a lease nor an acknowledgement. If another boot answers, it is registered as by any poll, with the runs in doubt, so that the next leader waits for its lease. If the boot in the record answers, or nobody, nothing changes.

Ruled out: taking the announcement as the end of the boot (another writer may have sent it).

--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -274,6 +274,7 @@
             # A VM that has restarted answers with its new boot or not at all, and announces itself again. Until it
             # answers, it gets no task.
             link.other_boot_announced_at = self.leadership.clock()
+            link.confirm_boot()
             reason = f"boot {command.boot} is announced while boot {link.boot} answers"
             log_event(Event.INPUT_REFUSED, method="announcement", path=command.vm, reason=reason)
             return
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Coroutine, Iterable
+    from collections.abc import Callable, Coroutine, Iterable
 
     from hyssopway.scheduling.vm_rating import VmRatings
     from hyssopway.workflow import ActiveRun, RunEnd, VmRecord
@@ -70,6 +70,7 @@
         sending: Asyncio tasks that send stops, changes of pace and repeated starts.
         paces: Pace in percent that the VM confirmed, by run key.
         pace_requests: Keys of the runs whose change of pace is in flight.
+        on_other_boot: Called when an answer has the clock of another boot.
         next_boot: Lease that the next boot of the VM may hold by calls that were meant for the present one.
         call_lost_at: Local time at which a call last got no answer; negative infinity if the present boot has answered a poll
             that was sent later.
@@ -90,6 +91,7 @@
         "lease",
         "losses",
         "next_boot",
+        "on_other_boot",
         "order_states",
         "other_boot_answered_at",
         "pace_requests",
@@ -116,10 +118,12 @@
         ratings: VmRatings,
         counters: Counter[str],
         next_boot: NextBootLease,
+        on_other_boot: Callable[[], None],
         late_starts: LateStarts | None = None,
         losses: ContactLosses | None = None,
     ) -> None:
         self.next_boot = next_boot
+        self.on_other_boot = on_other_boot
         self.is_refused = False
         self.call_lost_at = self.other_boot_answered_at = float("-inf")
         self.losses = ContactLosses() if losses is None else losses
@@ -340,7 +344,7 @@
         if key not in self.unanswered_starts or order_state is None or order_state.is_start_resolved:
             return False
         order_state.is_sending = True
-        self._send_in_background(self._repeat_start(self.unanswered_starts[key]))
+        self.send_in_background(self._repeat_start(self.unanswered_starts[key]))
         return True
 
     async def _repeat_start(self, unanswered: _UnansweredStart) -> None:
@@ -409,7 +413,7 @@
             return
         order_state.stop_requested_at = now
         log_event(Event.STOP_ORDERED, run=f"{task}/{run}", vm=self.vm_id, reason=reason)
-        self._send_in_background(self._send_stop(task=task, run=run, order_state=order_state))
+        self.send_in_background(self._send_stop(task=task, run=run, order_state=order_state))
 
     def request_pace(self, *, task: str, run: int, percent: int) -> None:
         """Sends a change of pace unless one is in flight."""
@@ -418,7 +422,7 @@
             return
         self.pace_requests.add(key)
         log_event(Event.PACE_ORDERED, run=key, vm=self.vm_id, percent=percent)
-        self._send_in_background(self._send_pace(task=task, run=run, percent=percent, boot=record.boot))
+        self.send_in_background(self._send_pace(task=task, run=run, percent=percent, boot=record.boot))
 
     def discard_boot(self) -> None:
         """Discards the state of all runs of a boot that has ended."""
@@ -442,7 +446,8 @@
             order_state.is_listed = order_state.has_started_on_boot = True
             order_state.unlisted_since = float("inf")
 
-    def _send_in_background(self, order: Coroutine[None, None, None]) -> None:
+    def send_in_background(self, order: Coroutine[None, None, None]) -> None:
+        """Sends an order, or asks the VM, without waiting for the answer."""
         sending = asyncio.create_task(order)
         self.sending.add(sending)
         sending.add_done_callback(self.sending.discard)
@@ -504,6 +509,7 @@
         if reply.clock_ms is None or least_ms is None or reply.clock_ms >= least_ms:
             return
         self.other_boot_answered_at = self.leadership.clock()
+        self.on_other_boot()
         log_event(
             Event.OTHER_BOOT_ANSWERED,
             vm=self.vm_id,
--- a/src/hyssopway/dispatch/vm_boots.py
+++ b/src/hyssopway/dispatch/vm_boots.py
@@ -10,8 +10,10 @@
 from hyssopway.event import Event, log_event
 from hyssopway.workflow import Capacity, EndRuns, RegisterVm, RemoveVm, RunOutcome
 
+from .leadership import LeadershipLostError
 from .lost_runs import LostRuns
 from .run_ends import make_run_ends
+from .worker_calls import OtherBootError, WorkerUnreachableError
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -21,6 +23,8 @@
     from .poll_reply import PollReply
     from .vm_link import VmLink
 
+CONFIRM_TIMEOUT_S = 0.35
+
 
 class VmBoots:
     """Ends and replaces boots of one VM.
@@ -28,13 +32,15 @@
     Attributes:
         link: Leader's connection to the VM.
         change: Held while another boot replaces the one in the record.
+        is_confirming: Whether the VM is being asked which boot it is.
     """
 
-    __slots__ = ("change", "link")
+    __slots__ = ("change", "is_confirming", "link")
 
     def __init__(self, *, link: VmLink) -> None:
         self.link = link
         self.change = asyncio.Lock()
+        self.is_confirming = False
 
     async def end(self, *, reason: str) -> None:
         """Commits that the boot of the VM has ended, and with it all its runs."""
@@ -42,6 +48,33 @@
         if record is not None:
             await self._end(record, reason=reason, lost=self.find_lost_runs(record))
 
+    async def confirm(self) -> None:
+        """Asks the VM at once which boot it is, and registers that boot if it is another one than in the record.
+
+        The poll in progress may have been sent to the boot before, and end with its timeout only. The leader may have ended by
+        then, and the next one would know nothing of the restart.
+        """
+        record = self.link.record
+        if record is None or self.is_confirming:
+            return
+        self.is_confirming = True
+        try:
+            reply = await self.link.calls.poll(
+                vm=record,
+                fencing_token=self.link.leadership.term,
+                last_end=0,
+                lease_until_ms=None,
+                wait_ms=0,
+                may_send=self.link.leadership.may_order,
+                timeout_s=CONFIRM_TIMEOUT_S,
+            )
+            if reply.boot != record.boot:
+                await self.register(record, reply=reply)
+        except (WorkerUnreachableError, OtherBootError, LeadershipLostError):
+            return  # the next poll tells
+        finally:
+            self.is_confirming = False
+
     async def remove_departed(self, record: VmRecord) -> None:
         """Ends the runs of a VM that has departed, and removes its record."""
         await self.end(reason="it announced its departure and refuses connections")
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -197,6 +197,7 @@
             ratings=self.ratings,
             counters=self.counters,
             next_boot=next_boot,
+            on_other_boot=self.confirm_boot,
             late_starts=late_starts,
             losses=losses,
         )
@@ -252,6 +253,10 @@
         listed_run = self.listed_runs.get(run.key)
         return listed_run is not None and listed_run.percent == UNTHROTTLED_PERCENT
 
+    def confirm_boot(self) -> None:
+        """Asks the VM in the background which boot it is, after a sign of another one than in the record."""
+        self.orders.send_in_background(self.boots.confirm())
+
     def may_have_restarted(self) -> bool:
         """Returns whether there is a sign that another boot, perhaps of another kind, has taken the place of this one."""
         is_announced = self.listing_sent_at < self.other_boot_announced_at
