Move what a poll carries out of the link to a VM

Which lease and which acknowledgement a poll carries, and which polls a VM may still carry out, is one job and now stands in poll_sender.py. Moved code and renames only; the tests of links, leases and acknowledgements pass unchanged.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from dataclasses import replace
-from functools import partial
 from typing import TYPE_CHECKING
 
 from hyssopway.clock import wall_ms
@@ -19,7 +18,8 @@
 from .late_starts import MAX_ORDER_DELAY_S
 from .lease import RUN_LEASE_S, VmLease
 from .next_boot_lease import NextBootLease
-from .poll_timing import MAX_POLL_S, PollTiming
+from .poll_sender import PollSender
+from .poll_timing import PollTiming
 from .run_end_learning import is_known_task, rate_end, record_duration
 from .run_ends import make_run_ends
 from .run_expiry import find_former_lease_expiry, list_expired_runs
@@ -83,6 +83,7 @@
         on_change: Called when a change may allow the leader to start tasks.
         acknowledgement: Acknowledges the ends that the VM lists.
         poll_timing: Chooses the wait and the timeout of each poll.
+        polls: Sends polls.
         poll_limiter: Limits the rate of polls over all VMs.
         lease: Lease of the VM's runs.
         orders: Sends orders of this term to the VM.
@@ -128,6 +129,7 @@
         "pace",
         "poll_limiter",
         "poll_timing",
+        "polls",
         "ratings",
         "scale",
         "spread_watch",
@@ -218,6 +220,7 @@
         self.other_boot_announced_at = float("-inf")
         self.listed_runs: dict[str, ListedRun] = {}
         self.boots = VmBoots(link=self)
+        self.polls = PollSender(link=self)
         self.learned_end = 0
         self.failures = 0
         self.is_departing = False
@@ -329,12 +332,9 @@
             self.discard_boot()
             self.boot = record.boot
         sent_at = self.leadership.clock()
-        last_end = self._choose_acknowledged_end(record, now=sent_at)
-        reply, lease_until_ms = await self._send_poll(record, last_end=last_end, sent_at=sent_at)
+        reply = await self.polls.send(record, sent_at=sent_at)
         self.poll_timing.record_answer()
         if reply.boot != record.boot:
-            if lease_until_ms is not None:
-                self.orders.next_boot.record_grant(until_ms=lease_until_ms, clock_ms=reply.clock_ms)
             await self.boots.register(record, reply=reply)
             return
         if not self._is_in_record(record.boot):
@@ -370,73 +370,9 @@
         if reply.ends and (pause_s := self.poll_limiter.compute_pause_s()):
             await asyncio.sleep(pause_s)
 
-    async def _send_poll(
-        self, record: VmRecord, *, last_end: int, sent_at: float
-    ) -> tuple[PollReply, int | None]:
-        """Sends a poll and returns its answer, with the end of the lease in the poll; None if it had none."""
-        times = self.poll_timing.choose_times(
-            now=sent_at, has_acked_term=self.has_acked_term, acknowledges=bool(last_end)
-        )
-        lease_until_ms = self.lease.renew(now=sent_at) if self._may_renew_lease() else None
-        leased_call = self.orders.next_boot.record_sent() if lease_until_ms is not None else None
-        acknowledgement = self.acknowledgement.record_sent(now=sent_at) if last_end else None
-        try:
-            reply = await self.calls.poll(
-                vm=record,
-                fencing_token=self.leadership.term,
-                last_end=last_end,
-                lease_until_ms=lease_until_ms,
-                wait_ms=times.wait_ms,
-                may_send=partial(self._may_poll, record, last_end=last_end),
-                timeout_s=times.timeout_s,
-            )
-        except WorkerUnreachableError as error:
-            if not error.is_sent:
-                self._settle_poll(leased_call, acknowledgement, last_end=0)
-            # A poll that this process no longer wanted to send says nothing of the VM.
-            if error.is_sent or error.is_refused or self._may_poll(record, last_end=last_end):
-                self.orders.record_loss(error, leased_call=leased_call)
-            raise
-        except OtherBootError:
-            self._settle_poll(leased_call, acknowledgement, last_end=0)  # it was not carried out
-            raise
-        is_same_boot = reply.boot == record.boot
-        self._settle_poll(leased_call, acknowledgement, last_end=last_end if is_same_boot else 0)
-        return reply, lease_until_ms
-
-    def _settle_poll(self, leased_call: int | None, acknowledgement: int | None, *, last_end: int) -> None:
-        if leased_call is not None:
-            self.orders.next_boot.record_settled(leased_call)
-        if acknowledgement is not None:
-            self.acknowledgement.record_settled(acknowledgement, last_end=last_end)
-
     def _is_in_record(self, boot: int) -> bool:
         return self.record is not None and self.record.boot == boot
 
-    def _choose_acknowledged_end(self, record: VmRecord, *, now: float) -> int:
-        # The answer may have waited unread while this process was paused.
-        answered_at = min(self.answered_at, self.listing_sent_at + MAX_POLL_S)
-        return self.acknowledgement.choose(
-            last_end=record.last_end,
-            answer_age_s=now - answered_at if self.has_acked_term else float("inf"),
-            may_have_restarted=self.may_have_restarted() or self.orders.has_lost_call,
-        )
-
-    def _may_poll(self, record: VmRecord, *, last_end: int) -> bool:
-        """Returns whether a poll may still be sent; the process may have been paused while a connection was opened."""
-        if not self.leadership.may_order():
-            return False
-        now = self.leadership.clock()
-        return not last_end or self._choose_acknowledged_end(record, now=now) == last_end
-
-    def _may_renew_lease(self) -> bool:
-        """Returns whether a poll may renew the lease.
-
-        A silent VM gets no new lease: each unanswered poll may renew the lease, which would then never expire. Nor does one
-        whose connections were refused or broken: it may have restarted, and its clock with it.
-        """
-        return self.has_acked_term and self.orders.unreachable_since == float("inf")
-
     def _select_valid(self, reply: PollReply) -> dict[str, ListedRun]:
         """Returns the listed runs by key, without those that name no task; they must not hold up the others."""
         tables = self.leadership.state.tables
