Give the longest delay of an order a module of its own

Six modules and seven tests took MAX_ORDER_DELAY_S from late_starts.py, which is about one use of it. Moved only; tests/dispatch: 466 passed.

--- a/src/hyssopway/dispatch/end_acknowledgement.py
+++ b/src/hyssopway/dispatch/end_acknowledgement.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from .late_starts import MAX_ORDER_DELAY_S
+from .order_delay import MAX_ORDER_DELAY_S
 
 if TYPE_CHECKING:
     from .unsettled_calls import UnsettledCalls
--- a/src/hyssopway/dispatch/late_starts.py
+++ b/src/hyssopway/dispatch/late_starts.py
@@ -4,8 +4,7 @@
 
 from typing import NamedTuple
 
-# The platform carries out an order without an answer up to 12 s after it was sent.
-MAX_ORDER_DELAY_S = 13.0
+from .order_delay import MAX_ORDER_DELAY_S
 
 
 class UnansweredCopy(NamedTuple):
@@ -82,4 +81,4 @@
         del copies[key]
 
 
-__all__ = ["MAX_ORDER_DELAY_S", "LateStarts", "UnansweredCopy"]
+__all__ = ["LateStarts", "UnansweredCopy"]
--- a/src/hyssopway/dispatch/next_boot_lease.py
+++ b/src/hyssopway/dispatch/next_boot_lease.py
@@ -8,8 +8,8 @@
 
 from typing import TYPE_CHECKING
 
-from .late_starts import MAX_ORDER_DELAY_S
 from .lease import lease_expiry
+from .order_delay import MAX_ORDER_DELAY_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/hyssopway/dispatch/run_expiry.py
+++ b/src/hyssopway/dispatch/run_expiry.py
@@ -10,8 +10,8 @@
 
 from hyssopway.workflow import TaskId
 
-from .late_starts import MAX_ORDER_DELAY_S
 from .lease import lease_expiry
+from .order_delay import MAX_ORDER_DELAY_S
 
 if TYPE_CHECKING:
     from hyssopway.workflow import ActiveRun, VmRecord
--- a/src/hyssopway/dispatch/unsettled_calls.py
+++ b/src/hyssopway/dispatch/unsettled_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .late_starts import MAX_ORDER_DELAY_S
+from .order_delay import MAX_ORDER_DELAY_S
 
 
 class UnsettledCalls:
--- a/src/hyssopway/dispatch/vm_late_starts.py
+++ b/src/hyssopway/dispatch/vm_late_starts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .late_starts import MAX_ORDER_DELAY_S
+from .order_delay import MAX_ORDER_DELAY_S
 
 if TYPE_CHECKING:
     from hyssopway.workflow import ActiveRun, VmRecord
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -15,9 +15,9 @@
 from hyssopway.workflow import EndRuns, RunEnd, RunOutcome
 
 from .end_acknowledgement import EndAcknowledgement
-from .late_starts import MAX_ORDER_DELAY_S
 from .lease import RUN_LEASE_S, VmLease
 from .next_boot_lease import NextBootLease
+from .order_delay import MAX_ORDER_DELAY_S
 from .poll_sender import PollSender
 from .poll_timing import PollTiming
 from .run_end_learning import is_known_task, rate_end, record_duration
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -16,7 +16,7 @@
     WorkerUnreachableError,
 )
 from hyssopway.dispatch.duration_scale import DurationScale
-from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
+from hyssopway.dispatch.order_delay import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.poll_rate_limiter import PollRateLimiter
 from hyssopway.dispatch.rtt_estimator import RttEstimator
 from hyssopway.dispatch.ticket_cache import TicketCache
--- a/tests/dispatch/test_departures.py
+++ b/tests/dispatch/test_departures.py
@@ -8,8 +8,8 @@
 
 from dispatch.conftest import LIMITS
 from hyssopway.dispatch import LeaderController, Machine, MachineState, WorkerUnreachableError
-from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.lease import lease_expiry
+from hyssopway.dispatch.order_delay import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.vm_link import REMOVE_AFTER_S
 from hyssopway.workflow import RunStart, StartRuns
 from workflow.conftest import make_vm
--- a/tests/dispatch/test_late_copies_of_starts.py
+++ b/tests/dispatch/test_late_copies_of_starts.py
@@ -12,7 +12,8 @@
 from dispatch.conftest import LIMITS, FakeLeadership, make_link
 from dispatch.model_worker import ModelNetwork, ModelWorker
 from hyssopway.dispatch.dispatcher import Dispatcher
-from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S, LateStarts
+from hyssopway.dispatch.late_starts import LateStarts
+from hyssopway.dispatch.order_delay import MAX_ORDER_DELAY_S
 from hyssopway.workflow import RunOutcome, RunStart, StartRuns
 from workflow.conftest import make_vm
 
--- a/tests/dispatch/test_lease_from_earlier_leader.py
+++ b/tests/dispatch/test_lease_from_earlier_leader.py
@@ -8,8 +8,8 @@
 
 from dispatch.conftest import LIMITS, FakeLeadership, make_link
 from hyssopway.dispatch import OrderReply
-from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.lease import lease_expiry
+from hyssopway.dispatch.order_delay import MAX_ORDER_DELAY_S
 from hyssopway.workflow import RunStart, StartRuns
 from workflow.conftest import make_vm
 
--- a/tests/dispatch/test_lease_over_restarts.py
+++ b/tests/dispatch/test_lease_over_restarts.py
@@ -12,8 +12,8 @@
 
 from dispatch.conftest import LIMITS
 from dispatch.test_order_protocol import VMS, OrderProtocol
-from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
+from hyssopway.dispatch.order_delay import MAX_ORDER_DELAY_S
 from hyssopway.workflow import RunOutcome, Step
 
 pytestmark = pytest.mark.usefixtures("silent_log")
--- a/tests/dispatch/test_restarted_vms.py
+++ b/tests/dispatch/test_restarted_vms.py
@@ -11,10 +11,10 @@
 
 from dispatch.conftest import LIMITS, FakeLeadership, make_link
 from hyssopway.dispatch import OrderReply, OtherBootError, WorkerUnreachableError
-from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.leader_controller import LeaderController
 from hyssopway.dispatch.lease import RUN_LEASE_S, lease_expiry
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.order_delay import MAX_ORDER_DELAY_S
 from hyssopway.workflow import RunEnd, RunOutcome, RunStart, StartRuns, WorkflowStatus
 from workflow.conftest import make_vm
 
--- a/tests/dispatch/test_withheld_vms.py
+++ b/tests/dispatch/test_withheld_vms.py
@@ -5,8 +5,8 @@
 import pytest
 
 from dispatch.conftest import FakeLeadership, make_link
-from hyssopway.dispatch.late_starts import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.listed_end import ListedEnd
+from hyssopway.dispatch.order_delay import MAX_ORDER_DELAY_S
 from hyssopway.dispatch.withheld_vms import find_withheld_vms
 from hyssopway.workflow import RunEnd, RunOutcome, Step
 from workflow.conftest import make_vm, make_workflow
