Let the fake poll of a late answer send its stop once

Since a sign of another boot leads to a poll at once, the fake answered that poll by waiting for all calls in progress, itself among them, and the task was cancelled at the end of the test (a RuntimeWarning of the runner). What the test checks is unchanged.

--- a/tests/dispatch/test_unknown_boots.py
+++ b/tests/dispatch/test_unknown_boots.py
@@ -128,6 +128,7 @@
         return OrderReply(clock_ms=5)
 
     async def answer_after_stop(**arguments):
+        small_fleet.vms.poll = poll
         reply = await poll(**arguments)
         small_fleet.leadership.now += 0.1
         link.orders.request_stop(task=TASK, run=9, reason="test")
@@ -138,7 +139,6 @@
     await link.poll()
     await small_fleet.leadership.propose(make_workflow("small", steps=(Step(count=1, label="a"),)))
     assert not await small_fleet.place()
-    small_fleet.vms.poll = poll
     await link.poll()
     assert await small_fleet.place()
 
