--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -198,6 +198,7 @@
         self.fence = 0
         self.sequence = 0
         self.deadline_ms = 0
+        self.lapsed_at = float("-inf")  # when the lease was last found lapsed
         self.running: dict[str, dict] = {}
         self.closed: dict[str, int] = {}  # the highest run stopped or ended here, by task
         self.ends: list[list] = []
@@ -285,7 +286,8 @@
     async def _watch_lease(self) -> None:
         while True:
             await asyncio.sleep(0.02)
-            if self.running and self.clock_ms() > self.deadline_ms:
+            if self.clock_ms() > self.deadline_ms:
+                self.lapsed_at = self.world.record.now()
                 for task in list(self.running):
                     self.end(task, "lapsed")
 
@@ -574,7 +576,10 @@
         self.record.log(f"{task} run {run} has ended on {minion.id}: {how}")
 
     def end_noted(self, minion: Minion, task: str, run: int, how: str) -> None:
+        """Takes note of an end, unless the minion's lease lapsed between the end and now (TWICE)."""
         for entry in self.runs:
+            if entry["end"] is not None and minion.lapsed_at > entry["end"]:
+                continue
             if (entry["task"], entry["run"], entry["on"]) == (task, run, minion.id) and entry["how"] == how:
                 entry["noted"] = self.record.now()
 
