Know a job by the address of its queue and the key of its team, not by names

Cause: Workflow.queue held the name of the route and some 25 places looked it up, the caller API and the leader. Callers know a queue by its host and path prefix, and their organisation by the key that they send. The same cause left waiting jobs without a VM for good, failed a job at its first failure, sent tasks to the pool of another queue that got the name, and forgot usage and limit of an organisation that was renamed.

Ruled out: jobs that are gone from the state (their tasks work on and end done); the comparison of organisations in this case (one name in both documents). It is a second fault of the same class and is mended here, since both change the form of the state in one version.

A queue is its host and path prefix (QueueId). A team has an ID that does not change; a new document's team is the known one with which it shares a name and a key, else a key, else the name. The form of the state changes with version 3 (decision 0010), so members of the release before keep the same tables until all can change.

--- a/src/hyssopway/dispatch/admission_control.py
+++ b/src/hyssopway/dispatch/admission_control.py
@@ -199,7 +199,7 @@
                     what = f"its {count} tasks, which start together, need" if step.gang else "a task needs"
                     return (
                         f"steps.{number}: {what} {count * needed} of {name}, "
-                        f"the upper limit of team {team!r} is {most}"
+                        f"the upper limit of team {policy.name!r} is {most}"
                     )
         return None
 
@@ -212,14 +212,21 @@
             self.counters["admission_uncertain"] += 1
             return None
         now_ms = float(wall_ms())
-        scale = self.scale.read(queue.name)
+        queue_id = self.leadership.state.indexes.id_of(queue)
+        scale = self.scale.read(queue_id)
         path_ms = critical_path_ms(spec=spec, progress=None)
         # A job that declares much less than the others of its queue probably lasts as long as they do.
         limit_ms = longest_latency_ms(
-            path_ms=max(path_ms, backlog.typical_path_ms(queue.name)), queue=queue, scale=scale
+            path_ms=max(path_ms, backlog.typical_path_ms(queue_id)), queue=queue, scale=scale
         )
         job = describe_work(
-            spec=spec, progress=None, queue=queue, team=team, deadline_ms=now_ms + limit_ms, scale=scale
+            spec=spec,
+            progress=None,
+            queue_id=queue_id,
+            priority=queue.priority,
+            team=team,
+            deadline_ms=now_ms + limit_ms,
+            scale=scale,
         )
         estimate = self._estimate(job, path_ms=path_ms, backlog=backlog, scale=scale, now_ms=now_ms)
         if isinf(estimate.end_ms):
@@ -271,14 +278,15 @@
             job_ms=job.work.dominant_share(steps[-1].capacity),
             now_ms=now_ms,
         )
+        team = self.leadership.state.indexes.team_name(job.team)
         self.counters["admission_refused"] += 1
         self.counters[f"refused_queue_{_metric_name(queue.name)}"] += 1
-        self.counters[f"refused_team_{_metric_name(job.team)}"] += 1
+        self.counters[f"refused_team_{_metric_name(team)}"] += 1
         log_event(
             Event.WORKFLOW_REFUSED_FOR_LOAD,
             workflow=workflow_id,
             queue=queue.name,
-            team=job.team,
+            team=team,
             end_ms=round(estimate.end_ms - now_ms),
             limit_ms=round(limit_ms),
             retry_after_s=retry_after_s,
@@ -286,7 +294,7 @@
             job_core_s=round(job.work.cpu_millis / 1e6, 1),
             cores=round(cores),
             cores_arriving=round(most_cores - cores),
-            scale=round(self.scale.read(queue.name), 2),
+            scale=round(self.scale.read(job.queue), 2),
             backlog_age_ms=round(now_ms - self.collected_ms),
             error_ms=self.error_ms,
         )
--- a/src/hyssopway/dispatch/advice_fetcher.py
+++ b/src/hyssopway/dispatch/advice_fetcher.py
@@ -109,7 +109,7 @@
 
     def list_steps(self) -> list[AdvisedStep]:
         """Returns the steps that start now or soon and need tickets, in the service order; ready steps come first."""
-        queues = {name: queue for name, queue in self.state.indexes.queues.items() if queue.advisor}
+        queues = {queue_id for queue_id, queue in self.state.indexes.queues.items() if queue.advisor}
         if not queues:
             return []
         found: list[tuple[tuple[float, ...], AdvisedStep]] = []
--- a/src/hyssopway/dispatch/approved_vms.py
+++ b/src/hyssopway/dispatch/approved_vms.py
@@ -23,7 +23,7 @@
     """
     for ready_step in ready:
         workflow = ready_step.workflow
-        queue = state.indexes.queues.get(workflow.queue)
+        queue = state.indexes.queue_of(workflow)
         if queue is None or queue.advisor is None:
             continue
         name = TaskId(workflow.workflow_id, ready_step.occurrence, ready_step.number, 0).step_name
--- a/src/hyssopway/dispatch/copyable_runs.py
+++ b/src/hyssopway/dispatch/copyable_runs.py
@@ -114,13 +114,16 @@
         if not reasons:
             return {}
         tables, found = state.tables, Copies()
-        budget, racks = CopyBudget(tables=tables, silent_vms=silent_vms), RackMap(tables.vms)
+        budget, racks = (
+            CopyBudget(tables=tables, indexes=state.indexes, silent_vms=silent_vms),
+            RackMap(tables.vms),
+        )
         for key, reason in reasons.items():
             run = self.runs.get(key)
             if run is None:
                 continue  # found to have ended meanwhile
             workflow = tables.workflows[run.task.workflow]
-            pool = tables.queue_pools.get(workflow.queue, "")
+            pool = state.indexes.pool_of(workflow)
             cpu_millis = workflow.spec.steps[run.task.step].cpu_millis
             if pool in busy_pools or run.vm in silent_vms or not budget.has(pool, cpu_millis):
                 continue
--- a/src/hyssopway/dispatch/demand_forecast.py
+++ b/src/hyssopway/dispatch/demand_forecast.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable, Iterable
 
     from hyssopway.scheduling.burst_sequence import ExpectedBurst
-    from hyssopway.workflow import Indexes, Tables, Workflow, WorkflowSpec
+    from hyssopway.workflow import Indexes, QueueId, Tables, Workflow, WorkflowSpec
 
     from .ordering import StepSpan
 
@@ -65,7 +65,7 @@
 
     __slots__ = ("ahead_ms", "bursts", "demand", "last_workflow", "missed_bursts", "new_bursts", "scale")
 
-    def __init__(self, *, ahead_s: float, scale: Callable[[str], float]) -> None:
+    def __init__(self, *, ahead_s: float, scale: Callable[[QueueId], float]) -> None:
         self.ahead_ms = ahead_s * 1000
         self.scale = scale
         self.demand: dict[str, float] = {}
@@ -88,7 +88,7 @@
         recent_by_pool: dict[str, RecentArrivals] = {}
         for workflow_id in indexes.open_workflows:
             workflow = tables.workflows[workflow_id]
-            pool = tables.queue_pools.get(workflow.queue, "")
+            pool = indexes.pool_of(workflow)
             open_millis = self._open_workflow_millis(workflow)
             if open_millis:
                 self.demand[pool] = self.demand.get(pool, 0.0) + open_millis
@@ -97,7 +97,7 @@
                 self._add_arrival(
                     workflow, recent=recent_by_pool.setdefault(pool, RecentArrivals()), age_s=age_s
                 )
-        self._add_new_workflows(tables, now_ms=now_ms)
+        self._add_new_workflows(tables, pool_of=indexes.pool_of, now_ms=now_ms)
         self.new_bursts, self.missed_bursts = self.bursts.update(now_ms)
         arriving_millis = {
             pool: arrivals.expected_demand(ahead_ms=self.ahead_ms)
@@ -113,7 +113,9 @@
         """Returns the forecast demand of a pool in millicores."""
         return self.demand.get(pool, 0.0)
 
-    def _add_new_workflows(self, tables: Tables, *, now_ms: float) -> None:
+    def _add_new_workflows(
+        self, tables: Tables, *, pool_of: Callable[[Workflow], str], now_ms: float
+    ) -> None:
         """Adds the arrivals of the workflows that were accepted since the last update.
 
         New workflows are appended to the table. All are read again if the last one that was read has been deleted.
@@ -127,10 +129,10 @@
             if workflow_id == self.last_workflow:
                 break
             new.append(workflow)
-        add, pool_of = self.bursts.add, tables.queue_pools.get
+        add = self.bursts.add
         for workflow in reversed(new):
             if _is_short(workflow.spec):
-                add(pool_of(workflow.queue, ""), at_ms=workflow.accepted_ms, item=workflow)
+                add(pool_of(workflow), at_ms=workflow.accepted_ms, item=workflow)
         if new:
             self.last_workflow = new[0].workflow_id
 
--- a/src/hyssopway/dispatch/dispatcher.py
+++ b/src/hyssopway/dispatch/dispatcher.py
@@ -166,9 +166,7 @@
         starts = self._place(
             ready, free_by_pool=free_by_pool, team_usage=team_usage, max_starts=MAX_STARTS_PER_ROUND
         )
-        self.waiting_millis = measure_waiting_millis(
-            ready, starts=starts, queue_pools=state.tables.queue_pools
-        )
+        self.waiting_millis = measure_waiting_millis(ready, starts=starts, pool_of=state.indexes.pool_of)
         slow = self.copyable_runs.find_copies(
             state=state,
             links=self.links,
@@ -253,10 +251,9 @@
         set_approved_vms(ready, state=state, tickets=self.tickets)
         set_suspects(ready, state=state, now_ms=wall_ms())
         RatedSteps(state=state, ratings=self.ratings, free_by_pool=free_by_pool).apply(ready)
-        queue_pools = state.tables.queue_pools
 
         def pool_of(ready_step: ReadyStep) -> str:
-            return queue_pools.get(ready_step.workflow.queue, "")
+            return state.indexes.pool_of(ready_step.workflow)
 
         starts = place_steps(
             steps=self.shares.iterate(ready),
--- a/src/hyssopway/dispatch/pool_backlog.py
+++ b/src/hyssopway/dispatch/pool_backlog.py
@@ -7,6 +7,7 @@
 
 from hyssopway.scheduling.admission import CapacityStep, OpenWork
 from hyssopway.scheduling.pool_shares import ResourceAmounts
+from hyssopway.workflow import QueueId
 
 from .ordering import OVERDUE_FACTOR, critical_path_ms, objective_ms
 
@@ -36,7 +37,7 @@
     open_work: dict[str, OpenWork] = field(default_factory=dict)
     long_running: ResourceAmounts = field(default_factory=ResourceAmounts)
     capacity: ResourceAmounts = field(default_factory=ResourceAmounts)
-    path_sums: dict[str, tuple[float, int]] = field(default_factory=dict)
+    path_sums: dict[QueueId, tuple[float, int]] = field(default_factory=dict)
     arriving: list[tuple[float, ResourceAmounts]] = field(default_factory=list)
 
     def capacity_steps(self, *, now_ms: float) -> Sequence[CapacityStep]:
@@ -49,7 +50,7 @@
             steps.append(CapacityStep(at_ms=max(now_ms, at_ms), capacity=steps[-1].capacity.plus(amounts)))
         return steps
 
-    def typical_path_ms(self, queue: str) -> float:
+    def typical_path_ms(self, queue: QueueId) -> float:
         """Returns the mean declared critical path of a queue's open workflows; 0 while there are few."""
         total, count = self.path_sums.get(queue, (0.0, 0))
         return total / count if count >= MIN_TYPICAL_COUNT else 0.0
@@ -78,7 +79,8 @@
     *,
     spec: WorkflowSpec,
     progress: list[StepProgress] | None,
-    queue: Queue,
+    queue_id: QueueId,
+    priority: int,
     team: str,
     deadline_ms: float,
     scale: float,
@@ -98,8 +100,8 @@
             core_ms += open_count * step.cpu_millis * step.estimate_ms / 1000
     return OpenWork(
         team=team,
-        queue=queue.name,
-        priority=queue.priority,
+        queue=queue_id,
+        priority=priority,
         deadline_ms=deadline_ms,
         remaining_core_s=core_ms / 1000,
         work=work,
@@ -107,7 +109,7 @@
 
 
 def collect_backlogs(
-    *, state: WorkflowState, scale: Callable[[str], float], now_ms: float
+    *, state: WorkflowState, scale: Callable[[QueueId], float], now_ms: float
 ) -> dict[str, PoolBacklog]:
     """Returns the backlog of each pool, without arriving machines.
 
@@ -124,10 +126,10 @@
             backlog.capacity.increase(ResourceAmounts.of(vm.capacity))
     for workflow_id in state.indexes.open_workflows:
         workflow = tables.workflows[workflow_id]
-        queue = state.indexes.queues.get(workflow.queue)
+        queue = state.indexes.queue_of(workflow)
         if queue is not None:
             backlog = backlogs.setdefault(queue.pool, PoolBacklog())
-            _add_workflow(backlog, workflow=workflow, queue=queue, scale=scale(queue.name), now_ms=now_ms)
+            _add_workflow(backlog, workflow=workflow, queue=queue, scale=scale(workflow.queue), now_ms=now_ms)
     return backlogs
 
 
@@ -136,8 +138,8 @@
 ) -> None:
     spec = workflow.spec
     path_ms = critical_path_ms(spec=spec, progress=None)
-    total, count = backlog.path_sums.get(queue.name, (0.0, 0))
-    backlog.path_sums[queue.name] = (total + path_ms, count + 1)
+    total, count = backlog.path_sums.get(workflow.queue, (0.0, 0))
+    backlog.path_sums[workflow.queue] = (total + path_ms, count + 1)
     latency_ms = longest_latency_ms(path_ms=path_ms, queue=queue, scale=scale)
     for occurrence, progress in workflow.progress.items():
         for number, step in enumerate(spec.steps):
@@ -147,7 +149,8 @@
         item = describe_work(
             spec=spec,
             progress=progress,
-            queue=queue,
+            queue_id=workflow.queue,
+            priority=queue.priority,
             team=workflow.team,
             deadline_ms=(spec.due_ms(occurrence) or workflow.accepted_ms) + latency_ms,
             scale=scale,
--- a/src/hyssopway/dispatch/pool_rebalancer.py
+++ b/src/hyssopway/dispatch/pool_rebalancer.py
@@ -294,7 +294,7 @@
         most_vms = 0
         for workflow_id in state.indexes.open_workflows:
             workflow = state.tables.workflows[workflow_id]
-            if state.tables.queue_pools.get(workflow.queue) != pool:
+            if state.indexes.pool_of(workflow) != pool:
                 continue
             for step in workflow.spec.steps:
                 if step.spread_limit:
--- a/src/hyssopway/dispatch/rated_steps.py
+++ b/src/hyssopway/dispatch/rated_steps.py
@@ -43,7 +43,7 @@
         """Sets `probe_indexes` and extends `excluded_vms` of each step."""
         for ready_step in ready:
             workflow = ready_step.workflow
-            pool = self.state.tables.queue_pools.get(workflow.queue, "")
+            pool = self.state.indexes.pool_of(workflow)
             failures = workflow.progress[ready_step.occurrence][ready_step.number].failures
             max_attempts = self.state.indexes.max_attempts(workflow)
             if pool in self.probed_pools:
--- a/src/hyssopway/dispatch/ready_steps.py
+++ b/src/hyssopway/dispatch/ready_steps.py
@@ -41,7 +41,7 @@
             ]
             if not waiting:
                 continue
-            queue = indexes.queues.get(workflow.queue)
+            queue = indexes.queue_of(workflow)
             order = service_order_key(workflow=workflow, occurrence=occurrence, queue=queue, now_ms=now_ms)
             found += [
                 _make_ready_step(
@@ -77,7 +77,7 @@
         step = by_key.get(key)
         if step is None:
             workflow = tables.workflows[key.workflow]
-            queue = indexes.queues.get(workflow.queue)
+            queue = indexes.queue_of(workflow)
             order = service_order_key(
                 workflow=workflow, occurrence=key.occurrence, queue=queue, now_ms=now_ms
             )
--- a/src/hyssopway/dispatch/start_order.py
+++ b/src/hyssopway/dispatch/start_order.py
@@ -38,7 +38,7 @@
     checkpoint = saved.get(task.number, "")
     if workflow.spec.steps[task.step].gang:
         checkpoint = next(iter(saved.values()), "")
-    queue = state.indexes.queues.get(workflow.queue)
+    queue = state.indexes.queue_of(workflow)
     await link.start(
         run,
         specification=workflow.spec.specification,
--- a/src/hyssopway/dispatch/step_sizes.py
+++ b/src/hyssopway/dispatch/step_sizes.py
@@ -33,7 +33,7 @@
             if workflow.accepted_ms <= self.last_ms:
                 break
             newest_ms = max(newest_ms, workflow.accepted_ms)
-            pool = tables.queue_pools.get(workflow.queue, "")
+            pool = indexes.pool_of(workflow)
             for step in workflow.spec.steps:
                 if not step.long_running and not step.fills:
                     self._add(pool, size=step.count * step.cpu_millis)
--- a/src/hyssopway/dispatch/team_shares.py
+++ b/src/hyssopway/dispatch/team_shares.py
@@ -85,7 +85,7 @@
             shares.add_start(item.workflow.team, item.step)
 
     def _pool_of(self, item: ReadyStep) -> str:
-        return self.state.tables.queue_pools.get(item.workflow.queue, "")
+        return self.state.indexes.pool_of(item.workflow)
 
     def _excess(self, account: tuple[str, str]) -> float:
         pool, team = account
--- a/src/hyssopway/scheduling/copies.py
+++ b/src/hyssopway/scheduling/copies.py
@@ -118,7 +118,7 @@
 
     __slots__ = ("left_millis",)
 
-    def __init__(self, *, tables: Tables, silent_vms: Collection[str]) -> None:
+    def __init__(self, *, tables: Tables, indexes: Indexes, silent_vms: Collection[str]) -> None:
         capacity: Counter[str] = Counter()
         for vm in tables.vms.values():
             capacity[vm.pool] += vm.capacity.cpu_millis
@@ -127,7 +127,7 @@
             if len(runs) > 1 and not any(run.vm in silent_vms for run in runs):
                 task = TaskId.parse(runs[0].task)
                 workflow = tables.workflows[task.workflow]
-                pool = tables.queue_pools.get(workflow.queue, "")
+                pool = indexes.pool_of(workflow)
                 self.reserve(pool, workflow.spec.steps[task.step].cpu_millis)
 
     def has(self, pool: str, cpu_millis: int) -> bool:
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -32,11 +32,12 @@
 from .indexes import Indexes, Usage
 from .pool_policy import PoolPolicy
 from .queue import Queue
+from .queue_id import QueueId, make_queue_id
 from .run_end import RunEnd
 from .run_outcome import RunOutcome
 from .start_rules import SkippedStart, StartRule
 from .state import WorkflowState, build_codecs, encode_command
-from .state_version import CURRENT_VERSION, LATE_FAILURES_VERSION, PLACEMENT_RULES_VERSION
+from .state_version import CURRENT_VERSION, LATE_FAILURES_VERSION, PLACEMENT_RULES_VERSION, QUEUE_IDS_VERSION
 from .step import Step
 from .step_progress import StepProgress
 from .tables import Tables
@@ -56,6 +57,7 @@
     "NO_CRASHES",
     "PLACEMENT_RULES_VERSION",
     "PROBATION_MS",
+    "QUEUE_IDS_VERSION",
     "SUSPICIOUS_CRASHES",
     "AcceptWorkflow",
     "ActiveRun",
@@ -75,6 +77,7 @@
     "PoolPolicy",
     "PutDocument",
     "Queue",
+    "QueueId",
     "RecordMachineOrders",
     "RegisterVm",
     "RemoveVm",
@@ -102,5 +105,6 @@
     "build_codecs",
     "encode_command",
     "is_held_back",
+    "make_queue_id",
     "may_start_copy",
 ]
--- a/src/hyssopway/workflow/apply_fleet.py
+++ b/src/hyssopway/workflow/apply_fleet.py
@@ -1,4 +1,4 @@
-"""Applies commands for the configuration, zones, VMs and maintenance."""
+"""Applies commands for zones, VMs and maintenance."""
 
 from __future__ import annotations
 
@@ -18,7 +18,6 @@
     from .commands import (
         BeginMaintenance,
         ConfirmMaintenance,
-        PutDocument,
         RecordMachineOrders,
         RegisterVm,
         RemoveVm,
@@ -29,17 +28,6 @@
     from .tables import Tables
 
 
-def put_document(tables: Tables, indexes: Indexes, command: PutDocument) -> None:
-    """Stores a configuration if its version is higher than that of the active one."""
-    document = command.document
-    if tables.document is not None and document.version <= tables.document.version:
-        return
-    tables.document = document
-    tables.queue_pools.update({queue.name: queue.pool for queue in document.queues})
-    tables.queue_attempts.update({queue.name: queue.max_attempts for queue in document.queues})
-    indexes.index_document(document)
-
-
 def set_zone_evacuated(tables: Tables, command: SetZoneEvacuated) -> None:
     """Marks a zone as evacuated, or puts it back into service."""
     if command.evacuated:
@@ -166,7 +154,6 @@
 __all__ = [
     "begin_maintenance",
     "confirm_maintenance",
-    "put_document",
     "record_machine_orders",
     "register_vm",
     "remove_vm",
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -7,9 +7,10 @@
 from .active_run import ActiveRun
 from .apply_crashes import clear_lapsed, count_crashes, record_lapsed
 from .late_failures import count_failure, count_late_failure, record_unreported
+from .queue_id import QueueId
 from .run_outcome import RunOutcome
 from .start_rules import SkippedStart, find_broken_rule, group_starts
-from .state_version import ENDS_COUNT_ONCE_VERSION
+from .state_version import ENDS_COUNT_ONCE_VERSION, QUEUE_IDS_VERSION
 from .task_id import TaskId
 from .workflow import Workflow
 from .workflow_end import end_workflow, mark_runs_to_stop
@@ -39,7 +40,7 @@
         return
     workflow = Workflow(
         workflow_id=command.workflow_id,
-        queue=command.queue,
+        queue=_find_queue_id(tables, indexes, command),
         team=command.team,
         spec=command.spec,
         accepted_ms=command.at_ms,
@@ -50,6 +51,13 @@
     indexes.open_workflows[command.workflow_id] = None
 
 
+def _find_queue_id(tables: Tables, indexes: Indexes, command: AcceptWorkflow) -> QueueId:
+    name = QueueId(command.queue)
+    if tables.version < QUEUE_IDS_VERSION:
+        return name
+    return command.queue_id or indexes.queue_id_by_name.get(command.queue, name)
+
+
 def add_occurrence(tables: Tables, command: AddOccurrence) -> None:
     """Adds the tasks of an occurrence of a scheduled workflow that is due."""
     workflow = tables.workflows.get(command.workflow_id)
--- a/src/hyssopway/workflow/commands.py
+++ b/src/hyssopway/workflow/commands.py
@@ -7,6 +7,7 @@
 
 from .capacity import Capacity
 from .fleet_document import FleetDocument
+from .queue_id import UNKNOWN_QUEUE_ID, QueueId
 from .run_end import RunEnd
 from .workflow_spec import WorkflowSpec
 
@@ -30,13 +31,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AcceptWorkflow:
-    """Accepts a workflow; does nothing if its ID is known."""
+    """Accepts a workflow; does nothing if its ID is known.
+
+    Attributes:
+        queue: Name of its queue, for members of a state before `QUEUE_IDS_VERSION`.
+        team: ID of the team that submits it.
+        queue_id: ID of its queue; empty in entries of earlier releases.
+    """
 
     workflow_id: str
     queue: str
     team: str
     spec: WorkflowSpec
     at_ms: int
+    queue_id: QueueId = UNKNOWN_QUEUE_ID
     kind: Literal["accept"] = "accept"
 
 
--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -6,13 +6,14 @@
 from typing import TYPE_CHECKING
 
 from .crash_suspects import CrashSuspects
+from .queue import Queue, make_unlocated_queue
+from .queue_id import QueueId
+from .state_version import QUEUE_IDS_VERSION
 from .task_id import TaskId
 
 if TYPE_CHECKING:
     from .active_run import ActiveRun
     from .capacity import Capacity
-    from .fleet_document import FleetDocument
-    from .queue import Queue
     from .step import Step
     from .tables import Tables
     from .team_policy import TeamPolicy
@@ -99,11 +100,11 @@
         pool_usage: Resources in use by pool and team, without the CPU of best-effort tasks.
         vm_usage: Resources in use on each VM, without the CPU of best-effort tasks.
         runs_to_stop: VM by the key of each run in progress that is to be stopped.
-        queues: Queues by name.
-        queue_attempts: Last known number of attempts of each queue, also of queues that were removed.
-        queues_by_host: Queues by host name, longest path prefix first.
-        teams: Teams by name.
-        team_by_key: Team name by API key.
+        queues: Known queues by ID, also those that were removed from the configuration, as they were last.
+        queue_id_by_name: IDs of the configured queues by name.
+        queues_by_host: Configured queues by host name, longest path prefix first.
+        teams: Known teams by ID, also those that were removed from the configuration, as they were last.
+        team_by_key: Team ID by API key, of the configured teams.
         suspects: Open tasks that may have crashed the VMs that ran them.
         unguarded_pools: Pools whose VMs do not reject tasks that exceed their free capacity.
     """
@@ -111,7 +112,7 @@
     __slots__ = (
         "open_workflows",
         "pool_usage",
-        "queue_attempts",
+        "queue_id_by_name",
         "queues",
         "queues_by_host",
         "runs_to_stop",
@@ -131,30 +132,41 @@
         self.pool_usage: dict[str, dict[str, Usage]] = {}
         self.vm_usage: dict[str, Usage] = {}
         self.runs_to_stop: dict[str, str] = {}
-        self.queues: dict[str, Queue] = {}
-        self.queue_attempts = tables.queue_attempts
+        self.queues: dict[QueueId, Queue] = {}
+        self.queue_id_by_name: dict[str, QueueId] = {}
         self.queues_by_host: dict[str, list[Queue]] = {}
         self.teams: dict[str, TeamPolicy] = {}
         self.unguarded_pools: set[str] = set()
         self.team_by_key: dict[str, str] = {}
         self.suspects = CrashSuspects(tables)
-        if tables.document is not None:
-            self.index_document(tables.document)
+        self.index_configuration(tables)
         for runs in tables.runs.values():
             for run in runs:
                 self.count_run(tables=tables, run=run, sign=1)
                 if should_stop(tables, run):
                     self.runs_to_stop[run.key] = run.vm
 
-    def index_document(self, document: FleetDocument) -> None:
-        """Indexes a new configuration."""
-        self.queues = {queue.name: queue for queue in document.queues}
+    def index_configuration(self, tables: Tables) -> None:
+        """Indexes a new configuration, and what is kept of the earlier ones."""
+        document = tables.document
+        configured = document.queues if document is not None else ()
+        has_ids = tables.version >= QUEUE_IDS_VERSION
+        self.queue_id_by_name = {
+            queue.name: queue.queue_id if has_ids else QueueId(queue.name) for queue in configured
+        }
+        self.queues = dict(tables.former_queues) if has_ids else _list_former_queues(tables)
+        self.queues.update({self.queue_id_by_name[queue.name]: queue for queue in configured})
         self.queues_by_host = {}
-        for queue in sorted(document.queues, key=lambda queue: -len(queue.path_prefix)):
+        for queue in sorted(configured, key=lambda queue: -len(queue.path_prefix)):
             self.queues_by_host.setdefault(queue.host, []).append(queue)
-        self.teams = {team.name: team for team in document.teams}
-        self.unguarded_pools = {pool.name for pool in document.pools if not pool.guards_capacity}
-        self.team_by_key = {key: team.name for team in document.teams for key in team.keys}
+        self.teams = dict(tables.former_teams)
+        self.team_by_key = {}
+        for team in document.teams if document is not None else ():
+            team_id = tables.team_ids.get(team.name, team.name)
+            self.teams[team_id] = team
+            self.team_by_key.update(dict.fromkeys(team.keys, team_id))
+        pools = document.pools if document is not None else ()
+        self.unguarded_pools = {pool.name for pool in pools if not pool.guards_capacity}
 
     def count_run(self, *, tables: Tables, run: ActiveRun, sign: int) -> None:
         """Adds a run to the usage of its team and its VM, or removes it if the sign is -1."""
@@ -218,10 +230,28 @@
             and usage.accelerators + runs * step.accelerators <= vm.capacity.accelerators
         )
 
+    def team_name(self, team_id: str) -> str:
+        """Returns the name that a team has, or had last; its ID if it was never configured."""
+        team = self.teams.get(team_id)
+        return team.name if team is not None else team_id
+
+    def id_of(self, queue: Queue) -> QueueId:
+        """Returns the ID under which workflows of a configured queue are kept."""
+        return self.queue_id_by_name[queue.name]
+
+    def queue_of(self, workflow: Workflow) -> Queue | None:
+        """Returns the queue of a workflow as it is configured, or was last; None if it was never configured."""
+        return self.queues.get(workflow.queue)
+
+    def pool_of(self, workflow: Workflow) -> str:
+        """Returns the pool that the queue of a workflow leads to; empty if the queue was never configured."""
+        queue = self.queues.get(workflow.queue)
+        return queue.pool if queue is not None else ""
+
     def max_attempts(self, workflow: Workflow) -> int:
         """Returns the number of failed runs of one task after which a workflow fails."""
         queue = self.queues.get(workflow.queue)
-        return queue.max_attempts if queue is not None else self.queue_attempts.get(workflow.queue, 1)
+        return queue.max_attempts if queue is not None else 1
 
     def find_queue(self, *, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest path prefix that matches, or None."""
@@ -231,6 +261,14 @@
         return None
 
 
+def _list_former_queues(tables: Tables) -> dict[QueueId, Queue]:
+    """Returns the queues by name of a state before `QUEUE_IDS_VERSION`, which keeps little of removed ones."""
+    return {
+        QueueId(name): make_unlocated_queue(name, pool=pool, max_attempts=tables.queue_attempts.get(name, 1))
+        for name, pool in tables.queue_pools.items()
+    }
+
+
 def should_stop(tables: Tables, run: ActiveRun) -> bool:
     """Returns whether a run in progress is no longer needed: its task is done or its workflow has ended."""
     task = TaskId.parse(run.task)
--- a/src/hyssopway/workflow/queue.py
+++ b/src/hyssopway/workflow/queue.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .advisor_policy import AdvisorPolicy
+from .queue_id import QueueId, make_queue_id
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -12,7 +13,7 @@
     """A queue that submitters send workflows to, as configured by operators.
 
     Attributes:
-        name: Name of the queue.
+        name: Label that operators give the queue; it may change, and may have belonged to another queue.
         host: Host name that requests for the queue are sent to.
         path_prefix: Prefix of the request paths of the queue.
         pool: Pool whose VMs run its tasks.
@@ -37,5 +38,15 @@
     stretch: float = 1.0
     advisor: AdvisorPolicy | None = None
 
+    @property
+    def queue_id(self) -> QueueId:
+        """ID of the queue, which only its host and path prefix determine."""
+        return make_queue_id(host=self.host, path_prefix=self.path_prefix)
 
-__all__ = ["Queue"]
+
+def make_unlocated_queue(name: str, *, pool: str, max_attempts: int) -> Queue:
+    """Returns a removed queue of which a state before `QUEUE_IDS_VERSION` has only the pool and the attempts."""
+    return Queue(name=name, host="", path_prefix="", pool=pool, max_attempts=max_attempts, stretch=0.0)
+
+
+__all__ = ["Queue", "make_unlocated_queue"]
--- a/src/hyssopway/workflow/start_rules.py
+++ b/src/hyssopway/workflow/start_rules.py
@@ -127,11 +127,17 @@
         return StartRule.VM_CAPACITY
     if tables.version < PLACEMENT_RULES_VERSION:
         return None
-    return _find_broken_placement_rule(tables, workflow=workflow, task=task, vm=vm, earlier=earlier)
+    return _find_broken_placement_rule(tables, indexes, workflow=workflow, task=task, vm=vm, earlier=earlier)
 
 
 def _find_broken_placement_rule(
-    tables: Tables, *, workflow: Workflow, task: TaskId, vm: VmRecord, earlier: Sequence[RunStart]
+    tables: Tables,
+    indexes: Indexes,
+    *,
+    workflow: Workflow,
+    task: TaskId,
+    vm: VmRecord,
+    earlier: Sequence[RunStart],
 ) -> StartRule | None:
     step = workflow.spec.steps[task.step]
     if (step.gang or step.long_running) and tables.runs.get(task.name):
@@ -143,7 +149,8 @@
         return StartRule.SPREAD_LIMIT
     if step.label and step.label not in vm.labels:
         return StartRule.LABEL
-    if tables.queue_pools.get(workflow.queue) != vm.pool:
+    queue = indexes.queue_of(workflow)
+    if queue is None or queue.pool != vm.pool:
         return StartRule.POOL
     return None
 
--- a/src/hyssopway/workflow/state.py
+++ b/src/hyssopway/workflow/state.py
@@ -10,7 +10,7 @@
 from hyssopway.lazy_adapter import LazyAdapter
 from hyssopway.result import Outcome, UnsupportedVersionError
 
-from . import apply_fleet, apply_workflows
+from . import apply_document, apply_fleet, apply_workflows
 from .commands import (
     AcceptWorkflow,
     AddOccurrence,
@@ -31,7 +31,7 @@
 )
 from .indexes import Indexes
 from .observed_times import ObservedTimes
-from .state_version import CURRENT_VERSION
+from .state_version import CURRENT_VERSION, QUEUE_IDS_VERSION
 from .tables import Tables
 
 if TYPE_CHECKING:
@@ -172,7 +172,7 @@
             case RegisterVm() | RemoveVm():
                 self._change_vm(command)
             case PutDocument():
-                apply_fleet.put_document(tables, indexes, command)
+                apply_document.put_document(tables, indexes, command)
             case SetZoneEvacuated():
                 apply_fleet.set_zone_evacuated(tables, command)
             case StartWave():
@@ -184,7 +184,13 @@
             case RecordMachineOrders():
                 apply_fleet.record_machine_orders(tables, command)
             case SetStateVersion():
-                tables.version = max(tables.version, command.version)
+                self._raise_version(command.version)
+
+    def _raise_version(self, version: int) -> None:
+        earlier = self.tables.version
+        self.tables.version = max(earlier, version)
+        if earlier < QUEUE_IDS_VERSION <= self.tables.version:
+            apply_document.change_to_ids(self.tables, self.indexes)
 
     def _observe_starts(self, command: StartRuns) -> None:
         for start in command.starts:
--- a/src/hyssopway/workflow/state_version.py
+++ b/src/hyssopway/workflow/state_version.py
@@ -14,13 +14,15 @@
     1  # the end of a boot counts once for each run that is kept, however often it is committed
 )
 REPLACED_BOOTS_VERSION: Final = 2  # the record of a VM tells when its boot replaced another one
+QUEUE_IDS_VERSION: Final = 3  # workflows are kept by the IDs of their queue and team, not by the names
 
-CURRENT_VERSION: Final = REPLACED_BOOTS_VERSION  # the highest version that this release can apply
+CURRENT_VERSION: Final = QUEUE_IDS_VERSION  # the highest version that this release can apply
 
 __all__ = [
     "CURRENT_VERSION",
     "ENDS_COUNT_ONCE_VERSION",
     "LATE_FAILURES_VERSION",
     "PLACEMENT_RULES_VERSION",
+    "QUEUE_IDS_VERSION",
     "REPLACED_BOOTS_VERSION",
 ]
--- a/src/hyssopway/workflow/tables.py
+++ b/src/hyssopway/workflow/tables.py
@@ -6,6 +6,9 @@
 
 from .active_run import ActiveRun
 from .fleet_document import FleetDocument
+from .queue import Queue
+from .queue_id import QueueId
+from .team_policy import TeamPolicy
 from .vm_record import VmRecord
 from .wave_record import WaveRecord
 from .workflow import Workflow
@@ -23,8 +26,12 @@
         evacuated: Zones that are out of service.
         waves: Maintenance waves by number.
         machine_orders: Wall-clock time of the last request to the platform about each machine.
-        queue_pools: Last known pool of each queue; kept when a queue is removed from the configuration.
-        queue_attempts: Last known number of attempts of each queue; kept likewise.
+        queue_pools: Last known pool of each queue by name; empty from `QUEUE_IDS_VERSION` on.
+        queue_attempts: Last known number of attempts of each queue by name; likewise.
+        former_queues: Queues that were removed from the configuration, as they were last, in order of removal; their
+            workflows go on. Empty before `QUEUE_IDS_VERSION`.
+        team_ids: ID of each team of the configuration by name; empty before `QUEUE_IDS_VERSION`, when a name is the ID.
+        former_teams: Teams that were removed from the configuration, as they were last, by ID.
         version: Version of the state, which selects the rules by which commands are applied; 0 in snapshots of releases
             that have no versions.
     """
@@ -38,6 +45,9 @@
     machine_orders: dict[str, int] = field(default_factory=dict)
     queue_pools: dict[str, str] = field(default_factory=dict)
     queue_attempts: dict[str, int] = field(default_factory=dict)
+    former_queues: dict[QueueId, Queue] = field(default_factory=dict)
+    team_ids: dict[str, str] = field(default_factory=dict)
+    former_teams: dict[str, TeamPolicy] = field(default_factory=dict)
     version: int = 0
 
     def accepts_starts(self, vm: VmRecord) -> bool:
--- a/src/hyssopway/workflow/workflow.py
+++ b/src/hyssopway/workflow/workflow.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from .queue_id import QueueId
 from .step_progress import StepProgress
 from .workflow_spec import WorkflowSpec
 from .workflow_status import WorkflowStatus
@@ -15,8 +16,8 @@
 
     Attributes:
         workflow_id: ID chosen by the submitter.
-        queue: Name of its queue.
-        team: Team whose API key it was submitted with; empty on a queue that needs no key.
+        queue: ID of its queue.
+        team: ID of the team whose API key it was submitted with; empty if it was submitted without a key.
         spec: Specification as submitted.
         accepted_ms: Wall-clock time of acceptance.
         status: Status as shown to submitters.
@@ -26,7 +27,7 @@
     """
 
     workflow_id: str
-    queue: str
+    queue: QueueId
     team: str
     spec: WorkflowSpec
     accepted_ms: int
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -13,6 +13,7 @@
 from hyssopway.dispatch.admission_control import AdmissionControl
 from hyssopway.dispatch.duration_scale import DurationScale
 from hyssopway.relay import RelayedRequest
+from hyssopway.workflow import CURRENT_VERSION, SetStateVersion
 from hyssopway_platform.control_api import ControlApi
 from hyssopway_platform.listener_kind import CALLERS, CONTROL
 from hyssopway_platform.service import PlatformService
@@ -49,6 +50,7 @@
     def __init__(self):
         self.leadership = FakeLeadership()
         self.leadership.member = FakeMember()
+        self.leadership.apply(SetStateVersion(version=CURRENT_VERSION))
         self.announcements = []
         self.links = {}
         self.counters = Counter()
--- a/tests/dispatch/test_recurring_bursts.py
+++ b/tests/dispatch/test_recurring_bursts.py
@@ -31,7 +31,7 @@
 
     __slots__ = ()
 
-    def _add_new_workflows(self, tables, *, now_ms):
+    def _add_new_workflows(self, tables, *, pool_of, now_ms):
         pass
 
 
@@ -41,8 +41,8 @@
     def __init__(self, arrivals, *, forecast_type=DemandForecast):
         self.arrivals = list(arrivals)
         self.forecast = forecast_type(ahead_s=AHEAD_MS / 1000, scale=lambda _: 1.0)
-        self.tables = SimpleNamespace(workflows={}, queue_pools={pool: pool for pool in POOLS})
-        self.indexes = SimpleNamespace(open_workflows={})
+        self.tables = SimpleNamespace(workflows={})
+        self.indexes = SimpleNamespace(open_workflows={}, pool_of=lambda workflow: workflow.queue)
         self.expected, self.missed, self.demand = [], [], {}
 
     def accept(self, at_ms, pool, spec):
--- a/tests/scheduling/test_copies.py
+++ b/tests/scheduling/test_copies.py
@@ -145,10 +145,10 @@
     log = make_log(Step(count=1, cpu_millis=1500, duplicates=True))
     start(log, "vm-1")
     start(log, "vm-3", run=2)
-    tables = log.state.tables
+    tables, indexes = log.state.tables, log.state.indexes
     # A twentieth of four VMs of eight cores is 1.6 cores.
-    assert not CopyBudget(tables=tables, silent_vms=()).has("vans", 1500)
-    budget = CopyBudget(tables=tables, silent_vms={"vm-1"})
+    assert not CopyBudget(tables=tables, indexes=indexes, silent_vms=()).has("vans", 1500)
+    budget = CopyBudget(tables=tables, indexes=indexes, silent_vms={"vm-1"})
     assert budget.has("vans", 1500)
     budget.reserve("vans", 1500)
     assert not budget.has("vans", 1500)
