--- a/tests/adapter/test_renamed_queues.py
+++ b/tests/adapter/test_renamed_queues.py
@@ -74,3 +74,11 @@
     assert (await client.call("GET", f"{prefix}{ID}"))[0] == 410
     assert await client.call("GET", prefix) == (200, {"pending": 0})
     assert (await client.call("GET", f"/p/{ID}"))[0] == 404
+
+
+async def test_job_without_a_key_is_not_forgotten_as_its_queue_asks_for_keys(client):
+    """Guards against a 410 for a job of a queue that was open to all when it was submitted (LOST)."""
+    assert (await client.call("POST", f"/p/open/{ID}", JOB, key=""))[0] == 200
+    keyed = manifest(version=2, routes=[PLANS, OPEN | {"public": False}])
+    assert (await client.control("PUT", "config", keyed))[0] == 200
+    assert await client.call("GET", f"/p/open/{ID}", key="key-2") == (200, {"state": "queued"})
