Raise the fencing token with each boot of a VM

Cause: a poll with a lease is nearly always open when a VM crashes, and the next boot may carry it out up to 12 s later. The leader counted 13 s and the longest lease for all that the new boot ran, since all calls of a term had one fencing token and nothing told the boots apart when a call was carried out.

Ruled out: a lease that the VM really holds for so long (max_hold_ms is 6 s there); a VM that is taken for reachable, which has no reason to end then.

PROTOCOL.md: "A minion keeps the highest fencing_token value that it has seen. [...] The minion does nothing for a lower value", "After a crash, the minion [...] has seen no fence number." The token is now the term and the number of boots of the VM that the leader has noticed. The first answer to a poll with the raised token proves that this boot carries out no earlier call any more; what such a call gave it ends at the longest lease after that answer. Members of the release before send lower tokens, so it holds from version 3 of the state on. Where the longest lease alone is longer than 8 s, long-running tasks go to such a VM last.

--- a/src/hyssopway/dispatch/end_acknowledgement.py
+++ b/src/hyssopway/dispatch/end_acknowledgement.py
@@ -77,5 +77,15 @@
         earlier, self.withheld_until = self.withheld_until, last_sent_at + MAX_ORDER_DELAY_S
         return self.withheld_until > max(now, earlier)
 
+    def release(self, *, now: float) -> float:
+        """Records that the present boot forgets no more ends by polls for earlier ones.
+
+        Returns:
+            By how many seconds it would have been withheld for longer.
+        """
+        withheld_s = max(0.0, self.withheld_until - now)
+        self.withheld_until = min(self.withheld_until, now)
+        return withheld_s
+
 
 __all__ = ["EndAcknowledgement"]
--- a/src/hyssopway/dispatch/free_capacity.py
+++ b/src/hyssopway/dispatch/free_capacity.py
@@ -34,6 +34,7 @@
         runs: Number of runs on the VM.
         suspect_load: Runs on the VM whose tasks may crash it.
         is_probed: Whether the VM gets only one run, to see whether it has recovered.
+        has_long_lease: Whether a long-running task would be without a run for too long if the VM were lost now.
         awaits_maintenance: Whether the machine awaits maintenance, which soon interrupts what runs on it.
     """
 
@@ -56,6 +57,7 @@
     runs: int = 0
     suspect_load: SuspectLoad = NO_SUSPECTS
     is_probed: bool = False
+    has_long_lease: bool = False
     awaits_maintenance: bool = False
 
     def fits(self, step: Step) -> bool:
--- a/src/hyssopway/dispatch/free_vms.py
+++ b/src/hyssopway/dispatch/free_vms.py
@@ -20,6 +20,10 @@
     from .free_capacity import FreeCapacity
     from .vm_link import VmLink
 
+# A long-running task may be without a run for 9 s; its next start takes up to one of them. Calls for an earlier boot of a VM
+# may have given it a lease that ends later than that.
+MAX_LASTING_WAIT_S = 8.0
+
 
 def list_free_capacity(dispatcher: Dispatcher) -> dict[str, list[FreeCapacity]]:
     """Returns the free capacity of preferred VMs and of those that may be probed, by pool."""
@@ -88,6 +92,7 @@
             machines_can_leave=machines_can_leave,
             suspect_load=suspect_load.get(vm_id, NO_SUSPECTS),
         )
+        free.has_long_lease = link.lease.expires_at - now > MAX_LASTING_WAIT_S
         if link.stopping.missing_since:
             free.reserve_usage(link.stopping.measure_usage(tables))
         free_by_pool.setdefault(record.pool, []).append(free)
--- a/src/hyssopway/dispatch/leader_controller.py
+++ b/src/hyssopway/dispatch/leader_controller.py
@@ -17,6 +17,7 @@
 
 from .admission_control import AdmissionControl
 from .advice_fetcher import AdviceFetcher
+from .boot_counts import BootCounts
 from .contact_losses import ContactLosses
 from .departed_boots import DepartedBoots
 from .dispatcher import Dispatcher
@@ -72,6 +73,7 @@
         durations: Distribution of the ratio of actual to declared run durations.
         ratings: Ratings of VMs by the ends of their runs.
         losses: Losses of contact with VMs.
+        boot_counts: Boots of VMs that were noticed in this term.
         poll_limiter: Limits the rate of polls over all VMs.
         interference: Learns which pairs of images disturb each other.
         rtt_estimator: Estimates how long a VM takes to answer an order.
@@ -90,6 +92,7 @@
         "acknowledging_polls",
         "admission",
         "advice",
+        "boot_counts",
         "calls",
         "counters",
         "departed",
@@ -136,6 +139,7 @@
         self.load = LeaderLoad(clock=leadership.clock, counters=self.counters)
         self.ratings = VmRatings()
         self.losses = ContactLosses()
+        self.boot_counts = BootCounts()
         self.departed = DepartedBoots(clock=leadership.clock)
         self.durations = DurationQuantiles()
         self.machine_use = MachineUse()
@@ -351,6 +355,7 @@
                     leased_calls=self.leased_calls,
                     acknowledging_polls=self.acknowledging_polls,
                     losses=self.losses,
+                    boot_counts=self.boot_counts,
                 )
             self.tasks[vm_id] = asyncio.create_task(_run_until_lost(f"VM {vm_id}", link.run()))
         for vm_id in set(self.links) - set(self.leadership.state.tables.vms):
--- a/src/hyssopway/dispatch/lease.py
+++ b/src/hyssopway/dispatch/lease.py
@@ -43,6 +43,20 @@
         self.granted_until = float("-inf")
         self.expires_at = max(self.expires_at, expires_at)
 
+    def limit_inherited(self, *, at: float, longest_s: float) -> float:
+        """Limits the leases of calls for earlier boots, which the present one carries out no more from a local time on.
+
+        Args:
+            at: That time.
+            longest_s: Longest lease that the VM accepts, in seconds.
+
+        Returns:
+            By how many seconds the wait for them gets shorter.
+        """
+        limit = max(self.granted_until, lease_expiry(granted_at=at, length_s=longest_s))
+        earlier, self.expires_at = self.expires_at, min(self.expires_at, limit)
+        return earlier - self.expires_at
+
     def is_of_boot(self, clock_ms: int | None, *, sent_at: float) -> bool:
         """Returns whether the boot that was polled last may have answered a call with a reading of its clock.
 
--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -221,6 +221,7 @@
             vm.recent_failures,
             is_remote,
             interference,
+            vm.has_long_lease,
             vm.awaits_maintenance,
             has_half,
             not vm.has_long_running,
--- a/src/hyssopway/dispatch/poll_sender.py
+++ b/src/hyssopway/dispatch/poll_sender.py
@@ -49,7 +49,7 @@
         try:
             reply = await link.calls.poll(
                 vm=record,
-                fencing_token=link.leadership.term,
+                fencing_token=link.fence.token,
                 last_end=last_end,
                 lease_until_ms=lease_until_ms,
                 wait_ms=times.wait_ms,
--- a/src/hyssopway/dispatch/run_orders.py
+++ b/src/hyssopway/dispatch/run_orders.py
@@ -25,6 +25,7 @@
     from hyssopway.scheduling.vm_rating import VmRatings
     from hyssopway.workflow import ActiveRun, RunEnd, VmRecord
 
+    from .boot_fence import BootFence
     from .leadership import Leadership
     from .lease import VmLease
     from .next_boot_lease import NextBootLease
@@ -56,6 +57,7 @@
 
     Attributes:
         vm_id: ID of the VM.
+        fence: Fencing token of the orders.
         leadership: Term in which the orders are sent.
         calls: Client of worker VMs.
         lease: Lease of the VM's runs.
@@ -85,6 +87,7 @@
         "call_lost_at",
         "calls",
         "counters",
+        "fence",
         "is_refused",
         "late_starts",
         "leadership",
@@ -110,6 +113,7 @@
         self,
         *,
         vm_id: str,
+        fence: BootFence,
         leadership: Leadership,
         calls: WorkerCalls,
         lease: VmLease,
@@ -128,6 +132,7 @@
         self.call_lost_at = self.other_boot_answered_at = float("-inf")
         self.losses = ContactLosses() if losses is None else losses
         self.vm_id = vm_id
+        self.fence = fence
         self.leadership = leadership
         self.calls = calls
         self.lease = lease
@@ -219,7 +224,7 @@
                         checkpoint=checkpoint,
                         ticket=ticket,
                         lease_until_ms=until_ms,
-                        fencing_token=self.leadership.term,
+                        fencing_token=self.fence.token,
                         may_send=may_send,
                         timeout_s=timeout_s,
                     )
@@ -466,7 +471,7 @@
                         task=task,
                         run=run,
                         percent=percent,
-                        fencing_token=self.leadership.term,
+                        fencing_token=self.fence.token,
                         timeout_s=timeout_s,
                     )
                 except WorkerUnreachableError as error:
@@ -491,7 +496,7 @@
                     vm=record,
                     task=task,
                     run=run,
-                    fencing_token=self.leadership.term,
+                    fencing_token=self.fence.token,
                     may_send=self.leadership.may_order,
                     timeout_s=timeout_s,
                 )
--- a/src/hyssopway/dispatch/vm_boots.py
+++ b/src/hyssopway/dispatch/vm_boots.py
@@ -61,7 +61,7 @@
         try:
             reply = await self.link.calls.poll(
                 vm=record,
-                fencing_token=self.link.leadership.term,
+                fencing_token=self.link.fence.token,
                 last_end=0,
                 lease_until_ms=None,
                 wait_ms=0,
--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -14,6 +14,8 @@
 from hyssopway.scheduling.vm_rating import VmRatings
 from hyssopway.workflow import EndRuns, RunEnd, RunOutcome
 
+from .boot_counts import BootCounts
+from .boot_fence import BootFence
 from .end_acknowledgement import EndAcknowledgement
 from .lease import RUN_LEASE_S, VmLease
 from .next_boot_lease import NextBootLease
@@ -74,6 +76,7 @@
         vm_id: ID of the VM.
         boot: Boot number of the VM that the other attributes describe.
         boots: Ends and replaces boots of the VM.
+        fence: Fencing token of the calls to the VM.
         leadership: Term in which orders are sent.
         calls: Client of worker VMs.
         scale: Learns the ratio of actual to declared run durations.
@@ -115,6 +118,7 @@
         "counters",
         "durations",
         "failures",
+        "fence",
         "has_acked_term",
         "heard_at",
         "is_departing",
@@ -160,6 +164,7 @@
         leased_calls: UnsettledCalls | None = None,
         acknowledging_polls: UnsettledCalls | None = None,
         losses: ContactLosses | None = None,
+        boot_counts: BootCounts | None = None,
     ) -> None:
         self.vm_id = vm_id
         self.counters: Counter[str] = Counter() if counters is None else counters
@@ -189,8 +194,14 @@
                 leadership, vm_id=vm_id, length_s=length_s, longest_s=limits.longest_lease_s
             ),
         )
+        self.fence = BootFence(
+            vm_id=vm_id,
+            leadership=leadership,
+            counts=BootCounts() if boot_counts is None else boot_counts,
+        )
         self.orders = RunOrders(
             vm_id=vm_id,
+            fence=self.fence,
             leadership=leadership,
             calls=calls,
             lease=self.lease,
@@ -331,7 +342,7 @@
         if record.boot != self.boot:
             self.discard_boot()
             self.boot = record.boot
-        sent_at = self.leadership.clock()
+        sent_at, token = self.leadership.clock(), self.fence.token
         reply = await self.polls.send(record, sent_at=sent_at)
         self.poll_timing.record_answer()
         if reply.boot != record.boot:
@@ -341,13 +352,15 @@
             return  # another boot was announced meanwhile; this answer says nothing of it
         self.orders.record_listing(sent_at=sent_at)
         now = self.leadership.clock()
+        if self.fence.record_answer(token):
+            self._forget_calls_for_earlier_boots(now)
         self.lease.record_clock(clock_ms=reply.clock_ms, now=now)
         self.answered_at = self.heard_at = now
         self.ratings.record_contact(self.vm_id)
         if not self.has_acked_term:
             self.has_acked_term = True
             self.term_acked_at = now
-            log_event(Event.VM_HELD, vm=self.vm_id, token=self.leadership.term, runs=len(reply.running))
+            log_event(Event.VM_HELD, vm=self.vm_id, token=token, runs=len(reply.running))
         self.listed_runs = self._select_valid(reply)
         self.listing_sent_at = sent_at
         self.spread_watch.check(self.listed_runs, committed=record.runs, tables=self.leadership.state.tables)
@@ -507,6 +520,7 @@
         self.stall_detector.clear()
         self.pace.discard_boot()
         self.failures = 0
+        self.fence.begin_boot()
         self.lease.replace_boot(expires_at=self._find_inherited_expiry())
         self.orders.next_boot.clear()
         self._withhold_next_boot()
@@ -520,6 +534,21 @@
         )
         return max(former, next_boot.find_latest_expiry())
 
+    def _forget_calls_for_earlier_boots(self, now: float) -> None:
+        """Shortens all waits for calls that the present boot carries out no more; it may have carried some out until now."""
+        longest_s = self.orders.next_boot.longest_s
+        shortened_s = self.lease.limit_inherited(at=now, longest_s=longest_s)
+        withheld_s = self.acknowledgement.release(now=now)
+        if shortened_s or withheld_s:
+            log_event(
+                Event.BOOT_FENCED,
+                vm=self.vm_id,
+                token=self.fence.answered_token,
+                lease_ms=round((self.lease.expires_at - now) * 1000),
+                shortened_ms=round(shortened_s * 1000),
+                withheld_ms=round(withheld_s * 1000),
+            )
+
     def _withhold_next_boot(self) -> None:
         now, started_at = self.leadership.clock(), self.leadership.started_at
         changed_at = self.leadership.state.observed.find_boot_change(self.vm_id)
--- a/src/hyssopway/event/catalogue.py
+++ b/src/hyssopway/event/catalogue.py
@@ -219,6 +219,11 @@
         "INFO",
         "VM {vm} may forget ends for {withheld_ms} ms by a poll for the boot before; other VMs get the tasks",
     )
+    BOOT_FENCED = (
+        7092,
+        "INFO",
+        "VM {vm} is fenced from calls for earlier boots by {token}; wait {lease_ms} ms, {shortened_ms} and {withheld_ms} less",
+    )
     RUN_UNLISTED = (
         7069,
         "INFO",
--- a/src/hyssopway/workflow/__init__.py
+++ b/src/hyssopway/workflow/__init__.py
@@ -37,7 +37,13 @@
 from .run_outcome import RunOutcome
 from .start_rules import SkippedStart, StartRule
 from .state import WorkflowState, build_codecs, encode_command
-from .state_version import CURRENT_VERSION, LATE_FAILURES_VERSION, PLACEMENT_RULES_VERSION, QUEUE_IDS_VERSION
+from .state_version import (
+    BOOT_FENCES_VERSION,
+    CURRENT_VERSION,
+    LATE_FAILURES_VERSION,
+    PLACEMENT_RULES_VERSION,
+    QUEUE_IDS_VERSION,
+)
 from .step import Step
 from .step_progress import StepProgress
 from .tables import Tables
@@ -51,6 +57,7 @@
 from .workflow_status import WorkflowStatus
 
 __all__ = [
+    "BOOT_FENCES_VERSION",
     "CONCLUSIVE_CRASHES",
     "CURRENT_VERSION",
     "LATE_FAILURES_VERSION",
--- a/src/hyssopway/workflow/state_version.py
+++ b/src/hyssopway/workflow/state_version.py
@@ -15,10 +15,14 @@
 )
 REPLACED_BOOTS_VERSION: Final = 2  # the record of a VM tells when its boot replaced another one
 QUEUE_IDS_VERSION: Final = 3  # workflows are kept by the IDs of their queue and team, not by the names
+BOOT_FENCES_VERSION: Final = (
+    3  # each member that may lead orders with fencing tokens that rise with a VM's boots
+)
 
 CURRENT_VERSION: Final = QUEUE_IDS_VERSION  # the highest version that this release can apply
 
 __all__ = [
+    "BOOT_FENCES_VERSION",
     "CURRENT_VERSION",
     "ENDS_COUNT_ONCE_VERSION",
     "LATE_FAILURES_VERSION",
--- a/tests/workflow/conftest.py
+++ b/tests/workflow/conftest.py
@@ -46,6 +46,9 @@
     )
 
 
+PLANS_ID = make_document().queues[0].queue_id
+
+
 def make_vm(name, *, boot=1, draining=False, zone="nashua", rack="r1", labels=None, cores=8, sequence=0):
     return RegisterVm(
         vm=name,
