Count a job as pending until one of its tasks has begun

Cause: the status of a workflow becomes RUNNING when a start is committed, which is before its VM is told, and nothing sets it back when the start comes to nothing. The count took it for begun.

Ruled out: setting the status back to QUEUED, which would show callers a job that goes from running to queued, and does not count the jobs whose starts are still unanswered.

The record of a workflow tells from version 3 of the state on whether a run that has ended had begun on its VM; the leader adds runs in progress that a VM has accepted or listed.

--- a/src/hyssopway/dispatch/__init__.py
+++ b/src/hyssopway/dispatch/__init__.py
@@ -23,6 +23,7 @@
         MachineState,
     )
     from .order_reply import OrderReply, Refusal
+    from .pending_workflows import count_pending_workflows
     from .platform_limits import PlatformLimits
     from .poll_reply import PollReply
     from .worker_calls import OtherBootError, WorkerCalls, WorkerUnreachableError
@@ -49,6 +50,7 @@
             "Refusal": "order_reply",
             "WorkerCalls": "worker_calls",
             "WorkerUnreachableError": "worker_calls",
+            "count_pending_workflows": "pending_workflows",
         },
     )
 
@@ -72,4 +74,5 @@
     "Refusal",
     "WorkerCalls",
     "WorkerUnreachableError",
+    "count_pending_workflows",
 ]
--- a/src/hyssopway/workflow/apply_workflows.py
+++ b/src/hyssopway/workflow/apply_workflows.py
@@ -10,7 +10,7 @@
 from .queue_id import QueueId
 from .run_outcome import RunOutcome
 from .start_rules import SkippedStart, find_broken_rule, group_starts
-from .state_version import ENDS_COUNT_ONCE_VERSION, QUEUE_IDS_VERSION
+from .state_version import BEGUN_WORKFLOWS_VERSION, ENDS_COUNT_ONCE_VERSION, QUEUE_IDS_VERSION
 from .task_id import TaskId
 from .workflow import Workflow
 from .workflow_end import end_workflow, mark_runs_to_stop
@@ -119,6 +119,8 @@
             at_ms=command.at_ms,
             completes_gang=command.completes_gangs,
         )
+        if is_ended and _has_begun(end, command=command) and tables.version >= BEGUN_WORKFLOWS_VERSION:
+            tables.workflows[TaskId.parse(end.task).workflow].has_begun = True
         if vm is not None and command.last_end:
             count_late_failure(tables, indexes, vm=vm, end=end, at_ms=command.at_ms)
         elif vm is not None and is_ended:
@@ -136,6 +138,25 @@
         )
 
 
+def _has_begun(end: RunEnd, *, command: EndRuns) -> bool:
+    """Returns whether a run that has ended is known to have started on its VM.
+
+    The start of a run may not have reached a VM whose boot has ended, or whose lease has expired without contact.
+    """
+    match end.outcome:
+        case RunOutcome.NOT_STARTED:
+            return False
+        case RunOutcome.LAPSED if command.last_end:
+            return True
+        case RunOutcome.LOST if not command.boot_ended:
+            return True  # the VM had accepted the run and does not list it any more
+        case RunOutcome.LOST | RunOutcome.LAPSED:
+            key = f"{end.task}/{end.run}"
+            return key in command.lost_at_work and key not in command.unconfirmed
+        case _:
+            return True
+
+
 def _mark_counted(tables: Tables, *, vm: VmRecord, keys: Collection[str]) -> set[str]:
     """Returns the keys of the runs for which the end of the VM's boot has not been counted yet, and marks these runs.
 
--- a/src/hyssopway/workflow/state_version.py
+++ b/src/hyssopway/workflow/state_version.py
@@ -18,10 +18,14 @@
 BOOT_FENCES_VERSION: Final = (
     3  # each member that may lead orders with fencing tokens that rise with a VM's boots
 )
+BEGUN_WORKFLOWS_VERSION: Final = (
+    3  # the record of a workflow tells whether one of its tasks has ever started on a VM
+)
 
 CURRENT_VERSION: Final = QUEUE_IDS_VERSION  # the highest version that this release can apply
 
 __all__ = [
+    "BEGUN_WORKFLOWS_VERSION",
     "BOOT_FENCES_VERSION",
     "CURRENT_VERSION",
     "ENDS_COUNT_ONCE_VERSION",
--- a/src/hyssopway/workflow/workflow.py
+++ b/src/hyssopway/workflow/workflow.py
@@ -23,6 +23,8 @@
         status: Status as shown to submitters.
         progress: Progress by occurrence, then by step; an occurrence is added when it is due.
         occurrences_done: Number of occurrences whose tasks are all done.
+        has_begun: Whether a run that has ended is known to have started on its VM; False in records of a state before
+            `BEGUN_WORKFLOWS_VERSION`.
         ended_ms: Wall-clock time of the end; 0 until then.
     """
 
@@ -35,6 +37,7 @@
     progress: dict[int, list[StepProgress]] = field(default_factory=dict)
     occurrences_done: int = 0
     ended_ms: int = 0
+    has_begun: bool = False
 
     def add_occurrence(self, number: int) -> None:
         """Adds the tasks of an occurrence unless they are known."""
