Count the usage of a renamed team in each round

A team that another name was given to would have had its starts placed without regard to what it has running: TeamUsage looked the usage up by the name, which is kept by the ID since. The starts would have been refused as they were applied, again in each round.

Other uses of a team's name: messages, a metric and the assignment of IDs (read).

--- a/src/hyssopway/dispatch/team_usage.py
+++ b/src/hyssopway/dispatch/team_usage.py
@@ -17,7 +17,7 @@
     Attributes:
         indexes: Indexes of the replicated state, which have the limits and the usage.
         shares: Shares of teams, which count each start, too.
-        reserved: Millicores, megabytes of memory and accelerators of the starts of this round, by team.
+        reserved: Millicores, megabytes of memory and accelerators of the starts of this round, by team ID.
     """
 
     __slots__ = ("indexes", "reserved", "shares")
@@ -38,8 +38,8 @@
         team = self.indexes.teams.get(ready.workflow.team)
         if team is None:
             return True
-        use = self.indexes.team_usage.get(team.name)
-        reserved = self.reserved.setdefault(team.name, [0, 0, 0])
+        use = self.indexes.team_usage.get(ready.workflow.team)
+        reserved = self.reserved.setdefault(ready.workflow.team, [0, 0, 0])
         step = ready.step
         total = [
             reserved[0] + step.cpu_millis + (use.cpu_millis if use else 0),
