Reserve the limit of a team for all members of a gang, or for none

Cause: the placement reserved the limit member by member and did not give back what it had reserved when a later member did not fit, once for each rack that it tried. The shares of teams counted the members as started.

Ruled out: waiting behind the gang (a step that does not fit is passed over), VMs without room (they were empty), a usage that is really so high (4,000 of 10,000).

The tasks that start together are counted at once, all or none.

--- a/src/hyssopway/dispatch/placement.py
+++ b/src/hyssopway/dispatch/placement.py
@@ -27,7 +27,7 @@
     steps: Iterable[ReadyStep],
     free_by_pool: dict[str, list[FreeCapacity]],
     pool_of: Callable[[ReadyStep], str],
-    reserve_for_team: Callable[[ReadyStep], bool],
+    reserve_for_team: Callable[[ReadyStep, int], bool],
     max_starts: int,
 ) -> list[RunStart]:
     """Places waiting tasks.
@@ -36,8 +36,8 @@
         steps: Steps in the order of service.
         free_by_pool: Free capacity of VMs by pool; reduced by each placement.
         pool_of: Returns the pool of a step.
-        reserve_for_team: Counts one more task against the upper limit of its team; returns False when the limit
-            does not allow it.
+        reserve_for_team: Counts a number of tasks of a step against the upper limit of its team; counts none and
+            returns False when the limit does not allow them all.
         max_starts: Number of starts after which no further step is placed; a gang may exceed it.
 
     Returns:
@@ -71,7 +71,7 @@
     ready: ReadyStep,
     *,
     vms: list[FreeCapacity],
-    reserve_for_team: Callable[[ReadyStep], bool],
+    reserve_for_team: Callable[[ReadyStep, int], bool],
     max_starts: int,
 ) -> list[RunStart]:
     starts: list[RunStart] = []
@@ -88,7 +88,7 @@
             # The other tasks of the step may fit on VMs that are excluded for this one.
             unplaceable.add(excluded)
             continue
-        if vm is None or not reserve_for_team(ready):
+        if vm is None or not reserve_for_team(ready, 1):
             break
         starts.append(_assign(ready, vm=vm, index=index))
         if vm.is_probed:
@@ -97,7 +97,7 @@
 
 
 def _place_gang(
-    ready: ReadyStep, *, vms: list[FreeCapacity], reserve_for_team: Callable[[ReadyStep], bool]
+    ready: ReadyStep, *, vms: list[FreeCapacity], reserve_for_team: Callable[[ReadyStep, int], bool]
 ) -> list[RunStart]:
     if len(ready.indexes) < ready.step.count:
         return []  # some members of the previous run have not ended
@@ -106,7 +106,7 @@
     groups = [[vm for vm in vms if rack in vm.labels] for rack in racks]
     for group in (*groups, vms) if ready.step.tightly_coupled else (vms,):
         chosen = _find_gang_vms(ready, vms=group)
-        if chosen is not None and all(reserve_for_team(ready) for _ in chosen):
+        if chosen is not None and reserve_for_team(ready, len(chosen)):
             return [
                 _assign(ready, vm=vm, index=index, run=_next_gang_run(ready))
                 for index, vm in zip(ready.indexes, chosen, strict=True)
--- a/src/hyssopway/dispatch/team_usage.py
+++ b/src/hyssopway/dispatch/team_usage.py
@@ -27,14 +27,15 @@
         self.shares = shares
         self.reserved: dict[str, list[int]] = {}
 
-    def reserve(self, ready: ReadyStep) -> bool:
-        """Counts one more task of a step; returns False when its team would exceed its upper limit."""
-        if not self._fits_limit(ready):
+    def reserve(self, ready: ReadyStep, count: int = 1) -> bool:
+        """Counts more tasks of a step that start together; counts none and returns False if its team would exceed its limit."""
+        if not self._reserve_of_limit(ready, count=count):
             return False
-        self.shares.add_start(ready)
+        for _ in range(count):
+            self.shares.add_start(ready)
         return True
 
-    def _fits_limit(self, ready: ReadyStep) -> bool:
+    def _reserve_of_limit(self, ready: ReadyStep, *, count: int) -> bool:
         team = self.indexes.teams.get(ready.workflow.team)
         if team is None:
             return True
@@ -42,15 +43,15 @@
         reserved = self.reserved.setdefault(ready.workflow.team, [0, 0, 0])
         step = ready.step
         total = [
-            reserved[0] + step.cpu_millis + (use.cpu_millis if use else 0),
-            reserved[1] + step.memory_mb + (use.memory_mb if use else 0),
-            reserved[2] + step.accelerators + (use.accelerators if use else 0),
+            reserved[0] + count * step.cpu_millis + (use.cpu_millis if use else 0),
+            reserved[1] + count * step.memory_mb + (use.memory_mb if use else 0),
+            reserved[2] + count * step.accelerators + (use.accelerators if use else 0),
         ]
         if not _is_within(total, limit=team.upper_limit):
             return False
-        reserved[0] += step.cpu_millis
-        reserved[1] += step.memory_mb
-        reserved[2] += step.accelerators
+        reserved[0] += count * step.cpu_millis
+        reserved[1] += count * step.memory_mb
+        reserved[2] += count * step.accelerators
         return True
 
 
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -41,9 +41,11 @@
 def place_ready(*ready, vms, limit=100):
     left = [limit]
 
-    def reserve_for_team(_):
-        left[0] -= 1
-        return left[0] >= 0
+    def reserve_for_team(_, count):
+        if left[0] < count:
+            return False
+        left[0] -= count
+        return True
 
     starts = place_steps(
         steps=ready,
