Give the waits for calls to earlier boots a module of their own

No decision is changed.

Ruled out: moving the parts into BootFence, which decides about tokens only and is tested without a link.

559 tests of tests/dispatch and tests/docs passed.

--- a/src/hyssopway/dispatch/vm_link.py
+++ b/src/hyssopway/dispatch/vm_link.py
@@ -16,6 +16,7 @@
 
 from .boot_counts import BootCounts
 from .boot_fence import BootFence
+from .earlier_boot_calls import EarlierBootCalls
 from .end_acknowledgement import EndAcknowledgement
 from .lease import RUN_LEASE_S, VmLease
 from .next_boot_lease import NextBootLease
@@ -77,6 +78,7 @@
         boot: Boot number of the VM that the other attributes describe.
         boots: Ends and replaces boots of the VM.
         fence: Fencing token of the calls to the VM.
+        earlier_calls: Waits for calls to earlier boots of the VM.
         leadership: Term in which orders are sent.
         calls: Client of worker VMs.
         scale: Learns the ratio of actual to declared run durations.
@@ -117,6 +119,7 @@
         "calls",
         "counters",
         "durations",
+        "earlier_calls",
         "failures",
         "fence",
         "has_acked_term",
@@ -214,6 +217,14 @@
             late_starts=late_starts,
             losses=losses,
         )
+        self.earlier_calls = EarlierBootCalls(
+            vm_id=vm_id,
+            leadership=leadership,
+            fence=self.fence,
+            lease=self.lease,
+            acknowledgement=self.acknowledgement,
+            next_boot=next_boot,
+        )
         self.pace = VmPace(
             leadership=leadership, orders=self.orders, interference=interference, pacing_s=limits.pacing_s
         )
@@ -352,8 +363,7 @@
             return  # another boot was announced meanwhile; this answer says nothing of it
         self.orders.record_listing(sent_at=sent_at)
         now = self.leadership.clock()
-        if self.fence.record_answer(token):
-            self._forget_calls_for_earlier_boots(now)
+        self.earlier_calls.record_answer(token, now=now)
         self.lease.record_clock(clock_ms=reply.clock_ms, now=now)
         self.answered_at = self.heard_at = now
         self.ratings.record_contact(self.vm_id)
@@ -520,43 +530,7 @@
         self.stall_detector.clear()
         self.pace.discard_boot()
         self.failures = 0
-        self.fence.begin_boot()
-        self.lease.replace_boot(expires_at=self._find_inherited_expiry())
-        self.orders.next_boot.clear()
-        self._withhold_next_boot()
-
-    def _find_inherited_expiry(self) -> float:
-        """Returns when the leases expire that the next boot may hold by calls for earlier ones, of any leader."""
-        # A boot change that a former leader has committed may be applied only after the link was made.
-        next_boot = self.orders.next_boot
-        former = find_former_lease_expiry(
-            self.leadership, vm_id=self.vm_id, length_s=self.lease.length_s, longest_s=next_boot.longest_s
-        )
-        return max(former, next_boot.find_latest_expiry())
-
-    def _forget_calls_for_earlier_boots(self, now: float) -> None:
-        """Shortens all waits for calls that the present boot carries out no more; it may have carried some out until now."""
-        longest_s = self.orders.next_boot.longest_s
-        shortened_s = self.lease.limit_inherited(at=now, longest_s=longest_s)
-        withheld_s = self.acknowledgement.release(now=now)
-        if shortened_s or withheld_s:
-            log_event(
-                Event.BOOT_FENCED,
-                vm=self.vm_id,
-                token=self.fence.answered_token,
-                lease_ms=round((self.lease.expires_at - now) * 1000),
-                shortened_ms=round(shortened_s * 1000),
-                withheld_ms=round(withheld_s * 1000),
-            )
-
-    def _withhold_next_boot(self) -> None:
-        now, started_at = self.leadership.clock(), self.leadership.started_at
-        changed_at = self.leadership.state.observed.find_boot_change(self.vm_id)
-        # Former leaders acknowledged ends of the boot before until it was replaced, or until their terms ended.
-        former = min(changed_at, started_at) if self.boot == 0 else started_at
-        if self.acknowledgement.replace_boot(former_leader_ended_at=former, now=now):
-            withheld_s = self.acknowledgement.withheld_until - now
-            log_event(Event.VM_WITHHELD, vm=self.vm_id, withheld_ms=round(withheld_s * 1000))
+        self.earlier_calls.begin_boot(is_first=self.boot == 0)
 
     def _record_silence(self, record: VmRecord, *, reason: str) -> None:
         if self.leadership.clock() - self.answered_at > CONTACT_TIMEOUT_S and self.has_acked_term:
