Show the jobs of two organisations that have become one

Callers would have seen 410 for jobs that they had submitted with a key of an organisation that was joined with another one: the joint one keeps the ID of one of both, and the jobs of the other stayed with an ID that no key leads to any more.

A removed team whose key another team has now is taken for part of that one. This is derived from the configuration and what is kept of removed teams, so the form of the state does not change. The jobs keep the limit of the team that they were submitted for.

Ruled out: moving the jobs to the other ID, which an acceptance that is on its way would miss.

tests/adapter/test_renamed_queues.py::test_jobs_of_two_organisations_that_become_one_are_not_forgotten failed before (410) and passes now; 178 tests of tests/workflow and of this file pass.

--- a/src/hyssopway/workflow/indexes.py
+++ b/src/hyssopway/workflow/indexes.py
@@ -105,11 +105,13 @@
         queues_by_host: Configured queues by host name, longest path prefix first.
         teams: Known teams by ID, also those that were removed from the configuration, as they were last.
         team_by_key: Team ID by API key, of the configured teams.
+        heirs: ID of the configured team that now has a key of a removed one, by the ID of the removed one.
         suspects: Open tasks that may have crashed the VMs that ran them.
         unguarded_pools: Pools whose VMs do not reject tasks that exceed their free capacity.
     """
 
     __slots__ = (
+        "heirs",
         "open_workflows",
         "pool_usage",
         "queue_id_by_name",
@@ -138,6 +140,7 @@
         self.teams: dict[str, TeamPolicy] = {}
         self.unguarded_pools: set[str] = set()
         self.team_by_key: dict[str, str] = {}
+        self.heirs: dict[str, str] = {}
         self.suspects = CrashSuspects(tables)
         self.index_configuration(tables)
         for runs in tables.runs.values():
@@ -165,6 +168,12 @@
             team_id = tables.team_ids.get(team.name, team.name)
             self.teams[team_id] = team
             self.team_by_key.update(dict.fromkeys(team.keys, team_id))
+        self.heirs = {
+            former_id: self.team_by_key[key]
+            for former_id, former in tables.former_teams.items()
+            for key in former.keys
+            if key in self.team_by_key
+        }
         pools = document.pools if document is not None else ()
         self.unguarded_pools = {pool.name for pool in pools if not pool.guards_capacity}
 
@@ -230,6 +239,13 @@
             and usage.accelerators + runs * step.accelerators <= vm.capacity.accelerators
         )
 
+    def owns(self, workflow: Workflow, *, team_id: str) -> bool:
+        """Returns whether a workflow belongs to a team: it was submitted with a key of it, or of one that has become part of it.
+
+        A workflow that was submitted without a key belongs to nobody, and every team may use it.
+        """
+        return workflow.team in ("", team_id) or self.heirs.get(workflow.team) == team_id
+
     def team_name(self, team_id: str) -> str:
         """Returns the name that a team has, or had last; its ID if it was never configured."""
         team = self.teams.get(team_id)
--- a/tests/adapter/test_renamed_queues.py
+++ b/tests/adapter/test_renamed_queues.py
@@ -76,6 +76,19 @@
     assert (await client.call("GET", f"/p/{ID}"))[0] == 404
 
 
+async def test_jobs_of_two_organisations_that_become_one_are_not_forgotten(client):
+    """Guards against a 410 for the jobs of the second one, whose key the joint organisation has as well (LOST)."""
+    other = ID[::-1]
+    await client.call("POST", f"/p/{ID}", JOB, key="key-1")
+    await client.call("POST", f"/p/{other}", JOB, key="key-2")
+    joint = manifest(version=2, tenants=[{"name": "joint", "api_keys": ["key-1", "key-2"]}])
+    assert (await client.control("PUT", "config", joint))[0] == 200
+    for job in (ID, other):
+        for key in ("key-1", "key-2"):
+            assert await client.call("GET", f"/p/{job}", key=key) == (200, {"state": "queued"})
+    assert (await client.call("DELETE", f"/p/{other}"))[0] == 200
+
+
 async def test_job_without_a_key_is_not_forgotten_as_its_queue_asks_for_keys(client):
     """Guards against a 410 for a job of a queue that was open to all when it was submitted (LOST)."""
     assert (await client.call("POST", f"/p/open/{ID}", JOB, key=""))[0] == 200
