--- a/src/hyssopway/dispatch/withheld_vms.py
+++ b/src/hyssopway/dispatch/withheld_vms.py
@@ -1,7 +1,8 @@
 """Finds VMs that get no tasks because they might forget the ends of their runs.
 
 The next boot of a VM may carry out a late poll that acknowledges ends of the boot before. It then forgets an end that
-nobody has read, so that its task would start again although it is done.
+nobody has read, so that its task would start again although it is done. From `BOOT_FENCES_VERSION` on, a VM that answers
+carries out no such poll (`boot_fence`), so that none is withheld; members of the release before have the same rule as ever.
 """
 
 from __future__ import annotations
