--- /dev/null
+++ b/review/11/case.py
@@ -0,0 +1,94 @@
+"""Case 11: after two crashes of a rack, tasks wait for minions that are nearly empty."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "lib-3"))
+
+import fleet  # noqa: E402
+
+# As the site's service "vanplanner" has them: lasting jobs at priority 0, others at priority 1.
+QUEUES = [
+    {"name": "watch", "priority": 0, "target_latency_ms": 2500, "stretch": 2.2},
+    {"name": "plan", "priority": 1, "target_latency_ms": 600, "stretch": 1.6},
+]
+RACKS = ["r1", "r1", "r1", "r1"]
+LASTING_JOBS, TASKS = 3, 4
+CPU, MEMORY = 6000, 9000
+# Bounds of the rule.
+FINISH_S = 14.0
+IDLE_S = 3.0
+LASTING_WAIT_S = 6.0
+CALM_BEFORE_S = 4.0
+
+
+async def crash_rack(one: fleet.Fleet) -> None:
+    await asyncio.gather(*(minion.crash(down_s=0.5) for minion in one.minions))
+
+
+async def case(one: fleet.Fleet, trouble: bool) -> list[str]:
+    lasting = [
+        await one.submit("watch", count=TASKS, cpu=CPU, memory=MEMORY, work_s=None, may_miss=1)
+        for _ in range(LASTING_JOBS)
+    ]
+    await asyncio.sleep(3.0)
+    for job in lasting:
+        if len(one.at_work(job)) != TASKS:
+            raise fleet.CouldNotRun("a lasting job did not start before the disruption")
+    if trouble:
+        await crash_rack(one)
+    await asyncio.sleep(2.5)
+    short = await one.submit("plan", count=1, cpu=CPU, memory=MEMORY, work_s=2.0)
+    await asyncio.sleep(0.6)
+    if trouble:
+        if not one.at_work(short):
+            raise fleet.CouldNotRun("the job had not started when the rack crashed again")
+        await crash_rack(one)
+    await asyncio.sleep(0.5)
+    traffic_end = one.record.now()
+    one.record.write("END of the traffic")
+
+    broken: list[str] = []
+    crashed = one.record.now() if trouble else 0.0
+    idle_since: float | None = None
+    is_short_broken = False
+    waiting: dict[str, float] = {}  # lasting tasks without a run, by the time since when that holds
+    starved: dict[str, float] = {}
+    names = [f"{job}.0.0.{index}" for job in lasting for index in range(TASKS)]
+    while one.record.now() < traffic_end + FINISH_S + IDLE_S + 2.0:
+        now = one.record.now()
+        used, capacity = one.used_cpu()
+        running = {life.task for life in one.lives if life.ended is None}
+        for name in names:
+            last = max((life.ended or now for life in one.lives if life.task == name), default=0.0)
+            if name in running or used * 2 >= capacity or now < max(crashed + CALM_BEFORE_S, last + LASTING_WAIT_S):
+                waiting.pop(name, None)
+            elif now - waiting.setdefault(name, now) >= IDLE_S:
+                starved[name] = now - last
+        if now >= traffic_end + FINISH_S and not is_short_broken:
+            state = await one.state("plan", short)
+            is_idle = state in ("queued", "running") and not one.at_work(short) and used * 2 < capacity
+            idle_since = (idle_since or now) if is_idle else None
+            if idle_since is not None and now - idle_since >= IDLE_S:
+                is_short_broken = True
+                broken.append(
+                    f"LOST: {now - traffic_end:.1f} s after the end of the traffic job {short} is {state!r} and has had "
+                    f"nothing running for {IDLE_S} s; in use {used} of {capacity}, it needs {CPU}"
+                )
+            if state not in ("queued", "running", "completed"):
+                broken.append(f"LOST: job {short} is answered {state!r}")
+                break
+        await asyncio.sleep(0.1)
+    if starved:
+        broken.append(
+            f"LOST: {len(starved)} of {len(names)} lasting tasks had no run, up to {max(starved.values()):.1f} s after "
+            "their last one, with under half of the capacity in use and no disruption"
+        )
+    return broken
+
+
+sys.exit(fleet.play(case, folder=HERE, queues=QUEUES, racks=RACKS))
