--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -594,19 +594,29 @@
             return 0, {}
 
     async def submit(
-        self, queue: str, *, count: int, cpu: int, memory: int, work_s: float | None, may_miss: int = 0
+        self,
+        queue: str,
+        *,
+        count: int,
+        cpu: int,
+        memory: int,
+        work_s: float | None,
+        may_miss: int = 0,
+        estimated_ms: float | None = None,
     ) -> str:
         """Hands a job of one step in, until it is accepted, and returns its ID."""
         job = f"{random.getrandbits(64):016x}"
         step: dict[str, Any] = {"count": count, "cpu": cpu, "memory_request_mb": memory}
         step |= {"estimated_ms": int(work_s * 1000)} if work_s else {"long_running": True}
+        if estimated_ms is not None:
+            step["estimated_ms"] = estimated_ms
         if may_miss:
             step["may_miss"] = may_miss
         work = {"cpu": cpu, "memory": memory, "work_s": work_s}
         body = {"specification": json.dumps(work), "steps": [step]}
         for _ in range(8):
             status, _ = await self.call("POST", f"/{queue}/{job}", body=body)
-            self.record.write(f"POST {queue}/{job} count={count} cpu={cpu} work_s={work_s}: {status}")
+            self.record.write(f"POST {queue}/{job} step={step} work_s={work_s}: {status}")
             if status == 200:
                 return job
             await asyncio.sleep(0.2)
