Review case 11: check the rule with all its bounds

The check also asks for room for the task twice over and for the tenant's limit; one answer without a state does not count. The script exits with 2 where it could not run, and ends what it started when it is ended itself.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -50,27 +50,27 @@
     traffic_end = one.record.now()
     one.record.write("END of the traffic")
 
-    broken: list[str] = []
+    await asyncio.sleep(FINISH_S)
     idle_since: float | None = None
-    is_short_broken = False
+    is_answered = False
     while one.record.now() < traffic_end + FINISH_S + IDLE_S + 2.0:
+        state = await one.state("plan", short)
         now = one.record.now()
-        used, capacity = one.used_cpu()
-        if now >= traffic_end + FINISH_S and not is_short_broken:
-            state = await one.state("plan", short)
-            is_idle = state in ("queued", "running") and not one.at_work(short) and used * 2 < capacity
-            idle_since = (idle_since or now) if is_idle else None
-            if idle_since is not None and now - idle_since >= IDLE_S:
-                is_short_broken = True
-                broken.append(
-                    f"LOST: {now - traffic_end:.1f} s after the end of the traffic job {short} is {state!r} and has had "
-                    f"nothing running for {IDLE_S} s; in use {used} of {capacity}, it needs {CPU}"
-                )
-            if state not in ("queued", "running", "completed"):
-                broken.append(f"LOST: job {short} is answered {state!r}")
-                break
+        is_answered = is_answered or state in ("queued", "running", "completed", "failed", "cancelled")
+        if state in ("410", "failed", "cancelled"):
+            return [f"LOST: {now - traffic_end:.1f} s after the end of the traffic job {short} is answered {state!r}"]
+        is_idle = state in ("queued", "running") and not one.at_work(short) and one.is_owed(cpu=CPU, memory=MEMORY)
+        if not is_idle:
+            idle_since = None
+        elif idle_since is None:
+            idle_since = now
+        elif now - idle_since >= IDLE_S:
+            return [
+                f"LOST: {now - traffic_end:.1f} s after the end of the traffic job {short} is {state!r} and has had "
+                f"nothing running for {IDLE_S} s; in use {one.describe_use()}, it needs {CPU}"
+            ]
         await asyncio.sleep(0.1)
-    return broken
+    return [] if is_answered else [f"LOST: job {short} got no answer from {FINISH_S} s after the end of the traffic on"]
 
 
 sys.exit(fleet.play(case, folder=HERE, queues=QUEUES, racks=RACKS))
--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -32,6 +32,10 @@
 STOP_S = 0.1
 BEAT_S = 1.5
 START_UP_S = 0.3
+LIMIT_CPU, LIMIT_MEMORY = 4_000_000, 8_000_000
+VISIBLE_S = 3.0
+# Exit statuses of a case; run.sh makes them 0, 1 and 2, and 2 of any other.
+HELD, BROKEN, COULD_NOT_RUN = 0, 3, 2
 
 
 def free_port(host: str) -> int:
@@ -129,7 +133,7 @@
         """Listens and begins to report."""
         app = web.Application()
         app.router.add_post("/hyssopway/{call}", self.on_call)
-        self.runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        self.runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0)
         await self.runner.setup()
         self.port = free_port("127.0.0.1")
         await self.listen()
@@ -393,7 +397,7 @@
         self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3.0))
         app = web.Application()
         app.router.add_get("/hyssopway/machines", self.on_machines)
-        self.platform = web.AppRunner(app, access_log=None)
+        self.platform = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await self.platform.setup()
         port = free_port("127.0.0.1")
         await web.TCPSite(self.platform, "127.0.0.1", port).start()
@@ -414,6 +418,10 @@
         await self.send_manifest()
         await self.wait_until_ready()
 
+    def programs(self) -> list[Program]:
+        """Returns the programs of the project."""
+        return [*self.controls, *([self.entry] if self.entry else [])]
+
     def make(self, name: str, command: list[str], *, host: str) -> Program:
         """Returns a program with a folder and an address of its own."""
         folder = self.folder / name
@@ -565,7 +573,7 @@
                     "api_keys": [KEY],
                     "priority": 1,
                     "weight": 25,
-                    "upper_limit": {"cpu": 4_000_000, "memory_request_mb": 8_000_000, "gpus": 0},
+                    "upper_limit": {"cpu": LIMIT_CPU, "memory_request_mb": LIMIT_MEMORY, "gpus": 0},
                 }
             ],
         }
@@ -645,15 +653,34 @@
         """Returns the runs of a job that are going on."""
         return [life for life in self.lives if life.task.startswith(job) and life.ended is None]
 
-    def used_cpu(self) -> tuple[int, int]:
+    def is_owed(self, *, cpu: int, memory: int) -> bool:
+        """Returns whether a waiting task should run by the rule LOST.
+
+        There is capacity for it twice over, its tenant has under half of its limit, and under half of the service's
+        capacity is in use.
+        """
+        up = [minion for minion in self.minions if minion.is_up]
+        cpus = {minion.id: sum(active.cpu for active in minion.running.values()) for minion in up}
+        memories = {minion.id: sum(active.memory for active in minion.running.values()) for minion in up}
+        used_cpu, used_memory = sum(cpus.values()), sum(memories.values())
+        return (
+            any(
+                minion.cpu - cpus[minion.id] >= 2 * cpu and minion.memory - memories[minion.id] >= 2 * memory
+                for minion in up
+            )
+            and 2 * used_cpu < min(sum(minion.cpu for minion in up), LIMIT_CPU)
+            and 2 * used_memory < min(sum(minion.memory for minion in up), LIMIT_MEMORY)
+        )
+
+    def describe_use(self) -> str:
         """Returns the CPU in use and the capacity of all minions that are up."""
         up = [minion for minion in self.minions if minion.is_up]
         used = sum(active.cpu for minion in up for active in minion.running.values())
-        return used, sum(minion.cpu for minion in up)
+        return f"{used} of {sum(minion.cpu for minion in up)}"
 
     async def stop(self) -> None:
         """Ends all that was started."""
-        for program in (*self.controls, *([self.entry] if self.entry else [])):
+        for program in self.programs():
             program.kill()
         for minion in self.minions:
             await minion.stop()
@@ -663,8 +690,8 @@
             await self.session.close()
 
 
-def play(case: Any, *, folder: Path, queues: list[dict[str, Any]], racks: list[str], limit_s: float = 100.0) -> int:
-    """Plays a case and returns the exit status: 1 broken, 0 held, 2 could not run.
+def play(case: Any, *, folder: Path, queues: list[dict[str, Any]], racks: list[str], limit_s: float = 85.0) -> int:
+    """Plays a case and returns the exit status of a case.
 
     Args:
         case: Coroutine function of a fleet and whether there is trouble; returns the breaks that it saw.
@@ -678,14 +705,21 @@
     async def run(scratch: Path) -> int:
         record = Record(folder / "record.txt")
         fleet = Fleet(record, scratch, queues)
+        this = asyncio.current_task()
+        assert this is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 await fleet.start(racks=racks)
                 broken = await case(fleet, trouble)
-        except (CouldNotRun, TimeoutError, OSError) as error:
+            ended = [one.name for one in fleet.programs() if one.process is None or one.process.poll() is not None]
+            if ended:
+                raise CouldNotRun(f"{ended} ended by themselves")
+        except (Exception, asyncio.CancelledError) as error:
             record.write(f"RESULT could not run: {error!r}")
             print(f"could not run: {error!r}")
-            return 2
+            return COULD_NOT_RUN
         finally:
             await fleet.stop()
         for line in broken:
@@ -693,7 +727,7 @@
             print(line)
         record.write(f"RESULT {'broken' if broken else 'held'} (trouble: {trouble})")
         print("broken" if broken else "held")
-        return 1 if broken else 0
+        return BROKEN if broken else HELD
 
     with tempfile.TemporaryDirectory() as scratch:
         return asyncio.run(run(Path(scratch)))
